--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Two commands do all set-up on a fresh Debian machine: `make demo` and `make check`.
+BUILD := build/release
+JOBS ?= $(shell nproc)
+
+.PHONY: dependencies build demo check check-asan check-tsan lint format generate
+
+dependencies:
+	scripts/install-dependencies.sh
+
+build: dependencies
+	cmake --preset release
+	cmake --build --preset release -j $(JOBS)
+
+demo: build
+	python3 scripts/demo.py --build $(BUILD)
+
+check: build check-asan
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+check-asan: dependencies
+	cmake --preset asan
+	cmake --build --preset asan -j $(JOBS)
+	ctest --test-dir build/asan --output-on-failure -j 4
+
+check-tsan: dependencies
+	cmake --preset tsan
+	cmake --build --preset tsan -j $(JOBS)
+	ctest --test-dir build/tsan --output-on-failure -j 4
+
+lint: dependencies
+	scripts/lint.sh
+
+format:
+	git ls-files '*.c' '*.h' | grep -v src/generated/ | xargs clang-format -i
+
+generate: build
+	cmake --build --preset release --target generate
--- /dev/null
+++ b/schema/generate_settings.py
@@ -0,0 +1,84 @@
+#!/usr/bin/env python3
+"""Generate src/generated/settings_schema.{h,c} and docs/CONFIGURATION.md from schema/settings.json."""
+import json
+import pathlib
+import sys
+
+ROLE_BITS = {"gateway": "SETTING_ROLE_GATEWAY", "agent": "SETTING_ROLE_AGENT"}
+C_TYPES = {"string": "const char *", "url": "const char *", "choice": "const char *",
+           "uint": "uint64_t ", "bool": "bool "}
+BANNER = "/* Generated from schema/settings.json by schema/generate_settings.py; do not edit. */\n"
+
+
+def field_name(setting):
+    return setting["name"].replace("-", "_")
+
+
+def default_text(setting):
+    value = setting.get("default")
+    if value is None:
+        return None
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value)
+
+
+def quoted(text):
+    return "NULL" if text is None else json.dumps(text)
+
+
+def header(settings):
+    lines = [BANNER, "#ifndef SHUNTRUN_SETTINGS_SCHEMA_H\n#define SHUNTRUN_SETTINGS_SCHEMA_H\n",
+             "#include <stdbool.h>\n#include <stdint.h>\n",
+             "/** Every setting of the daemons, typed; see docs/CONFIGURATION.md. */",
+             "struct settings {"]
+    for setting in settings:
+        lines.append(f"    {C_TYPES[setting['type']]}{field_name(setting)};")
+    lines += ["};\n", f"#define SETTING_COUNT {len(settings)}\n", "#endif"]
+    return "\n".join(lines) + "\n"
+
+
+def table(settings):
+    lines = [BANNER, '#include "base/settings.h"\n#include <stddef.h>\n',
+             "const struct setting_descriptor setting_descriptors[SETTING_COUNT] = {"]
+    for setting in settings:
+        roles = " | ".join(ROLE_BITS[role] for role in setting["roles"])
+        choices = "|".join(setting.get("choices", [])) or None
+        lines.append("    {" + ", ".join([
+            quoted(setting["name"]), f"SETTING_{setting['type'].upper()}",
+            f"offsetof(struct settings, {field_name(setting)})", quoted(default_text(setting)),
+            str(setting.get("min", 0)), str(setting.get("max", 0)), quoted(setting.get("unit")),
+            quoted(choices), roles, "true" if setting.get("required") else "false",
+            quoted(setting["help"])]) + "},")
+    lines.append("};")
+    return "\n".join(lines) + "\n"
+
+
+def reference(settings):
+    lines = ["# Settings", "",
+             "Generated from `schema/settings.json`. Each setting is a flag (`--name VALUE`), a variable",
+             "(`SHUNTRUN_NAME`) or a line `name = value` of the file given by `--settings FILE`. A flag goes",
+             "before a variable, a variable before the file. All findings are reported together, with their",
+             "place, and the process ends with status 2 before anything is started.", "",
+             "| setting | roles | type | unit | default | range | meaning |",
+             "| --- | --- | --- | --- | --- | --- | --- |"]
+    for setting in settings:
+        value_range = f"{setting['min']} to {setting['max']}" if "max" in setting else ""
+        if "choices" in setting:
+            value_range = ", ".join(setting["choices"])
+        default = "required" if setting.get("required") else (default_text(setting) or "none")
+        lines.append(f"| `{setting['name']}` | {', '.join(setting['roles'])} | {setting['type']} | "
+                     f"{setting.get('unit', '')} | {default} | {value_range} | {setting['help']} |")
+    return "\n".join(lines) + "\n"
+
+
+def main():
+    root = pathlib.Path(sys.argv[1])
+    settings = json.loads((root / "schema/settings.json").read_text())["settings"]
+    (root / "src/generated/settings_schema.h").write_text(header(settings))
+    (root / "src/generated/settings_schema.c").write_text(table(settings))
+    (root / "docs/CONFIGURATION.md").write_text(reference(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,212 @@
+#!/usr/bin/env python3
+"""The main job in small: weights to every engine in a burst, a second version under traffic, one
+back end and one gateway drained, and every answer checked. Exit status 0 when nothing was lost,
+doubled, cut or mixed."""
+import argparse
+import json
+import pathlib
+import signal
+import sys
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+from fleet import Fleet, FleetError, call, wait_until  # noqa: E402
+
+MODEL_BYTES = 48 << 20
+CHUNK_BYTES = 1 << 20
+ORIGIN_RATE = 64 << 20
+TENANTS = "water:5,billing:3,gas:1"
+POLICY = [
+    "-- Every engine holds the script model; large tenants do not go before small ones.",
+    "function place(model, machine)",
+    "  return machine.accelerators >= model.accelerators",
+    "end",
+    "function rollout(model)",
+    "  return 'origin-weighted'",
+    "end",
+]
+
+
+def make_config(version, manifest, seat_machines):
+    return {
+        "models": [{"name": "script", "version": version, "manifest": manifest["manifest"],
+                    "bytes": manifest["bytes"], "accelerators": 8}],
+        "services": [{"name": "script", "kind": "model", "model": "script"},
+                     {"name": "seats", "kind": "plain", "machines": seat_machines,
+                      "checks_fences": True}],
+        "tenants": [{"name": "water", "weight": 5}, {"name": "billing", "weight": 3},
+                    {"name": "gas", "weight": 1}],
+        "objectives": [{"service": "script", "availability": 0.999, "first_token_ms": 840}],
+        "policy": POLICY,
+    }
+
+
+class ReadyClock(threading.Thread):
+    """Notes when each agent first serves a version."""
+
+    def __init__(self, fleet, names, version):
+        super().__init__(daemon=True)
+        self.fleet, self.names, self.version = fleet, set(names), version
+        self.start_time = time.monotonic()
+        self.seconds = {}
+        self.start()
+
+    def run(self):
+        while set(self.seconds) != self.names:
+            for name in self.names - set(self.seconds):
+                try:
+                    if self.fleet.serves(name, self.version):
+                        self.seconds[name] = round(time.monotonic() - self.start_time, 3)
+                except (OSError, ValueError):
+                    pass
+            time.sleep(0.01)
+
+    def wait(self, what):
+        wait_until(what, lambda: set(self.seconds) == self.names)
+        ordered = sorted(self.seconds.values())
+        return {"replicas": len(ordered), "half_seconds": ordered[(len(ordered) - 1) // 2],
+                "all_seconds": ordered[-1]}
+
+
+def build_fleet(options):
+    fleet = Fleet(options.build, options.work)
+    fleet.start_platform(ORIGIN_RATE)
+    for zone in (1, 2, 3):
+        fleet.add_gateway(f"gateway-{zone}", zone, "--endpoints-max-age-ms", "1500")
+        for number in range(3):
+            fleet.add_engine_agent(f"engine-{zone}{number}", zone)
+        fleet.add_service_agent(f"seats-{zone}", zone, "seats")
+    fleet.publish_machines()
+    return fleet
+
+
+def check_seats(fleet, record):
+    """Reconcile what callers were told with what the services ran."""
+    runs = {}
+    for name in fleet.agents(engines=False):
+        url = fleet.service_urls[name]
+        for body, count in call(url + "/admin/runs")["bodies"].items():
+            runs[body] = runs.get(body, 0) + count
+    problems = {"run_twice": 0, "done_but_not_run": 0, "not_run_but_run": 0}
+    for line in record.read_text().splitlines():
+        request, outcome, _ = line.split()
+        count = runs.get(request, 0)
+        problems["run_twice"] += count > 1
+        problems["done_but_not_run"] += outcome == "done" and count == 0
+        problems["not_run_but_run"] += outcome == "not_run" and count > 0
+    return problems
+
+
+def chunk_sources(fleet, names):
+    sums = {"peer": 0, "origin": 0, "rejected": 0}
+    for name in names:
+        counters = fleet.counters(name)
+        for source in ("peer", "origin"):
+            sums[source] += counters[f'shuntrun_chunks_received_total{{source="{source}"}}']
+        sums["rejected"] += counters["shuntrun_chunks_rejected_total"]
+    return sums
+
+
+def run(options):
+    fleet = build_fleet(options)
+    engines = fleet.agents()
+    seats = fleet.agents(engines=False)
+    first = fleet.make_model("script", "v1", MODEL_BYTES, CHUNK_BYTES, seed=1)
+    second = fleet.make_model("script", "v2", MODEL_BYTES, CHUNK_BYTES, seed=2)
+
+    print(f"publishing v1 to {len(engines)} engines", flush=True)
+    clock = ReadyClock(fleet, engines, "v1")
+    fleet.publish_config(make_config("v1", first, seats))
+    burst_v1 = clock.wait("v1 on every engine")
+    origin_v1 = call(fleet.origin_url + "/admin/stats")["chunk_bytes"]
+    for name in fleet.gateways():
+        wait_until(f"{name} is ready", lambda n=name: fleet.status(n)["config_revision"])
+
+    print("sending requests", flush=True)
+    seconds = str(options.seconds)
+    fleet.start_load("load-script", "script", "--tenants", TENANTS, "--rate", str(options.rate),
+                     "--seconds", seconds, "--tokens", "40", "--verify")
+    fleet.start_load("load-seats", "seats", "--tenants", TENANTS, "--rate", str(options.rate / 2),
+                     "--seconds", seconds, "--plain", "--keys")
+    time.sleep(options.seconds / 5)
+
+    print("publishing v2 under traffic", flush=True)
+    clock = ReadyClock(fleet, engines, "v2")
+    fleet.publish_config(make_config("v2", second, seats))
+    burst_v2 = clock.wait("v2 on every engine")
+    origin_v2 = call(fleet.origin_url + "/admin/stats")["chunk_bytes"] - origin_v1
+    sources = chunk_sources(fleet, engines)
+
+    print("draining engine-10 and gateway-3 under traffic", flush=True)
+    stopped = {}
+    for name in ("engine-10", "gateway-3"):
+        begun = time.monotonic()
+        fleet.kill(name, signal.SIGTERM)
+        status = fleet.processes[name].wait(timeout=45)
+        stopped[name] = {"exit_status": status, "seconds": round(time.monotonic() - begun, 3)}
+
+    script = fleet.load_report("load-script")
+    seat_calls = fleet.load_report("load-seats")
+    seat_problems = check_seats(fleet, fleet.work / "load-seats.record")
+    fleet.stop()
+
+    answers = {name: script["outcomes"][name] + seat_calls["outcomes"][name]
+               for name in script["outcomes"]}
+    bad = sum(answers[name] for name in ("lost", "cut", "doubled", "mixed"))
+    bad += sum(seat_problems.values()) + sum(s["exit_status"] != 0 for s in stopped.values())
+    summary = {
+        "engines": len(engines), "gateways": 3, "service_agents": len(seats), "zones": 3,
+        "model_bytes": MODEL_BYTES, "chunk_bytes": CHUNK_BYTES,
+        "v1": {**burst_v1, "origin_bytes": origin_v1, "origin_copies": origin_v1 / MODEL_BYTES},
+        "v2": {**burst_v2, "origin_bytes": origin_v2, "origin_copies": origin_v2 / MODEL_BYTES},
+        "chunk_sources": sources, "requests": answers, "seat_checks": seat_problems,
+        "answers_by_version": script["versions"], "first_token_ms": script["first_token_ms"],
+        "between_tokens_ms": script["between_tokens_ms"], "drained": stopped,
+        "violations": bad, "result": "passed" if bad == 0 else "FAILED",
+    }
+    return summary
+
+
+def print_summary(summary):
+    print()
+    for version in ("v1", "v2"):
+        burst = summary[version]
+        print(f"{version}: {burst['replicas']} replicas serve after {burst['all_seconds']:.2f} s "
+              f"(half after {burst['half_seconds']:.2f} s); the origin gave "
+              f"{burst['origin_copies']:.2f} copies of {summary['model_bytes'] >> 20} MB")
+    sources = summary["chunk_sources"]
+    print(f"chunks: {sources['peer']} from peers, {sources['origin']} from the origin, "
+          f"{sources['rejected']} rejected")
+    answers = summary["requests"]
+    print(f"requests: {answers['done']} done, {answers['not_run']} not run, "
+          f"{answers['unknown']} unknown; {answers['lost']} lost, {answers['cut']} cut, "
+          f"{answers['doubled']} doubled, {answers['mixed']} mixed")
+    print(f"answers by version: {summary['answers_by_version']}")
+    first = summary["first_token_ms"]
+    print(f"first token: {first['p50']:.0f} ms median, {first['p95']:.0f} ms for 95 in 100")
+    for name, stop in summary["drained"].items():
+        print(f"{name} drained and stopped after {stop['seconds']:.1f} s, "
+              f"exit status {stop['exit_status']}")
+    print(f"result: {summary['result']}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build/release")
+    parser.add_argument("--work", default="build/demo")
+    parser.add_argument("--seconds", type=float, default=14)
+    parser.add_argument("--rate", type=float, default=40)
+    options = parser.parse_args()
+    try:
+        summary = run(options)
+    except FleetError as error:
+        print(f"demo: {error}; see the logs in {options.work}", file=sys.stderr)
+        return 1
+    pathlib.Path(options.work, "summary.json").write_text(json.dumps(summary, indent=2) + "\n")
+    print_summary(summary)
+    return 0 if summary["violations"] == 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/agent/agent_traffic.c
@@ -0,0 +1,399 @@
+#include "agent/agent_traffic.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "net/links.h"
+
+#include <ck_pr.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define TICK_US (20 * MICROSECONDS_PER_MILLISECOND)
+#define PAUSE_US MICROSECONDS_PER_SECOND
+#define MAX_ROUTES 1024
+#define MAX_LINE (1u << 20)
+#define MAX_PLAIN_ANSWER (4u << 20)
+
+/* One run at the engine or service. */
+struct engine_run {
+    struct agent_traffic *traffic;
+    uint64_t run;
+    uint64_t call;
+    bool plain;
+    bool began; /* response bytes came */
+    bool ended; /* the engine's last line came */
+    uint64_t tokens;
+    uint8_t *line; /* bytes of an unfinished line */
+    size_t line_size;
+    struct engine_run *next;
+};
+
+struct agent_traffic {
+    const struct settings *settings;
+    struct loop *loop;
+    void *socket;
+    struct executor *executor;
+    struct engine_run *runs;
+    struct link_route routes[MAX_ROUTES];
+    uint32_t route_count;
+    uint64_t incarnation;
+    struct agent_traffic_view view;
+    pthread_t thread;
+};
+
+/* ---- routes: connections of gateways, named by index ---- */
+
+static uint64_t route_index(struct agent_traffic *traffic, const struct link_route *route)
+{
+    for (uint32_t i = 0; i < traffic->route_count; i++)
+        if (traffic->routes[i].size == route->size &&
+            memcmp(traffic->routes[i].bytes, route->bytes, route->size) == 0)
+            return i;
+    /* The oldest entry is reused; answers to its gateway are then lost, which it notices. */
+    uint32_t index = traffic->route_count < MAX_ROUTES
+                         ? traffic->route_count++
+                         : (uint32_t)(clock_monotonic_us() % MAX_ROUTES);
+    traffic->routes[index] = *route;
+    return index;
+}
+
+static void send_answer(void *context, uint64_t route, Shuntrun__Answer *answer)
+{
+    struct agent_traffic *traffic = context;
+    Shuntrun__Envelope envelope = SHUNTRUN__ENVELOPE__INIT;
+    envelope.from_incarnation = traffic->incarnation;
+    envelope.body_case = SHUNTRUN__ENVELOPE__BODY_ANSWER;
+    envelope.answer = answer;
+    links_answer(traffic->socket, &traffic->routes[route], &envelope);
+}
+
+/* ---- runs ---- */
+
+static void unlink_run(struct agent_traffic *traffic, struct engine_run *run)
+{
+    struct engine_run **link = &traffic->runs;
+    while (*link != run)
+        link = &(*link)->next;
+    *link = run->next;
+    free(run->line);
+    free(run);
+}
+
+/* A token line is {"i": N, "t": "..."}; the last one {"end": "done", "tokens": N}. */
+static void take_line(struct engine_run *run, const char *line, size_t size)
+{
+    json_error_t error;
+    json_t *root = json_loadb(line, size, 0, &error);
+    const json_t *index = json_object_get(root, "i");
+    const char *end = json_string_value(json_object_get(root, "end"));
+    if (json_is_integer(index)) {
+        uint64_t offset = (uint64_t)json_integer_value(index);
+        run->tokens = offset + 1;
+        executor_on_tokens(run->traffic->executor, clock_monotonic_us(), run->run, offset, 1,
+                           (const uint8_t *)line, size);
+    } else if (end && strcmp(end, "done") == 0) {
+        run->ended = json_integer_value(json_object_get(root, "tokens")) == (json_int_t)run->tokens;
+    }
+    json_decref(root);
+}
+
+static void on_engine_data(void *context, const uint8_t *data, size_t size)
+{
+    struct engine_run *run = context;
+    run->began = true;
+    if (run->line_size + size > MAX_LINE)
+        return; /* no engine writes such a line; the run ends as broken */
+    run->line = memory_resize(run->line, run->line_size + size);
+    memcpy(run->line + run->line_size, data, size);
+    run->line_size += size;
+    size_t start = 0;
+    for (size_t i = 0; i < run->line_size; i++) {
+        if (run->line[i] != '\n')
+            continue;
+        take_line(run, (const char *)run->line + start, i + 1 - start);
+        start = i + 1;
+    }
+    run->line_size -= start;
+    memmove(run->line, run->line + start, run->line_size);
+}
+
+/* The engine or service says so itself when it did not begin. */
+static bool certainly_not_started(const struct http_response *response)
+{
+    if (response->result == HTTP_NOT_SENT)
+        return true;
+    return response->result == HTTP_COMPLETE && strcmp(response->note, "not-run") == 0;
+}
+
+static void on_engine_done(void *context, const struct http_response *response)
+{
+    struct engine_run *run = context;
+    struct agent_traffic *traffic = run->traffic;
+    uint64_t now = clock_monotonic_us();
+    bool good = response->result == HTTP_COMPLETE && response->status == 200;
+    if (good && run->plain)
+        executor_on_done(traffic->executor, now, run->run, 0, response->body, response->size);
+    else if (good && run->ended)
+        executor_on_done(traffic->executor, now, run->run, run->tokens, NULL, 0);
+    else
+        executor_on_failed(
+            traffic->executor, now, run->run, run->began || !certainly_not_started(response),
+            response->result == HTTP_COMPLETE ? "the back end refused or failed" : response->error);
+    unlink_run(traffic, run);
+}
+
+#define HEADER_SIZE 1200
+#define MAX_HEADERS 10
+
+struct header_list {
+    char texts[MAX_HEADERS][HEADER_SIZE];
+    const char *pointers[MAX_HEADERS + 1];
+    uint32_t count;
+};
+
+static void add_header(struct header_list *list, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+static void add_header(struct header_list *list, const char *format, ...)
+{
+    va_list arguments;
+    va_start(arguments, format);
+    vsnprintf(list->texts[list->count], HEADER_SIZE, format, arguments);
+    va_end(arguments);
+    list->pointers[list->count] = list->texts[list->count];
+    list->count++;
+}
+
+static void fill_headers(struct header_list *list, const Shuntrun__Forward *forward,
+                         const struct ready_model *model, const struct fence *fence)
+{
+    add_header(list, "Content-Type: application/json");
+    add_header(list, "X-Tenant: %s", forward->tenant);
+    add_header(list, "X-Priority: %u", forward->priority);
+    add_header(list, "X-Deadline-Ms: %" PRIu64, forward->remaining_us / 1000);
+    add_header(list, "X-Fence: %" PRIu64 ".%" PRIu64 ".%" PRIu64, fence->revision,
+               fence->incarnation, fence->sequence);
+    if (forward->idempotency_key[0])
+        add_header(list, "X-Request-Key: %s", forward->idempotency_key);
+    if (!model)
+        return;
+    add_header(list, "X-Model: %s", model->model);
+    add_header(list, "X-Digest: %s", model->digest);
+    add_header(list, "X-Offset: %" PRIu64, forward->resume_offset);
+}
+
+static void start_run(void *context, uint64_t id, const Shuntrun__Forward *forward,
+                      const struct ready_model *model, const struct fence *fence)
+{
+    struct agent_traffic *traffic = context;
+    struct engine_run *run = memory_zero(1, sizeof *run);
+    struct header_list *headers = memory_zero(1, sizeof *headers);
+    char url[512];
+    run->traffic = traffic;
+    run->run = id;
+    run->plain = !model;
+    run->tokens = forward->resume_offset;
+    run->next = traffic->runs;
+    traffic->runs = run;
+    fill_headers(headers, forward, model, fence);
+    snprintf(url, sizeof url, "%s%s",
+             model ? traffic->settings->engine_url : traffic->settings->service_url,
+             model ? "/v1/generate" : "/v1/call");
+    struct http_call call = {
+        .method = "POST",
+        .url = url,
+        .headers = headers->pointers,
+        .body = forward->body.data,
+        .body_size = forward->body.len,
+        .body_limit = MAX_PLAIN_ANSWER,
+        .timeout_ms = forward->remaining_us / 1000 + 1,
+        .fresh_connection = forward->unrepeatable,
+        .on_data = model ? on_engine_data : NULL,
+        .on_done = on_engine_done,
+        .context = run,
+    };
+    run->call = loop_http(traffic->loop, &call);
+    free(headers);
+}
+
+static void cancel_run(void *context, uint64_t id)
+{
+    struct agent_traffic *traffic = context;
+    for (struct engine_run *run = traffic->runs; run; run = run->next) {
+        if (run->run != id)
+            continue;
+        loop_http_cancel(traffic->loop, run->call);
+        unlink_run(traffic, run);
+        return;
+    }
+}
+
+/* ---- events ---- */
+
+static void on_request(void *context)
+{
+    struct agent_traffic *traffic = context;
+    struct link_route route;
+    Shuntrun__Envelope *message;
+    while ((message = links_take_traffic(traffic->socket, &route))) {
+        uint64_t now = clock_monotonic_us();
+        if (message->body_case == SHUNTRUN__ENVELOPE__BODY_FORWARD)
+            executor_on_forward(traffic->executor, now, route_index(traffic, &route),
+                                message->forward);
+        else if (message->body_case == SHUNTRUN__ENVELOPE__BODY_CANCEL)
+            executor_on_cancel(traffic->executor, now, message->cancel);
+        shuntrun__envelope__free_unpacked(message, NULL);
+    }
+}
+
+static void publish_view(struct agent_traffic *traffic, uint64_t now)
+{
+    uint32_t active = executor_active(traffic->executor);
+    ck_pr_store_32(&traffic->view.active, active);
+    ck_pr_store_64(&traffic->view.pause_epoch, executor_pause_epoch(traffic->executor));
+    ck_pr_store_64(&traffic->view.ticket_epoch, executor_ticket_epoch(traffic->executor, now));
+    metric_gauge_set(METRIC_ACTIVE_REQUESTS, active);
+}
+
+static void on_tick(void *context)
+{
+    struct agent_traffic *traffic = context;
+    uint64_t now = clock_monotonic_us();
+    executor_on_tick(traffic->executor, now);
+    publish_view(traffic, now);
+}
+
+static void *run_thread(void *context)
+{
+    struct agent_traffic *traffic = context;
+    loop_run(traffic->loop);
+    return NULL;
+}
+
+struct agent_traffic *agent_traffic_start(const struct settings *settings, void *zmq, uint64_t self,
+                                          uint64_t incarnation)
+{
+    void *socket =
+        links_bind(zmq, LINK_TRAFFIC, settings->address, (uint16_t)settings->traffic_port);
+    if (!socket)
+        return NULL;
+    struct agent_traffic *traffic = memory_zero(1, sizeof *traffic);
+    struct executor_driver driver = {traffic, send_answer, start_run, cancel_run};
+    struct executor_settings executor_settings = {
+        .capacity = (uint32_t)settings->request_capacity,
+        .key_window_us = settings->key_window_ms * MICROSECONDS_PER_MILLISECOND,
+        .key_limit = (uint32_t)settings->key_limit,
+        .pause_us = PAUSE_US,
+    };
+    traffic->settings = settings;
+    traffic->socket = socket;
+    traffic->incarnation = incarnation;
+    traffic->loop = loop_create();
+    traffic->executor =
+        executor_create(&executor_settings, self, incarnation, clock_monotonic_us(), &driver);
+    if (settings->service_name)
+        executor_set_service(traffic->executor, settings->service_name);
+    loop_watch_socket(traffic->loop, socket, on_request, traffic);
+    loop_set_tick(traffic->loop, TICK_US, on_tick, traffic);
+    pthread_create(&traffic->thread, NULL, run_thread, traffic);
+    return traffic;
+}
+
+void agent_traffic_stop(struct agent_traffic *traffic)
+{
+    if (!traffic)
+        return;
+    loop_stop(traffic->loop);
+    pthread_join(traffic->thread, NULL);
+    loop_drain(traffic->loop);
+    executor_destroy(traffic->executor);
+    loop_destroy(traffic->loop);
+    while (traffic->runs)
+        unlink_run(traffic, traffic->runs);
+    zmq_close(traffic->socket);
+    free(traffic);
+}
+
+/* ---- what the control thread posts ---- */
+
+struct change {
+    struct agent_traffic *traffic;
+    struct fleet_config config; /* services and tenants only; owned */
+    struct ready_model ready[NODE_MAX_READY];
+    uint32_t ready_count;
+    bool draining;
+};
+
+static void apply_config(void *argument)
+{
+    struct change *change = argument;
+    executor_set_config(change->traffic->executor, clock_monotonic_us(), &change->config);
+    fleet_config_clear(&change->config);
+    free(change);
+}
+
+void agent_traffic_set_config(struct agent_traffic *traffic, const struct fleet_config *config)
+{
+    struct change *change = memory_zero(1, sizeof *change);
+    struct fleet_config *copy = &change->config;
+    change->traffic = traffic;
+    copy->revision = config->revision;
+    copy->service_count = config->service_count;
+    copy->services =
+        memory_copy(config->services, config->service_count * sizeof *config->services);
+    for (uint32_t i = 0; i < copy->service_count; i++)
+        copy->services[i].machines = memory_copy(
+            config->services[i].machines, config->services[i].machine_count * sizeof(uint64_t));
+    copy->tenant_count = config->tenant_count;
+    copy->tenants = memory_copy(config->tenants, config->tenant_count * sizeof *config->tenants);
+    loop_post(traffic->loop, apply_config, change);
+}
+
+static void apply_ready(void *argument)
+{
+    struct change *change = argument;
+    executor_set_ready(change->traffic->executor, change->ready, change->ready_count);
+    free(change);
+}
+
+void agent_traffic_set_ready(struct agent_traffic *traffic, const struct ready_model *models,
+                             uint32_t count)
+{
+    struct change *change = memory_zero(1, sizeof *change);
+    change->traffic = traffic;
+    memcpy(change->ready, models, count * sizeof *models);
+    change->ready_count = count;
+    loop_post(traffic->loop, apply_ready, change);
+}
+
+static void apply_draining(void *argument)
+{
+    struct change *change = argument;
+    executor_set_draining(change->traffic->executor, change->draining);
+    free(change);
+}
+
+void agent_traffic_set_draining(struct agent_traffic *traffic, bool draining)
+{
+    struct change *change = memory_zero(1, sizeof *change);
+    change->traffic = traffic;
+    change->draining = draining;
+    loop_post(traffic->loop, apply_draining, change);
+}
+
+struct agent_traffic_view agent_traffic_view(const struct agent_traffic *traffic)
+{
+    return (struct agent_traffic_view){
+        .active = ck_pr_load_32(&traffic->view.active),
+        .pause_epoch = ck_pr_load_64(&traffic->view.pause_epoch),
+        .ticket_epoch = ck_pr_load_64(&traffic->view.ticket_epoch),
+    };
+}
--- /dev/null
+++ b/src/base/memory.c
@@ -0,0 +1,37 @@
+#include "base/memory.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void *checked(void *block)
+{
+    if (!block) {
+        fputs("shuntrun: out of memory\n", stderr);
+        abort();
+    }
+    return block;
+}
+
+void *memory_zero(size_t count, size_t size)
+{
+    return checked(calloc(count ? count : 1, size ? size : 1));
+}
+
+void *memory_resize(void *block, size_t size)
+{
+    return checked(realloc(block, size ? size : 1));
+}
+
+char *memory_string(const char *text)
+{
+    return checked(strdup(text ? text : ""));
+}
+
+void *memory_copy(const void *bytes, size_t size)
+{
+    void *copy = checked(malloc(size ? size : 1));
+    if (size)
+        memcpy(copy, bytes, size);
+    return copy;
+}
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,281 @@
+#include "base/settings.h"
+
+#include "base/memory.h"
+
+#include <argp.h>
+#include <ctype.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_FIRST_SETTING 1000
+#define KEY_SETTINGS_FILE 999
+
+/* Where the value of each setting came from; text is NULL while none was given. */
+struct setting_value {
+    char *text; /* owned, until it is taken over by the settings */
+    char place[256];
+};
+
+struct reading {
+    enum setting_role role;
+    struct setting_value values[SETTING_COUNT];
+    const char *file;
+    struct findings *findings;
+};
+
+static int find_setting(const char *name, unsigned role)
+{
+    for (int i = 0; i < SETTING_COUNT; i++)
+        if ((setting_descriptors[i].roles & role) && strcmp(setting_descriptors[i].name, name) == 0)
+            return i;
+    return -1;
+}
+
+static void give_value(struct reading *reading, int index, const char *text, const char *place)
+{
+    struct setting_value *value = &reading->values[index];
+    free(value->text);
+    value->text = memory_string(text);
+    snprintf(value->place, sizeof value->place, "%s", place);
+}
+
+static void variable_name(const char *setting, char *variable, size_t size)
+{
+    int used = snprintf(variable, size, "SHUNTRUN_");
+    for (const char *c = setting; *c && (size_t)used + 1 < size; c++)
+        variable[used++] = *c == '-' ? '_' : (char)toupper((unsigned char)*c);
+    variable[used] = 0;
+}
+
+static char *trimmed(char *text)
+{
+    while (isspace((unsigned char)*text))
+        text++;
+    size_t length = strlen(text);
+    while (length && isspace((unsigned char)text[length - 1]))
+        text[--length] = 0;
+    return text;
+}
+
+static void read_file_line(struct reading *reading, char *line, const char *place)
+{
+    char *text = trimmed(line);
+    if (!*text || *text == '#')
+        return;
+    char *equals = strchr(text, '=');
+    if (!equals) {
+        findings_add(reading->findings, FINDING_ERROR, place, "expected `name = value`");
+        return;
+    }
+    *equals = 0;
+    const char *name = trimmed(text);
+    int index = find_setting(name, reading->role);
+    if (index >= 0)
+        give_value(reading, index, trimmed(equals + 1), place);
+    else if (find_setting(name, ~0U) < 0)
+        findings_add(reading->findings, FINDING_ERROR, place, "unknown setting `%s`", name);
+}
+
+static void read_file(struct reading *reading)
+{
+    FILE *stream = fopen(reading->file, "r");
+    if (!stream) {
+        findings_add(reading->findings, FINDING_ERROR, reading->file, "%s", strerror(errno));
+        return;
+    }
+    char line[1024];
+    char place[256];
+    for (int number = 1; fgets(line, sizeof line, stream); number++) {
+        snprintf(place, sizeof place, "%s:%d", reading->file, number);
+        read_file_line(reading, line, place);
+    }
+    fclose(stream);
+}
+
+static void read_environment(struct reading *reading)
+{
+    for (int i = 0; i < SETTING_COUNT; i++) {
+        char variable[128];
+        variable_name(setting_descriptors[i].name, variable, sizeof variable);
+        const char *text = getenv(variable);
+        if (text && (setting_descriptors[i].roles & reading->role))
+            give_value(reading, i, text, variable);
+    }
+}
+
+/* Flags are kept aside by argp and applied last, since they go before variables and the file. */
+struct flags {
+    struct reading *reading;
+    const char *texts[SETTING_COUNT];
+};
+
+static error_t parse_flag(int key, char *argument, struct argp_state *state)
+{
+    struct flags *flags = state->input;
+    if (key == KEY_SETTINGS_FILE) {
+        flags->reading->file = argument;
+        return 0;
+    }
+    if (key >= KEY_FIRST_SETTING && key < KEY_FIRST_SETTING + SETTING_COUNT) {
+        flags->texts[key - KEY_FIRST_SETTING] = argument;
+        return 0;
+    }
+    if (key == ARGP_KEY_ARG) {
+        findings_add(flags->reading->findings, FINDING_ERROR, argument, "unexpected argument");
+        return 0;
+    }
+    return ARGP_ERR_UNKNOWN;
+}
+
+static void apply_flags(const struct flags *flags)
+{
+    for (int i = 0; i < SETTING_COUNT; i++) {
+        if (!flags->texts[i])
+            continue;
+        char place[128];
+        snprintf(place, sizeof place, "--%s", setting_descriptors[i].name);
+        give_value(flags->reading, i, flags->texts[i], place);
+    }
+}
+
+static void parse_flags(struct flags *flags, int argc, char **argv)
+{
+    struct argp_option options[SETTING_COUNT + 2] = {
+        {"settings", KEY_SETTINGS_FILE, "FILE", 0, "file of `name = value` lines", 0}};
+    int count = 1;
+    for (int i = 0; i < SETTING_COUNT; i++) {
+        const struct setting_descriptor *descriptor = &setting_descriptors[i];
+        if (!(descriptor->roles & flags->reading->role))
+            continue;
+        options[count++] = (struct argp_option){descriptor->name,
+                                                KEY_FIRST_SETTING + i,
+                                                descriptor->unit ? descriptor->unit : "VALUE",
+                                                0,
+                                                descriptor->help,
+                                                0};
+    }
+    const char *doc = flags->reading->role == SETTING_ROLE_AGENT
+                          ? "Run the agent of one back-end machine."
+                          : "Run a gateway for callers.";
+    struct argp argp = {options, parse_flag, NULL, doc, NULL, NULL, NULL};
+    argp_parse(&argp, argc, argv, 0, NULL, flags);
+}
+
+static bool choice_allowed(const char *choices, const char *text)
+{
+    size_t length = strlen(text);
+    for (const char *at = choices; at; at = strchr(at, '|')) {
+        at += *at == '|';
+        if (strncmp(at, text, length) == 0 && (at[length] == '|' || !at[length]))
+            return length > 0;
+    }
+    return false;
+}
+
+static void check_uint(const struct setting_descriptor *descriptor,
+                       const struct setting_value *value, uint64_t *target,
+                       struct findings *findings)
+{
+    char *end = NULL;
+    errno = 0;
+    unsigned long long number = strtoull(value->text, &end, 10);
+    bool malformed = errno || end == value->text || *end || strchr(value->text, '-');
+    if (malformed)
+        findings_add(findings, FINDING_ERROR, value->place, "`%s` is not a whole number",
+                     value->text);
+    else if (number < descriptor->minimum || number > descriptor->maximum)
+        findings_add(findings, FINDING_ERROR, value->place, "%llu is outside %llu to %llu", number,
+                     (unsigned long long)descriptor->minimum,
+                     (unsigned long long)descriptor->maximum);
+    *target = number;
+}
+
+static void check_value(const struct setting_descriptor *descriptor,
+                        const struct setting_value *value, void *target, struct findings *findings)
+{
+    bool is_true = strcmp(value->text, "true") == 0;
+    switch (descriptor->type) {
+    case SETTING_UINT:
+        check_uint(descriptor, value, target, findings);
+        return;
+    case SETTING_BOOL:
+        if (!is_true && strcmp(value->text, "false") != 0)
+            findings_add(findings, FINDING_ERROR, value->place, "`%s` is neither true nor false",
+                         value->text);
+        *(bool *)target = is_true;
+        return;
+    case SETTING_URL:
+        if (strncmp(value->text, "http://", 7) != 0 && strncmp(value->text, "https://", 8) != 0)
+            findings_add(findings, FINDING_ERROR, value->place, "`%s` is not an http(s) URL",
+                         value->text);
+        break;
+    case SETTING_CHOICE:
+        if (!choice_allowed(descriptor->choices, value->text))
+            findings_add(findings, FINDING_ERROR, value->place, "`%s` is not one of %s",
+                         value->text, descriptor->choices);
+        break;
+    case SETTING_STRING:
+        if (!value->text[0])
+            findings_add(findings, FINDING_ERROR, value->place, "must not be empty");
+        break;
+    }
+    *(const char **)target = value->text;
+}
+
+static bool is_text(const struct setting_descriptor *descriptor)
+{
+    return descriptor->type != SETTING_UINT && descriptor->type != SETTING_BOOL;
+}
+
+static void take_value(const struct setting_descriptor *descriptor, struct setting_value *value,
+                       void *target, struct findings *findings)
+{
+    check_value(descriptor, value, target, findings);
+    if (!is_text(descriptor))
+        free(value->text);
+    value->text = NULL;
+}
+
+static void check_all(struct reading *reading, struct settings *settings)
+{
+    for (int i = 0; i < SETTING_COUNT; i++) {
+        const struct setting_descriptor *descriptor = &setting_descriptors[i];
+        struct setting_value *value = &reading->values[i];
+        if (!(descriptor->roles & reading->role))
+            continue;
+        if (!value->text && descriptor->default_text)
+            give_value(reading, i, descriptor->default_text, "default");
+        void *target = (char *)settings + descriptor->offset;
+        if (value->text)
+            take_value(descriptor, value, target, reading->findings);
+        else if (descriptor->required)
+            findings_add(reading->findings, FINDING_ERROR, descriptor->name,
+                         "required setting is missing");
+    }
+}
+
+enum status settings_read(enum setting_role role, int argc, char **argv, struct settings *settings,
+                          struct findings *findings)
+{
+    struct reading reading = {.role = role, .findings = findings};
+    struct flags flags = {.reading = &reading};
+    *settings = (struct settings){0};
+    parse_flags(&flags, argc, argv);
+    if (reading.file)
+        read_file(&reading);
+    read_environment(&reading);
+    apply_flags(&flags);
+    check_all(&reading, settings);
+    if (findings->error_count)
+        return status_fail(STATUS_INVALID, "%zu errors in the settings", findings->error_count);
+    return STATUS_OK;
+}
+
+void settings_clear(struct settings *settings)
+{
+    for (int i = 0; i < SETTING_COUNT; i++)
+        if (is_text(&setting_descriptors[i]))
+            free(*(char **)((char *)settings + setting_descriptors[i].offset));
+    *settings = (struct settings){0};
+}
--- /dev/null
+++ b/src/core/balance_round_robin.c
@@ -0,0 +1,8 @@
+#include "core/balance.h"
+
+uint32_t balance_round_robin(struct balance_state *state,
+                             const struct balance_candidate *candidates, uint32_t count)
+{
+    (void)candidates;
+    return (uint32_t)(state->turn++ % count);
+}
--- /dev/null
+++ b/src/core/balance_two_choices.c
@@ -0,0 +1,23 @@
+#include "core/balance.h"
+
+#define DISTANCE_COST 0.02 /* load, in parts of the capacity, that a farther zone must save */
+
+/* Own counts are exact but partial, reports complete but late: the greater one is believed. */
+static double load_of(const struct balance_candidate *candidate)
+{
+    uint32_t busy =
+        candidate->in_flight > candidate->reported ? candidate->in_flight : candidate->reported;
+    uint32_t capacity = candidate->capacity ? candidate->capacity : 1;
+    return (double)busy / capacity + DISTANCE_COST * candidate->distance;
+}
+
+uint32_t balance_two_choices(struct balance_state *state,
+                             const struct balance_candidate *candidates, uint32_t count)
+{
+    uint32_t first = (uint32_t)random_below(&state->random, count);
+    if (count == 1)
+        return first;
+    uint32_t second = (uint32_t)random_below(&state->random, count - 1);
+    second += second >= first;
+    return load_of(&candidates[second]) < load_of(&candidates[first]) ? second : first;
+}
--- /dev/null
+++ b/src/core/fleet_config.c
@@ -0,0 +1,308 @@
+#include "core/fleet_config.h"
+
+#include "base/memory.h"
+#include "core/hash.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_LISTED 4096
+#define MAX_TENANT_WEIGHT 1000000
+
+/* Where a problem is: "name: models[2]". */
+struct place {
+    const char *file;
+    const char *list;
+    size_t index;
+    struct findings *findings;
+};
+
+static void report(const struct place *place, const char *key, const char *text)
+{
+    char where[256];
+    snprintf(where, sizeof where, "%s: %s[%zu].%s", place->file, place->list, place->index, key);
+    findings_add(place->findings, FINDING_ERROR, where, "%s", text);
+}
+
+static void read_name(const json_t *object, const char *key, char target[CONFIG_NAME_SIZE],
+                      bool needed, const struct place *place)
+{
+    const json_t *value = json_object_get(object, key);
+    const char *text = json_string_value(value);
+    if (!value && !needed)
+        return;
+    if (!text || !*text || strlen(text) >= CONFIG_NAME_SIZE)
+        report(place, key, "must be a text of 1 to 63 characters");
+    else
+        strcpy(target, text);
+}
+
+static uint64_t read_number(const json_t *object, const char *key, uint64_t least, uint64_t most,
+                            uint64_t missing, const struct place *place)
+{
+    const json_t *value = json_object_get(object, key);
+    if (!value)
+        return missing;
+    json_int_t number = json_integer_value(value);
+    if (!json_is_integer(value) || number < 0 || (uint64_t)number < least ||
+        (uint64_t)number > most) {
+        char text[96];
+        snprintf(text, sizeof text, "must be a whole number from %llu to %llu",
+                 (unsigned long long)least, (unsigned long long)most);
+        report(place, key, text);
+        return missing;
+    }
+    return (uint64_t)number;
+}
+
+static void read_model(const json_t *object, struct model_config *model, const struct place *place)
+{
+    read_name(object, "name", model->name, true, place);
+    read_name(object, "version", model->version, true, place);
+    if (digest_from_hex(json_string_value(json_object_get(object, "manifest")), &model->manifest) !=
+        STATUS_OK)
+        report(place, "manifest", status_message());
+    model->bytes = read_number(object, "bytes", 0, INT64_MAX, 0, place);
+    model->replicas = (uint32_t)read_number(object, "replicas", 0, 1000000, 0, place);
+    model->accelerators = (uint32_t)read_number(object, "accelerators", 1, 1024, 1, place);
+}
+
+static int compare_ids(const void *left, const void *right)
+{
+    uint64_t a = *(const uint64_t *)left;
+    uint64_t b = *(const uint64_t *)right;
+    return a < b ? -1 : a > b;
+}
+
+static void read_homes(const json_t *object, struct service_config *service,
+                       const struct place *place)
+{
+    const json_t *list = json_object_get(object, "machines");
+    size_t count = json_array_size(list);
+    if (count == 0 || count > MAX_LISTED) {
+        report(place, "machines", "must list 1 to 4096 machines");
+        return;
+    }
+    service->machines = memory_zero(count, sizeof *service->machines);
+    for (size_t i = 0; i < count; i++) {
+        const char *name = json_string_value(json_array_get(list, i));
+        if (name)
+            service->machines[service->machine_count++] = hash_name(name);
+        else
+            report(place, "machines", "must be names");
+    }
+    qsort(service->machines, service->machine_count, sizeof *service->machines, compare_ids);
+}
+
+static void read_service(const json_t *object, struct service_config *service,
+                         const struct place *place)
+{
+    const char *kind = json_string_value(json_object_get(object, "kind"));
+    read_name(object, "name", service->name, true, place);
+    if (kind && strcmp(kind, "model") == 0) {
+        service->kind = SERVICE_MODEL;
+        read_name(object, "model", service->model, true, place);
+    } else if (kind && strcmp(kind, "plain") == 0) {
+        service->kind = SERVICE_PLAIN;
+        read_homes(object, service, place);
+        service->checks_fences = json_is_true(json_object_get(object, "checks_fences"));
+    } else {
+        report(place, "kind", "must be `model` or `plain`");
+    }
+}
+
+static void read_tenant(const json_t *object, struct tenant_config *tenant,
+                        const struct place *place)
+{
+    read_name(object, "name", tenant->name, true, place);
+    tenant->weight = (uint32_t)read_number(object, "weight", 1, MAX_TENANT_WEIGHT, 1, place);
+}
+
+static void read_objective(const json_t *object, struct objective_config *objective,
+                           const struct place *place)
+{
+    const json_t *availability = json_object_get(object, "availability");
+    read_name(object, "service", objective->service, true, place);
+    read_name(object, "tenant", objective->tenant, false, place);
+    objective->availability = availability ? json_number_value(availability) : 0.999;
+    objective->first_token_ms =
+        (uint32_t)read_number(object, "first_token_ms", 1, 600000, 840, place);
+    if (objective->availability <= 0 || objective->availability >= 1)
+        report(place, "availability", "must lie between 0 and 1");
+}
+
+/* Allocate one element for each object of the list `place->list`. */
+static void *allocate_list(const json_t *root, struct place *place, size_t size, uint32_t *count)
+{
+    const json_t *list = json_object_get(root, place->list);
+    size_t length = json_array_size(list);
+    place->index = 0;
+    if (list && !json_is_array(list))
+        report(place, "", "must be a list");
+    if (length > MAX_LISTED) {
+        report(place, "", "is longer than 4096");
+        length = 0;
+    }
+    *count = (uint32_t)length;
+    return memory_zero(length, size);
+}
+
+#define READ_LIST(root, place, list_name, items, count, read)                                      \
+    do {                                                                                           \
+        (place)->list = (list_name);                                                               \
+        (items) = allocate_list((root), (place), sizeof *(items), &(count));                       \
+        for (uint32_t i = 0; i < (count); i++) {                                                   \
+            (place)->index = i;                                                                    \
+            read(json_array_get(json_object_get((root), (list_name)), i), &(items)[i], (place));   \
+        }                                                                                          \
+    } while (0)
+
+static char *join_lines(const json_t *list)
+{
+    char *text = memory_string("");
+    size_t used = 0;
+    for (size_t i = 0; i < json_array_size(list); i++) {
+        const char *line = json_string_value(json_array_get(list, i));
+        size_t length = line ? strlen(line) : 0;
+        text = memory_resize(text, used + length + 2);
+        memcpy(text + used, line ? line : "", length);
+        used += length;
+        text[used++] = '\n';
+        text[used] = 0;
+    }
+    return text;
+}
+
+static void read_policy(const json_t *root, struct fleet_config *config)
+{
+    const json_t *policy = json_object_get(root, "policy");
+    config->policy =
+        json_is_array(policy) ? join_lines(policy) : memory_string(json_string_value(policy));
+}
+
+static void check_references(const struct fleet_config *config, struct place *place)
+{
+    place->list = "services";
+    for (uint32_t i = 0; i < config->service_count; i++) {
+        const struct service_config *service = &config->services[i];
+        place->index = i;
+        if (service->kind == SERVICE_MODEL && !fleet_config_model(config, service->model))
+            report(place, "model", "names no model of this configuration");
+    }
+    place->list = "objectives";
+    for (uint32_t i = 0; i < config->objective_count; i++) {
+        place->index = i;
+        if (!fleet_config_service(config, config->objectives[i].service))
+            report(place, "service", "names no service of this configuration");
+    }
+}
+
+#define CHECK_UNIQUE(config, place, items, count, list_name)                                       \
+    do {                                                                                           \
+        (place)->list = (list_name);                                                               \
+        for (uint32_t i = 0; i < (count); i++)                                                     \
+            for (uint32_t j = 0; j < i; j++)                                                       \
+                if (strcmp((items)[i].name, (items)[j].name) == 0) {                               \
+                    (place)->index = i;                                                            \
+                    report((place), "name", "stands twice");                                       \
+                }                                                                                  \
+    } while (0)
+
+static void read_root(const json_t *root, struct fleet_config *config, struct place *place)
+{
+    READ_LIST(root, place, "models", config->models, config->model_count, read_model);
+    READ_LIST(root, place, "services", config->services, config->service_count, read_service);
+    READ_LIST(root, place, "tenants", config->tenants, config->tenant_count, read_tenant);
+    READ_LIST(root, place, "objectives", config->objectives, config->objective_count,
+              read_objective);
+    CHECK_UNIQUE(config, place, config->models, config->model_count, "models");
+    CHECK_UNIQUE(config, place, config->services, config->service_count, "services");
+    CHECK_UNIQUE(config, place, config->tenants, config->tenant_count, "tenants");
+    read_policy(root, config);
+    check_references(config, place);
+}
+
+enum status fleet_config_parse(const char *name, const char *text, size_t size, uint64_t revision,
+                               struct fleet_config *config, struct findings *findings)
+{
+    struct place place = {.file = name, .list = "", .findings = findings};
+    struct fleet_config parsed = {.revision = revision};
+    size_t before = findings->error_count;
+    json_error_t error;
+    json_t *root = NULL;
+    if (size > CONFIG_MAX_BYTES)
+        findings_add(findings, FINDING_ERROR, name, "larger than %d bytes", CONFIG_MAX_BYTES);
+    else if (!(root = json_loadb(text, size, JSON_REJECT_DUPLICATES, &error))) {
+        char where[256];
+        snprintf(where, sizeof where, "%s:%d", name, error.line);
+        findings_add(findings, FINDING_ERROR, where, "%s", error.text);
+    } else if (!json_is_object(root)) {
+        findings_add(findings, FINDING_ERROR, name, "is no JSON object");
+    } else {
+        read_root(root, &parsed, &place);
+    }
+    json_decref(root);
+    if (findings->error_count > before) {
+        fleet_config_clear(&parsed);
+        return status_fail(STATUS_INVALID, "%s: %zu errors", name, findings->error_count - before);
+    }
+    parsed.body = memory_copy(text, size);
+    parsed.body_size = size;
+    parsed.body_digest = digest_of(text, size);
+    *config = parsed;
+    return STATUS_OK;
+}
+
+const struct model_config *fleet_config_model(const struct fleet_config *config, const char *name)
+{
+    for (uint32_t i = 0; i < config->model_count; i++)
+        if (strcmp(config->models[i].name, name) == 0)
+            return &config->models[i];
+    return NULL;
+}
+
+const struct service_config *fleet_config_service(const struct fleet_config *config,
+                                                  const char *name)
+{
+    for (uint32_t i = 0; i < config->service_count; i++)
+        if (strcmp(config->services[i].name, name) == 0)
+            return &config->services[i];
+    return NULL;
+}
+
+const struct tenant_config *fleet_config_tenant(const struct fleet_config *config, const char *name)
+{
+    for (uint32_t i = 0; i < config->tenant_count; i++)
+        if (strcmp(config->tenants[i].name, name) == 0)
+            return &config->tenants[i];
+    return NULL;
+}
+
+uint64_t service_home(const struct service_config *service, const char *key)
+{
+    uint64_t key_hash = hash_name(key);
+    uint64_t best = 0;
+    uint64_t best_weight = 0;
+    for (uint32_t i = 0; i < service->machine_count; i++) {
+        uint64_t weight = hash_pair(key_hash, service->machines[i]);
+        if (i == 0 || weight > best_weight) {
+            best = service->machines[i];
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+void fleet_config_clear(struct fleet_config *config)
+{
+    for (uint32_t i = 0; i < config->service_count; i++)
+        free(config->services[i].machines);
+    free(config->models);
+    free(config->services);
+    free(config->tenants);
+    free(config->objectives);
+    free(config->policy);
+    free(config->body);
+    *config = (struct fleet_config){0};
+}
--- /dev/null
+++ b/src/core/router.c
@@ -0,0 +1,589 @@
+#include "core/router.h"
+
+#include "base/memory.h"
+#include "core/admission.h"
+#include "core/retry_budget.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_ATTEMPTS 6
+#define SHED_RETRY_MS 500
+#define NO_AGENT_RETRY_MS 1000
+#define EJECT_FAILURES 3      /* failures in a row that eject an agent */
+#define EJECT_LEAST 500000ULL /* first ejection, microseconds; doubles */
+#define EJECT_MOST 16000000ULL
+#define MAX_EXCLUDED 8
+
+struct request {
+    uint64_t caller;
+    uint64_t sequence; /* of the present attempt */
+    uint64_t agent;
+    uint64_t agent_incarnation;
+    uint64_t deadline;
+    uint64_t last_progress;
+    uint32_t tenant;
+    char tenant_name[CONFIG_NAME_SIZE];
+    char service[CONFIG_NAME_SIZE];
+    char digest[DIGEST_HEX_SIZE]; /* version that this answer is made with; "" before the first */
+    char *key;
+    uint8_t *body;
+    size_t body_size;
+    bool unrepeatable;
+    bool begun;
+    bool maybe_ran;
+    uint32_t priority;
+    uint32_t attempts;
+    uint64_t next_offset;
+    uint64_t excluded[MAX_EXCLUDED]; /* agents that failed or refused this request */
+    uint32_t excluded_count;
+};
+
+/* What this gateway saw of one agent. */
+struct agent_record {
+    uint64_t id;
+    uint32_t in_flight;
+    uint32_t failures;
+    uint64_t eject_us;
+    uint64_t ejected_until;
+};
+
+struct router {
+    struct router_settings settings;
+    struct router_driver driver;
+    struct router_counters counters;
+    const struct routing_view *view;
+    struct admission admission;
+    struct retry_budget budget;
+    struct balance_state balance;
+    uint64_t incarnation;
+    uint64_t next_sequence;
+    struct request **requests;
+    uint32_t request_count;
+    uint32_t request_capacity;
+    struct agent_record *records;
+    uint32_t record_count;
+};
+
+struct router *router_create(const struct router_settings *settings, uint64_t incarnation,
+                             uint64_t seed, const struct router_driver *driver)
+{
+    struct router *router = memory_zero(1, sizeof *router);
+    router->settings = *settings;
+    router->driver = *driver;
+    router->incarnation = incarnation;
+    router->next_sequence = 1;
+    router->balance.random.seed = seed;
+    if (!router->settings.balance)
+        router->settings.balance = balance_two_choices;
+    retry_budget_init(&router->budget, settings->retry_percent);
+    return router;
+}
+
+static void free_request(struct request *request)
+{
+    free(request->key);
+    free(request->body);
+    free(request);
+}
+
+void router_destroy(struct router *router)
+{
+    if (!router)
+        return;
+    for (uint32_t i = 0; i < router->request_count; i++)
+        free_request(router->requests[i]);
+    admission_clear(&router->admission);
+    free(router->requests);
+    free(router->records);
+    free(router);
+}
+
+uint32_t router_active(const struct router *router)
+{
+    return router->request_count;
+}
+
+const struct router_counters *router_counters(const struct router *router)
+{
+    return &router->counters;
+}
+
+static struct agent_record *record_of(struct router *router, uint64_t id)
+{
+    for (uint32_t i = 0; i < router->record_count; i++)
+        if (router->records[i].id == id)
+            return &router->records[i];
+    router->records =
+        memory_resize(router->records, (router->record_count + 1) * sizeof *router->records);
+    struct agent_record *record = &router->records[router->record_count++];
+    *record = (struct agent_record){.id = id};
+    return record;
+}
+
+/* ---- requests ---- */
+
+static void add_request(struct router *router, struct request *request)
+{
+    if (router->request_count == router->request_capacity) {
+        router->request_capacity = router->request_capacity ? 2 * router->request_capacity : 64;
+        router->requests =
+            memory_resize(router->requests, router->request_capacity * sizeof *router->requests);
+    }
+    router->requests[router->request_count++] = request;
+}
+
+static void remove_request(struct router *router, struct request *request)
+{
+    for (uint32_t i = 0; i < router->request_count; i++) {
+        if (router->requests[i] != request)
+            continue;
+        router->requests[i] = router->requests[--router->request_count];
+        break;
+    }
+    if (request->tenant != ADMISSION_UNKNOWN_TENANT)
+        admission_leave(&router->admission, request->tenant);
+    free_request(request);
+}
+
+static struct request *find_by_sequence(struct router *router, uint64_t sequence)
+{
+    for (uint32_t i = 0; i < router->request_count; i++)
+        if (router->requests[i]->sequence == sequence)
+            return router->requests[i];
+    return NULL;
+}
+
+static void count_verdict(struct router *router, const struct router_verdict *verdict)
+{
+    if (verdict->outcome == OUTCOME_DONE)
+        router->counters.done++;
+    else if (verdict->outcome == OUTCOME_NOT_RUN)
+        router->counters.not_run++;
+    else
+        router->counters.unknown++;
+    router->counters.replayed += verdict->replayed;
+}
+
+/* The attempt is over for this gateway, whatever becomes of it. */
+static void end_attempt(struct router *router, struct request *request)
+{
+    if (!request->sequence)
+        return;
+    struct agent_record *record = record_of(router, request->agent);
+    assert(record->in_flight);
+    record->in_flight--;
+    request->sequence = 0;
+}
+
+static void finish(struct router *router, struct request *request,
+                   const struct router_verdict *verdict)
+{
+    end_attempt(router, request);
+    count_verdict(router, verdict);
+    router->driver.end(router->driver.context, request->caller, request->next_offset, verdict);
+    remove_request(router, request);
+}
+
+static void cancel_attempt(struct router *router, const struct request *request)
+{
+    int64_t index = router->view ? routing_view_agent(router->view, request->agent) : -1;
+    if (!request->sequence || index < 0)
+        return;
+    Shuntrun__Cancel cancel = SHUNTRUN__CANCEL__INIT;
+    cancel.gateway_incarnation = router->incarnation;
+    cancel.sequence = request->sequence;
+    router->driver.cancel(router->driver.context, &router->view->agents[index].machine, &cancel);
+}
+
+/* ---- health of agents as this gateway sees it ---- */
+
+static void note_failure(struct router *router, uint64_t now, uint64_t agent)
+{
+    struct agent_record *record = record_of(router, agent);
+    if (++record->failures < EJECT_FAILURES)
+        return;
+    record->eject_us = record->eject_us ? 2 * record->eject_us : EJECT_LEAST;
+    if (record->eject_us > EJECT_MOST)
+        record->eject_us = EJECT_MOST;
+    record->ejected_until = now + record->eject_us;
+    record->failures = EJECT_FAILURES - 1; /* one probe decides after the ejection */
+}
+
+static void note_success(struct router *router, uint64_t agent)
+{
+    struct agent_record *record = record_of(router, agent);
+    record->failures = 0;
+    record->eject_us = 0;
+    record->ejected_until = 0;
+}
+
+/* ---- choice of an agent ---- */
+
+static bool is_excluded(const struct request *request, uint64_t agent)
+{
+    for (uint32_t i = 0; i < request->excluded_count; i++)
+        if (request->excluded[i] == agent)
+            return true;
+    return false;
+}
+
+static bool may_take(struct router *router, uint64_t now, const struct request *request,
+                     const struct route_service *service, const struct route_agent *agent)
+{
+    if (!agent->alive || agent->status.draining || is_excluded(request, agent->id))
+        return false;
+    if (record_of(router, agent->id)->ejected_until > now)
+        return false;
+    if (service->kind == SERVICE_PLAIN || !request->digest[0])
+        return true;
+    const struct ready_model *ready = route_agent_ready(agent, service->model);
+    return ready && strcmp(ready->digest, request->digest) == 0;
+}
+
+static uint32_t list_candidates(struct router *router, uint64_t now, const struct request *request,
+                                const struct route_service *service,
+                                struct balance_candidate *candidates)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < service->agent_count; i++) {
+        const struct route_agent *agent = &router->view->agents[service->agents[i]];
+        if (!may_take(router, now, request, service, agent))
+            continue;
+        candidates[count++] = (struct balance_candidate){
+            .agent = service->agents[i],
+            .in_flight = record_of(router, agent->id)->in_flight,
+            .reported = agent->status.active_requests,
+            .capacity = agent->status.capacity,
+            .distance = agent->distance,
+        };
+    }
+    return count;
+}
+
+static int64_t choose_agent(struct router *router, uint64_t now, const struct request *request,
+                            const struct route_service *service)
+{
+    if (request->key[0]) {
+        int64_t home =
+            routing_view_agent(router->view, service_home(&service->homes, request->key));
+        if (home < 0 || is_excluded(request, router->view->agents[home].id))
+            return -1;
+        const struct route_agent *agent = &router->view->agents[home];
+        return agent->alive && !agent->status.draining ? home : -1;
+    }
+    struct balance_candidate candidates[service->agent_count + 1];
+    uint32_t count = list_candidates(router, now, request, service, candidates);
+    if (!count)
+        return -1;
+    return candidates[router->settings.balance(&router->balance, candidates, count)].agent;
+}
+
+/* ---- attempts ---- */
+
+static enum router_send send_forward(struct router *router, uint64_t now,
+                                     const struct request *request, const struct route_agent *agent)
+{
+    Shuntrun__Forward forward = SHUNTRUN__FORWARD__INIT;
+    forward.gateway_incarnation = router->incarnation;
+    forward.sequence = request->sequence;
+    forward.agent_incarnation = agent->status.incarnation;
+    forward.pause_epoch = agent->status.pause_epoch;
+    forward.service = (char *)request->service;
+    forward.version_digest = (char *)request->digest;
+    forward.tenant = (char *)request->tenant_name;
+    forward.priority = request->priority;
+    forward.remaining_us = request->deadline - now;
+    forward.idempotency_key = request->key;
+    forward.unrepeatable = request->unrepeatable;
+    forward.resume_offset = request->next_offset;
+    forward.body = (ProtobufCBinaryData){request->body_size, request->body};
+    return router->driver.forward(router->driver.context, &agent->machine, &forward);
+}
+
+static void exclude(struct request *request, uint64_t agent)
+{
+    if (request->excluded_count < MAX_EXCLUDED)
+        request->excluded[request->excluded_count++] = agent;
+}
+
+static void give_up(struct router *router, struct request *request, const char *reason,
+                    uint32_t retry_after_ms)
+{
+    struct router_verdict verdict = {
+        .outcome = request->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+        .http_status = request->maybe_ran ? 502 : 503,
+        .retry_after_ms = retry_after_ms,
+        .reason = reason,
+    };
+    finish(router, request, &verdict);
+}
+
+/* Start an attempt; ends the request when no agent can take it. `reason` tells why the last one
+ * failed, "" for a first attempt. */
+static void attempt(struct router *router, uint64_t now, struct request *request,
+                    const char *reason, uint32_t retry_after_ms)
+{
+    const struct route_service *service = routing_view_service(router->view, request->service);
+    while (service && request->attempts < MAX_ATTEMPTS && request->deadline > now) {
+        int64_t index = choose_agent(router, now, request, service);
+        if (index < 0)
+            break;
+        const struct route_agent *agent = &router->view->agents[index];
+        request->attempts++;
+        request->sequence = router->next_sequence++;
+        request->agent = agent->id;
+        request->agent_incarnation = agent->status.incarnation;
+        request->last_progress = now;
+        record_of(router, agent->id)->in_flight++;
+        if (send_forward(router, now, request, agent) == ROUTER_SENT)
+            return;
+        end_attempt(router, request);
+        exclude(request, agent->id);
+        note_failure(router, now, agent->id);
+        reason = "no connection to the agent";
+    }
+    if (!retry_after_ms)
+        retry_after_ms = NO_AGENT_RETRY_MS;
+    give_up(router, request, reason[0] ? reason : "no replica can take the request now",
+            retry_after_ms);
+}
+
+static void retry(struct router *router, uint64_t now, struct request *request, const char *reason,
+                  uint32_t retry_after_ms)
+{
+    if (!retry_budget_spend(&router->budget)) {
+        give_up(router, request, reason, retry_after_ms ? retry_after_ms : SHED_RETRY_MS);
+        return;
+    }
+    router->counters.retries++;
+    if (request->next_offset)
+        router->counters.resumes++;
+    attempt(router, now, request, reason, retry_after_ms);
+}
+
+/* The attempt may have run: go on only when the request may be repeated. */
+static void attempt_lost(struct router *router, uint64_t now, struct request *request,
+                         const char *reason, uint32_t retry_after_ms)
+{
+    uint64_t agent = request->agent;
+    note_failure(router, now, agent);
+    end_attempt(router, request);
+    exclude(request, agent);
+    request->maybe_ran = true;
+    if (request->unrepeatable)
+        give_up(router, request, reason, retry_after_ms);
+    else
+        retry(router, now, request, reason, retry_after_ms);
+}
+
+/* ---- entry of requests ---- */
+
+static struct request *make_request(uint64_t now, uint64_t caller, uint32_t tenant,
+                                    const struct router_request *from)
+{
+    struct request *request = memory_zero(1, sizeof *request);
+    request->caller = caller;
+    request->tenant = tenant;
+    request->deadline = now + from->timeout_us;
+    request->unrepeatable = from->unrepeatable || from->key[0];
+    request->priority = from->priority;
+    request->key = memory_string(from->key);
+    request->body = memory_copy(from->body, from->body_size);
+    request->body_size = from->body_size;
+    snprintf(request->tenant_name, sizeof request->tenant_name, "%s", from->tenant);
+    snprintf(request->service, sizeof request->service, "%s", from->service);
+    return request;
+}
+
+static void refuse(struct router *router, uint64_t caller, unsigned http_status, const char *reason,
+                   uint32_t retry_after_ms)
+{
+    struct router_verdict verdict = {OUTCOME_NOT_RUN, http_status, retry_after_ms, reason, false};
+    count_verdict(router, &verdict);
+    router->driver.end(router->driver.context, caller, 0, &verdict);
+}
+
+void router_submit(struct router *router, uint64_t now, uint64_t caller,
+                   const struct router_request *request)
+{
+    router->counters.submitted++;
+    if (!router->view) {
+        refuse(router, caller, 503, "no configuration is in force yet", NO_AGENT_RETRY_MS);
+        return;
+    }
+    if (!routing_view_service(router->view, request->service)) {
+        refuse(router, caller, 404, "unknown service", 0);
+        return;
+    }
+    uint32_t tenant = admission_find(&router->admission, request->tenant);
+    if (tenant == ADMISSION_UNKNOWN_TENANT) {
+        refuse(router, caller, 403, "unknown tenant", 0);
+        return;
+    }
+    if (!admission_enter(&router->admission, tenant)) {
+        router->counters.shed++;
+        refuse(router, caller, 429, "the tenant has too many requests in progress", SHED_RETRY_MS);
+        return;
+    }
+    retry_budget_earn(&router->budget);
+    struct request *entry = make_request(now, caller, tenant, request);
+    add_request(router, entry);
+    attempt(router, now, entry, "", 0);
+}
+
+void router_abandon(struct router *router, uint64_t now, uint64_t caller)
+{
+    for (uint32_t i = 0; i < router->request_count; i++) {
+        struct request *request = router->requests[i];
+        if (request->caller != caller)
+            continue;
+        cancel_attempt(router, request);
+        end_attempt(router, request);
+        router->counters.unknown++;
+        remove_request(router, request);
+        return;
+    }
+}
+
+/* ---- answers ---- */
+
+static void begin_once(struct router *router, struct request *request,
+                       const Shuntrun__Answer *answer)
+{
+    if (request->begun)
+        return;
+    struct ready_model model;
+    snprintf(model.model, sizeof model.model, "%s", answer->model);
+    snprintf(model.version, sizeof model.version, "%s", answer->version);
+    snprintf(model.digest, sizeof model.digest, "%s", answer->digest);
+    strcpy(request->digest, model.digest);
+    request->begun = true;
+    router->driver.begin(router->driver.context, request->caller, &model);
+}
+
+/* An answer made with another version must not be joined to what was already given. */
+static bool version_differs(const struct request *request, const Shuntrun__Answer *answer)
+{
+    return request->next_offset && strcmp(request->digest, answer->digest) != 0;
+}
+
+static void on_tokens(struct router *router, uint64_t now, struct request *request,
+                      const Shuntrun__Answer *answer)
+{
+    if (answer->offset != request->next_offset || version_differs(request, answer)) {
+        cancel_attempt(router, request);
+        attempt_lost(router, now, request, "the stream broke", 0);
+        return;
+    }
+    begin_once(router, request, answer);
+    request->next_offset += answer->token_count;
+    router->counters.tokens += answer->token_count;
+    router->driver.data(router->driver.context, request->caller, answer->offset,
+                        answer->token_count, answer->data.data, answer->data.len);
+}
+
+static void on_done(struct router *router, uint64_t now, struct request *request,
+                    const Shuntrun__Answer *answer)
+{
+    bool stream = answer->digest[0] != 0;
+    if (stream && (answer->offset != request->next_offset || version_differs(request, answer))) {
+        cancel_attempt(router, request);
+        attempt_lost(router, now, request, "the stream ended early", 0);
+        return;
+    }
+    note_success(router, request->agent);
+    begin_once(router, request, answer);
+    if (!stream)
+        router->driver.data(router->driver.context, request->caller, 0, 0, answer->data.data,
+                            answer->data.len);
+    struct router_verdict verdict = {OUTCOME_DONE, 200, 0, "", answer->replayed};
+    finish(router, request, &verdict);
+}
+
+static void on_refused(struct router *router, uint64_t now, struct request *request,
+                       const Shuntrun__Answer *answer)
+{
+    uint64_t agent = request->agent;
+    end_attempt(router, request);
+    exclude(request, agent);
+    retry(router, now, request, answer->reason, answer->retry_after_ms);
+}
+
+void router_on_answer(struct router *router, uint64_t now, uint64_t agent,
+                      const Shuntrun__Answer *answer)
+{
+    struct request *request = answer->sequence ? find_by_sequence(router, answer->sequence) : NULL;
+    if (answer->gateway_incarnation != router->incarnation || !request || request->agent != agent) {
+        router->counters.dropped_answers++;
+        return;
+    }
+    request->last_progress = now;
+    switch (answer->kind) {
+    case SHUNTRUN__ANSWER_KIND__ANSWER_STARTED:
+        request->maybe_ran = true;
+        break;
+    case SHUNTRUN__ANSWER_KIND__ANSWER_TOKENS:
+        on_tokens(router, now, request, answer);
+        break;
+    case SHUNTRUN__ANSWER_KIND__ANSWER_DONE:
+        on_done(router, now, request, answer);
+        break;
+    case SHUNTRUN__ANSWER_KIND__ANSWER_REFUSED:
+        on_refused(router, now, request, answer);
+        break;
+    default:
+        attempt_lost(router, now, request, answer->reason, answer->retry_after_ms);
+        break;
+    }
+}
+
+/* ---- time and views ---- */
+
+static bool agent_restarted(const struct router *router, const struct request *request)
+{
+    int64_t index = routing_view_agent(router->view, request->agent);
+    if (index < 0)
+        return false;
+    return router->view->agents[index].status.incarnation > request->agent_incarnation;
+}
+
+static void check_request(struct router *router, uint64_t now, struct request *request)
+{
+    if (!request->sequence)
+        return;
+    if (now >= request->deadline) {
+        cancel_attempt(router, request);
+        request->maybe_ran = true;
+        give_up(router, request, "deadline", 0);
+    } else if (router->view && agent_restarted(router, request)) {
+        attempt_lost(router, now, request, "the agent restarted", 0);
+    } else if (now - request->last_progress >= router->settings.stall_us) {
+        cancel_attempt(router, request);
+        attempt_lost(router, now, request, "the agent stalled", 0);
+    }
+}
+
+void router_on_tick(struct router *router, uint64_t now)
+{
+    /* Ending a request moves the last one to its place: go backwards. */
+    for (uint32_t i = router->request_count; i-- > 0;)
+        if (i < router->request_count)
+            check_request(router, now, router->requests[i]);
+}
+
+void router_set_view(struct router *router, uint64_t now, const struct routing_view *view)
+{
+    bool reconfigure = !router->view || router->view->revision != view->revision;
+    router->view = view;
+    if (reconfigure) {
+        admission_configure(&router->admission, router->settings.request_limit, view->tenants,
+                            view->tenant_count);
+        for (uint32_t i = 0; i < router->request_count; i++) {
+            struct request *request = router->requests[i];
+            request->tenant = admission_find(&router->admission, request->tenant_name);
+        }
+    }
+    router_on_tick(router, now);
+}
--- /dev/null
+++ b/src/core/routing_view.c
@@ -0,0 +1,207 @@
+#include "core/routing_view.h"
+
+#include "base/memory.h"
+#include "core/hash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct ranked {
+    uint64_t id;
+    uint64_t weight;
+};
+
+static int compare_ranked(const void *left, const void *right)
+{
+    const struct ranked *a = left;
+    const struct ranked *b = right;
+    return a->weight > b->weight ? -1 : a->weight < b->weight;
+}
+
+static void append_unique(uint64_t **ids, uint32_t *count, uint64_t id)
+{
+    for (uint32_t i = 0; i < *count; i++)
+        if ((*ids)[i] == id)
+            return;
+    *ids = memory_resize(*ids, (*count + 1) * sizeof **ids);
+    (*ids)[(*count)++] = id;
+}
+
+/* Former holders stay candidates while they are still ready, so that a rollout loses nobody. */
+static bool peer_is_ready(const struct node *node, uint64_t id, const char *model)
+{
+    const struct peer *peer = node_peer(node, id);
+    for (uint32_t i = 0; peer && i < peer->status.ready_count; i++)
+        if (strcmp(peer->status.ready[i].model, model) == 0)
+            return true;
+    return false;
+}
+
+static void link_model(const struct node *node, uint32_t model, uint32_t subset, uint64_t **ids,
+                       uint32_t *count)
+{
+    const struct model_placement *placement = &node_placement(node)->models[model];
+    const struct fleet *fleet = node_fleet(node);
+    struct ranked *ranked = memory_zero(placement->target_count, sizeof *ranked);
+    for (uint32_t i = 0; i < placement->target_count; i++) {
+        uint64_t id = fleet->machines[placement->targets[i]].id;
+        ranked[i] = (struct ranked){id, hash_pair(node_id(node), id)};
+    }
+    qsort(ranked, placement->target_count, sizeof *ranked, compare_ranked);
+    for (uint32_t i = 0; i < placement->target_count && i < subset; i++)
+        append_unique(ids, count, ranked[i].id);
+    free(ranked);
+}
+
+uint64_t *routing_view_links(const struct node *node, uint32_t subset, uint32_t *count)
+{
+    const struct fleet_config *config = node_config(node);
+    const struct fleet *fleet = node_fleet(node);
+    uint64_t *ids = NULL;
+    *count = 0;
+    if (!config || !node_placement(node))
+        return NULL;
+    for (uint32_t i = 0; i < config->model_count; i++)
+        link_model(node, i, subset, &ids, count);
+    for (uint32_t i = 0; i < config->service_count; i++)
+        for (uint32_t j = 0; j < config->services[i].machine_count; j++)
+            append_unique(&ids, count, config->services[i].machines[j]);
+    for (uint32_t i = 0; i < fleet->count; i++)
+        for (uint32_t model = 0; model < config->model_count; model++)
+            if (peer_is_ready(node, fleet->machines[i].id, config->models[model].name))
+                append_unique(&ids, count, fleet->machines[i].id);
+    return ids;
+}
+
+static int compare_ids(const void *left, const void *right)
+{
+    uint64_t a = *(const uint64_t *)left;
+    uint64_t b = *(const uint64_t *)right;
+    return a < b ? -1 : a > b;
+}
+
+static uint16_t distance_to(const struct machine *machine, const char *zone, const char *region)
+{
+    if (strcmp(machine->zone, zone) == 0)
+        return 0;
+    return strcmp(machine->region, region) == 0 ? 1 : 2;
+}
+
+static void add_agent(struct routing_view *view, const struct node *node, uint64_t id,
+                      const char *zone, const char *region, uint64_t now)
+{
+    const struct fleet *fleet = node_fleet(node);
+    const struct peer *peer = node_peer(node, id);
+    int64_t index = fleet_find(fleet, id);
+    if (index < 0)
+        return;
+    struct route_agent *agent = &view->agents[view->agent_count++];
+    agent->id = id;
+    agent->machine = fleet->machines[index];
+    agent->distance = distance_to(&agent->machine, zone, region);
+    agent->alive = node_peer_alive(node, peer, now);
+    if (peer)
+        agent->status = peer->status;
+    agent->status.draining |= agent->machine.leaving;
+}
+
+static void add_service(struct routing_view *view, const struct service_config *config)
+{
+    struct route_service *service = &view->services[view->service_count++];
+    strcpy(service->name, config->name);
+    strcpy(service->model, config->model);
+    service->kind = config->kind;
+    service->homes = *config;
+    service->homes.machines =
+        memory_copy(config->machines, config->machine_count * sizeof *config->machines);
+    service->agents = memory_zero(view->agent_count, sizeof *service->agents);
+    for (uint32_t i = 0; i < view->agent_count; i++) {
+        const struct route_agent *agent = &view->agents[i];
+        bool serves = config->kind == SERVICE_MODEL
+                          ? route_agent_ready(agent, config->model) != NULL
+                          : bsearch(&agent->id, config->machines, config->machine_count,
+                                    sizeof agent->id, compare_ids) != NULL;
+        if (serves)
+            service->agents[service->agent_count++] = i;
+    }
+}
+
+struct routing_view *routing_view_build(const struct node *node, uint32_t subset, const char *zone,
+                                        const char *region, uint64_t now)
+{
+    const struct fleet_config *config = node_config(node);
+    if (!config || !node_placement(node))
+        return NULL;
+    uint32_t count;
+    uint64_t *ids = routing_view_links(node, subset, &count);
+    if (count)
+        qsort(ids, count, sizeof *ids, compare_ids);
+    struct routing_view *view = memory_zero(1, sizeof *view);
+    view->revision = config->revision;
+    view->agents = memory_zero(count, sizeof *view->agents);
+    for (uint32_t i = 0; i < count; i++)
+        add_agent(view, node, ids[i], zone, region, now);
+    free(ids);
+    view->services = memory_zero(config->service_count, sizeof *view->services);
+    for (uint32_t i = 0; i < config->service_count; i++)
+        add_service(view, &config->services[i]);
+    view->tenant_count = config->tenant_count;
+    view->tenants = memory_copy(config->tenants, config->tenant_count * sizeof *config->tenants);
+    return view;
+}
+
+void routing_view_destroy(struct routing_view *view)
+{
+    if (!view)
+        return;
+    for (uint32_t i = 0; i < view->service_count; i++) {
+        free(view->services[i].agents);
+        free(view->services[i].homes.machines);
+    }
+    free(view->services);
+    free(view->agents);
+    free(view->tenants);
+    free(view);
+}
+
+const struct route_service *routing_view_service(const struct routing_view *view, const char *name)
+{
+    for (uint32_t i = 0; i < view->service_count; i++)
+        if (strcmp(view->services[i].name, name) == 0)
+            return &view->services[i];
+    return NULL;
+}
+
+int64_t routing_view_agent(const struct routing_view *view, uint64_t id)
+{
+    for (uint32_t i = 0; i < view->agent_count; i++)
+        if (view->agents[i].id == id)
+            return i;
+    return -1;
+}
+
+const struct ready_model *route_agent_ready(const struct route_agent *agent, const char *model)
+{
+    for (uint32_t i = 0; i < agent->status.ready_count; i++)
+        if (strcmp(agent->status.ready[i].model, model) == 0)
+            return &agent->status.ready[i];
+    return NULL;
+}
+
+void routing_view_ticket(const struct routing_view *view, const struct route_service *service,
+                         char text[TICKET_SIZE])
+{
+    struct ticket ticket = {.homes_hash = ticket_homes_hash(&service->homes)};
+    text[0] = 0;
+    if (service->homes.machine_count > TICKET_MAX_HOMES)
+        return;
+    ticket.home_count = service->homes.machine_count;
+    for (uint32_t i = 0; i < ticket.home_count; i++) {
+        int64_t agent = routing_view_agent(view, service->homes.machines[i]);
+        if (agent < 0)
+            continue;
+        ticket.homes[i].incarnation = view->agents[agent].status.incarnation;
+        ticket.homes[i].epoch = view->agents[agent].status.ticket_epoch;
+    }
+    ticket_format(&ticket, text);
+}
--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,212 @@
+#include "gateway/gateway.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/memory.h"
+#include "core/routing_view.h"
+#include "gateway/caller.h"
+#include "gateway/gateway_traffic.h"
+#include "net/daemon.h"
+#include "net/status_page.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define AGENT_SUBSET 32  /* agents known of each model */
+#define GATEWAY_LINKS 16 /* other gateways known */
+#define VIEW_US (50 * MICROSECONDS_PER_MILLISECOND)
+#define PUBLISH_US (200 * MICROSECONDS_PER_MILLISECOND)
+
+struct gateway {
+    struct settings settings;
+    struct node_shell shell;
+    struct status_page *page;
+    struct gateway_traffic *traffic;
+    struct caller_front *front;
+    struct daemon_drain drain;
+    uint64_t next_view;
+    uint64_t next_publish;
+    bool view_given;
+};
+
+/* Poll the agents of this gateway's subset, and other gateways for the address answer. */
+static void choose_links(struct gateway *gateway)
+{
+    const struct fleet *fleet = node_fleet(gateway->shell.node);
+    uint32_t count;
+    uint64_t *ids = routing_view_links(gateway->shell.node, AGENT_SUBSET, &count);
+    uint32_t gateways = 0;
+    ids = memory_resize(ids, (count + GATEWAY_LINKS) * sizeof *ids);
+    for (uint32_t i = 0; i < fleet->count && gateways < GATEWAY_LINKS; i++) {
+        const struct machine *machine = &fleet->machines[i];
+        if (machine->role != MACHINE_GATEWAY || machine->id == node_id(gateway->shell.node))
+            continue;
+        ids[count++] = machine->id;
+        gateways++;
+    }
+    node_want_links(gateway->shell.node, ids, count);
+    free(ids);
+}
+
+static void give_view(struct gateway *gateway, uint64_t now)
+{
+    struct routing_view *view = routing_view_build(
+        gateway->shell.node, AGENT_SUBSET, gateway->settings.zone, gateway->settings.region, now);
+    if (!view)
+        return;
+    gateway_traffic_set_view(gateway->traffic, view);
+    gateway->view_given = true;
+}
+
+static void on_view_changed(void *context)
+{
+    struct gateway *gateway = context;
+    const struct fleet *fleet = node_fleet(gateway->shell.node);
+    int64_t self = fleet_find(fleet, node_id(gateway->shell.node));
+    if (self >= 0)
+        daemon_set_listed_leaving(&gateway->drain, fleet->machines[self].leaving);
+    choose_links(gateway);
+    give_view(gateway, clock_monotonic_us());
+}
+
+/* A drained or restarted agent must get no new work: its news are used at once. */
+static void on_update(void *context, const struct peer *peer, const Shuntrun__NodeUpdate *update)
+{
+    struct gateway *gateway = context;
+    gateway->next_view = 0;
+}
+
+/* ---- what callers are told ---- */
+
+static void add_endpoint(json_t *endpoints, const char *address, uint64_t port)
+{
+    char text[64];
+    snprintf(text, sizeof text, "%s:%" PRIu64, address, port);
+    json_array_append_new(endpoints, json_string(text));
+}
+
+static json_t *list_endpoints(struct gateway *gateway, uint64_t now)
+{
+    const struct fleet *fleet = node_fleet(gateway->shell.node);
+    json_t *endpoints = json_array();
+    if (!daemon_is_draining(&gateway->drain))
+        add_endpoint(endpoints, gateway->settings.address, gateway->settings.http_port);
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        const struct machine *machine = &fleet->machines[i];
+        const struct peer *peer = node_peer(gateway->shell.node, machine->id);
+        bool usable = machine->role == MACHINE_GATEWAY && !machine->leaving &&
+                      node_peer_alive(gateway->shell.node, peer, now) && !peer->status.draining;
+        if (usable)
+            add_endpoint(endpoints, machine->address, machine->http_port);
+    }
+    return endpoints;
+}
+
+static json_t *list_tickets(struct gateway *gateway, uint64_t now)
+{
+    json_t *tickets = json_object();
+    struct routing_view *view = routing_view_build(
+        gateway->shell.node, AGENT_SUBSET, gateway->settings.zone, gateway->settings.region, now);
+    for (uint32_t i = 0; view && i < view->service_count; i++) {
+        char ticket[TICKET_SIZE];
+        routing_view_ticket(view, &view->services[i], ticket);
+        json_object_set_new(tickets, view->services[i].name, json_string(ticket));
+    }
+    routing_view_destroy(view);
+    return tickets;
+}
+
+static const char *why_not_ready(const struct gateway *gateway)
+{
+    if (!gateway->view_given)
+        return "no configuration is in force";
+    return daemon_is_draining(&gateway->drain) ? "draining" : "";
+}
+
+static void publish(struct gateway *gateway, uint64_t now)
+{
+    json_t *status = daemon_describe(&gateway->shell, "gateway", &gateway->drain);
+    json_object_set_new(status, "active_requests",
+                        json_integer(gateway_traffic_active(gateway->traffic)));
+    status_page_publish(gateway->page, status, why_not_ready(gateway), now);
+    caller_front_publish(gateway->front, list_endpoints(gateway, now), list_tickets(gateway, now));
+}
+
+static void tell_status(struct gateway *gateway, uint64_t now)
+{
+    struct node_status status = {
+        .incarnation = gateway->shell.incarnation,
+        .draining = daemon_is_draining(&gateway->drain),
+        .active_requests = gateway_traffic_active(gateway->traffic),
+    };
+    node_set_status(gateway->shell.node, now, &status);
+}
+
+static void on_tick(void *context, uint64_t now)
+{
+    struct gateway *gateway = context;
+    if (now >= gateway->next_view) {
+        gateway->next_view = now + VIEW_US;
+        give_view(gateway, now);
+    }
+    tell_status(gateway, now);
+    if (now >= gateway->next_publish) {
+        gateway->next_publish = now + PUBLISH_US;
+        publish(gateway, now);
+    }
+    if (daemon_drain_done(&gateway->drain, gateway_traffic_active(gateway->traffic), now))
+        loop_stop(gateway->shell.loop);
+}
+
+/* ---- life ---- */
+
+static enum status open_gateway(struct gateway *gateway)
+{
+    struct node_shell_callbacks callbacks = {gateway, on_view_changed, on_update, on_tick};
+    gateway->page = status_page_create();
+    if (node_shell_open(&gateway->shell, &gateway->settings, MACHINE_GATEWAY, &callbacks) !=
+        STATUS_OK)
+        return STATUS_IO;
+    gateway->traffic =
+        gateway_traffic_start(&gateway->settings, gateway->shell.zmq, gateway->shell.incarnation);
+    gateway->front = caller_front_start(&gateway->settings, gateway->page, gateway->traffic);
+    return gateway->front ? STATUS_OK : STATUS_IO;
+}
+
+static void close_gateway(struct gateway *gateway)
+{
+    caller_front_detach(gateway->front);
+    gateway_traffic_stop(gateway->traffic);
+    caller_front_stop(gateway->front);
+    if (gateway->shell.loop)
+        node_shell_close(&gateway->shell);
+    status_page_destroy(gateway->page);
+}
+
+int gateway_main(int argc, char **argv)
+{
+    struct gateway *gateway = memory_zero(1, sizeof *gateway);
+    int exit_status = daemon_settings(SETTING_ROLE_GATEWAY, argc, argv, &gateway->settings);
+    if (exit_status == 0) {
+        /* Callers may keep an old address answer until its max-age is over. */
+        daemon_drain_init(&gateway->drain, gateway->settings.drain_timeout_ms,
+                          gateway->settings.endpoints_max_age_ms);
+        if (open_gateway(gateway) == STATUS_OK) {
+            log_event(LOG_LEVEL_INFO, "gateway", "started", "address=%s incarnation=%" PRIu64,
+                      gateway->settings.address, gateway->shell.incarnation);
+            loop_run(gateway->shell.loop);
+            log_event(LOG_LEVEL_INFO, "gateway", "stopped", "active=%u",
+                      gateway_traffic_active(gateway->traffic));
+        } else {
+            log_event(LOG_LEVEL_ERROR, "gateway", "start_failed", "reason=\"%s\"",
+                      status_message());
+            exit_status = 1;
+        }
+        close_gateway(gateway);
+    }
+    settings_clear(&gateway->settings);
+    free(gateway);
+    return exit_status;
+}
--- /dev/null
+++ b/src/gateway/gateway_traffic.c
@@ -0,0 +1,369 @@
+#include "gateway/gateway_traffic.h"
+
+#include "base/clock.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "net/http_server.h"
+#include "net/links.h"
+
+#include <ck_pr.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_US (10 * MICROSECONDS_PER_MILLISECOND)
+#define STALL_US (5 * MICROSECONDS_PER_SECOND)
+#define CLIENT_BUFFER (1u << 20) /* bytes that wait for a slow caller at most */
+
+/* One request of a caller; lives until its answer is complete and its exchange closed. */
+struct call {
+    uint64_t number;
+    struct http_exchange *exchange;
+    bool began; /* the response head is out */
+    bool model; /* a stream of lines, ended by an explicit one */
+    bool ended;
+    bool closed;
+    struct call *next;
+};
+
+struct gateway_traffic {
+    const struct settings *settings;
+    struct loop *loop;
+    struct links *links;
+    struct router *router;
+    struct routing_view *view;
+    struct call *calls;
+    uint64_t next_call;
+    struct router_counters published;
+    uint32_t active;
+    pthread_t thread;
+};
+
+static struct call *find_call(struct gateway_traffic *traffic, uint64_t number)
+{
+    for (struct call *call = traffic->calls; call; call = call->next)
+        if (call->number == number)
+            return call;
+    return NULL;
+}
+
+static void remove_call(struct gateway_traffic *traffic, struct call *call)
+{
+    struct call **link = &traffic->calls;
+    while (*link != call)
+        link = &(*link)->next;
+    *link = call->next;
+    http_release(call->exchange);
+    free(call);
+}
+
+/* ---- router driver ---- */
+
+static enum router_send forward(void *context, const struct machine *agent,
+                                Shuntrun__Forward *message)
+{
+    struct gateway_traffic *traffic = context;
+    Shuntrun__Envelope envelope = SHUNTRUN__ENVELOPE__INIT;
+    envelope.body_case = SHUNTRUN__ENVELOPE__BODY_FORWARD;
+    envelope.forward = message;
+    return links_send(traffic->links, agent, &envelope) == STATUS_OK ? ROUTER_SENT
+                                                                     : ROUTER_NOT_SENT;
+}
+
+static void cancel(void *context, const struct machine *agent, Shuntrun__Cancel *message)
+{
+    struct gateway_traffic *traffic = context;
+    Shuntrun__Envelope envelope = SHUNTRUN__ENVELOPE__INIT;
+    envelope.body_case = SHUNTRUN__ENVELOPE__BODY_CANCEL;
+    envelope.cancel = message;
+    links_send(traffic->links, agent, &envelope);
+}
+
+static void stream_text(struct gateway_traffic *traffic, struct call *call, const void *text,
+                        size_t size)
+{
+    if (call->closed || http_stream_data(call->exchange, text, size, CLIENT_BUFFER))
+        return;
+    /* Gone or too slow: the stream ends without its last line, and the engine is told. */
+    call->closed = true;
+    http_stream_end(call->exchange);
+}
+
+static void begin(void *context, uint64_t number, const struct ready_model *model)
+{
+    struct gateway_traffic *traffic = context;
+    struct call *call = find_call(traffic, number);
+    char line[512];
+    if (!call || call->closed)
+        return;
+    call->began = true;
+    call->model = model->digest[0] != 0;
+    const struct http_reply_header headers[] = {
+        {call->model ? "X-Model-Version" : "X-Outcome", call->model ? model->version : "done"},
+        {NULL, NULL}};
+    if (!call->model)
+        return; /* the head of a plain answer goes out with its end, which knows the outcome */
+    http_stream_begin(call->exchange, 200, "application/x-ndjson", headers);
+    int size =
+        snprintf(line, sizeof line, "{\"model\":\"%s\",\"version\":\"%s\",\"digest\":\"%s\"}\n",
+                 model->model, model->version, model->digest);
+    stream_text(traffic, call, line, (size_t)size);
+}
+
+static void data(void *context, uint64_t number, uint64_t offset, uint32_t count,
+                 const uint8_t *bytes, size_t size)
+{
+    struct gateway_traffic *traffic = context;
+    struct call *call = find_call(traffic, number);
+    if (!call || call->closed)
+        return;
+    stream_text(traffic, call, bytes, size);
+    if (call->closed)
+        router_abandon(traffic->router, clock_monotonic_us(), number);
+}
+
+static void end_stream(struct gateway_traffic *traffic, struct call *call, uint64_t tokens,
+                       const struct router_verdict *verdict)
+{
+    json_t *line = json_pack("{s:s, s:s, s:I, s:b}", "end",
+                             verdict->outcome == OUTCOME_DONE ? "done" : "error", "outcome",
+                             outcome_name(verdict->outcome), "tokens", (json_int_t)tokens,
+                             "replayed", verdict->replayed);
+    if (verdict->outcome != OUTCOME_DONE)
+        json_object_set_new(line, "reason", json_string(verdict->reason));
+    char *text = json_dumps(line, JSON_COMPACT);
+    size_t size = strlen(text);
+    text[size] = '\n'; /* in place of the closing zero */
+    stream_text(traffic, call, text, size + 1);
+    free(text);
+    json_decref(line);
+}
+
+static void begin_final(struct call *call, const struct router_verdict *verdict,
+                        const char *content_type)
+{
+    char retry_after[32];
+    struct http_reply_header headers[4] = {{"X-Outcome", outcome_name(verdict->outcome)}};
+    uint32_t count = 1;
+    if (verdict->retry_after_ms) {
+        snprintf(retry_after, sizeof retry_after, "%u", (verdict->retry_after_ms + 999) / 1000);
+        headers[count++] = (struct http_reply_header){"Retry-After", retry_after};
+    }
+    if (verdict->replayed)
+        headers[count++] = (struct http_reply_header){"X-Replayed", "true"};
+    headers[count] = (struct http_reply_header){NULL, NULL};
+    http_stream_begin(call->exchange, verdict->http_status, content_type, headers);
+}
+
+static void end_error(struct gateway_traffic *traffic, struct call *call,
+                      const struct router_verdict *verdict)
+{
+    json_t *body = json_pack("{s:s, s:s, s:i}", "outcome", outcome_name(verdict->outcome), "error",
+                             verdict->reason, "retry_after_ms", verdict->retry_after_ms);
+    char *text = json_dumps(body, JSON_COMPACT);
+    begin_final(call, verdict, "application/json");
+    stream_text(traffic, call, text, strlen(text));
+    free(text);
+    json_decref(body);
+}
+
+static void end(void *context, uint64_t number, uint64_t tokens,
+                const struct router_verdict *verdict)
+{
+    struct gateway_traffic *traffic = context;
+    struct call *call = find_call(traffic, number);
+    if (!call)
+        return;
+    call->ended = true;
+    if (call->closed)
+        return;
+    if (call->model)
+        end_stream(traffic, call, tokens, verdict);
+    else if (verdict->outcome == OUTCOME_DONE)
+        begin_final(call, verdict, "application/json");
+    else
+        end_error(traffic, call, verdict);
+    http_stream_end(call->exchange);
+}
+
+/* ---- posted by other threads ---- */
+
+struct submission {
+    struct gateway_traffic *traffic;
+    struct http_exchange *exchange;
+    struct router_request request; /* texts and body owned */
+};
+
+static void submit(void *argument)
+{
+    struct submission *submission = argument;
+    struct gateway_traffic *traffic = submission->traffic;
+    struct call *call = memory_zero(1, sizeof *call);
+    call->number = traffic->next_call++;
+    call->exchange = submission->exchange;
+    call->next = traffic->calls;
+    traffic->calls = call;
+    http_set_tag(call->exchange, call->number);
+    router_submit(traffic->router, clock_monotonic_us(), call->number, &submission->request);
+    free((char *)submission->request.service);
+    free((char *)submission->request.tenant);
+    free((char *)submission->request.key);
+    free((void *)submission->request.body);
+    free(submission);
+}
+
+void gateway_traffic_submit(struct gateway_traffic *traffic, struct http_exchange *exchange,
+                            const struct router_request *request)
+{
+    struct submission *submission = memory_zero(1, sizeof *submission);
+    submission->traffic = traffic;
+    submission->exchange = exchange;
+    submission->request = *request;
+    submission->request.service = memory_string(request->service);
+    submission->request.tenant = memory_string(request->tenant);
+    submission->request.key = memory_string(request->key);
+    submission->request.body = memory_copy(request->body, request->body_size);
+    loop_post(traffic->loop, submit, submission);
+}
+
+static void close_call(void *argument)
+{
+    struct submission *submission = argument;
+    struct gateway_traffic *traffic = submission->traffic;
+    struct call *call = find_call(traffic, http_tag(submission->exchange));
+    free(submission);
+    if (!call)
+        return;
+    call->closed = true;
+    if (!call->ended)
+        router_abandon(traffic->router, clock_monotonic_us(), call->number);
+    remove_call(traffic, call);
+}
+
+void gateway_traffic_closed(struct gateway_traffic *traffic, struct http_exchange *exchange)
+{
+    struct submission *submission = memory_zero(1, sizeof *submission);
+    submission->traffic = traffic;
+    submission->exchange = exchange;
+    loop_post(traffic->loop, close_call, submission);
+}
+
+struct view_change {
+    struct gateway_traffic *traffic;
+    struct routing_view *view;
+};
+
+static void apply_view(void *argument)
+{
+    struct view_change *change = argument;
+    struct gateway_traffic *traffic = change->traffic;
+    struct routing_view *old = traffic->view;
+    uint64_t *ids = memory_zero(change->view->agent_count, sizeof *ids);
+    traffic->view = change->view;
+    for (uint32_t i = 0; i < change->view->agent_count; i++) {
+        ids[i] = change->view->agents[i].id;
+        links_connect(traffic->links, &change->view->agents[i].machine);
+    }
+    links_keep(traffic->links, ids, change->view->agent_count);
+    router_set_view(traffic->router, clock_monotonic_us(), change->view);
+    routing_view_destroy(old);
+    free(ids);
+    free(change);
+}
+
+void gateway_traffic_set_view(struct gateway_traffic *traffic, struct routing_view *view)
+{
+    struct view_change *change = memory_zero(1, sizeof *change);
+    *change = (struct view_change){traffic, view};
+    loop_post(traffic->loop, apply_view, change);
+}
+
+uint32_t gateway_traffic_active(const struct gateway_traffic *traffic)
+{
+    return ck_pr_load_32(&traffic->active);
+}
+
+/* ---- thread ---- */
+
+static void take_answer(void *context, uint64_t peer, const Shuntrun__Envelope *message)
+{
+    struct gateway_traffic *traffic = context;
+    if (message->body_case == SHUNTRUN__ENVELOPE__BODY_ANSWER)
+        router_on_answer(traffic->router, clock_monotonic_us(), peer, message->answer);
+}
+
+static void publish_counters(struct gateway_traffic *traffic)
+{
+    const struct router_counters *now = router_counters(traffic->router);
+    const struct router_counters *then = &traffic->published;
+    metric_add(METRIC_REQUESTS_DONE, now->done - then->done);
+    metric_add(METRIC_REQUESTS_NOT_RUN, now->not_run - then->not_run);
+    metric_add(METRIC_REQUESTS_UNKNOWN, now->unknown - then->unknown);
+    metric_add(METRIC_REQUESTS_SHED, now->shed - then->shed);
+    metric_add(METRIC_RETRIES, now->retries - then->retries);
+    metric_add(METRIC_RESUMES, now->resumes - then->resumes);
+    metric_add(METRIC_TOKENS, now->tokens - then->tokens);
+    metric_add(METRIC_ANSWERS_DROPPED, now->dropped_answers - then->dropped_answers);
+    metric_add(METRIC_KEYS_REPLAYED, now->replayed - then->replayed);
+    traffic->published = *now;
+    metric_gauge_set(METRIC_ACTIVE_REQUESTS, router_active(traffic->router));
+}
+
+static void on_tick(void *context)
+{
+    struct gateway_traffic *traffic = context;
+    router_on_tick(traffic->router, clock_monotonic_us());
+    publish_counters(traffic);
+    uint32_t calls = 0;
+    for (const struct call *call = traffic->calls; call; call = call->next)
+        calls++;
+    ck_pr_store_32(&traffic->active, calls);
+}
+
+static void *run_thread(void *context)
+{
+    struct gateway_traffic *traffic = context;
+    loop_run(traffic->loop);
+    return NULL;
+}
+
+struct gateway_traffic *gateway_traffic_start(const struct settings *settings, void *zmq,
+                                              uint64_t incarnation)
+{
+    struct gateway_traffic *traffic = memory_zero(1, sizeof *traffic);
+    struct router_driver driver = {traffic, forward, cancel, begin, data, end};
+    struct router_settings router_settings = {
+        .request_limit = (uint32_t)settings->tenant_queue_limit,
+        .retry_percent = (uint32_t)settings->retry_budget_percent,
+        .stall_us = STALL_US,
+    };
+    traffic->settings = settings;
+    traffic->next_call = 1;
+    traffic->loop = loop_create();
+    traffic->links = links_create(zmq, LINK_TRAFFIC, traffic->loop, take_answer, traffic);
+    traffic->router = router_create(&router_settings, incarnation, incarnation, &driver);
+    loop_set_tick(traffic->loop, TICK_US, on_tick, traffic);
+    pthread_create(&traffic->thread, NULL, run_thread, traffic);
+    return traffic;
+}
+
+void gateway_traffic_stop(struct gateway_traffic *traffic)
+{
+    if (!traffic)
+        return;
+    loop_stop(traffic->loop);
+    pthread_join(traffic->thread, NULL);
+    loop_drain(traffic->loop);
+    router_destroy(traffic->router);
+    while (traffic->calls) {
+        http_stream_end(traffic->calls->exchange);
+        remove_call(traffic, traffic->calls);
+    }
+    links_destroy(traffic->links);
+    loop_destroy(traffic->loop);
+    routing_view_destroy(traffic->view);
+    free(traffic);
+}
--- /dev/null
+++ b/src/gateway/gateway_traffic.h
@@ -0,0 +1,30 @@
+/**
+ * The traffic thread of a gateway: runs core/router over links to agents. HTTP threads post
+ * requests; the control thread posts routing views.
+ */
+#ifndef SHUNTRUN_GATEWAY_TRAFFIC_H
+#define SHUNTRUN_GATEWAY_TRAFFIC_H
+
+#include "base/settings.h"
+#include "core/router.h"
+#include "core/routing_view.h"
+
+struct gateway_traffic;
+struct http_exchange;
+
+struct gateway_traffic *gateway_traffic_start(const struct settings *settings, void *zmq,
+                                              uint64_t incarnation);
+void gateway_traffic_stop(struct gateway_traffic *traffic);
+
+/** \brief Use a new view; taken over. */
+void gateway_traffic_set_view(struct gateway_traffic *traffic, struct routing_view *view);
+
+/** \brief Take a request from a kept exchange; texts and body are copied. */
+void gateway_traffic_submit(struct gateway_traffic *traffic, struct http_exchange *exchange,
+                            const struct router_request *request);
+/** \brief The client of a kept exchange is gone or has its whole answer. */
+void gateway_traffic_closed(struct gateway_traffic *traffic, struct http_exchange *exchange);
+
+uint32_t gateway_traffic_active(const struct gateway_traffic *traffic);
+
+#endif
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,61 @@
+/**
+ * One binary, one subcommand for each role and tool.
+ */
+#include "agent/agent.h"
+#include "gateway/gateway.h"
+#include "tool/load.h"
+
+#include <stdio.h>
+#include <string.h>
+
+struct subcommand {
+    const char *name;
+    int (*run)(int argc, char **argv);
+    const char *help;
+};
+
+static const struct subcommand subcommands[] = {
+    {"gateway", gateway_main, "run a gateway for callers"},
+    {"agent", agent_main, "run the agent of one back-end machine"},
+    {"load", load_main, "send load to a running system and check every answer"},
+};
+
+#define SUBCOMMAND_COUNT (sizeof subcommands / sizeof subcommands[0])
+
+static void print_usage(FILE *stream)
+{
+    fputs("Usage: shuntrun SUBCOMMAND [OPTION...]\n"
+          "Distribute model weights in bursts and route requests while they move.\n\n",
+          stream);
+    for (size_t i = 0; i < SUBCOMMAND_COUNT; i++)
+        fprintf(stream, "  %-10s %s\n", subcommands[i].name, subcommands[i].help);
+    fputs("\n`shuntrun SUBCOMMAND --help` lists the options of one; `shuntrun --version`.\n",
+          stream);
+}
+
+static int run_subcommand(const struct subcommand *subcommand, int argc, char **argv)
+{
+    char name[64];
+    snprintf(name, sizeof name, "shuntrun %s", subcommand->name);
+    argv[1] = name; /* argp prints it in usage and errors */
+    return subcommand->run(argc - 1, argv + 1);
+}
+
+int main(int argc, char **argv)
+{
+    if (argc > 1 && strcmp(argv[1], "--version") == 0) {
+        puts("shuntrun " SHUNTRUN_VERSION);
+        return 0;
+    }
+    if (argc > 1 && strcmp(argv[1], "--help") == 0) {
+        print_usage(stdout);
+        return 0;
+    }
+    for (size_t i = 0; argc > 1 && i < SUBCOMMAND_COUNT; i++)
+        if (strcmp(argv[1], subcommands[i].name) == 0)
+            return run_subcommand(&subcommands[i], argc, argv);
+    if (argc > 1)
+        fprintf(stderr, "shuntrun: unknown subcommand `%s`\n", argv[1]);
+    print_usage(stderr);
+    return 2;
+}
--- /dev/null
+++ b/src/net/daemon.c
@@ -0,0 +1,87 @@
+#include "net/daemon.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+
+#define MIN_DRAIN_US (500 * MICROSECONDS_PER_MILLISECOND) /* for the news to reach gateways */
+
+static volatile sig_atomic_t stop_asked;
+
+static void on_stop_signal(int number)
+{
+    stop_asked = 1;
+}
+
+static void set_signals(void)
+{
+    struct sigaction stop = {.sa_handler = on_stop_signal, .sa_flags = SA_RESTART};
+    struct sigaction ignore = {.sa_handler = SIG_IGN};
+    sigaction(SIGTERM, &stop, NULL);
+    sigaction(SIGINT, &stop, NULL);
+    sigaction(SIGPIPE, &ignore, NULL);
+}
+
+int daemon_settings(enum setting_role role, int argc, char **argv, struct settings *settings)
+{
+    struct findings findings = {0};
+    enum status status = settings_read(role, argc, argv, settings, &findings);
+    findings_print(&findings, stderr);
+    findings_clear(&findings);
+    if (status != STATUS_OK)
+        return 2;
+    log_init(settings->name, log_level_from_name(settings->log_level));
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    set_signals();
+    return 0;
+}
+
+void daemon_drain_init(struct daemon_drain *drain, uint64_t timeout_ms, uint64_t linger_ms)
+{
+    *drain = (struct daemon_drain){
+        .timeout_us = timeout_ms * MICROSECONDS_PER_MILLISECOND,
+        .linger_us = linger_ms * MICROSECONDS_PER_MILLISECOND,
+    };
+    if (drain->linger_us < MIN_DRAIN_US)
+        drain->linger_us = MIN_DRAIN_US;
+}
+
+void daemon_set_listed_leaving(struct daemon_drain *drain, bool leaving)
+{
+    drain->listed_leaving = leaving;
+}
+
+bool daemon_is_draining(const struct daemon_drain *drain)
+{
+    return drain->listed_leaving || stop_asked;
+}
+
+bool daemon_drain_done(struct daemon_drain *drain, uint32_t active, uint64_t now)
+{
+    if (!stop_asked)
+        return false;
+    if (!drain->started) {
+        drain->started = now;
+        log_event(LOG_LEVEL_INFO, "daemon", "draining", "active=%u", active);
+    }
+    uint64_t waited = now - drain->started;
+    if (waited < drain->linger_us)
+        return false;
+    return active == 0 || waited >= drain->linger_us + drain->timeout_us;
+}
+
+json_t *daemon_describe(const struct node_shell *shell, const char *role,
+                        const struct daemon_drain *drain)
+{
+    const struct fleet_config *config = node_config(shell->node);
+    const struct settings *settings = shell->settings;
+    return json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:b, s:i, s:i}", "name", settings->name,
+                     "role", role, "zone", settings->zone, "region", settings->region,
+                     "incarnation", (json_int_t)shell->incarnation, "config_revision",
+                     (json_int_t)(config ? config->revision : 0), "draining",
+                     daemon_is_draining(drain), "machines", node_fleet(shell->node)->count,
+                     "live_peers", node_alive_peers(shell->node, clock_monotonic_us()));
+}
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,81 @@
+/**
+ * HTTP listener on libmicrohttpd. Handlers run on the listener's threads; a response may be given
+ * at once, or later and in pieces by another thread through an exchange.
+ */
+#ifndef SHUNTRUN_HTTP_SERVER_H
+#define SHUNTRUN_HTTP_SERVER_H
+
+#include "base/status.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct http_server;
+struct http_exchange;
+
+struct http_request {
+    const char *method;
+    const char *path;
+    const uint8_t *body;
+    size_t body_size;
+};
+
+/**
+ * \brief Answer a request: http_reply() now, or keep the exchange for http_stream_*() later.
+ * Called once the whole body is there.
+ */
+typedef void http_handler(void *context, struct http_exchange *exchange,
+                          const struct http_request *request);
+
+struct http_server_settings {
+    const char *address;
+    uint16_t port;
+    unsigned threads;
+    unsigned connection_limit;
+    size_t body_limit;
+    http_handler *handler;
+    /** The client of a kept exchange went away, or its response is complete; the exchange is freed
+     *  when the handler's owner calls http_release(). May be NULL. */
+    void (*closed)(void *context, struct http_exchange *exchange);
+    void *context;
+};
+
+/** \return NULL with a status message */
+struct http_server *http_server_start(const struct http_server_settings *settings);
+/** \brief Stop listening; open connections go on until http_server_stop(). */
+void http_server_quiesce(struct http_server *server);
+void http_server_stop(struct http_server *server);
+
+const char *http_header(struct http_exchange *exchange, const char *name);
+const char *http_query(struct http_exchange *exchange, const char *name);
+
+struct http_reply_header {
+    const char *name;
+    const char *value;
+};
+
+/** \brief Whole response from a copy of `body`. \param headers ended by a NULL name; may be NULL */
+void http_reply(struct http_exchange *exchange, unsigned status, const char *content_type,
+                const void *body, size_t size, const struct http_reply_header *headers);
+
+/** \brief Whole response from memory that stays valid until `release(owner)`; nothing is copied. */
+void http_reply_shared(struct http_exchange *exchange, unsigned status, const void *body,
+                       size_t size, void (*release)(void *owner), void *owner);
+
+/** \brief Keep the exchange beyond the handler; call once, within the handler. */
+void http_keep(struct http_exchange *exchange);
+
+/* For kept exchanges, from any thread. The head goes out with the first call. */
+/** \return false when the client is gone or `limit` bytes wait for a slow client */
+bool http_stream_data(struct http_exchange *exchange, const void *data, size_t size, size_t limit);
+void http_stream_begin(struct http_exchange *exchange, unsigned status, const char *content_type,
+                       const struct http_reply_header *headers);
+void http_stream_end(struct http_exchange *exchange);
+/** \brief Give the kept exchange back; it must not be used afterwards. */
+void http_release(struct http_exchange *exchange);
+/** \brief Owner's own word for a kept exchange. */
+void http_set_tag(struct http_exchange *exchange, uint64_t tag);
+uint64_t http_tag(const struct http_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/src/net/node_shell.h
@@ -0,0 +1,37 @@
+/**
+ * The control thread's shell around `struct node`, the same for gateway and agent: control links,
+ * reads of the platform, ticks.
+ */
+#ifndef SHUNTRUN_NODE_SHELL_H
+#define SHUNTRUN_NODE_SHELL_H
+
+#include "base/settings.h"
+#include "core/node.h"
+#include "net/links.h"
+#include "net/loop.h"
+
+struct node_shell_callbacks {
+    void *context;
+    void (*view_changed)(void *context);
+    void (*update_received)(void *context, const struct peer *peer,
+                            const Shuntrun__NodeUpdate *update); /**< may be NULL */
+    void (*tick)(void *context, uint64_t now);
+};
+
+struct node_shell {
+    const struct settings *settings;
+    struct node_shell_callbacks callbacks;
+    void *zmq;
+    void *inbound; /**< bound control socket */
+    struct loop *loop;
+    struct links *links;
+    struct node *node;
+    uint64_t incarnation;
+};
+
+/** \return STATUS_IO when the control port cannot be bound */
+enum status node_shell_open(struct node_shell *shell, const struct settings *settings,
+                            enum machine_role role, const struct node_shell_callbacks *callbacks);
+void node_shell_close(struct node_shell *shell);
+
+#endif
--- /dev/null
+++ b/src/net/status_page.c
@@ -0,0 +1,106 @@
+#include "net/status_page.h"
+
+#include "base/clock.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STANDSTILL_US (5 * MICROSECONDS_PER_SECOND)
+
+struct status_page {
+    pthread_mutex_t lock;
+    char *status;
+    char not_ready[160];
+    uint64_t published;
+};
+
+struct status_page *status_page_create(void)
+{
+    struct status_page *page = memory_zero(1, sizeof *page);
+    pthread_mutex_init(&page->lock, NULL);
+    page->status = memory_string("{}");
+    strcpy(page->not_ready, "starting");
+    page->published = clock_monotonic_us();
+    return page;
+}
+
+void status_page_destroy(struct status_page *page)
+{
+    if (!page)
+        return;
+    pthread_mutex_destroy(&page->lock);
+    free(page->status);
+    free(page);
+}
+
+void status_page_publish(struct status_page *page, json_t *status, const char *not_ready,
+                         uint64_t now)
+{
+    char *text = json_dumps(status, JSON_COMPACT | JSON_SORT_KEYS);
+    json_decref(status);
+    pthread_mutex_lock(&page->lock);
+    char *old = page->status;
+    page->status = text;
+    page->published = now;
+    snprintf(page->not_ready, sizeof page->not_ready, "%s", not_ready);
+    pthread_mutex_unlock(&page->lock);
+    free(old);
+}
+
+static void reply_text(struct http_exchange *exchange, unsigned status, const char *text)
+{
+    http_reply(exchange, status, "text/plain", text, strlen(text), NULL);
+}
+
+static void reply_health(struct status_page *page, struct http_exchange *exchange)
+{
+    pthread_mutex_lock(&page->lock);
+    bool alive = clock_monotonic_us() < page->published + STANDSTILL_US;
+    pthread_mutex_unlock(&page->lock);
+    reply_text(exchange, alive ? 200 : 503, alive ? "ok\n" : "the control thread stands still\n");
+}
+
+static void reply_ready(struct status_page *page, struct http_exchange *exchange)
+{
+    char text[170];
+    pthread_mutex_lock(&page->lock);
+    bool ready = !page->not_ready[0];
+    snprintf(text, sizeof text, "%s\n", ready ? "ready" : page->not_ready);
+    pthread_mutex_unlock(&page->lock);
+    reply_text(exchange, ready ? 200 : 503, text);
+}
+
+static void reply_status(struct status_page *page, struct http_exchange *exchange)
+{
+    pthread_mutex_lock(&page->lock);
+    char *text = memory_string(page->status);
+    pthread_mutex_unlock(&page->lock);
+    http_reply(exchange, 200, "application/json", text, strlen(text), NULL);
+    free(text);
+}
+
+bool status_page_handle(struct status_page *page, struct http_exchange *exchange,
+                        const struct http_request *request)
+{
+    if (strcmp(request->method, "GET") != 0)
+        return false;
+    if (strcmp(request->path, "/healthz") == 0) {
+        reply_health(page, exchange);
+    } else if (strcmp(request->path, "/readyz") == 0) {
+        reply_ready(page, exchange);
+    } else if (strcmp(request->path, "/v1/status") == 0) {
+        reply_status(page, exchange);
+    } else if (strcmp(request->path, "/metrics") == 0) {
+        size_t size;
+        char *text = metrics_format(&size);
+        http_reply(exchange, 200, "text/plain; version=0.0.4", text, size, NULL);
+        free(text);
+    } else {
+        return false;
+    }
+    return true;
+}
--- /dev/null
+++ b/src/standin/origin.c
@@ -0,0 +1,268 @@
+/**
+ * Stand-in of the origin and the rate-limited weight store.
+ *
+ * GET  /v1/blobs/DIGEST    bytes at the link's rate; 429 with Retry-After past --max-readers
+ * POST /admin/model        {"model", "version", "bytes", "chunk_bytes", "seed", "shared"}: make
+ * one; its first `shared` chunks are those of seed 0 GET  /admin/stats        bytes by reader
+ */
+#include "standin/standin.h"
+
+#include "base/memory.h"
+#include "core/digest.h"
+#include "core/random.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_BLOBS 65536
+#define BLOCK 16384
+
+struct stored {
+    struct digest digest;
+    uint8_t *data;
+    size_t size;
+};
+
+struct origin {
+    pthread_mutex_t lock;
+    struct stored *blobs;
+    uint32_t blob_count;
+    json_t *readers; /* name to bytes */
+    uint64_t chunk_bytes_read;
+    uint64_t manifest_bytes_read;
+    uint64_t bytes_per_second;
+    uint64_t max_readers;
+    uint64_t readers_now;
+    uint64_t refused;
+    uint64_t link_free_at;  /* the link is busy until then */
+    uint64_t corrupt_every; /* with the fault `corrupt`: every so many reads */
+    uint64_t reads;
+};
+
+struct reading {
+    struct origin *origin;
+    const struct stored *blob;
+    size_t position;
+    bool corrupt;
+    bool manifest;
+    char reader[64];
+};
+
+/* ---- reading ---- */
+
+/* Take a turn on the link; returns when the block's last byte is through. */
+static void use_link(struct origin *origin, size_t size)
+{
+    pthread_mutex_lock(&origin->lock);
+    uint64_t now = standin_now_us();
+    uint64_t start = origin->link_free_at > now ? origin->link_free_at : now;
+    origin->link_free_at = start + size * 1000000 / origin->bytes_per_second;
+    uint64_t until = origin->link_free_at;
+    pthread_mutex_unlock(&origin->lock);
+    if (until > now)
+        standin_sleep_us(until - now);
+}
+
+static void count_bytes(struct reading *reading, size_t size)
+{
+    struct origin *origin = reading->origin;
+    pthread_mutex_lock(&origin->lock);
+    json_int_t sum = json_integer_value(json_object_get(origin->readers, reading->reader));
+    json_object_set_new(origin->readers, reading->reader, json_integer(sum + (json_int_t)size));
+    if (reading->manifest)
+        origin->manifest_bytes_read += size;
+    else
+        origin->chunk_bytes_read += size;
+    pthread_mutex_unlock(&origin->lock);
+}
+
+static ssize_t read_blob(void *context, char *buffer, size_t most)
+{
+    struct reading *reading = context;
+    size_t left = reading->blob->size - reading->position;
+    size_t size = left < most ? left : most;
+    if (size > BLOCK)
+        size = BLOCK;
+    if (!size)
+        return 0;
+    while (standin_fault() == FAULT_STALL)
+        standin_sleep_us(20000);
+    if (standin_fault() == FAULT_DOWN)
+        return -1;
+    use_link(reading->origin, size);
+    memcpy(buffer, reading->blob->data + reading->position, size);
+    if (reading->corrupt)
+        buffer[0] ^= 1;
+    reading->position += size;
+    count_bytes(reading, size);
+    return (ssize_t)size;
+}
+
+static void end_reading(void *context)
+{
+    struct reading *reading = context;
+    pthread_mutex_lock(&reading->origin->lock);
+    reading->origin->readers_now--;
+    pthread_mutex_unlock(&reading->origin->lock);
+    free(reading);
+}
+
+static const struct stored *find_blob(const struct origin *origin, const struct digest *digest)
+{
+    for (uint32_t i = 0; i < origin->blob_count; i++)
+        if (digest_equal(&origin->blobs[i].digest, digest))
+            return &origin->blobs[i];
+    return NULL;
+}
+
+static bool enter(struct origin *origin)
+{
+    bool entered = origin->readers_now < origin->max_readers;
+    origin->readers_now += entered;
+    origin->refused += !entered;
+    return entered;
+}
+
+static void serve_blob(struct origin *origin, const struct standin_request *request,
+                       const char *hex, struct standin_reply *reply)
+{
+    struct digest digest;
+    const char *reader = standin_header(request, "X-Reader");
+    pthread_mutex_lock(&origin->lock);
+    const struct stored *blob =
+        digest_from_hex(hex, &digest) == STATUS_OK ? find_blob(origin, &digest) : NULL;
+    bool entered = blob && enter(origin);
+    uint64_t number = entered ? ++origin->reads : 0;
+    pthread_mutex_unlock(&origin->lock);
+    if (!entered) {
+        standin_json(reply, blob ? 429 : 404, json_pack("{s:s}", "error", "not served"));
+        reply->headers[0][0] = blob ? "Retry-After" : NULL;
+        reply->headers[0][1] = "0.1";
+        return;
+    }
+    struct reading *reading = memory_zero(1, sizeof *reading);
+    reading->origin = origin;
+    reading->blob = blob;
+    reading->manifest = blob->data[0] == '{';
+    reading->corrupt = standin_fault() == FAULT_CORRUPT && number % origin->corrupt_every == 0;
+    snprintf(reading->reader, sizeof reading->reader, "%s", reader ? reader : "unknown");
+    reply->status = 200;
+    reply->read = read_blob;
+    reply->end = end_reading;
+    reply->context = reading;
+}
+
+/* ---- making a model ---- */
+
+static struct digest add_blob(struct origin *origin, const void *data, size_t size)
+{
+    struct digest digest = digest_of(data, size);
+    if (find_blob(origin, &digest) || origin->blob_count == MAX_BLOBS)
+        return digest;
+    origin->blobs[origin->blob_count++] = (struct stored){digest, memory_copy(data, size), size};
+    return digest;
+}
+
+static struct digest make_chunk(struct origin *origin, uint64_t seed, uint64_t index, size_t size)
+{
+    struct random_stream random = {.seed = seed * 1000003 + index};
+    uint8_t *data = memory_zero(size + 8, 1);
+    for (size_t i = 0; i < size; i += 8) {
+        uint64_t word = random_next(&random);
+        memcpy(data + i, &word, sizeof word);
+    }
+    data[0] = 0; /* only a manifest begins with a brace */
+    struct digest digest = add_blob(origin, data, size);
+    free(data);
+    return digest;
+}
+
+static void make_model(struct origin *origin, const struct standin_request *request,
+                       struct standin_reply *reply)
+{
+    const char *model;
+    const char *version;
+    json_int_t bytes;
+    json_int_t chunk_bytes;
+    json_int_t seed;
+    json_int_t shared = 0;
+    json_t *body = json_loadb(request->body, request->size, 0, NULL);
+    if (json_unpack(body, "{s:s, s:s, s:I, s:I, s:I, s?I}", "model", &model, "version", &version,
+                    "bytes", &bytes, "chunk_bytes", &chunk_bytes, "seed", &seed, "shared",
+                    &shared) != 0 ||
+        bytes <= 0 || chunk_bytes <= 0) {
+        json_decref(body);
+        standin_json(reply, 400, json_pack("{s:s}", "error", "a field is missing"));
+        return;
+    }
+    json_t *chunks = json_array();
+    pthread_mutex_lock(&origin->lock);
+    for (json_int_t start = 0, index = 0; start < bytes; start += chunk_bytes, index++) {
+        char hex[DIGEST_HEX_SIZE];
+        size_t size = (size_t)(bytes - start < chunk_bytes ? bytes - start : chunk_bytes);
+        struct digest digest =
+            make_chunk(origin, index < shared ? 0 : (uint64_t)seed, (uint64_t)index, size);
+        digest_to_hex(&digest, hex);
+        json_array_append_new(chunks, json_string(hex));
+    }
+    json_t *manifest =
+        json_pack("{s:s, s:s, s:I, s:I, s:o}", "model", model, "version", version, "total_bytes",
+                  bytes, "chunk_bytes", chunk_bytes, "chunks", chunks);
+    char *text = json_dumps(manifest, JSON_COMPACT);
+    struct digest digest = add_blob(origin, text, strlen(text));
+    pthread_mutex_unlock(&origin->lock);
+    char hex[DIGEST_HEX_SIZE];
+    digest_to_hex(&digest, hex);
+    standin_json(reply, 200, json_pack("{s:s, s:I}", "manifest", hex, "bytes", bytes));
+    free(text);
+    json_decref(manifest);
+    json_decref(body);
+}
+
+static void reply_stats(struct origin *origin, struct standin_reply *reply)
+{
+    pthread_mutex_lock(&origin->lock);
+    json_t *stats = json_pack("{s:I, s:I, s:I, s:O}", "chunk_bytes", origin->chunk_bytes_read,
+                              "manifest_bytes", origin->manifest_bytes_read, "refused",
+                              origin->refused, "readers", origin->readers);
+    standin_json(reply, 200, stats);
+    pthread_mutex_unlock(&origin->lock);
+}
+
+static void handle(void *context, const struct standin_request *request,
+                   struct standin_reply *reply)
+{
+    struct origin *origin = context;
+    const char *hex;
+    if (standin_is(request, "POST", "/admin/model"))
+        make_model(origin, request, reply);
+    else if (standin_is(request, "GET", "/admin/stats"))
+        reply_stats(origin, reply);
+    else if (standin_fault_before(reply))
+        return;
+    else if ((hex = standin_after(request, "GET", "/v1/blobs/")))
+        serve_blob(origin, request, hex, reply);
+    else
+        standin_json(reply, 404, json_pack("{s:s}", "error", "no such page"));
+}
+
+int origin_main(int argc, char **argv)
+{
+    struct origin origin = {
+        .lock = PTHREAD_MUTEX_INITIALIZER,
+        .bytes_per_second = 64u << 20,
+        .max_readers = 64,
+        .corrupt_every = 5,
+    };
+    const struct standin_option own[] = {
+        {"bytes-per-second", &origin.bytes_per_second, "rate of the origin's link"},
+        {"max-readers", &origin.max_readers, "blobs read at once"},
+        {"corrupt-every", &origin.corrupt_every, "with the fault `corrupt`: every so many reads"},
+        {NULL, NULL, NULL}};
+    struct standin_options options;
+    standin_parse(argc, argv, "Stand-in of the origin of weights.", &options, own);
+    origin.blobs = memory_zero(MAX_BLOBS, sizeof *origin.blobs);
+    origin.readers = json_object();
+    return standin_serve(&options, handle, &origin);
+}
--- /dev/null
+++ b/src/tool/load.c
@@ -0,0 +1,516 @@
+#include "tool/load.h"
+
+#include "base/clock.h"
+#include "base/memory.h"
+#include "core/random.h"
+#include "net/loop.h"
+#include "tool/answer_check.h"
+#include "tool/histogram.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_GATEWAYS 64
+#define MAX_TENANTS 64
+#define ADDRESS_SIZE 64
+#define TICKET_TEXT 700
+#define MAX_CONNECT_TRIES 5
+#define ENDPOINTS_TIMEOUT_MS 2000
+#define GRACE_MS 2000 /* beyond the request's own deadline before the caller hangs up */
+
+struct load_options {
+    char gateways[MAX_GATEWAYS][ADDRESS_SIZE];
+    uint32_t gateway_count;
+    const char *service;
+    char tenants[MAX_TENANTS][64];
+    double tenant_shares[MAX_TENANTS];
+    uint32_t tenant_count;
+    double rate;
+    double seconds;
+    uint64_t seed;
+    uint64_t tokens;
+    uint64_t timeout_ms;
+    bool plain;
+    bool keys;
+    bool verify;
+    const char *record;
+};
+
+struct tenant_counts {
+    uint64_t verdicts[ANSWER_VERDICTS];
+};
+
+struct load {
+    struct load_options options;
+    struct loop *loop;
+    struct random_stream random;
+    char endpoints[MAX_GATEWAYS][ADDRESS_SIZE];
+    uint32_t endpoint_count;
+    char ticket[TICKET_TEXT];
+    uint64_t endpoints_until;
+    bool asking;
+    uint32_t next_gateway;
+    uint64_t started;
+    uint64_t next_arrival;
+    uint64_t number;
+    uint64_t in_progress;
+    bool arrivals_over;
+    uint64_t verdicts[ANSWER_VERDICTS];
+    struct tenant_counts tenants[MAX_TENANTS];
+    json_t *versions; /* version to answers done */
+    uint64_t tokens;
+    struct histogram first_token;
+    struct histogram between_tokens;
+    struct histogram whole;
+    FILE *record;
+};
+
+static volatile sig_atomic_t load_stopped;
+
+static void on_signal(int number)
+{
+    load_stopped = 1;
+}
+
+/* ---- endpoints ---- */
+
+static void take_endpoints(struct load *load, const json_t *body)
+{
+    const json_t *list = json_object_get(body, "endpoints");
+    const char *ticket = json_string_value(json_object_get(body, "ticket"));
+    if (!json_array_size(list))
+        return;
+    load->endpoint_count = 0;
+    for (size_t i = 0; i < json_array_size(list) && i < MAX_GATEWAYS; i++)
+        snprintf(load->endpoints[load->endpoint_count++], ADDRESS_SIZE, "%s",
+                 json_string_value(json_array_get(list, i)));
+    snprintf(load->ticket, sizeof load->ticket, "%s", ticket ? ticket : "");
+    load->endpoints_until =
+        clock_monotonic_us() +
+        (uint64_t)json_integer_value(json_object_get(body, "max_age_ms")) * 1000;
+}
+
+static void on_endpoints(void *context, const struct http_response *response)
+{
+    struct load *load = context;
+    load->asking = false;
+    if (response->result != HTTP_COMPLETE || response->status != 200)
+        return;
+    json_t *body = json_loadb((const char *)response->body, response->size, 0, NULL);
+    take_endpoints(load, body);
+    json_decref(body);
+}
+
+/* Callers keep the address answer for its max-age, then ask any gateway they know. */
+static void ask_endpoints(struct load *load)
+{
+    char url[256];
+    const struct load_options *options = &load->options;
+    if (load->asking)
+        return;
+    load->asking = true;
+    snprintf(url, sizeof url, "http://%s/v1/endpoints?service=%s",
+             options->gateways[load->next_gateway++ % options->gateway_count], options->service);
+    struct http_call call = {
+        .method = "GET",
+        .url = url,
+        .body_limit = 65536,
+        .timeout_ms = ENDPOINTS_TIMEOUT_MS,
+        .on_done = on_endpoints,
+        .context = load,
+    };
+    loop_http(load->loop, &call);
+}
+
+/* ---- one request ---- */
+
+struct load_call {
+    struct load *load;
+    uint64_t number;
+    uint32_t tenant;
+    uint64_t arrival; /* intended: latency counts from here */
+    uint64_t last_token;
+    uint32_t tries;
+    char id[64];
+    char key[TICKET_TEXT + 80];
+    struct answer_check check;
+};
+
+static void start_call(struct load_call *call);
+
+static void on_data(void *context, const uint8_t *data, size_t size)
+{
+    struct load_call *call = context;
+    struct load *load = call->load;
+    uint64_t now = clock_monotonic_us();
+    uint32_t tokens = answer_check_data(&call->check, data, size);
+    if (!tokens)
+        return;
+    if (!call->last_token)
+        histogram_add(&load->first_token, now - call->arrival);
+    else
+        histogram_add(&load->between_tokens, (now - call->last_token) / tokens);
+    call->last_token = now;
+    load->tokens += tokens;
+}
+
+static void finish_call(struct load_call *call, enum answer_verdict verdict)
+{
+    struct load *load = call->load;
+    load->verdicts[verdict]++;
+    load->tenants[call->tenant].verdicts[verdict]++;
+    load->in_progress--;
+    if (verdict == ANSWER_DONE) {
+        histogram_add(&load->whole, clock_monotonic_us() - call->arrival);
+        const char *version = call->check.version[0] ? call->check.version : "-";
+        json_int_t count = json_integer_value(json_object_get(load->versions, version));
+        json_object_set_new(load->versions, version, json_integer(count + 1));
+    }
+    if (load->record)
+        fprintf(load->record, "%s %s %s\n", call->id, answer_verdict_name(verdict),
+                call->check.version[0] ? call->check.version : "-");
+    answer_check_clear(&call->check);
+    free(call);
+}
+
+static enum answer_verdict plain_verdict(const struct load_call *call,
+                                         const struct http_response *response)
+{
+    json_t *body = json_loadb((const char *)response->body, response->size, 0, NULL);
+    const char *id = json_string_value(json_object_get(body, "id"));
+    enum answer_verdict verdict = id && strcmp(id, call->id) == 0 ? ANSWER_DONE : ANSWER_MIXED;
+    json_decref(body);
+    return verdict;
+}
+
+/* Verdict of a response that is no stream. */
+static enum answer_verdict error_verdict(const struct http_response *response)
+{
+    json_t *body = json_loadb((const char *)response->body, response->size, 0, NULL);
+    const char *outcome = json_string_value(json_object_get(body, "outcome"));
+    enum answer_verdict verdict = ANSWER_LOST;
+    if (outcome && strcmp(outcome, "not-run") == 0)
+        verdict = ANSWER_NOT_RUN;
+    else if (outcome && strcmp(outcome, "unknown") == 0)
+        verdict = ANSWER_UNKNOWN;
+    json_decref(body);
+    return verdict;
+}
+
+static void on_answer(void *context, const struct http_response *response)
+{
+    struct load_call *call = context;
+    const struct load_options *options = &call->load->options;
+    if (response->result == HTTP_NOT_SENT && ++call->tries < MAX_CONNECT_TRIES) {
+        start_call(call); /* nothing reached the gateway: another address may be used */
+        return;
+    }
+    enum answer_verdict verdict;
+    if (response->result == HTTP_NOT_SENT)
+        verdict = ANSWER_NOT_RUN;
+    else if (response->result == HTTP_COMPLETE && response->status != 200)
+        verdict = error_verdict(response);
+    else if (options->plain)
+        verdict = response->result == HTTP_COMPLETE ? plain_verdict(call, response) : ANSWER_LOST;
+    else
+        verdict = answer_check_verdict(&call->check);
+    finish_call(call, verdict);
+}
+
+static void start_call(struct load_call *call)
+{
+    struct load *load = call->load;
+    const struct load_options *options = &load->options;
+    char url[256];
+    char tenant[96];
+    char key[sizeof call->key + 32];
+    char timeout[64];
+    char body[256];
+    const char *address =
+        load->endpoint_count
+            ? load->endpoints[random_below(&load->random, load->endpoint_count)]
+            : options->gateways[random_below(&load->random, options->gateway_count)];
+    snprintf(url, sizeof url, "http://%s/v1/services/%s", address, options->service);
+    snprintf(tenant, sizeof tenant, "X-Tenant: %s", options->tenants[call->tenant]);
+    snprintf(timeout, sizeof timeout, "X-Timeout-Ms: %" PRIu64, options->timeout_ms);
+    snprintf(key, sizeof key, "Idempotency-Key: %s", call->key);
+    const char *headers[] = {"Content-Type: application/json", tenant, timeout,
+                             options->keys ? key : NULL, NULL};
+    if (options->plain)
+        snprintf(body, sizeof body, "{\"id\": \"%s\"}", call->id);
+    else
+        snprintf(body, sizeof body, "{\"prompt\": \"%s\", \"max_tokens\": %" PRIu64 "}", call->id,
+                 options->tokens);
+    struct http_call http = {
+        .method = "POST",
+        .url = url,
+        .headers = headers,
+        .body = body,
+        .body_size = strlen(body),
+        .body_limit = 1 << 20,
+        .timeout_ms = options->timeout_ms + GRACE_MS,
+        .fresh_connection = options->plain,
+        .on_data = options->plain ? NULL : on_data,
+        .on_done = on_answer,
+        .context = call,
+    };
+    loop_http(load->loop, &http);
+}
+
+static uint32_t pick_tenant(struct load *load)
+{
+    double at = random_unit(&load->random);
+    for (uint32_t i = 0; i + 1 < load->options.tenant_count; i++) {
+        at -= load->options.tenant_shares[i];
+        if (at < 0)
+            return i;
+    }
+    return load->options.tenant_count - 1;
+}
+
+static void arrive(struct load *load, uint64_t arrival)
+{
+    struct load_call *call = memory_zero(1, sizeof *call);
+    call->load = load;
+    call->number = load->number++;
+    call->arrival = arrival;
+    call->tenant = pick_tenant(load);
+    snprintf(call->id, sizeof call->id, "%s-%" PRIu64 "-%" PRIu64, load->options.service,
+             load->options.seed, call->number);
+    snprintf(call->key, sizeof call->key, "%s%s%s", load->ticket, load->ticket[0] ? "~" : "",
+             call->id);
+    call->check = (struct answer_check){
+        .prompt = call->id,
+        .wanted_tokens = load->options.tokens,
+        .verify_tokens = load->options.verify,
+    };
+    load->in_progress++;
+    start_call(call);
+}
+
+/* ---- arrivals ---- */
+
+static void on_tick(void *context)
+{
+    struct load *load = context;
+    uint64_t now = clock_monotonic_us();
+    uint64_t end = load->started + (uint64_t)(load->options.seconds * 1e6);
+    if (now + 200000 >= load->endpoints_until)
+        ask_endpoints(load);
+    if (!load->endpoint_count)
+        return;
+    if (!load->next_arrival) {
+        load->started = now;
+        load->next_arrival = now;
+        end = now + (uint64_t)(load->options.seconds * 1e6);
+    }
+    load->arrivals_over = load_stopped || now >= end;
+    while (!load->arrivals_over && load->next_arrival <= now) {
+        arrive(load, load->next_arrival);
+        double gap = -log(1 - random_unit(&load->random)) / load->options.rate;
+        load->next_arrival += (uint64_t)(gap * 1e6) + 1;
+    }
+    if (load->arrivals_over && load->in_progress == 0)
+        loop_stop(load->loop);
+}
+
+/* ---- options ---- */
+
+enum load_key {
+    KEY_GATEWAYS = 1000,
+    KEY_SERVICE,
+    KEY_TENANTS,
+    KEY_RATE,
+    KEY_SECONDS,
+    KEY_SEED,
+    KEY_TOKENS,
+    KEY_TIMEOUT,
+    KEY_PLAIN,
+    KEY_KEYS,
+    KEY_VERIFY,
+    KEY_RECORD,
+};
+
+static const struct argp_option option_list[] = {
+    {"gateways", KEY_GATEWAYS, "IP:PORT,...", 0, "gateways to ask for addresses", 0},
+    {"service", KEY_SERVICE, "NAME", 0, "service to call", 0},
+    {"tenants", KEY_TENANTS, "NAME:SHARE,...", 0, "tenants and their shares of the load", 0},
+    {"rate", KEY_RATE, "PER_SECOND", 0, "requests a second, arriving at random (20)", 0},
+    {"seconds", KEY_SECONDS, "S", 0, "time for which requests arrive (10)", 0},
+    {"seed", KEY_SEED, "N", 0, "seed of arrivals and tenants (1)", 0},
+    {"tokens", KEY_TOKENS, "N", 0, "tokens of each answer (32)", 0},
+    {"timeout-ms", KEY_TIMEOUT, "MS", 0, "deadline of each request (30000)", 0},
+    {"plain", KEY_PLAIN, NULL, 0, "the service is a plain one", 0},
+    {"keys", KEY_KEYS, NULL, 0, "mark requests as unrepeatable with an idempotency key", 0},
+    {"verify", KEY_VERIFY, NULL, 0, "check every token against the engine stand-in's", 0},
+    {"record", KEY_RECORD, "FILE", 0, "write one line for each request: id outcome version", 0},
+    {0}};
+
+static void split_gateways(struct load_options *options, const char *text)
+{
+    char *copy = memory_string(text);
+    char *state;
+    for (char *item = strtok_r(copy, ",", &state); item; item = strtok_r(NULL, ",", &state))
+        if (options->gateway_count < MAX_GATEWAYS)
+            snprintf(options->gateways[options->gateway_count++], ADDRESS_SIZE, "%s", item);
+    free(copy);
+}
+
+static void split_tenants(struct load_options *options, const char *text)
+{
+    char *copy = memory_string(text);
+    char *state;
+    double sum = 0;
+    for (char *item = strtok_r(copy, ",", &state); item; item = strtok_r(NULL, ",", &state)) {
+        char *colon = strchr(item, ':');
+        double share = colon ? strtod(colon + 1, NULL) : 1;
+        if (options->tenant_count == MAX_TENANTS || share <= 0)
+            continue;
+        snprintf(options->tenants[options->tenant_count], 64, "%.*s",
+                 colon ? (int)(colon - item) : 63, item);
+        options->tenant_shares[options->tenant_count++] = share;
+        sum += share;
+    }
+    for (uint32_t i = 0; i < options->tenant_count; i++)
+        options->tenant_shares[i] /= sum;
+    free(copy);
+}
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+    struct load_options *options = state->input;
+    switch (key) {
+    case KEY_GATEWAYS:
+        split_gateways(options, argument);
+        break;
+    case KEY_SERVICE:
+        options->service = argument;
+        break;
+    case KEY_TENANTS:
+        split_tenants(options, argument);
+        break;
+    case KEY_RATE:
+        options->rate = strtod(argument, NULL);
+        break;
+    case KEY_SECONDS:
+        options->seconds = strtod(argument, NULL);
+        break;
+    case KEY_SEED:
+        options->seed = strtoull(argument, NULL, 10);
+        break;
+    case KEY_TOKENS:
+        options->tokens = strtoull(argument, NULL, 10);
+        break;
+    case KEY_TIMEOUT:
+        options->timeout_ms = strtoull(argument, NULL, 10);
+        break;
+    case KEY_PLAIN:
+        options->plain = true;
+        break;
+    case KEY_KEYS:
+        options->keys = true;
+        break;
+    case KEY_VERIFY:
+        options->verify = true;
+        break;
+    case KEY_RECORD:
+        options->record = argument;
+        break;
+    case ARGP_KEY_END:
+        if (!options->gateway_count || !options->service || !options->tenant_count)
+            argp_error(state, "--gateways, --service and --tenants are needed");
+        if (!(options->rate > 0) || !(options->seconds > 0) || !options->timeout_ms)
+            argp_error(state, "--rate, --seconds and --timeout-ms must be above 0");
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+/* ---- report ---- */
+
+static json_t *describe_histogram(const struct histogram *histogram)
+{
+    return json_pack("{s:I, s:f, s:f, s:f, s:f}", "count", (json_int_t)histogram->total, "p50",
+                     (double)histogram_quantile(histogram, 0.5) / 1000, "p95",
+                     (double)histogram_quantile(histogram, 0.95) / 1000, "p99",
+                     (double)histogram_quantile(histogram, 0.99) / 1000, "max",
+                     (double)histogram->greatest / 1000);
+}
+
+static json_t *describe_verdicts(const uint64_t verdicts[ANSWER_VERDICTS])
+{
+    json_t *object = json_object();
+    for (int i = 0; i < ANSWER_VERDICTS; i++)
+        json_object_set_new(object, answer_verdict_name((enum answer_verdict)i),
+                            json_integer((json_int_t)verdicts[i]));
+    return object;
+}
+
+static void print_report(const struct load *load)
+{
+    json_t *tenants = json_object();
+    for (uint32_t i = 0; i < load->options.tenant_count; i++)
+        json_object_set_new(tenants, load->options.tenants[i],
+                            describe_verdicts(load->tenants[i].verdicts));
+    json_t *report = json_pack(
+        "{s:I, s:o, s:o, s:O, s:I, s:o, s:o, s:o}", "requests", (json_int_t)load->number,
+        "outcomes", describe_verdicts(load->verdicts), "tenants", tenants, "versions",
+        load->versions, "tokens", (json_int_t)load->tokens, "first_token_ms",
+        describe_histogram(&load->first_token), "between_tokens_ms",
+        describe_histogram(&load->between_tokens), "whole_ms", describe_histogram(&load->whole));
+    char *text = json_dumps(report, JSON_INDENT(2));
+    puts(text);
+    free(text);
+    json_decref(report);
+}
+
+static bool has_violation(const struct load *load)
+{
+    return load->verdicts[ANSWER_LOST] || load->verdicts[ANSWER_CUT] ||
+           load->verdicts[ANSWER_DOUBLED] || load->verdicts[ANSWER_MIXED];
+}
+
+int load_main(int argc, char **argv)
+{
+    static const char doc[] =
+        "Send open-loop load to a running system and check every answer.\v"
+        "Prints one JSON object. Latencies are in milliseconds and count from the time at which a "
+        "request was meant to arrive. Exit status 1 when an answer was lost, cut, doubled or "
+        "mixed; 2 for wrong usage.";
+    struct load *load = memory_zero(1, sizeof *load);
+    load->options = (struct load_options){
+        .rate = 20, .seconds = 10, .seed = 1, .tokens = 32, .timeout_ms = 30000};
+    struct argp argp = {option_list, parse_option, NULL, doc, NULL, NULL, NULL};
+    argp_err_exit_status = 2;
+    argp_parse(&argp, argc, argv, 0, NULL, &load->options);
+    if (load->options.record && !(load->record = fopen(load->options.record, "w"))) {
+        perror(load->options.record);
+        free(load);
+        return 2;
+    }
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    signal(SIGTERM, on_signal);
+    signal(SIGINT, on_signal);
+    load->random.seed = load->options.seed;
+    load->versions = json_object();
+    load->loop = loop_create();
+    loop_set_tick(load->loop, 1000, on_tick, load);
+    loop_run(load->loop);
+    print_report(load);
+    int exit_status = has_violation(load) ? 1 : 0;
+    if (load->record)
+        fclose(load->record);
+    loop_destroy(load->loop);
+    json_decref(load->versions);
+    free(load);
+    return exit_status;
+}
--- /dev/null
+++ b/tests/base/settings_test.c
@@ -0,0 +1,75 @@
+#include "testing.h"
+
+#include "base/settings.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static bool has_finding(const struct findings *findings, const char *place, const char *text)
+{
+    for (size_t i = 0; i < findings->count; i++)
+        if (strcmp(findings->items[i].place, place) == 0 &&
+            strstr(findings->items[i].text, text) != NULL)
+            return true;
+    return false;
+}
+
+static void all_problems_are_reported_with_their_place(void **state)
+{
+    char file[] = "/tmp/settings_test_XXXXXX";
+    int descriptor = mkstemp(file);
+    static const char text[] = "# comment\nzone = z1\nno equals sign\nunknown = 1\n";
+    assert_int_equal(write(descriptor, text, sizeof text - 1), sizeof text - 1);
+    close(descriptor);
+    setenv("SHUNTRUN_NEIGHBOURS", "many", 1);
+    char *arguments[] = {"agent", "--settings", file, "--http-port", "99999", "--name", "a1", NULL};
+    struct settings settings;
+    struct findings findings = {0};
+    enum status status = settings_read(SETTING_ROLE_AGENT, 7, arguments, &settings, &findings);
+    unsetenv("SHUNTRUN_NEIGHBOURS");
+    unlink(file);
+    char place[64];
+    assert_int_equal(status, STATUS_INVALID);
+    snprintf(place, sizeof place, "%s:3", file);
+    assert_true(has_finding(&findings, place, "expected"));
+    snprintf(place, sizeof place, "%s:4", file);
+    assert_true(has_finding(&findings, place, "unknown setting"));
+    assert_true(has_finding(&findings, "SHUNTRUN_NEIGHBOURS", "not a whole number"));
+    assert_true(has_finding(&findings, "--http-port", "outside"));
+    assert_true(has_finding(&findings, "origin-url", "missing"));
+    assert_string_equal(settings.zone, "z1");
+    findings_clear(&findings);
+    settings_clear(&settings);
+}
+
+static void a_flag_goes_before_a_variable_before_the_default(void **state)
+{
+    setenv("SHUNTRUN_NEIGHBOURS", "3", 1);
+    setenv("SHUNTRUN_CONTROL_PORT", "7000", 1);
+    char *arguments[] = {"gateway",   "--name",         "g",        "--zone",
+                         "z",         "--region",       "r",        "--address",
+                         "127.0.0.1", "--config-url",   "http://h", "--machines-url",
+                         "http://h",  "--control-port", "7001",     NULL};
+    struct settings settings;
+    struct findings findings = {0};
+    enum status status = settings_read(SETTING_ROLE_GATEWAY, 15, arguments, &settings, &findings);
+    unsetenv("SHUNTRUN_NEIGHBOURS");
+    unsetenv("SHUNTRUN_CONTROL_PORT");
+    assert_int_equal(status, STATUS_OK);
+    assert_int_equal(settings.control_port, 7001);
+    assert_int_equal(settings.neighbours, 3);
+    assert_int_equal(settings.http_port, 8080);
+    findings_clear(&findings);
+    settings_clear(&settings);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(all_problems_are_reported_with_their_place),
+        cmocka_unit_test(a_flag_goes_before_a_variable_before_the_default),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/system/fleet_test.py
@@ -0,0 +1,172 @@
+#!/usr/bin/env python3
+"""Whole fleets of real processes: the demonstration's checks, bad input, and kills.
+
+Every wait is for a condition; there is no assertion about time.
+"""
+import argparse
+import pathlib
+import signal
+import subprocess
+import sys
+import unittest
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "scripts"))
+import demo  # noqa: E402
+from fleet import Fleet, call, wait_until  # noqa: E402
+
+OPTIONS = argparse.Namespace(build="build/release", work="build/system", seconds=6, rate=20)
+
+
+def post(url, body, headers):
+    """POST without raising on error statuses; returns (status, headers, text)."""
+    request = urllib.request.Request(url, data=body, headers=headers, method="POST")
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    try:
+        with opener.open(request, timeout=20) as response:
+            return response.status, response.headers, response.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.headers, error.read().decode()
+
+
+def small_fleet(name, engines=2):
+    fleet = Fleet(OPTIONS.build, pathlib.Path(OPTIONS.work) / name)
+    fleet.start_platform(64 << 20, lag_ms=0)
+    fleet.add_gateway("gateway-1", 1, "--endpoints-max-age-ms", "500")
+    for number in range(engines):
+        fleet.add_engine_agent(f"engine-{number}", 1)
+    fleet.add_service_agent("seats-0", 1, "seats")
+    fleet.publish_machines()
+    model = fleet.make_model("script", "v1", 4 << 20, 1 << 19, seed=1)
+    fleet.publish_config(demo.make_config("v1", model, fleet.agents(engines=False)))
+    for agent in fleet.agents():
+        wait_until(f"{agent} serves v1", lambda a=agent: fleet.serves(a, "v1"))
+    return fleet
+
+
+class DemonstrationTest(unittest.TestCase):
+    def test_nothing_is_lost_doubled_cut_or_mixed(self):
+        summary = demo.run(argparse.Namespace(**{**vars(OPTIONS), "work": OPTIONS.work + "/demo"}))
+        self.assertEqual(summary["violations"], 0, summary)
+        self.assertGreater(summary["requests"]["done"], 0)
+        self.assertEqual(summary["chunk_sources"]["rejected"], 0)
+
+
+class CallerTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = small_fleet("caller")
+        cls.url = cls.fleet.http("gateway-1")
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.stop()
+
+    def expect(self, status, path, body, headers):
+        got, answer_headers, text = post(self.url + path, body, headers)
+        self.assertEqual(got, status, text)
+        self.assertEqual(answer_headers["X-Outcome"], "not-run", text)
+
+    def test_bad_input_gets_a_clear_refusal(self):
+        good = {"X-Tenant": "water"}
+        self.expect(400, "/v1/services/script", b"{}", {})
+        self.expect(403, "/v1/services/script", b"{}", {"X-Tenant": "nobody"})
+        self.expect(404, "/v1/services/nothing", b"{}", good)
+        self.expect(400, "/v1/services/script", b"not json", good)
+        self.expect(400, "/v1/services/script", b"{}", {**good, "X-Priority": "12"})
+        self.expect(400, "/v1/services/script", b"{}", {**good, "X-Timeout-Ms": "-1"})
+        self.expect(400, "/v1/services/" + "x" * 100, b"{}", good)
+        status, _, _ = post(self.url + "/v1/services/script", b"x" * (2 << 20), good)
+        self.assertEqual(status, 413)
+        self.assertGreaterEqual(self.fleet.counters("gateway-1")["shuntrun_bad_requests_total"], 5)
+        self.assertIsNone(self.fleet.processes["gateway-1"].poll())
+
+    def test_a_repeated_key_runs_once_and_gets_the_kept_answer(self):
+        ticket = call(self.url + "/v1/endpoints?service=seats")["ticket"]
+        headers = {"X-Tenant": "water", "Idempotency-Key": ticket + "~hold-1"}
+        first = post(self.url + "/v1/services/seats", b'{"id": "hold-1"}', headers)
+        second = post(self.url + "/v1/services/seats", b'{"id": "hold-1"}', headers)
+        self.assertEqual((first[0], second[0]), (200, 200), (first, second))
+        self.assertEqual(first[2], second[2])
+        self.assertEqual(second[1]["X-Replayed"], "true")
+        runs = call(self.fleet.service_urls["seats-0"] + "/admin/runs")["bodies"]
+        self.assertEqual(runs["hold-1"], 1)
+
+    def test_a_ticket_of_an_earlier_incarnation_is_refused(self):
+        ticket = call(self.url + "/v1/endpoints?service=seats")["ticket"]
+        self.fleet.kill("seats-0")
+        self.fleet.processes["seats-0"].wait()
+        self.fleet.start_node("seats-0")
+        fresh = wait_until("a ticket of the new incarnation", lambda: (
+            lambda now: now if now != ticket else None)(
+                call(self.url + "/v1/endpoints?service=seats").get("ticket")))
+        old = post(self.url + "/v1/services/seats", b'{"id": "old"}',
+                   {"X-Tenant": "water", "Idempotency-Key": ticket + "~old"})
+        self.assertEqual(old[0], 503, old)
+        self.assertEqual(old[1]["X-Outcome"], "not-run")
+
+        def fresh_key_runs():
+            answer = post(self.url + "/v1/services/seats", b'{"id": "new"}',
+                          {"X-Tenant": "water", "Idempotency-Key": fresh + "~new"})
+            return answer[0] == 200
+        wait_until("a fresh key runs", fresh_key_runs)
+        runs = call(self.fleet.service_urls["seats-0"] + "/admin/runs")["bodies"]
+        self.assertNotIn("old", runs)
+        self.assertEqual(runs["new"], 1)
+
+
+class FailureTest(unittest.TestCase):
+    def test_streams_outlive_a_killed_agent(self):
+        fleet = small_fleet("kill", engines=3)
+        try:
+            fleet.start_load("load", "script", "--tenants", "water", "--rate", "20", "--seconds",
+                             "4", "--tokens", "60", "--verify")
+            wait_until("requests run", lambda: fleet.status("engine-0")["active_requests"])
+            fleet.kill("engine-0")
+            report = fleet.load_report("load")
+            for verdict in ("lost", "cut", "doubled", "mixed"):
+                self.assertEqual(report["outcomes"][verdict], 0, report)
+            self.assertGreater(report["outcomes"]["done"], 0)
+        finally:
+            fleet.stop()
+
+    def test_a_frozen_agent_does_not_run_what_came_before_it_woke(self):
+        fleet = small_fleet("freeze", engines=1)
+        try:
+            url = fleet.http("gateway-1")
+            ticket = call(url + "/v1/endpoints?service=seats")["ticket"]
+            fleet.kill("seats-0", signal.SIGSTOP)
+            answer = post(url + "/v1/services/seats", b'{"id": "frozen"}',
+                          {"X-Tenant": "water", "Idempotency-Key": ticket + "~frozen",
+                           "X-Timeout-Ms": "2500"})
+            self.assertIn(answer[1]["X-Outcome"], ("unknown", "not-run"), answer)
+            fleet.kill("seats-0", signal.SIGCONT)
+            wait_until("the agent answers again", lambda: fleet.status("seats-0"))
+            wait_until("its gateway hears it", lambda: post(
+                url + "/v1/services/seats", b'{"id": "later"}',
+                {"X-Tenant": "water", "Idempotency-Key": ticket + "~later"})[0] == 200)
+            runs = call(fleet.service_urls["seats-0"] + "/admin/runs")["bodies"]
+            self.assertNotIn("frozen", runs)
+        finally:
+            fleet.stop()
+
+
+class SettingsTest(unittest.TestCase):
+    def test_wrong_flags_end_with_status_2_and_all_findings(self):
+        result = subprocess.run([OPTIONS.build + "/shuntrun", "agent", "--http-port", "x",
+                                 "--address", "127.0.0.1"], capture_output=True, text=True,
+                                check=False)
+        self.assertEqual(result.returncode, 2)
+        self.assertIn("--http-port: error:", result.stderr)
+        self.assertIn("name: error: required setting is missing", result.stderr)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--work", required=True)
+    parsed, rest = parser.parse_known_args()
+    OPTIONS.build, OPTIONS.work = parsed.build, parsed.work
+    unittest.main(argv=[sys.argv[0], *rest], verbosity=2)
