Simulate rollouts on a virtual clock with the real chunk scheduling

Cause: the two measures, time until N replicas serve and bytes read from the origin, could not be seen at 300 and 1,500 machines.

Change: src/sim drives core/swarm over a model of shared links; shuntrun simulate with the strategies swarm, origin-only, tree and chunked-tree, and faults.

--- a/src/core/swarm.c
+++ b/src/core/swarm.c
@@ -16,6 +16,8 @@
 #define ENDGAME_TIMEOUT_MEANS 4
 #define PENDING_PATIENCE 8   /* "pending" answers before a later rank goes on */
 #define FULL_UPDATE_EVERY 64 /* every so many updates are full, against lost state */
+#define RAREST_SAMPLE 256    /* chunks looked at for the rarest; bounds the work of one choice */
+#define MAX_BACKOFF_STEPS 3  /* a busy peer's pause doubles so often */
 #define FAR_REGION_COST 2    /* cost of a peer in half queued chunks */
 #define FAR_ZONE_COST 1
 
@@ -33,6 +35,7 @@
     uint32_t in_flight;
     uint32_t upload_queue; /* as last announced */
     uint32_t corrupt;
+    uint32_t refusals; /* in a row */
     uint32_t sequence_in;
     uint32_t sequence_out;
     uint32_t announced; /* length of our arrival log that it has seen */
@@ -433,16 +436,18 @@
     return any != 0;
 }
 
-/* The rarest offered chunk; ties by a random start. */
+/* The rarest of RAREST_SAMPLE offered chunks from a random start on. */
 static uint32_t rarest_offer(struct swarm *swarm, const uint64_t *offers)
 {
     uint32_t best = UINT32_MAX;
     unsigned best_count = UINT32_MAX;
     size_t start = (size_t)random_below(&swarm->random, swarm->words);
-    for (size_t i = 0; i < swarm->words && best_count > 1; i++) {
+    unsigned seen = 0;
+    for (size_t i = 0; i < swarm->words && best_count > 1 && seen < RAREST_SAMPLE; i++) {
         size_t word = start + i < swarm->words ? start + i : start + i - swarm->words;
         for (uint64_t bits = offers[word]; bits; bits &= bits - 1) {
             uint32_t chunk = (uint32_t)(word * BITMAP_WORD_BITS) + (uint32_t)__builtin_ctzll(bits);
+            seen++;
             if (swarm->availability[chunk] < best_count) {
                 best = chunk;
                 best_count = swarm->availability[chunk];
@@ -696,6 +701,9 @@
 {
     struct request *request = find_request(swarm, source, chunk);
     if (request) {
+        struct neighbour *neighbour = find_neighbour(swarm, source);
+        if (neighbour)
+            neighbour->refusals = 0;
         if (source != SWARM_ORIGIN)
             learn_duration(swarm, now - request->started);
         end_request(swarm, request);
@@ -718,7 +726,10 @@
 static void punish(struct swarm *swarm, uint64_t now, struct neighbour *neighbour,
                    enum swarm_failure failure, uint64_t retry_after_us)
 {
-    uint64_t pause = swarm->settings.busy_backoff_us;
+    uint64_t pause =
+        swarm->settings.busy_backoff_us
+        << (neighbour->refusals < MAX_BACKOFF_STEPS ? neighbour->refusals : MAX_BACKOFF_STEPS);
+    neighbour->refusals++;
     if (failure == SWARM_FAILURE_ERROR)
         pause = swarm->settings.chunk_timeout_us;
     if (failure == SWARM_FAILURE_ABSENT)
--- /dev/null
+++ b/src/sim/simulate.c
@@ -0,0 +1,291 @@
+#include "sim/simulate.h"
+
+#include "base/clock.h"
+#include "sim/rollout_sim.h"
+
+#include <argp.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum simulate_key {
+    KEY_MACHINES = 1000,
+    KEY_ZONES,
+    KEY_REGIONS,
+    KEY_MODEL_BYTES,
+    KEY_CHUNK_BYTES,
+    KEY_ORIGIN_COPIES,
+    KEY_MACHINE_COPIES,
+    KEY_WINDOW,
+    KEY_STRATEGY,
+    KEY_BUDGET,
+    KEY_SEED,
+    KEY_FAULTS,
+    KEY_OUTPUT,
+    KEY_NEIGHBOURS,
+    KEY_DOWNLOADS,
+    KEY_UPLOADS,
+    KEY_ANNOUNCE,
+    KEY_LIMIT,
+};
+
+static const struct argp_option option_list[] = {
+    {"machines", KEY_MACHINES, "N", 0, "machines that get the model (300)", 0},
+    {"zones", KEY_ZONES, "Z", 0, "zones (6)", 0},
+    {"regions", KEY_REGIONS, "R", 0, "regions (3)", 0},
+    {"model-bytes", KEY_MODEL_BYTES, "B", 0, "size of the model (2200 chunks of 64 MiB)", 0},
+    {"chunk-bytes", KEY_CHUNK_BYTES, "C", 0, "size of a chunk (64 MiB)", 0},
+    {"origin-copies-per-window", KEY_ORIGIN_COPIES, "X", 0, "rate of the origin's link (4)", 0},
+    {"machine-copies-per-window", KEY_MACHINE_COPIES, "X", 0,
+     "rate of a machine's link, in and out together (2)", 0},
+    {"window-seconds", KEY_WINDOW, "S", 0, "the window (300)", 0},
+    {"strategy", KEY_STRATEGY, "NAME", 0, "swarm, origin-only, tree or chunked-tree (swarm)", 0},
+    {"origin-budget", KEY_BUDGET, "K", 0, "copies that the origin may give at once, 1 to 4 (1)", 0},
+    {"seed", KEY_SEED, "X", 0, "seed of everything random (1)", 0},
+    {"faults", KEY_FAULTS, "SPEC", 0,
+     "NAME=SHARE,... of die, restart, stall, corrupt, origin-down, change, shared, part", 0},
+    {"output", KEY_OUTPUT, "FORMAT", 0, "json or text (text)", 0},
+    {"neighbours", KEY_NEIGHBOURS, "N", 0, "neighbours that each machine chooses", 0},
+    {"download-window", KEY_DOWNLOADS, "N", 0, "chunk requests in flight", 0},
+    {"upload-limit", KEY_UPLOADS, "N", 0, "uploads queued before a machine is busy", 0},
+    {"announce-ms", KEY_ANNOUNCE, "MS", 0, "least time between announcements", 0},
+    {"limit-windows", KEY_LIMIT, "N", 0, "give the run up after so many windows (20)", 0},
+    {0}};
+
+static const char *const strategy_names[] = {"swarm", "origin-only", "tree", "chunked-tree"};
+
+struct simulate_options {
+    struct rollout_options rollout;
+    bool json;
+    uint32_t neighbours; /* these override what fits the links, when not 0 */
+    uint32_t downloads;
+    uint32_t uploads;
+    uint64_t announce_ms;
+    uint32_t budget;
+};
+
+static double parse_positive(const char *text, struct argp_state *state)
+{
+    char *rest;
+    double value = strtod(text, &rest);
+    if (*rest || rest == text || !(value > 0))
+        argp_error(state, "`%s` is no number above 0", text);
+    return value;
+}
+
+static uint64_t parse_count(const char *text, uint64_t most, struct argp_state *state)
+{
+    double value = parse_positive(text, state);
+    if (value > (double)most || value != (double)(uint64_t)value)
+        argp_error(state, "`%s` is no whole number from 1 to %" PRIu64, text, most);
+    return (uint64_t)value;
+}
+
+static enum rollout_strategy parse_strategy(const char *text, struct argp_state *state)
+{
+    for (int i = 0; i < 4; i++)
+        if (strcmp(text, strategy_names[i]) == 0)
+            return (enum rollout_strategy)i;
+    argp_error(state, "unknown strategy `%s`", text);
+    return STRATEGY_SWARM;
+}
+
+static void parse_faults(struct rollout_faults *faults, char *text, struct argp_state *state)
+{
+    const struct {
+        const char *name;
+        double *share;
+    } known[] = {{"die", &faults->die},
+                 {"restart", &faults->restart},
+                 {"stall", &faults->stall},
+                 {"corrupt", &faults->corrupt},
+                 {"origin-down", &faults->origin_down},
+                 {"change", &faults->change},
+                 {"shared", &faults->shared},
+                 {"part", &faults->part}};
+    char *next;
+    for (char *item = strtok_r(text, ",", &next); item; item = strtok_r(NULL, ",", &next)) {
+        char *equals = strchr(item, '=');
+        double share = equals ? strtod(equals + 1, NULL) : -1;
+        bool found = false;
+        if (equals)
+            *equals = 0;
+        for (size_t i = 0; i < sizeof known / sizeof known[0]; i++) {
+            if (strcmp(item, known[i].name) != 0)
+                continue;
+            found = true;
+            *known[i].share = share;
+        }
+        if (!found || !(share >= 0 && share <= 1))
+            argp_error(state, "--faults: `%s` is no fault with a share from 0 to 1", item);
+    }
+}
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+    struct simulate_options *options = state->input;
+    struct rollout_options *rollout = &options->rollout;
+    switch (key) {
+    case KEY_MACHINES:
+        rollout->machines = (uint32_t)parse_count(argument, 20000, state);
+        break;
+    case KEY_ZONES:
+        rollout->zones = (uint32_t)parse_count(argument, 1000, state);
+        break;
+    case KEY_REGIONS:
+        rollout->regions = (uint32_t)parse_count(argument, 16, state);
+        break;
+    case KEY_MODEL_BYTES:
+        rollout->model_bytes = parse_count(argument, 1ULL << 50, state);
+        break;
+    case KEY_CHUNK_BYTES:
+        rollout->chunk_bytes = parse_count(argument, 1ULL << 40, state);
+        break;
+    case KEY_ORIGIN_COPIES:
+        rollout->origin_copies_per_window = parse_positive(argument, state);
+        break;
+    case KEY_MACHINE_COPIES:
+        rollout->machine_copies_per_window = parse_positive(argument, state);
+        break;
+    case KEY_WINDOW:
+        rollout->window_seconds = parse_positive(argument, state);
+        break;
+    case KEY_STRATEGY:
+        rollout->strategy = parse_strategy(argument, state);
+        break;
+    case KEY_BUDGET:
+        options->budget = (uint32_t)parse_count(argument, SWARM_GLOBAL_RANKS, state);
+        break;
+    case KEY_SEED:
+        rollout->seed = strtoull(argument, NULL, 10);
+        break;
+    case KEY_FAULTS:
+        parse_faults(&rollout->faults, argument, state);
+        break;
+    case KEY_OUTPUT:
+        options->json = strcmp(argument, "json") == 0;
+        if (!options->json && strcmp(argument, "text") != 0)
+            argp_error(state, "--output must be json or text");
+        break;
+    case KEY_NEIGHBOURS:
+        options->neighbours = (uint32_t)parse_count(argument, SWARM_MAX_NEIGHBOURS / 2, state);
+        break;
+    case KEY_DOWNLOADS:
+        options->downloads = (uint32_t)parse_count(argument, 64, state);
+        break;
+    case KEY_UPLOADS:
+        options->uploads = (uint32_t)parse_count(argument, 256, state);
+        break;
+    case KEY_ANNOUNCE:
+        options->announce_ms = parse_count(argument, 60000, state);
+        break;
+    case KEY_LIMIT:
+        rollout->limit_windows = parse_positive(argument, state);
+        break;
+    case ARGP_KEY_END:
+        if (rollout->model_bytes / rollout->chunk_bytes > 65536)
+            argp_error(state, "more than 65536 chunks");
+        if (rollout->regions > rollout->zones)
+            argp_error(state, "more regions than zones");
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+static void settle_swarm(struct simulate_options *options)
+{
+    struct swarm_settings *swarm = &options->rollout.swarm;
+    *swarm = rollout_swarm_settings(&options->rollout);
+    if (options->budget)
+        swarm->origin_budget = options->budget;
+    if (options->neighbours)
+        swarm->neighbours = options->neighbours;
+    if (options->downloads)
+        swarm->download_window = options->downloads;
+    if (options->uploads)
+        swarm->upload_limit = options->uploads;
+    if (options->announce_ms)
+        swarm->announce_us = options->announce_ms * 1000;
+}
+
+static json_t *seconds_or_null(bool known, double seconds)
+{
+    return known ? json_real(seconds) : json_null();
+}
+
+static void print_json(const struct rollout_options *options, const struct rollout_result *result)
+{
+    json_t *report = json_pack(
+        "{s:i, s:s, s:I, s:f, s:o, s:o, s:f, s:s, s:I, s:I, s:I, s:I, s:f, s:f, s:I, s:I, s:I, "
+        "s:i, "
+        "s:i, s:I, s:b, s:s}",
+        "machines", options->machines, "strategy", strategy_names[options->strategy], "seed",
+        (json_int_t)options->seed, "window_seconds", options->window_seconds,
+        "time_to_half_seconds",
+        seconds_or_null(result->time_to_half_seconds > 0, result->time_to_half_seconds),
+        "time_to_n_seconds", seconds_or_null(result->finished, result->time_to_n_seconds),
+        "lower_bound_seconds", result->lower_bound_seconds, "lower_bound",
+        "max(one copy / origin rate, (2N - K) copies / (N x machine rate))", "origin_bytes",
+        (json_int_t)result->origin_bytes, "peer_bytes", (json_int_t)result->peer_bytes,
+        "model_bytes", (json_int_t)options->model_bytes, "chunks_rejected",
+        (json_int_t)result->chunks_rejected, "control_bytes_per_machine_per_second",
+        result->control_bytes_per_machine_per_second, "greatest_control_bytes_per_second",
+        result->greatest_control_bytes_per_second, "timeouts", (json_int_t)result->timeouts,
+        "refusals", (json_int_t)result->refusals, "events", (json_int_t)result->events, "survivors",
+        result->survivors, "serving", result->serving, "violations", (json_int_t)result->violations,
+        "finished", result->finished, "reason", result->reason);
+    char *text = json_dumps(report, JSON_INDENT(2) | JSON_REAL_PRECISION(9));
+    puts(text);
+    free(text);
+    json_decref(report);
+}
+
+static void print_text(const struct rollout_options *options, const struct rollout_result *result)
+{
+    printf("%s, %u machines, seed %" PRIu64 "\n", strategy_names[options->strategy],
+           options->machines, options->seed);
+    if (result->finished)
+        printf("all %u survivors serve after %.2f s (half after %.2f s); lower bound %.2f s, "
+               "ratio %.3f\n",
+               result->survivors, result->time_to_n_seconds, result->time_to_half_seconds,
+               result->lower_bound_seconds,
+               result->time_to_n_seconds / result->lower_bound_seconds);
+    else
+        printf("not finished: %s; %u of %u survivors serve\n", result->reason, result->serving,
+               result->survivors);
+    printf("origin %.3f copies, peers %.3f copies, %" PRIu64 " chunks rejected\n",
+           (double)result->origin_bytes / (double)options->model_bytes,
+           (double)result->peer_bytes / (double)options->model_bytes, result->chunks_rejected);
+    printf("control %.0f bytes/s a machine (greatest %.0f), %" PRIu64 " timeouts, %" PRIu64
+           " refusals, %" PRIu64 " events, %" PRIu64 " violations\n",
+           result->control_bytes_per_machine_per_second, result->greatest_control_bytes_per_second,
+           result->timeouts, result->refusals, result->events, result->violations);
+}
+
+int simulate_main(int argc, char **argv)
+{
+    static const char doc[] =
+        "Simulate a rollout of weights to a whole fleet on a virtual clock.\v"
+        "The same arguments give the same output; the wall time goes to standard error. Exit "
+        "status 0, 1 when a version was loaded partial or mixed, 2 for wrong usage, 3 when the "
+        "rollout did not finish.";
+    struct simulate_options options = {.rollout = rollout_options_default()};
+    struct argp argp = {option_list, parse_option, NULL, doc, NULL, NULL, NULL};
+    argp_err_exit_status = 2;
+    argp_parse(&argp, argc, argv, 0, NULL, &options);
+    settle_swarm(&options);
+    uint64_t started = clock_monotonic_us();
+    struct rollout_result result = rollout_simulate(&options.rollout);
+    fprintf(stderr, "wall time %.2f s\n", (double)(clock_monotonic_us() - started) / 1e6);
+    if (options.json)
+        print_json(&options.rollout, &result);
+    else
+        print_text(&options.rollout, &result);
+    if (result.violations)
+        return 1;
+    return result.finished ? 0 : 3;
+}
--- /dev/null
+++ b/src/sim/simulate.h
@@ -0,0 +1,9 @@
+/**
+ * `shuntrun simulate`: a whole fleet on a virtual clock.
+ */
+#ifndef SHUNTRUN_SIMULATE_H
+#define SHUNTRUN_SIMULATE_H
+
+int simulate_main(int argc, char **argv);
+
+#endif
