--- a/src/main.c
+++ b/src/main.c
@@ -3,6 +3,7 @@
  */
 #include "agent/agent.h"
 #include "gateway/gateway.h"
+#include "sim/scenario_run.h"
 #include "sim/simulate.h"
 #include "tool/load.h"
 
@@ -19,6 +20,7 @@
     {"gateway", gateway_main, "run a gateway for callers"},
     {"agent", agent_main, "run the agent of one back-end machine"},
     {"simulate", simulate_main, "simulate a whole fleet on a virtual clock"},
+    {"replay", replay_main, "run a recorded session again and compare"},
     {"load", load_main, "send load to a running system and check every answer"},
 };
 
--- /dev/null
+++ b/src/sim/fleet/checker.h
@@ -0,0 +1,86 @@
+/**
+ * The promises as invariants, checked on every event of a simulated fleet. It keeps accounts of
+ * its own and shares no code with what it checks.
+ *
+ *  partial     a replica answers with a version that its engine has not loaded whole
+ *  answer      a caller gets less than the whole answer, another's, or one of two versions
+ *  not-run     an attempt that was said not to have run ran
+ *  once        an unrepeatable request ran more than once
+ *  leaving     a leaving back end got new work after DRAIN_LIMIT
+ *  stop        a planned stop cut off a request
+ *  config      a node's configuration went back, or was not in force in time
+ */
+#ifndef SHUNTRUN_CHECKER_H
+#define SHUNTRUN_CHECKER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define CHECKER_MAX_VIOLATIONS 8
+#define CHECKER_DRAIN_LIMIT_US 3000000ULL
+#define CHECKER_CONFIG_LIMIT_US 5000000ULL
+
+enum promise {
+    PROMISE_PARTIAL,
+    PROMISE_ANSWER,
+    PROMISE_NOT_RUN,
+    PROMISE_ONCE,
+    PROMISE_LEAVING,
+    PROMISE_STOP,
+    PROMISE_CONFIG,
+    PROMISE_COUNT
+};
+
+const char *promise_name(enum promise promise);
+
+struct violation {
+    enum promise promise;
+    uint64_t time;
+    char text[160];
+};
+
+/** One attempt of a caller's request. */
+struct checked_attempt {
+    uint64_t request; /**< index of the request */
+    uint32_t runs;
+    bool told_not_run;
+};
+
+struct checked_request {
+    bool unrepeatable; /**< over all its attempts under one key */
+    uint32_t runs;
+};
+
+struct checker {
+    struct checked_attempt *attempts;
+    uint64_t attempt_count;
+    struct checked_request *requests;
+    uint64_t request_count;
+    uint64_t *revisions; /**< greatest in force on each machine */
+    uint32_t machine_count;
+    struct violation violations[CHECKER_MAX_VIOLATIONS];
+    uint64_t violation_count;
+};
+
+void checker_init(struct checker *checker, uint32_t machine_count);
+void checker_clear(struct checker *checker);
+
+void checker_violation(struct checker *checker, uint64_t now, enum promise promise,
+                       const char *format, ...) __attribute__((format(printf, 4, 5)));
+
+/** \return index of the request */
+uint64_t checker_request(struct checker *checker, bool unrepeatable);
+/** \return index of the attempt, which travels in the request's body */
+uint64_t checker_attempt(struct checker *checker, uint64_t request);
+
+/** \brief A back end began to run an attempt. */
+void checker_ran(struct checker *checker, uint64_t now, uint64_t attempt);
+/** \brief A caller was told that an attempt did not run. */
+void checker_told_not_run(struct checker *checker, uint64_t now, uint64_t attempt);
+/** \brief A whole answer made by `source` was given for `attempt`. */
+void checker_answered(struct checker *checker, uint64_t now, uint64_t attempt, uint64_t source);
+/** \param excused the node could not know better: restarted while cut off */
+void checker_revision(struct checker *checker, uint64_t now, uint32_t machine, uint64_t revision,
+                      bool excused);
+
+#endif
--- /dev/null
+++ b/src/sim/fleet/fleet_sim.h
@@ -0,0 +1,123 @@
+/**
+ * A whole fleet on a virtual clock: gateways, agents, back ends, callers and the platform, with the
+ * real core (node, router, executor) and its real messages, packed and unpacked on every hop.
+ */
+#ifndef SHUNTRUN_FLEET_SIM_H
+#define SHUNTRUN_FLEET_SIM_H
+
+#include "sim/fleet/checker.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+enum fleet_fault_kind {
+    FLEET_KILL,           /**< a process dies; a new one starts after `duration` */
+    FLEET_PAUSE,          /**< a process stands still for `duration` and wakes late */
+    FLEET_ZOMBIE,         /**< it is paused, replaced at once, and wakes after `duration` */
+    FLEET_CUT,            /**< a machine loses all others, both ways */
+    FLEET_CUT_ZONE,       /**< a zone loses the others */
+    FLEET_CUT_OUTWARD,    /**< what a machine sends is lost, what it hears is not */
+    FLEET_SHUFFLE,        /**< messages are reordered and doubled */
+    FLEET_CONFIG_DOWN,    /**< the configuration service does not answer */
+    FLEET_CONFIG_STALE,   /**< it serves an older revision */
+    FLEET_LIST_DOWN,      /**< the machine list does not answer */
+    FLEET_NEW_VERSION,    /**< the operator publishes a new version of the model */
+    FLEET_MOVE_HOMES,     /**< the operator moves the homes of the plain service */
+    FLEET_BAD_CONFIG,     /**< the operator publishes a configuration that must be refused */
+    FLEET_LEAVE,          /**< the machine list says that a machine leaves */
+    FLEET_STOP,           /**< a planned stop; a new process starts after `duration` */
+    FLEET_BACKEND_STALL,  /**< a back end stands still */
+    FLEET_BACKEND_BREAK,  /**< a back end breaks the connections of its runs */
+    FLEET_FAULT_KINDS
+};
+
+struct fleet_fault {
+    uint64_t at; /**< microseconds */
+    uint64_t duration;
+    enum fleet_fault_kind kind;
+    uint32_t machine; /**< or zone */
+};
+
+#define FLEET_MAX_FAULTS 64
+
+struct fleet_scenario {
+    const char *name;
+    const char *description;
+    const enum fleet_fault_kind *kinds; /**< ended by FLEET_FAULT_KINDS */
+    uint32_t least_faults;
+    uint32_t most_faults;
+};
+
+/** \return all scenarios, the last one with a NULL name */
+const struct fleet_scenario *fleet_scenarios(void);
+const struct fleet_scenario *fleet_scenario_find(const char *name);
+const char *fleet_fault_name(enum fleet_fault_kind kind);
+
+/** A rule left out on purpose, so that tests see the checker turn red. */
+enum fleet_mutation {
+    FLEET_MUTATION_NONE,
+    FLEET_MUTATION_NO_KEYS,        /**< agents forget which keys ran */
+    FLEET_MUTATION_NO_GUARD,       /**< agents run what comes twice */
+    FLEET_MUTATION_NO_INCARNATION, /**< agents take requests meant for their predecessor */
+    FLEET_MUTATION_NO_TICKETS,     /**< agents take any ticket */
+    FLEET_MUTATION_NO_DRAIN,       /**< agents take work while draining */
+    FLEET_MUTATION_NO_REVISION,    /**< nodes accept older revisions */
+    FLEET_MUTATION_NO_VERSION,     /**< streams resume on any version */
+    FLEET_MUTATION_EARLY_NOT_RUN,  /**< gateways say "not run" for what may have run */
+    FLEET_MUTATION_NO_MATCH,       /**< gateways match answers by arrival, not by id */
+    FLEET_MUTATION_HARD_STOP,      /**< a planned stop does not wait */
+    FLEET_MUTATION_COUNT
+};
+
+const char *fleet_mutation_name(enum fleet_mutation mutation);
+
+struct fleet_sim_options {
+    uint32_t gateways;
+    uint32_t engines;
+    uint32_t services; /**< agents of the plain service */
+    uint32_t zones;    /**< each in a region of its own */
+    uint32_t tenants;
+    uint64_t zone_delay_us;
+    uint64_t region_delay_us;
+    uint64_t client_delay_us;
+    double seconds;   /**< in which requests arrive */
+    double rate;      /**< requests a second */
+    bool fenced;      /**< the plain service checks fences */
+    uint64_t seed;
+    const struct fleet_scenario *scenario;
+    uint64_t keep_faults; /**< bit N clear: fault N is left out */
+    enum fleet_mutation mutation;
+    FILE *trace; /**< one line for each event that tells the story; NULL: none */
+};
+
+struct fleet_sim_result {
+    uint64_t submitted; /**< attempts */
+    uint64_t done;
+    uint64_t not_run;
+    uint64_t unknown;
+    uint64_t broken; /**< connections that ended without a last word */
+    uint64_t replayed;
+    uint64_t resumed;
+    uint64_t events;
+    uint64_t messages;
+    uint64_t platform_calls;
+    uint64_t greatest_platform_calls; /**< in one second */
+    uint64_t slowest_config_us;       /**< until in force on every undisturbed node */
+    double control_bytes_per_node_per_second;
+    uint32_t fault_count;
+    struct fleet_fault faults[FLEET_MAX_FAULTS];
+    uint64_t violation_count;
+    struct violation violations[CHECKER_MAX_VIOLATIONS];
+};
+
+/** \brief The fleet of the brief: 7 gateways, 12 engines, 4 service agents, 3 zones, 10 tenants. */
+struct fleet_sim_options fleet_sim_options_default(void);
+
+/** \brief Run to the end; the same options give the same result and trace. */
+struct fleet_sim_result fleet_simulate(const struct fleet_sim_options *options);
+
+/** \brief Leave out faults one by one while the run still fails. \return the mask that is left */
+uint64_t fleet_shrink(const struct fleet_sim_options *options);
+
+#endif
--- /dev/null
+++ b/src/sim/fleet/processes.c
@@ -0,0 +1,517 @@
+/**
+ * Simulated processes: the shells around node, router and executor, as src/gateway and src/agent
+ * are for the real ones.
+ */
+#include "base/memory.h"
+#include "core/hash.h"
+#include "sim/fleet/world.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_US (20 * MILLISECOND)
+#define UPDATE_US (500 * MILLISECOND)
+#define SUSPECT_US (1500 * MILLISECOND)
+#define POST_SPREAD_US 200
+#define SEND_WITHIN_US (1 * SECOND)
+#define KEY_WINDOW_US (8 * SECOND)
+#define CAPACITY 16
+#define AGENT_SUBSET 32
+#define MAX_AGE_US (1 * SECOND)
+#define DRAIN_LEAST_US (500 * MILLISECOND)
+#define LOAD_LEAST_US (300 * MILLISECOND)
+#define LOAD_SPREAD_US (1200 * MILLISECOND)
+
+/* ---- node driver ---- */
+
+static void send_control(void *context, const struct machine *to, Shuntrun__Envelope *message)
+{
+    struct process *process = context;
+    struct world *world = process->world;
+    uint32_t machine = world_find(world, to->id)->index;
+    struct process *target = world_current(world, machine);
+    if (!target)
+        return;
+    struct packet *packet = world_pack(message);
+    world->control_bytes += packet->size;
+    world_send(world, WORLD_CONTROL, process->machine, machine, target->index, process->machine,
+               packet);
+}
+
+static void read_document(void *context, Shuntrun__DocumentKind kind, uint64_t known_revision)
+{
+    platform_read(context, kind, known_revision);
+}
+
+/* Serial of the configuration in force: written into its policy, so that the checker does not
+ * depend on revisions. */
+uint64_t process_serial(const struct process *process)
+{
+    const struct fleet_config *config = node_config(process->node);
+    unsigned serial = 0;
+    if (config)
+        sscanf(config->policy, "-- serial %u", &serial);
+    return serial;
+}
+
+static void load_wanted_version(struct process *process)
+{
+    struct world *world = process->world;
+    struct backend *backend = &world->machines[process->machine].backend;
+    const struct model_config *model = fleet_config_model(node_config(process->node), "script");
+    unsigned version = 0;
+    sscanf(model->version, "v%u", &version);
+    int64_t self = fleet_find(node_fleet(process->node), node_id(process->node));
+    const struct placement *placement = node_placement(process->node);
+    bool placed = self >= 0 && placement && placement_has(&placement->models[0], (uint32_t)self);
+    if (!backend->model || !placed || backend->loaded == version || process->loading == version)
+        return;
+    process->loading = version;
+    uint64_t delay = LOAD_LEAST_US + random_below(&world->nodes, LOAD_SPREAD_US);
+    world_push(world, delay, WORLD_LOADED, process->machine, process->index, version, NULL);
+}
+
+static void give_view(struct process *process)
+{
+    struct world *world = process->world;
+    const struct machine *self = &world->machines[process->machine].listing;
+    struct routing_view *view =
+        routing_view_build(process->node, AGENT_SUBSET, self->zone, self->region, world->now);
+    if (!view)
+        return;
+    struct routing_view *old = process->view;
+    process->view = view;
+    router_set_view(process->router, world->now, view);
+    routing_view_destroy(old);
+}
+
+static void link_peers(struct process *process)
+{
+    const struct fleet *fleet = node_fleet(process->node);
+    uint32_t count;
+    uint64_t *ids = routing_view_links(process->node, AGENT_SUBSET, &count);
+    ids = memory_resize(ids, (count + fleet->count) * sizeof *ids);
+    for (uint32_t i = 0; i < fleet->count; i++)
+        if (fleet->machines[i].role == MACHINE_GATEWAY &&
+            fleet->machines[i].id != node_id(process->node))
+            ids[count++] = fleet->machines[i].id;
+    node_want_links(process->node, ids, count);
+    free(ids);
+}
+
+static bool listed_leaving(const struct process *process)
+{
+    const struct fleet *fleet = node_fleet(process->node);
+    int64_t self = fleet_find(fleet, node_id(process->node));
+    return self >= 0 && fleet->machines[self].leaving;
+}
+
+static bool is_draining(const struct process *process)
+{
+    if (process->world->options.mutation == FLEET_MUTATION_NO_DRAIN)
+        return false;
+    return process->stop_began || listed_leaving(process);
+}
+
+static void view_changed(void *context)
+{
+    struct process *process = context;
+    struct world *world = process->world;
+    const struct world_machine *machine = &world->machines[process->machine];
+    uint64_t serial = process_serial(process);
+    if (serial)
+        checker_revision(&world->checker, world->now, process->machine, serial,
+                         process->zombie || machine->excused);
+    if (process->gateway) {
+        link_peers(process);
+        give_view(process);
+        return;
+    }
+    if (!node_config(process->node) || !node_placement(process->node))
+        return;
+    executor_set_config(process->executor, world->now, node_config(process->node));
+    load_wanted_version(process);
+}
+
+static void config_refused(void *context, uint64_t revision, const struct findings *findings)
+{
+}
+
+/* ---- router driver ---- */
+
+static enum router_send forward(void *context, const struct machine *agent,
+                                Shuntrun__Forward *message)
+{
+    struct process *process = context;
+    struct world *world = process->world;
+    uint32_t machine = world_find(world, agent->id)->index;
+    struct process *target = world_current(world, machine);
+    bool known_dead = !target && world->now - world->machines[machine].died_at > 50 * MILLISECOND;
+    if (known_dead)
+        return ROUTER_NOT_SENT;
+    process->newest_sequence[machine % 64] = message->sequence;
+    if (!target)
+        return ROUTER_SENT; /* into a connection whose end nobody has noticed */
+    Shuntrun__Envelope envelope = SHUNTRUN__ENVELOPE__INIT;
+    envelope.body_case = SHUNTRUN__ENVELOPE__BODY_FORWARD;
+    envelope.forward = message;
+    world_send(world, WORLD_REQUEST, process->machine, machine, target->index, process->index,
+               world_pack(&envelope));
+    return ROUTER_SENT;
+}
+
+static void cancel_forward(void *context, const struct machine *agent, Shuntrun__Cancel *message)
+{
+    struct process *process = context;
+    struct world *world = process->world;
+    uint32_t machine = world_find(world, agent->id)->index;
+    struct process *target = world_current(world, machine);
+    Shuntrun__Envelope envelope = SHUNTRUN__ENVELOPE__INIT;
+    if (!target)
+        return;
+    envelope.body_case = SHUNTRUN__ENVELOPE__BODY_CANCEL;
+    envelope.cancel = message;
+    world_send(world, WORLD_REQUEST, process->machine, machine, target->index, process->index,
+               world_pack(&envelope));
+}
+
+static struct news *make_news(const struct process *process, uint64_t number, enum news_kind kind)
+{
+    struct news *news = memory_zero(1, sizeof *news);
+    news->kind = kind;
+    news->attempt = process->world->calls[number].attempt;
+    return news;
+}
+
+static void begin(void *context, uint64_t number, const struct ready_model *model)
+{
+    callers_tell(context, number, make_news(context, number, NEWS_BEGIN));
+}
+
+/* A piece of an answer may hold many tokens, as a kept answer does. */
+static void data(void *context, uint64_t number, uint64_t offset, uint32_t count,
+                 const uint8_t *bytes, size_t size)
+{
+    size_t pieces = size / sizeof(struct answer_bytes);
+    for (size_t i = 0; i < pieces; i++) {
+        struct news *news = make_news(context, number, NEWS_DATA);
+        memcpy(&news->bytes, bytes + i * sizeof news->bytes, sizeof news->bytes);
+        news->offset = offset + i;
+        news->count = count ? 1 : 0;
+        callers_tell(context, number, news);
+    }
+}
+
+static void end(void *context, uint64_t number, uint64_t tokens,
+                const struct router_verdict *verdict)
+{
+    struct process *process = context;
+    struct news *news = make_news(process, number, NEWS_END);
+    news->verdict = *verdict;
+    news->verdict.reason = ""; /* lives only during the call */
+    news->tokens = tokens;
+    bool early = process->world->options.mutation == FLEET_MUTATION_EARLY_NOT_RUN;
+    if (early && verdict->outcome == OUTCOME_UNKNOWN)
+        news->verdict.outcome = OUTCOME_NOT_RUN;
+    callers_tell(process, number, news);
+}
+
+/* ---- executor driver ---- */
+
+static void send_answer(void *context, uint64_t route, Shuntrun__Answer *message)
+{
+    struct process *process = context;
+    struct world *world = process->world;
+    struct process *gateway = &world->processes[route];
+    Shuntrun__Envelope envelope = SHUNTRUN__ENVELOPE__INIT;
+    envelope.body_case = SHUNTRUN__ENVELOPE__BODY_ANSWER;
+    envelope.answer = message;
+    world_send(world, WORLD_ANSWER, process->machine, gateway->machine, gateway->index,
+               process->machine, world_pack(&envelope));
+}
+
+static void start_run(void *context, uint64_t run, const Shuntrun__Forward *message,
+                      const struct ready_model *model, const struct fence *fence)
+{
+    struct process *process = context;
+    struct world *world = process->world;
+    struct order *order = memory_zero(1, sizeof *order);
+    uint64_t valid =
+        message->remaining_us < SEND_WITHIN_US ? message->remaining_us : SEND_WITHIN_US;
+    order->process = process->index;
+    order->run = run;
+    memcpy(&order->attempt, message->body.data, sizeof order->attempt);
+    order->deadline = world->now + valid;
+    order->fence = *fence;
+    order->model = model != NULL;
+    order->next_token = message->resume_offset;
+    if (model)
+        snprintf(order->digest, sizeof order->digest, "%s", model->digest);
+    world_push(world, random_below(&world->nodes, POST_SPREAD_US), WORLD_POST, process->index, 0, 0,
+               order);
+}
+
+static void cancel_run(void *context, uint64_t run)
+{
+    backend_cancel(context, run);
+}
+
+/* ---- life ---- */
+
+static void create_gateway(struct process *process, uint64_t seed)
+{
+    struct router_settings settings = {
+        .request_limit = 256, .retry_percent = 20, .stall_us = 2 * SECOND};
+    struct router_driver driver = {process, forward, cancel_forward, begin, data, end};
+    process->router = router_create(&settings, process->incarnation, seed, &driver);
+}
+
+static void create_agent(struct process *process)
+{
+    struct world *world = process->world;
+    struct world_machine *machine = &world->machines[process->machine];
+    struct executor_settings settings = {.capacity = CAPACITY,
+                                         .key_window_us = KEY_WINDOW_US,
+                                         .key_limit = 10000,
+                                         .pause_us = 200 * MILLISECOND};
+    struct executor_driver driver = {process, send_answer, start_run, cancel_run};
+    process->executor = executor_create(&settings, machine->listing.id, process->incarnation,
+                                        world->now, &driver);
+    if (machine->listing.service_count)
+        executor_set_service(process->executor, machine->listing.services[0]);
+}
+
+void process_start(struct world *world, uint32_t number)
+{
+    struct world_machine *machine = &world->machines[number];
+    if (world->process_count == world->process_capacity)
+        abort(); /* processes are named by address in drivers: the table must not move */
+    struct process *process = &world->processes[world->process_count];
+    bool reuse = world->options.mutation == FLEET_MUTATION_NO_TICKETS;
+    *process = (struct process){.world = world, .index = world->process_count++};
+    process->machine = number;
+    process->gateway = machine->listing.role == MACHINE_GATEWAY;
+    process->alive = true;
+    process->started = world->now;
+    process->incarnation = reuse ? number + 1 : 1000000 + world->now / MILLISECOND + process->index;
+    machine->process = process->index;
+    machine->leaving_since = machine->listed_leaving ? machine->leaving_since : 0;
+    uint64_t seed = hash_pair(world->options.seed, process->index + 1);
+    struct node_settings settings = {4, 2, UPDATE_US, SUSPECT_US};
+    struct node_driver driver = {process,      send_control,   read_document,
+                                 view_changed, config_refused, NULL};
+    process->node = node_create(&settings, machine->listing.name, machine->listing.zone,
+                                machine->listing.role, seed, world->now, &driver);
+    if (process->gateway)
+        create_gateway(process, seed);
+    else
+        create_agent(process);
+    world_trace(world, "start %s", machine->listing.name);
+    world_push(world, random_below(&world->nodes, TICK_US), WORLD_TICK, process->index, 0, 0, NULL);
+}
+
+void process_kill(struct process *process)
+{
+    struct world *world = process->world;
+    struct world_machine *machine = &world->machines[process->machine];
+    if (!process->alive)
+        return;
+    process->alive = false;
+    if (process->gateway)
+        callers_lose_gateway(world, process->index);
+    else
+        backend_drop(world, process->machine, process->index, false);
+    if (machine->process == process->index) {
+        machine->process = NO_PROCESS;
+        machine->died_at = world->now;
+    }
+    world_trace(world, "end %s", machine->listing.name);
+    node_destroy(process->node);
+    router_destroy(process->router);
+    routing_view_destroy(process->view);
+    executor_destroy(process->executor);
+    process->node = NULL;
+    process->router = NULL;
+    process->view = NULL;
+    process->executor = NULL;
+}
+
+void process_stop(struct process *process)
+{
+    struct world *world = process->world;
+    struct world_machine *machine = &world->machines[process->machine];
+    if (process->stop_began)
+        return;
+    world_trace(world, "stop %s", machine->listing.name);
+    if (world->options.mutation == FLEET_MUTATION_HARD_STOP) {
+        process_kill(process);
+        return;
+    }
+    process->stop_began = world->now;
+    if (!process->gateway && !machine->leaving_since)
+        machine->leaving_since = world->now;
+}
+
+static uint32_t active_requests(const struct process *process)
+{
+    return process->gateway ? router_active(process->router) : executor_active(process->executor);
+}
+
+static void end_planned_stop(struct process *process)
+{
+    uint64_t waited = process->world->now - process->stop_began;
+    uint64_t least = process->gateway ? MAX_AGE_US + DRAIN_LEAST_US : DRAIN_LEAST_US;
+    if (process->stop_began && waited >= least && active_requests(process) == 0)
+        process_kill(process);
+}
+
+/* ---- events ---- */
+
+static void take_ready(struct process *process, struct node_status *status)
+{
+    const struct backend *backend = &process->world->machines[process->machine].backend;
+    if (!backend->model || !backend->loaded)
+        return;
+    struct ready_model *ready = &status->ready[status->ready_count++];
+    snprintf(ready->model, sizeof ready->model, "script");
+    snprintf(ready->version, sizeof ready->version, "v%u", backend->loaded);
+    version_digest(backend->loaded, ready->digest);
+}
+
+static void tell_status(struct process *process)
+{
+    struct node_status status = {
+        .incarnation = process->incarnation,
+        .draining = is_draining(process),
+        .active_requests = active_requests(process),
+        .capacity = CAPACITY,
+    };
+    if (!process->gateway) {
+        status.pause_epoch = executor_pause_epoch(process->executor);
+        status.ticket_epoch = executor_ticket_epoch(process->executor, process->world->now);
+        take_ready(process, &status);
+        executor_set_ready(process->executor, status.ready, status.ready_count);
+        executor_set_draining(process->executor, status.draining);
+    }
+    node_set_status(process->node, process->world->now, &status);
+}
+
+static void on_tick(struct process *process)
+{
+    uint64_t now = process->world->now;
+    if (process->executor)
+        executor_on_tick(process->executor, now);
+    node_on_tick(process->node, now);
+    tell_status(process);
+    if (process->gateway) {
+        give_view(process);
+        router_on_tick(process->router, now);
+    }
+    world_push(process->world, TICK_US, WORLD_TICK, process->index, 0, 0, NULL);
+    end_planned_stop(process);
+}
+
+static void on_control(struct process *process, const Shuntrun__Envelope *message)
+{
+    node_on_message(process->node, process->world->now, message);
+}
+
+static void on_request(struct process *process, const struct event *event,
+                       Shuntrun__Envelope *message)
+{
+    struct world *world = process->world;
+    const struct packet *packet = event->payload;
+    if (message->body_case == SHUNTRUN__ENVELOPE__BODY_CANCEL) {
+        executor_on_cancel(process->executor, world->now, message->cancel);
+        return;
+    }
+    Shuntrun__Forward *request = message->forward;
+    if (world->options.mutation == FLEET_MUTATION_NO_KEYS)
+        request->idempotency_key[0] = 0;
+    if (world->options.mutation == FLEET_MUTATION_NO_GUARD && packet->doubled)
+        request->sequence += 1ULL << 40;
+    if (world->options.mutation == FLEET_MUTATION_NO_VERSION)
+        request->version_digest[0] = 0;
+    executor_on_forward(process->executor, world->now, event->from, request);
+}
+
+static void on_answer(struct process *process, const struct event *event,
+                      Shuntrun__Envelope *message)
+{
+    struct world *world = process->world;
+    Shuntrun__Answer *answer = message->answer;
+    uint64_t agent = world->machines[event->from].listing.id;
+    if (world->options.mutation == FLEET_MUTATION_NO_MATCH) {
+        answer->gateway_incarnation = process->incarnation;
+        answer->sequence = process->newest_sequence[event->from % 64];
+    }
+    if (world->options.mutation == FLEET_MUTATION_NO_VERSION && answer->digest[0])
+        version_digest(1, answer->digest);
+    router_on_answer(process->router, world->now, agent, answer);
+}
+
+static void on_packet(struct process *process, const struct event *event)
+{
+    const struct packet *packet = event->payload;
+    Shuntrun__Envelope *message = shuntrun__envelope__unpack(NULL, packet->size, packet->bytes);
+    if (event->type == WORLD_CONTROL)
+        on_control(process, message);
+    else if (event->type == WORLD_REQUEST)
+        on_request(process, event, message);
+    else
+        on_answer(process, event, message);
+    shuntrun__envelope__free_unpacked(message, NULL);
+}
+
+static void on_backend_answer(struct process *process, const struct progress *progress)
+{
+    uint64_t now = process->world->now;
+    struct answer_bytes bytes = {progress->attempt, progress->version, (uint32_t)progress->offset};
+    const uint8_t *raw = (const uint8_t *)&bytes;
+    switch (progress->kind) {
+    case PROGRESS_TOKENS:
+        executor_on_tokens(process->executor, now, progress->run, progress->offset, 1, raw,
+                           sizeof bytes);
+        break;
+    case PROGRESS_DONE:
+        executor_on_done(process->executor, now, progress->run, progress->offset, raw,
+                         progress->offset ? 0 : sizeof bytes);
+        break;
+    case PROGRESS_BROKEN:
+        executor_on_failed(process->executor, now, progress->run, true, "the connection broke");
+        break;
+    case PROGRESS_REFUSED:
+        executor_on_failed(process->executor, now, progress->run, false, "refused");
+        break;
+    }
+}
+
+void process_handle(struct process *process, const struct event *event)
+{
+    switch (event->type) {
+    case WORLD_TICK:
+        on_tick(process);
+        break;
+    case WORLD_CONTROL:
+    case WORLD_REQUEST:
+    case WORLD_ANSWER:
+        on_packet(process, event);
+        break;
+    case WORLD_READ_ANSWER:
+        platform_handle(process->world, event);
+        break;
+    case WORLD_POST:
+        backend_post(process, event->payload);
+        break;
+    case WORLD_BACKEND_ANSWER:
+        on_backend_answer(process, event->payload);
+        break;
+    case WORLD_SUBMIT:
+        callers_handle(process->world, event);
+        break;
+    default:
+        break;
+    }
+}
--- /dev/null
+++ b/src/sim/fleet/world.h
@@ -0,0 +1,260 @@
+/**
+ * State of a simulated fleet, shared by the files of src/sim/fleet.
+ *
+ * A process is one start of a gateway or agent on a machine. A message goes to the process that
+ * held the connection when it was sent: when that one is dead it is lost, when it is paused it waits.
+ */
+#ifndef SHUNTRUN_WORLD_H
+#define SHUNTRUN_WORLD_H
+
+#include "core/executor.h"
+#include "core/node.h"
+#include "core/random.h"
+#include "core/router.h"
+#include "core/routing_view.h"
+#include "sim/event_queue.h"
+#include "sim/fleet/fleet_sim.h"
+
+#define MILLISECOND 1000ULL
+#define SECOND 1000000ULL
+#define NO_PROCESS UINT32_MAX
+#define WORLD_MAX_RUNS 256 /* of one back end */
+#define WORLD_TOKENS 20    /* of each model answer */
+
+enum world_event {
+    WORLD_TICK,            /* process `to` */
+    WORLD_CONTROL,         /* to process, from machine; payload packet */
+    WORLD_REQUEST,         /* to agent process, from gateway process; payload packet */
+    WORLD_ANSWER,          /* to gateway process, from agent machine; payload packet */
+    WORLD_READ,            /* at the platform; payload document_read */
+    WORLD_READ_ANSWER,     /* to process; payload document_answer */
+    WORLD_POST,            /* process `to` sends run `number` to its back end; payload order */
+    WORLD_RUN,             /* the order reaches the back end of machine `to` */
+    WORLD_STEP,            /* the back end of machine `to` makes progress */
+    WORLD_BACKEND_ANSWER,  /* to process; payload progress */
+    WORLD_LOADED,          /* the engine of machine `to` has version `number` */
+    WORLD_ARRIVAL,         /* a caller's request arrives */
+    WORLD_SUBMIT,          /* to gateway process; `number` is the call */
+    WORLD_ENDPOINTS,       /* caller group `number` asks for addresses */
+    WORLD_CALLER,          /* to call `number`; payload news */
+    WORLD_CALLER_TIMEOUT,  /* of call `number` */
+    WORLD_CALLER_AGAIN,    /* call `number` tries again */
+    WORLD_START,           /* start a process on machine `to` */
+    WORLD_FAULT,           /* fault `number` begins */
+    WORLD_FAULT_END,
+    WORLD_CHECK_CONFIG,    /* publication `number` must be in force now */
+};
+
+struct packet {
+    size_t size;
+    bool doubled; /* a second delivery of the same message */
+    uint8_t bytes[];
+};
+
+/** One order on its way to a back end, and the run it becomes. */
+struct order {
+    uint32_t process;
+    uint64_t run;
+    uint64_t attempt;
+    uint64_t deadline;
+    struct fence fence;
+    bool model;
+    char digest[DIGEST_HEX_SIZE];
+    uint32_t version;
+    uint64_t next_token;
+    uint64_t finish_at; /* plain service */
+};
+
+enum progress_kind { PROGRESS_TOKENS, PROGRESS_DONE, PROGRESS_BROKEN, PROGRESS_REFUSED };
+
+struct progress {
+    uint64_t run;
+    enum progress_kind kind;
+    uint64_t offset;
+    uint64_t attempt;
+    uint32_t version;
+};
+
+/** A token, or the answer of the plain service, as it travels. */
+struct answer_bytes {
+    uint64_t attempt;
+    uint32_t version;
+    uint32_t index;
+};
+
+struct backend {
+    bool model;
+    uint32_t loaded; /* version; 0: none */
+    uint64_t stalled_until;
+    struct order runs[WORLD_MAX_RUNS];
+    uint32_t run_count;
+    uint64_t newest_incarnation; /* of fences */
+};
+
+struct world_machine {
+    struct machine listing;
+    uint32_t index; /* in the world; the list is sorted by id */
+    uint32_t zone;
+    uint32_t process; /* current, or NO_PROCESS */
+    uint64_t died_at;
+    bool listed_leaving;
+    uint64_t leaving_since; /* its planned stop or listing began; 0: not leaving */
+    bool excused;           /* cut or paused since: it could not know */
+    uint32_t cuts;          /* cuts in force, both ways */
+    uint32_t outward_cuts;
+    struct backend backend;
+};
+
+struct process {
+    struct world *world;
+    uint32_t index;
+    uint32_t machine;
+    bool gateway;
+    bool alive;
+    bool zombie; /* replaced while it was paused */
+    uint64_t started;
+    uint64_t paused_until;
+    uint64_t incarnation;
+    uint64_t stop_began; /* planned stop; 0: none */
+    uint64_t loading;    /* version that is being loaded */
+    struct node *node;
+    struct router *router;
+    struct routing_view *view;
+    struct executor *executor;
+    uint64_t newest_sequence[64]; /* by machine modulo 64, for the mutation no-match */
+};
+
+enum call_state { CALL_IDLE, CALL_WAITING, CALL_OVER };
+
+/** One logical request of a caller, over all its attempts. */
+struct call {
+    uint64_t request;
+    uint64_t attempt;
+    uint32_t tenant;
+    uint32_t gateway; /* process that has it */
+    uint32_t tries;
+    bool model;
+    bool unrepeatable;
+    enum call_state state;
+    char key[TICKET_SIZE + 32];
+    uint64_t tokens;
+    uint32_t version; /* of the first token */
+    bool begun;
+    uint64_t source; /* attempt that made the answer */
+};
+
+enum news_kind { NEWS_BEGIN, NEWS_DATA, NEWS_END, NEWS_CLOSED };
+
+struct news {
+    uint32_t process;
+    uint64_t attempt;
+    enum news_kind kind;
+    uint32_t http_status;
+    struct router_verdict verdict;
+    uint64_t tokens;
+    uint64_t offset;
+    uint32_t count;
+    struct answer_bytes bytes;
+};
+
+struct publication {
+    uint64_t at;
+    char *body;
+    size_t size;
+    bool good;
+};
+
+#define WORLD_MAX_PUBLICATIONS 128
+
+struct platform_value {
+    struct publication publications[WORLD_MAX_PUBLICATIONS]; /* revision N is at N - 1 */
+    uint32_t count;
+    uint64_t down_until;
+    uint64_t stale_until;
+    uint32_t stale_revision;
+};
+
+/** Callers share the address answer of their group. */
+#define CALLER_GROUPS 8
+
+struct caller_group {
+    uint32_t gateways[16]; /* machines */
+    uint32_t gateway_count;
+    char ticket[TICKET_SIZE];
+    uint64_t valid_until;
+};
+
+struct world {
+    struct fleet_sim_options options;
+    struct fleet_sim_result result;
+    struct checker checker;
+    struct event_queue queue;
+    uint64_t now; /* microseconds */
+    struct random_stream network;
+    struct random_stream callers;
+    struct random_stream nodes;
+    struct random_stream faults;
+    struct world_machine *machines;
+    uint32_t machine_count;
+    struct process *processes;
+    uint32_t process_count;
+    uint32_t process_capacity;
+    struct call *calls;
+    uint32_t call_count;
+    uint32_t call_capacity;
+    struct caller_group groups[CALLER_GROUPS];
+    struct platform_value config;
+    struct platform_value list;
+    uint32_t model_version;
+    uint32_t home_variant;
+    uint32_t zone_cut; /* bit by zone */
+    uint64_t shuffle_until;
+    uint64_t last_disturbance; /* until then nodes may be excused from news */
+    uint64_t call_window;
+    uint64_t calls_in_window;
+    uint64_t control_bytes;
+    uint64_t arrivals_end;
+};
+
+/* world.c */
+void world_push(struct world *world, uint64_t delay, enum world_event type, uint32_t to,
+                uint32_t from, uint32_t number, void *payload);
+void world_trace(struct world *world, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+struct packet *world_pack(const Shuntrun__Envelope *message);
+uint64_t world_delay(struct world *world, uint32_t from, uint32_t to);
+bool world_reachable(const struct world *world, uint32_t from, uint32_t to);
+struct process *world_current(struct world *world, uint32_t machine);
+struct world_machine *world_find(struct world *world, uint64_t id);
+/** Deliver a message over a network that may double and reorder it. */
+void world_send(struct world *world, enum world_event type, uint32_t from_machine,
+                uint32_t to_machine, uint32_t to, uint32_t from, struct packet *packet);
+
+/* processes.c */
+void process_start(struct world *world, uint32_t machine);
+void process_kill(struct process *process);
+void process_handle(struct process *process, const struct event *event);
+void process_stop(struct process *process);
+uint64_t process_serial(const struct process *process);
+
+/* platform.c */
+void platform_publish_config(struct world *world, bool good);
+void platform_publish_list(struct world *world);
+void platform_read(struct process *process, Shuntrun__DocumentKind kind, uint64_t known_revision);
+void platform_handle(struct world *world, const struct event *event);
+
+/* backend.c */
+void backend_post(struct process *process, struct order *order);
+void backend_run(struct world *world, const struct event *event);
+void backend_step(struct world *world, const struct event *event);
+void backend_cancel(struct process *process, uint64_t run);
+void backend_drop(struct world *world, uint32_t machine, uint32_t process, bool tell);
+
+/* callers.c */
+void callers_start(struct world *world);
+void callers_handle(struct world *world, const struct event *event);
+void callers_lose_gateway(struct world *world, uint32_t process);
+void callers_tell(struct process *gateway, uint64_t attempt, struct news *news);
+const char *version_digest(uint32_t version, char hex[DIGEST_HEX_SIZE]);
+
+#endif
--- /dev/null
+++ b/src/sim/scenario_run.c
@@ -0,0 +1,341 @@
+#include "sim/scenario_run.h"
+
+#include "base/clock.h"
+#include "base/memory.h"
+
+#include <argp.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEAD_FORMAT                                                                                \
+    "shuntrun-session scenario=%s fleet=%s seed=%" PRIu64 " mutation=%s keep-faults=%" PRIx64 "\n"
+#define LINE_SIZE 512
+
+enum status scenario_options(const struct scenario_run *run, const char *scenario, uint64_t seed,
+                             struct fleet_sim_options *options)
+{
+    *options = fleet_sim_options_default();
+    options->scenario = fleet_scenario_find(scenario);
+    options->seed = seed;
+    options->keep_faults = run->keep_faults;
+    options->mutation = run->mutation;
+    if (!options->scenario)
+        return status_fail(STATUS_NOT_FOUND, "unknown scenario `%s`", scenario);
+    if (strcmp(run->fleet, "large") == 0) {
+        options->engines = 285;
+        options->services = 8;
+        options->zones = 6;
+        options->rate = 100;
+    } else if (strcmp(run->fleet, "brief") != 0) {
+        return status_fail(STATUS_NOT_FOUND, "unknown fleet `%s`", run->fleet);
+    }
+    return STATUS_OK;
+}
+
+/* ---- one scenario over its seeds ---- */
+
+struct totals {
+    uint64_t runs;
+    uint64_t failed;
+    uint64_t violations[PROMISE_COUNT];
+    uint64_t submitted;
+    uint64_t done;
+    uint64_t not_run;
+    uint64_t unknown;
+    uint64_t broken;
+    uint64_t replayed;
+    uint64_t faults;
+    uint64_t events;
+    uint64_t greatest_platform_calls;
+    double greatest_control;
+};
+
+static void add_result(struct totals *totals, const struct fleet_sim_result *result)
+{
+    totals->runs++;
+    totals->failed += result->violation_count > 0;
+    for (uint64_t i = 0; i < result->violation_count && i < CHECKER_MAX_VIOLATIONS; i++)
+        totals->violations[result->violations[i].promise]++;
+    totals->submitted += result->submitted;
+    totals->done += result->done;
+    totals->not_run += result->not_run;
+    totals->unknown += result->unknown;
+    totals->broken += result->broken;
+    totals->replayed += result->replayed;
+    totals->faults += result->fault_count;
+    totals->events += result->events;
+    if (result->greatest_platform_calls > totals->greatest_platform_calls)
+        totals->greatest_platform_calls = result->greatest_platform_calls;
+    if (result->control_bytes_per_node_per_second > totals->greatest_control)
+        totals->greatest_control = result->control_bytes_per_node_per_second;
+}
+
+static void explain_failure(const struct scenario_run *run, const struct fleet_sim_options *options,
+                            const struct fleet_sim_result *result)
+{
+    uint64_t kept = fleet_shrink(options);
+    struct fleet_sim_options smaller = *options;
+    smaller.keep_faults = kept;
+    struct fleet_sim_result shortest = fleet_simulate(&smaller);
+    fprintf(stderr, "%s seed %" PRIu64 ": %" PRIu64 " violations; these faults suffice:\n",
+            options->scenario->name, options->seed, result->violation_count);
+    for (uint32_t i = 0; i < shortest.fault_count; i++)
+        if (kept >> i & 1)
+            fprintf(stderr, "  %.6f s: %s, machine or zone %u, for %.3f s\n",
+                    (double)shortest.faults[i].at / 1e6, fleet_fault_name(shortest.faults[i].kind),
+                    shortest.faults[i].machine, (double)shortest.faults[i].duration / 1e6);
+    for (uint64_t i = 0; i < shortest.violation_count && i < CHECKER_MAX_VIOLATIONS; i++)
+        fprintf(stderr, "  %.6f s: %s: %s\n", (double)shortest.violations[i].time / 1e6,
+                promise_name(shortest.violations[i].promise), shortest.violations[i].text);
+    fprintf(stderr,
+            "  again: shuntrun simulate --scenario %s --seeds %" PRIu64 "..%" PRIu64
+            " --fleet %s --mutation %s --keep-faults 0x%" PRIx64 " --record FILE\n",
+            options->scenario->name, options->seed, options->seed, run->fleet,
+            fleet_mutation_name(options->mutation), kept);
+}
+
+static json_t *describe_totals(const char *scenario, const struct totals *totals)
+{
+    json_t *violations = json_object();
+    for (int i = 0; i < PROMISE_COUNT; i++)
+        json_object_set_new(violations, promise_name((enum promise)i),
+                            json_integer((json_int_t)totals->violations[i]));
+    return json_pack("{s:s, s:I, s:I, s:o, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f}",
+                     "scenario", scenario, "runs", (json_int_t)totals->runs, "failed",
+                     (json_int_t)totals->failed, "violations", violations, "attempts",
+                     (json_int_t)totals->submitted, "done", (json_int_t)totals->done, "not_run",
+                     (json_int_t)totals->not_run, "unknown", (json_int_t)totals->unknown, "broken",
+                     (json_int_t)totals->broken, "replayed", (json_int_t)totals->replayed, "faults",
+                     (json_int_t)totals->faults, "events", (json_int_t)totals->events,
+                     "greatest_platform_calls_per_second",
+                     (json_int_t)totals->greatest_platform_calls,
+                     "greatest_control_bytes_per_node_per_second", totals->greatest_control);
+}
+
+static void print_totals(const char *scenario, const struct totals *totals)
+{
+    printf("%-9s %" PRIu64 " runs, %" PRIu64 " failed; %" PRIu64 " faults; %" PRIu64
+           " attempts: %" PRIu64 " done, %" PRIu64 " not run, %" PRIu64 " unknown, %" PRIu64
+           " broken; %" PRIu64 " replayed; platform at most %" PRIu64
+           " calls/s; control at most %.0f B/s a node\n",
+           scenario, totals->runs, totals->failed, totals->faults, totals->submitted, totals->done,
+           totals->not_run, totals->unknown, totals->broken, totals->replayed,
+           totals->greatest_platform_calls, totals->greatest_control);
+}
+
+static enum status run_scenario(const struct scenario_run *run, const char *scenario,
+                                struct totals *totals)
+{
+    bool explained = false;
+    for (uint64_t seed = run->first_seed; seed <= run->last_seed; seed++) {
+        struct fleet_sim_options options;
+        enum status status = scenario_options(run, scenario, seed, &options);
+        if (status != STATUS_OK)
+            return status;
+        struct fleet_sim_result result = fleet_simulate(&options);
+        add_result(totals, &result);
+        if (result.violation_count && !explained)
+            explain_failure(run, &options, &result);
+        explained = explained || result.violation_count;
+    }
+    return STATUS_OK;
+}
+
+static void report_scenario(const struct scenario_run *run, const char *scenario,
+                            const struct totals *totals, json_t *reports)
+{
+    if (run->json)
+        json_array_append_new(reports, describe_totals(scenario, totals));
+    else
+        print_totals(scenario, totals);
+    fflush(stdout);
+}
+
+static int record_session(const struct scenario_run *run)
+{
+    FILE *stream = fopen(run->record, "w");
+    if (!stream) {
+        perror(run->record);
+        return 2;
+    }
+    scenario_record(run, run->scenario, run->first_seed, stream);
+    fclose(stream);
+    return 0;
+}
+
+int scenario_run(const struct scenario_run *run)
+{
+    bool all = strcmp(run->scenario, "all") == 0;
+    json_t *reports = json_array();
+    uint64_t failed = 0;
+    int exit_status = 0;
+    for (const struct fleet_scenario *scenario = fleet_scenarios(); scenario->name; scenario++) {
+        struct totals totals = {0};
+        if (!all && strcmp(scenario->name, run->scenario) != 0)
+            continue;
+        if (run_scenario(run, scenario->name, &totals) != STATUS_OK)
+            exit_status = 2;
+        report_scenario(run, scenario->name, &totals, reports);
+        failed += totals.failed;
+    }
+    if (!all && !fleet_scenario_find(run->scenario)) {
+        status_fail(STATUS_NOT_FOUND, "unknown scenario `%s`", run->scenario);
+        exit_status = 2;
+    }
+    if (exit_status)
+        fprintf(stderr, "shuntrun simulate: %s\n", status_message());
+    else if (run->record)
+        exit_status = all ? 2 : record_session(run);
+    if (run->json) {
+        char *text = json_dumps(reports, JSON_INDENT(2));
+        puts(text);
+        free(text);
+    }
+    json_decref(reports);
+    return exit_status ? exit_status : failed > 0;
+}
+
+/* ---- sessions ---- */
+
+struct fleet_sim_result scenario_record(const struct scenario_run *run, const char *scenario,
+                                        uint64_t seed, FILE *stream)
+{
+    struct fleet_sim_options options;
+    if (scenario_options(run, scenario, seed, &options) != STATUS_OK)
+        abort(); /* names were checked by the caller */
+    options.trace = stream;
+    fprintf(stream, HEAD_FORMAT, scenario, run->fleet, seed, fleet_mutation_name(run->mutation),
+            run->keep_faults);
+    struct fleet_sim_result result = fleet_simulate(&options);
+    fprintf(stream,
+            "attempts=%" PRIu64 " done=%" PRIu64 " not-run=%" PRIu64 " unknown=%" PRIu64
+            " broken=%" PRIu64 " violations=%" PRIu64 "\n",
+            result.submitted, result.done, result.not_run, result.unknown, result.broken,
+            result.violation_count);
+    for (uint64_t i = 0; i < result.violation_count && i < CHECKER_MAX_VIOLATIONS; i++)
+        fprintf(stream, "violation %s: %s\n", promise_name(result.violations[i].promise),
+                result.violations[i].text);
+    return result;
+}
+
+static bool parse_mutation(const char *name, enum fleet_mutation *mutation)
+{
+    for (int i = 0; i < FLEET_MUTATION_COUNT; i++) {
+        if (strcmp(name, fleet_mutation_name((enum fleet_mutation)i)) != 0)
+            continue;
+        *mutation = (enum fleet_mutation)i;
+        return true;
+    }
+    return false;
+}
+
+struct session_head {
+    char scenario[64];
+    char fleet[32];
+    char mutation[32];
+    struct scenario_run run;
+};
+
+static bool read_head(FILE *stream, struct session_head *head)
+{
+    char line[LINE_SIZE];
+    if (!fgets(line, sizeof line, stream))
+        return false;
+    int fields = sscanf(line,
+                        "shuntrun-session scenario=%63s fleet=%31s seed=%" SCNu64
+                        " mutation=%31s keep-faults=%" SCNx64,
+                        head->scenario, head->fleet, &head->run.first_seed, head->mutation,
+                        &head->run.keep_faults);
+    struct fleet_sim_options options;
+    head->run.fleet = head->fleet;
+    return fields == 5 && parse_mutation(head->mutation, &head->run.mutation) &&
+           scenario_options(&head->run, head->scenario, head->run.first_seed, &options) ==
+               STATUS_OK;
+}
+
+/* \return number of the first line that differs, 0 when none does */
+static long compare_streams(FILE *recorded, FILE *again)
+{
+    char left[LINE_SIZE];
+    char right[LINE_SIZE];
+    for (long line = 1;; line++) {
+        bool more_left = fgets(left, sizeof left, recorded) != NULL;
+        bool more_right = fgets(right, sizeof right, again) != NULL;
+        if (!more_left && !more_right)
+            return 0;
+        if (more_left && more_right && strcmp(left, right) == 0)
+            continue;
+        fprintf(stderr, "line %ld differs\n  recorded: %s  replayed: %s", line,
+                more_left ? left : "(end)\n", more_right ? right : "(end)\n");
+        return line;
+    }
+}
+
+static int replay_stream(FILE *recorded, bool print)
+{
+    struct session_head head = {{0}, {0}, {0}, {0}};
+    if (!read_head(recorded, &head)) {
+        fputs("line 1: not a recorded session\n", stderr);
+        return 2;
+    }
+    char *text = NULL;
+    size_t size = 0;
+    FILE *again = open_memstream(&text, &size);
+    scenario_record(&head.run, head.scenario, head.run.first_seed, again);
+    fclose(again);
+    if (print)
+        fwrite(text, 1, size, stdout);
+    again = fmemopen(text, size, "r");
+    rewind(recorded);
+    long different = compare_streams(recorded, again);
+    fclose(again);
+    free(text);
+    if (!different)
+        fputs("the replayed session is the same\n", stderr);
+    return different ? 1 : 0;
+}
+
+struct replay_options {
+    const char *file;
+    bool print;
+};
+
+static error_t parse_replay(int key, char *argument, struct argp_state *state)
+{
+    struct replay_options *options = state->input;
+    if (key == 'p')
+        options->print = true;
+    else if (key == ARGP_KEY_ARG && !options->file)
+        options->file = argument;
+    else if (key == ARGP_KEY_END && !options->file)
+        argp_error(state, "a FILE is needed");
+    else if (key == ARGP_KEY_ARG)
+        argp_error(state, "one FILE only");
+    else
+        return ARGP_ERR_UNKNOWN;
+    return 0;
+}
+
+int replay_main(int argc, char **argv)
+{
+    static const struct argp_option list[] = {
+        {"print", 'p', NULL, 0, "print the session as it runs", 0}, {0}};
+    static const char doc[] =
+        "Run a recorded session again, event by event, and compare.\v"
+        "Sessions are recorded by `shuntrun simulate --scenario NAME --seeds N..N --record FILE`. "
+        "Exit status 0 when the session is the same, 1 when a line differs, 2 for wrong input.";
+    struct replay_options options = {0};
+    struct argp argp = {list, parse_replay, "FILE", doc, NULL, NULL, NULL};
+    argp_err_exit_status = 2;
+    argp_parse(&argp, argc, argv, 0, NULL, &options);
+    FILE *recorded = fopen(options.file, "r");
+    if (!recorded) {
+        perror(options.file);
+        return 2;
+    }
+    int exit_status = replay_stream(recorded, options.print);
+    fclose(recorded);
+    return exit_status;
+}
--- a/src/sim/simulate.c
+++ b/src/sim/simulate.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "sim/rollout_sim.h"
+#include "sim/scenario_run.h"
 
 #include <argp.h>
 #include <inttypes.h>
@@ -29,6 +30,12 @@
     KEY_UPLOADS,
     KEY_ANNOUNCE,
     KEY_LIMIT,
+    KEY_SCENARIO,
+    KEY_SEEDS,
+    KEY_FLEET,
+    KEY_MUTATION,
+    KEY_KEEP_FAULTS,
+    KEY_RECORD,
 };
 
 static const struct argp_option option_list[] = {
@@ -52,6 +59,14 @@
     {"upload-limit", KEY_UPLOADS, "N", 0, "uploads queued before a machine is busy", 0},
     {"announce-ms", KEY_ANNOUNCE, "MS", 0, "least time between announcements", 0},
     {"limit-windows", KEY_LIMIT, "N", 0, "give the run up after so many windows (20)", 0},
+    {NULL, 0, NULL, 0, "Whole fleets with requests, instead of a rollout:", 2},
+    {"scenario", KEY_SCENARIO, "NAME", 0,
+     "all, steady, kill, wake, cut, shuffle, platform, races, stops, publish, backends or mixed", 2},
+    {"seeds", KEY_SEEDS, "A..B", 0, "seeds to run (1..20)", 2},
+    {"fleet", KEY_FLEET, "NAME", 0, "brief: 7 gateways and 16 back ends; large: 300 (brief)", 2},
+    {"mutation", KEY_MUTATION, "NAME", 0, "leave out one rule, to see the checker turn red", 2},
+    {"keep-faults", KEY_KEEP_FAULTS, "MASK", 0, "bit N clear: fault N is left out", 2},
+    {"record", KEY_RECORD, "FILE", 0, "record the session of the first seed", 2},
     {0}};
 
 static const char *const strategy_names[] = {"swarm", "origin-only", "tree", "chunked-tree"};
@@ -64,6 +79,7 @@
     uint32_t uploads;
     uint64_t announce_ms;
     uint32_t budget;
+    struct scenario_run scenario; /* its name is NULL for a rollout */
 };
 
 static double parse_positive(const char *text, struct argp_state *state)
@@ -123,6 +139,51 @@
     }
 }
 
+static void parse_seeds(struct scenario_run *run, const char *text, struct argp_state *state)
+{
+    int end = 0;
+    int fields = sscanf(text, "%" SCNu64 "..%" SCNu64 "%n", &run->first_seed, &run->last_seed, &end);
+    if (fields != 2 || text[end] || run->first_seed > run->last_seed)
+        argp_error(state, "--seeds must be A..B");
+}
+
+static enum fleet_mutation parse_mutation(const char *text, struct argp_state *state)
+{
+    for (int i = 0; i < FLEET_MUTATION_COUNT; i++)
+        if (strcmp(text, fleet_mutation_name((enum fleet_mutation)i)) == 0)
+            return (enum fleet_mutation)i;
+    argp_error(state, "unknown mutation `%s`", text);
+    return FLEET_MUTATION_NONE;
+}
+
+static error_t parse_scenario_option(int key, char *argument, struct argp_state *state)
+{
+    struct scenario_run *run = &((struct simulate_options *)state->input)->scenario;
+    switch (key) {
+    case KEY_SCENARIO:
+        run->scenario = argument;
+        break;
+    case KEY_SEEDS:
+        parse_seeds(run, argument, state);
+        break;
+    case KEY_FLEET:
+        run->fleet = argument;
+        break;
+    case KEY_MUTATION:
+        run->mutation = parse_mutation(argument, state);
+        break;
+    case KEY_KEEP_FAULTS:
+        run->keep_faults = strtoull(argument, NULL, 0);
+        break;
+    case KEY_RECORD:
+        run->record = argument;
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
 static error_t parse_option(int key, char *argument, struct argp_state *state)
 {
     struct simulate_options *options = state->input;
@@ -191,7 +252,7 @@
             argp_error(state, "more regions than zones");
         break;
     default:
-        return ARGP_ERR_UNKNOWN;
+        return parse_scenario_option(key, argument, state);
     }
     return 0;
 }
@@ -267,21 +328,34 @@
            result->timeouts, result->refusals, result->events, result->violations);
 }
 
+static void print_wall_time(uint64_t started)
+{
+    fprintf(stderr, "wall time %.2f s\n", (double)(clock_monotonic_us() - started) / 1e6);
+}
+
 int simulate_main(int argc, char **argv)
 {
     static const char doc[] =
-        "Simulate a rollout of weights to a whole fleet on a virtual clock.\v"
+        "Simulate a rollout of weights, or a fleet under faults, on a virtual clock.\v"
         "The same arguments give the same output; the wall time goes to standard error. Exit "
         "status 0, 1 when a version was loaded partial or mixed, 2 for wrong usage, 3 when the "
         "rollout did not finish.";
-    struct simulate_options options = {.rollout = rollout_options_default()};
+    struct simulate_options options = {
+        .rollout = rollout_options_default(),
+        .scenario = {.fleet = "brief", .first_seed = 1, .last_seed = 20, .keep_faults = UINT64_MAX}};
     struct argp argp = {option_list, parse_option, NULL, doc, NULL, NULL, NULL};
     argp_err_exit_status = 2;
     argp_parse(&argp, argc, argv, 0, NULL, &options);
-    settle_swarm(&options);
     uint64_t started = clock_monotonic_us();
+    if (options.scenario.scenario) {
+        options.scenario.json = options.json;
+        int exit_status = scenario_run(&options.scenario);
+        print_wall_time(started);
+        return exit_status;
+    }
+    settle_swarm(&options);
     struct rollout_result result = rollout_simulate(&options.rollout);
-    fprintf(stderr, "wall time %.2f s\n", (double)(clock_monotonic_us() - started) / 1e6);
+    print_wall_time(started);
     if (options.json)
         print_json(&options.rollout, &result);
     else
