--- a/src/core/node.c
+++ b/src/core/node.c
@@ -221,6 +221,19 @@
 
 /* ---- reading the platform ---- */
 
+/* Newest revision that need not be read again: held, refused, or waiting for the join. */
+static uint64_t seen_revision(const struct node *node, Shuntrun__DocumentKind kind)
+{
+    const struct document *document = &node->readers[kind].document;
+    uint64_t seen = document_revision(document);
+    if (document->rejected_revision > seen)
+        seen = document->rejected_revision;
+    bool config = kind == SHUNTRUN__DOCUMENT_KIND__DOCUMENT_CONFIG;
+    if (config && node->parked.revision > seen)
+        seen = node->parked.revision;
+    return seen;
+}
+
 /* Place of this node among its zone for reading one document. */
 static uint32_t reader_rank(const struct node *node, Shuntrun__DocumentKind kind)
 {
@@ -259,7 +272,7 @@
             continue;
         reader->reading = true;
         node->driver.read_document(node->driver.context, (Shuntrun__DocumentKind)kind,
-                                   document_revision(&reader->document));
+                                   seen_revision(node, (Shuntrun__DocumentKind)kind));
     }
 }
 
@@ -281,7 +294,7 @@
         return;
     }
     reader->failures = 0;
-    bool stale = revision < document_revision(&reader->document);
+    bool stale = result == NODE_READ_NEWER && revision <= seen_revision(node, kind);
     if (stale) /* a replica of the service that lags; ask again later, it confirms nothing */
         reader->next_read = now + READ_BACKOFF_LEAST;
     else
--- a/src/core/replay_guard.c
+++ b/src/core/replay_guard.c
@@ -17,8 +17,7 @@
             oldest = window;
     }
     if (guard->count < REPLAY_GUARD_GATEWAYS) {
-        guard->windows =
-            memory_resize(guard->windows, (guard->count + 1) * sizeof *guard->windows);
+        guard->windows = memory_resize(guard->windows, (guard->count + 1) * sizeof *guard->windows);
         oldest = &guard->windows[guard->count++];
     }
     *oldest = (struct replay_window){.incarnation = incarnation};
--- a/src/core/swarm.c
+++ b/src/core/swarm.c
@@ -11,10 +11,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CORRUPT_STRIKES 3 /* corrupt chunks after which a peer may be avoided */
-#define CORRUPT_SHARE 10 /* and only when it is more than one in so many */
+#define CORRUPT_STRIKES 3        /* corrupt chunks after which a peer may be avoided */
+#define CORRUPT_SHARE 10         /* and only when it is more than one in so many */
 #define CORRUPT_PAUSE_SILENCES 8 /* an avoided peer is tried again after so many silence times */
-#define TIMEOUT_MEANS 8   /* a request is given up after so many mean chunk times */
+#define TIMEOUT_MEANS 8          /* a request is given up after so many mean chunk times */
 #define ENDGAME_TIMEOUT_MEANS 4
 #define PENDING_PATIENCE 8   /* "pending" answers before a later rank goes on */
 #define FULL_UPDATE_EVERY 64 /* every so many updates are full, against lost state */
@@ -35,9 +35,9 @@
     bool wants_full; /* we lost track of its set */
     uint32_t in_flight;
     uint32_t upload_queue; /* as last announced */
-    uint32_t corrupt;  /* chunks with wrong bytes */
-    uint32_t received; /* chunks with right bytes */
-    uint32_t refusals; /* in a row */
+    uint32_t corrupt;      /* chunks with wrong bytes */
+    uint32_t received;     /* chunks with right bytes */
+    uint32_t refusals;     /* in a row */
     uint32_t sequence_in;
     uint32_t sequence_out;
     uint32_t announced; /* length of our arrival log that it has seen */
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -86,8 +86,8 @@
     const struct fleet *fleet = node_fleet(gateway->shell.node);
     json_t *endpoints = json_array();
     uint32_t machines[ENDPOINTS_MAX];
-    uint32_t count = endpoints_list(gateway->shell.node, daemon_is_draining(&gateway->drain), now,
-                                    machines);
+    uint32_t count =
+        endpoints_list(gateway->shell.node, daemon_is_draining(&gateway->drain), now, machines);
     for (uint32_t i = 0; i < count; i++) {
         const struct machine *machine = &fleet->machines[machines[i]];
         char text[64];
--- a/src/sim/fleet/backend.c
+++ b/src/sim/fleet/backend.c
@@ -44,7 +44,7 @@
 static void check_leaving(struct world *world, const struct world_machine *machine)
 {
     uint64_t since = machine->leaving_since;
-    if (since && !machine->excused && world->now - since > CHECKER_DRAIN_LIMIT_US)
+    if (since && !machine->excused && world->now > since + CHECKER_DRAIN_LIMIT_US)
         checker_violation(&world->checker, world->now, PROMISE_LEAVING,
                           "%s got work %" PRIu64 " ms after it began to leave",
                           machine->listing.name, (uint64_t)((world->now - since) / MILLISECOND));
--- a/src/sim/fleet/callers.c
+++ b/src/sim/fleet/callers.c
@@ -29,12 +29,10 @@
 /* ---- addresses ---- */
 
 /* The answer of one gateway's /v1/endpoints, for the plain service. */
-static void take_endpoints(struct world *world, struct caller_group *group,
-                           struct process *gateway)
+static void take_endpoints(struct world *world, struct caller_group *group, struct process *gateway)
 {
     uint32_t machines[ENDPOINTS_MAX];
-    uint32_t count =
-        endpoints_list(gateway->node, gateway->stop_began != 0, world->now, machines);
+    uint32_t count = endpoints_list(gateway->node, gateway->stop_began != 0, world->now, machines);
     const struct fleet *fleet = node_fleet(gateway->node);
     if (!count)
         return;
@@ -236,11 +234,17 @@
     }
 }
 
-void callers_tell(struct process *gateway, uint64_t number, struct news *news)
+static uint64_t caller_name(uint64_t attempt, uint32_t number)
+{
+    return attempt << CALL_NUMBER_BITS | number;
+}
+
+void callers_tell(struct process *gateway, uint64_t caller, struct news *news)
 {
     struct world *world = gateway->world;
+    uint32_t number = caller & ((1U << CALL_NUMBER_BITS) - 1);
     news->process = gateway->index;
-    world_push(world, world->options.client_delay_us, WORLD_CALLER, 0, 0, (uint32_t)number, news);
+    world_push(world, world->options.client_delay_us, WORLD_CALLER, 0, 0, number, news);
 }
 
 void callers_lose_gateway(struct world *world, uint32_t process)
@@ -252,15 +256,18 @@
         struct news *news = memory_zero(1, sizeof *news);
         news->kind = NEWS_CLOSED;
         news->attempt = call->attempt;
-        callers_tell(&world->processes[process], i, news);
+        callers_tell(&world->processes[process], caller_name(call->attempt, i), news);
     }
 }
 
 static void on_timeout(struct world *world, const struct event *event)
 {
     struct call *call = &world->calls[event->number];
-    if (call->state == CALL_WAITING && (uint32_t)call->attempt == event->to)
-        end_broken(world, event->number);
+    if (call->state != CALL_WAITING || (uint32_t)call->attempt != event->to)
+        return;
+    world_push(world, world->options.client_delay_us, WORLD_HANG_UP, call->gateway, event->to,
+               event->number, NULL);
+    end_broken(world, event->number);
 }
 
 /* ---- the gateway's side of a submission ---- */
@@ -282,7 +289,13 @@
         .body = &call->attempt,
         .body_size = sizeof call->attempt,
     };
-    router_submit(gateway->router, world->now, event->number, &request);
+    router_submit(gateway->router, world->now, caller_name(call->attempt, event->number), &request);
+}
+
+static void hang_up(struct world *world, const struct event *event)
+{
+    struct process *gateway = &world->processes[event->to];
+    router_abandon(gateway->router, world->now, caller_name(event->from, event->number));
 }
 
 void callers_start(struct world *world)
@@ -304,6 +317,9 @@
     case WORLD_SUBMIT:
         take_submission(world, event);
         break;
+    case WORLD_HANG_UP:
+        hang_up(world, event);
+        break;
     case WORLD_CALLER:
         on_news(world, event);
         break;
--- a/src/sim/fleet/fleet_sim.h
+++ b/src/sim/fleet/fleet_sim.h
@@ -12,23 +12,23 @@
 #include <stdio.h>
 
 enum fleet_fault_kind {
-    FLEET_KILL,           /**< a process dies; a new one starts after `duration` */
-    FLEET_PAUSE,          /**< a process stands still for `duration` and wakes late */
-    FLEET_ZOMBIE,         /**< it is paused, replaced at once, and wakes after `duration` */
-    FLEET_CUT,            /**< a machine loses all others, both ways */
-    FLEET_CUT_ZONE,       /**< a zone loses the others */
-    FLEET_CUT_OUTWARD,    /**< what a machine sends is lost, what it hears is not */
-    FLEET_SHUFFLE,        /**< messages are reordered and doubled */
-    FLEET_CONFIG_DOWN,    /**< the configuration service does not answer */
-    FLEET_CONFIG_STALE,   /**< it serves an older revision */
-    FLEET_LIST_DOWN,      /**< the machine list does not answer */
-    FLEET_NEW_VERSION,    /**< the operator publishes a new version of the model */
-    FLEET_MOVE_HOMES,     /**< the operator moves the homes of the plain service */
-    FLEET_BAD_CONFIG,     /**< the operator publishes a configuration that must be refused */
-    FLEET_LEAVE,          /**< the machine list says that a machine leaves */
-    FLEET_STOP,           /**< a planned stop; a new process starts after `duration` */
-    FLEET_BACKEND_STALL,  /**< a back end stands still */
-    FLEET_BACKEND_BREAK,  /**< a back end breaks the connections of its runs */
+    FLEET_KILL,          /**< a process dies; a new one starts after `duration` */
+    FLEET_PAUSE,         /**< a process stands still for `duration` and wakes late */
+    FLEET_ZOMBIE,        /**< it is paused, replaced at once, and wakes after `duration` */
+    FLEET_CUT,           /**< a machine loses all others, both ways */
+    FLEET_CUT_ZONE,      /**< a zone loses the others */
+    FLEET_CUT_OUTWARD,   /**< what a machine sends is lost, what it hears is not */
+    FLEET_SHUFFLE,       /**< messages are reordered and doubled */
+    FLEET_CONFIG_DOWN,   /**< the configuration service does not answer */
+    FLEET_CONFIG_STALE,  /**< it serves an older revision */
+    FLEET_LIST_DOWN,     /**< the machine list does not answer */
+    FLEET_NEW_VERSION,   /**< the operator publishes a new version of the model */
+    FLEET_MOVE_HOMES,    /**< the operator moves the homes of the plain service */
+    FLEET_BAD_CONFIG,    /**< the operator publishes a configuration that must be refused */
+    FLEET_LEAVE,         /**< the machine list says that a machine leaves */
+    FLEET_STOP,          /**< a planned stop; a new process starts after `duration` */
+    FLEET_BACKEND_STALL, /**< a back end stands still */
+    FLEET_BACKEND_BREAK, /**< a back end breaks the connections of its runs */
     FLEET_FAULT_KINDS
 };
 
@@ -81,9 +81,9 @@
     uint64_t zone_delay_us;
     uint64_t region_delay_us;
     uint64_t client_delay_us;
-    double seconds;   /**< in which requests arrive */
-    double rate;      /**< requests a second */
-    bool fenced;      /**< the plain service checks fences */
+    double seconds; /**< in which requests arrive */
+    double rate;    /**< requests a second */
+    bool fenced;    /**< the plain service checks fences */
     uint64_t seed;
     const struct fleet_scenario *scenario;
     uint64_t keep_faults; /**< bit N clear: fault N is left out */
--- a/src/sim/fleet/platform.c
+++ b/src/sim/fleet/platform.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 #define WATCH_US (2 * SECOND)
-#define POLL_US (20 * MILLISECOND)  /* how often a waiting watch looks */
+#define POLL_US (20 * MILLISECOND) /* how often a waiting watch looks */
 #define PLATFORM_DELAY_US (2 * MILLISECOND)
 #define LIST_LAG_US (1 * SECOND)
 #define READ_TIMEOUT_US (1 * SECOND)
@@ -67,8 +67,8 @@
         const struct machine *machine = &world->machines[i].listing;
         if (!machine->service_count)
             continue;
-        uint32_t left_out = world->home_variant ? world->home_variant % world->options.services
-                                                : UINT32_MAX;
+        uint32_t left_out =
+            world->home_variant ? world->home_variant % world->options.services : UINT32_MAX;
         if (place++ == left_out)
             continue;
         append(text, size, "%s\"%s\"", first ? "" : ", ", machine->name);
--- a/src/sim/fleet/processes.c
+++ b/src/sim/fleet/processes.c
@@ -81,6 +81,9 @@
         routing_view_build(process->node, AGENT_SUBSET, self->zone, self->region, world->now);
     if (!view)
         return;
+    for (uint32_t i = 0;
+         world->options.mutation == FLEET_MUTATION_NO_DRAIN && i < view->agent_count; i++)
+        view->agents[i].status.draining = false;
     struct routing_view *old = process->view;
     process->view = view;
     router_set_view(process->router, world->now, view);
@@ -177,45 +180,45 @@
                world_pack(&envelope));
 }
 
-static struct news *make_news(const struct process *process, uint64_t number, enum news_kind kind)
+static struct news *make_news(uint64_t caller, enum news_kind kind)
 {
     struct news *news = memory_zero(1, sizeof *news);
     news->kind = kind;
-    news->attempt = process->world->calls[number].attempt;
+    news->attempt = caller >> CALL_NUMBER_BITS;
     return news;
 }
 
-static void begin(void *context, uint64_t number, const struct ready_model *model)
+static void begin(void *context, uint64_t caller, const struct ready_model *model)
 {
-    callers_tell(context, number, make_news(context, number, NEWS_BEGIN));
+    callers_tell(context, caller, make_news(caller, NEWS_BEGIN));
 }
 
 /* A piece of an answer may hold many tokens, as a kept answer does. */
-static void data(void *context, uint64_t number, uint64_t offset, uint32_t count,
+static void data(void *context, uint64_t caller, uint64_t offset, uint32_t count,
                  const uint8_t *bytes, size_t size)
 {
     size_t pieces = size / sizeof(struct answer_bytes);
     for (size_t i = 0; i < pieces; i++) {
-        struct news *news = make_news(context, number, NEWS_DATA);
+        struct news *news = make_news(caller, NEWS_DATA);
         memcpy(&news->bytes, bytes + i * sizeof news->bytes, sizeof news->bytes);
         news->offset = offset + i;
         news->count = count ? 1 : 0;
-        callers_tell(context, number, news);
+        callers_tell(context, caller, news);
     }
 }
 
-static void end(void *context, uint64_t number, uint64_t tokens,
+static void end(void *context, uint64_t caller, uint64_t tokens,
                 const struct router_verdict *verdict)
 {
     struct process *process = context;
-    struct news *news = make_news(process, number, NEWS_END);
+    struct news *news = make_news(caller, NEWS_END);
     news->verdict = *verdict;
     news->verdict.reason = ""; /* lives only during the call */
     news->tokens = tokens;
     bool early = process->world->options.mutation == FLEET_MUTATION_EARLY_NOT_RUN;
     if (early && verdict->outcome == OUTCOME_UNKNOWN)
         news->verdict.outcome = OUTCOME_NOT_RUN;
-    callers_tell(process, number, news);
+    callers_tell(process, caller, news);
 }
 
 /* ---- executor driver ---- */
@@ -277,8 +280,8 @@
                                          .key_limit = 10000,
                                          .pause_us = 200 * MILLISECOND};
     struct executor_driver driver = {process, send_answer, start_run, cancel_run};
-    process->executor = executor_create(&settings, machine->listing.id, process->incarnation,
-                                        world->now, &driver);
+    process->executor =
+        executor_create(&settings, machine->listing.id, process->incarnation, world->now, &driver);
     if (machine->listing.service_count)
         executor_set_service(process->executor, machine->listing.services[0]);
 }
@@ -428,11 +431,11 @@
         return;
     }
     Shuntrun__Forward *request = message->forward;
-    if (world->options.mutation == FLEET_MUTATION_NO_KEYS)
+    if (world->options.mutation == FLEET_MUTATION_NO_KEYS && request->idempotency_key[0])
         request->idempotency_key[0] = 0;
     if (world->options.mutation == FLEET_MUTATION_NO_GUARD && packet->doubled)
         request->sequence += 1ULL << 40;
-    if (world->options.mutation == FLEET_MUTATION_NO_VERSION)
+    if (world->options.mutation == FLEET_MUTATION_NO_VERSION && request->version_digest[0])
         request->version_digest[0] = 0;
     executor_on_forward(process->executor, world->now, event->from, request);
 }
@@ -509,6 +512,7 @@
         on_backend_answer(process, event->payload);
         break;
     case WORLD_SUBMIT:
+    case WORLD_HANG_UP:
         callers_handle(process->world, event);
         break;
     default:
--- a/src/sim/fleet/scenarios.c
+++ b/src/sim/fleet/scenarios.c
@@ -9,18 +9,19 @@
 static const enum fleet_fault_kind wake[] = {FLEET_PAUSE, FLEET_ZOMBIE, END};
 static const enum fleet_fault_kind cut[] = {FLEET_CUT, FLEET_CUT_ZONE, FLEET_CUT_OUTWARD, END};
 static const enum fleet_fault_kind shuffle[] = {FLEET_SHUFFLE, FLEET_KILL, END};
-static const enum fleet_fault_kind platform[] = {FLEET_CONFIG_DOWN, FLEET_CONFIG_STALE,
-                                                 FLEET_LIST_DOWN,   FLEET_NEW_VERSION,
-                                                 FLEET_KILL,        END};
+static const enum fleet_fault_kind platform[] = {
+    FLEET_CONFIG_DOWN, FLEET_CONFIG_STALE, FLEET_LIST_DOWN, FLEET_NEW_VERSION, FLEET_KILL, END};
 static const enum fleet_fault_kind races[] = {FLEET_NEW_VERSION, FLEET_MOVE_HOMES, FLEET_BAD_CONFIG,
                                               FLEET_LEAVE,       FLEET_STOP,       END};
 static const enum fleet_fault_kind stops[] = {FLEET_STOP, END};
 static const enum fleet_fault_kind backends[] = {FLEET_BACKEND_STALL, FLEET_BACKEND_BREAK, END};
 static const enum fleet_fault_kind publish[] = {FLEET_NEW_VERSION, FLEET_BAD_CONFIG, END};
 static const enum fleet_fault_kind mixed[] = {
-    FLEET_KILL,         FLEET_PAUSE,       FLEET_ZOMBIE,    FLEET_CUT,           FLEET_CUT_ZONE,
-    FLEET_CUT_OUTWARD,  FLEET_SHUFFLE,     FLEET_CONFIG_DOWN, FLEET_CONFIG_STALE, FLEET_LIST_DOWN,
-    FLEET_NEW_VERSION,  FLEET_MOVE_HOMES,  FLEET_BAD_CONFIG, FLEET_LEAVE,        FLEET_STOP,
+    FLEET_KILL,          FLEET_PAUSE,         FLEET_ZOMBIE,
+    FLEET_CUT,           FLEET_CUT_ZONE,      FLEET_CUT_OUTWARD,
+    FLEET_SHUFFLE,       FLEET_CONFIG_DOWN,   FLEET_CONFIG_STALE,
+    FLEET_LIST_DOWN,     FLEET_NEW_VERSION,   FLEET_MOVE_HOMES,
+    FLEET_BAD_CONFIG,    FLEET_LEAVE,         FLEET_STOP,
     FLEET_BACKEND_STALL, FLEET_BACKEND_BREAK, END};
 
 static const struct fleet_scenario scenarios[] = {
@@ -55,16 +56,16 @@
 const char *fleet_fault_name(enum fleet_fault_kind kind)
 {
     static const char *const names[] = {
-        "kill",        "pause",       "zombie",     "cut",        "cut-zone",   "cut-outward",
-        "shuffle",     "config-down", "config-stale", "list-down", "new-version", "move-homes",
-        "bad-config",  "leave",       "stop",       "backend-stall", "backend-break"};
+        "kill",       "pause",       "zombie",       "cut",           "cut-zone",     "cut-outward",
+        "shuffle",    "config-down", "config-stale", "list-down",     "new-version",  "move-homes",
+        "bad-config", "leave",       "stop",         "backend-stall", "backend-break"};
     return names[kind];
 }
 
 const char *fleet_mutation_name(enum fleet_mutation mutation)
 {
-    static const char *const names[] = {"none",       "no-keys",      "no-guard",  "no-incarnation",
-                                        "no-tickets", "no-drain",     "no-revision", "no-version",
-                                        "early-not-run", "no-match",  "hard-stop"};
+    static const char *const names[] = {
+        "none",        "no-keys",    "no-guard",      "no-incarnation", "no-tickets", "no-drain",
+        "no-revision", "no-version", "early-not-run", "no-match",       "hard-stop"};
     return names[mutation];
 }
--- a/src/sim/fleet/world.c
+++ b/src/sim/fleet/world.c
@@ -437,6 +437,7 @@
     case WORLD_POST:
     case WORLD_BACKEND_ANSWER:
     case WORLD_SUBMIT:
+    case WORLD_HANG_UP:
         return true;
     default:
         return false;
--- a/src/sim/fleet/world.h
+++ b/src/sim/fleet/world.h
@@ -2,7 +2,8 @@
  * State of a simulated fleet, shared by the files of src/sim/fleet.
  *
  * A process is one start of a gateway or agent on a machine. A message goes to the process that
- * held the connection when it was sent: when that one is dead it is lost, when it is paused it waits.
+ * held the connection when it was sent: when that one is dead it is lost, when it is paused it
+ * waits.
  */
 #ifndef SHUNTRUN_WORLD_H
 #define SHUNTRUN_WORLD_H
@@ -18,31 +19,33 @@
 #define MILLISECOND 1000ULL
 #define SECOND 1000000ULL
 #define NO_PROCESS UINT32_MAX
-#define WORLD_MAX_RUNS 256 /* of one back end */
-#define WORLD_TOKENS 20    /* of each model answer */
+#define WORLD_MAX_RUNS 256  /* of one back end */
+#define CALL_NUMBER_BITS 20 /* a router's caller is attempt << these bits | call number */
+#define WORLD_TOKENS 20     /* of each model answer */
 
 enum world_event {
-    WORLD_TICK,            /* process `to` */
-    WORLD_CONTROL,         /* to process, from machine; payload packet */
-    WORLD_REQUEST,         /* to agent process, from gateway process; payload packet */
-    WORLD_ANSWER,          /* to gateway process, from agent machine; payload packet */
-    WORLD_READ,            /* at the platform; payload document_read */
-    WORLD_READ_ANSWER,     /* to process; payload document_answer */
-    WORLD_POST,            /* process `to` sends run `number` to its back end; payload order */
-    WORLD_RUN,             /* the order reaches the back end of machine `to` */
-    WORLD_STEP,            /* the back end of machine `to` makes progress */
-    WORLD_BACKEND_ANSWER,  /* to process; payload progress */
-    WORLD_LOADED,          /* the engine of machine `to` has version `number` */
-    WORLD_ARRIVAL,         /* a caller's request arrives */
-    WORLD_SUBMIT,          /* to gateway process; `number` is the call */
-    WORLD_ENDPOINTS,       /* caller group `number` asks for addresses */
-    WORLD_CALLER,          /* to call `number`; payload news */
-    WORLD_CALLER_TIMEOUT,  /* of call `number` */
-    WORLD_CALLER_AGAIN,    /* call `number` tries again */
-    WORLD_START,           /* start a process on machine `to` */
-    WORLD_FAULT,           /* fault `number` begins */
+    WORLD_TICK,           /* process `to` */
+    WORLD_CONTROL,        /* to process, from machine; payload packet */
+    WORLD_REQUEST,        /* to agent process, from gateway process; payload packet */
+    WORLD_ANSWER,         /* to gateway process, from agent machine; payload packet */
+    WORLD_READ,           /* at the platform; payload document_read */
+    WORLD_READ_ANSWER,    /* to process; payload document_answer */
+    WORLD_POST,           /* process `to` sends run `number` to its back end; payload order */
+    WORLD_RUN,            /* the order reaches the back end of machine `to` */
+    WORLD_STEP,           /* the back end of machine `to` makes progress */
+    WORLD_BACKEND_ANSWER, /* to process; payload progress */
+    WORLD_LOADED,         /* the engine of machine `to` has version `number` */
+    WORLD_ARRIVAL,        /* a caller's request arrives */
+    WORLD_SUBMIT,         /* to gateway process; `number` is the call */
+    WORLD_ENDPOINTS,      /* caller group `number` asks for addresses */
+    WORLD_CALLER,         /* to call `number`; payload news */
+    WORLD_HANG_UP,        /* to gateway process; the caller of attempt `from` is gone */
+    WORLD_CALLER_TIMEOUT, /* of call `number` */
+    WORLD_CALLER_AGAIN,   /* call `number` tries again */
+    WORLD_START,          /* start a process on machine `to` */
+    WORLD_FAULT,          /* fault `number` begins */
     WORLD_FAULT_END,
-    WORLD_CHECK_CONFIG,    /* publication `number` must be in force now */
+    WORLD_CHECK_CONFIG, /* publication `number` must be in force now */
 };
 
 struct packet {
@@ -254,7 +257,8 @@
 void callers_start(struct world *world);
 void callers_handle(struct world *world, const struct event *event);
 void callers_lose_gateway(struct world *world, uint32_t process);
-void callers_tell(struct process *gateway, uint64_t attempt, struct news *news);
+/** \param caller attempt and call number, as given to the router */
+void callers_tell(struct process *gateway, uint64_t caller, struct news *news);
 const char *version_digest(uint32_t version, char hex[DIGEST_HEX_SIZE]);
 
 #endif
--- a/src/sim/rollout_sim.c
+++ b/src/sim/rollout_sim.c
@@ -43,8 +43,8 @@
 };
 
 /*
- * A chunk's bytes are named as a digest would: the version and the place. What two versions share has
- * one name.
+ * A chunk's bytes are named as a digest would: the version and the place. What two versions share
+ * has one name.
  */
 #define NAME_VERSION_SHIFT 20
 #define NO_CONTENT UINT32_MAX
@@ -423,7 +423,8 @@
         refuse(sim, event->from, event->to, event->number, SWARM_FAILURE_ABSENT, 0);
         return;
     }
-    enum swarm_upload verdict = swarm_admit_upload(machine->swarm, chunk_of(event->number), machine->uploads);
+    enum swarm_upload verdict =
+        swarm_admit_upload(machine->swarm, chunk_of(event->number), machine->uploads);
     if (verdict == SWARM_UPLOAD_SERVE) {
         machine->uploads++;
         swarm_set_upload_queue(machine->swarm, machine->uploads);
@@ -460,7 +461,8 @@
     end_upload(sim, event->from);
     if (!machine->alive || machine->stalled || failed || !reachable(sim, event->to, event->from))
         return;
-    uint64_t through = use_link(&machine->link, sim->now, chunk_length(sim, chunk_of(event->number)));
+    uint64_t through =
+        use_link(&machine->link, sim->now, chunk_length(sim, chunk_of(event->number)));
     push(sim, through, EVENT_ARRIVE, event->to, event->from, event->number, NULL);
 }
 
@@ -510,8 +512,7 @@
         return;
     uint64_t source = event->from == ORIGIN ? SWARM_ORIGIN : sim->machines[event->from].id;
     swarm_on_failure(machine->swarm, sim->now / 1000, source, chunk_of(event->number),
-                     refusal->failure,
-                     refusal->retry_after_us);
+                     refusal->failure, refusal->retry_after_us);
 }
 
 static void on_update(struct rollout_sim *sim, const struct event *event)
--- a/src/sim/scenario_run.c
+++ b/src/sim/scenario_run.c
@@ -28,6 +28,13 @@
         options->services = 8;
         options->zones = 6;
         options->rate = 100;
+    } else if (strcmp(run->fleet, "small") == 0) {
+        options->gateways = 2;
+        options->engines = 3;
+        options->services = 2;
+        options->tenants = 2;
+        options->seconds = 5;
+        options->rate = 3;
     } else if (strcmp(run->fleet, "brief") != 0) {
         return status_fail(STATUS_NOT_FOUND, "unknown fleet `%s`", run->fleet);
     }
--- a/src/sim/scenario_run.h
+++ b/src/sim/scenario_run.h
@@ -12,7 +12,7 @@
 
 struct scenario_run {
     const char *scenario; /**< a name, or "all" */
-    const char *fleet;    /**< "brief" or "large" */
+    const char *fleet;    /**< "brief", "large" or "small" */
     uint64_t first_seed;
     uint64_t last_seed;
     uint64_t keep_faults;
--- a/src/sim/simulate.c
+++ b/src/sim/simulate.c
@@ -61,9 +61,11 @@
     {"limit-windows", KEY_LIMIT, "N", 0, "give the run up after so many windows (20)", 0},
     {NULL, 0, NULL, 0, "Whole fleets with requests, instead of a rollout:", 2},
     {"scenario", KEY_SCENARIO, "NAME", 0,
-     "all, steady, kill, wake, cut, shuffle, platform, races, stops, publish, backends or mixed", 2},
+     "all, steady, kill, wake, cut, shuffle, platform, races, stops, publish, backends or mixed",
+     2},
     {"seeds", KEY_SEEDS, "A..B", 0, "seeds to run (1..20)", 2},
-    {"fleet", KEY_FLEET, "NAME", 0, "brief: 7 gateways and 16 back ends; large: 300 (brief)", 2},
+    {"fleet", KEY_FLEET, "NAME", 0,
+     "brief: 7 gateways and 16 back ends; large: 300; small: 5 (brief)", 2},
     {"mutation", KEY_MUTATION, "NAME", 0, "leave out one rule, to see the checker turn red", 2},
     {"keep-faults", KEY_KEEP_FAULTS, "MASK", 0, "bit N clear: fault N is left out", 2},
     {"record", KEY_RECORD, "FILE", 0, "record the session of the first seed", 2},
@@ -142,7 +144,8 @@
 static void parse_seeds(struct scenario_run *run, const char *text, struct argp_state *state)
 {
     int end = 0;
-    int fields = sscanf(text, "%" SCNu64 "..%" SCNu64 "%n", &run->first_seed, &run->last_seed, &end);
+    int fields =
+        sscanf(text, "%" SCNu64 "..%" SCNu64 "%n", &run->first_seed, &run->last_seed, &end);
     if (fields != 2 || text[end] || run->first_seed > run->last_seed)
         argp_error(state, "--seeds must be A..B");
 }
@@ -281,7 +284,8 @@
 static void print_json(const struct rollout_options *options, const struct rollout_result *result)
 {
     json_t *report = json_pack(
-        "{s:i, s:s, s:I, s:f, s:o, s:o, s:f, s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:I, s:I, s:I, "
+        "{s:i, s:s, s:I, s:f, s:o, s:o, s:f, s:s, s:I, s:I, s:I, s:I, s:I, s:f, s:f, s:I, s:I, "
+        "s:I, "
         "s:i, "
         "s:i, s:I, s:b, s:s}",
         "machines", options->machines, "strategy", strategy_names[options->strategy], "seed",
@@ -342,7 +346,8 @@
         "rollout did not finish.";
     struct simulate_options options = {
         .rollout = rollout_options_default(),
-        .scenario = {.fleet = "brief", .first_seed = 1, .last_seed = 20, .keep_faults = UINT64_MAX}};
+        .scenario = {
+            .fleet = "brief", .first_seed = 1, .last_seed = 20, .keep_faults = UINT64_MAX}};
     struct argp argp = {option_list, parse_option, NULL, doc, NULL, NULL, NULL};
     argp_err_exit_status = 2;
     argp_parse(&argp, argc, argv, 0, NULL, &options);
--- /dev/null
+++ b/tests/sim/mutation_test.c
@@ -0,0 +1,77 @@
+/* Each rule left out on purpose must turn the checker red, on a seed that is green with it. */
+#include "testing.h"
+
+#include "sim/scenario_run.h"
+
+#include <string.h>
+
+static void expect_red(const char *scenario, uint64_t seed, enum fleet_mutation mutation,
+                       enum promise promise)
+{
+    struct scenario_run run = {.fleet = "brief", .keep_faults = UINT64_MAX};
+    struct fleet_sim_options options;
+    assert_int_equal(scenario_options(&run, scenario, seed, &options), STATUS_OK);
+    struct fleet_sim_result green = fleet_simulate(&options);
+    assert_int_equal(green.violation_count, 0);
+    options.mutation = mutation;
+    struct fleet_sim_result red = fleet_simulate(&options);
+    assert_true(red.violation_count > 0);
+    assert_int_equal(red.violations[0].promise, promise);
+}
+
+static void forgotten_keys(void **state)
+{
+    expect_red("cut", 2, FLEET_MUTATION_NO_KEYS, PROMISE_ONCE);
+}
+
+static void doubled_requests(void **state)
+{
+    expect_red("shuffle", 1, FLEET_MUTATION_NO_GUARD, PROMISE_ONCE);
+}
+
+static void reused_incarnations(void **state)
+{
+    expect_red("kill", 11, FLEET_MUTATION_NO_TICKETS, PROMISE_ONCE);
+}
+
+static void work_for_a_leaving_machine(void **state)
+{
+    expect_red("races", 2, FLEET_MUTATION_NO_DRAIN, PROMISE_LEAVING);
+}
+
+static void older_revisions(void **state)
+{
+    expect_red("platform", 10, FLEET_MUTATION_NO_REVISION, PROMISE_CONFIG);
+}
+
+static void streams_of_two_versions(void **state)
+{
+    expect_red("mixed", 27, FLEET_MUTATION_NO_VERSION, PROMISE_ANSWER);
+}
+
+static void early_words(void **state)
+{
+    expect_red("mixed", 1, FLEET_MUTATION_EARLY_NOT_RUN, PROMISE_NOT_RUN);
+}
+
+static void answers_of_others(void **state)
+{
+    expect_red("shuffle", 1, FLEET_MUTATION_NO_MATCH, PROMISE_ANSWER);
+}
+
+static void hard_stops(void **state)
+{
+    expect_red("stops", 1, FLEET_MUTATION_HARD_STOP, PROMISE_STOP);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(forgotten_keys),      cmocka_unit_test(doubled_requests),
+        cmocka_unit_test(reused_incarnations), cmocka_unit_test(work_for_a_leaving_machine),
+        cmocka_unit_test(older_revisions),     cmocka_unit_test(streams_of_two_versions),
+        cmocka_unit_test(early_words),         cmocka_unit_test(answers_of_others),
+        cmocka_unit_test(hard_stops),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
