--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -358,6 +358,7 @@
     int64_t self = fleet_find(fleet, node_id(agent->shell.node));
     if (self >= 0)
         daemon_set_listed_leaving(&agent->drain, fleet->machines[self].leaving);
+    daemon_publish_machines(&agent->shell, agent->page);
     if (!config || !node_placement(agent->shell.node))
         return;
     drop_outdated(agent, config);
--- a/src/core/fleet_config.c
+++ b/src/core/fleet_config.c
@@ -174,11 +174,18 @@
     return text;
 }
 
-static void read_policy(const json_t *root, struct fleet_config *config)
+static char *read_policy(const json_t *root)
 {
     const json_t *policy = json_object_get(root, "policy");
-    config->policy =
-        json_is_array(policy) ? join_lines(policy) : memory_string(json_string_value(policy));
+    return json_is_array(policy) ? join_lines(policy) : memory_string(json_string_value(policy));
+}
+
+char *fleet_config_policy_text(const char *text, size_t size)
+{
+    json_t *root = json_loadb(text, size, 0, NULL);
+    char *policy = root ? read_policy(root) : NULL;
+    json_decref(root);
+    return policy;
 }
 
 static void check_references(const struct fleet_config *config, struct place *place)
@@ -219,7 +226,7 @@
     CHECK_UNIQUE(config, place, config->models, config->model_count, "models");
     CHECK_UNIQUE(config, place, config->services, config->service_count, "services");
     CHECK_UNIQUE(config, place, config->tenants, config->tenant_count, "tenants");
-    read_policy(root, config);
+    config->policy = read_policy(root);
     check_references(config, place);
 }
 
--- a/src/core/fleet_config.h
+++ b/src/core/fleet_config.h
@@ -67,9 +67,8 @@
     uint32_t tenant_count;
     struct objective_config *objectives;
     uint32_t objective_count;
-    char *policy;         /**< Lua program, owned; "" when none */
-    uint32_t policy_line; /**< added to line numbers in findings */
-    char *body;           /**< the wire form, owned */
+    char *policy; /**< Lua program, owned; "" when none */
+    char *body;   /**< the wire form, owned */
     size_t body_size;
     struct digest body_digest;
 };
@@ -81,6 +80,9 @@
 enum status fleet_config_parse(const char *name, const char *text, size_t size, uint64_t revision,
                                struct fleet_config *config, struct findings *findings);
 
+/** \brief The policy program alone, also of a configuration with errors. \return owned, or NULL */
+char *fleet_config_policy_text(const char *text, size_t size);
+
 const struct model_config *fleet_config_model(const struct fleet_config *config, const char *name);
 const struct service_config *fleet_config_service(const struct fleet_config *config,
                                                   const char *name);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -11,6 +11,8 @@
 #define MILLISECOND 1000ULL
 #define SECOND 1000000ULL
 #define JOIN_TIMEOUT (1500 * MILLISECOND)  /* longest wait for neighbours of a new node */
+#define BOOT_SPREAD (2 * SECOND)           /* first reads of restarted nodes lie so far apart */
+#define CONFIG_FROM_PEERS (3 * SECOND)     /* a new node that is no reader waits for peers */
 #define ASK_PEER_AGAIN (500 * MILLISECOND) /* a peer's answer to a document request is late */
 #define STAND_IN_AGE (5 * SECOND)          /* unconfirmed for so long: stand-ins read */
 #define STAND_IN_STEP (1 * SECOND)         /* and each later rank so much later */
@@ -27,7 +29,7 @@
     node->driver = *driver;
     node->random.seed = seed;
     node->role = role;
-    node->created = now;
+    node->first_read = now + random_below(&node->random, BOOT_SPREAD);
     snprintf(node->name, sizeof node->name, "%s", name);
     snprintf(node->zone, sizeof node->zone, "%s", zone);
     node->id = hash_name(node->name);
@@ -158,6 +160,19 @@
     node->driver.view_changed(node->driver.context);
 }
 
+/* Place of this node among its zone for reading one document. */
+static uint32_t reader_rank(const struct node *node, Shuntrun__DocumentKind kind)
+{
+    uint64_t own = hash_pair((uint64_t)kind, node->id);
+    uint32_t rank = 0;
+    for (uint32_t i = 0; i < node->fleet.count; i++) {
+        const struct machine *machine = &node->fleet.machines[i];
+        if (strcmp(machine->zone, node->zone) == 0 && hash_pair((uint64_t)kind, machine->id) > own)
+            rank++;
+    }
+    return rank;
+}
+
 static void accept_fleet(struct node *node, uint64_t now, uint64_t revision, const char *body,
                          size_t size)
 {
@@ -172,8 +187,12 @@
     }
     enum status status = document_accept(&reader->document, revision, body, size);
     assert(status == STATUS_OK);
+    if (!node->fleet.count)
+        node->fleet_known = now;
     fleet_clear(&node->fleet);
     node->fleet = fleet;
+    for (int kind = 0; kind < DOCUMENT_KINDS; kind++)
+        node->readers[kind].rank = reader_rank(node, (Shuntrun__DocumentKind)kind);
     place_again(node);
     node_peers_rebuild(node);
     node_peers_flush(node, now);
@@ -205,7 +224,7 @@
 static void try_join(struct node *node, uint64_t now)
 {
     const struct reader *reader = &node->readers[SHUNTRUN__DOCUMENT_KIND__DOCUMENT_CONFIG];
-    bool late = now - node->created >= JOIN_TIMEOUT;
+    bool late = now - node->fleet_known >= JOIN_TIMEOUT;
     bool newest = node->parked.revision >= reader->news_revision;
     if (node->joined || !node->fleet.count || !node->parked.revision)
         return;
@@ -234,29 +253,18 @@
     return seen;
 }
 
-/* Place of this node among its zone for reading one document. */
-static uint32_t reader_rank(const struct node *node, Shuntrun__DocumentKind kind)
-{
-    uint64_t own = hash_pair((uint64_t)kind, node->id);
-    uint32_t rank = 0;
-    for (uint32_t i = 0; i < node->fleet.count; i++) {
-        const struct machine *machine = &node->fleet.machines[i];
-        if (strcmp(machine->zone, node->zone) == 0 && hash_pair((uint64_t)kind, machine->id) > own)
-            rank++;
-    }
-    return rank;
-}
-
 static bool should_read(const struct node *node, Shuntrun__DocumentKind kind, uint64_t now)
 {
     const struct reader *reader = &node->readers[kind];
     if (reader->reading || now < reader->next_read)
         return false;
+    if (!node->fleet.count)
+        return kind == SHUNTRUN__DOCUMENT_KIND__DOCUMENT_FLEET && now >= node->first_read;
     bool config = kind == SHUNTRUN__DOCUMENT_KIND__DOCUMENT_CONFIG;
-    bool empty = config ? !node->config && !node->parked.revision : !node->fleet.count;
-    if (empty)
-        return true;
-    uint32_t rank = reader_rank(node, kind);
+    if (config && !node->config && !node->parked.revision)
+        return reader->rank < node->settings.config_readers ||
+               now - node->fleet_known >= CONFIG_FROM_PEERS;
+    uint32_t rank = reader->rank;
     uint32_t readers = node->settings.config_readers;
     if (rank < readers)
         return true;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -112,6 +112,9 @@
 const struct placement *node_placement(const struct node *node); /**< NULL before both documents */
 struct policy *node_policy(const struct node *node);
 const struct peer *node_peer(const struct node *node, uint64_t id); /**< NULL when not known */
+/** \brief The peers that this node knows. \param index below node_peer_count() */
+const struct peer *node_peer_at(const struct node *node, uint32_t index);
+uint32_t node_peer_count(const struct node *node);
 bool node_peer_alive(const struct node *node, const struct peer *peer, uint64_t now);
 uint32_t node_alive_peers(const struct node *node, uint64_t now);
 
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -17,6 +17,7 @@
     uint64_t next_read;     /* not before */
     uint32_t failures;      /* in a row */
     uint64_t asked_peer_at; /* last request to a peer */
+    uint32_t rank;          /* of this node among its zone, for reading the platform */
     uint64_t news_revision; /* greatest revision heard of */
 };
 
@@ -28,7 +29,8 @@
     char zone[FLEET_NAME_SIZE];
     enum machine_role role;
     uint64_t id;
-    uint64_t created;
+    uint64_t first_read;  /* of the machine list; spread, as whole fleets may restart at once */
+    uint64_t fleet_known; /* since when there is a machine list */
     struct node_status status;
     struct reader readers[DOCUMENT_KINDS];
     bool joined;                    /* neighbours were heard; configurations may be accepted */
--- a/src/core/node_peers.c
+++ b/src/core/node_peers.c
@@ -35,6 +35,16 @@
     return find_peer(node, id);
 }
 
+const struct peer *node_peer_at(const struct node *node, uint32_t index)
+{
+    return &node->peers[index];
+}
+
+uint32_t node_peer_count(const struct node *node)
+{
+    return node->peer_count;
+}
+
 bool node_peer_alive(const struct node *node, const struct peer *peer, uint64_t now)
 {
     return peer && peer->last_heard && now - peer->last_heard < node->settings.suspect_us;
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -41,16 +41,20 @@
     return texts[reason];
 }
 
+/* Distinct texts at one place of all machines; there are few of them. */
 static uint32_t count_distinct(const struct fleet *fleet, size_t offset)
 {
+    const char **names = memory_zero(fleet->count, sizeof *names);
     uint32_t distinct = 0;
     for (uint32_t i = 0; i < fleet->count; i++) {
-        bool seen = false;
-        for (uint32_t j = 0; j < i && !seen; j++)
-            seen = strcmp((const char *)&fleet->machines[i] + offset,
-                          (const char *)&fleet->machines[j] + offset) == 0;
-        distinct += !seen;
+        const char *name = (const char *)&fleet->machines[i] + offset;
+        uint32_t at = 0;
+        while (at < distinct && strcmp(names[at], name) != 0)
+            at++;
+        if (at == distinct)
+            names[distinct++] = name;
     }
+    free(names);
     return distinct;
 }
 
--- a/src/core/replay_guard.h
+++ b/src/core/replay_guard.h
@@ -9,8 +9,9 @@
 #include <stdint.h>
 
 #define REPLAY_GUARD_GATEWAYS 512
-#define REPLAY_GUARD_WINDOW 1024 /**< sequence numbers below the greatest one that are told apart  \
-                                  */
+#define REPLAY_GUARD_WINDOW                                                                        \
+    1024 /**< sequence numbers below the greatest one that are told apart                          \
+          */
 
 struct replay_window {
     uint64_t incarnation;
--- a/src/core/router.c
+++ b/src/core/router.c
@@ -21,6 +21,7 @@
     uint64_t sequence; /* of the present attempt */
     uint64_t agent;
     uint64_t agent_incarnation;
+    uint64_t arrived;
     uint64_t deadline;
     uint64_t last_progress;
     uint32_t tenant;
@@ -53,6 +54,7 @@
     struct router_settings settings;
     struct router_driver driver;
     struct router_counters counters;
+    struct service_counts services;
     const struct routing_view *view;
     struct admission admission;
     struct retry_budget budget;
@@ -110,6 +112,11 @@
     return &router->counters;
 }
 
+const struct service_counts *router_service_counts(const struct router *router)
+{
+    return &router->services;
+}
+
 static struct agent_record *record_of(struct router *router, uint64_t id)
 {
     for (uint32_t i = 0; i < router->record_count; i++)
@@ -155,8 +162,10 @@
     return NULL;
 }
 
-static void count_verdict(struct router *router, const struct router_verdict *verdict)
+static void count_verdict(struct router *router, const char *service, const char *tenant,
+                          const struct router_verdict *verdict)
 {
+    service_counts_row(&router->services, service, tenant)->outcomes[verdict->outcome]++;
     if (verdict->outcome == OUTCOME_DONE)
         router->counters.done++;
     else if (verdict->outcome == OUTCOME_NOT_RUN)
@@ -181,7 +190,7 @@
                    const struct router_verdict *verdict)
 {
     end_attempt(router, request);
-    count_verdict(router, verdict);
+    count_verdict(router, request->service, request->tenant_name, verdict);
     router->driver.end(router->driver.context, request->caller, request->next_offset, verdict);
     remove_request(router, request);
 }
@@ -386,6 +395,7 @@
     struct request *request = memory_zero(1, sizeof *request);
     request->caller = caller;
     request->tenant = tenant;
+    request->arrived = now;
     request->deadline = now + from->timeout_us;
     request->unrepeatable = from->unrepeatable || from->key[0];
     request->priority = from->priority;
@@ -397,11 +407,15 @@
     return request;
 }
 
-static void refuse(struct router *router, uint64_t caller, unsigned http_status, const char *reason,
-                   uint32_t retry_after_ms)
+/* Refusals of unknown names are not counted under them: callers could make up any number. */
+static void refuse(struct router *router, uint64_t caller, const struct router_request *request,
+                   unsigned http_status, const char *reason, uint32_t retry_after_ms)
 {
     struct router_verdict verdict = {OUTCOME_NOT_RUN, http_status, retry_after_ms, reason, false};
-    count_verdict(router, &verdict);
+    if (request)
+        count_verdict(router, request->service, request->tenant, &verdict);
+    else
+        router->counters.not_run++;
     router->driver.end(router->driver.context, caller, 0, &verdict);
 }
 
@@ -410,21 +424,22 @@
 {
     router->counters.submitted++;
     if (!router->view) {
-        refuse(router, caller, 503, "no configuration is in force yet", NO_AGENT_RETRY_MS);
+        refuse(router, caller, NULL, 503, "no configuration is in force yet", NO_AGENT_RETRY_MS);
         return;
     }
     if (!routing_view_service(router->view, request->service)) {
-        refuse(router, caller, 404, "unknown service", 0);
+        refuse(router, caller, NULL, 404, "unknown service", 0);
         return;
     }
     uint32_t tenant = admission_find(&router->admission, request->tenant);
     if (tenant == ADMISSION_UNKNOWN_TENANT) {
-        refuse(router, caller, 403, "unknown tenant", 0);
+        refuse(router, caller, NULL, 403, "unknown tenant", 0);
         return;
     }
     if (!admission_enter(&router->admission, tenant)) {
         router->counters.shed++;
-        refuse(router, caller, 429, "the tenant has too many requests in progress", SHED_RETRY_MS);
+        refuse(router, caller, request, 429, "the tenant has too many requests in progress",
+               SHED_RETRY_MS);
         return;
     }
     retry_budget_earn(&router->budget);
@@ -449,11 +464,14 @@
 
 /* ---- answers ---- */
 
-static void begin_once(struct router *router, struct request *request,
+static void begin_once(struct router *router, uint64_t now, struct request *request,
                        const Shuntrun__Answer *answer)
 {
     if (request->begun)
         return;
+    struct service_row *row =
+        service_counts_row(&router->services, request->service, request->tenant_name);
+    service_row_first_token(row, now - request->arrived);
     struct ready_model model;
     snprintf(model.model, sizeof model.model, "%s", answer->model);
     snprintf(model.version, sizeof model.version, "%s", answer->version);
@@ -481,7 +499,7 @@
         attempt_lost(router, now, request, "the stream broke", 0);
         return;
     }
-    begin_once(router, request, answer);
+    begin_once(router, now, request, answer);
     request->next_offset += answer->token_count;
     router->counters.tokens += answer->token_count;
     router->driver.data(router->driver.context, request->caller, answer->offset,
@@ -498,7 +516,7 @@
         return;
     }
     note_success(router, request->agent);
-    begin_once(router, request, answer);
+    begin_once(router, now, request, answer);
     if (!stream)
         router->driver.data(router->driver.context, request->caller, 0, 0, answer->data.data,
                             answer->data.len);
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -13,6 +13,7 @@
 
 #include "core/balance.h"
 #include "core/outcome.h"
+#include "core/service_counts.h"
 #include "core/routing_view.h"
 #include "generated/messages.pb-c.h"
 
@@ -93,5 +94,7 @@
 
 uint32_t router_active(const struct router *router);
 const struct router_counters *router_counters(const struct router *router);
+/** \brief Counts by service and tenant. */
+const struct service_counts *router_service_counts(const struct router *router);
 
 #endif
--- a/src/core/routing_view.c
+++ b/src/core/routing_view.c
@@ -28,11 +28,10 @@
 }
 
 /* Former holders stay candidates while they are still ready, so that a rollout loses nobody. */
-static bool peer_is_ready(const struct node *node, uint64_t id, const char *model)
+static bool is_ready_for_any(const struct peer *peer, const struct fleet_config *config)
 {
-    const struct peer *peer = node_peer(node, id);
-    for (uint32_t i = 0; peer && i < peer->status.ready_count; i++)
-        if (strcmp(peer->status.ready[i].model, model) == 0)
+    for (uint32_t i = 0; i < peer->status.ready_count; i++)
+        if (fleet_config_model(config, peer->status.ready[i].model))
             return true;
     return false;
 }
@@ -56,7 +55,6 @@
 uint64_t *routing_view_links(const struct node *node, uint32_t subset, uint32_t *count)
 {
     const struct fleet_config *config = node_config(node);
-    const struct fleet *fleet = node_fleet(node);
     uint64_t *ids = NULL;
     *count = 0;
     if (!config || !node_placement(node))
@@ -66,10 +64,9 @@
     for (uint32_t i = 0; i < config->service_count; i++)
         for (uint32_t j = 0; j < config->services[i].machine_count; j++)
             append_unique(&ids, count, config->services[i].machines[j]);
-    for (uint32_t i = 0; i < fleet->count; i++)
-        for (uint32_t model = 0; model < config->model_count; model++)
-            if (peer_is_ready(node, fleet->machines[i].id, config->models[model].name))
-                append_unique(&ids, count, fleet->machines[i].id);
+    for (uint32_t i = 0; i < node_peer_count(node); i++)
+        if (is_ready_for_any(node_peer_at(node, i), config))
+            append_unique(&ids, count, node_peer_at(node, i)->id);
     return ids;
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -68,6 +68,7 @@
     int64_t self = fleet_find(fleet, node_id(gateway->shell.node));
     if (self >= 0)
         daemon_set_listed_leaving(&gateway->drain, fleet->machines[self].leaving);
+    daemon_publish_machines(&gateway->shell, gateway->page);
     choose_links(gateway);
     give_view(gateway, clock_monotonic_us());
 }
@@ -162,8 +163,8 @@
     if (node_shell_open(&gateway->shell, &gateway->settings, MACHINE_GATEWAY, &callbacks) !=
         STATUS_OK)
         return STATUS_IO;
-    gateway->traffic =
-        gateway_traffic_start(&gateway->settings, gateway->shell.zmq, gateway->shell.incarnation);
+    gateway->traffic = gateway_traffic_start(&gateway->settings, gateway->shell.zmq,
+                                             gateway->shell.incarnation, gateway->page);
     gateway->front = caller_front_start(&gateway->settings, gateway->page, gateway->traffic);
     return gateway->front ? STATUS_OK : STATUS_IO;
 }
--- a/src/gateway/gateway_traffic.c
+++ b/src/gateway/gateway_traffic.c
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 #include "net/http_server.h"
 #include "net/links.h"
+#include "net/status_page.h"
 
 #include <ck_pr.h>
 #include <inttypes.h>
@@ -15,6 +16,7 @@
 #include <string.h>
 
 #define TICK_US (10 * MICROSECONDS_PER_MILLISECOND)
+#define SERIES_US (500 * MICROSECONDS_PER_MILLISECOND)
 #define STALL_US (5 * MICROSECONDS_PER_SECOND)
 #define CLIENT_BUFFER (1u << 20) /* bytes that wait for a slow caller at most */
 
@@ -38,6 +40,8 @@
     struct call *calls;
     uint64_t next_call;
     struct router_counters published;
+    struct status_page *page;
+    uint64_t next_series;
     uint32_t active;
     pthread_t thread;
 };
@@ -315,8 +319,14 @@
 static void on_tick(void *context)
 {
     struct gateway_traffic *traffic = context;
-    router_on_tick(traffic->router, clock_monotonic_us());
+    uint64_t now = clock_monotonic_us();
+    router_on_tick(traffic->router, now);
     publish_counters(traffic);
+    if (now >= traffic->next_series) {
+        traffic->next_series = now + SERIES_US;
+        status_page_set_series(traffic->page,
+                               service_counts_format(router_service_counts(traffic->router)));
+    }
     uint32_t calls = 0;
     for (const struct call *call = traffic->calls; call; call = call->next)
         calls++;
@@ -331,7 +341,7 @@
 }
 
 struct gateway_traffic *gateway_traffic_start(const struct settings *settings, void *zmq,
-                                              uint64_t incarnation)
+                                              uint64_t incarnation, struct status_page *page)
 {
     struct gateway_traffic *traffic = memory_zero(1, sizeof *traffic);
     struct router_driver driver = {traffic, forward, cancel, begin, data, end};
@@ -341,6 +351,7 @@
         .stall_us = STALL_US,
     };
     traffic->settings = settings;
+    traffic->page = page;
     traffic->next_call = 1;
     traffic->loop = loop_create();
     traffic->links = links_create(zmq, LINK_TRAFFIC, traffic->loop, take_answer, traffic);
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -11,9 +11,11 @@
 
 struct gateway_traffic;
 struct http_exchange;
+struct status_page;
 
+/** \param page gets the counts by service and tenant */
 struct gateway_traffic *gateway_traffic_start(const struct settings *settings, void *zmq,
-                                              uint64_t incarnation);
+                                              uint64_t incarnation, struct status_page *page);
 void gateway_traffic_stop(struct gateway_traffic *traffic);
 
 /** \brief Use a new view; taken over. */
--- a/src/main.c
+++ b/src/main.c
@@ -5,7 +5,11 @@
 #include "gateway/gateway.h"
 #include "sim/scenario_run.h"
 #include "sim/simulate.h"
+#include "tool/check.h"
 #include "tool/load.h"
+#include "tool/plan.h"
+#include "tool/report.h"
+#include "tool/status.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -19,6 +23,10 @@
 static const struct subcommand subcommands[] = {
     {"gateway", gateway_main, "run a gateway for callers"},
     {"agent", agent_main, "run the agent of one back-end machine"},
+    {"check", check_main, "check policies, configurations, machine lists and settings"},
+    {"plan", plan_main, "say what a new configuration would move, and why"},
+    {"status", status_main, "watch a rollout"},
+    {"report", report_main, "report service-level burn"},
     {"simulate", simulate_main, "simulate a whole fleet on a virtual clock"},
     {"replay", replay_main, "run a recorded session again and compare"},
     {"load", load_main, "send load to a running system and check every answer"},
--- a/src/net/daemon.c
+++ b/src/net/daemon.c
@@ -73,6 +73,27 @@
     return active == 0 || waited >= drain->linger_us + drain->timeout_us;
 }
 
+/* Addresses of all machines that this node knows, so that a tool may start from any node. */
+static json_t *describe_machines(const struct fleet *fleet)
+{
+    json_t *list = json_array();
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        const struct machine *machine = &fleet->machines[i];
+        char address[64];
+        snprintf(address, sizeof address, "%s:%u", machine->address, machine->http_port);
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:s, s:s, s:b}", "name", machine->name, "role",
+                            machine->role == MACHINE_AGENT ? "agent" : "gateway", "zone",
+                            machine->zone, "address", address, "leaving", machine->leaving));
+    }
+    return list;
+}
+
+void daemon_publish_machines(const struct node_shell *shell, struct status_page *page)
+{
+    status_page_set_machines(page, describe_machines(node_fleet(shell->node)));
+}
+
 json_t *daemon_describe(const struct node_shell *shell, const char *role,
                         const struct daemon_drain *drain)
 {
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -6,6 +6,7 @@
 
 #include "base/settings.h"
 #include "net/node_shell.h"
+#include "net/status_page.h"
 
 #include <jansson.h>
 
@@ -30,6 +31,9 @@
 /** \brief Whether the process may end; to be called on each tick. \param active requests now */
 bool daemon_drain_done(struct daemon_drain *drain, uint32_t active, uint64_t now);
 
+/** \brief Publish /v1/machines; when the machine list changed. */
+void daemon_publish_machines(const struct node_shell *shell, struct status_page *page);
+
 /** \brief The common part of /v1/status. */
 json_t *daemon_describe(const struct node_shell *shell, const char *role,
                         const struct daemon_drain *drain);
--- a/src/net/status_page.c
+++ b/src/net/status_page.c
@@ -14,6 +14,8 @@
 struct status_page {
     pthread_mutex_t lock;
     char *status;
+    char *series;
+    char *machines;
     char not_ready[160];
     uint64_t published;
 };
@@ -23,6 +25,8 @@
     struct status_page *page = memory_zero(1, sizeof *page);
     pthread_mutex_init(&page->lock, NULL);
     page->status = memory_string("{}");
+    page->series = memory_string("");
+    page->machines = memory_string("[]");
     strcpy(page->not_ready, "starting");
     page->published = clock_monotonic_us();
     return page;
@@ -34,6 +38,8 @@
         return;
     pthread_mutex_destroy(&page->lock);
     free(page->status);
+    free(page->series);
+    free(page->machines);
     free(page);
 }
 
@@ -51,6 +57,39 @@
     free(old);
 }
 
+void status_page_set_series(struct status_page *page, char *text)
+{
+    pthread_mutex_lock(&page->lock);
+    char *old = page->series;
+    page->series = text;
+    pthread_mutex_unlock(&page->lock);
+    free(old);
+}
+
+void status_page_set_machines(struct status_page *page, json_t *machines)
+{
+    char *text = json_dumps(machines, JSON_COMPACT);
+    json_decref(machines);
+    pthread_mutex_lock(&page->lock);
+    char *old = page->machines;
+    page->machines = text;
+    pthread_mutex_unlock(&page->lock);
+    free(old);
+}
+
+static void reply_metrics(struct status_page *page, struct http_exchange *exchange)
+{
+    size_t size;
+    char *text = metrics_format(&size);
+    pthread_mutex_lock(&page->lock);
+    size_t more = strlen(page->series);
+    text = memory_resize(text, size + more);
+    memcpy(text + size, page->series, more);
+    pthread_mutex_unlock(&page->lock);
+    http_reply(exchange, 200, "text/plain; version=0.0.4", text, size + more, NULL);
+    free(text);
+}
+
 static void reply_text(struct http_exchange *exchange, unsigned status, const char *text)
 {
     http_reply(exchange, status, "text/plain", text, strlen(text), NULL);
@@ -74,10 +113,11 @@
     reply_text(exchange, ready ? 200 : 503, text);
 }
 
-static void reply_status(struct status_page *page, struct http_exchange *exchange)
+static void reply_json(struct status_page *page, struct http_exchange *exchange,
+                       char *const *content)
 {
     pthread_mutex_lock(&page->lock);
-    char *text = memory_string(page->status);
+    char *text = memory_string(*content);
     pthread_mutex_unlock(&page->lock);
     http_reply(exchange, 200, "application/json", text, strlen(text), NULL);
     free(text);
@@ -93,12 +133,11 @@
     } else if (strcmp(request->path, "/readyz") == 0) {
         reply_ready(page, exchange);
     } else if (strcmp(request->path, "/v1/status") == 0) {
-        reply_status(page, exchange);
+        reply_json(page, exchange, &page->status);
+    } else if (strcmp(request->path, "/v1/machines") == 0) {
+        reply_json(page, exchange, &page->machines);
     } else if (strcmp(request->path, "/metrics") == 0) {
-        size_t size;
-        char *text = metrics_format(&size);
-        http_reply(exchange, 200, "text/plain; version=0.0.4", text, size, NULL);
-        free(text);
+        reply_metrics(page, exchange);
     } else {
         return false;
     }
--- a/src/net/status_page.h
+++ b/src/net/status_page.h
@@ -22,6 +22,12 @@
 void status_page_publish(struct status_page *page, json_t *status, const char *not_ready,
                          uint64_t now);
 
+/** \brief Content of /v1/machines; the reference is taken. */
+void status_page_set_machines(struct status_page *page, json_t *machines);
+
+/** \brief More series for /metrics, owned by the page from now on; from any thread. */
+void status_page_set_series(struct status_page *page, char *text);
+
 /** \return false when the path is none of these pages */
 bool status_page_handle(struct status_page *page, struct http_exchange *exchange,
                         const struct http_request *request);
--- a/src/sim/fleet/world.c
+++ b/src/sim/fleet/world.c
@@ -13,7 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_PROCESSES 2048
+#define MAX_PROCESSES 8192
 #define JITTER_US 500
 #define SHUFFLE_JITTER_US (60 * MILLISECOND)
 #define DOUBLE_SHARE 0.2
@@ -86,10 +86,24 @@
 
 struct world_machine *world_find(struct world *world, uint64_t id)
 {
-    for (uint32_t i = 0; i < world->machine_count; i++)
-        if (world->machines[i].listing.id == id)
-            return &world->machines[i];
-    abort();
+    uint32_t low = 0;
+    uint32_t high = world->machine_count;
+    while (low < high) {
+        uint32_t middle = low + (high - low) / 2;
+        if (world->by_id[middle]->listing.id < id)
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    assert(low < world->machine_count && world->by_id[low]->listing.id == id);
+    return world->by_id[low];
+}
+
+static int compare_ids(const void *left, const void *right)
+{
+    uint64_t a = (*(struct world_machine *const *)left)->listing.id;
+    uint64_t b = (*(struct world_machine *const *)right)->listing.id;
+    return a < b ? -1 : a > b;
 }
 
 void world_send(struct world *world, enum world_event type, uint32_t from_machine,
@@ -176,6 +190,10 @@
     checker_init(&world->checker, world->machine_count);
     for (uint32_t i = 0; i < world->machine_count; i++)
         name_machine(world, i);
+    world->by_id = memory_zero(world->machine_count, sizeof *world->by_id);
+    for (uint32_t i = 0; i < world->machine_count; i++)
+        world->by_id[i] = &world->machines[i];
+    qsort(world->by_id, world->machine_count, sizeof *world->by_id, compare_ids);
     platform_publish_list(world);
     platform_publish_config(world, true);
     for (uint32_t i = 0; i < world->machine_count; i++)
@@ -195,6 +213,7 @@
         free(world->list.publications[i].body);
     checker_clear(&world->checker);
     free(world->machines);
+    free(world->by_id);
     free(world->processes);
     free(world->calls);
 }
--- a/src/sim/fleet/world.h
+++ b/src/sim/fleet/world.h
@@ -198,6 +198,7 @@
     struct random_stream nodes;
     struct random_stream faults;
     struct world_machine *machines;
+    struct world_machine **by_id; /* sorted by id */
     uint32_t machine_count;
     struct process *processes;
     uint32_t process_count;
--- a/src/sim/scenario_run.c
+++ b/src/sim/scenario_run.c
@@ -38,6 +38,14 @@
     } else if (strcmp(run->fleet, "brief") != 0) {
         return status_fail(STATUS_NOT_FOUND, "unknown fleet `%s`", run->fleet);
     }
+    if (run->gateways)
+        options->gateways = run->gateways;
+    if (run->engines)
+        options->engines = run->engines;
+    if (run->rate > 0)
+        options->rate = run->rate;
+    if (run->seconds > 0)
+        options->seconds = run->seconds;
     return STATUS_OK;
 }
 
--- a/src/sim/scenario_run.h
+++ b/src/sim/scenario_run.h
@@ -13,6 +13,10 @@
 struct scenario_run {
     const char *scenario; /**< a name, or "all" */
     const char *fleet;    /**< "brief", "large" or "small" */
+    uint32_t gateways;    /**< these override the fleet's, when not 0 */
+    uint32_t engines;
+    double rate;
+    double seconds;
     uint64_t first_seed;
     uint64_t last_seed;
     uint64_t keep_faults;
--- a/src/sim/simulate.c
+++ b/src/sim/simulate.c
@@ -36,6 +36,10 @@
     KEY_MUTATION,
     KEY_KEEP_FAULTS,
     KEY_RECORD,
+    KEY_GATEWAYS,
+    KEY_ENGINES,
+    KEY_RATE,
+    KEY_SECONDS,
 };
 
 static const struct argp_option option_list[] = {
@@ -68,6 +72,10 @@
      "brief: 7 gateways and 16 back ends; large: 300; small: 5 (brief)", 2},
     {"mutation", KEY_MUTATION, "NAME", 0, "leave out one rule, to see the checker turn red", 2},
     {"keep-faults", KEY_KEEP_FAULTS, "MASK", 0, "bit N clear: fault N is left out", 2},
+    {"gateways", KEY_GATEWAYS, "N", 0, "gateways, in place of the fleet's", 2},
+    {"engines", KEY_ENGINES, "N", 0, "engines, in place of the fleet's", 2},
+    {"rate", KEY_RATE, "PER_SECOND", 0, "requests a second, in place of the fleet's", 2},
+    {"seconds", KEY_SECONDS, "S", 0, "time in which requests arrive", 2},
     {"record", KEY_RECORD, "FILE", 0, "record the session of the first seed", 2},
     {0}};
 
@@ -178,6 +186,18 @@
     case KEY_KEEP_FAULTS:
         run->keep_faults = strtoull(argument, NULL, 0);
         break;
+    case KEY_GATEWAYS:
+        run->gateways = (uint32_t)parse_count(argument, 1000, state);
+        break;
+    case KEY_ENGINES:
+        run->engines = (uint32_t)parse_count(argument, 5000, state);
+        break;
+    case KEY_RATE:
+        run->rate = parse_positive(argument, state);
+        break;
+    case KEY_SECONDS:
+        run->seconds = parse_positive(argument, state);
+        break;
     case KEY_RECORD:
         run->record = argument;
         break;
--- /dev/null
+++ b/src/tool/tool.c
@@ -0,0 +1,151 @@
+#include "tool/tool.h"
+
+#include "base/memory.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define GET_TIMEOUT_MS 3000L
+
+enum status tool_read_file(const char *path, char **text, size_t *size)
+{
+    FILE *stream = fopen(path, "r");
+    if (!stream)
+        return status_fail(STATUS_IO, "%s", strerror(errno));
+    char buffer[65536];
+    size_t got;
+    *text = memory_string("");
+    *size = 0;
+    while ((got = fread(buffer, 1, sizeof buffer, stream)) > 0) {
+        *text = memory_resize(*text, *size + got + 1);
+        memcpy(*text + *size, buffer, got);
+        *size += got;
+        (*text)[*size] = 0;
+    }
+    fclose(stream);
+    return STATUS_OK;
+}
+
+struct buffer {
+    char *data;
+    size_t size;
+};
+
+static size_t append(char *data, size_t unit, size_t count, void *context)
+{
+    struct buffer *buffer = context;
+    buffer->data = memory_resize(buffer->data, buffer->size + unit * count + 1);
+    memcpy(buffer->data + buffer->size, data, unit * count);
+    buffer->size += unit * count;
+    buffer->data[buffer->size] = 0;
+    return unit * count;
+}
+
+char *tool_get_text(const char *address, const char *path)
+{
+    char url[512];
+    long status = 0;
+    struct buffer buffer = {memory_string(""), 0};
+    CURL *easy = curl_easy_init();
+    snprintf(url, sizeof url, "http://%s%s", address, path);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, GET_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &buffer);
+    CURLcode code = curl_easy_perform(easy);
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_cleanup(easy);
+    if (code == CURLE_OK && status == 200)
+        return buffer.data;
+    free(buffer.data);
+    if (code != CURLE_OK)
+        status_fail(STATUS_IO, "%s: %s", url, curl_easy_strerror(code));
+    else
+        status_fail(STATUS_IO, "%s: status %ld", url, status);
+    return NULL;
+}
+
+json_t *tool_get_json(const char *address, const char *path)
+{
+    char *text = tool_get_text(address, path);
+    json_t *value = text ? json_loads(text, 0, NULL) : NULL;
+    if (text && !value)
+        status_fail(STATUS_INVALID, "%s%s: no JSON", address, path);
+    free(text);
+    return value;
+}
+
+void tool_print_json(json_t *value)
+{
+    char *text = json_dumps(value, JSON_INDENT(2) | JSON_REAL_PRECISION(9));
+    puts(text);
+    free(text);
+    json_decref(value);
+}
+
+json_t *tool_findings_json(const struct findings *findings)
+{
+    json_t *list = json_array();
+    for (size_t i = 0; i < findings->count; i++) {
+        const struct finding *finding = &findings->items[i];
+        const char *severity = finding->severity == FINDING_ERROR ? "error" : "warning";
+        json_array_append_new(list, json_pack("{s:s, s:s, s:s}", "place", finding->place,
+                                              "severity", severity, "text", finding->text));
+    }
+    return list;
+}
+
+enum status tool_read_config(const char *path, struct tool_config *config,
+                             struct findings *findings)
+{
+    char *text;
+    size_t size;
+    char policy_name[300];
+    *config = (struct tool_config){0};
+    if (tool_read_file(path, &text, &size) != STATUS_OK) {
+        findings_add(findings, FINDING_ERROR, path, "%s", status_message());
+        return STATUS_IO;
+    }
+    enum status status = fleet_config_parse(path, text, size, 1, &config->config, findings);
+    char *program = fleet_config_policy_text(text, size);
+    free(text);
+    snprintf(policy_name, sizeof policy_name, "%s(policy)", path);
+    if (program)
+        config->policy = policy_create(policy_name, program, findings);
+    free(program);
+    if (status == STATUS_OK && !config->policy)
+        status = status_fail(STATUS_INVALID, "the policy is refused");
+    return status;
+}
+
+void tool_clear_config(struct tool_config *config)
+{
+    fleet_config_clear(&config->config);
+    policy_destroy(config->policy);
+    config->policy = NULL;
+}
+
+enum status tool_read_machines(const char *path, struct fleet *fleet, struct findings *findings)
+{
+    char *text;
+    size_t size;
+    struct findings own = {0};
+    if (tool_read_file(path, &text, &size) != STATUS_OK) {
+        findings_add(findings, FINDING_ERROR, path, "%s", status_message());
+        return STATUS_IO;
+    }
+    enum status status = fleet_parse(text, size, fleet, &own);
+    free(text);
+    for (size_t i = 0; i < own.count; i++) {
+        char place[400];
+        snprintf(place, sizeof place, "%s: %s", path, own.items[i].place);
+        findings_add(findings, own.items[i].severity, place, "%s", own.items[i].text);
+    }
+    findings_clear(&own);
+    return status;
+}
