Route by observed speed, leave slow engines out, borrow more of idle shares

Cause: with a fourth of the engines at a fourth of the speed, 95 in 100 answers took 1,634 ms with two choices as with round robin: in-flight counts alone see a slow engine only when it is full. At 600 requests a second (79 % of what the engines can do) 12 % of the model's goodput was refused: half of every unused share was kept free for tenants that sent nothing.

Ruled out: weighing the load by speed alone (1,619 ms: two slow engines still meet in one draw).

Change: the gateway keeps the mean time between tokens of each agent; two choices weigh by it; agents slower than twice the median are left out but for one probe in 64. A fourth of unused shares is kept free instead of half.

--- a/scripts/experiments.py
+++ b/scripts/experiments.py
@@ -4,6 +4,7 @@
   strategies   swarm against the baselines over the number of machines, with a plot
   faults       each fault alone and all together, over many seeds
   sweep        chunk size, neighbours, downloads and uploads, announcements
+  requests     overload, a large tenant, and slow engines under three algorithms
 """
 import argparse
 import concurrent.futures
@@ -155,10 +156,43 @@
     write(options, "sweep", reports, lines)
 
 
+def scenario(binary, arguments):
+    result = subprocess.run([binary, "simulate", "--scenario", "steady", "--seeds", "1..3", "--output",
+                             "json", *arguments], capture_output=True, text=True, check=True)
+    return json.loads(result.stdout)[0]
+
+
+def requests(options):
+    """12 engines of 16 requests at once and 0.42 s each: at most 457 model requests a second."""
+    cases = [(f"{rate} requests/s, of which 60 % for the model", ["--rate", str(rate)])
+             for rate in (300, 600, 800, 1600, 4000)]
+    cases += [(f"1600 requests/s, one tenant sends {share} %",
+               ["--rate", "1600", "--large-tenant", str(share / 100)]) for share in (50, 90)]
+    cases += [(f"250 requests/s, a fourth of the engines at a fourth of the speed, {name}",
+               ["--rate", "250", "--slow-engines", "0.25", "--balance", name])
+              for name in ("two-choices", "round-robin", "random")]
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        reports = list(pool.map(lambda case: scenario(options.binary, case[1]), cases))
+    lines = ["Three seeds each, on the virtual clock; callers ask up to four times.", "",
+             "| load | model answers/s | requests done | of the large tenant | of the others | "
+             "attempts a request | p50 ms | p95 ms | p99 ms |",
+             "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"]
+    for (name, _), report in zip(cases, reports):
+        others = report["requests"] - report["large_tenant_requests"]
+        others_done = report["done"] - report["large_tenant_done"]
+        lines.append(
+            f"| {name} | {report['model_goodput_per_second']:.0f} | "
+            f"{100 * report['done'] / report['requests']:.1f} % | "
+            f"{100 * report['large_tenant_done'] / report['large_tenant_requests']:.1f} % | "
+            f"{100 * others_done / others:.1f} % | {report['attempts'] / report['requests']:.2f} | "
+            f"{report['p50_ms']:.0f} | {report['p95_ms']:.0f} | {report['p99_ms']:.0f} |")
+    write(options, "requests", reports, lines)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("experiment", choices=("strategies", "faults", "sweep"))
+    parser.add_argument("experiment", choices=("strategies", "faults", "sweep", "requests"))
     parser.add_argument("--binary", default="build/release/shuntrun")
     parser.add_argument("--output", default="docs/results")
     parser.add_argument("--jobs", type=int, default=4)
@@ -166,7 +200,8 @@
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--chunk-bytes", type=int, default=512 << 20)
     options = parser.parse_args()
-    {"strategies": strategies, "faults": faults, "sweep": sweep}[options.experiment](options)
+    {"strategies": strategies, "faults": faults, "sweep": sweep,
+     "requests": requests}[options.experiment](options)
     return 0
 
 
--- a/src/tool/histogram.c
+++ b/src/base/histogram.c
@@ -1,4 +1,4 @@
-#include "tool/histogram.h"
+#include "base/histogram.h"
 
 #include <math.h>
 
@@ -14,6 +14,15 @@
         histogram->greatest = microseconds;
 }
 
+void histogram_merge(struct histogram *histogram, const struct histogram *other)
+{
+    for (uint32_t i = 0; i < HISTOGRAM_BUCKETS; i++)
+        histogram->counts[i] += other->counts[i];
+    histogram->total += other->total;
+    if (other->greatest > histogram->greatest)
+        histogram->greatest = other->greatest;
+}
+
 uint64_t histogram_quantile(const struct histogram *histogram, double share)
 {
     uint64_t wanted = (uint64_t)ceil(share * (double)histogram->total);
--- a/src/tool/histogram.h
+++ b/src/base/histogram.h
@@ -18,6 +18,9 @@
 /** \param microseconds 1 us to some hours; others are clamped */
 void histogram_add(struct histogram *histogram, uint64_t microseconds);
 
+/** \brief Add all values of another histogram. */
+void histogram_merge(struct histogram *histogram, const struct histogram *other);
+
 /** \param share of values at most as great, for example 0.95 \return microseconds, 0 when empty */
 uint64_t histogram_quantile(const struct histogram *histogram, double share);
 
--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define KEPT_FREE_PERCENT 50 /* part of unused shares that others may not borrow */
+#define KEPT_FREE_PERCENT 25 /* part of unused shares that others may not borrow */
 
 void admission_configure(struct admission *admission, uint32_t limit,
                          const struct tenant_config *tenants, uint32_t count)
--- a/src/core/balance_two_choices.c
+++ b/src/core/balance_two_choices.c
@@ -1,5 +1,7 @@
 #include "core/balance.h"
 
+#include <stdbool.h>
+
 #define DISTANCE_COST 0.02 /* load, in parts of the capacity, that a farther zone must save */
 
 /* Own counts are exact but partial, reports complete but late: the greater one is believed. */
@@ -8,7 +10,18 @@
     uint32_t busy =
         candidate->in_flight > candidate->reported ? candidate->in_flight : candidate->reported;
     uint32_t capacity = candidate->capacity ? candidate->capacity : 1;
-    return (double)busy / capacity + DISTANCE_COST * candidate->distance;
+    return (double)(busy + 1) / capacity + DISTANCE_COST * candidate->distance;
+}
+
+static bool is_better(const struct balance_candidate *left, const struct balance_candidate *right)
+{
+    double left_cost = load_of(left);
+    double right_cost = load_of(right);
+    if (left->token_us && right->token_us) {
+        left_cost *= left->token_us;
+        right_cost *= right->token_us;
+    }
+    return left_cost < right_cost;
 }
 
 uint32_t balance_two_choices(struct balance_state *state,
@@ -19,5 +32,5 @@
         return first;
     uint32_t second = (uint32_t)random_below(&state->random, count - 1);
     second += second >= first;
-    return load_of(&candidates[second]) < load_of(&candidates[first]) ? second : first;
+    return is_better(&candidates[second], &candidates[first]) ? second : first;
 }
--- a/src/core/router.c
+++ b/src/core/router.c
@@ -14,6 +14,7 @@
 #define EJECT_FAILURES 3      /* failures in a row that eject an agent */
 #define EJECT_LEAST 500000ULL /* first ejection, microseconds; doubles */
 #define EJECT_MOST 16000000ULL
+#define SPEED_MEMORY 64ULL /* tokens over which the mean time between tokens is taken */
 #define MAX_EXCLUDED 8
 
 struct request {
@@ -46,6 +47,7 @@
     uint64_t id;
     uint32_t in_flight;
     uint32_t failures;
+    uint32_t token_us; /* mean time between tokens of one stream */
     uint64_t eject_us;
     uint64_t ejected_until;
 };
@@ -265,6 +267,7 @@
             .in_flight = record_of(router, agent->id)->in_flight,
             .reported = agent->status.active_requests,
             .capacity = agent->status.capacity,
+            .token_us = record_of(router, agent->id)->token_us,
             .distance = agent->distance,
         };
     }
@@ -284,6 +287,8 @@
     }
     struct balance_candidate candidates[service->agent_count + 1];
     uint32_t count = list_candidates(router, now, request, service, candidates);
+    if (router->settings.balance == balance_two_choices)
+        count = balance_drop_slow(&router->balance, candidates, count);
     if (!count)
         return -1;
     return candidates[router->settings.balance(&router->balance, candidates, count)].agent;
@@ -533,6 +538,15 @@
     retry(router, now, request, answer->reason, answer->retry_after_ms);
 }
 
+static void note_speed(struct router *router, uint64_t agent, uint64_t elapsed, uint32_t tokens)
+{
+    struct agent_record *record = record_of(router, agent);
+    uint64_t token_us = elapsed / (tokens ? tokens : 1) + 1;
+    if (record->token_us)
+        token_us = ((SPEED_MEMORY - 1) * record->token_us + token_us) / SPEED_MEMORY;
+    record->token_us = token_us < UINT32_MAX ? (uint32_t)token_us : UINT32_MAX;
+}
+
 void router_on_answer(struct router *router, uint64_t now, uint64_t agent,
                       const Shuntrun__Answer *answer)
 {
@@ -541,6 +555,8 @@
         router->counters.dropped_answers++;
         return;
     }
+    if (answer->kind == SHUNTRUN__ANSWER_KIND__ANSWER_TOKENS && request->next_offset)
+        note_speed(router, agent, now - request->last_progress, answer->token_count);
     request->last_progress = now;
     switch (answer->kind) {
     case SHUNTRUN__ANSWER_KIND__ANSWER_STARTED:
--- a/src/sim/fleet/backend.c
+++ b/src/sim/fleet/backend.c
@@ -78,7 +78,7 @@
 }
 
 /* \return whether the run goes on */
-static bool step_run(struct world *world, struct order *run)
+static bool step_run(struct world *world, struct order *run, uint32_t slowness)
 {
     if (!run->model) {
         if (world->now < run->finish_at)
@@ -90,7 +90,8 @@
         answer(world, run, PROGRESS_DONE, run->next_token);
         return false;
     }
-    answer(world, run, PROGRESS_TOKENS, run->next_token++);
+    if (++run->steps % slowness == 0)
+        answer(world, run, PROGRESS_TOKENS, run->next_token++);
     return true;
 }
 
@@ -99,7 +100,7 @@
     struct backend *backend = &world->machines[event->to].backend;
     bool stalled = world->now < backend->stalled_until;
     for (uint32_t i = 0; !stalled && i < backend->run_count;) {
-        if (step_run(world, &backend->runs[i]))
+        if (step_run(world, &backend->runs[i], backend->slowness))
             i++;
         else
             backend->runs[i] = backend->runs[--backend->run_count];
--- a/src/sim/fleet/callers.c
+++ b/src/sim/fleet/callers.c
@@ -93,6 +93,14 @@
     snprintf(call->key, sizeof call->key, "%s%ckey-%u", group->ticket, TICKET_SEPARATOR, number);
 }
 
+static uint32_t pick_tenant(struct world *world)
+{
+    double large = world->options.large_tenant;
+    if (large > 0 && random_unit(&world->callers) < large)
+        return 0;
+    return (uint32_t)random_below(&world->callers, world->options.tenants);
+}
+
 static void arrive(struct world *world)
 {
     if (world->call_count == world->call_capacity) {
@@ -102,9 +110,12 @@
     uint32_t number = world->call_count++;
     struct call *call = &world->calls[number];
     *call = (struct call){.gateway = NO_PROCESS};
+    call->arrived = world->now;
     call->model = random_unit(&world->callers) >= PLAIN_SHARE;
     call->unrepeatable = !call->model;
-    call->tenant = (uint32_t)random_below(&world->callers, world->options.tenants);
+    call->tenant = pick_tenant(world);
+    world->result.requests++;
+    world->result.large_requests += call->tenant == 0;
     call->request = checker_request(&world->checker, call->unrepeatable);
     if (!call->model && random_unit(&world->callers) < KEY_SHARE)
         make_key(world, call, number);
@@ -130,6 +141,10 @@
 {
     call->state = CALL_OVER;
     world->result.done++;
+    world->result.large_done += call->tenant == 0;
+    world->result.done_in_time += call->model && world->now <= world->arrivals_end;
+    if (call->model)
+        histogram_add(&world->result.latency, world->now - call->arrived);
     world->result.replayed += news->verdict.replayed;
     bool whole = !call->model || (call->tokens == WORLD_TOKENS && news->tokens == WORLD_TOKENS);
     if (!whole)
--- a/src/sim/fleet/fleet_sim.h
+++ b/src/sim/fleet/fleet_sim.h
@@ -5,6 +5,8 @@
 #ifndef SHUNTRUN_FLEET_SIM_H
 #define SHUNTRUN_FLEET_SIM_H
 
+#include "base/histogram.h"
+#include "core/balance.h"
 #include "sim/fleet/checker.h"
 
 #include <stdbool.h>
@@ -81,9 +83,12 @@
     uint64_t zone_delay_us;
     uint64_t region_delay_us;
     uint64_t client_delay_us;
-    double seconds; /**< in which requests arrive */
-    double rate;    /**< requests a second */
-    bool fenced;    /**< the plain service checks fences */
+    double seconds;          /**< in which requests arrive */
+    double rate;             /**< requests a second */
+    double large_tenant;     /**< share of requests that the first tenant sends; 0: an equal one */
+    double slow_engines;     /**< share of engines that make tokens at a fourth of the speed */
+    balance_choose *balance; /**< NULL: two choices */
+    bool fenced;             /**< the plain service checks fences */
     uint64_t seed;
     const struct fleet_scenario *scenario;
     uint64_t keep_faults; /**< bit N clear: fault N is left out */
@@ -99,6 +104,11 @@
     uint64_t broken; /**< connections that ended without a last word */
     uint64_t replayed;
     uint64_t resumed;
+    uint64_t requests;       /**< logical ones, over their attempts */
+    uint64_t done_in_time;   /**< model requests done while requests arrived */
+    uint64_t large_requests; /**< of the first tenant */
+    uint64_t large_done;
+    struct histogram latency; /**< of whole model answers, from the first attempt on */
     uint64_t events;
     uint64_t messages;
     uint64_t platform_calls;
--- a/src/sim/fleet/processes.c
+++ b/src/sim/fleet/processes.c
@@ -266,7 +266,11 @@
 static void create_gateway(struct process *process, uint64_t seed)
 {
     struct router_settings settings = {
-        .request_limit = 256, .retry_percent = 20, .stall_us = 2 * SECOND};
+        .request_limit = 256,
+        .retry_percent = 20,
+        .stall_us = 2 * SECOND,
+        .balance = process->world->options.balance,
+    };
     struct router_driver driver = {process, forward, cancel_forward, begin, data, end};
     process->router = router_create(&settings, process->incarnation, seed, &driver);
 }
--- a/src/sim/fleet/world.c
+++ b/src/sim/fleet/world.c
@@ -14,6 +14,7 @@
 #include <string.h>
 
 #define MAX_PROCESSES 8192
+#define SLOW_ENGINE_STEPS 4
 #define JITTER_US 500
 #define SHUFFLE_JITTER_US (60 * MILLISECOND)
 #define DOUBLE_SHARE 0.2
@@ -159,6 +160,10 @@
     machine->zone = i % options->zones;
     machine->process = NO_PROCESS;
     machine->backend.model = engine;
+    machine->backend.slowness =
+        engine && i - options->gateways < options->slow_engines * options->engines
+            ? SLOW_ENGINE_STEPS
+            : 1;
     snprintf(listing->name, sizeof listing->name, "%s-%u",
              gateway ? "gateway" : (engine ? "engine" : "seats"),
              gateway ? i : i - options->gateways - (engine ? 0 : options->engines));
--- a/src/sim/fleet/world.h
+++ b/src/sim/fleet/world.h
@@ -65,6 +65,7 @@
     char digest[DIGEST_HEX_SIZE];
     uint32_t version;
     uint64_t next_token;
+    uint32_t steps;     /* of the engine so far */
     uint64_t finish_at; /* plain service */
 };
 
@@ -91,6 +92,7 @@
     uint64_t stalled_until;
     struct order runs[WORLD_MAX_RUNS];
     uint32_t run_count;
+    uint32_t slowness;           /* steps for one token */
     uint64_t newest_incarnation; /* of fences */
 };
 
@@ -136,6 +138,7 @@
     uint32_t tenant;
     uint32_t gateway; /* process that has it */
     uint32_t tries;
+    uint64_t arrived;
     bool model;
     bool unrepeatable;
     enum call_state state;
--- a/src/sim/scenario_run.c
+++ b/src/sim/scenario_run.c
@@ -42,6 +42,9 @@
         options->gateways = run->gateways;
     if (run->engines)
         options->engines = run->engines;
+    options->large_tenant = run->large_tenant;
+    options->slow_engines = run->slow_engines;
+    options->balance = run->balance;
     if (run->rate > 0)
         options->rate = run->rate;
     if (run->seconds > 0)
@@ -63,12 +66,23 @@
     uint64_t replayed;
     uint64_t faults;
     uint64_t events;
+    uint64_t requests;
+    uint64_t large_requests;
+    uint64_t large_done;
+    double goodput; /* sum of the runs' */
+    struct histogram latency;
     uint64_t greatest_platform_calls;
     double greatest_control;
 };
 
-static void add_result(struct totals *totals, const struct fleet_sim_result *result)
+static void add_result(struct totals *totals, const struct fleet_sim_options *options,
+                       const struct fleet_sim_result *result)
 {
+    totals->requests += result->requests;
+    totals->large_requests += result->large_requests;
+    totals->large_done += result->large_done;
+    totals->goodput += (double)result->done_in_time / options->seconds;
+    histogram_merge(&totals->latency, &result->latency);
     totals->runs++;
     totals->failed += result->violation_count > 0;
     for (uint64_t i = 0; i < result->violation_count && i < CHECKER_MAX_VIOLATIONS; i++)
@@ -111,20 +125,32 @@
             fleet_mutation_name(options->mutation), kept);
 }
 
+static double quantile_ms(const struct totals *totals, double share)
+{
+    return (double)histogram_quantile(&totals->latency, share) / 1000;
+}
+
 static json_t *describe_totals(const char *scenario, const struct totals *totals)
 {
     json_t *violations = json_object();
     for (int i = 0; i < PROMISE_COUNT; i++)
         json_object_set_new(violations, promise_name((enum promise)i),
                             json_integer((json_int_t)totals->violations[i]));
-    return json_pack("{s:s, s:I, s:I, s:o, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f}",
+    return json_pack("{s:s, s:I, s:I, s:o, "
+                     "s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, "
+                     "s:f, s:f, s:f, s:f, s:I, s:f}",
                      "scenario", scenario, "runs", (json_int_t)totals->runs, "failed",
                      (json_int_t)totals->failed, "violations", violations, "attempts",
                      (json_int_t)totals->submitted, "done", (json_int_t)totals->done, "not_run",
                      (json_int_t)totals->not_run, "unknown", (json_int_t)totals->unknown, "broken",
                      (json_int_t)totals->broken, "replayed", (json_int_t)totals->replayed, "faults",
-                     (json_int_t)totals->faults, "events", (json_int_t)totals->events,
-                     "greatest_platform_calls_per_second",
+                     (json_int_t)totals->faults, "events", (json_int_t)totals->events, "requests",
+                     (json_int_t)totals->requests, "large_tenant_requests",
+                     (json_int_t)totals->large_requests, "large_tenant_done",
+                     (json_int_t)totals->large_done, "model_goodput_per_second",
+                     totals->goodput / (double)(totals->runs ? totals->runs : 1), "p50_ms",
+                     quantile_ms(totals, 0.5), "p95_ms", quantile_ms(totals, 0.95), "p99_ms",
+                     quantile_ms(totals, 0.99), "greatest_platform_calls_per_second",
                      (json_int_t)totals->greatest_platform_calls,
                      "greatest_control_bytes_per_node_per_second", totals->greatest_control);
 }
@@ -150,7 +176,7 @@
         if (status != STATUS_OK)
             return status;
         struct fleet_sim_result result = fleet_simulate(&options);
-        add_result(totals, &result);
+        add_result(totals, &options, &result);
         if (result.violation_count && !explained)
             explain_failure(run, &options, &result);
         explained = explained || result.violation_count;
--- a/src/sim/scenario_run.h
+++ b/src/sim/scenario_run.h
@@ -15,6 +15,9 @@
     const char *fleet;    /**< "brief", "large" or "small" */
     uint32_t gateways;    /**< these override the fleet's, when not 0 */
     uint32_t engines;
+    double large_tenant;
+    double slow_engines;
+    balance_choose *balance;
     double rate;
     double seconds;
     uint64_t first_seed;
--- a/src/sim/simulate.c
+++ b/src/sim/simulate.c
@@ -40,6 +40,9 @@
     KEY_ENGINES,
     KEY_RATE,
     KEY_SECONDS,
+    KEY_LARGE_TENANT,
+    KEY_SLOW_ENGINES,
+    KEY_BALANCE,
 };
 
 static const struct argp_option option_list[] = {
@@ -76,6 +79,9 @@
     {"engines", KEY_ENGINES, "N", 0, "engines, in place of the fleet's", 2},
     {"rate", KEY_RATE, "PER_SECOND", 0, "requests a second, in place of the fleet's", 2},
     {"seconds", KEY_SECONDS, "S", 0, "time in which requests arrive", 2},
+    {"large-tenant", KEY_LARGE_TENANT, "SHARE", 0, "share of requests that one tenant sends", 2},
+    {"slow-engines", KEY_SLOW_ENGINES, "SHARE", 0, "engines at a fourth of the speed", 2},
+    {"balance", KEY_BALANCE, "NAME", 0, "two-choices, round-robin or random (two-choices)", 2},
     {"record", KEY_RECORD, "FILE", 0, "record the session of the first seed", 2},
     {0}};
 
@@ -167,6 +173,17 @@
     return FLEET_MUTATION_NONE;
 }
 
+static balance_choose *parse_balance(const char *text, struct argp_state *state)
+{
+    if (strcmp(text, "round-robin") == 0)
+        return balance_round_robin;
+    if (strcmp(text, "random") == 0)
+        return balance_random;
+    if (strcmp(text, "two-choices") != 0)
+        argp_error(state, "unknown algorithm `%s`", text);
+    return balance_two_choices;
+}
+
 static error_t parse_scenario_option(int key, char *argument, struct argp_state *state)
 {
     struct scenario_run *run = &((struct simulate_options *)state->input)->scenario;
@@ -186,6 +203,15 @@
     case KEY_KEEP_FAULTS:
         run->keep_faults = strtoull(argument, NULL, 0);
         break;
+    case KEY_LARGE_TENANT:
+        run->large_tenant = parse_positive(argument, state);
+        break;
+    case KEY_SLOW_ENGINES:
+        run->slow_engines = parse_positive(argument, state);
+        break;
+    case KEY_BALANCE:
+        run->balance = parse_balance(argument, state);
+        break;
     case KEY_GATEWAYS:
         run->gateways = (uint32_t)parse_count(argument, 1000, state);
         break;
--- a/src/tool/load.c
+++ b/src/tool/load.c
@@ -5,7 +5,7 @@
 #include "core/random.h"
 #include "net/loop.h"
 #include "tool/answer_check.h"
-#include "tool/histogram.h"
+#include "base/histogram.h"
 
 #include <argp.h>
 #include <curl/curl.h>
