A tenant reaches its whole share however eager the others are

Cause: the admission test asked for 4 free slots, which encoded the old half; at a fourth it failed. Looking at why showed more: rounding down, a small tenant could stay below its share for good while a large one asked first at every free slot.

Ruled out: lowering the test's number alone (it would have hidden the second finding).

Change: what is kept free is rounded up.

--- a/src/core/admission.c
+++ b/src/core/admission.c
@@ -51,7 +51,8 @@
         if (i != tenant && admission->tenants[i].active < share)
             unused += share - admission->tenants[i].active;
     }
-    return (uint32_t)(unused * KEPT_FREE_PERCENT / 100);
+    /* Rounded up: then a tenant reaches its whole share, however eager the others are. */
+    return (uint32_t)((unused * KEPT_FREE_PERCENT + 99) / 100);
 }
 
 bool admission_enter(struct admission *admission, uint32_t tenant)
