--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -2,6 +2,7 @@
 
 #include "agent/agent_traffic.h"
 #include "agent/blob_store.h"
+#include "agent/link_pace.h"
 #include "agent/rollout.h"
 #include "agent/transfer.h"
 #include "base/clock.h"
@@ -44,6 +45,7 @@
     uint64_t next_publish;
     uint64_t order_sequence;
     struct daemon_drain drain;
+    struct link_pace pace;
     uint32_t uploads; /* running now; written by HTTP threads */
 };
 
@@ -432,6 +434,16 @@
     free(upload);
 }
 
+static ssize_t read_upload(void *context, uint64_t position, char *buffer, size_t most)
+{
+    struct upload *upload = context;
+    size_t left = upload->blob->size - position;
+    size_t size = left < most ? left : most;
+    link_pace_use(&upload->agent->pace, size);
+    memcpy(buffer, upload->blob->data + position, size);
+    return (ssize_t)size;
+}
+
 static void reply_error(struct http_exchange *exchange, unsigned status, const char *text,
                         const struct http_reply_header *headers)
 {
@@ -473,7 +485,10 @@
     *upload = (struct upload){agent, blob};
     ck_pr_inc_32(&agent->uploads);
     metric_add(METRIC_CHUNKS_SERVED, 1);
-    http_reply_shared(exchange, 200, blob->data, blob->size, end_upload, upload);
+    if (agent->settings.link_bytes_per_second && !local)
+        http_reply_paced(exchange, 200, blob->size, read_upload, end_upload, upload);
+    else
+        http_reply_shared(exchange, 200, blob->data, blob->size, end_upload, upload);
 }
 
 static void on_http(void *context, struct http_exchange *exchange,
@@ -512,6 +527,7 @@
 {
     struct node_shell_callbacks callbacks = {agent, on_view_changed, on_update, on_tick};
     agent->page = status_page_create();
+    link_pace_init(&agent->pace, agent->settings.link_bytes_per_second);
     agent->store = blob_store_create(agent->settings.weights_memory_mb << 20);
     if (node_shell_open(&agent->shell, &agent->settings, MACHINE_AGENT, &callbacks) != STATUS_OK)
         return STATUS_IO;
@@ -519,8 +535,8 @@
                                          node_id(agent->shell.node), agent->shell.incarnation);
     if (!agent->traffic)
         return STATUS_IO;
-    agent->transfer =
-        transfer_start(agent->settings.name, agent->store, agent->shell.loop, on_transfer, agent);
+    agent->transfer = transfer_start(agent->settings.name, agent->store, &agent->pace,
+                                     agent->shell.loop, on_transfer, agent);
     agent->http = start_http(agent);
     return agent->http ? STATUS_OK : STATUS_IO;
 }
--- a/src/agent/transfer.c
+++ b/src/agent/transfer.c
@@ -20,6 +20,7 @@
     struct loop *loop;
     struct loop *control;
     struct blob_store *store;
+    struct link_pace *pace;
     loop_callback *take;
     void *context;
     char reader_header[128];
@@ -104,6 +105,12 @@
     post_result(transfer, &result);
 }
 
+static void on_bytes(void *context, size_t size)
+{
+    struct active *active = context;
+    link_pace_use(active->transfer->pace, size);
+}
+
 static void start_job(void *argument)
 {
     struct order *order = argument;
@@ -127,6 +134,7 @@
         .body_limit = active->job.length,
         .timeout_ms = active->job.timeout_ms,
         .stall_ms = active->job.stall_ms,
+        .on_bytes = on_bytes,
         .on_done = on_response,
         .context = active,
     };
@@ -175,13 +183,15 @@
     return NULL;
 }
 
-struct transfer *transfer_start(const char *reader, struct blob_store *store, struct loop *control,
-                                loop_callback *take, void *context)
+struct transfer *transfer_start(const char *reader, struct blob_store *store,
+                                struct link_pace *pace, struct loop *control, loop_callback *take,
+                                void *context)
 {
     struct transfer *transfer = memory_zero(1, sizeof *transfer);
     transfer->loop = loop_create();
     transfer->control = control;
     transfer->store = store;
+    transfer->pace = pace;
     transfer->take = take;
     transfer->context = context;
     snprintf(transfer->reader_header, sizeof transfer->reader_header, "X-Reader: %s", reader);
--- a/src/agent/transfer.h
+++ b/src/agent/transfer.h
@@ -6,6 +6,7 @@
 #define SHUNTRUN_TRANSFER_H
 
 #include "agent/blob_store.h"
+#include "agent/link_pace.h"
 #include "core/swarm.h"
 #include "net/loop.h"
 
@@ -36,8 +37,9 @@
  * \param control loop to which results are posted
  * \param take called there; frees the result
  */
-struct transfer *transfer_start(const char *reader, struct blob_store *store, struct loop *control,
-                                loop_callback *take, void *context);
+struct transfer *transfer_start(const char *reader, struct blob_store *store,
+                                struct link_pace *pace, struct loop *control, loop_callback *take,
+                                void *context);
 void transfer_stop(struct transfer *transfer);
 
 void transfer_fetch(struct transfer *transfer, const struct transfer_job *job);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define PACED_BLOCK 32768
 #define MAX_REPLY_HEADERS 12
 #define HEADER_TEXT_SIZE 768
 #define IDLE_TIMEOUT_SECONDS 60
@@ -133,6 +134,16 @@
     queue(exchange, status, response);
 }
 
+void http_reply_paced(struct http_exchange *exchange, unsigned status, uint64_t size,
+                      ssize_t (*read)(void *owner, uint64_t position, char *buffer, size_t most),
+                      void (*release)(void *owner), void *owner)
+{
+    struct MHD_Response *response =
+        MHD_create_response_from_callback(size, PACED_BLOCK, read, owner, release);
+    MHD_add_response_header(response, "Content-Type", "application/octet-stream");
+    queue(exchange, status, response);
+}
+
 /* ---- kept exchanges ---- */
 
 void http_keep(struct http_exchange *exchange)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <sys/types.h>
 
 struct http_server;
 struct http_exchange;
@@ -63,6 +64,14 @@
 void http_reply_shared(struct http_exchange *exchange, unsigned status, const void *body,
                        size_t size, void (*release)(void *owner), void *owner);
 
+/**
+ * \brief Whole response of known size, read in pieces on the listener's thread, which `read` may
+ *        block. `release(owner)` is called at the end, also of a broken response.
+ */
+void http_reply_paced(struct http_exchange *exchange, unsigned status, uint64_t size,
+                      ssize_t (*read)(void *owner, uint64_t position, char *buffer, size_t most),
+                      void (*release)(void *owner), void *owner);
+
 /** \brief Keep the exchange beyond the handler; call once, within the handler. */
 void http_keep(struct http_exchange *exchange);
 
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -177,6 +177,8 @@
     transfer->response = memory_resize(transfer->response, transfer->response_size + size);
     memcpy(transfer->response + transfer->response_size, data, size);
     transfer->response_size += size;
+    if (transfer->call.on_bytes)
+        transfer->call.on_bytes(transfer->call.context, size);
     return size;
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -64,6 +64,8 @@
     bool fresh_connection;   /**< no reuse: libcurl then never sends a request twice */
     /** Take response bytes as they come, instead of `body`; may be NULL. */
     void (*on_data)(void *context, const uint8_t *data, size_t size);
+    /** Bytes came that are kept in `body`; may block to pace them; may be NULL. */
+    void (*on_bytes)(void *context, size_t size);
     void (*on_done)(void *context, const struct http_response *response);
     /** Release `context` of a call that loop_destroy() ends; may be NULL. */
     void (*on_abandoned)(void *context);
