--- a/scripts/experiments.py
+++ b/scripts/experiments.py
@@ -26,8 +26,11 @@
     "version changes half-way, half shared": "change=0.5,shared=0.5",
     "regions part for half the window": "part=0.5",
     "10 % restart empty": "restart=0.1",
+    "10 % pause and wake late": "pause=0.1",
+    "10 % of messages late, half of these twice": "shuffle=0.1",
     "all together":
-        "die=0.1,stall=0.1,corrupt=0.01,origin-down=0.33,change=0.5,part=0.5,restart=0.05",
+        "die=0.1,stall=0.1,corrupt=0.01,origin-down=0.33,change=0.5,part=0.5,restart=0.05,pause=0.1,"
+        "shuffle=0.02",
 }
 SWEEP = [("defaults", [])] + \
     [(f"chunk {size} MiB", ["--chunk-bytes", str(size << 20)]) for size in (16, 32, 128, 256, 1024)] + \
--- a/src/sim/fleet/callers.c
+++ b/src/sim/fleet/callers.c
@@ -155,10 +155,14 @@
         checker_answered(&world->checker, world->now, call->attempt, call->source);
 }
 
-/* In a run with planned stops only, nothing may be cut off. */
+/* In runs where operators are all that happens, nothing may be cut off. */
 static bool is_planned_only(const struct world *world)
 {
-    return strcmp(world->options.scenario->name, "stops") == 0;
+    static const char *const names[] = {"stops", "races", "publish", "steady"};
+    for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+        if (strcmp(world->options.scenario->name, names[i]) == 0)
+            return true;
+    return false;
 }
 
 static void end_call(struct world *world, uint32_t number, const struct news *news)
--- a/src/sim/rollout_sim.c
+++ b/src/sim/rollout_sim.c
@@ -18,6 +18,9 @@
 #define LIST_LAG_SECONDS 10.0 /* deaths show in the machine list after so long */
 #define LIST_STEP_SECONDS 5.0 /* and in steps of so long */
 #define RESTART_SECONDS 5.0
+#define PAUSE_LEAST_SECONDS 2.0
+#define PAUSE_SPREAD_SECONDS 30.0
+#define SHUFFLE_SECONDS 2.0       /* a message comes later by up to so much */
 #define CONFIG_SPREAD_SECONDS 2.0 /* a new configuration reaches machines within this time */
 #define ORIGIN_QUEUE_CHUNKS 64    /* reads that the origin lets wait */
 #define TREE_CHILDREN 2
@@ -33,6 +36,7 @@
     EVENT_RESTART, /* `to` dies and comes back empty */
     EVENT_RETURN,
     EVENT_STALL,
+    EVENT_PAUSE,
     EVENT_CHANGE, /* `to` learns of the new version */
     EVENT_LIST,   /* the machine list shows who is dead */
     EVENT_ORIGIN_DOWN,
@@ -77,6 +81,7 @@
     uint32_t version;     /* that it was told to get; 0 or 1 */
     uint32_t incarnation; /* grows with restarts */
     uint32_t uploads;     /* queued or running */
+    uint64_t paused_until;
     bool alive;
     bool stalled;
     bool listed;
@@ -736,6 +741,7 @@
     schedule_on_machines(sim, faults->die, EVENT_DIE);
     schedule_on_machines(sim, faults->restart, EVENT_RESTART);
     schedule_on_machines(sim, faults->stall, EVENT_STALL);
+    schedule_on_machines(sim, faults->pause, EVENT_PAUSE);
     schedule_span(sim, faults->origin_down, EVENT_ORIGIN_DOWN, EVENT_ORIGIN_UP);
     schedule_span(sim, faults->part, EVENT_PART, EVENT_HEAL);
     if (faults->change > 0)
@@ -749,6 +755,63 @@
 
 /* ---- running ---- */
 
+static uint64_t pause_length(struct rollout_sim *sim)
+{
+    return seconds(PAUSE_LEAST_SECONDS + random_unit(&sim->random) * PAUSE_SPREAD_SECONDS);
+}
+
+static bool is_message(uint32_t type)
+{
+    return type == EVENT_REQUEST || type == EVENT_ARRIVE || type == EVENT_REFUSE ||
+           type == EVENT_UPDATE;
+}
+
+/* \return whether the event was put off, since its machine stands still */
+static bool put_off(struct rollout_sim *sim, const struct event *event)
+{
+    if (event->to == ORIGIN || event->type > EVENT_CHANGE || event->type == EVENT_DIE)
+        return false;
+    uint64_t until = sim->machines[event->to].paused_until;
+    if (sim->now >= until)
+        return false;
+    push(sim, until, (enum event_type)event->type, event->to, event->from, event->number,
+         event->payload);
+    return true;
+}
+
+static void *copy_payload(const struct event *event)
+{
+    if (event->type == EVENT_REFUSE)
+        return memory_copy(event->payload, sizeof(struct refusal));
+    if (event->type != EVENT_UPDATE)
+        return NULL;
+    const struct update_copy *update = event->payload;
+    size_t size = sizeof *update + update->update.have_words * sizeof(uint64_t) +
+                  update->update.new_count * sizeof(uint32_t);
+    struct update_copy *copy = memory_copy(update, size);
+    if (copy->update.have_all)
+        copy->update.have_all = copy->words;
+    copy->update.have_new = (uint32_t *)(copy->words + copy->update.have_words);
+    return copy;
+}
+
+/* A message is told to come later, or to come a second time. \return whether it is gone for now */
+static bool shuffled(struct rollout_sim *sim, const struct event *event)
+{
+    if (!is_message(event->type) || event->shuffled)
+        return false;
+    if (random_unit(&sim->random) >= sim->options.faults.shuffle)
+        return false;
+    struct event later = *event;
+    bool twice = random_below(&sim->random, 2) == 0;
+    later.shuffled = true;
+    later.time = sim->now + random_below(&sim->random, seconds(SHUFFLE_SECONDS));
+    if (twice)
+        later.payload = copy_payload(event);
+    event_queue_push(&sim->queue, later);
+    return !twice;
+}
+
 static void handle(struct rollout_sim *sim, const struct event *event)
 {
     switch ((enum event_type)event->type) {
@@ -782,6 +845,9 @@
     case EVENT_STALL:
         stall_machine(sim, event);
         break;
+    case EVENT_PAUSE:
+        sim->machines[event->to].paused_until = sim->now + pause_length(sim);
+        break;
     case EVENT_CHANGE:
         on_change(sim, event);
         break;
@@ -817,8 +883,8 @@
 static bool faults_are_over(const struct rollout_sim *sim)
 {
     const struct rollout_faults *faults = &sim->options.faults;
-    bool any = faults->die > 0 || faults->restart > 0 || faults->stall > 0 || faults->change > 0 ||
-               faults->part > 0 || faults->origin_down > 0;
+    bool any = faults->die > 0 || faults->restart > 0 || faults->stall > 0 || faults->pause > 0 ||
+               faults->change > 0 || faults->part > 0 || faults->origin_down > 0;
     double end = sim->options.window_seconds + RESTART_SECONDS + CONFIG_SPREAD_SECONDS;
     return !any || sim->now > seconds(end);
 }
@@ -831,6 +897,8 @@
     while (event_queue_pop(&sim->queue, &event)) {
         sim->now = event.time;
         sim->result.events++;
+        if (put_off(sim, &event) || shuffled(sim, &event))
+            continue;
         handle(sim, &event);
         free(event.payload);
         if (event.type >= EVENT_DIE)
--- a/src/sim/rollout_sim.h
+++ b/src/sim/rollout_sim.h
@@ -27,6 +27,8 @@
     double die;         /**< machines that die at random moments and do not come back */
     double restart;     /**< machines that restart empty at random moments */
     double stall;       /**< machines whose link stalls at a random moment, for good */
+    double pause;       /**< machines that stand still for a while and wake late */
+    double shuffle;     /**< messages and chunks that come late, half of these twice */
     double corrupt;     /**< transfers whose bytes arrive wrong */
     double origin_down; /**< the origin is down for this long, from a random moment */
     double change;      /**< the version changes at this time; 0: it does not */
--- a/src/sim/scenario_run.c
+++ b/src/sim/scenario_run.c
@@ -20,6 +20,7 @@
     options->scenario = fleet_scenario_find(scenario);
     options->seed = seed;
     options->keep_faults = run->keep_faults;
+    options->fenced = seed % 2 == 0; /* both kinds of plain service in every range of seeds */
     options->mutation = run->mutation;
     if (!options->scenario)
         return status_fail(STATUS_NOT_FOUND, "unknown scenario `%s`", scenario);
--- a/tests/sim/rollout_sim_test.c
+++ b/tests/sim/rollout_sim_test.c
@@ -76,12 +76,16 @@
     expect_all_survivors_serve(&(struct rollout_faults){.corrupt = 0.01}, 1.3);
     expect_all_survivors_serve(&(struct rollout_faults){.origin_down = 0.33}, 1.3);
     expect_all_survivors_serve(&(struct rollout_faults){.restart = 0.1}, 1.3);
+    expect_all_survivors_serve(&(struct rollout_faults){.pause = 0.2}, 1.3);
+    expect_all_survivors_serve(&(struct rollout_faults){.shuffle = 0.1}, 1.3);
     expect_all_survivors_serve(&(struct rollout_faults){.part = 0.5}, 2.2);
     expect_all_survivors_serve(&(struct rollout_faults){.change = 0.5}, 2 * 1.3);
     expect_all_survivors_serve(&(struct rollout_faults){.change = 0.5, .shared = 0.5}, 1.5 * 1.3);
     expect_all_survivors_serve(&(struct rollout_faults){.die = 0.1,
                                                         .restart = 0.05,
                                                         .stall = 0.1,
+                                                        .pause = 0.1,
+                                                        .shuffle = 0.02,
                                                         .corrupt = 0.01,
                                                         .origin_down = 0.33,
                                                         .change = 0.5,
