Split the swarm and the rollout simulation by job

Ruled out: one file for each event kind (the state would be passed around more than it is used).

Change: swarm.c keeps requests and results, swarm_neighbours.c who holds what, swarm_duties.c the ladders; src/sim/rollout has machines, transfers, faults and the run. No behaviour changes.

--- a/scripts/experiments.py
+++ b/scripts/experiments.py
@@ -5,14 +5,17 @@
   faults       each fault alone and all together, over many seeds
   sweep        chunk size, neighbours, downloads and uploads, announcements
   requests     overload, a large tenant, and slow engines under three algorithms
+  spread       replicas lost with one zone or pool, with and without a bound, by `shuntrun plan`
 """
 import argparse
+import collections
 import concurrent.futures
 import json
 import pathlib
 import statistics
 import subprocess
 import sys
+import tempfile
 
 SIZES = (30, 100, 300, 1000, 1500)
 STRATEGIES = ("swarm", "chunked-tree", "tree", "origin-only")
@@ -159,6 +162,66 @@
     write(options, "sweep", reports, lines)
 
 
+def spread_machines(machines):
+    """Six zones of unlike size, a third of the machines preemptible, most of them in two zones."""
+    listed = []
+    for number in range(machines):
+        zone = (0, 0, 0, 1, 1, 2, 3, 4, 5, 5)[number % 10]
+        listed.append({"name": f"machine-{number}", "role": "agent", "zone": f"zone-{zone}",
+                       "region": f"region-{zone % 3}", "rack": f"rack-{number % 30}",
+                       "address": f"10.0.{number // 250}.{number % 250 + 1}", "accelerators": 8,
+                       "pool": "preemptible" if zone < 2 and number % 2 else "reserved"})
+    return listed
+
+
+def plan_targets(options, work, machines, program, replicas):
+    config = {"models": [{"name": "m", "version": "v1", "manifest": "0" * 64, "bytes": 1,
+                          "replicas": replicas, "accelerators": 8}], "policy": program}
+    old = {**config, "models": [{**config["models"][0], "manifest": "1" * 64}]}
+    for name, value in (("new.json", config), ("old.json", old),
+                        ("machines.json", {"machines": machines})):
+        (work / name).write_text(json.dumps(value))
+    result = subprocess.run(
+        [options.binary, "plan", str(work / "old.json"), str(work / "new.json"), "--machines",
+         str(work / "machines.json"), "--output", "json"], capture_output=True, text=True, check=True)
+    return [move["machine"] for move in json.loads(result.stdout)["machines"]
+            if move["action"] in ("load", "replace")]
+
+
+def spread(options):
+    programs = {
+        "no bound": "",
+        "spread 0.3": "function spread() return 0.3 end",
+        "spread 0.2": "function spread() return 0.2 end",
+        "spread 0.3, preemptible weighs a third":
+            "function spread() return 0.3 end function place(model, machine) "
+            "return machine.pool == 'preemptible' and 0.33 or 1 end",
+    }
+    lines = ["| policy | replicas | lost with the worst zone | lost with the preemptible pool | "
+             "moved when 5 % of machines leave |", "| --- | --- | --- | --- | --- |"]
+    reports = []
+    with tempfile.TemporaryDirectory() as directory:
+        work = pathlib.Path(directory)
+        machines = spread_machines(300)
+        by_name = {machine["name"]: machine for machine in machines}
+        for name, program in programs.items():
+            targets = plan_targets(options, work, machines, program, 100)
+            zones = collections.Counter(by_name[t]["zone"] for t in targets)
+            pool = sum(by_name[t]["pool"] == "preemptible" for t in targets)
+            fewer = [machine for number, machine in enumerate(machines) if number % 20]
+            after = plan_targets(options, work, fewer, program, 100)
+            left = {machine["name"] for machine in fewer}
+            moved = len(set(after) - set(targets)) / len(targets)
+            forced = sum(t not in left for t in targets) / len(targets)
+            worst = max(zones.values()) / len(targets)
+            reports.append({"policy": name, "replicas": len(targets), "worst_zone": worst,
+                            "pool": pool / len(targets), "moved": moved, "forced": forced})
+            lines.append(f"| {name} | {len(targets)} | {100 * worst:.0f} % | "
+                         f"{100 * pool / len(targets):.0f} % | {100 * moved:.0f} % "
+                         f"({100 * forced:.0f} % had to) |")
+    write(options, "spread", reports, lines)
+
+
 def scenario(binary, arguments):
     result = subprocess.run([binary, "simulate", "--scenario", "steady", "--seeds", "1..3", "--output",
                              "json", *arguments], capture_output=True, text=True, check=True)
@@ -195,7 +258,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("experiment", choices=("strategies", "faults", "sweep", "requests"))
+    parser.add_argument("experiment", choices=("strategies", "faults", "sweep", "requests", "spread"))
     parser.add_argument("--binary", default="build/release/shuntrun")
     parser.add_argument("--output", default="docs/results")
     parser.add_argument("--jobs", type=int, default=4)
@@ -204,7 +267,7 @@
     parser.add_argument("--chunk-bytes", type=int, default=512 << 20)
     options = parser.parse_args()
     {"strategies": strategies, "faults": faults, "sweep": sweep,
-     "requests": requests}[options.experiment](options)
+     "requests": requests, "spread": spread}[options.experiment](options)
     return 0
 
 
--- /dev/null
+++ b/src/core/swarm_internal.h
@@ -0,0 +1,109 @@
+/**
+ * State of a swarm, shared by swarm.c (requests), swarm_neighbours.c (who holds what) and
+ * swarm_duties.c (this node's places in the ladders).
+ */
+#ifndef SHUNTRUN_SWARM_INTERNAL_H
+#define SHUNTRUN_SWARM_INTERNAL_H
+
+#include "core/bitmap.h"
+#include "core/random.h"
+#include "core/swarm.h"
+#include "core/swarm_plan.h"
+
+struct neighbour {
+    uint64_t id;
+    uint64_t *have; /* bitmap, owned */
+    uint32_t have_count;
+    uint16_t zone;
+    uint16_t region;
+    bool chosen; /* by this node; else it chose us */
+    bool heard;
+    bool needs_full; /* our next update must be full */
+    bool wants_full; /* we lost track of its set */
+    uint32_t in_flight;
+    uint32_t upload_queue; /* as last announced */
+    uint32_t corrupt;      /* chunks with wrong bytes */
+    uint32_t received;     /* chunks with right bytes */
+    uint32_t refusals;     /* in a row */
+    uint32_t sequence_in;
+    uint32_t sequence_out;
+    uint32_t announced; /* length of our arrival log that it has seen */
+    uint64_t backoff_until;
+    uint64_t last_heard;
+    uint64_t last_sent;
+};
+
+struct request {
+    uint64_t source;
+    uint32_t chunk;
+    bool probe; /* asked as a later rank, not as a neighbour's offer */
+    uint64_t started;
+    uint64_t deadline;
+};
+
+/* This node's place in the ladder of one chunk. */
+struct duty {
+    uint32_t chunk;
+    uint8_t position;
+    uint8_t next; /* ladder entry to ask next; == position: read from the origin */
+    uint8_t pending;
+    bool asking;
+    uint64_t not_before;
+};
+
+struct swarm {
+    struct swarm_settings settings;
+    struct swarm_driver driver;
+    struct swarm_plan *plan;
+    struct swarm_counters counters;
+    struct random_stream random;
+    uint64_t self;
+    uint64_t rollout;
+    uint16_t zone;
+    uint16_t region;
+    uint32_t chunk_count;
+    size_t words;
+    uint64_t started;
+    uint64_t *have;
+    uint64_t *open;         /* missing and not in flight */
+    uint16_t *availability; /* neighbours that hold each chunk */
+    uint32_t *arrivals;     /* chunks in order of arrival */
+    uint32_t held;
+    uint32_t upload_queue;
+    struct neighbour neighbours[SWARM_MAX_NEIGHBOURS];
+    uint32_t neighbour_count;
+    struct request requests[SWARM_MAX_IN_FLIGHT];
+    uint32_t request_count;
+    uint32_t downloads; /* requests that count against the window */
+    uint32_t origin_reads;
+    uint64_t origin_backoff_until;
+    uint64_t mean_chunk_us;
+    struct duty *duties;
+    uint32_t duty_count;
+    uint64_t *suspects; /* members that did not answer as ladder entries */
+    uint32_t suspect_count;
+};
+
+/* swarm.c */
+void swarm_start_request(struct swarm *swarm, uint64_t now, uint64_t source, uint32_t chunk,
+                         bool probe);
+
+/* swarm_neighbours.c */
+struct neighbour *swarm_find_neighbour(struct swarm *swarm, uint64_t id);
+void swarm_fill_neighbours(struct swarm *swarm, uint64_t now);
+void swarm_drop_former_members(struct swarm *swarm);
+void swarm_replace_silent(struct swarm *swarm, uint64_t now);
+void swarm_announce_news(struct swarm *swarm, uint64_t now);
+/** \brief Take an update in. \return false when it is not of this rollout or from no member */
+bool swarm_learn_update(struct swarm *swarm, uint64_t now, uint64_t peer,
+                        const struct swarm_update *update);
+
+/* swarm_duties.c */
+void swarm_collect_duties(struct swarm *swarm);
+void swarm_perform_duties(struct swarm *swarm, uint64_t now);
+void swarm_drop_done_duties(struct swarm *swarm, uint32_t chunk);
+void swarm_duty_failed(struct swarm *swarm, uint64_t now, const struct request *request,
+                       enum swarm_failure failure);
+void swarm_clear_suspect(struct swarm *swarm, uint64_t id);
+
+#endif
--- /dev/null
+++ b/src/sim/rollout/rollout_transfers.c
@@ -0,0 +1,224 @@
+/**
+ * Requests, chunks and updates on their way, and the baselines without a swarm.
+ */
+#include "sim/rollout/rollout_world.h"
+
+#include "base/memory.h"
+#include "core/hash.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ORIGIN_QUEUE_CHUNKS 64 /* reads that the origin lets wait */
+#define TREE_CHILDREN 2
+#define CORRUPT_CONTENT (UINT32_MAX - 1)
+
+/* ---- events of transfers ---- */
+
+static void refuse(struct rollout_sim *sim, uint32_t to, uint32_t from, uint32_t name,
+                   enum swarm_failure failure, uint64_t retry_after_us)
+{
+    struct refusal *refusal = memory_zero(1, sizeof *refusal);
+    *refusal = (struct refusal){failure, retry_after_us};
+    rollout_sim_push(sim, sim->now + rollout_sim_delay(sim, to, from), EVENT_REFUSE, to, from, name,
+                     refusal);
+}
+
+static void rollout_send_chunk(struct rollout_sim *sim, uint32_t from, uint32_t to, uint32_t name)
+{
+    uint64_t bytes = rollout_sim_chunk_length(sim, rollout_sim_chunk_of(name));
+    struct link *link = from == ORIGIN ? &sim->origin : &sim->machines[from].link;
+    uint64_t sent = rollout_sim_use_link(link, sim->now, bytes);
+    if (from == ORIGIN)
+        sim->result.origin_bytes += bytes;
+    else
+        sim->result.peer_bytes += bytes;
+    if (from == ORIGIN && name >> NAME_VERSION_SHIFT)
+        sim->result.origin_bytes_newest += bytes;
+    rollout_sim_push(sim, sent + rollout_sim_delay(sim, from, to), EVENT_DELIVER, to, from, name,
+                     NULL);
+}
+
+static void on_origin_request(struct rollout_sim *sim, const struct event *event)
+{
+    uint64_t waiting = sim->origin.busy_until > sim->now ? sim->origin.busy_until - sim->now : 0;
+    double chunk_time = (double)sim->options.chunk_bytes * sim->origin.nanoseconds_per_byte;
+    if (sim->origin_down)
+        refuse(sim, event->from, ORIGIN, event->number, SWARM_FAILURE_ERROR, 0);
+    else if ((double)waiting > chunk_time * ORIGIN_QUEUE_CHUNKS)
+        refuse(sim, event->from, ORIGIN, event->number, SWARM_FAILURE_BUSY, waiting / 2000);
+    else
+        rollout_send_chunk(sim, ORIGIN, event->from, event->number);
+}
+
+void rollout_sim_on_request(struct rollout_sim *sim, const struct event *event)
+{
+    if (event->to == ORIGIN) {
+        on_origin_request(sim, event);
+        return;
+    }
+    struct machine_sim *machine = &sim->machines[event->to];
+    if (!machine->alive || machine->stalled || !rollout_sim_reachable(sim, event->to, event->from))
+        return; /* no answer: the asker's timeout ends it */
+    rollout_sim_pay_control(machine, REQUEST_BYTES);
+    if (!rollout_sim_is_wanted(machine, event->number)) {
+        refuse(sim, event->from, event->to, event->number, SWARM_FAILURE_ABSENT, 0);
+        return;
+    }
+    enum swarm_upload verdict =
+        swarm_admit_upload(machine->swarm, rollout_sim_chunk_of(event->number), machine->uploads);
+    if (verdict == SWARM_UPLOAD_SERVE) {
+        machine->uploads++;
+        swarm_set_upload_queue(machine->swarm, machine->uploads);
+        rollout_send_chunk(sim, event->to, event->from, event->number);
+    } else {
+        static const enum swarm_failure failures[] = {SWARM_FAILURE_ERROR, SWARM_FAILURE_BUSY,
+                                                      SWARM_FAILURE_PENDING, SWARM_FAILURE_ABSENT};
+        refuse(sim, event->from, event->to, event->number, failures[verdict], 0);
+    }
+}
+
+static void end_upload(struct rollout_sim *sim, uint32_t from)
+{
+    if (from == ORIGIN || !sim->machines[from].uploads)
+        return;
+    struct machine_sim *machine = &sim->machines[from];
+    machine->uploads--;
+    if (machine->swarm)
+        swarm_set_upload_queue(machine->swarm, machine->uploads);
+}
+
+static bool sender_failed(const struct rollout_sim *sim, const struct event *event)
+{
+    if (event->from == ORIGIN)
+        return sim->origin_down;
+    const struct machine_sim *sender = &sim->machines[event->from];
+    return !sender->alive || sender->stalled;
+}
+
+void rollout_sim_on_deliver(struct rollout_sim *sim, const struct event *event)
+{
+    struct machine_sim *machine = &sim->machines[event->to];
+    bool failed = sender_failed(sim, event);
+    end_upload(sim, event->from);
+    if (!machine->alive || machine->stalled || failed ||
+        !rollout_sim_reachable(sim, event->to, event->from))
+        return;
+    uint64_t through =
+        rollout_sim_use_link(&machine->link, sim->now,
+                             rollout_sim_chunk_length(sim, rollout_sim_chunk_of(event->number)));
+    rollout_sim_push(sim, through, EVENT_ARRIVE, event->to, event->from, event->number, NULL);
+}
+
+static void pass_down_tree(struct rollout_sim *sim, struct machine_sim *machine, uint32_t chunk);
+
+/* Bytes of a rollout that is over, or that arrived wrong: told by their digest. */
+static bool passes_digest(const struct machine_sim *machine, uint32_t name)
+{
+    if (machine->sim->options.mutation == ROLLOUT_MUTATION_IGNORE_DIGEST)
+        return true;
+    return name != CORRUPT_CONTENT && rollout_sim_is_wanted(machine, name);
+}
+
+void rollout_sim_on_arrive(struct rollout_sim *sim, const struct event *event)
+{
+    struct machine_sim *machine = &sim->machines[event->to];
+    uint32_t chunk = rollout_sim_chunk_of(event->number);
+    uint32_t name = event->number;
+    if (!machine->alive || machine->stalled)
+        return;
+    if (sim->options.strategy != STRATEGY_SWARM) {
+        machine->content[chunk] = name;
+        machine->held++;
+        pass_down_tree(sim, machine, chunk);
+        return;
+    }
+    uint64_t now_us = sim->now / 1000;
+    uint64_t source = event->from == ORIGIN ? SWARM_ORIGIN : sim->machines[event->from].id;
+    if (random_unit(&sim->random) < sim->options.faults.corrupt)
+        name = CORRUPT_CONTENT;
+    if (!passes_digest(machine, name)) {
+        sim->result.chunks_rejected += name == CORRUPT_CONTENT;
+        if (rollout_sim_is_wanted(machine, event->number))
+            swarm_on_failure(machine->swarm, now_us, source, chunk, SWARM_FAILURE_CORRUPT, 0);
+        return;
+    }
+    if (swarm_on_chunk(machine->swarm, now_us, source, chunk))
+        machine->content[chunk] = name;
+    rollout_sim_serve_when_complete(machine);
+}
+
+void rollout_sim_on_refuse(struct rollout_sim *sim, const struct event *event)
+{
+    struct machine_sim *machine = &sim->machines[event->to];
+    const struct refusal *refusal = event->payload;
+    if (!machine->alive || machine->stalled || !rollout_sim_is_wanted(machine, event->number))
+        return;
+    uint64_t source = event->from == ORIGIN ? SWARM_ORIGIN : sim->machines[event->from].id;
+    swarm_on_failure(machine->swarm, sim->now / 1000, source, rollout_sim_chunk_of(event->number),
+                     refusal->failure, refusal->retry_after_us);
+}
+
+void rollout_sim_on_update(struct rollout_sim *sim, const struct event *event)
+{
+    struct machine_sim *machine = &sim->machines[event->to];
+    const struct machine_sim *sender = &sim->machines[event->from];
+    const struct update_copy *copy = event->payload;
+    bool lost = !machine->alive || machine->stalled || sender->stalled ||
+                copy->incarnation != sender->incarnation ||
+                !rollout_sim_reachable(sim, event->to, event->from);
+    if (lost)
+        return;
+    rollout_sim_use_link(&machine->link, sim->now, UPDATE_BYTES);
+    swarm_on_update(machine->swarm, sim->now / 1000, sender->id, &copy->update);
+    rollout_sim_serve_when_complete(machine);
+}
+
+void rollout_sim_on_tick(struct rollout_sim *sim, const struct event *event)
+{
+    struct machine_sim *machine = &sim->machines[event->to];
+    if (!machine->alive || machine->stalled || event->number != machine->incarnation)
+        return;
+    swarm_on_tick(machine->swarm, sim->now / 1000);
+    rollout_sim_push(sim, sim->now + sim->options.swarm.announce_us * 1000, EVENT_TICK, event->to,
+                     event->to, event->number, NULL);
+}
+
+/* ---- baselines ---- */
+
+static void pass_down_tree(struct rollout_sim *sim, struct machine_sim *machine, uint32_t chunk)
+{
+    bool whole = machine->held == sim->chunk_count;
+    if (whole && !machine->serves) {
+        rollout_sim_check_load(machine);
+        machine->serves = true;
+        sim->serving++;
+        sim->serve_times[sim->serve_count++] = sim->now;
+    }
+    if (sim->options.strategy == STRATEGY_ORIGIN_ONLY)
+        return;
+    for (uint32_t child = 1; child <= TREE_CHILDREN; child++) {
+        uint32_t to = machine->index * TREE_CHILDREN + child;
+        if (to >= sim->options.machines)
+            continue;
+        if (sim->options.strategy == STRATEGY_CHUNKED_TREE)
+            rollout_send_chunk(sim, machine->index, to, chunk);
+        else if (whole)
+            for (uint32_t i = 0; i < sim->chunk_count; i++)
+                rollout_send_chunk(sim, machine->index, to, i);
+    }
+}
+
+/* The origin sends chunk after chunk: to the root of a tree, or to every machine in turn. */
+void rollout_sim_feed(struct rollout_sim *sim)
+{
+    uint32_t receivers = sim->options.strategy == STRATEGY_ORIGIN_ONLY ? sim->options.machines : 1;
+    rollout_send_chunk(sim, ORIGIN, sim->feed_machine, sim->feed_chunk);
+    if (++sim->feed_machine == receivers) {
+        sim->feed_machine = 0;
+        sim->feed_chunk++;
+    }
+    if (sim->feed_chunk < sim->chunk_count)
+        rollout_sim_push(sim, sim->origin.busy_until, EVENT_FEED, 0, 0, 0, NULL);
+}
--- a/src/sim/simulate.c
+++ b/src/sim/simulate.c
@@ -1,7 +1,7 @@
 #include "sim/simulate.h"
 
 #include "base/clock.h"
-#include "sim/rollout_sim.h"
+#include "sim/rollout/rollout_sim.h"
 #include "sim/scenario_run.h"
 
 #include <argp.h>
--- a/tests/sim/rollout_sim_test.c
+++ b/tests/sim/rollout/rollout_sim_test.c
@@ -1,6 +1,6 @@
 #include "testing.h"
 
-#include "sim/rollout_sim.h"
+#include "sim/rollout/rollout_sim.h"
 
 #include <string.h>
 
