Encrypted links with keys exchanged under traffic, TLS for callers

Cause: control links were open to anybody who could reach the port.

Change: key ring of two slots, gatekeeper (ZAP), listeners with a socket for each slot, shuntrun keys; the files are read again within a second. TLS of the gateways' listener. Links to machines that left the list are closed. A test that 24 processes under four locales place alike.

Ruled out: counting strangers in the gatekeeper alone. The first run of the test waited in vain: a client without the server's key fails before it is asked for; handshakes are now watched.

Measured: under 20 requests a second both exchanges of keys lost, cut, doubled or left unknown nothing; a stranger is refused, logged and hears nobody.

Chunks between machines stay in the clear.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -30,6 +30,7 @@
 
 struct agent {
     struct settings settings;
+    struct key_ring keys;
     struct node_shell shell;
     struct status_page *page;
     struct blob_store *store;
@@ -523,16 +524,23 @@
 
 /* ---- life ---- */
 
+static void on_keys_changed(void *context, const struct key_ring *keys)
+{
+    struct agent *agent = context;
+    agent_traffic_set_keys(agent->traffic, keys);
+}
+
 static enum status open_agent(struct agent *agent)
 {
-    struct node_shell_callbacks callbacks = {agent, on_view_changed, on_update, on_tick};
+    struct node_shell_callbacks callbacks = {agent, on_view_changed, on_update, on_tick,
+                                             on_keys_changed};
     agent->page = status_page_create();
     link_pace_init(&agent->pace, agent->settings.link_bytes_per_second);
     agent->store = blob_store_create(agent->settings.weights_memory_mb << 20);
-    if (node_shell_open(&agent->shell, &agent->settings, MACHINE_AGENT, &callbacks) != STATUS_OK)
+    if (node_shell_open(&agent->shell, &agent->settings, &agent->keys, MACHINE_AGENT, &callbacks) !=
+        STATUS_OK)
         return STATUS_IO;
-    agent->traffic = agent_traffic_start(&agent->settings, agent->shell.zmq,
-                                         node_id(agent->shell.node), agent->shell.incarnation);
+    agent->traffic = agent_traffic_start(&agent->settings, &agent->shell);
     if (!agent->traffic)
         return STATUS_IO;
     agent->transfer = transfer_start(agent->settings.name, agent->store, &agent->pace,
@@ -557,7 +565,8 @@
 int agent_main(int argc, char **argv)
 {
     struct agent *agent = memory_zero(1, sizeof *agent);
-    int exit_status = daemon_settings(SETTING_ROLE_AGENT, argc, argv, &agent->settings);
+    int exit_status =
+        daemon_settings(SETTING_ROLE_AGENT, argc, argv, &agent->settings, &agent->keys);
     if (exit_status == 0) {
         daemon_drain_init(&agent->drain, agent->settings.drain_timeout_ms, 0);
         if (open_agent(agent) == STATUS_OK) {
--- a/src/agent/agent_traffic.c
+++ b/src/agent/agent_traffic.c
@@ -14,7 +14,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <zmq.h>
 
 #define TICK_US (50 * MICROSECONDS_PER_MILLISECOND)
 #define PAUSE_US MICROSECONDS_PER_SECOND
@@ -40,7 +39,7 @@
 struct agent_traffic {
     const struct settings *settings;
     struct loop *loop;
-    void *socket;
+    struct link_listener *listener;
     struct executor *executor;
     struct engine_run *runs;
     struct link_route routes[MAX_ROUTES];
@@ -55,7 +54,7 @@
 static uint64_t route_index(struct agent_traffic *traffic, const struct link_route *route)
 {
     for (uint32_t i = 0; i < traffic->route_count; i++)
-        if (traffic->routes[i].size == route->size &&
+        if (traffic->routes[i].size == route->size && traffic->routes[i].slot == route->slot &&
             memcmp(traffic->routes[i].bytes, route->bytes, route->size) == 0)
             return i;
     /* The oldest entry is reused; answers to its gateway are then lost, which it notices. */
@@ -73,7 +72,7 @@
     envelope.from_incarnation = traffic->incarnation;
     envelope.body_case = SHUNTRUN__ENVELOPE__BODY_ANSWER;
     envelope.answer = answer;
-    links_answer(traffic->socket, &traffic->routes[route], &envelope);
+    link_listener_answer(traffic->listener, &traffic->routes[route], &envelope);
 }
 
 /* ---- runs ---- */
@@ -247,7 +246,7 @@
     struct agent_traffic *traffic = context;
     struct link_route route;
     Shuntrun__Envelope *message;
-    while ((message = links_take_traffic(traffic->socket, &route))) {
+    while ((message = link_listener_take(traffic->listener, &route))) {
         uint64_t now = clock_monotonic_us();
         if (message->body_case == SHUNTRUN__ENVELOPE__BODY_FORWARD)
             executor_on_forward(traffic->executor, now, route_index(traffic, &route),
@@ -282,13 +281,9 @@
     return NULL;
 }
 
-struct agent_traffic *agent_traffic_start(const struct settings *settings, void *zmq, uint64_t self,
-                                          uint64_t incarnation)
+struct agent_traffic *agent_traffic_start(const struct settings *settings,
+                                          const struct node_shell *shell)
 {
-    void *socket =
-        links_bind(zmq, LINK_TRAFFIC, settings->address, (uint16_t)settings->traffic_port);
-    if (!socket)
-        return NULL;
     struct agent_traffic *traffic = memory_zero(1, sizeof *traffic);
     struct executor_driver driver = {traffic, send_answer, start_run, cancel_run};
     struct executor_settings executor_settings = {
@@ -298,14 +293,21 @@
         .pause_us = PAUSE_US,
     };
     traffic->settings = settings;
-    traffic->socket = socket;
-    traffic->incarnation = incarnation;
+    traffic->incarnation = shell->incarnation;
     traffic->loop = loop_create();
-    traffic->executor =
-        executor_create(&executor_settings, self, incarnation, clock_monotonic_us(), &driver);
+    traffic->executor = executor_create(&executor_settings, node_id(shell->node),
+                                        shell->incarnation, clock_monotonic_us(), &driver);
     if (settings->service_name)
         executor_set_service(traffic->executor, settings->service_name);
-    loop_watch_socket(traffic->loop, socket, on_request, traffic);
+    traffic->listener = link_listener_open(shell->zmq, LINK_TRAFFIC, settings->address,
+                                           (uint16_t)settings->traffic_port, &shell->keys,
+                                           traffic->loop, on_request, traffic);
+    if (!traffic->listener) {
+        executor_destroy(traffic->executor);
+        loop_destroy(traffic->loop);
+        free(traffic);
+        return NULL;
+    }
     loop_set_tick(traffic->loop, TICK_US, on_tick, traffic);
     pthread_create(&traffic->thread, NULL, run_thread, traffic);
     return traffic;
@@ -319,10 +321,10 @@
     pthread_join(traffic->thread, NULL);
     loop_drain(traffic->loop);
     executor_destroy(traffic->executor);
+    link_listener_close(traffic->listener);
     loop_destroy(traffic->loop);
     while (traffic->runs)
         unlink_run(traffic, traffic->runs);
-    zmq_close(traffic->socket);
     free(traffic);
 }
 
@@ -378,6 +380,25 @@
     loop_post(traffic->loop, apply_ready, change);
 }
 
+struct key_change {
+    struct agent_traffic *traffic;
+    struct key_ring keys;
+};
+
+static void apply_keys(void *argument)
+{
+    struct key_change *change = argument;
+    link_listener_set_keys(change->traffic->listener, &change->keys);
+    free(change);
+}
+
+void agent_traffic_set_keys(struct agent_traffic *traffic, const struct key_ring *keys)
+{
+    struct key_change *change = memory_zero(1, sizeof *change);
+    *change = (struct key_change){traffic, *keys};
+    loop_post(traffic->loop, apply_keys, change);
+}
+
 static void apply_draining(void *argument)
 {
     struct change *change = argument;
--- a/src/agent/agent_traffic.h
+++ b/src/agent/agent_traffic.h
@@ -7,6 +7,7 @@
 
 #include "base/settings.h"
 #include "core/executor.h"
+#include "net/node_shell.h"
 
 struct agent_traffic;
 
@@ -18,10 +19,12 @@
 };
 
 /** \return NULL with a status message when the port cannot be bound */
-struct agent_traffic *agent_traffic_start(const struct settings *settings, void *zmq, uint64_t self,
-                                          uint64_t incarnation);
+struct agent_traffic *agent_traffic_start(const struct settings *settings,
+                                          const struct node_shell *shell);
 void agent_traffic_stop(struct agent_traffic *traffic);
 
+void agent_traffic_set_keys(struct agent_traffic *traffic, const struct key_ring *keys);
+
 /** \brief Post a configuration; `body` is parsed again on the traffic thread. */
 void agent_traffic_set_config(struct agent_traffic *traffic, const struct fleet_config *config);
 void agent_traffic_set_ready(struct agent_traffic *traffic, const struct ready_model *models,
--- a/src/gateway/caller.c
+++ b/src/gateway/caller.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #define HTTP_THREADS 2
+#define MAX_PEM (64 * 1024)
 #define MAX_PRIORITY 9
 #define MAX_TIMEOUT_MS 3600000
 
@@ -24,6 +25,8 @@
     pthread_mutex_t lock;
     json_t *endpoints;
     json_t *tickets;
+    char *tls_certificate; /* PEM; NULL: plain HTTP */
+    char *tls_key;
     bool detached;
 };
 
@@ -190,6 +193,34 @@
     pthread_mutex_unlock(&front->lock);
 }
 
+static char *read_pem(const char *path)
+{
+    FILE *stream = fopen(path, "r");
+    if (!stream) {
+        status_fail(STATUS_INVALID, "%s: %s", path, strerror(errno));
+        return NULL;
+    }
+    char *text = memory_zero(MAX_PEM + 1, 1);
+    size_t size = fread(text, 1, MAX_PEM, stream);
+    text[size] = 0;
+    fclose(stream);
+    return text;
+}
+
+static enum status read_tls(struct caller_front *front, struct http_server_settings *http)
+{
+    const struct settings *settings = front->settings;
+    if (!settings->tls_certificate_file && !settings->tls_key_file)
+        return STATUS_OK;
+    if (!settings->tls_certificate_file || !settings->tls_key_file)
+        return status_fail(STATUS_INVALID, "tls-certificate-file and tls-key-file belong together");
+    front->tls_certificate = read_pem(settings->tls_certificate_file);
+    front->tls_key = read_pem(settings->tls_key_file);
+    http->tls_certificate = front->tls_certificate;
+    http->tls_key = front->tls_key;
+    return front->tls_certificate && front->tls_key ? STATUS_OK : STATUS_INVALID;
+}
+
 struct caller_front *caller_front_start(const struct settings *settings, struct status_page *page,
                                         struct gateway_traffic *traffic)
 {
@@ -210,7 +241,8 @@
     front->endpoints = json_array();
     front->tickets = json_object();
     pthread_mutex_init(&front->lock, NULL);
-    front->http = http_server_start(&http);
+    if (read_tls(front, &http) == STATUS_OK)
+        front->http = http_server_start(&http);
     if (front->http)
         return front;
     caller_front_stop(front);
@@ -222,6 +254,8 @@
     if (!front)
         return;
     http_server_stop(front->http);
+    free(front->tls_certificate);
+    free(front->tls_key);
     json_decref(front->endpoints);
     json_decref(front->tickets);
     pthread_mutex_destroy(&front->lock);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -22,6 +22,7 @@
 
 struct gateway {
     struct settings settings;
+    struct key_ring keys;
     struct node_shell shell;
     struct status_page *page;
     struct gateway_traffic *traffic;
@@ -156,15 +157,21 @@
 
 /* ---- life ---- */
 
+static void on_keys_changed(void *context, const struct key_ring *keys)
+{
+    struct gateway *gateway = context;
+    gateway_traffic_set_keys(gateway->traffic, keys);
+}
+
 static enum status open_gateway(struct gateway *gateway)
 {
-    struct node_shell_callbacks callbacks = {gateway, on_view_changed, on_update, on_tick};
+    struct node_shell_callbacks callbacks = {gateway, on_view_changed, on_update, on_tick,
+                                             on_keys_changed};
     gateway->page = status_page_create();
-    if (node_shell_open(&gateway->shell, &gateway->settings, MACHINE_GATEWAY, &callbacks) !=
-        STATUS_OK)
+    if (node_shell_open(&gateway->shell, &gateway->settings, &gateway->keys, MACHINE_GATEWAY,
+                        &callbacks) != STATUS_OK)
         return STATUS_IO;
-    gateway->traffic = gateway_traffic_start(&gateway->settings, gateway->shell.zmq,
-                                             gateway->shell.incarnation, gateway->page);
+    gateway->traffic = gateway_traffic_start(&gateway->settings, &gateway->shell, gateway->page);
     gateway->front = caller_front_start(&gateway->settings, gateway->page, gateway->traffic);
     return gateway->front ? STATUS_OK : STATUS_IO;
 }
@@ -182,7 +189,8 @@
 int gateway_main(int argc, char **argv)
 {
     struct gateway *gateway = memory_zero(1, sizeof *gateway);
-    int exit_status = daemon_settings(SETTING_ROLE_GATEWAY, argc, argv, &gateway->settings);
+    int exit_status =
+        daemon_settings(SETTING_ROLE_GATEWAY, argc, argv, &gateway->settings, &gateway->keys);
     if (exit_status == 0) {
         /* Callers may keep an old address answer until its max-age is over. */
         daemon_drain_init(&gateway->drain, gateway->settings.drain_timeout_ms,
--- a/src/gateway/gateway_traffic.c
+++ b/src/gateway/gateway_traffic.c
@@ -285,6 +285,25 @@
     loop_post(traffic->loop, apply_view, change);
 }
 
+struct key_change {
+    struct gateway_traffic *traffic;
+    struct key_ring keys;
+};
+
+static void apply_keys(void *argument)
+{
+    struct key_change *change = argument;
+    links_set_keys(change->traffic->links, &change->keys);
+    free(change);
+}
+
+void gateway_traffic_set_keys(struct gateway_traffic *traffic, const struct key_ring *keys)
+{
+    struct key_change *change = memory_zero(1, sizeof *change);
+    *change = (struct key_change){traffic, *keys};
+    loop_post(traffic->loop, apply_keys, change);
+}
+
 uint32_t gateway_traffic_active(const struct gateway_traffic *traffic)
 {
     return ck_pr_load_32(&traffic->active);
@@ -340,8 +359,9 @@
     return NULL;
 }
 
-struct gateway_traffic *gateway_traffic_start(const struct settings *settings, void *zmq,
-                                              uint64_t incarnation, struct status_page *page)
+struct gateway_traffic *gateway_traffic_start(const struct settings *settings,
+                                              const struct node_shell *shell,
+                                              struct status_page *page)
 {
     struct gateway_traffic *traffic = memory_zero(1, sizeof *traffic);
     struct router_driver driver = {traffic, forward, cancel, begin, data, end};
@@ -354,8 +374,10 @@
     traffic->page = page;
     traffic->next_call = 1;
     traffic->loop = loop_create();
-    traffic->links = links_create(zmq, LINK_TRAFFIC, traffic->loop, take_answer, traffic);
-    traffic->router = router_create(&router_settings, incarnation, incarnation, &driver);
+    traffic->links =
+        links_create(shell->zmq, LINK_TRAFFIC, &shell->keys, traffic->loop, take_answer, traffic);
+    traffic->router =
+        router_create(&router_settings, shell->incarnation, shell->incarnation, &driver);
     loop_set_tick(traffic->loop, TICK_US, on_tick, traffic);
     pthread_create(&traffic->thread, NULL, run_thread, traffic);
     return traffic;
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -8,16 +8,20 @@
 #include "base/settings.h"
 #include "core/router.h"
 #include "core/routing_view.h"
+#include "net/node_shell.h"
 
 struct gateway_traffic;
 struct http_exchange;
 struct status_page;
 
 /** \param page gets the counts by service and tenant */
-struct gateway_traffic *gateway_traffic_start(const struct settings *settings, void *zmq,
-                                              uint64_t incarnation, struct status_page *page);
+struct gateway_traffic *gateway_traffic_start(const struct settings *settings,
+                                              const struct node_shell *shell,
+                                              struct status_page *page);
 void gateway_traffic_stop(struct gateway_traffic *traffic);
 
+void gateway_traffic_set_keys(struct gateway_traffic *traffic, const struct key_ring *keys);
+
 /** \brief Use a new view; taken over. */
 void gateway_traffic_set_view(struct gateway_traffic *traffic, struct routing_view *view);
 
--- a/src/main.c
+++ b/src/main.c
@@ -3,6 +3,7 @@
  */
 #include "agent/agent.h"
 #include "gateway/gateway.h"
+#include "net/key_ring.h"
 #include "sim/scenario_run.h"
 #include "sim/simulate.h"
 #include "tool/check.h"
@@ -29,6 +30,7 @@
     {"report", report_main, "report service-level burn"},
     {"simulate", simulate_main, "simulate a whole fleet on a virtual clock"},
     {"replay", replay_main, "run a recorded session again and compare"},
+    {"keys", keys_main, "print a key file for links between own processes"},
     {"load", load_main, "send load to a running system and check every answer"},
 };
 
--- a/src/net/daemon.c
+++ b/src/net/daemon.c
@@ -25,10 +25,15 @@
     sigaction(SIGPIPE, &ignore, NULL);
 }
 
-int daemon_settings(enum setting_role role, int argc, char **argv, struct settings *settings)
+int daemon_settings(enum setting_role role, int argc, char **argv, struct settings *settings,
+                    struct key_ring *keys)
 {
     struct findings findings = {0};
     enum status status = settings_read(role, argc, argv, settings, &findings);
+    *keys = (struct key_ring){0};
+    if (settings->control_keys_file &&
+        key_ring_read(settings->control_keys_file, keys, &findings) != STATUS_OK)
+        status = STATUS_INVALID;
     findings_print(&findings, stderr);
     findings_clear(&findings);
     if (status != STATUS_OK)
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -11,11 +11,11 @@
 #include <jansson.h>
 
 /**
- * \brief Read settings, print findings, set up the log and signals. SIGTERM and SIGINT ask for a
- *        planned stop.
- * \return 0, or 2 with the findings printed
+ * \brief Read settings and the key file, print findings, set up the log and signals. SIGTERM and
+ * SIGINT ask for a planned stop. \return 0, or 2 with the findings printed
  */
-int daemon_settings(enum setting_role role, int argc, char **argv, struct settings *settings);
+int daemon_settings(enum setting_role role, int argc, char **argv, struct settings *settings,
+                    struct key_ring *keys);
 
 /** A planned stop: no new work, then the end of what is in progress. */
 struct daemon_drain {
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -344,13 +344,21 @@
         free(server);
         return NULL;
     }
+    struct MHD_OptionItem tls[] = {
+        {MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)settings->tls_certificate},
+        {MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)settings->tls_key},
+        {MHD_OPTION_END, 0, NULL}};
+    unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+    if (settings->tls_certificate)
+        flags |= MHD_USE_TLS;
+    else
+        tls[0].option = MHD_OPTION_END;
     server->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, settings->port, NULL, NULL,
-        on_access, server, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
-        MHD_OPTION_THREAD_POOL_SIZE, settings->threads, MHD_OPTION_CONNECTION_LIMIT,
-        settings->connection_limit, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_SECONDS,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, server, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-        MHD_OPTION_END);
+        flags, settings->port, NULL, NULL, on_access, server, MHD_OPTION_SOCK_ADDR,
+        (struct sockaddr *)&address, MHD_OPTION_THREAD_POOL_SIZE, settings->threads,
+        MHD_OPTION_CONNECTION_LIMIT, settings->connection_limit, MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned)IDLE_TIMEOUT_SECONDS, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
     if (!server->daemon) {
         status_fail(STATUS_IO, "cannot listen on %s:%u", settings->address, settings->port);
         free(server);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,6 +35,8 @@
     unsigned threads;
     unsigned connection_limit;
     size_t body_limit;
+    const char *tls_certificate; /**< PEM text; NULL: plain HTTP */
+    const char *tls_key;
     http_handler *handler;
     /** The client of a kept exchange went away, or its response is complete; the exchange is freed
      *  when the handler's owner calls http_release(). May be NULL. */
--- /dev/null
+++ b/src/net/link_listener.c
@@ -0,0 +1,189 @@
+/**
+ * Listening side of the links: one socket for each key slot.
+ */
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "net/link_socket.h"
+#include "net/links.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#define ENDPOINT_SIZE (FLEET_ADDRESS_SIZE + 16)
+
+struct link_listener {
+    void *zmq;
+    enum link_kind kind;
+    struct loop *loop;
+    loop_callback *readable;
+    void *context;
+    struct key_ring keys;
+    char endpoints[KEY_SLOTS][ENDPOINT_SIZE];
+    void *sockets[KEY_SLOTS];  /* NULL: the slot is not served */
+    void *monitors[KEY_SLOTS]; /* events of handshakes that failed */
+};
+
+/* A stranger without the fleet's keys does not get as far as the gatekeeper: its handshake fails.
+ */
+static void on_refused_handshake(void *context)
+{
+    struct link_listener *listener = context;
+    char event[16];
+    char address[ENDPOINT_SIZE];
+    for (unsigned slot = 0; slot < KEY_SLOTS; slot++) {
+        void *monitor = listener->monitors[slot];
+        while (monitor && link_socket_readable(monitor)) {
+            zmq_recv(monitor, event, sizeof event, ZMQ_DONTWAIT);
+            int length = zmq_recv(monitor, address, sizeof address - 1, ZMQ_DONTWAIT);
+            metric_add(METRIC_STRANGERS_REFUSED, 1);
+            log_event(LOG_LEVEL_WARN, "links", "stranger_refused", "endpoint=%.*s",
+                      length > 0 ? length : 0, address);
+        }
+    }
+}
+
+static void open_monitor(struct link_listener *listener, unsigned slot)
+{
+    char endpoint[64];
+    snprintf(endpoint, sizeof endpoint, "inproc://handshakes-%d-%u", listener->kind, slot);
+    zmq_socket_monitor(listener->sockets[slot], endpoint,
+                       ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL | ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL |
+                           ZMQ_EVENT_HANDSHAKE_FAILED_AUTH);
+    listener->monitors[slot] = zmq_socket(listener->zmq, ZMQ_PAIR);
+    zmq_connect(listener->monitors[slot], endpoint);
+    loop_watch_socket(listener->loop, listener->monitors[slot], on_refused_handshake, listener);
+}
+
+static void close_monitor(struct link_listener *listener, unsigned slot)
+{
+    zmq_socket_monitor(listener->sockets[slot], NULL, 0);
+    loop_unwatch_socket(listener->loop, listener->monitors[slot]);
+    zmq_close(listener->monitors[slot]);
+    listener->monitors[slot] = NULL;
+}
+
+static enum status open_slot(struct link_listener *listener, unsigned slot)
+{
+    int type = listener->kind == LINK_CONTROL ? ZMQ_PULL : ZMQ_ROUTER;
+    void *socket = zmq_socket(listener->zmq, type);
+    link_socket_prepare(socket);
+    link_socket_serve_keys(socket, &listener->keys, slot);
+    if (zmq_bind(socket, listener->endpoints[slot]) != 0) {
+        status_fail(STATUS_IO, "%s: %s", listener->endpoints[slot], zmq_strerror(zmq_errno()));
+        zmq_close(socket);
+        return STATUS_IO;
+    }
+    listener->sockets[slot] = socket;
+    loop_watch_socket(listener->loop, socket, listener->readable, listener->context);
+    open_monitor(listener, slot);
+    return STATUS_OK;
+}
+
+static void close_slot(struct link_listener *listener, unsigned slot)
+{
+    if (!listener->sockets[slot])
+        return;
+    close_monitor(listener, slot);
+    loop_unwatch_socket(listener->loop, listener->sockets[slot]);
+    zmq_close(listener->sockets[slot]);
+    listener->sockets[slot] = NULL;
+}
+
+static bool is_served(const struct key_ring *keys, unsigned slot)
+{
+    return keys->enabled ? keys->slots[slot].present : slot == 0;
+}
+
+struct link_listener *link_listener_open(void *zmq, enum link_kind kind, const char *address,
+                                         uint16_t port, const struct key_ring *keys,
+                                         struct loop *loop, loop_callback *readable, void *context)
+{
+    struct link_listener *listener = memory_zero(1, sizeof *listener);
+    *listener = (struct link_listener){
+        .zmq = zmq, .kind = kind, .loop = loop, .readable = readable, .context = context};
+    listener->keys = *keys;
+    for (unsigned slot = 0; slot < KEY_SLOTS; slot++) {
+        snprintf(listener->endpoints[slot], ENDPOINT_SIZE, "tcp://%s:%u", address,
+                 port + slot * KEY_SLOT_PORT_STEP);
+        if (is_served(keys, slot) && open_slot(listener, slot) != STATUS_OK) {
+            link_listener_close(listener);
+            return NULL;
+        }
+    }
+    return listener;
+}
+
+void link_listener_close(struct link_listener *listener)
+{
+    if (!listener)
+        return;
+    for (unsigned slot = 0; slot < KEY_SLOTS; slot++)
+        close_slot(listener, slot);
+    free(listener);
+}
+
+void link_listener_set_keys(struct link_listener *listener, const struct key_ring *keys)
+{
+    struct key_ring before = listener->keys;
+    listener->keys = *keys;
+    for (unsigned slot = 0; slot < KEY_SLOTS; slot++) {
+        if (memcmp(&before.slots[slot], &keys->slots[slot], sizeof before.slots[slot]) == 0)
+            continue;
+        close_slot(listener, slot);
+        if (is_served(keys, slot))
+            open_slot(listener, slot); /* a port that is still busy is tried at the next change */
+    }
+}
+
+static bool take_identity(void *socket, struct link_route *route)
+{
+    zmq_msg_t identity;
+    zmq_msg_init(&identity);
+    bool taken = zmq_msg_recv(&identity, socket, ZMQ_DONTWAIT) >= 0;
+    size_t size = taken ? zmq_msg_size(&identity) : 0;
+    if (taken && size <= LINK_ROUTE_SIZE) {
+        memcpy(route->bytes, zmq_msg_data(&identity), size);
+        route->size = (uint8_t)size;
+    }
+    zmq_msg_close(&identity);
+    return taken;
+}
+
+static Shuntrun__Envelope *take_from(struct link_listener *listener, unsigned slot,
+                                     struct link_route *route)
+{
+    void *socket = listener->sockets[slot];
+    while (socket && link_socket_readable(socket)) {
+        if (listener->kind == LINK_TRAFFIC && !take_identity(socket, route))
+            return NULL;
+        Shuntrun__Envelope *message = link_socket_take(socket);
+        if (!message)
+            continue; /* malformed bytes are dropped */
+        if (route)
+            route->slot = (uint8_t)slot;
+        return message;
+    }
+    return NULL;
+}
+
+Shuntrun__Envelope *link_listener_take(struct link_listener *listener, struct link_route *route)
+{
+    Shuntrun__Envelope *message = NULL;
+    for (unsigned slot = 0; slot < KEY_SLOTS && !message; slot++)
+        message = take_from(listener, slot, route);
+    return message;
+}
+
+enum status link_listener_answer(struct link_listener *listener, const struct link_route *route,
+                                 const Shuntrun__Envelope *message)
+{
+    void *socket = listener->sockets[route->slot];
+    if (!socket)
+        return status_fail(STATUS_IO, "the slot of this connection is closed");
+    if (zmq_send(socket, route->bytes, route->size, ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
+        return status_fail(STATUS_IO, "%s", zmq_strerror(zmq_errno()));
+    return link_socket_send(socket, message);
+}
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -1,12 +1,13 @@
 /**
  * ZeroMQ links between own processes.
  *
- * Control messages are one-way: each node binds one PULL socket and connects a PUSH socket to each
- * peer it sends to. Forwarded requests use a DEALER at the gateway and a ROUTER at the agent. A
- * message is queued only on a finished connection (ZMQ_IMMEDIATE) and dropped when the connection
+ * Control messages are one-way: each node listens with a PULL socket and connects a PUSH socket to
+ * each peer it sends to. Forwarded requests use a DEALER at the gateway and a ROUTER at the agent.
+ * A message is queued only on a finished connection (ZMQ_IMMEDIATE) and dropped when the connection
  * breaks, so nothing is sent twice or late by the transport.
  *
- * A set of links belongs to one thread.
+ * With a key ring (key_ring.h), links are encrypted and authenticated, and a listener has one
+ * socket for each key slot. A set of links or a listener belongs to one thread.
  */
 #ifndef SHUNTRUN_LINKS_H
 #define SHUNTRUN_LINKS_H
@@ -14,12 +15,15 @@
 #include "base/status.h"
 #include "core/fleet.h"
 #include "generated/messages.pb-c.h"
+#include "net/key_ring.h"
 #include "net/loop.h"
 
 #include <stdint.h>
 
 enum link_kind { LINK_CONTROL, LINK_TRAFFIC };
 
+/* ---- outgoing ---- */
+
 struct links;
 
 /** An answer came over a LINK_TRAFFIC link; the message is valid during the call. */
@@ -30,10 +34,13 @@
  * \param loop whose thread owns the links
  * \param take for answers; NULL for LINK_CONTROL
  */
-struct links *links_create(void *zmq, enum link_kind kind, struct loop *loop, links_take *take,
-                           void *context);
+struct links *links_create(void *zmq, enum link_kind kind, const struct key_ring *keys,
+                           struct loop *loop, links_take *take, void *context);
 void links_destroy(struct links *links);
 
+/** \brief Connect anew with other keys; old connections still bring their answers for a while. */
+void links_set_keys(struct links *links, const struct key_ring *keys);
+
 /** \brief Connect ahead of the first message. */
 void links_connect(struct links *links, const struct machine *machine);
 /** \brief Close links to machines that are not in the list. */
@@ -43,22 +50,35 @@
 enum status links_send(struct links *links, const struct machine *machine,
                        const Shuntrun__Envelope *message);
 
-/** \brief Bind a PULL (control) or ROUTER (traffic) socket. \return NULL with a status message */
-void *links_bind(void *zmq, enum link_kind kind, const char *address, uint16_t port);
+/* ---- incoming ---- */
+
+struct link_listener;
 
-/** \brief Next message of a bound control socket; NULL when there is none. Freed by the caller. */
-Shuntrun__Envelope *links_take_control(void *socket);
+/** \return NULL with a status message when a port cannot be bound */
+struct link_listener *link_listener_open(void *zmq, enum link_kind kind, const char *address,
+                                         uint16_t port, const struct key_ring *keys,
+                                         struct loop *loop, loop_callback *readable, void *context);
+void link_listener_close(struct link_listener *listener);
+
+/** \brief Bind slots whose keys changed anew; connections of the other slot go on. */
+void link_listener_set_keys(struct link_listener *listener, const struct key_ring *keys);
 
 #define LINK_ROUTE_SIZE 32
 
-/** Where an answer goes: the identity of a connection at a ROUTER socket. */
+/** Where an answer goes: the identity of a connection at a ROUTER socket of one slot. */
 struct link_route {
     uint8_t bytes[LINK_ROUTE_SIZE];
     uint8_t size;
+    uint8_t slot;
 };
 
-Shuntrun__Envelope *links_take_traffic(void *socket, struct link_route *route);
-enum status links_answer(void *socket, const struct link_route *route,
-                         const Shuntrun__Envelope *message);
+/**
+ * \brief Next message, or NULL when there is none.
+ * \param route filled for LINK_TRAFFIC; may be NULL for LINK_CONTROL
+ * \return freed by the caller with shuntrun__envelope__free_unpacked()
+ */
+Shuntrun__Envelope *link_listener_take(struct link_listener *listener, struct link_route *route);
+enum status link_listener_answer(struct link_listener *listener, const struct link_route *route,
+                                 const Shuntrun__Envelope *message);
 
 #endif
--- a/src/net/node_shell.c
+++ b/src/net/node_shell.c
@@ -12,6 +12,7 @@
 #include <zmq.h>
 
 #define TICK_US (50 * MICROSECONDS_PER_MILLISECOND)
+#define KEY_CHECK_US MICROSECONDS_PER_SECOND
 #define WATCH_WAIT_MS 2000
 #define WATCH_TIMEOUT_MS 5000
 
@@ -87,10 +88,21 @@
     links_send(shell->links, to, message); /* lost messages are made up for by later updates */
 }
 
+static void close_links_of_the_departed(struct node_shell *shell)
+{
+    const struct fleet *fleet = node_fleet(shell->node);
+    uint64_t *ids = memory_zero(fleet->count, sizeof *ids);
+    for (uint32_t i = 0; i < fleet->count; i++)
+        ids[i] = fleet->machines[i].id;
+    links_keep(shell->links, ids, fleet->count);
+    free(ids);
+}
+
 static void on_view_changed(void *context)
 {
     struct node_shell *shell = context;
     const struct fleet_config *config = node_config(shell->node);
+    close_links_of_the_departed(shell);
     if (config) {
         metric_add(METRIC_CONFIG_ACCEPTED, 1);
         metric_gauge_set(METRIC_CONFIG_REVISION, config->revision);
@@ -119,16 +131,50 @@
 {
     struct node_shell *shell = context;
     Shuntrun__Envelope *message;
-    while ((message = links_take_control(shell->inbound))) {
+    while ((message = link_listener_take(shell->inbound, NULL))) {
         node_on_message(shell->node, clock_monotonic_us(), message);
         shuntrun__envelope__free_unpacked(message, NULL);
     }
 }
 
+static void use_keys(struct node_shell *shell, const struct key_ring *keys)
+{
+    shell->keys = *keys;
+    gatekeeper_set_keys(shell->gatekeeper, keys);
+    link_listener_set_keys(shell->inbound, keys);
+    links_set_keys(shell->links, keys);
+    shell->callbacks.keys_changed(shell->callbacks.context, keys);
+    log_event(LOG_LEVEL_INFO, "links", "keys_changed", "use=%c", "ab"[keys->use]);
+}
+
+/* A key file with errors changes nothing: the keys in use stay. */
+static void check_keys(struct node_shell *shell)
+{
+    const char *path = shell->settings->control_keys_file;
+    struct timespec changed = key_ring_changed_at(path);
+    struct findings findings = {0};
+    struct key_ring keys;
+    bool same = changed.tv_sec == shell->keys_changed_at.tv_sec &&
+                changed.tv_nsec == shell->keys_changed_at.tv_nsec;
+    if (same)
+        return;
+    shell->keys_changed_at = changed;
+    if (key_ring_read(path, &keys, &findings) == STATUS_OK)
+        use_keys(shell, &keys);
+    for (size_t i = 0; i < findings.count; i++)
+        log_event(LOG_LEVEL_ERROR, "links", "keys_refused", "place=\"%s\" finding=\"%s\"",
+                  findings.items[i].place, findings.items[i].text);
+    findings_clear(&findings);
+}
+
 static void on_tick(void *context)
 {
     struct node_shell *shell = context;
     uint64_t now = clock_monotonic_us();
+    if (shell->settings->control_keys_file && now >= shell->next_key_check) {
+        shell->next_key_check = now + KEY_CHECK_US;
+        check_keys(shell);
+    }
     node_on_tick(shell->node, now);
     metric_gauge_set(METRIC_LIVE_PEERS, node_alive_peers(shell->node, now));
     shell->callbacks.tick(shell->callbacks.context, now);
@@ -153,22 +199,37 @@
     node_set_status(shell->node, now, &status);
 }
 
+static enum status open_links(struct node_shell *shell)
+{
+    const struct settings *settings = shell->settings;
+    shell->gatekeeper = gatekeeper_open(shell->zmq, shell->loop, &shell->keys);
+    if (!shell->gatekeeper)
+        return STATUS_IO;
+    shell->inbound = link_listener_open(shell->zmq, LINK_CONTROL, settings->address,
+                                        (uint16_t)settings->control_port, &shell->keys, shell->loop,
+                                        on_control_message, shell);
+    return shell->inbound ? STATUS_OK : STATUS_IO;
+}
+
 enum status node_shell_open(struct node_shell *shell, const struct settings *settings,
-                            enum machine_role role, const struct node_shell_callbacks *callbacks)
+                            const struct key_ring *keys, enum machine_role role,
+                            const struct node_shell_callbacks *callbacks)
 {
-    *shell = (struct node_shell){.settings = settings, .callbacks = *callbacks};
+    *shell = (struct node_shell){.settings = settings, .callbacks = *callbacks, .keys = *keys};
     shell->incarnation = clock_incarnation();
     shell->zmq = zmq_ctx_new();
-    shell->inbound =
-        links_bind(shell->zmq, LINK_CONTROL, settings->address, (uint16_t)settings->control_port);
-    if (!shell->inbound) {
+    shell->loop = loop_create();
+    if (settings->control_keys_file)
+        shell->keys_changed_at = key_ring_changed_at(settings->control_keys_file);
+    if (open_links(shell) != STATUS_OK) {
+        gatekeeper_close(shell->gatekeeper);
+        loop_destroy(shell->loop);
         zmq_ctx_term(shell->zmq);
+        shell->loop = NULL;
         return STATUS_IO;
     }
-    shell->loop = loop_create();
-    shell->links = links_create(shell->zmq, LINK_CONTROL, shell->loop, NULL, NULL);
+    shell->links = links_create(shell->zmq, LINK_CONTROL, &shell->keys, shell->loop, NULL, NULL);
     create_node(shell, role);
-    loop_watch_socket(shell->loop, shell->inbound, on_control_message, shell);
     loop_set_tick(shell->loop, TICK_US, on_tick, shell);
     return STATUS_OK;
 }
@@ -176,9 +237,10 @@
 void node_shell_close(struct node_shell *shell)
 {
     loop_drain(shell->loop);
-    loop_destroy(shell->loop);
     links_destroy(shell->links);
+    link_listener_close(shell->inbound);
+    gatekeeper_close(shell->gatekeeper);
+    loop_destroy(shell->loop);
     node_destroy(shell->node);
-    zmq_close(shell->inbound);
     zmq_ctx_term(shell->zmq);
 }
--- a/src/net/node_shell.h
+++ b/src/net/node_shell.h
@@ -7,6 +7,7 @@
 
 #include "base/settings.h"
 #include "core/node.h"
+#include "net/gatekeeper.h"
 #include "net/links.h"
 #include "net/loop.h"
 
@@ -16,13 +17,19 @@
     void (*update_received)(void *context, const struct peer *peer,
                             const Shuntrun__NodeUpdate *update); /**< may be NULL */
     void (*tick)(void *context, uint64_t now);
+    /** Keys of the links changed; the traffic thread must be told. */
+    void (*keys_changed)(void *context, const struct key_ring *keys);
 };
 
 struct node_shell {
     const struct settings *settings;
     struct node_shell_callbacks callbacks;
     void *zmq;
-    void *inbound; /**< bound control socket */
+    struct key_ring keys;
+    struct timespec keys_changed_at;
+    uint64_t next_key_check;
+    struct gatekeeper *gatekeeper;
+    struct link_listener *inbound;
     struct loop *loop;
     struct links *links;
     struct node *node;
@@ -31,7 +38,8 @@
 
 /** \return STATUS_IO when the control port cannot be bound */
 enum status node_shell_open(struct node_shell *shell, const struct settings *settings,
-                            enum machine_role role, const struct node_shell_callbacks *callbacks);
+                            const struct key_ring *keys, enum machine_role role,
+                            const struct node_shell_callbacks *callbacks);
 void node_shell_close(struct node_shell *shell);
 
 #endif
--- a/src/sim/scenario_run.c
+++ b/src/sim/scenario_run.c
@@ -36,6 +36,10 @@
         options->tenants = 2;
         options->seconds = 5;
         options->rate = 3;
+    } else if (strcmp(run->fleet, "matchmaking") == 0) {
+        options->zone_delay_us = 1000;
+        options->region_delay_us = 2000;
+        options->client_delay_us = 3000;
     } else if (strcmp(run->fleet, "brief") != 0) {
         return status_fail(STATUS_NOT_FOUND, "unknown fleet `%s`", run->fleet);
     }
--- a/src/sim/scenario_run.h
+++ b/src/sim/scenario_run.h
@@ -12,7 +12,7 @@
 
 struct scenario_run {
     const char *scenario; /**< a name, or "all" */
-    const char *fleet;    /**< "brief", "large" or "small" */
+    const char *fleet;    /**< "brief", "matchmaking", "large" or "small" */
     uint32_t gateways;    /**< these override the fleet's, when not 0 */
     uint32_t engines;
     double large_tenant;
--- a/src/sim/simulate.c
+++ b/src/sim/simulate.c
@@ -74,7 +74,10 @@
      2},
     {"seeds", KEY_SEEDS, "A..B", 0, "seeds to run (1..20)", 2},
     {"fleet", KEY_FLEET, "NAME", 0,
-     "brief: 7 gateways and 16 back ends; large: 300; small: 5 (brief)", 2},
+     "brief: 7 gateways and 16 back ends of the call centres; matchmaking: the same with that "
+     "fleet's "
+     "delays; large: 300; small: 5 (brief)",
+     2},
     {"mutation", KEY_MUTATION, "NAME", 0, "leave out one rule, to see the checker turn red", 2},
     {"keep-faults", KEY_KEEP_FAULTS, "MASK", 0, "bit N clear: fault N is left out", 2},
     {"gateways", KEY_GATEWAYS, "N", 0, "gateways, in place of the fleet's", 2},
--- a/tests/system/fleet_test.py
+++ b/tests/system/fleet_test.py
@@ -4,8 +4,10 @@
 Every wait is for a condition; there is no assertion about time.
 """
 import argparse
+import json
 import pathlib
 import signal
+import ssl
 import subprocess
 import sys
 import unittest
@@ -31,14 +33,14 @@
         return error.code, error.headers, error.read().decode()
 
 
-def small_fleet(name, engines=2, through_link=None, origin_rate=64 << 20):
+def small_fleet(name, engines=2, through_link=None, origin_rate=64 << 20, flags=()):
     """One gateway, some engines, one plain service; v1 is served when this returns."""
     fleet = Fleet(OPTIONS.build, pathlib.Path(OPTIONS.work) / name)
     fleet.start_platform(origin_rate, lag_ms=0)
-    fleet.add_gateway("gateway-1", 1, "--endpoints-max-age-ms", "500")
+    fleet.add_gateway("gateway-1", 1, "--endpoints-max-age-ms", "500", *flags)
     for number in range(engines):
-        fleet.add_engine_agent(f"engine-{number}", 1)
-    fleet.add_service_agent("seats-0", 1, "seats")
+        fleet.add_engine_agent(f"engine-{number}", 1, *flags)
+    fleet.add_service_agent("seats-0", 1, "seats", *flags)
     if through_link:
         fleet.put_link_before(through_link)
     fleet.publish_machines()
@@ -180,6 +182,79 @@
         self.run_load("cut-link", signal.SIGUSR2)
 
 
+class TlsTest(unittest.TestCase):
+    def test_callers_may_use_tls(self):
+        directory = pathlib.Path(OPTIONS.work) / "tls"
+        directory.mkdir(parents=True, exist_ok=True)
+        certificate, key = directory / "certificate.pem", directory / "key.pem"
+        subprocess.run(["openssl", "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-days", "2",
+                        "-subj", "/CN=gateway", "-keyout", str(key), "-out", str(certificate)],
+                       check=True, capture_output=True)
+        fleet = Fleet(OPTIONS.build, directory)
+        try:
+            fleet.start_platform(64 << 20, lag_ms=0)
+            fleet.add_gateway("gateway-1", 1, "--tls-certificate-file", str(certificate),
+                              "--tls-key-file", str(key))
+            context = ssl.create_default_context(cafile=str(certificate))
+            context.check_hostname = False
+            opener = urllib.request.build_opener(
+                urllib.request.ProxyHandler({}), urllib.request.HTTPSHandler(context=context))
+            address = fleet.http("gateway-1").replace("http://", "https://")
+            answer = wait_until("the gateway answers over TLS",
+                                lambda: opener.open(address + "/healthz", timeout=5).read())
+            self.assertEqual(answer, b"ok\n")
+        finally:
+            fleet.stop()
+
+
+class KeysTest(unittest.TestCase):
+    """Encrypted links: keys are exchanged under traffic, and a stranger is refused."""
+
+    @staticmethod
+    def new_key(slot):
+        text = subprocess.run([OPTIONS.build + "/shuntrun", "keys"], capture_output=True, text=True,
+                              check=True).stdout
+        return slot + text.splitlines()[0][1:]
+
+    def wait_for_keys(self, fleet, times):
+        for name in fleet.machines:
+            log = fleet.work / f"{name}.log"
+            wait_until(f"{name} read its keys", lambda: log.read_text().count(
+                "event=keys_changed") >= times)
+
+    def test_keys_are_exchanged_without_a_stop(self):
+        directory = pathlib.Path(OPTIONS.work) / "keys"
+        directory.mkdir(parents=True, exist_ok=True)
+        path = directory / "control.keys"
+        first, second = self.new_key("a"), self.new_key("b")
+        path.write_text(f"{first}\nuse a\n")
+        fleet = small_fleet("keys", flags=("--control-keys-file", str(path)))
+        try:
+            fleet.start_load("load", "script", "--tenants", "water", "--rate", "20", "--seconds", "6",
+                             "--tokens", "60", "--verify")
+            path.write_text(f"{first}\n{second}\nuse a\n")
+            self.wait_for_keys(fleet, 1)
+            path.write_text(f"{first}\n{second}\nuse b\n")
+            self.wait_for_keys(fleet, 2)
+            report = fleet.load_report("load")
+            for verdict in ("lost", "cut", "doubled", "mixed", "unknown"):
+                self.assertEqual(report["outcomes"][verdict], 0, report)
+            self.assertGreater(report["outcomes"]["done"], 0)
+
+            other = directory / "stranger.keys"
+            other.write_text(f"{self.new_key('b')}\nuse b\n")
+            fleet.add_engine_agent("stranger", 1, "--control-keys-file", str(other))
+            wait_until("the stranger is refused", lambda: any(
+                fleet.counters(name)["shuntrun_strangers_refused_total"]
+                for name in fleet.machines if name != "stranger"))
+            self.assertEqual(fleet.status("stranger")["live_peers"], 0)
+            logs = "".join(log.read_text() for log in directory.glob("*.log"))
+            for secret in (first.split()[2], second.split()[2]):
+                self.assertNotIn(secret, logs)
+        finally:
+            fleet.stop()
+
+
 class RolloutTest(unittest.TestCase):
     def test_two_models_reach_the_same_machines_at_once(self):
         fleet = small_fleet("two-models", engines=3)
@@ -217,6 +292,30 @@
             fleet.stop()
 
 
+class PolicyTest(unittest.TestCase):
+    def test_many_processes_place_alike(self):
+        directory = pathlib.Path(OPTIONS.work) / "placement"
+        directory.mkdir(parents=True, exist_ok=True)
+        program = (ROOT / "policies" / "harrowgate.lua").read_text().splitlines()
+        machines = [{"name": f"m{n}", "role": "agent", "zone": f"z{n % 5}", "region": f"r{n % 2}",
+                     "address": f"10.0.0.{n + 1}", "accelerators": 8,
+                     "pool": "preemptible" if n % 3 else "reserved"} for n in range(60)]
+        configs = [{"models": [{"name": "m", "version": v, "manifest": d * 64, "bytes": 1000,
+                                "replicas": 20}], "policy": program} for v, d in (("1", "a"), ("2", "b"))]
+        files = [directory / name for name in ("old.json", "new.json", "machines.json")]
+        for file, value in zip(files, configs + [{"machines": machines}]):
+            file.write_text(json.dumps(value))
+        command = [OPTIONS.build + "/shuntrun", "plan", str(files[0]), str(files[1]), "--machines",
+                   str(files[2]), "--output", "json"]
+        outputs = set()
+        for locale in ("C", "C.UTF-8", "de_DE.UTF-8", "tr_TR.UTF-8") * 6:
+            result = subprocess.run(command, capture_output=True, check=True,
+                                    env={"LC_ALL": locale, "LANG": locale})
+            outputs.add(result.stdout)
+        self.assertEqual(len(outputs), 1)
+        self.assertIn(b'"load": 20', outputs.pop())
+
+
 class SettingsTest(unittest.TestCase):
     def test_wrong_flags_end_with_status_2_and_all_findings(self):
         result = subprocess.run([OPTIONS.build + "/shuntrun", "agent", "--http-port", "x",
