Load on two systems in one run, with the ratios between them

Cause: a comparison of two settings in two runs says more about the machine than about the settings.

Without any address answer the tool gives up after 30 s with status 3; it used to wait for ever.

Ruled out: two tools side by side (their arrivals differ).

--- a/src/tool/load.c
+++ b/src/tool/load.c
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "net/loop.h"
 #include "tool/answer_check.h"
+#include "tool/tool.h"
 #include "base/histogram.h"
 
 #include <argp.h>
@@ -23,11 +24,18 @@
 #define TICKET_TEXT 700
 #define MAX_CONNECT_TRIES 5
 #define ENDPOINTS_TIMEOUT_MS 2000
+#define ENDPOINTS_AHEAD_US 200000ULL
+#define START_TIMEOUT_US 30000000ULL /* without any address answer the tool gives up */
 #define GRACE_MS 2000 /* beyond the request's own deadline before the caller hangs up */
 
+struct gateway_list {
+    char addresses[MAX_GATEWAYS][ADDRESS_SIZE];
+    uint32_t count;
+};
+
 struct load_options {
-    char gateways[MAX_GATEWAYS][ADDRESS_SIZE];
-    uint32_t gateway_count;
+    struct gateway_list gateways;
+    struct gateway_list against; /* the other side of a comparison; empty: none */
     const char *service;
     char tenants[MAX_TENANTS][64];
     double tenant_shares[MAX_TENANTS];
@@ -47,21 +55,16 @@
     uint64_t verdicts[ANSWER_VERDICTS];
 };
 
-struct load {
-    struct load_options options;
-    struct loop *loop;
-    struct random_stream random;
-    char endpoints[MAX_GATEWAYS][ADDRESS_SIZE];
-    uint32_t endpoint_count;
+/** One system under load, and what its callers saw. */
+struct load_side {
+    struct load *load;
+    const struct gateway_list *gateways;
+    struct gateway_list endpoints; /* as last told */
     char ticket[TICKET_TEXT];
     uint64_t endpoints_until;
     bool asking;
     uint32_t next_gateway;
-    uint64_t started;
-    uint64_t next_arrival;
-    uint64_t number;
-    uint64_t in_progress;
-    bool arrivals_over;
+    uint64_t requests;
     uint64_t verdicts[ANSWER_VERDICTS];
     struct tenant_counts tenants[MAX_TENANTS];
     json_t *versions; /* version to answers done */
@@ -69,6 +72,20 @@
     struct histogram first_token;
     struct histogram between_tokens;
     struct histogram whole;
+};
+
+struct load {
+    struct load_options options;
+    struct loop *loop;
+    struct random_stream random;
+    struct load_side sides[2];
+    uint32_t side_count;
+    uint64_t begun;   /* of the tool */
+    uint64_t started; /* of the arrivals */
+    uint64_t next_arrival;
+    uint64_t number;
+    uint64_t in_progress;
+    bool arrivals_over;
     FILE *record;
 };
 
@@ -81,58 +98,58 @@
 
 /* ---- endpoints ---- */
 
-static void take_endpoints(struct load *load, const json_t *body)
+static void take_endpoints(struct load_side *side, const json_t *body)
 {
     const json_t *list = json_object_get(body, "endpoints");
     const char *ticket = json_string_value(json_object_get(body, "ticket"));
     if (!json_array_size(list))
         return;
-    load->endpoint_count = 0;
+    side->endpoints.count = 0;
     for (size_t i = 0; i < json_array_size(list) && i < MAX_GATEWAYS; i++)
-        snprintf(load->endpoints[load->endpoint_count++], ADDRESS_SIZE, "%s",
+        snprintf(side->endpoints.addresses[side->endpoints.count++], ADDRESS_SIZE, "%s",
                  json_string_value(json_array_get(list, i)));
-    snprintf(load->ticket, sizeof load->ticket, "%s", ticket ? ticket : "");
-    load->endpoints_until =
+    snprintf(side->ticket, sizeof side->ticket, "%s", ticket ? ticket : "");
+    side->endpoints_until =
         clock_monotonic_us() +
         (uint64_t)json_integer_value(json_object_get(body, "max_age_ms")) * 1000;
 }
 
 static void on_endpoints(void *context, struct http_response *response)
 {
-    struct load *load = context;
-    load->asking = false;
+    struct load_side *side = context;
+    side->asking = false;
     if (response->result != HTTP_COMPLETE || response->status != 200)
         return;
     json_t *body = json_loadb((const char *)response->body, response->size, 0, NULL);
-    take_endpoints(load, body);
+    take_endpoints(side, body);
     json_decref(body);
 }
 
 /* Callers keep the address answer for its max-age, then ask any gateway they know. */
-static void ask_endpoints(struct load *load)
+static void ask_endpoints(struct load_side *side)
 {
     char url[256];
-    const struct load_options *options = &load->options;
-    if (load->asking)
+    if (side->asking)
         return;
-    load->asking = true;
+    side->asking = true;
     snprintf(url, sizeof url, "http://%s/v1/endpoints?service=%s",
-             options->gateways[load->next_gateway++ % options->gateway_count], options->service);
+             side->gateways->addresses[side->next_gateway++ % side->gateways->count],
+             side->load->options.service);
     struct http_call call = {
         .method = "GET",
         .url = url,
         .body_limit = 65536,
         .timeout_ms = ENDPOINTS_TIMEOUT_MS,
         .on_done = on_endpoints,
-        .context = load,
+        .context = side,
     };
-    loop_http(load->loop, &call);
+    loop_http(side->load->loop, &call);
 }
 
 /* ---- one request ---- */
 
 struct load_call {
-    struct load *load;
+    struct load_side *side;
     uint64_t number;
     uint32_t tenant;
     uint64_t arrival; /* intended: latency counts from here */
@@ -148,30 +165,31 @@
 static void on_data(void *context, const uint8_t *data, size_t size)
 {
     struct load_call *call = context;
-    struct load *load = call->load;
+    struct load_side *side = call->side;
     uint64_t now = clock_monotonic_us();
     uint32_t tokens = answer_check_data(&call->check, data, size);
     if (!tokens)
         return;
     if (!call->last_token)
-        histogram_add(&load->first_token, now - call->arrival);
+        histogram_add(&side->first_token, now - call->arrival);
     else
-        histogram_add(&load->between_tokens, (now - call->last_token) / tokens);
+        histogram_add(&side->between_tokens, (now - call->last_token) / tokens);
     call->last_token = now;
-    load->tokens += tokens;
+    side->tokens += tokens;
 }
 
 static void finish_call(struct load_call *call, enum answer_verdict verdict)
 {
-    struct load *load = call->load;
-    load->verdicts[verdict]++;
-    load->tenants[call->tenant].verdicts[verdict]++;
+    struct load_side *side = call->side;
+    struct load *load = side->load;
+    side->verdicts[verdict]++;
+    side->tenants[call->tenant].verdicts[verdict]++;
     load->in_progress--;
     if (verdict == ANSWER_DONE) {
-        histogram_add(&load->whole, clock_monotonic_us() - call->arrival);
+        histogram_add(&side->whole, clock_monotonic_us() - call->arrival);
         const char *version = call->check.version[0] ? call->check.version : "-";
-        json_int_t count = json_integer_value(json_object_get(load->versions, version));
-        json_object_set_new(load->versions, version, json_integer(count + 1));
+        json_int_t count = json_integer_value(json_object_get(side->versions, version));
+        json_object_set_new(side->versions, version, json_integer(count + 1));
     }
     if (load->record)
         fprintf(load->record, "%s %s %s\n", call->id, answer_verdict_name(verdict),
@@ -207,7 +225,7 @@
 static void on_answer(void *context, struct http_response *response)
 {
     struct load_call *call = context;
-    const struct load_options *options = &call->load->options;
+    const struct load_options *options = &call->side->load->options;
     if (response->result == HTTP_NOT_SENT && ++call->tries < MAX_CONNECT_TRIES) {
         start_call(call); /* nothing reached the gateway: another address may be used */
         return;
@@ -226,17 +244,16 @@
 
 static void start_call(struct load_call *call)
 {
-    struct load *load = call->load;
+    struct load_side *side = call->side;
+    struct load *load = side->load;
     const struct load_options *options = &load->options;
     char url[256];
     char tenant[96];
     char key[sizeof call->key + 32];
     char timeout[64];
     char body[256];
-    const char *address =
-        load->endpoint_count
-            ? load->endpoints[random_below(&load->random, load->endpoint_count)]
-            : options->gateways[random_below(&load->random, options->gateway_count)];
+    const struct gateway_list *known = side->endpoints.count ? &side->endpoints : side->gateways;
+    const char *address = known->addresses[random_below(&load->random, known->count)];
     snprintf(url, sizeof url, "http://%s/v1/services/%s", address, options->service);
     snprintf(tenant, sizeof tenant, "X-Tenant: %s", options->tenants[call->tenant]);
     snprintf(timeout, sizeof timeout, "X-Timeout-Ms: %" PRIu64, options->timeout_ms);
@@ -278,14 +295,15 @@
 static void arrive(struct load *load, uint64_t arrival)
 {
     struct load_call *call = memory_zero(1, sizeof *call);
-    call->load = load;
+    call->side = &load->sides[random_below(&load->random, load->side_count)];
+    call->side->requests++;
     call->number = load->number++;
     call->arrival = arrival;
     call->tenant = pick_tenant(load);
     snprintf(call->id, sizeof call->id, "%s-%" PRIu64 "-%" PRIu64, load->options.service,
              load->options.seed, call->number);
-    snprintf(call->key, sizeof call->key, "%s%s%s", load->ticket, load->ticket[0] ? "~" : "",
-             call->id);
+    snprintf(call->key, sizeof call->key, "%s%s%s", call->side->ticket,
+             call->side->ticket[0] ? "~" : "", call->id);
     call->check = (struct answer_check){
         .prompt = call->id,
         .wanted_tokens = load->options.tokens,
@@ -297,20 +315,33 @@
 
 /* ---- arrivals ---- */
 
+static bool all_know_endpoints(struct load *load, uint64_t now)
+{
+    bool known = true;
+    for (uint32_t i = 0; i < load->side_count; i++) {
+        struct load_side *side = &load->sides[i];
+        if (now + ENDPOINTS_AHEAD_US >= side->endpoints_until)
+            ask_endpoints(side);
+        known = known && side->endpoints.count;
+    }
+    return known;
+}
+
 static void on_tick(void *context)
 {
     struct load *load = context;
     uint64_t now = clock_monotonic_us();
-    uint64_t end = load->started + (uint64_t)(load->options.seconds * 1e6);
-    if (now + 200000 >= load->endpoints_until)
-        ask_endpoints(load);
-    if (!load->endpoint_count)
+    if (!all_know_endpoints(load, now)) {
+        bool gave_up = load_stopped || now - load->begun > START_TIMEOUT_US;
+        if (gave_up && !load->in_progress)
+            loop_stop(load->loop);
         return;
+    }
     if (!load->next_arrival) {
         load->started = now;
         load->next_arrival = now;
-        end = now + (uint64_t)(load->options.seconds * 1e6);
     }
+    uint64_t end = load->started + (uint64_t)(load->options.seconds * 1e6);
     load->arrivals_over = load_stopped || now >= end;
     while (!load->arrivals_over && load->next_arrival <= now) {
         arrive(load, load->next_arrival);
@@ -336,10 +367,13 @@
     KEY_KEYS,
     KEY_VERIFY,
     KEY_RECORD,
+    KEY_AGAINST,
 };
 
 static const struct argp_option option_list[] = {
     {"gateways", KEY_GATEWAYS, "IP:PORT,...", 0, "gateways to ask for addresses", 0},
+    {"against", KEY_AGAINST, "IP:PORT,...", 0,
+     "gateways of another system: each request goes to one of the two at random", 0},
     {"service", KEY_SERVICE, "NAME", 0, "service to call", 0},
     {"tenants", KEY_TENANTS, "NAME:SHARE,...", 0, "tenants and their shares of the load", 0},
     {"rate", KEY_RATE, "PER_SECOND", 0, "requests a second, arriving at random (20)", 0},
@@ -353,13 +387,13 @@
     {"record", KEY_RECORD, "FILE", 0, "write one line for each request: id outcome version", 0},
     {0}};
 
-static void split_gateways(struct load_options *options, const char *text)
+static void split_gateways(struct gateway_list *list, const char *text)
 {
     char *copy = memory_string(text);
     char *state;
     for (char *item = strtok_r(copy, ",", &state); item; item = strtok_r(NULL, ",", &state))
-        if (options->gateway_count < MAX_GATEWAYS)
-            snprintf(options->gateways[options->gateway_count++], ADDRESS_SIZE, "%s", item);
+        if (list->count < MAX_GATEWAYS)
+            snprintf(list->addresses[list->count++], ADDRESS_SIZE, "%s", item);
     free(copy);
 }
 
@@ -388,7 +422,10 @@
     struct load_options *options = state->input;
     switch (key) {
     case KEY_GATEWAYS:
-        split_gateways(options, argument);
+        split_gateways(&options->gateways, argument);
+        break;
+    case KEY_AGAINST:
+        split_gateways(&options->against, argument);
         break;
     case KEY_SERVICE:
         options->service = argument;
@@ -424,7 +461,7 @@
         options->record = argument;
         break;
     case ARGP_KEY_END:
-        if (!options->gateway_count || !options->service || !options->tenant_count)
+        if (!options->gateways.count || !options->service || !options->tenant_count)
             argp_error(state, "--gateways, --service and --tenants are needed");
         if (!(options->rate > 0) || !(options->seconds > 0) || !options->timeout_ms)
             argp_error(state, "--rate, --seconds and --timeout-ms must be above 0");
@@ -455,28 +492,57 @@
     return object;
 }
 
-static void print_report(const struct load *load)
+static json_t *describe_side(const struct load_side *side)
 {
+    const struct load_options *options = &side->load->options;
     json_t *tenants = json_object();
-    for (uint32_t i = 0; i < load->options.tenant_count; i++)
-        json_object_set_new(tenants, load->options.tenants[i],
-                            describe_verdicts(load->tenants[i].verdicts));
-    json_t *report = json_pack(
-        "{s:I, s:o, s:o, s:O, s:I, s:o, s:o, s:o}", "requests", (json_int_t)load->number,
-        "outcomes", describe_verdicts(load->verdicts), "tenants", tenants, "versions",
-        load->versions, "tokens", (json_int_t)load->tokens, "first_token_ms",
-        describe_histogram(&load->first_token), "between_tokens_ms",
-        describe_histogram(&load->between_tokens), "whole_ms", describe_histogram(&load->whole));
-    char *text = json_dumps(report, JSON_INDENT(2));
-    puts(text);
-    free(text);
-    json_decref(report);
+    for (uint32_t i = 0; i < options->tenant_count; i++)
+        json_object_set_new(tenants, options->tenants[i],
+                            describe_verdicts(side->tenants[i].verdicts));
+    return json_pack(
+        "{s:I, s:o, s:o, s:O, s:I, s:o, s:o, s:o}", "requests", (json_int_t)side->requests,
+        "outcomes", describe_verdicts(side->verdicts), "tenants", tenants, "versions",
+        side->versions, "tokens", (json_int_t)side->tokens, "first_token_ms",
+        describe_histogram(&side->first_token), "between_tokens_ms",
+        describe_histogram(&side->between_tokens), "whole_ms", describe_histogram(&side->whole));
+}
+
+static double ratio_of(const struct histogram *left, const struct histogram *right, double share)
+{
+    double below = (double)histogram_quantile(right, share);
+    return below > 0 ? (double)histogram_quantile(left, share) / below : 0;
+}
+
+/* Ratios of the first system to the other, from one run, so that a busy machine slows both. */
+static json_t *describe_comparison(const struct load *load)
+{
+    const struct load_side *left = &load->sides[0];
+    const struct load_side *right = &load->sides[1];
+    return json_pack("{s:o, s:o, s:{s:f, s:f, s:f, s:f}}", "gateways", describe_side(left),
+                     "against", describe_side(right), "ratios", "first_token_p50",
+                     ratio_of(&left->first_token, &right->first_token, 0.5), "first_token_p95",
+                     ratio_of(&left->first_token, &right->first_token, 0.95), "whole_p50",
+                     ratio_of(&left->whole, &right->whole, 0.5), "whole_p95",
+                     ratio_of(&left->whole, &right->whole, 0.95));
 }
 
 static bool has_violation(const struct load *load)
 {
-    return load->verdicts[ANSWER_LOST] || load->verdicts[ANSWER_CUT] ||
-           load->verdicts[ANSWER_DOUBLED] || load->verdicts[ANSWER_MIXED];
+    bool violated = false;
+    for (uint32_t i = 0; i < load->side_count; i++) {
+        const uint64_t *verdicts = load->sides[i].verdicts;
+        violated = violated || verdicts[ANSWER_LOST] || verdicts[ANSWER_CUT] ||
+                   verdicts[ANSWER_DOUBLED] || verdicts[ANSWER_MIXED];
+    }
+    return violated;
+}
+
+static void open_side(struct load *load, const struct gateway_list *gateways)
+{
+    struct load_side *side = &load->sides[load->side_count++];
+    side->load = load;
+    side->gateways = gateways;
+    side->versions = json_object();
 }
 
 int load_main(int argc, char **argv)
@@ -485,7 +551,9 @@
         "Send open-loop load to a running system and check every answer.\v"
         "Prints one JSON object. Latencies are in milliseconds and count from the time at which a "
         "request was meant to arrive. Exit status 1 when an answer was lost, cut, doubled or "
-        "mixed; 2 for wrong usage.";
+        "mixed; 2 for wrong usage; 3 when no gateway told an address. With --against, one object "
+        "for "
+        "each system and the ratios between them.";
     struct load *load = memory_zero(1, sizeof *load);
     load->options = (struct load_options){
         .rate = 20, .seconds = 10, .seed = 1, .tokens = 32, .timeout_ms = 30000};
@@ -501,16 +569,25 @@
     signal(SIGTERM, on_signal);
     signal(SIGINT, on_signal);
     load->random.seed = load->options.seed;
-    load->versions = json_object();
+    open_side(load, &load->options.gateways);
+    if (load->options.against.count)
+        open_side(load, &load->options.against);
+    load->begun = clock_monotonic_us();
     load->loop = loop_create();
     loop_set_tick(load->loop, 1000, on_tick, load);
     loop_run(load->loop);
-    print_report(load);
+    tool_print_json(load->side_count == 2 ? describe_comparison(load)
+                                          : describe_side(&load->sides[0]));
     int exit_status = has_violation(load) ? 1 : 0;
+    if (!load->started) {
+        fputs("shuntrun load: no gateway told an address\n", stderr);
+        exit_status = 3;
+    }
     if (load->record)
         fclose(load->record);
     loop_destroy(load->loop);
-    json_decref(load->versions);
+    for (uint32_t i = 0; i < load->side_count; i++)
+        json_decref(load->sides[i].versions);
     free(load);
     return exit_status;
 }
