--- a/src/core/fleet_config.c
+++ b/src/core/fleet_config.c
@@ -2,6 +2,7 @@
 
 #include "base/memory.h"
 #include "core/hash.h"
+#include "core/ids.h"
 
 #include <jansson.h>
 #include <stdlib.h>
@@ -68,13 +69,6 @@
     model->accelerators = (uint32_t)read_number(object, "accelerators", 1, 1024, 1, place);
 }
 
-static int compare_ids(const void *left, const void *right)
-{
-    uint64_t a = *(const uint64_t *)left;
-    uint64_t b = *(const uint64_t *)right;
-    return a < b ? -1 : a > b;
-}
-
 static void read_homes(const json_t *object, struct service_config *service,
                        const struct place *place)
 {
@@ -92,7 +86,7 @@
         else
             report(place, "machines", "must be names");
     }
-    qsort(service->machines, service->machine_count, sizeof *service->machines, compare_ids);
+    ids_sort(service->machines, service->machine_count);
 }
 
 static void read_service(const json_t *object, struct service_config *service,
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -2,6 +2,7 @@
 
 #include "base/memory.h"
 #include "core/hash.h"
+#include "core/ids.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -190,13 +191,6 @@
     free(orders);
 }
 
-static int compare_ids(const void *left, const void *right)
-{
-    uint64_t a = *(const uint64_t *)left;
-    uint64_t b = *(const uint64_t *)right;
-    return a < b ? -1 : a > b;
-}
-
 static void assign_homes(const struct model_placement *placement, const struct fleet *fleet,
                          struct service_config *service)
 {
@@ -214,8 +208,7 @@
     service->machines = memory_zero(service->machine_count, sizeof *service->machines);
     for (uint32_t i = 0; i < service->machine_count; i++)
         service->machines[i] = candidates[i].id;
-    if (service->machine_count)
-        qsort(service->machines, service->machine_count, sizeof *service->machines, compare_ids);
+    ids_sort(service->machines, service->machine_count);
     free(candidates);
 }
 
--- a/src/core/routing_view.c
+++ b/src/core/routing_view.c
@@ -2,6 +2,7 @@
 
 #include "base/memory.h"
 #include "core/hash.h"
+#include "core/ids.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -70,13 +71,6 @@
     return ids;
 }
 
-static int compare_ids(const void *left, const void *right)
-{
-    uint64_t a = *(const uint64_t *)left;
-    uint64_t b = *(const uint64_t *)right;
-    return a < b ? -1 : a > b;
-}
-
 static uint16_t distance_to(const struct machine *machine, const char *zone, const char *region)
 {
     if (strcmp(machine->zone, zone) == 0)
@@ -116,8 +110,7 @@
         const struct route_agent *agent = &view->agents[i];
         bool serves = config->kind == SERVICE_MODEL
                           ? route_agent_ready(agent, config->model) != NULL
-                          : bsearch(&agent->id, config->machines, config->machine_count,
-                                    sizeof agent->id, compare_ids) != NULL;
+                          : ids_contain(config->machines, config->machine_count, agent->id);
         if (serves)
             service->agents[service->agent_count++] = i;
     }
@@ -131,8 +124,7 @@
         return NULL;
     uint32_t count;
     uint64_t *ids = routing_view_links(node, subset, &count);
-    if (count)
-        qsort(ids, count, sizeof *ids, compare_ids);
+    ids_sort(ids, count);
     struct routing_view *view = memory_zero(1, sizeof *view);
     view->revision = config->revision;
     view->agents = memory_zero(count, sizeof *view->agents);
--- a/src/sim/rollout/rollout_sim.c
+++ b/src/sim/rollout/rollout_sim.c
@@ -5,6 +5,7 @@
 
 #include "base/memory.h"
 #include "core/hash.h"
+#include "core/ids.h"
 
 #include <assert.h>
 #include <stdlib.h>
@@ -77,20 +78,13 @@
 
 /* ---- setting up ---- */
 
-static int compare_ids(const void *left, const void *right)
-{
-    uint64_t a = *(const uint64_t *)left;
-    uint64_t b = *(const uint64_t *)right;
-    return a < b ? -1 : a > b;
-}
-
 static void create_machines(struct rollout_sim *sim)
 {
     const struct rollout_options *options = &sim->options;
     uint64_t *ids = memory_zero(options->machines, sizeof *ids);
     for (uint32_t i = 0; i < options->machines; i++)
         ids[i] = hash_pair(0x6d616368, i);
-    qsort(ids, options->machines, sizeof *ids, compare_ids);
+    ids_sort(ids, options->machines);
     sim->machines = memory_zero(options->machines, sizeof *sim->machines);
     sim->serve_times = memory_zero(options->machines + 1, sizeof *sim->serve_times);
     for (uint32_t i = 0; i < options->machines; i++) {
