A fleet that restarts all but one node does not go back to a stale configuration

A new node counted neighbours that were as new as itself as heard, and accepted what the stale service gave it.

Change: nodes say whether they have joined; only joined neighbours count; a node that has not joined passes on the newest configuration it holds; without three joined neighbours a new node waits 4 s, which is longer than the 2 s over which first reads are spread. Simulated requests begin at 9 s.

A whole fleet that starts at once serves 2.5 s later than before; a single restart does not.

--- a/src/core/node.c
+++ b/src/core/node.c
@@ -10,7 +10,7 @@
 
 #define MILLISECOND 1000ULL
 #define SECOND 1000000ULL
-#define JOIN_TIMEOUT (1500 * MILLISECOND)  /* longest wait for neighbours of a new node */
+#define JOIN_TIMEOUT (4 * SECOND)          /* longest wait for neighbours of a new node */
 #define BOOT_SPREAD (2 * SECOND)           /* first reads of restarted nodes lie so far apart */
 #define CONFIG_FROM_PEERS (3 * SECOND)     /* a new node that is no reader waits for peers */
 #define ASK_PEER_AGAIN (500 * MILLISECOND) /* a peer's answer to a document request is late */
@@ -358,6 +358,26 @@
     ask_peer(node, now, fleet, from, update->fleet_revision);
 }
 
+/* A node that has not joined passes on what it holds, so that news reach all new nodes in time. */
+uint64_t node_held_revision(const struct node *node)
+{
+    const struct reader *reader = &node->readers[SHUNTRUN__DOCUMENT_KIND__DOCUMENT_CONFIG];
+    uint64_t revision = document_revision(&reader->document);
+    return node->parked.revision > revision ? node->parked.revision : revision;
+}
+
+static enum status encode_held(const struct node *node, const Shuntrun__DocumentRequest *request,
+                               Shuntrun__DocumentReply *reply)
+{
+    const struct document *document = &node->readers[request->kind].document;
+    bool parked = request->kind == SHUNTRUN__DOCUMENT_KIND__DOCUMENT_CONFIG &&
+                  node->parked.revision > document_revision(document);
+    if (!parked)
+        return document_encode(document, request->known_revision, reply);
+    struct document alone = {.versions = {node->parked}};
+    return document_encode(&alone, request->known_revision, reply);
+}
+
 static void answer_document_request(struct node *node, uint64_t from,
                                     const Shuntrun__DocumentRequest *request)
 {
@@ -366,8 +386,7 @@
     Shuntrun__DocumentReply reply = SHUNTRUN__DOCUMENT_REPLY__INIT;
     Shuntrun__Envelope envelope = SHUNTRUN__ENVELOPE__INIT;
     reply.kind = request->kind;
-    const struct document *document = &node->readers[request->kind].document;
-    if (document_encode(document, request->known_revision, &reply) != STATUS_OK)
+    if (encode_held(node, request, &reply) != STATUS_OK)
         return;
     envelope.body_case = SHUNTRUN__ENVELOPE__BODY_DOCUMENT_REPLY;
     envelope.document_reply = &reply;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -54,8 +54,9 @@
 struct peer {
     uint64_t id;
     struct node_status status;
-    uint64_t config_revision;
+    uint64_t config_revision; /**< in force, or held by a node that has not joined */
     uint64_t fleet_revision;
+    bool joined;         /**< it has a configuration in force */
     bool linked;         /**< this node polls it */
     bool neighbour;      /**< a link of the overlay, not a wanted one */
     uint64_t last_heard; /**< 0: never */
--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -54,6 +54,7 @@
 bool node_peers_heard(const struct node *node);
 
 /* node.c */
+uint64_t node_held_revision(const struct node *node);
 void node_learn_revisions(struct node *node, uint64_t now, uint64_t from,
                           const Shuntrun__NodeUpdate *update);
 void node_send_to(struct node *node, uint64_t id, Shuntrun__Envelope *message);
--- a/src/core/node_peers.c
+++ b/src/core/node_peers.c
@@ -58,13 +58,14 @@
     return alive;
 }
 
+/* Peers that are new themselves know no better than this node and do not count. */
 bool node_peers_heard(const struct node *node)
 {
     uint32_t links = 0;
     uint32_t heard = 0;
     for (uint32_t i = 0; i < node->peer_count; i++) {
         links += node->peers[i].linked;
-        heard += node->peers[i].linked && node->peers[i].last_heard;
+        heard += node->peers[i].linked && node->peers[i].last_heard && node->peers[i].joined;
     }
     return heard >= JOIN_PEERS || heard == links;
 }
@@ -162,7 +163,8 @@
     update->draining = node->status.draining;
     update->active_requests = node->status.active_requests;
     update->capacity = node->status.capacity;
-    update->config_revision = document_revision(&config->document);
+    update->config_revision = node_held_revision(node);
+    update->joined = node->joined;
     update->fleet_revision = document_revision(&fleet->document);
     update->config_age_ms = age_ms(config, now);
     update->fleet_age_ms = age_ms(fleet, now);
@@ -280,6 +282,7 @@
     peer->status.active_requests = update->active_requests;
     peer->status.capacity = update->capacity;
     peer->config_revision = update->config_revision;
+    peer->joined = update->joined;
     peer->fleet_revision = update->fleet_revision;
     peer->last_heard = now;
     take_ready(&peer->status, update);
--- a/src/sim/fleet/fleet_sim.h
+++ b/src/sim/fleet/fleet_sim.h
@@ -31,6 +31,8 @@
     FLEET_STOP,          /**< a planned stop; a new process starts after `duration` */
     FLEET_BACKEND_STALL, /**< a back end stands still */
     FLEET_BACKEND_BREAK, /**< a back end breaks the connections of its runs */
+    FLEET_KILL_ZONE,     /**< every process of a zone dies; new ones start after `duration` */
+    FLEET_RESTART_ALL,   /**< every process but the machine's dies and is started again at once */
     FLEET_FAULT_KINDS
 };
 
--- a/src/sim/fleet/scenarios.c
+++ b/src/sim/fleet/scenarios.c
@@ -16,6 +16,9 @@
 static const enum fleet_fault_kind stops[] = {FLEET_STOP, END};
 static const enum fleet_fault_kind backends[] = {FLEET_BACKEND_STALL, FLEET_BACKEND_BREAK, END};
 static const enum fleet_fault_kind publish[] = {FLEET_NEW_VERSION, FLEET_BAD_CONFIG, END};
+static const enum fleet_fault_kind mass[] = {FLEET_KILL_ZONE,    FLEET_RESTART_ALL,
+                                             FLEET_CONFIG_STALE, FLEET_CONFIG_DOWN,
+                                             FLEET_NEW_VERSION,  END};
 static const enum fleet_fault_kind mixed[] = {
     FLEET_KILL,          FLEET_PAUSE,         FLEET_ZOMBIE,
     FLEET_CUT,           FLEET_CUT_ZONE,      FLEET_CUT_OUTWARD,
@@ -36,6 +39,8 @@
     {"stops", "planned stops only: nothing may be cut off", stops, 2, 5},
     {"publish", "good and bad configurations, nothing else: in force within 5 s", publish, 2, 5},
     {"backends", "engines and services stand still or break", backends, 2, 6},
+    {"mass", "zones die, all processes but one restart, and the platform is down or stale", mass, 3,
+     6},
     {"mixed", "everything, overlapping and twice", mixed, 4, 12},
     {NULL, NULL, NULL, 0, 0},
 };
@@ -56,9 +61,10 @@
 const char *fleet_fault_name(enum fleet_fault_kind kind)
 {
     static const char *const names[] = {
-        "kill",       "pause",       "zombie",       "cut",           "cut-zone",     "cut-outward",
-        "shuffle",    "config-down", "config-stale", "list-down",     "new-version",  "move-homes",
-        "bad-config", "leave",       "stop",         "backend-stall", "backend-break"};
+        "kill",          "pause",         "zombie",      "cut",          "cut-zone",
+        "cut-outward",   "shuffle",       "config-down", "config-stale", "list-down",
+        "new-version",   "move-homes",    "bad-config",  "leave",        "stop",
+        "backend-stall", "backend-break", "kill-zone",   "restart-all"};
     return names[kind];
 }
 
--- a/src/sim/fleet/world.h
+++ b/src/sim/fleet/world.h
@@ -18,6 +18,7 @@
 
 #define MILLISECOND 1000ULL
 #define SECOND 1000000ULL
+#define FIRST_ARRIVAL_US (9 * SECOND) /* a fleet that starts at once takes so long */
 #define NO_PROCESS UINT32_MAX
 #define WORLD_MAX_RUNS 256  /* of one back end */
 #define CALL_NUMBER_BITS 20 /* a router's caller is attempt << these bits | call number */
