Split the router and the simulated world's faults; unit tests of router and executor

Cause: router.c and world.c were over 600 lines with two jobs each; the two modules that decide about requests were tested only through simulations.

Ruled out: nothing else was tried.

Change: router_agents.c, world_faults.c; sixteen unit tests of outcomes, retries, resumes, keys, tickets, pauses and draining. The tests passed the first time; each rule's ability to turn a test red is shown by the mutation tests, not by these.

--- a/src/core/router.c
+++ b/src/core/router.c
@@ -1,76 +1,17 @@
 #include "core/router.h"
 
 #include "base/memory.h"
-#include "core/admission.h"
-#include "core/retry_budget.h"
+#include "core/router_internal.h"
 
 #include <assert.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define MAX_ATTEMPTS 6
 #define SHED_RETRY_MS 500
 #define NO_AGENT_RETRY_MS 1000
-#define EJECT_FAILURES 3      /* failures in a row that eject an agent */
-#define EJECT_LEAST 500000ULL /* first ejection, microseconds; doubles */
-#define EJECT_MOST 16000000ULL
-#define SPEED_MEMORY 64ULL /* tokens over which the mean time between tokens is taken */
-#define PRIORITIES 10      /* that callers may ask for; a tenant's precedence goes before them */
-#define MAX_EXCLUDED 8
-
-struct request {
-    uint64_t caller;
-    uint64_t sequence; /* of the present attempt */
-    uint64_t agent;
-    uint64_t agent_incarnation;
-    uint64_t arrived;
-    uint64_t deadline;
-    uint64_t last_progress;
-    uint32_t tenant;
-    char tenant_name[CONFIG_NAME_SIZE];
-    char service[CONFIG_NAME_SIZE];
-    char digest[DIGEST_HEX_SIZE]; /* version that this answer is made with; "" before the first */
-    char *key;
-    uint8_t *body;
-    size_t body_size;
-    bool unrepeatable;
-    bool begun;
-    bool maybe_ran;
-    uint32_t priority;
-    uint32_t precedence; /* of the tenant, by policy */
-    uint32_t attempts;
-    uint64_t next_offset;
-    uint64_t excluded[MAX_EXCLUDED]; /* agents that failed or refused this request */
-    uint32_t excluded_count;
-};
-
-/* What this gateway saw of one agent. */
-struct agent_record {
-    uint64_t id;
-    uint32_t in_flight;
-    uint32_t failures;
-    uint32_t token_us; /* mean time between tokens of one stream */
-    uint64_t eject_us;
-    uint64_t ejected_until;
-};
-
-struct router {
-    struct router_settings settings;
-    struct router_driver driver;
-    struct router_counters counters;
-    struct service_counts services;
-    const struct routing_view *view;
-    struct admission admission;
-    struct retry_budget budget;
-    struct balance_state balance;
-    uint64_t incarnation;
-    uint64_t next_sequence;
-    struct request **requests;
-    uint32_t request_count;
-    uint32_t request_capacity;
-    struct agent_record *records;
-    uint32_t record_count;
-};
+#define PRIORITIES 10 /* that callers may ask for; a tenant's precedence goes before them */
 
 struct router *router_create(const struct router_settings *settings, uint64_t incarnation,
                              uint64_t seed, const struct router_driver *driver)
@@ -121,18 +62,6 @@
     return &router->services;
 }
 
-static struct agent_record *record_of(struct router *router, uint64_t id)
-{
-    for (uint32_t i = 0; i < router->record_count; i++)
-        if (router->records[i].id == id)
-            return &router->records[i];
-    router->records =
-        memory_resize(router->records, (router->record_count + 1) * sizeof *router->records);
-    struct agent_record *record = &router->records[router->record_count++];
-    *record = (struct agent_record){.id = id};
-    return record;
-}
-
 /* ---- requests ---- */
 
 static void add_request(struct router *router, struct request *request)
@@ -184,7 +113,7 @@
 {
     if (!request->sequence)
         return;
-    struct agent_record *record = record_of(router, request->agent);
+    struct agent_record *record = router_record(router, request->agent);
     assert(record->in_flight);
     record->in_flight--;
     request->sequence = 0;
@@ -210,92 +139,6 @@
     router->driver.cancel(router->driver.context, &router->view->agents[index].machine, &cancel);
 }
 
-/* ---- health of agents as this gateway sees it ---- */
-
-static void note_failure(struct router *router, uint64_t now, uint64_t agent)
-{
-    struct agent_record *record = record_of(router, agent);
-    if (++record->failures < EJECT_FAILURES)
-        return;
-    record->eject_us = record->eject_us ? 2 * record->eject_us : EJECT_LEAST;
-    if (record->eject_us > EJECT_MOST)
-        record->eject_us = EJECT_MOST;
-    record->ejected_until = now + record->eject_us;
-    record->failures = EJECT_FAILURES - 1; /* one probe decides after the ejection */
-}
-
-static void note_success(struct router *router, uint64_t agent)
-{
-    struct agent_record *record = record_of(router, agent);
-    record->failures = 0;
-    record->eject_us = 0;
-    record->ejected_until = 0;
-}
-
-/* ---- choice of an agent ---- */
-
-static bool is_excluded(const struct request *request, uint64_t agent)
-{
-    for (uint32_t i = 0; i < request->excluded_count; i++)
-        if (request->excluded[i] == agent)
-            return true;
-    return false;
-}
-
-static bool may_take(struct router *router, uint64_t now, const struct request *request,
-                     const struct route_service *service, const struct route_agent *agent)
-{
-    if (!agent->alive || agent->status.draining || is_excluded(request, agent->id))
-        return false;
-    if (record_of(router, agent->id)->ejected_until > now)
-        return false;
-    if (service->kind == SERVICE_PLAIN || !request->digest[0])
-        return true;
-    const struct ready_model *ready = route_agent_ready(agent, service->model);
-    return ready && strcmp(ready->digest, request->digest) == 0;
-}
-
-static uint32_t list_candidates(struct router *router, uint64_t now, const struct request *request,
-                                const struct route_service *service,
-                                struct balance_candidate *candidates)
-{
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < service->agent_count; i++) {
-        const struct route_agent *agent = &router->view->agents[service->agents[i]];
-        if (!may_take(router, now, request, service, agent))
-            continue;
-        candidates[count++] = (struct balance_candidate){
-            .agent = service->agents[i],
-            .in_flight = record_of(router, agent->id)->in_flight,
-            .reported = agent->status.active_requests,
-            .capacity = agent->status.capacity,
-            .token_us = record_of(router, agent->id)->token_us,
-            .distance = agent->distance,
-        };
-    }
-    return count;
-}
-
-static int64_t choose_agent(struct router *router, uint64_t now, const struct request *request,
-                            const struct route_service *service)
-{
-    if (request->key[0]) {
-        int64_t home =
-            routing_view_agent(router->view, service_home(&service->homes, request->key));
-        if (home < 0 || is_excluded(request, router->view->agents[home].id))
-            return -1;
-        const struct route_agent *agent = &router->view->agents[home];
-        return agent->alive && !agent->status.draining ? home : -1;
-    }
-    struct balance_candidate candidates[service->agent_count + 1];
-    uint32_t count = list_candidates(router, now, request, service, candidates);
-    if (router->settings.balance == balance_two_choices)
-        count = balance_drop_slow(&router->balance, candidates, count);
-    if (!count)
-        return -1;
-    return candidates[router->settings.balance(&router->balance, candidates, count)].agent;
-}
-
 /* ---- attempts ---- */
 
 static enum router_send send_forward(struct router *router, uint64_t now,
@@ -343,7 +186,7 @@
 {
     const struct route_service *service = routing_view_service(router->view, request->service);
     while (service && request->attempts < MAX_ATTEMPTS && request->deadline > now) {
-        int64_t index = choose_agent(router, now, request, service);
+        int64_t index = router_choose_agent(router, now, request, service);
         if (index < 0)
             break;
         const struct route_agent *agent = &router->view->agents[index];
@@ -352,12 +195,12 @@
         request->agent = agent->id;
         request->agent_incarnation = agent->status.incarnation;
         request->last_progress = now;
-        record_of(router, agent->id)->in_flight++;
+        router_record(router, agent->id)->in_flight++;
         if (send_forward(router, now, request, agent) == ROUTER_SENT)
             return;
         end_attempt(router, request);
         exclude(request, agent->id);
-        note_failure(router, now, agent->id);
+        router_note_failure(router, now, agent->id);
         reason = "no connection to the agent";
     }
     if (!retry_after_ms)
@@ -384,7 +227,7 @@
                          const char *reason, uint32_t retry_after_ms)
 {
     uint64_t agent = request->agent;
-    note_failure(router, now, agent);
+    router_note_failure(router, now, agent);
     end_attempt(router, request);
     exclude(request, agent);
     request->maybe_ran = true;
@@ -531,7 +374,7 @@
         attempt_lost(router, now, request, "the stream ended early", 0);
         return;
     }
-    note_success(router, request->agent);
+    router_note_success(router, request->agent);
     begin_once(router, now, request, answer);
     if (!stream)
         router->driver.data(router->driver.context, request->caller, 0, 0, answer->data.data,
@@ -549,15 +392,6 @@
     retry(router, now, request, answer->reason, answer->retry_after_ms);
 }
 
-static void note_speed(struct router *router, uint64_t agent, uint64_t elapsed, uint32_t tokens)
-{
-    struct agent_record *record = record_of(router, agent);
-    uint64_t token_us = elapsed / (tokens ? tokens : 1) + 1;
-    if (record->token_us)
-        token_us = ((SPEED_MEMORY - 1) * record->token_us + token_us) / SPEED_MEMORY;
-    record->token_us = token_us < UINT32_MAX ? (uint32_t)token_us : UINT32_MAX;
-}
-
 void router_on_answer(struct router *router, uint64_t now, uint64_t agent,
                       const Shuntrun__Answer *answer)
 {
@@ -567,7 +401,7 @@
         return;
     }
     if (answer->kind == SHUNTRUN__ANSWER_KIND__ANSWER_TOKENS && request->next_offset)
-        note_speed(router, agent, now - request->last_progress, answer->token_count);
+        router_note_speed(router, agent, now - request->last_progress, answer->token_count);
     request->last_progress = now;
     switch (answer->kind) {
     case SHUNTRUN__ANSWER_KIND__ANSWER_STARTED:
--- a/src/sim/fleet/world.h
+++ b/src/sim/fleet/world.h
@@ -24,6 +24,8 @@
 #define CALL_NUMBER_BITS 20 /* a router's caller is attempt << these bits | call number */
 #define WORLD_TOKENS 20     /* of each model answer */
 
+#define NEWS_GRACE_US (3 * SECOND) /* a disturbance excuses late news so long after its end */
+
 enum world_event {
     WORLD_TICK,           /* process `to` */
     WORLD_CONTROL,        /* to process, from machine; payload packet */
@@ -238,6 +240,11 @@
 void world_send(struct world *world, enum world_event type, uint32_t from_machine,
                 uint32_t to_machine, uint32_t to, uint32_t from, struct packet *packet);
 
+/* world_faults.c */
+void world_schedule_faults(struct world *world);
+void world_begin_fault(struct world *world, uint32_t number);
+void world_end_fault(struct world *world, uint32_t number);
+
 /* processes.c */
 void process_start(struct world *world, uint32_t machine);
 void process_kill(struct process *process);
--- a/src/sim/simulate.c
+++ b/src/sim/simulate.c
@@ -70,7 +70,8 @@
     {"limit-windows", KEY_LIMIT, "N", 0, "give the run up after so many windows (20)", 0},
     {NULL, 0, NULL, 0, "Whole fleets with requests, instead of a rollout:", 2},
     {"scenario", KEY_SCENARIO, "NAME", 0,
-     "all, steady, kill, wake, cut, shuffle, platform, races, stops, publish, backends, mass or mixed",
+     "all, steady, kill, wake, cut, shuffle, platform, races, stops, publish, backends, mass or "
+     "mixed",
      2},
     {"seeds", KEY_SEEDS, "A..B", 0, "seeds to run (1..20)", 2},
     {"fleet", KEY_FLEET, "NAME", 0,
