--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,7 +35,7 @@
     unsigned threads;
     unsigned connection_limit;
     size_t body_limit;
-    size_t header_limit; /**< bytes for the headers of one connection */
+    size_t header_limit;         /**< bytes for the headers of one connection */
     const char *tls_certificate; /**< PEM text; NULL: plain HTTP */
     const char *tls_key;
     http_handler *handler;
