Remove what nothing calls

Cause: seven functions, a counter, a flag and two options were left without a caller.

Ruled out: keeping them for later.

Change: removed.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -28,7 +28,6 @@
     X(METRIC_CHUNKS_SERVED, "shuntrun_chunks_served_total", "chunks served to peers")              \
     X(METRIC_CONFIG_ACCEPTED, "shuntrun_config_accepted_total", "configurations accepted")         \
     X(METRIC_CONFIG_REJECTED, "shuntrun_config_rejected_total", "configurations refused")          \
-    X(METRIC_CONFIG_STALE, "shuntrun_config_stale_total", "older configurations ignored")          \
     X(METRIC_PLATFORM_CALLS, "shuntrun_platform_calls_total", "calls to the platform's services")  \
     X(METRIC_ENGINE_LOADS, "shuntrun_engine_loads_total", "load orders confirmed by the engine")   \
     X(METRIC_UPDATES_SENT, "shuntrun_updates_sent_total", "updates sent to neighbours")            \
--- a/src/base/status.c
+++ b/src/base/status.c
@@ -7,13 +7,6 @@
 
 static _Thread_local char last_message[STATUS_MESSAGE_SIZE];
 
-const char *status_name(enum status status)
-{
-    static const char *const names[] = {"ok",      "invalid", "not found", "exhausted",
-                                        "corrupt", "io",      "stale"};
-    return names[status];
-}
-
 enum status status_fail(enum status status, const char *format, ...)
 {
     va_list arguments;
--- a/src/base/status.h
+++ b/src/base/status.h
@@ -17,9 +17,6 @@
     STATUS_STALE,     /**< older than what is already held */
 };
 
-/** \brief Name of a status for logs, never NULL. */
-const char *status_name(enum status status);
-
 /** \brief Keep a message for the calling thread. \return `status`, so that callers return it. */
 enum status status_fail(enum status status, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
--- a/src/core/fleet.c
+++ b/src/core/fleet.c
@@ -140,21 +140,6 @@
     return low < fleet->count && fleet->machines[low].id == id ? (int64_t)low : -1;
 }
 
-bool machine_has_service(const struct machine *machine, const char *service)
-{
-    for (uint32_t i = 0; i < machine->service_count; i++)
-        if (strcmp(machine->services[i], service) == 0)
-            return true;
-    return false;
-}
-
-struct fleet fleet_copy(const struct fleet *fleet)
-{
-    struct fleet copy = {.count = fleet->count};
-    copy.machines = memory_copy(fleet->machines, fleet->count * sizeof *fleet->machines);
-    return copy;
-}
-
 void fleet_clear(struct fleet *fleet)
 {
     free(fleet->machines);
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -52,9 +52,6 @@
 /** \return index in the list, or -1. */
 int64_t fleet_find(const struct fleet *fleet, uint64_t id);
 
-bool machine_has_service(const struct machine *machine, const char *service);
-
-struct fleet fleet_copy(const struct fleet *fleet);
 void fleet_clear(struct fleet *fleet);
 
 /** \brief Sort by id; needed after filling `machines` by hand. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -82,11 +82,6 @@
     return node->placed ? &node->placement : NULL;
 }
 
-struct policy *node_policy(const struct node *node)
-{
-    return node->policy;
-}
-
 void node_send_to(struct node *node, uint64_t id, Shuntrun__Envelope *message)
 {
     int64_t index = fleet_find(&node->fleet, id);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -111,7 +111,6 @@
 const struct fleet_config *node_config(const struct node *node); /**< NULL before the first */
 const struct fleet *node_fleet(const struct node *node);         /**< never NULL, may be empty */
 const struct placement *node_placement(const struct node *node); /**< NULL before both documents */
-struct policy *node_policy(const struct node *node);
 const struct peer *node_peer(const struct node *node, uint64_t id); /**< NULL when not known */
 /** \brief The peers that this node knows. \param index below node_peer_count() */
 const struct peer *node_peer_at(const struct node *node, uint32_t index);
--- a/src/core/swarm.c
+++ b/src/core/swarm.c
@@ -79,11 +79,6 @@
     return swarm->held;
 }
 
-bool swarm_holds(const struct swarm *swarm, uint32_t chunk)
-{
-    return bitmap_get(swarm->have, chunk);
-}
-
 const struct swarm_counters *swarm_counters(const struct swarm *swarm)
 {
     return &swarm->counters;
@@ -418,11 +413,6 @@
     swarm_announce_news(swarm, now);
 }
 
-uint64_t swarm_next_tick(const struct swarm *swarm, uint64_t now)
-{
-    return now + swarm->settings.announce_us;
-}
-
 enum swarm_upload swarm_admit_upload(const struct swarm *swarm, uint32_t chunk, uint32_t queue)
 {
     if (chunk >= swarm->chunk_count)
--- a/src/core/swarm.h
+++ b/src/core/swarm.h
@@ -127,11 +127,7 @@
 
 bool swarm_complete(const struct swarm *swarm);
 uint32_t swarm_held_count(const struct swarm *swarm);
-bool swarm_holds(const struct swarm *swarm, uint32_t chunk);
 const struct swarm_counters *swarm_counters(const struct swarm *swarm);
-/** \brief Earliest time at which swarm_on_tick has work; UINT64_MAX when it only waits for events.
- */
-uint64_t swarm_next_tick(const struct swarm *swarm, uint64_t now);
 /** \brief Ids of the present neighbours. \return count, at most SWARM_MAX_NEIGHBOURS */
 uint32_t swarm_neighbours(const struct swarm *swarm, uint64_t ids[SWARM_MAX_NEIGHBOURS]);
 
--- a/src/core/swarm_internal.h
+++ b/src/core/swarm_internal.h
@@ -16,8 +16,7 @@
     uint32_t have_count;
     uint16_t zone;
     uint16_t region;
-    bool chosen; /* by this node; else it chose us */
-    bool heard;
+    bool chosen;     /* by this node; else it chose us */
     bool needs_full; /* our next update must be full */
     bool wants_full; /* we lost track of its set */
     uint32_t in_flight;
--- a/src/core/swarm_neighbours.c
+++ b/src/core/swarm_neighbours.c
@@ -184,7 +184,6 @@
     if (!neighbour)
         return false;
     swarm_clear_suspect(swarm, peer);
-    neighbour->heard = true;
     neighbour->last_heard = now;
     neighbour->upload_queue = update->upload_queue;
     neighbour->needs_full |= update->want_full;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -368,11 +368,6 @@
     return server;
 }
 
-void http_server_quiesce(struct http_server *server)
-{
-    MHD_quiesce_daemon(server->daemon);
-}
-
 void http_server_stop(struct http_server *server)
 {
     if (!server)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -47,8 +47,6 @@
 
 /** \return NULL with a status message */
 struct http_server *http_server_start(const struct http_server_settings *settings);
-/** \brief Stop listening; open connections go on until http_server_stop(). */
-void http_server_quiesce(struct http_server *server);
 void http_server_stop(struct http_server *server);
 
 const char *http_header(struct http_exchange *exchange, const char *name);
--- a/src/sim/fleet/scenarios.c
+++ b/src/sim/fleet/scenarios.c
@@ -70,8 +70,8 @@
 
 const char *fleet_mutation_name(enum fleet_mutation mutation)
 {
-    static const char *const names[] = {
-        "none",        "no-keys",    "no-guard",      "no-incarnation", "no-tickets", "no-drain",
-        "no-revision", "no-version", "early-not-run", "no-match",       "hard-stop"};
+    static const char *const names[] = {"none",     "no-keys",     "no-guard",   "no-tickets",
+                                        "no-drain", "no-revision", "no-version", "early-not-run",
+                                        "no-match", "hard-stop"};
     return names[mutation];
 }
