A caller that is too slow gets a broken connection, not a clean end

Cause: when more than a megabyte waited for a caller, its stream ended as a whole HTTP response without the last line; only callers that look for that line could tell.

Ruled out: waiting for the caller (its run would hold a place at the engine).

Change: the connection is broken; the bound is the setting caller-buffer-kb.

The slow caller itself was not run: the kernel's buffers on loopback take more than the longest answers of the stand-in.

--- a/src/gateway/gateway_traffic.c
+++ b/src/gateway/gateway_traffic.c
@@ -18,7 +18,6 @@
 #define TICK_US (50 * MICROSECONDS_PER_MILLISECOND)
 #define SERIES_US (500 * MICROSECONDS_PER_MILLISECOND)
 #define STALL_US (5 * MICROSECONDS_PER_SECOND)
-#define CLIENT_BUFFER (1u << 20) /* bytes that wait for a slow caller at most */
 
 /* One request of a caller; lives until its answer is complete and its exchange closed. */
 struct call {
@@ -89,11 +88,12 @@
 static void stream_text(struct gateway_traffic *traffic, struct call *call, const void *text,
                         size_t size)
 {
-    if (call->closed || http_stream_data(call->exchange, text, size, CLIENT_BUFFER))
+    size_t limit = traffic->settings->caller_buffer_kb * 1024;
+    if (call->closed || http_stream_data(call->exchange, text, size, limit))
         return;
-    /* Gone or too slow: the stream ends without its last line, and the engine is told. */
+    /* Gone or too slow: the stream breaks, and the engine is told. */
     call->closed = true;
-    http_stream_end(call->exchange);
+    http_stream_break(call->exchange);
 }
 
 static void begin(void *context, uint64_t number, const struct ready_model *model)
@@ -392,7 +392,7 @@
     loop_drain(traffic->loop);
     router_destroy(traffic->router);
     while (traffic->calls) {
-        http_stream_end(traffic->calls->exchange);
+        http_stream_break(traffic->calls->exchange);
         remove_call(traffic, traffic->calls);
     }
     links_destroy(traffic->links);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -42,6 +42,7 @@
     bool closed; /* the listener let go */
     bool began;
     bool ended;
+    bool broken;
     unsigned status;
     char content_type[64];
     struct kept_header *headers;
@@ -204,6 +205,14 @@
     pthread_mutex_unlock(&exchange->lock);
 }
 
+void http_stream_break(struct http_exchange *exchange)
+{
+    pthread_mutex_lock(&exchange->lock);
+    exchange->broken = true;
+    resume(exchange);
+    pthread_mutex_unlock(&exchange->lock);
+}
+
 /* MHD asks for bytes: give what waits, or sleep until the keeper has more. */
 static ssize_t read_stream(void *context, uint64_t position, char *buffer, size_t most)
 {
@@ -211,7 +220,9 @@
     ssize_t given = 0;
     pthread_mutex_lock(&exchange->lock);
     size_t waiting = exchange->pending_size - exchange->pending_start;
-    if (waiting) {
+    if (exchange->broken) {
+        given = MHD_CONTENT_READER_END_WITH_ERROR;
+    } else if (waiting) {
         size_t size = waiting < most ? waiting : most;
         memcpy(buffer, exchange->pending + exchange->pending_start, size);
         exchange->pending_start += size;
@@ -244,11 +255,14 @@
 {
     pthread_mutex_lock(&exchange->lock);
     bool queues = exchange->began && !exchange->replied;
-    if (!queues && !exchange->replied) {
+    bool breaks = exchange->broken && !exchange->replied;
+    if (!queues && !breaks && !exchange->replied) {
         exchange->suspended = true;
         MHD_suspend_connection(exchange->connection);
     }
     pthread_mutex_unlock(&exchange->lock);
+    if (breaks)
+        return MHD_NO; /* closes the connection */
     /* Not under the lock: libmicrohttpd locks the response here, and takes the two in the other
      * order when it asks for bytes. */
     return queues ? queue_stream(exchange) : MHD_YES;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -82,6 +82,8 @@
 void http_stream_begin(struct http_exchange *exchange, unsigned status, const char *content_type,
                        const struct http_reply_header *headers);
 void http_stream_end(struct http_exchange *exchange);
+/** \brief Break the connection, so that the client cannot take what it has for whole. */
+void http_stream_break(struct http_exchange *exchange);
 /** \brief Give the kept exchange back; it must not be used afterwards. */
 void http_release(struct http_exchange *exchange);
 /** \brief Owner's own word for a kept exchange. */
