System tests wait for the gateway too

Cause: the caller's tests failed once in nine runs (one failure, two errors): they began when the agents served, but the gateway joins on its own time and answered that no configuration was in force.

Change: the test fleet is ready when the gateway routes to the model and the service and its ticket names the home. No check was eased.

--- a/tests/system/fleet_test.py
+++ b/tests/system/fleet_test.py
@@ -48,9 +48,21 @@
     fleet.publish_config(demo.make_config("v1", model, fleet.agents(engines=False)))
     for agent in fleet.agents():
         wait_until(f"{agent} serves v1", lambda a=agent: fleet.serves(a, "v1"))
+    wait_for_gateway(fleet)
     return fleet
 
 
+def wait_for_gateway(fleet):
+    """The gateway joins on its own time, and hears of each agent on its own time too."""
+    url = fleet.http("gateway-1")
+    wait_until("the gateway routes to the model", lambda: post(
+        url + "/v1/services/script", b'{"max_tokens": 1}', {"X-Tenant": "water"})[0] == 200)
+    wait_until("the gateway routes to the service", lambda: post(
+        url + "/v1/services/seats", b'{"id": "first"}', {"X-Tenant": "water"})[0] == 200)
+    wait_until("the ticket names the home", lambda: ".0-" not in call(
+        url + "/v1/endpoints?service=seats")["ticket"])
+
+
 class DemonstrationTest(unittest.TestCase):
     def test_nothing_is_lost_doubled_cut_or_mixed(self):
         summary = demo.run(argparse.Namespace(**{**vars(OPTIONS), "work": OPTIONS.work + "/demo"}))
