Chunks are released a while after the engine confirmed them

Cause: an agent kept the chunks of the present version for as long as the configuration named it.

Ruled out: releasing them when all neighbours are complete (a machine that restarts would read the origin at once; how long that matters is the operators' to say).

Measured: a system test: with 300 ms the chunks are gone while the version is served, and an engine that was killed and started again serves it after a new fetch. Its first form failed since it gave the flag to the gateway too.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -83,6 +83,10 @@
                           str(STANDIN_PORT), *flags])
         return url
 
+    def restart_standin(self, name):
+        """Start a stand-in that ended again, with the arguments it had."""
+        self.start(name, self.processes[name].args)
+
     def stop(self):
         for process in self.processes.values():
             if process.poll() is None:
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -143,12 +143,13 @@
         bool confirmed = ready && strcmp(ready->digest, rollout->hex) == 0;
         if (confirmed && rollout->state != ROLLOUT_READY) {
             rollout->state = ROLLOUT_READY;
+            rollout->ready_since = clock_monotonic_us();
             metric_add(METRIC_ENGINE_LOADS, 1);
             log_event(LOG_LEVEL_INFO, "rollout", "ready", "model=%s version=%s seconds=%.3f",
                       rollout->model.name, rollout->model.version,
                       (double)(clock_monotonic_us() - rollout->started) / 1e6);
         } else if (!confirmed && rollout->state == ROLLOUT_READY) {
-            rollout->state = rollout->swarm ? ROLLOUT_CHUNKS : ROLLOUT_MANIFEST;
+            rollout_start_again(rollout);
             log_event(LOG_LEVEL_WARN, "rollout", "engine_lost_model", "model=%s",
                       rollout->model.name);
         }
@@ -407,6 +408,8 @@
             swarm_set_upload_queue(rollout->swarm, uploads);
         rollout_tick(rollout, now);
         load_when_complete(agent, rollout, now);
+        if (rollout_release_when_kept(rollout, now))
+            blob_store_prune(agent->store, blob_wanted, agent);
     }
     ask_engine(agent, now);
     tell_status(agent, now);
--- a/src/agent/rollout.c
+++ b/src/agent/rollout.c
@@ -297,10 +297,37 @@
         swarm_on_tick(rollout->swarm, now);
 }
 
+bool rollout_release_when_kept(struct rollout *rollout, uint64_t now)
+{
+    uint64_t keep_us = rollout->shell->settings->weights_keep_ms * MICROSECONDS_PER_MILLISECOND;
+    bool kept = rollout->state == ROLLOUT_READY && rollout->swarm &&
+                swarm_complete(rollout->swarm) && rollout->ready_since &&
+                now - rollout->ready_since >= keep_us;
+    if (!kept)
+        return false;
+    swarm_destroy(rollout->swarm);
+    rollout->swarm = NULL;
+    rollout->released = true;
+    log_event(LOG_LEVEL_INFO, "rollout", "released", "model=%s version=%s", rollout->model.name,
+              rollout->model.version);
+    return true;
+}
+
+void rollout_start_again(struct rollout *rollout)
+{
+    rollout->ready_since = 0;
+    rollout->released = false;
+    rollout->state = rollout->swarm ? ROLLOUT_CHUNKS : ROLLOUT_MANIFEST;
+    if (!rollout->swarm)
+        manifest_clear(&rollout->manifest);
+}
+
 bool rollout_wants(const struct rollout *rollout, const struct digest *digest)
 {
     if (digest_equal(digest, &rollout->model.manifest))
         return true;
+    if (rollout->released)
+        return false;
     return manifest_find_chunk(&rollout->manifest, digest) >= 0;
 }
 
--- a/src/agent/rollout.h
+++ b/src/agent/rollout.h
@@ -31,7 +31,9 @@
     uint64_t started;
     uint64_t next_try; /**< of the manifest or the load order */
     uint32_t tries;
-    bool asking; /**< a manifest fetch or a load order is out */
+    uint64_t ready_since; /**< 0: the engine has not confirmed it */
+    bool released;        /**< chunks were given up after `weights-keep-ms` */
+    bool asking;          /**< a manifest fetch or a load order is out */
     enum rollout_weighting weighting;
 };
 
@@ -48,6 +50,11 @@
                        const Shuntrun__NodeUpdate *update);
 void rollout_tick(struct rollout *rollout, uint64_t now);
 
+/** \brief Give the chunks up when they were kept long enough. \return whether they were just now */
+bool rollout_release_when_kept(struct rollout *rollout, uint64_t now);
+/** \brief The engine lost the version: get the chunks again if they were given up. */
+void rollout_start_again(struct rollout *rollout);
+
 /** \brief Whether this rollout needs a blob: its manifest or one of its chunks. */
 bool rollout_wants(const struct rollout *rollout, const struct digest *digest);
 
--- a/tests/system/fleet_test.py
+++ b/tests/system/fleet_test.py
@@ -33,13 +33,14 @@
         return error.code, error.headers, error.read().decode()
 
 
-def small_fleet(name, engines=2, through_link=None, origin_rate=64 << 20, flags=()):
+def small_fleet(name, engines=2, through_link=None, origin_rate=64 << 20, flags=(),
+                agent_flags=()):
     """One gateway, some engines, one plain service; v1 is served when this returns."""
     fleet = Fleet(OPTIONS.build, pathlib.Path(OPTIONS.work) / name)
     fleet.start_platform(origin_rate, lag_ms=0)
     fleet.add_gateway("gateway-1", 1, "--endpoints-max-age-ms", "500", *flags)
     for number in range(engines):
-        fleet.add_engine_agent(f"engine-{number}", 1, *flags)
+        fleet.add_engine_agent(f"engine-{number}", 1, *flags, *agent_flags)
     fleet.add_service_agent("seats-0", 1, "seats", *flags)
     if through_link:
         fleet.put_link_before(through_link)
@@ -290,6 +291,21 @@
         finally:
             fleet.stop()
 
+    def test_chunks_are_released_and_fetched_again_when_an_engine_restarts(self):
+        fleet = small_fleet("release", engines=2, agent_flags=("--weights-keep-ms", "300"))
+        try:
+            for agent in fleet.agents():
+                wait_until(f"{agent} released its chunks", lambda a=agent: fleet.counters(a)[
+                    "shuntrun_chunk_memory_bytes"] < 1 << 19)
+                self.assertTrue(fleet.serves(agent, "v1"))
+            fleet.kill("engine-0-engine")
+            fleet.processes["engine-0-engine"].wait()
+            wait_until("the lost engine is noticed", lambda: not fleet.serves("engine-0", "v1"))
+            fleet.restart_standin("engine-0-engine")
+            wait_until("engine-0 serves again", lambda: fleet.serves("engine-0", "v1"))
+        finally:
+            fleet.stop()
+
     def test_a_version_that_changes_in_flight_is_abandoned(self):
         fleet = small_fleet("change", engines=3, origin_rate=4 << 20)
         try:
