With a budget of several copies the origin is one more uploader

Cause: a budget of four gave 1.3 copies and no time: chunks that a neighbour held were never read from the origin.

Ruled out: reading them with a budget of one as well (a machine that restarts would read its chunks anew).

Change: within a budget above one, the first ranks read at once.

--- a/src/core/swarm_duties.c
+++ b/src/core/swarm_duties.c
@@ -105,10 +105,14 @@
     swarm_start_request(swarm, now, source, duty->chunk, !from_origin);
 }
 
+/* With a budget of several copies the origin is one more uploader, used even for what neighbours
+ * hold. Otherwise it is read only for what nobody near has. */
 static bool duty_due(const struct swarm *swarm, const struct duty *duty, uint64_t now)
 {
+    uint32_t budget = swarm->settings.origin_budget;
+    bool budgeted = budget > 1 && duty->position < budget;
     return !duty->asking && duty->not_before <= now && bitmap_get(swarm->open, duty->chunk) &&
-           swarm->availability[duty->chunk] == 0;
+           (budgeted || swarm->availability[duty->chunk] == 0);
 }
 
 void swarm_drop_done_duties(struct swarm *swarm, uint32_t chunk)
