Name the link authentication by the field's terms

Cause: gatekeeper and stranger are pictures; ZeroMQ's word is authenticator, and links are rejected.

Ruled out: keeping the counter's old name beside the new one (nothing was released).

Change: names only.

Measured: the keys' system test passes.

--- a/src/net/gatekeeper.c
+++ b/src/net/authenticator.c
@@ -1,4 +1,4 @@
-#include "net/gatekeeper.h"
+#include "net/authenticator.h"
 
 #include "base/log.h"
 #include "base/memory.h"
@@ -25,7 +25,7 @@
     ZAP_FRAME_KEY
 };
 
-struct gatekeeper {
+struct authenticator {
     void *socket;
     struct loop *loop;
     struct key_ring keys;
@@ -55,7 +55,7 @@
     return request->count > ZAP_FRAME_MECHANISM;
 }
 
-static bool is_known(const struct gatekeeper *gatekeeper, const struct zap_request *request)
+static bool is_known(const struct authenticator *authenticator, const struct zap_request *request)
 {
     char key[KEY_TEXT_SIZE];
     bool curve = strcmp(request->frames[ZAP_FRAME_MECHANISM], "CURVE") == 0 &&
@@ -63,7 +63,7 @@
     if (!curve)
         return false;
     zmq_z85_encode(key, (const uint8_t *)request->frames[ZAP_FRAME_KEY], CURVE_KEY_BYTES);
-    return key_ring_knows(&gatekeeper->keys, key);
+    return key_ring_knows(&authenticator->keys, key);
 }
 
 static void send_frame(void *socket, const void *bytes, size_t size, bool more)
@@ -85,45 +85,46 @@
 
 static void on_request(void *context)
 {
-    struct gatekeeper *gatekeeper = context;
+    struct authenticator *authenticator = context;
     struct zap_request request;
-    while (link_socket_readable(gatekeeper->socket) && take_request(gatekeeper->socket, &request)) {
-        bool known = is_known(gatekeeper, &request);
+    while (link_socket_readable(authenticator->socket) &&
+           take_request(authenticator->socket, &request)) {
+        bool known = is_known(authenticator, &request);
         if (!known) {
-            metric_add(METRIC_STRANGERS_REFUSED, 1);
-            log_event(LOG_LEVEL_WARN, "links", "stranger_refused", "address=%s",
+            metric_add(METRIC_LINKS_REJECTED, 1);
+            log_event(LOG_LEVEL_WARN, "links", "link_rejected", "address=%s",
                       request.frames[ZAP_FRAME_ADDRESS]);
         }
-        answer(gatekeeper->socket, &request, known);
+        answer(authenticator->socket, &request, known);
     }
 }
 
-struct gatekeeper *gatekeeper_open(void *zmq, struct loop *loop, const struct key_ring *keys)
+struct authenticator *authenticator_open(void *zmq, struct loop *loop, const struct key_ring *keys)
 {
-    struct gatekeeper *gatekeeper = memory_zero(1, sizeof *gatekeeper);
-    gatekeeper->loop = loop;
-    gatekeeper->keys = *keys;
-    gatekeeper->socket = zmq_socket(zmq, ZMQ_REP);
-    if (zmq_bind(gatekeeper->socket, ZAP_ENDPOINT) != 0) {
+    struct authenticator *authenticator = memory_zero(1, sizeof *authenticator);
+    authenticator->loop = loop;
+    authenticator->keys = *keys;
+    authenticator->socket = zmq_socket(zmq, ZMQ_REP);
+    if (zmq_bind(authenticator->socket, ZAP_ENDPOINT) != 0) {
         status_fail(STATUS_IO, "%s: %s", ZAP_ENDPOINT, zmq_strerror(zmq_errno()));
-        zmq_close(gatekeeper->socket);
-        free(gatekeeper);
+        zmq_close(authenticator->socket);
+        free(authenticator);
         return NULL;
     }
-    loop_watch_socket(loop, gatekeeper->socket, on_request, gatekeeper);
-    return gatekeeper;
+    loop_watch_socket(loop, authenticator->socket, on_request, authenticator);
+    return authenticator;
 }
 
-void gatekeeper_set_keys(struct gatekeeper *gatekeeper, const struct key_ring *keys)
+void authenticator_set_keys(struct authenticator *authenticator, const struct key_ring *keys)
 {
-    gatekeeper->keys = *keys;
+    authenticator->keys = *keys;
 }
 
-void gatekeeper_close(struct gatekeeper *gatekeeper)
+void authenticator_close(struct authenticator *authenticator)
 {
-    if (!gatekeeper)
+    if (!authenticator)
         return;
-    loop_unwatch_socket(gatekeeper->loop, gatekeeper->socket);
-    zmq_close(gatekeeper->socket);
-    free(gatekeeper);
+    loop_unwatch_socket(authenticator->loop, authenticator->socket);
+    zmq_close(authenticator->socket);
+    free(authenticator);
 }
--- a/src/net/link_listener.c
+++ b/src/net/link_listener.c
@@ -26,7 +26,8 @@
     void *monitors[KEY_SLOTS]; /* events of handshakes that failed */
 };
 
-/* A stranger without the fleet's keys does not get as far as the gatekeeper: its handshake fails.
+/* A peer without the fleet's keys does not get as far as the authenticator: its handshake
+ * fails.
  */
 static void on_refused_handshake(void *context)
 {
@@ -38,8 +39,8 @@
         while (monitor && link_socket_readable(monitor)) {
             zmq_recv(monitor, event, sizeof event, ZMQ_DONTWAIT);
             int length = zmq_recv(monitor, address, sizeof address - 1, ZMQ_DONTWAIT);
-            metric_add(METRIC_STRANGERS_REFUSED, 1);
-            log_event(LOG_LEVEL_WARN, "links", "stranger_refused", "endpoint=%.*s",
+            metric_add(METRIC_LINKS_REJECTED, 1);
+            log_event(LOG_LEVEL_WARN, "links", "link_rejected", "endpoint=%.*s",
                       length > 0 ? length : 0, address);
         }
     }
--- a/src/net/node_shell.c
+++ b/src/net/node_shell.c
@@ -140,7 +140,7 @@
 static void use_keys(struct node_shell *shell, const struct key_ring *keys)
 {
     shell->keys = *keys;
-    gatekeeper_set_keys(shell->gatekeeper, keys);
+    authenticator_set_keys(shell->authenticator, keys);
     link_listener_set_keys(shell->inbound, keys);
     links_set_keys(shell->links, keys);
     shell->callbacks.keys_changed(shell->callbacks.context, keys);
@@ -202,8 +202,8 @@
 static enum status open_links(struct node_shell *shell)
 {
     const struct settings *settings = shell->settings;
-    shell->gatekeeper = gatekeeper_open(shell->zmq, shell->loop, &shell->keys);
-    if (!shell->gatekeeper)
+    shell->authenticator = authenticator_open(shell->zmq, shell->loop, &shell->keys);
+    if (!shell->authenticator)
         return STATUS_IO;
     shell->inbound = link_listener_open(shell->zmq, LINK_CONTROL, settings->address,
                                         (uint16_t)settings->control_port, &shell->keys, shell->loop,
@@ -222,7 +222,7 @@
     if (settings->control_keys_file)
         shell->keys_changed_at = key_ring_changed_at(settings->control_keys_file);
     if (open_links(shell) != STATUS_OK) {
-        gatekeeper_close(shell->gatekeeper);
+        authenticator_close(shell->authenticator);
         loop_destroy(shell->loop);
         zmq_ctx_term(shell->zmq);
         shell->loop = NULL;
@@ -239,7 +239,7 @@
     loop_drain(shell->loop);
     links_destroy(shell->links);
     link_listener_close(shell->inbound);
-    gatekeeper_close(shell->gatekeeper);
+    authenticator_close(shell->authenticator);
     loop_destroy(shell->loop);
     node_destroy(shell->node);
     zmq_ctx_term(shell->zmq);
--- a/src/net/node_shell.h
+++ b/src/net/node_shell.h
@@ -7,7 +7,7 @@
 
 #include "base/settings.h"
 #include "core/node.h"
-#include "net/gatekeeper.h"
+#include "net/authenticator.h"
 #include "net/links.h"
 #include "net/loop.h"
 
@@ -28,7 +28,7 @@
     struct key_ring keys;
     struct timespec keys_changed_at;
     uint64_t next_key_check;
-    struct gatekeeper *gatekeeper;
+    struct authenticator *authenticator;
     struct link_listener *inbound;
     struct loop *loop;
     struct links *links;
--- a/tests/fuzz/fuzz_message.c
+++ b/tests/fuzz/fuzz_message.c
@@ -1,4 +1,4 @@
-/* A control message from a stranger, through the unpacker into a node, an executor and a router. */
+/* A control message from anybody, through the unpacker into a node, an executor and a router. */
 #include "fuzz/fuzz.h"
 
 #include "core/executor.h"
--- a/tests/system/fleet_test.py
+++ b/tests/system/fleet_test.py
@@ -224,7 +224,7 @@
 
 
 class KeysTest(unittest.TestCase):
-    """Encrypted links: keys are exchanged under traffic, and a stranger is refused."""
+    """Encrypted links: keys are exchanged under traffic, and a peer with other keys is rejected."""
 
     @staticmethod
     def new_key(slot):
@@ -257,13 +257,13 @@
                 self.assertEqual(report["outcomes"][verdict], 0, report)
             self.assertGreater(report["outcomes"]["done"], 0)
 
-            other = directory / "stranger.keys"
+            other = directory / "other.keys"
             other.write_text(f"{self.new_key('b')}\nuse b\n")
-            fleet.add_engine_agent("stranger", 1, "--control-keys-file", str(other))
-            wait_until("the stranger is refused", lambda: any(
-                fleet.counters(name)["shuntrun_strangers_refused_total"]
-                for name in fleet.machines if name != "stranger"))
-            self.assertEqual(fleet.status("stranger")["live_peers"], 0)
+            fleet.add_engine_agent("unknown", 1, "--control-keys-file", str(other))
+            wait_until("the unknown peer is rejected", lambda: any(
+                fleet.counters(name)["shuntrun_links_rejected_total"]
+                for name in fleet.machines if name != "unknown"))
+            self.assertEqual(fleet.status("unknown")["live_peers"], 0)
             logs = "".join(log.read_text() for log in directory.glob("*.log"))
             for secret in (first.split()[2], second.split()[2]):
                 self.assertNotIn(secret, logs)
