--- a/src/sim/simulate.c
+++ b/src/sim/simulate.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "sim/rollout/rollout_sim.h"
 #include "sim/scenario_run.h"
+#include "tool/tool.h"
 
 #include <argp.h>
 #include <inttypes.h>
@@ -283,9 +284,7 @@
         parse_faults(&rollout->faults, argument, state);
         break;
     case KEY_OUTPUT:
-        options->json = strcmp(argument, "json") == 0;
-        if (!options->json && strcmp(argument, "text") != 0)
-            argp_error(state, "--output must be json or text");
+        options->json = tool_parse_output(argument, state);
         break;
     case KEY_NEIGHBOURS:
         options->neighbours = (uint32_t)parse_count(argument, SWARM_MAX_NEIGHBOURS / 2, state);
--- a/src/tool/check.c
+++ b/src/tool/check.c
@@ -142,13 +142,13 @@
         options->machines = argument;
         break;
     case KEY_ROLE:
+        if (strcmp(argument, "gateway") != 0 && strcmp(argument, "agent") != 0)
+            argp_error(state, "--role must be agent or gateway");
         options->role =
             strcmp(argument, "gateway") == 0 ? SETTING_ROLE_GATEWAY : SETTING_ROLE_AGENT;
         break;
     case KEY_OUTPUT:
-        options->json = strcmp(argument, "json") == 0;
-        if (!options->json && strcmp(argument, "text") != 0)
-            argp_error(state, "--output must be json or text");
+        options->json = tool_parse_output(argument, state);
         break;
     case ARGP_KEY_ARG:
         if (options->file_count == MAX_FILES)
--- a/src/tool/plan.c
+++ b/src/tool/plan.c
@@ -60,7 +60,7 @@
         options->why = argument;
         break;
     case KEY_OUTPUT:
-        options->json = strcmp(argument, "json") == 0;
+        options->json = tool_parse_output(argument, state);
         break;
     case ARGP_KEY_ARG:
         if (options->file_count == 2)
--- a/src/tool/status.c
+++ b/src/tool/status.c
@@ -214,7 +214,7 @@
         options->follow = true;
         break;
     case KEY_OUTPUT:
-        options->json = strcmp(argument, "json") == 0;
+        options->json = tool_parse_output(argument, state);
         break;
     case ARGP_KEY_ARG:
         if (options->address_count == MAX_ADDRESSES)
--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -80,6 +80,14 @@
     return value;
 }
 
+bool tool_parse_output(const char *text, struct argp_state *state)
+{
+    bool json = strcmp(text, "json") == 0;
+    if (!json && strcmp(text, "text") != 0)
+        argp_error(state, "--output must be json or text");
+    return json;
+}
+
 void tool_print_json(json_t *value)
 {
     char *text = json_dumps(value, JSON_INDENT(2) | JSON_REAL_PRECISION(9));
--- a/src/tool/tool.h
+++ b/src/tool/tool.h
@@ -10,6 +10,7 @@
 #include "core/fleet_config.h"
 #include "core/policy.h"
 
+#include <argp.h>
 #include <jansson.h>
 
 /** \brief Read a file. \param text owned by the caller, closed by a zero */
@@ -20,6 +21,9 @@
 /** \brief GET text. \return owned text, or NULL with a status message */
 char *tool_get_text(const char *address, const char *path);
 
+/** \brief Value of `--output`: true for json, false for text; any other ends with a usage error. */
+bool tool_parse_output(const char *text, struct argp_state *state);
+
 /** \brief Print indented JSON and release it. */
 void tool_print_json(json_t *value);
 
--- a/tests/system/fleet_test.py
+++ b/tests/system/fleet_test.py
@@ -348,6 +348,15 @@
 
 
 class SettingsTest(unittest.TestCase):
+    def test_tools_refuse_values_that_they_do_not_know(self):
+        for arguments in (["check", "--output", "yaml", "x"], ["check", "--role", "other", "x"],
+                          ["plan", "--output", "yaml"], ["status", "--output", "yaml", "x"],
+                          ["simulate", "--output", "yaml"]):
+            result = subprocess.run([OPTIONS.build + "/shuntrun", *arguments], capture_output=True,
+                                    text=True, check=False)
+            self.assertEqual(result.returncode, 2, arguments)
+            self.assertIn(arguments[1], result.stderr)
+
     def test_wrong_flags_end_with_status_2_and_all_findings(self):
         result = subprocess.run([OPTIONS.build + "/shuntrun", "agent", "--http-port", "x",
                                  "--address", "127.0.0.1"], capture_output=True, text=True,
