--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -4,7 +4,7 @@
 packages=(gcc g++ cmake ninja-build pkg-config python3 git clang-format clang-tidy cppcheck
   libmicrohttpd-dev libcurl4-openssl-dev libck-dev libzmq3-dev libprotobuf-c-dev
   protobuf-c-compiler libjansson-dev libxxhash-dev liblua5.4-dev libcmocka-dev libssl-dev
-  libzstd-dev librandom123-dev gnuplot-nox openssl)
+  libuv1-dev libhttp-parser-dev libzstd-dev librandom123-dev gnuplot-nox openssl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,21 +1,46 @@
 #include "base/log.h"
 
+#include "base/clock.h"
+
+#include <ck_pr.h>
+#include <fcntl.h>
+#include <pthread.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <unistd.h>
 
+/** Below PIPE_BUF, so that a pipe takes a line whole or not at all. */
 #define LOG_LINE_SIZE 1024
+#define LOG_KINDS 256
+#define LOG_RATE_PER_SECOND 20
+#define LOG_BURST 60
+
+/* Lines of one kind that may be written now. */
+struct log_kind {
+    const char *event;
+    double tokens;
+    uint64_t refilled;
+    uint64_t left_out; /* since the last line of this kind */
+};
 
 static const char *log_node = "-";
 static enum log_level log_least = LOG_LEVEL_INFO;
 static const char *const level_names[] = {"debug", "info", "warn", "error"};
+static struct log_kind kinds[LOG_KINDS];
+static pthread_mutex_t kinds_lock = PTHREAD_MUTEX_INITIALIZER;
+static uint64_t dropped;
 
 void log_init(const char *node, enum log_level least)
 {
+    struct stat output;
     log_node = node;
     log_least = least;
+    if (fstat(STDOUT_FILENO, &output) == 0 && S_ISFIFO(output.st_mode))
+        fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
 
 enum log_level log_level_from_name(const char *name)
@@ -26,29 +51,82 @@
     return LOG_LEVEL_INFO;
 }
 
-void log_event(enum log_level level, const char *subsystem, const char *event, const char *format,
-               ...)
+uint64_t log_dropped(void)
+{
+    return ck_pr_load_64(&dropped);
+}
+
+static struct log_kind *kind_of(const char *event)
+{
+    size_t place = ((uintptr_t)event >> 2) % LOG_KINDS;
+    for (size_t i = 0; i < LOG_KINDS; i++) {
+        struct log_kind *kind = &kinds[(place + i) % LOG_KINDS];
+        if (!kind->event)
+            *kind = (struct log_kind){event, LOG_BURST, clock_monotonic_us(), 0};
+        if (kind->event == event)
+            return kind;
+    }
+    return &kinds[place];
+}
+
+/* \return whether a line of this kind may be written; `left_out` gets how many were not before */
+static bool admit(const char *event, uint64_t *left_out)
+{
+    pthread_mutex_lock(&kinds_lock);
+    struct log_kind *kind = kind_of(event);
+    uint64_t now = clock_monotonic_us();
+    kind->tokens += (double)(now - kind->refilled) * LOG_RATE_PER_SECOND / 1e6;
+    if (kind->tokens > LOG_BURST)
+        kind->tokens = LOG_BURST;
+    kind->refilled = now;
+    bool admitted = kind->tokens >= 1;
+    *left_out = kind->left_out;
+    if (admitted) {
+        kind->tokens -= 1;
+        kind->left_out = 0;
+    } else {
+        kind->left_out++;
+    }
+    pthread_mutex_unlock(&kinds_lock);
+    return admitted;
+}
+
+static int write_start(char *line, size_t size, enum log_level level, const char *subsystem,
+                       const char *event)
 {
-    if (level < log_least)
-        return;
-    char line[LOG_LINE_SIZE];
     struct timespec now;
     struct tm utc;
     char date[32];
     clock_gettime(CLOCK_REALTIME, &now);
     gmtime_r(&now.tv_sec, &utc);
     strftime(date, sizeof date, "%Y-%m-%dT%H:%M:%S", &utc);
-    int used =
-        snprintf(line, sizeof line, "time=%s.%03ldZ level=%s node=%s subsystem=%s event=%s ", date,
-                 now.tv_nsec / 1000000, level_names[level], log_node, subsystem, event);
+    return snprintf(line, size, "time=%s.%03ldZ level=%s node=%s subsystem=%s event=%s ", date,
+                    now.tv_nsec / 1000000, level_names[level], log_node, subsystem, event);
+}
+
+void log_event(enum log_level level, const char *subsystem, const char *event, const char *format,
+               ...)
+{
+    uint64_t left_out;
+    if (level < log_least)
+        return;
+    if (!admit(event, &left_out)) {
+        ck_pr_inc_64(&dropped);
+        return;
+    }
+    char line[LOG_LINE_SIZE];
+    int used = write_start(line, sizeof line, level, subsystem, event);
     va_list arguments;
     va_start(arguments, format);
     int more = vsnprintf(line + used, sizeof line - (size_t)used, format, arguments);
     va_end(arguments);
     size_t length = (size_t)used + (more > 0 ? (size_t)more : 0);
+    if (left_out && length < sizeof line)
+        length += (size_t)snprintf(line + length, sizeof line - length, " left_out=%llu",
+                                   (unsigned long long)left_out);
     if (length > sizeof line - 2)
         length = sizeof line - 2;
     line[length++] = '\n';
-    ssize_t written = write(STDERR_FILENO, line, length);
-    (void)written;
+    if (write(STDOUT_FILENO, line, length) != (ssize_t)length)
+        ck_pr_inc_64(&dropped);
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -31,6 +31,8 @@
     X(METRIC_PLATFORM_CALLS, "shuntrun_platform_calls_total", "calls to the platform's services")  \
     X(METRIC_ENGINE_LOADS, "shuntrun_engine_loads_total", "load orders confirmed by the engine")   \
     X(METRIC_UPDATES_SENT, "shuntrun_updates_sent_total", "updates sent to neighbours")            \
+    X(METRIC_UPSTREAM_CONNECTIONS, "shuntrun_upstream_connections_total",                          \
+      "connections opened to back ends")                                                           \
     X(METRIC_LINKS_REJECTED, "shuntrun_links_rejected_total", "links refused by their key")        \
     X(METRIC_UPDATE_BYTES, "shuntrun_update_bytes_total", "bytes of control messages sent")
 
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -12,7 +12,12 @@
 #include <stddef.h>
 
 enum setting_type { SETTING_STRING, SETTING_URL, SETTING_CHOICE, SETTING_UINT, SETTING_BOOL };
-enum setting_role { SETTING_ROLE_GATEWAY = 1, SETTING_ROLE_AGENT = 2 };
+enum setting_role {
+    SETTING_ROLE_GATEWAY = 1,
+    SETTING_ROLE_AGENT = 2,
+    SETTING_ROLE_EDGE = 4,
+    SETTING_ROLE_LOADER = 8
+};
 
 struct setting_descriptor {
     const char *name;
--- /dev/null
+++ b/src/cluster/cluster.c
@@ -0,0 +1,303 @@
+#include "cluster/cluster.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "cluster/state_sync.h"
+#include "cluster/store_reader.h"
+#include "core/hash.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_MS 100
+#define ROUND_US 400000
+#define FANOUT 3
+#define SUSPECT_US 2500000
+#define FORGET_US 20000000
+#define TARGETS_MOST 64
+#define DATAGRAM_SIZE 8192
+#define CALL_BODY_LIMIT 65536
+/** A tick so late means that the process stood still. */
+#define PAUSE_US 1000000
+#define TOMBSTONE_US 60000000
+
+uint64_t cluster_now(void)
+{
+    return clock_monotonic_us();
+}
+
+struct sockaddr_in cluster_address(const struct cluster *cluster, uint32_t address)
+{
+    struct sockaddr_in result = {.sin_family = AF_INET,
+                                 .sin_port = htons(cluster->port),
+                                 .sin_addr.s_addr = htonl(address)};
+    return result;
+}
+
+static void send_packed(struct cluster *cluster, uint32_t address, const uint8_t *bytes,
+                        size_t size)
+{
+    struct sockaddr_in to = cluster_address(cluster, address);
+    uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned)size);
+    uv_udp_try_send(&cluster->socket, &buffer, 1, (const struct sockaddr *)&to);
+    metric_add(METRIC_UPDATES_SENT, 1);
+    metric_add(METRIC_UPDATE_BYTES, size);
+}
+
+/* \return size of the message, 0 when it is too large */
+static size_t pack(const Shuntrun__MemberMessage *message, uint8_t bytes[DATAGRAM_SIZE])
+{
+    size_t size = shuntrun__member_message__get_packed_size(message);
+    return size <= DATAGRAM_SIZE ? shuntrun__member_message__pack(message, bytes) : 0;
+}
+
+void cluster_send(struct cluster *cluster, uint32_t address, Shuntrun__MemberMessage *message)
+{
+    uint8_t bytes[DATAGRAM_SIZE];
+    Shuntrun__MemberMessage own;
+    membership_write(cluster->membership, &own);
+    message->sender = own.sender;
+    size_t size = pack(message, bytes);
+    if (size)
+        send_packed(cluster, address, bytes, size);
+}
+
+void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load)
+{
+    uint8_t bytes[DATAGRAM_SIZE];
+    Shuntrun__MemberMessage message;
+    membership_write(cluster->membership, &message);
+    message.n_members = 0;
+    message.load = load;
+    size_t size = pack(&message, bytes);
+    uint64_t now = cluster_now();
+    for (uint32_t i = 0; size && i < membership_count(cluster->membership); i++) {
+        const struct member_state *member = membership_at(cluster->membership, i);
+        if (member->role == MEMBER_GATEWAY && membership_alive(cluster->membership, member, now))
+            send_packed(cluster, member->address, bytes, size);
+    }
+}
+
+static void send_news(struct cluster *cluster, const uint32_t *addresses, uint32_t count)
+{
+    uint8_t bytes[DATAGRAM_SIZE];
+    Shuntrun__MemberMessage message;
+    membership_self(cluster->membership)->state_revision = state_cache_revision(cluster->state);
+    membership_write(cluster->membership, &message);
+    size_t size = pack(&message, bytes);
+    for (uint32_t i = 0; size && i < count; i++)
+        send_packed(cluster, addresses[i], bytes, size);
+}
+
+void cluster_tell_all(struct cluster *cluster)
+{
+    uint32_t addresses[TARGETS_MOST];
+    uint32_t count = 0;
+    membership_self(cluster->membership)->heartbeat++;
+    for (uint32_t i = 0; i < membership_count(cluster->membership) && count < TARGETS_MOST; i++)
+        addresses[count++] = membership_at(cluster->membership, i)->address;
+    send_news(cluster, addresses, count);
+}
+
+static void log_member_changes(struct cluster *cluster, uint64_t now)
+{
+    uint32_t alive = membership_alive_count(cluster->membership, MEMBER_GATEWAY, now) +
+                     membership_alive_count(cluster->membership, MEMBER_LOADER, now);
+    static uint32_t alive_before;
+    metric_gauge_set(METRIC_LIVE_PEERS, alive);
+    if (alive != alive_before)
+        log_event(LOG_LEVEL_INFO, "cluster", "members", "alive=%u before=%u known=%u", alive,
+                  alive_before, membership_count(cluster->membership));
+    alive_before = alive;
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+    struct cluster *cluster = timer->data;
+    uint64_t now = cluster_now();
+    uint64_t late = now - cluster->last_tick;
+    cluster->last_tick = now;
+    if (late > PAUSE_US) {
+        log_event(LOG_LEVEL_WARN, "cluster", "woke", "pause_ms=%llu",
+                  (unsigned long long)(late / 1000));
+        cluster->callbacks.woke(cluster->callbacks.context, late);
+        if (cluster->reader)
+            store_reader_restart(cluster->reader);
+    }
+    if (now >= cluster->next_round) {
+        uint32_t addresses[TARGETS_MOST];
+        cluster->next_round = now + ROUND_US;
+        membership_tick(cluster->membership, now);
+        uint32_t count =
+            membership_targets(cluster->membership, now, addresses, TARGETS_MOST);
+        send_news(cluster, addresses, count);
+        log_member_changes(cluster, now);
+        state_cache_trim(cluster->state, now > TOMBSTONE_US ? now - TOMBSTONE_US : 0);
+    }
+    state_sync_tick(cluster->sync, now);
+}
+
+static void on_datagram(uv_udp_t *socket, ssize_t size, const uv_buf_t *buffer,
+                        const struct sockaddr *from, unsigned flags)
+{
+    struct cluster *cluster = socket->data;
+    if (size <= 0 || !from)
+        return;
+    Shuntrun__MemberMessage *message =
+        shuntrun__member_message__unpack(NULL, (size_t)size, (const uint8_t *)buffer->base);
+    if (!message)
+        return;
+    uint64_t now = cluster_now();
+    uint32_t sender = ntohl(((const struct sockaddr_in *)from)->sin_addr.s_addr);
+    if (message->sender && message->sender->address == sender) {
+        bool is_new = membership_read(cluster->membership, message, now);
+        if (is_new)
+            send_news(cluster, &sender, 1);
+        state_sync_heard(cluster->sync, sender, message->sender->state_revision, now);
+        if (message->load && cluster->callbacks.load_received)
+            cluster->callbacks.load_received(cluster->callbacks.context, message->load);
+        if (message->pieces && cluster->callbacks.pieces_received)
+            cluster->callbacks.pieces_received(cluster->callbacks.context, sender,
+                                               message->pieces);
+    }
+    shuntrun__member_message__free_unpacked(message, NULL);
+}
+
+static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    static char bytes[65536];
+    *buffer = uv_buf_init(bytes, sizeof bytes);
+}
+
+static void on_call(void *context, struct service_call *call,
+                    const struct service_request *request)
+{
+    struct cluster *cluster = context;
+    if (state_sync_serve(cluster->sync, call, request))
+        return;
+    if (cluster->callbacks.call_received)
+        cluster->callbacks.call_received(cluster->callbacks.context, call, request);
+    else
+        service_reply(call, 404, NULL, NULL, 0);
+}
+
+static void on_item(void *context, const struct state_item *item)
+{
+    struct cluster *cluster = context;
+    cluster->callbacks.item_changed(cluster->callbacks.context, item);
+}
+
+static void add_seeds(struct cluster *cluster)
+{
+    char *seeds = memory_string(cluster->settings->seeds);
+    char *rest = seeds;
+    for (char *seed = strsep(&rest, ","); seed; seed = strsep(&rest, ",")) {
+        struct sockaddr_in address;
+        if (tcp_address_parse(seed, &address))
+            membership_add_seed(cluster->membership, ntohl(address.sin_addr.s_addr));
+    }
+    free(seeds);
+}
+
+static void fill_self(struct member_state *self, const struct settings *settings,
+                      enum member_role role)
+{
+    struct in_addr ip = {0};
+    inet_pton(AF_INET, settings->address, &ip);
+    self->address = ntohl(ip.s_addr);
+    self->incarnation = clock_incarnation();
+    self->role = role;
+    snprintf(self->zone, sizeof self->zone, "%s", settings->zone);
+    snprintf(self->region, sizeof self->region, "%s", settings->region);
+    struct sockaddr_in traffic;
+    if (role == MEMBER_GATEWAY && tcp_address_parse(settings->client_address, &traffic))
+        self->traffic_port = ntohs(traffic.sin_port);
+}
+
+static int open_sockets(struct cluster *cluster, uint32_t own)
+{
+    struct sockaddr_in address = cluster_address(cluster, own);
+    cluster->service =
+        http_service_start(cluster->loop, &address, CALL_BODY_LIMIT, on_call, cluster);
+    if (!cluster->service) {
+        log_event(LOG_LEVEL_ERROR, "cluster", "listen-failed", "port=%u error=\"%s\"",
+                  cluster->port, status_message());
+        return 1;
+    }
+    uv_udp_init(cluster->loop, &cluster->socket);
+    cluster->socket.data = cluster;
+    int error = uv_udp_bind(&cluster->socket, (const struct sockaddr *)&address, 0);
+    if (!error)
+        error = uv_udp_recv_start(&cluster->socket, on_allocate, on_datagram);
+    if (error)
+        log_event(LOG_LEVEL_ERROR, "cluster", "listen-failed", "port=%u error=\"%s\"",
+                  cluster->port, uv_strerror(error));
+    return error != 0;
+}
+
+int cluster_open(struct cluster *cluster, uv_loop_t *loop, const struct settings *settings,
+                 enum member_role role, const struct cluster_callbacks *callbacks)
+{
+    struct member_state self = {0};
+    memset(cluster, 0, sizeof *cluster);
+    cluster->loop = loop;
+    cluster->settings = settings;
+    cluster->callbacks = *callbacks;
+    cluster->port = (uint16_t)settings->peer_port;
+    fill_self(&self, settings, role);
+    struct membership_settings membership = {
+        .fanout = FANOUT, .suspect_us = SUSPECT_US, .forget_us = FORGET_US};
+    cluster->membership =
+        membership_create(&membership, &self, hash_name(settings->name) ^ self.incarnation);
+    add_seeds(cluster);
+    struct state_cache_listener listener = {cluster, on_item};
+    cluster->state = state_cache_create(&listener);
+    cluster->sync = state_sync_create(cluster);
+    if (open_sockets(cluster, self.address))
+        return 1;
+    if (role == MEMBER_GATEWAY)
+        cluster->reader = store_reader_create(cluster);
+    cluster->last_tick = cluster_now();
+    uv_timer_init(loop, &cluster->timer);
+    cluster->timer.data = cluster;
+    uv_timer_start(&cluster->timer, on_tick, 10, TICK_MS);
+    return 0;
+}
+
+uint32_t cluster_gateways(const struct cluster *cluster)
+{
+    uint32_t alive =
+        membership_alive_count(cluster->membership, MEMBER_GATEWAY, cluster_now());
+    return alive ? alive : 1;
+}
+
+static const char *region_of(const struct cluster *cluster, const char *zone, char *region,
+                             size_t size)
+{
+    const char *list = cluster->settings->zones;
+    size_t length = strlen(zone);
+    while (*list) {
+        size_t entry = strcspn(list, ",");
+        if (entry > length && strncmp(list, zone, length) == 0 && list[length] == '=') {
+            snprintf(region, size, "%.*s", (int)(entry - length - 1), list + length + 1);
+            return region;
+        }
+        list += entry;
+        list += *list == ',';
+    }
+    region[0] = 0;
+    return region;
+}
+
+uint16_t cluster_distance(const struct cluster *cluster, const char *zone)
+{
+    char region[MEMBER_NAME_SIZE];
+    if (strcmp(zone, cluster->settings->zone) == 0)
+        return 0;
+    return strcmp(region_of(cluster, zone, region, sizeof region), cluster->settings->region) == 0
+               ? 1
+               : 2;
+}
--- /dev/null
+++ b/src/cluster/cluster.h
@@ -0,0 +1,68 @@
+/**
+ * What every node on the users' platform shares: membership by datagrams, a copy of what the platform
+ * publishes, read from its store or from peers, and a small HTTP service between nodes.
+ *
+ * One loop, one thread.
+ */
+#ifndef SHUNTRUN_CLUSTER_H
+#define SHUNTRUN_CLUSTER_H
+
+#include "base/settings.h"
+#include "core/membership.h"
+#include "core/state_cache.h"
+#include "net/http_service.h"
+
+#include <uv.h>
+
+struct cluster;
+struct store_reader;
+struct state_sync;
+
+struct cluster_callbacks {
+    void *context;
+    /** An item of what the platform publishes is new, changed or gone. */
+    void (*item_changed)(void *context, const struct state_item *item);
+    /** A loader told the load of its engine; may be NULL. */
+    void (*load_received)(void *context, const Shuntrun__EngineLoad *load);
+    /** A loader told what it holds; may be NULL. */
+    void (*pieces_received)(void *context, uint32_t address, const Shuntrun__PieceNews *news);
+    /** A call of another node that is not the cluster's own; may be NULL. */
+    service_handler *call_received;
+    /** The process stood still for so long. */
+    void (*woke)(void *context, uint64_t pause_us);
+};
+
+struct cluster {
+    uv_loop_t *loop;
+    const struct settings *settings;
+    struct cluster_callbacks callbacks;
+    struct membership *membership;
+    struct state_cache *state;
+    struct http_service *service;
+    struct store_reader *reader; /**< NULL on nodes that do not read the store */
+    struct state_sync *sync;
+    uv_udp_t socket;
+    uv_timer_t timer;
+    uint16_t port; /**< of datagrams and calls, the same on all nodes */
+    uint64_t next_round;
+    uint64_t last_tick;
+};
+
+/** \return 0, or 1 after the error was logged */
+int cluster_open(struct cluster *cluster, uv_loop_t *loop, const struct settings *settings,
+                 enum member_role role, const struct cluster_callbacks *callbacks);
+uint64_t cluster_now(void);
+/** \brief Tell everybody at once, for example that this node leaves. */
+void cluster_tell_all(struct cluster *cluster);
+/** \brief Send one message; the sender's part is filled in. */
+void cluster_send(struct cluster *cluster, uint32_t address, Shuntrun__MemberMessage *message);
+/** \brief Send the load of the engine to all gateways. */
+void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load);
+/** \brief Address of a node's service for other nodes. */
+struct sockaddr_in cluster_address(const struct cluster *cluster, uint32_t address);
+/** \return gateways that are alive, at least 1 */
+uint32_t cluster_gateways(const struct cluster *cluster);
+/** \return 0 same zone, 1 same region, 2 other region */
+uint16_t cluster_distance(const struct cluster *cluster, const char *zone);
+
+#endif
--- /dev/null
+++ b/src/cluster/process.c
@@ -0,0 +1,93 @@
+#include "cluster/process.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "net/http_service.h"
+
+#include <signal.h>
+#include <stdlib.h>
+
+#define METRICS_BODY_LIMIT 4096
+#define FINDINGS_LOGGED_MOST 20
+
+int process_open(struct process *process, enum setting_role role, int argc, char **argv,
+                 struct settings *settings)
+{
+    struct findings findings = {0};
+    enum status status = settings_read(role, argc, argv, settings, &findings);
+    findings_print(&findings, stderr);
+    findings_clear(&findings);
+    if (status != STATUS_OK)
+        return 2;
+    process->settings = settings;
+    log_init(settings->name, log_level_from_name(settings->log_level));
+    return 0;
+}
+
+static void on_stop_signal(uv_signal_t *signal, int number)
+{
+    struct process *process = signal->data;
+    log_event(LOG_LEVEL_INFO, "process", "stop", "signal=%d", number);
+    process->stop(process);
+}
+
+static void on_reload_signal(uv_signal_t *signal, int number)
+{
+    log_event(LOG_LEVEL_INFO, "process", "reload", "signal=%d", number);
+}
+
+static void watch_signal(uv_loop_t *loop, uv_signal_t *handle, int number, uv_signal_cb callback,
+                         struct process *process)
+{
+    uv_signal_init(loop, handle);
+    handle->data = process;
+    uv_signal_start(handle, callback, number);
+}
+
+static void on_metrics(void *context, struct service_call *call,
+                       const struct service_request *request)
+{
+    size_t size;
+    if (!service_path_is(request, "/metrics")) {
+        service_reply(call, 404, NULL, NULL, 0);
+        return;
+    }
+    char *text = metrics_format(&size);
+    service_reply(call, 200, "text/plain; version=0.0.4", text, size);
+    free(text);
+}
+
+static void open_metrics(struct process *process, uv_loop_t *loop)
+{
+    struct sockaddr_in address;
+    uv_ip4_addr(process->settings->address, (int)process->settings->metrics_port, &address);
+    process->metrics = http_service_start(loop, &address, METRICS_BODY_LIMIT, on_metrics, process);
+    if (!process->metrics)
+        log_event(LOG_LEVEL_WARN, "process", "metrics-failed", "port=%llu error=\"%s\"",
+                  (unsigned long long)process->settings->metrics_port, status_message());
+}
+
+int process_run(struct process *process, uv_loop_t *loop, void (*stop)(struct process *process),
+                void *context)
+{
+    process->stop = stop;
+    process->context = context;
+    signal(SIGPIPE, SIG_IGN);
+    watch_signal(loop, &process->terminate, SIGTERM, on_stop_signal, process);
+    watch_signal(loop, &process->interrupt, SIGINT, on_stop_signal, process);
+    watch_signal(loop, &process->reload, SIGHUP, on_reload_signal, process);
+    open_metrics(process, loop);
+    log_event(LOG_LEVEL_INFO, "process", "start", "version=" SHUNTRUN_VERSION " address=%s zone=%s",
+              process->settings->address, process->settings->zone);
+    uv_run(loop, UV_RUN_DEFAULT);
+    log_event(LOG_LEVEL_INFO, "process", "end", "status=0");
+    return 0;
+}
+
+void process_log_findings(const struct findings *findings, uint64_t revision)
+{
+    for (size_t i = 0; i < findings->count && i < FINDINGS_LOGGED_MOST; i++)
+        log_event(LOG_LEVEL_ERROR, "config", "refused", "revision=%llu place=\"%s\" problem=\"%s\"",
+                  (unsigned long long)revision, findings->items[i].place,
+                  findings->items[i].text);
+}
--- /dev/null
+++ b/src/cluster/process.h
@@ -0,0 +1,31 @@
+/**
+ * What the programs on the users' platform share as processes: settings, signals, the metrics page.
+ */
+#ifndef SHUNTRUN_PROCESS_H
+#define SHUNTRUN_PROCESS_H
+
+#include "base/findings.h"
+#include "base/settings.h"
+
+#include <uv.h>
+
+struct process {
+    uv_signal_t terminate;
+    uv_signal_t interrupt;
+    uv_signal_t reload;
+    struct http_service *metrics;
+    const struct settings *settings;
+    void (*stop)(struct process *process);
+    void *context;
+};
+
+/** \brief Read the settings and set the log up. \return 0, or 2 after the findings were printed */
+int process_open(struct process *process, enum setting_role role, int argc, char **argv,
+                 struct settings *settings);
+/** \brief Run the loop; `stop` is called on SIGTERM and SIGINT. \return exit status */
+int process_run(struct process *process, uv_loop_t *loop, void (*stop)(struct process *process),
+                void *context);
+/** \brief Log the problems of a configuration that was refused. */
+void process_log_findings(const struct findings *findings, uint64_t revision);
+
+#endif
--- /dev/null
+++ b/src/cluster/state_sync.c
@@ -0,0 +1,166 @@
+#include "cluster/state_sync.h"
+
+#include "base/log.h"
+#include "base/memory.h"
+#include "cluster/store_reader.h"
+#include "net/http_caller.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define STATE_PATH "/state"
+#define TIMEOUT_MS 1200
+#define ANSWER_LIMIT (32U << 20)
+/** A node that reads the store itself gets the change in this time; only then are peers asked. */
+#define READER_GRACE_US 250000
+
+struct state_sync {
+    struct cluster *cluster;
+    uint32_t peer; /* the one that is ahead, 0: none */
+    uint64_t peer_revision;
+    uint64_t heard_at; /* first time that somebody was ahead of this node */
+    struct http_caller *caller;
+    bool asking;
+};
+
+struct state_sync *state_sync_create(struct cluster *cluster)
+{
+    struct state_sync *sync = memory_zero(1, sizeof *sync);
+    sync->cluster = cluster;
+    return sync;
+}
+
+static void take_changes(struct state_sync *sync, const Shuntrun__StateChanges *changes)
+{
+    struct state_cache *state = sync->cluster->state;
+    uint64_t now = cluster_now();
+    if (changes->whole)
+        state_cache_snapshot_begin(state, "");
+    for (size_t i = 0; i < changes->n_items; i++) {
+        const Shuntrun__StateItem *item = changes->items[i];
+        uint64_t age = item->age_ms * 1000;
+        uint64_t learned = now > age ? now - age : 0;
+        if (item->gone)
+            state_cache_remove(state, item->key, item->revision, learned);
+        else
+            state_cache_put(state, item->key, (const char *)item->value.data, item->value.len,
+                            item->revision, learned);
+    }
+    if (changes->whole)
+        state_cache_snapshot_end(state, "", changes->revision, now);
+    state_cache_reach(state, changes->revision);
+}
+
+static void on_changes(void *context, enum call_result result, const struct http_message *message)
+{
+    struct state_sync *sync = context;
+    sync->asking = false;
+    uint32_t peer = sync->peer;
+    sync->peer = 0;
+    sync->heard_at = 0;
+    if (result != CALL_ANSWERED || http_message_status(message) != 200)
+        return;
+    Shuntrun__StateChanges *changes = shuntrun__state_changes__unpack(
+        NULL, message->body.size, (const uint8_t *)message->body.data);
+    if (!changes)
+        return;
+    log_event(LOG_LEVEL_INFO, "state", "from-peer", "peer=%08x revision=%llu before=%llu items=%zu",
+              peer, (unsigned long long)changes->revision,
+              (unsigned long long)state_cache_revision(sync->cluster->state), changes->n_items);
+    take_changes(sync, changes);
+    shuntrun__state_changes__free_unpacked(changes, NULL);
+    cluster_tell_all(sync->cluster);
+}
+
+static void ask(struct state_sync *sync)
+{
+    char target[64];
+    struct sockaddr_in address = cluster_address(sync->cluster, sync->peer);
+    if (sync->caller)
+        http_caller_destroy(sync->caller);
+    sync->caller = http_caller_create(sync->cluster->loop, &address);
+    sync->asking = true;
+    snprintf(target, sizeof target, STATE_PATH "?after=%llu",
+             (unsigned long long)state_cache_revision(sync->cluster->state));
+    struct caller_request request = {.method = "GET",
+                                     .target = target,
+                                     .timeout_ms = TIMEOUT_MS,
+                                     .body_limit = ANSWER_LIMIT,
+                                     .done = on_changes,
+                                     .context = sync};
+    http_caller_send(sync->caller, &request);
+}
+
+void state_sync_heard(struct state_sync *sync, uint32_t peer, uint64_t revision, uint64_t now)
+{
+    if (sync->asking || revision <= state_cache_revision(sync->cluster->state))
+        return;
+    if (!sync->heard_at)
+        sync->heard_at = now;
+    sync->peer = peer;
+    sync->peer_revision = revision;
+    if (!sync->cluster->reader)
+        ask(sync);
+}
+
+void state_sync_tick(struct state_sync *sync, uint64_t now)
+{
+    if (sync->asking || !sync->peer)
+        return;
+    if (sync->peer_revision <= state_cache_revision(sync->cluster->state)) {
+        sync->peer = 0;
+        sync->heard_at = 0;
+    } else if (now >= sync->heard_at + READER_GRACE_US) {
+        ask(sync);
+    }
+}
+
+static void write_item(const struct state_item *item, uint64_t now, Shuntrun__StateItem *out)
+{
+    shuntrun__state_item__init(out);
+    out->key = item->key;
+    out->value.data = (uint8_t *)item->value;
+    out->value.len = item->size;
+    out->revision = item->revision;
+    out->gone = item->gone;
+    out->age_ms = (now - item->learned) / 1000;
+}
+
+static void serve_changes(struct state_sync *sync, struct service_call *call, uint64_t after)
+{
+    const struct state_cache *state = sync->cluster->state;
+    uint64_t now = cluster_now();
+    uint32_t most = state_cache_count(state);
+    Shuntrun__StateItem *items = memory_zero(most, sizeof *items);
+    Shuntrun__StateItem **pointers = memory_zero(most, sizeof *pointers);
+    Shuntrun__StateChanges changes = SHUNTRUN__STATE_CHANGES__INIT;
+    changes.whole = !after || !state_cache_covers(state, after);
+    changes.revision = state_cache_revision(state);
+    changes.items = pointers;
+    for (uint32_t i = 0; i < most; i++) {
+        const struct state_item *item = state_cache_at(state, i);
+        if (changes.whole ? item->gone : item->revision <= after)
+            continue;
+        write_item(item, now, &items[changes.n_items]);
+        pointers[changes.n_items] = &items[changes.n_items];
+        changes.n_items++;
+    }
+    size_t size = shuntrun__state_changes__get_packed_size(&changes);
+    uint8_t *bytes = memory_zero(size, 1);
+    shuntrun__state_changes__pack(&changes, bytes);
+    service_reply(call, 200, "application/x-protobuf", bytes, size);
+    free(bytes);
+    free(items);
+    free(pointers);
+}
+
+bool state_sync_serve(struct state_sync *sync, struct service_call *call,
+                      const struct service_request *request)
+{
+    char after[32];
+    if (!service_path_is(request, STATE_PATH))
+        return false;
+    http_query_value(request->target, request->target_length, "after", after, sizeof after);
+    serve_changes(sync, call, strtoull(after, NULL, 10));
+    return true;
+}
--- /dev/null
+++ b/src/cluster/store_reader.h
@@ -0,0 +1,15 @@
+/**
+ * Reads what the platform publishes: once whole, then by a watch that waits for changes.
+ */
+#ifndef SHUNTRUN_STORE_READER_H
+#define SHUNTRUN_STORE_READER_H
+
+#include "cluster/cluster.h"
+
+struct store_reader *store_reader_create(struct cluster *cluster);
+/** \brief Ask anew on fresh connections, after the process stood still. */
+void store_reader_restart(struct store_reader *reader);
+/** \return time since which the store answers without a failure, 0: it does not */
+uint64_t store_reader_sound_since(const struct store_reader *reader);
+
+#endif
--- /dev/null
+++ b/src/core/backend_pool.c
@@ -0,0 +1,338 @@
+#include "core/backend_pool.h"
+
+#include "base/memory.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MOVING_WEIGHT 0.15
+#define LATENCY_WEIGHT 0.2
+#define FAILURES_BEFORE_EJECTION 2
+#define EJECTION_FIRST_US 500000
+#define EJECTION_MOST_US 4000000
+/** Share of failed requests above which a back end counts as faulty. */
+#define FAULTY_SHARE 0.35
+/** Score of a back end in another zone or region, in requests. */
+#define ZONE_PENALTY 0.5
+#define REGION_PENALTY 1.0
+#define FAILURE_PENALTY 30.0
+#define REFUSAL_PENALTY 12.0
+
+struct backend_pool {
+    struct backend_pool_settings settings;
+    struct random_stream random;
+    struct backend **items;
+    uint32_t count;
+};
+
+struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
+                                         uint64_t seed)
+{
+    struct backend_pool *pool = memory_zero(1, sizeof *pool);
+    pool->settings = *settings;
+    pool->random.seed = seed;
+    return pool;
+}
+
+void backend_pool_destroy(struct backend_pool *pool)
+{
+    for (uint32_t i = 0; i < pool->count; i++)
+        backend_release(pool->items[i]);
+    free(pool->items);
+    free(pool);
+}
+
+struct backend *backend_retain(struct backend *backend)
+{
+    backend->references++;
+    return backend;
+}
+
+void backend_release(struct backend *backend)
+{
+    if (--backend->references == 0)
+        free(backend);
+}
+
+uint32_t backend_pool_count(const struct backend_pool *pool)
+{
+    return pool->count;
+}
+
+struct backend *backend_pool_at(const struct backend_pool *pool, uint32_t index)
+{
+    return pool->items[index];
+}
+
+static struct backend *find(const struct backend_pool *pool, const char *id)
+{
+    for (uint32_t i = 0; i < pool->count; i++)
+        if (strcmp(pool->items[i]->listing.id, id) == 0)
+            return pool->items[i];
+    return NULL;
+}
+
+static void drop(struct backend_pool *pool, uint32_t index)
+{
+    struct backend *backend = pool->items[index];
+    backend->listed = false;
+    pool->items[index] = pool->items[--pool->count];
+    backend_release(backend);
+}
+
+static void drop_backend(struct backend_pool *pool, const struct backend *backend)
+{
+    for (uint32_t i = 0; i < pool->count; i++) {
+        if (pool->items[i] == backend) {
+            drop(pool, i);
+            return;
+        }
+    }
+}
+
+/* A new start at an address replaces whatever was listed there before. */
+static void drop_others_at(struct backend_pool *pool, const struct backend *backend)
+{
+    for (uint32_t i = pool->count; i-- > 0;)
+        if (pool->items[i] != backend &&
+            strcmp(pool->items[i]->listing.address, backend->listing.address) == 0)
+            drop(pool, i);
+}
+
+struct backend *backend_pool_list(struct backend_pool *pool, const struct backend_listing *listing,
+                                  uint16_t distance)
+{
+    struct backend *backend = find(pool, listing->id);
+    if (!backend) {
+        backend = memory_zero(1, sizeof *backend);
+        backend->references = 1;
+        pool->items = memory_resize(pool->items, (pool->count + 1) * sizeof *pool->items);
+        pool->items[pool->count++] = backend;
+    }
+    backend->listing = *listing;
+    backend->distance = distance;
+    backend->listed = true;
+    backend->distrusted = false;
+    drop_others_at(pool, backend);
+    return backend;
+}
+
+void backend_pool_unlist(struct backend_pool *pool, const char *id, bool trusted, uint64_t now)
+{
+    struct backend *backend = find(pool, id);
+    if (!backend)
+        return;
+    if (trusted || backend->listing.draining) {
+        drop_backend(pool, backend);
+        return;
+    }
+    backend->distrusted = true;
+    backend->unlisted_at = now;
+}
+
+void backend_pool_settle(struct backend_pool *pool, uint64_t before)
+{
+    for (uint32_t i = pool->count; i-- > 0;)
+        if (pool->items[i]->distrusted && pool->items[i]->unlisted_at < before)
+            drop(pool, i);
+}
+
+void backend_pool_replaced(struct backend_pool *pool, struct backend *backend)
+{
+    drop_backend(pool, backend);
+}
+
+struct backend *backend_pool_report(struct backend_pool *pool, const char *address,
+                                    const struct backend_load *load, uint64_t now)
+{
+    for (uint32_t i = 0; i < pool->count; i++) {
+        struct backend *backend = pool->items[i];
+        if (strcmp(backend->listing.address, address) != 0)
+            continue;
+        backend->load = *load;
+        backend->load_at = now;
+        backend->sent_since = 0;
+        return backend;
+    }
+    return NULL;
+}
+
+static bool has_fresh_load(const struct backend_pool *pool, const struct backend *backend,
+                           uint64_t now)
+{
+    return backend->load_at && now < backend->load_at + pool->settings.load_fresh_us;
+}
+
+uint32_t backend_occupancy(const struct backend_pool *pool, const struct backend *backend,
+                           uint32_t gateways, uint64_t now)
+{
+    if (!has_fresh_load(pool, backend, now))
+        return backend->in_flight * (gateways ? gateways : 1);
+    int64_t known =
+        (int64_t)backend->load.running + backend->load.waiting + backend->sent_since;
+    return known > (int64_t)backend->in_flight ? (uint32_t)known : backend->in_flight;
+}
+
+static uint64_t weights_version(const struct backend_pool *pool, const struct backend *backend,
+                                uint64_t now)
+{
+    uint64_t reported = has_fresh_load(pool, backend, now) ? backend->load.version : 0;
+    return reported > backend->listing.version ? reported : backend->listing.version;
+}
+
+static bool is_excluded(const struct backend_wish *wish, const struct backend *backend)
+{
+    for (uint32_t i = 0; i < wish->excluded_count; i++)
+        if (wish->excluded[i] == backend)
+            return true;
+    return false;
+}
+
+static bool is_fit(const struct backend_pool *pool, const struct backend_wish *wish,
+                   const struct backend *backend, uint64_t now)
+{
+    if (backend->listing.draining || strcmp(backend->listing.service, wish->service) != 0 ||
+        is_excluded(wish, backend))
+        return false;
+    if (!wish->engine)
+        return true;
+    uint64_t version = weights_version(pool, backend, now);
+    if (!version || version < wish->least_version)
+        return false;
+    if (wish->exact_version && version != wish->exact_version)
+        return false;
+    return !(has_fresh_load(pool, backend, now) && backend->load.loading);
+}
+
+static bool is_ejected(const struct backend *backend, uint64_t now)
+{
+    return backend->ejected_until && (now < backend->ejected_until || backend->probing);
+}
+
+static bool has_room(const struct backend_pool *pool, const struct backend_wish *wish,
+                     const struct backend *backend, uint64_t now)
+{
+    uint32_t most = backend->listing.slots + pool->settings.queue_per_engine;
+    if (!wish->engine)
+        most = 2 * backend->listing.slots;
+    return backend_occupancy(pool, backend, wish->engine ? wish->gateways : 1, now) < most;
+}
+
+/* Expected cost of one more request there; smaller is better. */
+static double score(const struct backend_pool *pool, const struct backend_wish *wish,
+                    const struct backend *backend, uint64_t now)
+{
+    double slots = backend->listing.slots ? backend->listing.slots : 1;
+    double requests = backend_occupancy(pool, backend, wish->engine ? wish->gateways : 1, now);
+    double cost = requests + 1;
+    if (backend->distance)
+        cost += backend->distance == 1 ? ZONE_PENALTY : REGION_PENALTY;
+    if (!wish->engine)
+        cost = (1 + requests / slots) * (backend->latency_us > 0 ? backend->latency_us : 1) / 1000;
+    else if (backend->load.pace_permille > 1000 && has_fresh_load(pool, backend, now))
+        cost = cost * backend->load.pace_permille / 1000;
+    return cost + cost * (FAILURE_PENALTY * backend->failure_share +
+                          REFUSAL_PENALTY * backend->refusal_share) / 4;
+}
+
+enum backend_absence backend_pool_choose(struct backend_pool *pool, const struct backend_wish *wish,
+                                         uint64_t now, struct backend **chosen)
+{
+    struct backend *fit[2] = {NULL, NULL};
+    struct backend *ejected = NULL;
+    uint32_t fit_count = 0, room_count = 0, probes = 0;
+    *chosen = NULL;
+    for (uint32_t i = 0; i < pool->count; i++) {
+        struct backend *backend = pool->items[i];
+        if (!is_fit(pool, wish, backend, now))
+            continue;
+        fit_count++;
+        if (!wish->any_load && !has_room(pool, wish, backend, now))
+            continue;
+        if (is_ejected(backend, now)) {
+            if (!ejected || backend->ejected_until < ejected->ejected_until)
+                ejected = backend;
+            continue;
+        }
+        if (backend->ejected_until) { /* its time is over: one request finds out */
+            probes++;
+            if (random_below(&pool->random, probes) == 0)
+                *chosen = backend;
+            continue;
+        }
+        /* Two candidates by reservoir, so that each pair is equally likely. */
+        room_count++;
+        if (room_count <= 2) {
+            fit[room_count - 1] = backend;
+        } else {
+            uint64_t place = random_below(&pool->random, room_count);
+            if (place < 2)
+                fit[place] = backend;
+        }
+    }
+    if (*chosen) {
+        (*chosen)->probing = true;
+        return BACKEND_FOUND;
+    }
+    if (fit[1] && score(pool, wish, fit[1], now) < score(pool, wish, fit[0], now))
+        fit[0] = fit[1];
+    *chosen = fit[0] ? fit[0] : ejected;
+    if (*chosen)
+        return BACKEND_FOUND;
+    return fit_count ? BACKEND_FULL : BACKEND_NONE;
+}
+
+void backend_begin(struct backend *backend, uint64_t now)
+{
+    backend->in_flight++;
+    backend->sent_since++;
+}
+
+static void move(double *share, bool hit)
+{
+    *share += MOVING_WEIGHT * ((hit ? 1.0 : 0.0) - *share);
+}
+
+static void eject(struct backend *backend, uint64_t now)
+{
+    uint64_t length = backend->ejection_us ? 2 * backend->ejection_us : EJECTION_FIRST_US;
+    backend->ejection_us = length > EJECTION_MOST_US ? EJECTION_MOST_US : length;
+    backend->ejected_until = now + backend->ejection_us;
+}
+
+static bool is_failure(enum backend_result result)
+{
+    return result == BACKEND_BROKEN || result == BACKEND_SILENT || result == BACKEND_UNREACHABLE;
+}
+
+void backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
+                 uint64_t latency_us, uint64_t now)
+{
+    bool was_probe = backend->probing;
+    backend->in_flight--;
+    backend->sent_since--;
+    backend->probing = false;
+    if (latency_us && backend->latency_us > 0)
+        backend->latency_us += LATENCY_WEIGHT * ((double)latency_us - backend->latency_us);
+    else if (latency_us)
+        backend->latency_us = (double)latency_us;
+    if (result == BACKEND_CANCELLED)
+        return;
+    move(&backend->failure_share, is_failure(result));
+    move(&backend->refusal_share, result == BACKEND_REFUSED);
+    if (!is_failure(result)) {
+        backend->failures = 0;
+        if (result == BACKEND_SUCCEEDED) {
+            backend->ejected_until = 0;
+            if (was_probe)
+                backend->failure_share /= 2;
+            if (backend->failure_share < 0.05)
+                backend->ejection_us = 0;
+        }
+        return;
+    }
+    backend->failures++;
+    if (result == BACKEND_UNREACHABLE || was_probe ||
+        backend->failures >= FAILURES_BEFORE_EJECTION || backend->failure_share > FAULTY_SHARE)
+        eject(backend, now);
+}
--- /dev/null
+++ b/src/core/backend_pool.h
@@ -0,0 +1,139 @@
+/**
+ * The back ends that requests may be sent to directly: what the platform lists, what their machines
+ * report of their load, and what this gateway's own traffic shows of their health.
+ *
+ * Nothing here has a clock or a socket. Times are microseconds of a clock that does not step back.
+ */
+#ifndef SHUNTRUN_BACKEND_POOL_H
+#define SHUNTRUN_BACKEND_POOL_H
+
+#include "core/random.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define BACKEND_ID_SIZE 64
+#define BACKEND_NAME_SIZE 64
+#define BACKEND_ADDRESS_SIZE 24
+
+/** What the platform's list says of one back end. */
+struct backend_listing {
+    char id[BACKEND_ID_SIZE]; /**< of one start of the back end */
+    char service[BACKEND_NAME_SIZE];
+    char address[BACKEND_ADDRESS_SIZE]; /**< "IP:PORT" */
+    char zone[BACKEND_NAME_SIZE];
+    uint32_t slots;   /**< requests that it works on at once */
+    bool draining;    /**< it leaves and takes no new work */
+    bool has_weights; /**< the list names a model */
+    uint64_t version; /**< of the weights; 0: none */
+};
+
+/** Load as the machine of a model engine reports it. */
+struct backend_load {
+    uint32_t running;
+    uint32_t waiting;
+    uint64_t memory_used; /**< in units of `memory_total` */
+    uint64_t memory_total;
+    uint64_t version; /**< of the weights; 0: none */
+    bool loading;     /**< it takes nothing new until it has other weights */
+    uint32_t pace_permille; /**< above 1000: slower than it should be */
+};
+
+/** How one request at a back end ended, as far as its health is concerned. */
+enum backend_result {
+    BACKEND_SUCCEEDED,
+    BACKEND_ERROR,       /**< an answer that reports a failure of its own */
+    BACKEND_REFUSED,     /**< not run: it is full */
+    BACKEND_BROKEN,      /**< connection lost, or bytes that are no answer */
+    BACKEND_SILENT,      /**< nothing came in time */
+    BACKEND_UNREACHABLE, /**< no connection came up */
+    BACKEND_CANCELLED,   /**< given up here; says nothing of the back end */
+};
+
+struct backend {
+    struct backend_listing listing;
+    uint32_t references; /**< of the pool, of requests and of connections */
+    bool listed;         /**< false: the list has dropped it */
+    bool distrusted;     /**< dropped while the list itself was not to be trusted */
+    uint64_t unlisted_at;
+    uint16_t distance; /**< 0 same zone, 1 same region, 2 other region */
+    uint32_t in_flight; /**< requests of this gateway */
+    struct backend_load load;
+    uint64_t load_at;       /**< time of the report, 0: none */
+    int32_t sent_since;     /**< own requests begun less ended since the report */
+    uint32_t failures;      /**< in a row */
+    double failure_share;   /**< moving share of requests that failed */
+    double refusal_share;   /**< moving share of requests that it refused */
+    double latency_us;      /**< moving time to the first byte of an answer, 0: not known */
+    uint64_t ejected_until; /**< no new work before, but for one probe */
+    uint64_t ejection_us;   /**< length of the present ejection */
+    bool probing;           /**< the one request after an ejection is under way */
+    void *connections;      /**< the shell's own */
+};
+
+struct backend_pool;
+
+struct backend_pool_settings {
+    uint32_t queue_per_engine; /**< requests that may wait at a model engine */
+    uint64_t load_fresh_us;    /**< older reports of load are not used */
+};
+
+struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
+                                         uint64_t seed);
+void backend_pool_destroy(struct backend_pool *pool);
+
+/** \brief Take a listing in, new or changed. \return the back end */
+struct backend *backend_pool_list(struct backend_pool *pool, const struct backend_listing *listing,
+                                  uint16_t distance);
+/**
+ * \brief The list has dropped a back end. \param trusted false while the list may drop back ends that
+ *        live; such a one stays usable until backend_pool_settle()
+ */
+void backend_pool_unlist(struct backend_pool *pool, const char *id, bool trusted, uint64_t now);
+/** \brief The list is to be trusted again: drop what was unlisted before `before`. */
+void backend_pool_settle(struct backend_pool *pool, uint64_t before);
+/** \brief The back end at an address is no longer the listed one. */
+void backend_pool_replaced(struct backend_pool *pool, struct backend *backend);
+/** \brief Take a report of load in. \return the back end, or NULL when none is listed there */
+struct backend *backend_pool_report(struct backend_pool *pool, const char *address,
+                                    const struct backend_load *load, uint64_t now);
+
+uint32_t backend_pool_count(const struct backend_pool *pool);
+struct backend *backend_pool_at(const struct backend_pool *pool, uint32_t index);
+struct backend *backend_retain(struct backend *backend);
+/** \brief Let go; a back end that nobody holds is freed. */
+void backend_release(struct backend *backend);
+
+#define BACKEND_MAX_EXCLUDED 4
+
+struct backend_wish {
+    const char *service;
+    bool engine;            /**< of a model, with load reports */
+    uint64_t least_version; /**< of the weights; 0: any */
+    uint64_t exact_version; /**< of the weights; 0: any */
+    const struct backend *excluded[BACKEND_MAX_EXCLUDED];
+    uint32_t excluded_count;
+    uint32_t gateways; /**< that send to the same back ends */
+    bool any_load;     /**< also to one that is full */
+};
+
+enum backend_absence {
+    BACKEND_FOUND,
+    BACKEND_NONE, /**< none is fit at all */
+    BACKEND_FULL, /**< those that are fit have no room */
+};
+
+/** \brief Choose a back end for one request. */
+enum backend_absence backend_pool_choose(struct backend_pool *pool, const struct backend_wish *wish,
+                                         uint64_t now, struct backend **chosen);
+/** \brief Requests in progress or waiting at a back end, as far as known. */
+uint32_t backend_occupancy(const struct backend_pool *pool, const struct backend *backend,
+                           uint32_t gateways, uint64_t now);
+
+/** \brief Count a request in. */
+void backend_begin(struct backend *backend, uint64_t now);
+/** \param latency_us time to the first byte of the answer, 0 when none came */
+void backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
+                 uint64_t latency_us, uint64_t now);
+
+#endif
--- /dev/null
+++ b/src/core/repeat_budget.c
@@ -0,0 +1,65 @@
+#include "core/repeat_budget.h"
+
+#include <string.h>
+
+/** Part of the bound that is used; the rest covers windows that are cut between steps. */
+#define USED_SHARE 0.8
+
+void repeat_budget_init(struct repeat_budget *budget,
+                        const struct repeat_budget_settings *settings, uint64_t now)
+{
+    memset(budget, 0, sizeof *budget);
+    budget->settings = *settings;
+    budget->started = now;
+}
+
+static uint64_t step_us(const struct repeat_budget *budget)
+{
+    uint64_t length = budget->settings.window_us / REPEAT_BUDGET_STEPS;
+    return length ? length : 1;
+}
+
+static void advance(struct repeat_budget *budget, uint64_t now)
+{
+    uint64_t step = now / step_us(budget);
+    if (step <= budget->step)
+        return;
+    uint64_t passed = step - budget->step;
+    if (passed > REPEAT_BUDGET_STEPS + 1)
+        passed = REPEAT_BUDGET_STEPS + 1;
+    for (uint64_t i = 0; i < passed; i++) {
+        uint32_t place = (uint32_t)((step - i) % (REPEAT_BUDGET_STEPS + 1));
+        budget->requests[place] = 0;
+        budget->repeats[place] = 0;
+    }
+    budget->step = step;
+}
+
+static uint32_t sum(const uint32_t counts[REPEAT_BUDGET_STEPS + 1])
+{
+    uint32_t total = 0;
+    for (uint32_t i = 0; i <= REPEAT_BUDGET_STEPS; i++)
+        total += counts[i];
+    return total;
+}
+
+void repeat_budget_earn(struct repeat_budget *budget, uint64_t now)
+{
+    advance(budget, now);
+    budget->requests[budget->step % (REPEAT_BUDGET_STEPS + 1)]++;
+}
+
+bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now, uint32_t gateways)
+{
+    advance(budget, now);
+    double part = 1.0;
+    if (now < budget->started + budget->settings.window_us)
+        /* What an earlier life of this process spent is not known: begin with half. */
+        part = 0.5;
+    double allowance = part * budget->settings.allowance / (gateways ? gateways : 1);
+    double bound = USED_SHARE * (budget->settings.ratio * sum(budget->requests) + allowance);
+    if (sum(budget->repeats) + 1 > bound)
+        return false;
+    budget->repeats[budget->step % (REPEAT_BUDGET_STEPS + 1)]++;
+    return true;
+}
--- /dev/null
+++ b/src/core/route_table.c
@@ -0,0 +1,285 @@
+#include "core/route_table.h"
+
+#include "base/memory.h"
+#include "core/hash.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HOST_SIZE 256
+
+/* Open addressing; `value` is an index plus one, 0 marks an empty slot. */
+struct index_slot {
+    uint64_t hash;
+    uint32_t value;
+};
+
+struct index {
+    struct index_slot *slots;
+    uint32_t mask;
+};
+
+struct key_entry {
+    char *key;
+    uint32_t tenant;
+};
+
+struct route_table {
+    uint32_t references;
+    uint64_t version;
+    struct client_limits limits;
+    struct route *routes;
+    uint32_t route_count;
+    struct service_entry *services;
+    uint32_t service_count;
+    struct tenant_entry *tenants;
+    uint32_t tenant_count;
+    struct key_entry *keys;
+    uint32_t key_count;
+    struct index by_prefix; /* host and prefix */
+    struct index by_key;
+};
+
+struct route_table *route_table_create(uint64_t version)
+{
+    struct route_table *table = memory_zero(1, sizeof *table);
+    table->references = 1;
+    table->version = version;
+    return table;
+}
+
+struct route_table *route_table_retain(struct route_table *table)
+{
+    if (table)
+        table->references++;
+    return table;
+}
+
+void route_table_release(struct route_table *table)
+{
+    if (!table || --table->references)
+        return;
+    for (uint32_t i = 0; i < table->route_count; i++) {
+        free(table->routes[i].name);
+        free(table->routes[i].host);
+        free(table->routes[i].prefix);
+    }
+    for (uint32_t i = 0; i < table->service_count; i++) {
+        free(table->services[i].name);
+        free(table->services[i].engine.model);
+        free(table->services[i].origin);
+        free(table->services[i].zone);
+    }
+    for (uint32_t i = 0; i < table->tenant_count; i++)
+        free(table->tenants[i].name);
+    for (uint32_t i = 0; i < table->key_count; i++)
+        free(table->keys[i].key);
+    free(table->routes);
+    free(table->services);
+    free(table->tenants);
+    free(table->keys);
+    free(table->by_prefix.slots);
+    free(table->by_key.slots);
+    free(table);
+}
+
+uint32_t route_table_add_service(struct route_table *table, const char *name)
+{
+    uint32_t known = route_table_find_service(table, name);
+    if (known != ROUTE_NO_SERVICE)
+        return known;
+    uint32_t index = table->service_count++;
+    table->services =
+        memory_resize(table->services, table->service_count * sizeof *table->services);
+    table->services[index] = (struct service_entry){.name = memory_string(name)};
+    return index;
+}
+
+struct service_entry *route_table_service_to_fill(struct route_table *table, uint32_t index)
+{
+    return &table->services[index];
+}
+
+uint32_t route_table_add_tenant(struct route_table *table, const char *name, uint32_t priority)
+{
+    uint32_t index = table->tenant_count++;
+    table->tenants = memory_resize(table->tenants, table->tenant_count * sizeof *table->tenants);
+    table->tenants[index] = (struct tenant_entry){memory_string(name), priority};
+    return index;
+}
+
+void route_table_add_key(struct route_table *table, uint32_t tenant, const char *key)
+{
+    uint32_t index = table->key_count++;
+    table->keys = memory_resize(table->keys, table->key_count * sizeof *table->keys);
+    table->keys[index] = (struct key_entry){memory_string(key), tenant};
+}
+
+void route_table_add_route(struct route_table *table, const struct route *route)
+{
+    uint32_t index = table->route_count++;
+    table->routes = memory_resize(table->routes, table->route_count * sizeof *table->routes);
+    table->routes[index] = *route;
+}
+
+void route_table_set_limits(struct route_table *table, const struct client_limits *limits)
+{
+    table->limits = *limits;
+}
+
+static void index_build(struct index *index, uint32_t entries)
+{
+    uint32_t size = 16;
+    while (size < 2 * entries)
+        size *= 2;
+    index->slots = memory_zero(size, sizeof *index->slots);
+    index->mask = size - 1;
+}
+
+static void index_insert(struct index *index, uint64_t hash, uint32_t value)
+{
+    uint32_t place = (uint32_t)hash & index->mask;
+    while (index->slots[place].value)
+        place = (place + 1) & index->mask;
+    index->slots[place] = (struct index_slot){hash, value + 1};
+}
+
+static uint64_t prefix_hash(const char *host, const char *prefix, size_t length)
+{
+    return hash_pair(hash_name(host), hash_bytes(prefix, length));
+}
+
+void route_table_finish(struct route_table *table)
+{
+    index_build(&table->by_prefix, table->route_count);
+    for (uint32_t i = 0; i < table->route_count; i++) {
+        const struct route *route = &table->routes[i];
+        index_insert(&table->by_prefix,
+                     prefix_hash(route->host, route->prefix, strlen(route->prefix)), i);
+    }
+    index_build(&table->by_key, table->key_count);
+    for (uint32_t i = 0; i < table->key_count; i++)
+        index_insert(&table->by_key, hash_name(table->keys[i].key), i);
+}
+
+uint64_t route_table_version(const struct route_table *table)
+{
+    return table->version;
+}
+
+const struct client_limits *route_table_limits(const struct route_table *table)
+{
+    return &table->limits;
+}
+
+bool route_table_has_tenants(const struct route_table *table)
+{
+    return table->tenant_count > 0;
+}
+
+uint32_t route_table_route_count(const struct route_table *table)
+{
+    return table->route_count;
+}
+
+const struct route *route_table_route_at(const struct route_table *table, uint32_t index)
+{
+    return &table->routes[index];
+}
+
+uint32_t route_table_service_count(const struct route_table *table)
+{
+    return table->service_count;
+}
+
+const struct service_entry *route_table_service(const struct route_table *table, uint32_t index)
+{
+    return &table->services[index];
+}
+
+uint32_t route_table_find_service(const struct route_table *table, const char *name)
+{
+    for (uint32_t i = 0; i < table->service_count; i++)
+        if (strcmp(table->services[i].name, name) == 0)
+            return i;
+    return ROUTE_NO_SERVICE;
+}
+
+static const struct route *find_prefix(const struct route_table *table, const char *host,
+                                       const char *prefix, size_t length)
+{
+    uint64_t hash = prefix_hash(host, prefix, length);
+    const struct index *index = &table->by_prefix;
+    for (uint32_t place = (uint32_t)hash & index->mask; index->slots[place].value;
+         place = (place + 1) & index->mask) {
+        if (index->slots[place].hash != hash)
+            continue;
+        const struct route *route = &table->routes[index->slots[place].value - 1];
+        if (strcmp(route->host, host) == 0 && strlen(route->prefix) == length &&
+            memcmp(route->prefix, prefix, length) == 0)
+            return route;
+    }
+    return NULL;
+}
+
+static bool normal_host(const char *host, char *normal)
+{
+    size_t length = strcspn(host, ":");
+    if (!length || length >= HOST_SIZE)
+        return false;
+    for (size_t i = 0; i < length; i++)
+        normal[i] = (char)tolower((unsigned char)host[i]);
+    normal[length] = 0;
+    return true;
+}
+
+const struct route *route_table_match(const struct route_table *table, const char *host,
+                                      const char *path, size_t path_length)
+{
+    char normal[HOST_SIZE];
+    if (!normal_host(host, normal))
+        return NULL;
+    for (size_t length = path_length; length > 0; length--) {
+        if (path[length - 1] != '/')
+            continue;
+        const struct route *route = find_prefix(table, normal, path, length);
+        if (route)
+            return route;
+    }
+    return NULL;
+}
+
+uint32_t route_table_key_owner(const struct route_table *table, const char *key)
+{
+    uint64_t hash = hash_name(key);
+    const struct index *index = &table->by_key;
+    for (uint32_t place = (uint32_t)hash & index->mask; index->slots[place].value;
+         place = (place + 1) & index->mask) {
+        const struct key_entry *entry = &table->keys[index->slots[place].value - 1];
+        if (index->slots[place].hash == hash && strcmp(entry->key, key) == 0)
+            return entry->tenant;
+    }
+    return ROUTE_NO_TENANT;
+}
+
+const struct tenant_entry *route_table_tenant(const struct route_table *table, uint32_t index)
+{
+    return &table->tenants[index];
+}
+
+uint32_t route_choose_service(const struct route *route, uint64_t draw)
+{
+    uint64_t sum = 0;
+    for (uint32_t i = 0; i < route->target_count; i++)
+        sum += route->targets[i].weight;
+    if (!sum)
+        return route->target_count ? route->targets[0].service : ROUTE_NO_SERVICE;
+    uint64_t rest = draw % sum;
+    for (uint32_t i = 0; i < route->target_count; i++) {
+        if (rest < route->targets[i].weight)
+            return route->targets[i].service;
+        rest -= route->targets[i].weight;
+    }
+    return route->targets[0].service;
+}
--- /dev/null
+++ b/src/core/state_cache.c
@@ -0,0 +1,185 @@
+#include "core/state_cache.h"
+
+#include "base/memory.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct state_cache {
+    struct state_cache_listener listener;
+    struct state_item **items; /* sorted by key */
+    uint32_t count;
+    uint64_t revision;
+    uint64_t forgotten; /* greatest revision of an item that was trimmed */
+};
+
+struct state_cache *state_cache_create(const struct state_cache_listener *listener)
+{
+    struct state_cache *cache = memory_zero(1, sizeof *cache);
+    cache->listener = *listener;
+    return cache;
+}
+
+static void item_free(struct state_item *item)
+{
+    free(item->key);
+    free(item->value);
+    free(item);
+}
+
+void state_cache_destroy(struct state_cache *cache)
+{
+    for (uint32_t i = 0; i < cache->count; i++)
+        item_free(cache->items[i]);
+    free(cache->items);
+    free(cache);
+}
+
+/* Place of a key, or where it would stand. */
+static uint32_t place_of(const struct state_cache *cache, const char *key, bool *found)
+{
+    uint32_t low = 0, high = cache->count;
+    *found = false;
+    while (low < high) {
+        uint32_t middle = (low + high) / 2;
+        int order = strcmp(cache->items[middle]->key, key);
+        if (order == 0) {
+            *found = true;
+            return middle;
+        }
+        if (order < 0)
+            low = middle + 1;
+        else
+            high = middle;
+    }
+    return low;
+}
+
+static struct state_item *item_for(struct state_cache *cache, const char *key)
+{
+    bool found;
+    uint32_t place = place_of(cache, key, &found);
+    if (found)
+        return cache->items[place];
+    struct state_item *item = memory_zero(1, sizeof *item);
+    item->key = memory_string(key);
+    cache->items = memory_resize(cache->items, (cache->count + 1) * sizeof *cache->items);
+    memmove(cache->items + place + 1, cache->items + place,
+            (cache->count - place) * sizeof *cache->items);
+    cache->items[place] = item;
+    cache->count++;
+    return item;
+}
+
+bool state_cache_put(struct state_cache *cache, const char *key, const char *value, size_t size,
+                     uint64_t revision, uint64_t learned)
+{
+    struct state_item *item = item_for(cache, key);
+    item->seen = true;
+    if (revision <= item->revision)
+        return false;
+    free(item->value);
+    item->value = memory_resize(NULL, size + 1);
+    if (size)
+        memcpy(item->value, value, size);
+    item->value[size] = 0;
+    item->size = size;
+    item->revision = revision;
+    item->gone = false;
+    item->learned = learned;
+    cache->listener.changed(cache->listener.context, item);
+    return true;
+}
+
+static void set_gone(struct state_cache *cache, struct state_item *item, uint64_t revision,
+                     uint64_t learned)
+{
+    free(item->value);
+    item->value = NULL;
+    item->size = 0;
+    item->revision = revision;
+    item->gone = true;
+    item->learned = learned;
+    cache->listener.changed(cache->listener.context, item);
+}
+
+bool state_cache_remove(struct state_cache *cache, const char *key, uint64_t revision,
+                        uint64_t learned)
+{
+    struct state_item *item = item_for(cache, key);
+    if (revision <= item->revision)
+        return false;
+    set_gone(cache, item, revision, learned);
+    return true;
+}
+
+void state_cache_reach(struct state_cache *cache, uint64_t revision)
+{
+    if (revision > cache->revision)
+        cache->revision = revision;
+}
+
+static bool has_prefix(const struct state_item *item, const char *prefix)
+{
+    return strncmp(item->key, prefix, strlen(prefix)) == 0;
+}
+
+void state_cache_snapshot_begin(struct state_cache *cache, const char *prefix)
+{
+    for (uint32_t i = 0; i < cache->count; i++)
+        if (has_prefix(cache->items[i], prefix))
+            cache->items[i]->seen = false;
+}
+
+void state_cache_snapshot_end(struct state_cache *cache, const char *prefix, uint64_t revision,
+                              uint64_t now)
+{
+    for (uint32_t i = 0; i < cache->count; i++) {
+        struct state_item *item = cache->items[i];
+        if (has_prefix(item, prefix) && !item->seen && !item->gone && item->revision <= revision)
+            set_gone(cache, item, revision, now);
+    }
+}
+
+uint64_t state_cache_revision(const struct state_cache *cache)
+{
+    return cache->revision;
+}
+
+const struct state_item *state_cache_find(const struct state_cache *cache, const char *key)
+{
+    bool found;
+    uint32_t place = place_of(cache, key, &found);
+    return found && !cache->items[place]->gone ? cache->items[place] : NULL;
+}
+
+uint32_t state_cache_count(const struct state_cache *cache)
+{
+    return cache->count;
+}
+
+const struct state_item *state_cache_at(const struct state_cache *cache, uint32_t index)
+{
+    return cache->items[index];
+}
+
+bool state_cache_covers(const struct state_cache *cache, uint64_t revision)
+{
+    return revision >= cache->forgotten;
+}
+
+void state_cache_trim(struct state_cache *cache, uint64_t before)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < cache->count; i++) {
+        struct state_item *item = cache->items[i];
+        if (item->gone && item->learned < before) {
+            if (item->revision > cache->forgotten)
+                cache->forgotten = item->revision;
+            item_free(item);
+            continue;
+        }
+        cache->items[kept++] = item;
+    }
+    cache->count = kept;
+}
--- /dev/null
+++ b/src/core/version_bounds.h
@@ -0,0 +1,37 @@
+/**
+ * Which weight versions may still serve a model: each named version is the least one allowed from some
+ * time after it was named.
+ */
+#ifndef SHUNTRUN_VERSION_BOUNDS_H
+#define SHUNTRUN_VERSION_BOUNDS_H
+
+#include <stdint.h>
+
+#define VERSION_BOUNDS_MODELS 16
+#define VERSION_BOUNDS_VERSIONS 8
+#define VERSION_MODEL_SIZE 64
+
+struct version_bound {
+    uint64_t version;
+    uint64_t enforced_at; /**< time from which no older version may begin work */
+};
+
+struct model_versions {
+    char model[VERSION_MODEL_SIZE];
+    struct version_bound bounds[VERSION_BOUNDS_VERSIONS]; /**< newest first */
+    uint32_t count;
+};
+
+struct version_bounds {
+    struct model_versions models[VERSION_BOUNDS_MODELS];
+    uint32_t count;
+};
+
+/** \brief A version was named; older or known ones are ignored. */
+void version_bounds_name(struct version_bounds *bounds, const char *model, uint64_t version,
+                         uint64_t enforced_at);
+/** \return the least version that may begin work now; 0: any */
+uint64_t version_bounds_least(const struct version_bounds *bounds, const char *model,
+                              uint64_t now);
+
+#endif
--- /dev/null
+++ b/src/edge/edge_client.c
@@ -0,0 +1,296 @@
+/* Connections of clients: requests in, answers out, one request at a time. */
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "edge/edge_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** Bytes of further requests that may wait behind the present one. */
+#define PIPELINE_LIMIT 262144
+#define DEFAULT_HEAD_BYTES 16384
+#define DEFAULT_BODY_BYTES 4194304
+#define DEFAULT_HEAD_TIMEOUT_MS 5000
+#define DEFAULT_IDLE_TIMEOUT_MS 30000
+
+struct edge_client {
+    struct edge *edge;
+    struct tcp_stream *stream; /* NULL when closed */
+    struct http_message request;
+    struct buffer unread;
+    struct exchange *exchange;
+    bool parsing;
+    bool streaming;
+    bool continued;        /* "100 Continue" was sent */
+    uint64_t idle_since;   /* time of the last answer, or of the accept */
+    uint64_t head_started; /* time of the first byte of a request, 0: none */
+    struct edge_client *next;
+    struct edge_client **place;
+};
+
+struct edge *edge_client_edge(const struct edge_client *client)
+{
+    return client->edge;
+}
+
+const struct http_message *edge_client_request(const struct edge_client *client)
+{
+    return &client->request;
+}
+
+size_t edge_client_pending(const struct edge_client *client)
+{
+    return client->stream ? tcp_stream_pending(client->stream) : 0;
+}
+
+static void set_limits(struct edge_client *client)
+{
+    const struct route_table *table = client->edge->table;
+    client->request.head_limit = table ? route_table_limits(table)->head_bytes : DEFAULT_HEAD_BYTES;
+    client->request.body_limit = table ? route_table_limits(table)->body_bytes : DEFAULT_BODY_BYTES;
+}
+
+static void next_request(struct edge_client *client)
+{
+    set_limits(client);
+    http_message_begin(&client->request, HTTP_MESSAGE_REQUEST);
+    client->head_started = 0;
+    client->continued = false;
+    client->idle_since = cluster_now();
+}
+
+static void client_free(struct edge_client *client)
+{
+    *client->place = client->next;
+    if (client->next)
+        client->next->place = client->place;
+    http_message_clear(&client->request);
+    buffer_clear(&client->unread);
+    free(client);
+}
+
+static void free_when_done(struct edge_client *client)
+{
+    if (!client->stream && !client->parsing && !client->exchange)
+        client_free(client);
+}
+
+static void refuse_request(struct edge_client *client, unsigned status)
+{
+    struct buffer reply = {0};
+    metric_add(METRIC_REQUESTS_BAD, 1);
+    log_event(LOG_LEVEL_WARN, "client", "bad-request", "status=%u head_bytes=%zu body_bytes=%zu",
+              status, client->request.head_bytes, client->request.body_bytes);
+    buffer_append_format(&reply, "HTTP/1.1 %u %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+                         status, http_status_str((enum http_status)status));
+    tcp_stream_write(client->stream, reply.data, reply.size);
+    buffer_clear(&reply);
+    tcp_stream_finish(client->stream);
+    client->stream = NULL;
+}
+
+static void send_continue(struct edge_client *client)
+{
+    char expect[32];
+    if (client->continued || !client->request.head_complete || client->request.complete)
+        return;
+    if (!http_message_value(&client->request, "Expect", expect, sizeof expect))
+        return;
+    client->continued = true;
+    tcp_stream_write(client->stream, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+static void parse_one(struct edge_client *client)
+{
+    size_t used;
+    enum http_parse_result result =
+        http_message_feed(&client->request, client->unread.data, client->unread.size, &used);
+    buffer_consume(&client->unread, used);
+    switch (result) {
+    case HTTP_PARSE_MORE:
+        buffer_reset(&client->unread);
+        send_continue(client);
+        break;
+    case HTTP_PARSE_DONE:
+        client->exchange = exchange_begin(client->edge, client);
+        if (client->exchange)
+            exchange_start(client->exchange);
+        break;
+    case HTTP_PARSE_MALFORMED:
+        refuse_request(client, 400);
+        break;
+    case HTTP_PARSE_HEAD_SIZE:
+        refuse_request(client, 431);
+        break;
+    case HTTP_PARSE_BODY_SIZE:
+        refuse_request(client, 413);
+        break;
+    }
+}
+
+static void parse(struct edge_client *client)
+{
+    client->parsing = true;
+    while (client->stream && !client->exchange && client->unread.size) {
+        if (!client->head_started)
+            client->head_started = cluster_now();
+        parse_one(client);
+    }
+    client->parsing = false;
+    free_when_done(client);
+}
+
+static void on_received(void *context, const char *bytes, size_t size)
+{
+    struct edge_client *client = context;
+    buffer_append(&client->unread, bytes, size);
+    if (!client->exchange)
+        parse(client);
+    else if (client->unread.size > PIPELINE_LIMIT)
+        tcp_stream_pause(client->stream, true);
+}
+
+static void on_ended(void *context, enum tcp_end end)
+{
+    struct edge_client *client = context;
+    struct exchange *exchange = client->exchange;
+    tcp_stream_close(client->stream);
+    client->stream = NULL;
+    client->exchange = NULL;
+    if (exchange)
+        exchange_abandon(exchange);
+    free_when_done(client);
+}
+
+static const struct tcp_stream_callbacks stream_callbacks = {.received = on_received,
+                                                             .ended = on_ended};
+
+void edge_client_accept(uv_stream_t *listener, int status)
+{
+    struct edge *edge = listener->data;
+    if (status)
+        return;
+    struct edge_client *client = memory_zero(1, sizeof *client);
+    client->edge = edge;
+    client->next = edge->clients;
+    client->place = &edge->clients;
+    if (client->next)
+        client->next->place = &client->next;
+    edge->clients = client;
+    next_request(client);
+    client->stream = tcp_stream_accept(listener, &stream_callbacks, client);
+    free_when_done(client);
+}
+
+static bool keeps_connection(const struct edge_client *client)
+{
+    return client->request.keep_alive && !client->edge->stopping_since;
+}
+
+/* The answer is out: go on with the next request, or close. */
+static void answered(struct edge_client *client, bool keep)
+{
+    client->exchange = NULL;
+    if (!client->stream) {
+        free_when_done(client);
+        return;
+    }
+    if (!keep) {
+        tcp_stream_finish(client->stream);
+        client->stream = NULL;
+        free_when_done(client);
+        return;
+    }
+    next_request(client);
+    tcp_stream_pause(client->stream, false);
+    if (!client->parsing && client->unread.size)
+        parse(client);
+}
+
+void edge_client_answer(struct edge_client *client, const struct buffer *head, const void *body,
+                        size_t size)
+{
+    struct buffer answer = {0};
+    bool keep = keeps_connection(client);
+    if (client->stream) {
+        buffer_append(&answer, head->data, head->size);
+        buffer_append_format(&answer, "Content-Length: %zu\r\n%s\r\n", size,
+                             keep ? "" : "Connection: close\r\n");
+        if (strcmp(http_message_method(&client->request), "HEAD") != 0)
+            buffer_append(&answer, body, size);
+        tcp_stream_write(client->stream, answer.data, answer.size);
+        buffer_clear(&answer);
+    }
+    answered(client, keep);
+}
+
+void edge_client_stream_begin(struct edge_client *client, const struct buffer *head)
+{
+    struct buffer bytes = {0};
+    client->streaming = true;
+    buffer_append(&bytes, head->data, head->size);
+    buffer_append_format(&bytes, "Transfer-Encoding: chunked\r\n%s\r\n",
+                         keeps_connection(client) ? "" : "Connection: close\r\n");
+    if (client->stream)
+        tcp_stream_write(client->stream, bytes.data, bytes.size);
+    buffer_clear(&bytes);
+}
+
+void edge_client_stream_data(struct edge_client *client, const void *bytes, size_t size)
+{
+    struct buffer chunk = {0};
+    if (!size || !client->stream)
+        return;
+    buffer_append_format(&chunk, "%zx\r\n", size);
+    buffer_append(&chunk, bytes, size);
+    buffer_append_text(&chunk, "\r\n");
+    tcp_stream_write(client->stream, chunk.data, chunk.size);
+    buffer_clear(&chunk);
+}
+
+void edge_client_stream_end(struct edge_client *client)
+{
+    client->streaming = false;
+    if (client->stream)
+        tcp_stream_write(client->stream, "0\r\n\r\n", 5);
+    answered(client, keeps_connection(client));
+}
+
+void edge_client_break(struct edge_client *client)
+{
+    client->streaming = false;
+    client->exchange = NULL;
+    if (client->stream)
+        tcp_stream_reset(client->stream);
+    client->stream = NULL;
+    free_when_done(client);
+}
+
+static bool is_overdue(const struct edge_client *client, uint64_t now, bool *in_head)
+{
+    const struct route_table *table = client->edge->table;
+    uint64_t head = table ? route_table_limits(table)->head_timeout_ms : DEFAULT_HEAD_TIMEOUT_MS;
+    uint64_t idle = table ? route_table_limits(table)->idle_timeout_ms : DEFAULT_IDLE_TIMEOUT_MS;
+    *in_head = client->head_started != 0;
+    if (*in_head)
+        return !client->request.head_complete && now - client->head_started > head * 1000;
+    return now - client->idle_since > idle * 1000;
+}
+
+void edge_client_sweep(struct edge *edge, uint64_t now)
+{
+    for (struct edge_client *client = edge->clients, *next; client; client = next) {
+        bool in_head;
+        next = client->next;
+        if (client->exchange || !client->stream || !is_overdue(client, now, &in_head))
+            continue;
+        if (in_head) {
+            refuse_request(client, 408);
+        } else {
+            tcp_stream_close(client->stream);
+            client->stream = NULL;
+        }
+        free_when_done(client);
+    }
+}
--- /dev/null
+++ b/src/edge/edge_internal.h
@@ -0,0 +1,117 @@
+/**
+ * State of the edge that its modules share. One loop, one thread.
+ */
+#ifndef SHUNTRUN_EDGE_INTERNAL_H
+#define SHUNTRUN_EDGE_INTERNAL_H
+
+#include "cluster/cluster.h"
+#include "cluster/process.h"
+#include "core/backend_pool.h"
+#include "core/event_stream.h"
+#include "core/repeat_budget.h"
+#include "core/route_table.h"
+#include "core/version_bounds.h"
+#include "net/http_message.h"
+#include "net/tcp_stream.h"
+#include "platform/platform.h"
+
+#define EDGE_SERVICES_MOST 64
+
+struct edge_client;
+struct exchange;
+struct upstream;
+
+/** Shared repeat budget of one service. */
+struct service_budget {
+    char service[BACKEND_NAME_SIZE];
+    struct repeat_budget budget;
+};
+
+struct edge {
+    struct process process;
+    struct cluster cluster;
+    uv_loop_t *loop;
+    const struct settings *settings;
+    struct route_table *table; /**< NULL before the first configuration */
+    struct backend_pool *pool;
+    struct version_bounds versions;
+    struct service_budget budgets[EDGE_SERVICES_MOST];
+    uint32_t budget_count;
+    struct random_stream random;
+    uv_tcp_t listener;
+    struct http_service *directory;
+    struct http_service *readiness;
+    uv_timer_t timer;
+    struct edge_client *clients;
+    struct exchange *waiting; /**< requests that wait for a place, most urgent first */
+    uint32_t active;          /**< requests that have no final answer yet */
+    uint32_t gateways;        /**< alive now, at least 1 */
+    uint32_t gateways_most;   /**< the most seen lately; shares the repeat budget */
+    uint64_t started;
+    uint64_t stopping_since; /**< 0: not stopping */
+};
+
+/* --- clients: edge_client.c ---------------------------------------------------------------------- */
+
+void edge_client_accept(uv_stream_t *listener, int status);
+/** \brief Close clients that are idle, or slow with a head, for too long. */
+void edge_client_sweep(struct edge *edge, uint64_t now);
+/** \brief A whole answer; the exchange is over afterwards. */
+void edge_client_answer(struct edge_client *client, const struct buffer *head, const void *body,
+                        size_t size);
+/** \brief The head of an answer that comes in parts; `head` ends with its own fields. */
+void edge_client_stream_begin(struct edge_client *client, const struct buffer *head);
+void edge_client_stream_data(struct edge_client *client, const void *bytes, size_t size);
+void edge_client_stream_end(struct edge_client *client);
+/** \brief Break the connection, so that what was sent cannot look complete. */
+void edge_client_break(struct edge_client *client);
+size_t edge_client_pending(const struct edge_client *client);
+struct edge *edge_client_edge(const struct edge_client *client);
+const struct http_message *edge_client_request(const struct edge_client *client);
+
+/* --- requests: exchange.c ------------------------------------------------------------------------ */
+
+/** \brief Take the request that the client has sent whole. \return NULL when answered at once */
+struct exchange *exchange_begin(struct edge *edge, struct edge_client *client);
+/** \brief Send it to a back end, or let it wait for one. */
+void exchange_start(struct exchange *exchange);
+/** \brief The client is gone: stop the work. */
+void exchange_abandon(struct exchange *exchange);
+/** \brief Places may be free again: offer them to those that wait. */
+void exchange_dispatch_waiting(struct edge *edge);
+
+enum upstream_event {
+    UPSTREAM_NOT_SENT, /**< no connection came up */
+    UPSTREAM_PROGRESS, /**< more of the head or body is there */
+    UPSTREAM_DONE,     /**< the answer is complete */
+    UPSTREAM_BROKEN,   /**< the connection broke or the bytes are no answer */
+};
+
+/** \brief Told by the connection; on DONE, BROKEN and NOT_SENT it no longer belongs to the exchange. */
+void exchange_on_upstream(struct exchange *exchange, enum upstream_event event,
+                          struct http_message *message);
+/** \return whether this answer belongs to another request and is to be passed over */
+bool exchange_is_foreign(const struct exchange *exchange, const struct http_message *message);
+
+/* --- connections to back ends: upstream.c ---------------------------------------------------------- */
+
+/** \param most_idle_us use no connection that was idle for longer */
+struct upstream *upstream_send(struct edge *edge, struct backend *backend,
+                               struct exchange *exchange, const struct buffer *bytes,
+                               uint64_t most_idle_us);
+/** \brief Stop: the back end sees its connection close. */
+void upstream_cancel(struct upstream *upstream);
+/** \brief Whether the request was handed to a connection that is up. */
+bool upstream_is_sent(const struct upstream *upstream);
+/** \brief Read no more for now, or go on. */
+void upstream_pause(struct upstream *upstream, bool pause);
+/** \brief Close idle connections whose time is over. */
+void upstream_sweep(struct edge *edge, uint64_t now);
+/** \brief Close all idle connections, after the process stood still. */
+void upstream_close_idle(struct edge *edge);
+
+/* --- the edge itself: edge.c ------------------------------------------------------------------------ */
+
+struct repeat_budget *edge_budget(struct edge *edge, const char *service);
+
+#endif
--- /dev/null
+++ b/src/edge/upstream.c
@@ -0,0 +1,284 @@
+/* Connections to back ends: one request at a time on each, kept for the next one. */
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "edge/edge_internal.h"
+
+#include <stdlib.h>
+
+/** An idle connection is kept for so long when the back end does not say. */
+#define KEEP_DEFAULT_US 4000000
+/** A connection is no longer used so long before the back end may close it. */
+#define KEEP_MARGIN_US 400000
+#define CONNECT_TIMEOUT_US 700000
+
+enum upstream_state { UPSTREAM_CONNECTING, UPSTREAM_BUSY, UPSTREAM_IDLE };
+
+struct upstream {
+    struct edge *edge;
+    struct backend *backend;
+    struct tcp_stream *stream;
+    struct http_message message;
+    enum upstream_state state;
+    struct exchange *exchange; /* NULL while idle */
+    struct buffer request;     /* waits for the connection */
+    uint64_t started;
+    uint64_t idle_since;
+    uint64_t keep_until;
+    struct upstream *next; /* of the back end's connections */
+};
+
+/* All connections to one back end, newest use first. */
+struct upstream_list {
+    struct upstream *first;
+};
+
+static struct upstream_list *list_of(struct backend *backend)
+{
+    if (!backend->connections)
+        backend->connections = memory_zero(1, sizeof(struct upstream_list));
+    return backend->connections;
+}
+
+static void unlink_upstream(struct upstream *upstream)
+{
+    struct upstream_list *list = list_of(upstream->backend);
+    for (struct upstream **place = &list->first; *place; place = &(*place)->next) {
+        if (*place == upstream) {
+            *place = upstream->next;
+            break;
+        }
+    }
+    if (!list->first) {
+        free(list);
+        upstream->backend->connections = NULL;
+    }
+}
+
+static void link_first(struct upstream *upstream)
+{
+    struct upstream_list *list = list_of(upstream->backend);
+    upstream->next = list->first;
+    list->first = upstream;
+}
+
+static void destroy(struct upstream *upstream)
+{
+    unlink_upstream(upstream);
+    if (upstream->stream)
+        tcp_stream_close(upstream->stream);
+    backend_release(upstream->backend);
+    http_message_clear(&upstream->message);
+    buffer_clear(&upstream->request);
+    free(upstream);
+}
+
+/* The exchange is told last, with the connection already out of its way. */
+static void finish(struct upstream *upstream, enum upstream_event event, bool reusable)
+{
+    struct exchange *exchange = upstream->exchange;
+    struct http_message message = upstream->message;
+    upstream->exchange = NULL;
+    upstream->message = (struct http_message){0};
+    /* The parser's position is part of the message that is handed over. */
+    if (reusable) {
+        upstream->state = UPSTREAM_IDLE;
+        upstream->idle_since = cluster_now();
+        unlink_upstream(upstream);
+        link_first(upstream);
+    } else {
+        destroy(upstream);
+    }
+    exchange_on_upstream(exchange, event, &message);
+    http_message_clear(&message);
+}
+
+static void begin_answer(struct upstream *upstream)
+{
+    http_message_begin(&upstream->message, HTTP_MESSAGE_RESPONSE);
+}
+
+static bool may_reuse(struct upstream *upstream, bool bytes_left)
+{
+    struct answer_head head;
+    if (!upstream->message.keep_alive || !upstream->message.framed || bytes_left ||
+        tcp_stream_pending(upstream->stream) || !upstream->backend->listed)
+        return false;
+    platform_read_answer(&upstream->message, &head);
+    uint64_t keep = head.keep_alive_ms ? head.keep_alive_ms * 1000ULL : KEEP_DEFAULT_US;
+    if (keep <= KEEP_MARGIN_US)
+        return false;
+    upstream->keep_until = cluster_now() + keep - KEEP_MARGIN_US;
+    return true;
+}
+
+/* A message is complete: pass over what is not the answer. \return whether it was the answer */
+static bool is_answer(struct upstream *upstream)
+{
+    unsigned status = http_message_status(&upstream->message);
+    return status >= 200 && !exchange_is_foreign(upstream->exchange, &upstream->message);
+}
+
+static void on_received(void *context, const char *bytes, size_t size)
+{
+    struct upstream *upstream = context;
+    if (upstream->state != UPSTREAM_BUSY) { /* nobody asked for these bytes */
+        destroy(upstream);
+        return;
+    }
+    while (size) {
+        size_t used;
+        enum http_parse_result result =
+            http_message_feed(&upstream->message, bytes, size, &used);
+        bytes += used;
+        size -= used;
+        if (result == HTTP_PARSE_DONE && !is_answer(upstream)) {
+            begin_answer(upstream);
+            continue;
+        }
+        if (result == HTTP_PARSE_DONE) {
+            finish(upstream, UPSTREAM_DONE, may_reuse(upstream, size > 0));
+            return;
+        }
+        if (result != HTTP_PARSE_MORE) {
+            finish(upstream, UPSTREAM_BROKEN, false);
+            return;
+        }
+    }
+    if (upstream->message.head_complete && is_answer(upstream))
+        exchange_on_upstream(upstream->exchange, UPSTREAM_PROGRESS, &upstream->message);
+}
+
+static void on_ended(void *context, enum tcp_end end)
+{
+    struct upstream *upstream = context;
+    if (upstream->state != UPSTREAM_BUSY) {
+        destroy(upstream);
+        return;
+    }
+    bool whole = end == TCP_END_ORDERLY &&
+                 http_message_end(&upstream->message) == HTTP_PARSE_DONE && is_answer(upstream);
+    finish(upstream, whole ? UPSTREAM_DONE : UPSTREAM_BROKEN, false);
+}
+
+static void on_connected(void *context, bool success)
+{
+    struct upstream *upstream = context;
+    if (!success) {
+        finish(upstream, UPSTREAM_NOT_SENT, false);
+        return;
+    }
+    upstream->state = UPSTREAM_BUSY;
+    begin_answer(upstream);
+    tcp_stream_write(upstream->stream, upstream->request.data, upstream->request.size);
+    buffer_clear(&upstream->request);
+}
+
+static const struct tcp_stream_callbacks stream_callbacks = {
+    .connected = on_connected, .received = on_received, .ended = on_ended};
+
+static struct upstream *find_idle(struct backend *backend, uint64_t now, uint64_t most_idle_us)
+{
+    struct upstream_list *list = backend->connections;
+    for (struct upstream *upstream = list ? list->first : NULL; upstream;
+         upstream = upstream->next)
+        if (upstream->state == UPSTREAM_IDLE && now < upstream->keep_until &&
+            now - upstream->idle_since <= most_idle_us)
+            return upstream;
+    return NULL;
+}
+
+static struct upstream *connect_new(struct edge *edge, struct backend *backend)
+{
+    struct sockaddr_in address;
+    if (!tcp_address_parse(backend->listing.address, &address))
+        return NULL;
+    struct upstream *upstream = memory_zero(1, sizeof *upstream);
+    upstream->edge = edge;
+    upstream->backend = backend_retain(backend);
+    upstream->state = UPSTREAM_CONNECTING;
+    upstream->stream = tcp_stream_connect(edge->loop, &address, &stream_callbacks, upstream);
+    link_first(upstream);
+    if (!upstream->stream) {
+        destroy(upstream);
+        return NULL;
+    }
+    metric_add(METRIC_UPSTREAM_CONNECTIONS, 1);
+    return upstream;
+}
+
+struct upstream *upstream_send(struct edge *edge, struct backend *backend,
+                               struct exchange *exchange, const struct buffer *bytes,
+                               uint64_t most_idle_us)
+{
+    uint64_t now = cluster_now();
+    struct upstream *upstream = find_idle(backend, now, most_idle_us);
+    if (upstream) {
+        upstream->state = UPSTREAM_BUSY;
+        begin_answer(upstream);
+        tcp_stream_write(upstream->stream, bytes->data, bytes->size);
+    } else {
+        upstream = connect_new(edge, backend);
+        if (!upstream)
+            return NULL;
+        buffer_append(&upstream->request, bytes->data, bytes->size);
+    }
+    upstream->exchange = exchange;
+    upstream->started = now;
+    return upstream;
+}
+
+void upstream_cancel(struct upstream *upstream)
+{
+    upstream->exchange = NULL;
+    destroy(upstream);
+}
+
+bool upstream_is_sent(const struct upstream *upstream)
+{
+    return upstream->state == UPSTREAM_BUSY;
+}
+
+void upstream_pause(struct upstream *upstream, bool pause)
+{
+    tcp_stream_pause(upstream->stream, pause);
+}
+
+/* \return the first connection of the back end that is to be closed now */
+static struct upstream *find_expired(const struct upstream_list *list, uint64_t now)
+{
+    for (struct upstream *upstream = list ? list->first : NULL; upstream;
+         upstream = upstream->next) {
+        if (upstream->state == UPSTREAM_IDLE &&
+            (now >= upstream->keep_until || !upstream->backend->listed))
+            return upstream;
+        if (upstream->state == UPSTREAM_CONNECTING && now - upstream->started > CONNECT_TIMEOUT_US)
+            return upstream;
+    }
+    return NULL;
+}
+
+void upstream_sweep(struct edge *edge, uint64_t now)
+{
+    for (uint32_t i = 0; i < backend_pool_count(edge->pool); i++) {
+        struct backend *backend = backend_pool_at(edge->pool, i);
+        struct upstream *upstream;
+        while ((upstream = find_expired(backend->connections, now))) {
+            if (upstream->state == UPSTREAM_IDLE)
+                destroy(upstream);
+            else
+                finish(upstream, UPSTREAM_NOT_SENT, false);
+        }
+    }
+}
+
+void upstream_close_idle(struct edge *edge)
+{
+    for (uint32_t i = 0; i < backend_pool_count(edge->pool); i++) {
+        struct upstream_list *list = backend_pool_at(edge->pool, i)->connections;
+        for (struct upstream *upstream = list ? list->first : NULL; upstream;
+             upstream = upstream->next)
+            if (upstream->state == UPSTREAM_IDLE)
+                upstream->keep_until = 0;
+    }
+    upstream_sweep(edge, cluster_now());
+}
--- /dev/null
+++ b/src/loader/installer.c
@@ -0,0 +1,315 @@
+#include "loader/installer.h"
+
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "core/bitmap.h"
+#include "net/http_caller.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STAGE_TIMEOUT_MS 2000
+#define ORDER_TIMEOUT_MS 1500
+#define STAGE_LIMIT (8U << 20)
+/** What was read back longer ago is read again before the order. */
+#define CHECK_FRESH_US 1500000
+/** After an order without effect in the engine's report, it is given again. */
+#define ORDER_EFFECT_US 1500000
+#define PIECE_BITMAP_WORDS 64
+#define PIECES_MOST (PIECE_BITMAP_WORDS * BITMAP_WORD_BITS)
+
+enum install_step {
+    STEP_IDLE,
+    STEP_CHECK, /* read every piece back, stage what is missing or wrong */
+    STEP_READY, /* all is there; wait for the turn */
+    STEP_ORDERED,
+};
+
+struct installer {
+    uv_loop_t *loop;
+    struct http_caller *stage;
+    struct http_caller *order;
+    char model[BACKEND_NAME_SIZE];
+    struct piece_store *store;
+    enum install_step step;
+    struct engine_report report;
+    bool reachable;
+    uint32_t piece;            /* of the check under way */
+    bool busy;                 /* a stage call is under way */
+    uint32_t generation;       /* of the store, so that late answers are dropped */
+    uint64_t checked_at;       /* begin of the last whole check */
+    uint64_t check_began;
+    uint64_t ordered_at;
+    uint64_t ordered_sequence; /* orders that the engine had taken before this one */
+    uint64_t staged[PIECE_BITMAP_WORDS];
+};
+
+/* A stage call under way. */
+struct stage_call {
+    struct installer *installer;
+    uint32_t generation;
+    uint32_t piece;
+};
+
+static void check_next(struct installer *installer);
+
+struct installer *installer_create(uv_loop_t *loop, const struct sockaddr_in *engine,
+                                   const char *model)
+{
+    struct installer *installer = memory_zero(1, sizeof *installer);
+    installer->loop = loop;
+    installer->stage = http_caller_create(loop, engine);
+    installer->order = http_caller_create(loop, engine);
+    snprintf(installer->model, sizeof installer->model, "%s", model);
+    return installer;
+}
+
+void installer_set_store(struct installer *installer, struct piece_store *store)
+{
+    installer->store = store;
+    installer->generation++;
+    installer->step = STEP_IDLE;
+    installer->busy = false;
+    memset(installer->staged, 0, sizeof installer->staged);
+}
+
+static struct stage_call *call_create(struct installer *installer, uint32_t piece)
+{
+    struct stage_call *call = memory_zero(1, sizeof *call);
+    *call = (struct stage_call){installer, installer->generation, piece};
+    return call;
+}
+
+static void send_stage(struct installer *installer, const char *method, uint32_t piece,
+                       const void *body, size_t size, call_done *done)
+{
+    struct buffer target = {0};
+    if (strcmp(method, "PUT") == 0)
+        platform_write_stage_put_target(installer->model, piece, &target);
+    else
+        platform_write_stage_get_target(installer->model, piece, &target);
+    buffer_append(&target, "", 1);
+    struct caller_request request = {.method = method,
+                                     .target = target.data,
+                                     .body = body,
+                                     .body_size = size,
+                                     .timeout_ms = STAGE_TIMEOUT_MS,
+                                     .body_limit = STAGE_LIMIT,
+                                     .done = done,
+                                     .context = call_create(installer, piece)};
+    http_caller_send(installer->stage, &request);
+    buffer_clear(&target);
+}
+
+static bool take_call(struct stage_call *call, struct installer **installer, uint32_t *piece)
+{
+    *installer = call->installer;
+    *piece = call->piece;
+    bool valid = call->generation == call->installer->generation;
+    free(call);
+    return valid;
+}
+
+/* --- staging as pieces come ---------------------------------------------------------------------- */
+
+static void on_early_put(void *context, enum call_result result, const struct http_message *message)
+{
+    struct installer *installer;
+    uint32_t piece;
+    if (!take_call(context, &installer, &piece))
+        return;
+    if (result == CALL_ANSWERED && http_message_status(message) < 300)
+        bitmap_set(installer->staged, piece);
+}
+
+void installer_on_piece(struct installer *installer, uint32_t piece)
+{
+    size_t size;
+    const uint8_t *data = piece_store_data(installer->store, piece, &size);
+    if (!installer->reachable || installer->step != STEP_IDLE || piece >= PIECES_MOST)
+        return;
+    if (installer->report.load.version < piece_store_version(installer->store))
+        send_stage(installer, "PUT", piece, data, size, on_early_put);
+}
+
+/* --- check --------------------------------------------------------------------------------------- */
+
+static void on_put(void *context, enum call_result result, const struct http_message *message)
+{
+    struct installer *installer;
+    uint32_t piece;
+    if (!take_call(context, &installer, &piece))
+        return;
+    installer->busy = false;
+    if (result != CALL_ANSWERED || http_message_status(message) >= 300) {
+        installer->step = STEP_IDLE;
+        return;
+    }
+    bitmap_set(installer->staged, piece);
+    check_next(installer); /* read it back */
+}
+
+static bool is_right(const struct installer *installer, uint32_t piece,
+                     const struct http_message *message)
+{
+    size_t size;
+    const uint8_t *data = piece_store_data(installer->store, piece, &size);
+    return http_message_status(message) == 200 && message->body.size == size &&
+           memcmp(message->body.data, data, size) == 0;
+}
+
+static void on_get(void *context, enum call_result result, const struct http_message *message)
+{
+    struct installer *installer;
+    uint32_t piece;
+    if (!take_call(context, &installer, &piece))
+        return;
+    installer->busy = false;
+    if (result != CALL_ANSWERED) {
+        installer->step = STEP_IDLE;
+        return;
+    }
+    if (is_right(installer, piece, message)) {
+        installer->piece++;
+        check_next(installer);
+        return;
+    }
+    if (bitmap_get(installer->staged, piece))
+        log_event(LOG_LEVEL_WARN, "install", "staged-piece-wrong", "piece=%u status=%u bytes=%zu",
+                  piece, http_message_status(message), message->body.size);
+    size_t size;
+    const uint8_t *data = piece_store_data(installer->store, piece, &size);
+    installer->busy = true;
+    send_stage(installer, "PUT", piece, data, size, on_put);
+}
+
+static void check_next(struct installer *installer)
+{
+    const struct piece_manifest *manifest = piece_store_manifest(installer->store);
+    if (installer->piece == manifest->count) {
+        installer->checked_at = installer->check_began;
+        installer->step = STEP_READY;
+        return;
+    }
+    installer->busy = true;
+    send_stage(installer, "GET", installer->piece, NULL, 0, on_get);
+}
+
+static void check_begin(struct installer *installer, uint64_t now)
+{
+    installer->step = STEP_CHECK;
+    installer->piece = 0;
+    installer->check_began = now;
+    check_next(installer);
+}
+
+/* --- order --------------------------------------------------------------------------------------- */
+
+static void on_order(void *context, enum call_result result, const struct http_message *message)
+{
+    struct installer *installer;
+    uint32_t unused;
+    if (!take_call(context, &installer, &unused))
+        return;
+    unsigned status = result == CALL_ANSWERED ? http_message_status(message) : 0;
+    log_event(LOG_LEVEL_INFO, "install", "order-answered",
+              "version=%" PRIu64 " status=%u sequence=%" PRIu64,
+              piece_store_version(installer->store), status, installer->ordered_sequence);
+    if (status >= 400)
+        installer->step = STEP_IDLE;
+}
+
+static void give_order(struct installer *installer, uint64_t now)
+{
+    struct buffer body = {0};
+    installer->step = STEP_ORDERED;
+    installer->ordered_at = now;
+    installer->ordered_sequence = installer->report.sequence;
+    platform_write_start_order(installer->model, piece_store_version(installer->store),
+                               installer->ordered_sequence, 0, &body);
+    log_event(LOG_LEVEL_INFO, "install", "order",
+              "version=%" PRIu64 " held=%" PRIu64 " sequence=%" PRIu64 " checked_ms_ago=%" PRIu64,
+              piece_store_version(installer->store), installer->report.load.version,
+              installer->ordered_sequence, (now - installer->checked_at) / 1000);
+    metric_add(METRIC_ENGINE_LOADS, 1);
+    struct caller_request request = {.method = "POST",
+                                     .target = platform_order_target(),
+                                     .headers = "Content-Type: application/json\r\n",
+                                     .body = body.data,
+                                     .body_size = body.size,
+                                     .timeout_ms = ORDER_TIMEOUT_MS,
+                                     .body_limit = STAGE_LIMIT,
+                                     .done = on_order,
+                                     .context = call_create(installer, 0)};
+    http_caller_send(installer->order, &request);
+    buffer_clear(&body);
+}
+
+void installer_on_report(struct installer *installer, const struct engine_report *report,
+                         bool reachable)
+{
+    bool restarted = reachable && report->sequence < installer->report.sequence;
+    installer->reachable = reachable;
+    if (!reachable)
+        return;
+    installer->report = *report;
+    if (restarted) {
+        log_event(LOG_LEVEL_INFO, "install", "engine-restarted", "version=%" PRIu64,
+                  report->load.version);
+        installer->step = STEP_IDLE;
+        installer->busy = false;
+        installer->generation++;
+    }
+}
+
+static bool is_installed(const struct installer *installer)
+{
+    return installer->report.load.version >= piece_store_version(installer->store);
+}
+
+void installer_tick(struct installer *installer, uint64_t now, uint64_t turn)
+{
+    if (!installer->store || !installer->reachable || !piece_store_complete(installer->store))
+        return;
+    if (is_installed(installer)) {
+        if (installer->step == STEP_ORDERED)
+            log_event(LOG_LEVEL_INFO, "install", "confirmed", "version=%" PRIu64 " took_ms=%" PRIu64,
+                      installer->report.load.version, (now - installer->ordered_at) / 1000);
+        installer->step = STEP_IDLE;
+        return;
+    }
+    switch (installer->step) {
+    case STEP_IDLE:
+        if (!installer->busy && !installer->report.load.loading &&
+            now + CHECK_FRESH_US / 2 >= turn)
+            check_begin(installer, now);
+        break;
+    case STEP_CHECK:
+        break;
+    case STEP_READY:
+        if (now < turn || installer->report.load.loading)
+            break;
+        if (now - installer->checked_at > CHECK_FRESH_US)
+            check_begin(installer, now);
+        else
+            give_order(installer, now);
+        break;
+    case STEP_ORDERED:
+        if (now - installer->ordered_at > ORDER_EFFECT_US && !installer->report.load.loading &&
+            installer->report.sequence == installer->ordered_sequence)
+            installer->step = STEP_IDLE;
+        else if (installer->report.sequence > installer->ordered_sequence &&
+                 !installer->report.load.loading && now - installer->ordered_at > ORDER_EFFECT_US)
+            installer->step = STEP_IDLE;
+        break;
+    }
+}
+
+bool installer_is_loading(const struct installer *installer, uint64_t now)
+{
+    if (installer->report.load.loading)
+        return true;
+    return installer->step == STEP_ORDERED && now - installer->ordered_at < ORDER_EFFECT_US;
+}
--- /dev/null
+++ b/src/loader/installer.h
@@ -0,0 +1,30 @@
+/**
+ * Brings one engine to one version of its model: stages the pieces, reads them back, and orders the
+ * engine to take them when its turn has come.
+ *
+ * What lies at the engine may have turned bad, so every piece is read back and checked shortly before
+ * the order. An order that shows no effect is given again only after the engine's own report says that
+ * it took none.
+ */
+#ifndef SHUNTRUN_INSTALLER_H
+#define SHUNTRUN_INSTALLER_H
+
+#include "loader/piece_store.h"
+
+struct installer;
+
+struct installer *installer_create(uv_loop_t *loop, const struct sockaddr_in *engine,
+                                   const char *model);
+/** \brief Install from this store from now on; NULL: nothing to install. */
+void installer_set_store(struct installer *installer, struct piece_store *store);
+/** \brief A piece of the store was fetched: stage it at once. */
+void installer_on_piece(struct installer *installer, uint32_t piece);
+/** \brief The engine's own report. \param reachable false: it gave none */
+void installer_on_report(struct installer *installer, const struct engine_report *report,
+                         bool reachable);
+/** \param turn time from which the order may be given */
+void installer_tick(struct installer *installer, uint64_t now, uint64_t turn);
+/** \return whether an order is under way, as far as this process knows */
+bool installer_is_loading(const struct installer *installer, uint64_t now);
+
+#endif
--- /dev/null
+++ b/src/loader/loader.c
@@ -0,0 +1,309 @@
+#include "loader/loader.h"
+
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "cluster/cluster.h"
+#include "cluster/process.h"
+#include "core/hash.h"
+#include "core/start_turn.h"
+#include "loader/installer.h"
+#include "net/http_caller.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define REPORT_INTERVAL_MS 100
+#define REPORT_TIMEOUT_MS 600
+#define REPORT_LIMIT (1U << 20)
+/** An unchanged load is told again after this. */
+#define LOAD_REPEAT_US 300000
+/** A version named less than this ago cannot be held by peers yet. */
+#define RECENT_US 4000000
+/** The first version of a model; the operator names only later ones. */
+#define FIRST_VERSION 1
+
+static const struct start_turn_settings turn_settings = {.first_us = 2200000, .last_us = 4400000};
+
+struct loader {
+    struct process process;
+    struct cluster cluster;
+    struct sockaddr_in engine_address;
+    struct http_caller *engine;
+    uv_timer_t timer;
+    struct route_table *table;
+    struct piece_store *store;
+    struct installer *installer;
+    char model[BACKEND_NAME_SIZE];
+    struct sockaddr_in origin;
+    bool has_origin;
+    uint64_t version;  /* wanted */
+    uint64_t named_at; /* time at which it was named */
+    struct engine_report report;
+    bool reachable;
+    bool asking;
+    struct backend_load told;
+    uint64_t told_at;
+};
+
+/* --- the engine's load --------------------------------------------------------------------------- */
+
+static void tell_load(struct loader *loader, uint64_t now)
+{
+    struct backend_load load = loader->report.load;
+    load.loading = loader->installer && installer_is_loading(loader->installer, now);
+    if (memcmp(&load, &loader->told, sizeof load) == 0 && now < loader->told_at + LOAD_REPEAT_US)
+        return;
+    Shuntrun__EngineLoad message = SHUNTRUN__ENGINE_LOAD__INIT;
+    message.address = (char *)loader->cluster.settings->engine_address;
+    message.running = load.running;
+    message.waiting = load.waiting;
+    message.memory_used = load.memory_used;
+    message.memory_total = load.memory_total;
+    message.version = load.version;
+    message.loading = load.loading;
+    message.pace_permille = load.pace_permille;
+    cluster_send_load(&loader->cluster, &message);
+    loader->told = load;
+    loader->told_at = now;
+}
+
+static void set_reachable(struct loader *loader, bool reachable)
+{
+    if (reachable != loader->reachable)
+        log_event(reachable ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "engine",
+                  reachable ? "regained" : "lost", "address=%s version=%" PRIu64,
+                  loader->cluster.settings->engine_address, loader->report.load.version);
+    loader->reachable = reachable;
+}
+
+static void on_report(void *context, enum call_result result, const struct http_message *message)
+{
+    struct loader *loader = context;
+    struct engine_report report;
+    uint64_t now = cluster_now();
+    loader->asking = false;
+    bool valid = result == CALL_ANSWERED && http_message_status(message) == 200 &&
+                 platform_read_report(message->body.data, message->body.size, loader->model,
+                                      &report) == STATUS_OK;
+    set_reachable(loader, valid);
+    if (valid)
+        loader->report = report;
+    if (loader->installer)
+        installer_on_report(loader->installer, &loader->report, valid);
+    if (valid)
+        tell_load(loader, now);
+}
+
+static void ask_report(struct loader *loader)
+{
+    struct caller_request request = {.method = "GET",
+                                     .target = platform_report_target(),
+                                     .timeout_ms = REPORT_TIMEOUT_MS,
+                                     .body_limit = REPORT_LIMIT,
+                                     .done = on_report,
+                                     .context = loader};
+    loader->asking = true;
+    http_caller_send(loader->engine, &request);
+}
+
+/* --- what the platform publishes ------------------------------------------------------------------- */
+
+static const struct service_entry *own_service(const struct loader *loader)
+{
+    uint32_t index =
+        route_table_find_service(loader->table, loader->cluster.settings->engine_service);
+    return index == ROUTE_NO_SERVICE ? NULL : route_table_service(loader->table, index);
+}
+
+static void find_origin(struct loader *loader)
+{
+    for (uint32_t i = 0; i < route_table_service_count(loader->table); i++) {
+        const struct service_entry *service = route_table_service(loader->table, i);
+        if (service->origin && tcp_address_parse(service->origin, &loader->origin))
+            loader->has_origin = true;
+    }
+}
+
+static void on_piece_held(void *context, uint32_t piece)
+{
+    struct loader *loader = context;
+    installer_on_piece(loader->installer, piece);
+}
+
+static void want_version(struct loader *loader, uint64_t version, uint64_t named_at)
+{
+    uint64_t now = cluster_now();
+    if (version <= loader->version)
+        return;
+    log_event(LOG_LEVEL_INFO, "weights", "version-wanted",
+              "model=%s version=%" PRIu64 " before=%" PRIu64 " named_ms_ago=%" PRIu64,
+              loader->model, version, loader->version, (now - named_at) / 1000);
+    loader->version = version;
+    loader->named_at = named_at;
+    installer_set_store(loader->installer, NULL);
+    piece_store_destroy(loader->store);
+    struct piece_store_callbacks callbacks = {loader, on_piece_held};
+    bool recent = version > FIRST_VERSION && now - named_at < RECENT_US;
+    loader->store = piece_store_create(&loader->cluster, loader->model, &loader->origin, version,
+                                       recent, &callbacks);
+    installer_set_store(loader->installer, loader->store);
+}
+
+/* Find out which version the engine should have, once all that takes is known. */
+static void consider_version(struct loader *loader)
+{
+    if (!loader->table || !loader->has_origin || !loader->installer)
+        return;
+    uint64_t version = FIRST_VERSION;
+    uint64_t named_at = cluster_now();
+    const struct state_cache *state = loader->cluster.state;
+    for (uint32_t i = 0; i < state_cache_count(state); i++) {
+        char name[PLATFORM_TEXT_SIZE];
+        const struct state_item *item = state_cache_at(state, i);
+        if (item->gone || platform_item_kind(item->key, name, sizeof name) != ITEM_VERSION ||
+            strcmp(name, loader->model) != 0)
+            continue;
+        version = platform_parse_version(item->value, item->size);
+        named_at = item->learned;
+    }
+    want_version(loader, version, named_at);
+}
+
+static void take_configuration(struct loader *loader, const struct state_item *item)
+{
+    struct findings findings = {0};
+    struct route_table *table = platform_parse_configuration(item->value, item->size, &findings);
+    process_log_findings(&findings, item->revision);
+    findings_clear(&findings);
+    if (!table)
+        return;
+    route_table_release(loader->table);
+    loader->table = table;
+    find_origin(loader);
+    const struct service_entry *service = own_service(loader);
+    if (!service || !service->engine.model || loader->installer)
+        return;
+    snprintf(loader->model, sizeof loader->model, "%s", service->engine.model);
+    loader->installer =
+        installer_create(loader->cluster.loop, &loader->engine_address, loader->model);
+}
+
+static void on_item(void *context, const struct state_item *item)
+{
+    struct loader *loader = context;
+    char name[PLATFORM_TEXT_SIZE];
+    enum item_kind kind = platform_item_kind(item->key, name, sizeof name);
+    if (item->gone)
+        return;
+    if (kind == ITEM_CONFIGURATION)
+        take_configuration(loader, item);
+    if (kind == ITEM_CONFIGURATION || kind == ITEM_VERSION)
+        consider_version(loader);
+}
+
+/* --- peers --------------------------------------------------------------------------------------- */
+
+static void on_pieces(void *context, uint32_t address, const Shuntrun__PieceNews *news)
+{
+    struct loader *loader = context;
+    if (loader->store)
+        piece_store_on_news(loader->store, address, news);
+}
+
+static void on_call(void *context, struct service_call *call, const struct service_request *request)
+{
+    struct loader *loader = context;
+    if (!loader->store || !piece_store_serve(loader->store, call, request))
+        service_reply(call, 404, NULL, NULL, 0);
+}
+
+static void on_woke(void *context, uint64_t pause_us)
+{
+    struct loader *loader = context;
+    http_caller_abort(loader->engine);
+}
+
+/* --- process ------------------------------------------------------------------------------------- */
+
+/* Place of this loader among those that live, and their number. */
+static uint32_t own_position(const struct loader *loader, uint32_t *count)
+{
+    const struct membership *members = loader->cluster.membership;
+    uint64_t now = cluster_now();
+    uint64_t own = hash_pair(loader->version,
+                             membership_self(loader->cluster.membership)->address);
+    uint32_t before = 0;
+    *count = 1;
+    for (uint32_t i = 0; i < membership_count(members); i++) {
+        const struct member_state *member = membership_at(members, i);
+        if (member->role != MEMBER_LOADER || !membership_alive(members, member, now))
+            continue;
+        before += hash_pair(loader->version, member->address) < own;
+        (*count)++;
+    }
+    return before;
+}
+
+static uint64_t own_turn(const struct loader *loader)
+{
+    uint32_t count;
+    if (!loader->report.load.version)
+        return 0; /* an empty engine does nothing else: at once */
+    uint32_t position = own_position(loader, &count);
+    return start_turn(&turn_settings, loader->named_at, position, count);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+    struct loader *loader = timer->data;
+    uint64_t now = cluster_now();
+    if (!loader->asking && loader->model[0])
+        ask_report(loader);
+    if (loader->store)
+        piece_store_tick(loader->store, now);
+    if (loader->installer)
+        installer_tick(loader->installer, now, own_turn(loader));
+}
+
+static void on_stop(struct process *process)
+{
+    struct loader *loader = process->context;
+    membership_self(loader->cluster.membership)->draining = true;
+    cluster_tell_all(&loader->cluster);
+    uv_stop(loader->cluster.loop);
+}
+
+static int loader_run(struct loader *loader, const struct settings *settings)
+{
+    struct cluster_callbacks callbacks = {.context = loader,
+                                          .item_changed = on_item,
+                                          .pieces_received = on_pieces,
+                                          .call_received = on_call,
+                                          .woke = on_woke};
+    uv_loop_t *loop = uv_default_loop();
+    if (!tcp_address_parse(settings->engine_address, &loader->engine_address)) {
+        log_event(LOG_LEVEL_ERROR, "loader", "bad-address", "engine=%s",
+                  settings->engine_address);
+        return 2;
+    }
+    if (cluster_open(&loader->cluster, loop, settings, MEMBER_LOADER, &callbacks))
+        return 1;
+    loader->engine = http_caller_create(loop, &loader->engine_address);
+    uv_timer_init(loop, &loader->timer);
+    loader->timer.data = loader;
+    uv_timer_start(&loader->timer, on_tick, 1, REPORT_INTERVAL_MS);
+    return process_run(&loader->process, loop, on_stop, loader);
+}
+
+int loader_main(int argc, char **argv)
+{
+    struct loader *loader = memory_zero(1, sizeof *loader);
+    struct settings settings;
+    int result = process_open(&loader->process, SETTING_ROLE_LOADER, argc, argv, &settings);
+    if (result == 0)
+        result = loader_run(loader, &settings);
+    settings_clear(&settings);
+    return result;
+}
--- /dev/null
+++ b/src/loader/piece_store.c
@@ -0,0 +1,492 @@
+#include "loader/piece_store.h"
+
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "core/hash.h"
+#include "core/swarm.h"
+#include "net/http_caller.h"
+
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MANIFEST_PATH "/manifest"
+#define PIECE_PATH "/piece"
+#define MANIFEST_TIMEOUT_MS 700
+#define PIECE_TIMEOUT_MS 2500
+#define MANIFEST_LIMIT (1U << 20)
+#define PIECE_LIMIT (8U << 20)
+#define PEERS_MOST 128
+#define REGIONS_MOST 16
+/** Answers of a node that has no upload slot, or will have the piece soon. */
+#define STATUS_BUSY 429
+#define STATUS_PENDING 409
+#define PLAN_INTERVAL_US 500000
+/** A node that joins late asks its peers for so long before it reads the origin. */
+#define JOIN_HOLD_US 600000
+
+/* A connection for calls to one peer, or to the origin. */
+struct source {
+    uint64_t id;
+    struct http_caller *caller;
+};
+
+struct piece {
+    uint8_t *data;
+    size_t size;
+};
+
+struct piece_store {
+    struct cluster *cluster;
+    struct piece_store_callbacks callbacks;
+    char model[BACKEND_NAME_SIZE];
+    struct sockaddr_in origin;
+    uint64_t version;
+    bool recent; /* the version was named a moment ago: nobody can have it yet */
+    struct piece_manifest manifest;
+    char *manifest_body;
+    size_t manifest_size;
+    bool manifest_asked;
+    uint32_t manifest_tries;
+    struct swarm *swarm;
+    uint64_t members_hash; /* of the members that the plan was made for */
+    uint64_t next_plan;
+    struct piece *pieces;
+    uint32_t held;
+    struct source sources[PEERS_MOST];
+    uint32_t source_count;
+    uint64_t uploads_end; /* time at which the uploads begun so far are through the link */
+};
+
+struct fetch {
+    struct piece_store *store;
+    uint64_t source;
+    uint32_t piece;
+};
+
+static void announce(void *context, uint64_t peer, const struct swarm_update *update);
+static void fetch(void *context, uint64_t source, uint32_t piece);
+static void cancel(void *context, uint64_t source, uint32_t piece);
+
+static uint64_t piece_time_us(const struct piece_store *store)
+{
+    double bits_per_us = strtod(store->cluster->settings->link_mbit, NULL);
+    return (uint64_t)(store->manifest.piece_bytes * 8.0 / (bits_per_us > 0 ? bits_per_us : 1000));
+}
+
+static struct swarm_settings swarm_settings_of(const struct piece_store *store)
+{
+    return (struct swarm_settings){
+        .origin_budget = 1,
+        .download_window = 4,
+        .peer_window = 2,
+        .upload_limit = 4,
+        .neighbours = 8,
+        .announce_us = 80000,
+        .silence_us = 1500000,
+        .chunk_timeout_us = 2500000,
+        .busy_backoff_us = piece_time_us(store),
+        .origin_copy_us = 700000,
+        .origin_step_us = 250000,
+        .join_hold_us = store->recent ? 0 : JOIN_HOLD_US,
+    };
+}
+
+static void start_swarm(struct piece_store *store)
+{
+    struct swarm_driver driver = {
+        .context = store, .fetch = fetch, .cancel = cancel, .announce = announce};
+    struct swarm_settings settings = swarm_settings_of(store);
+    uint64_t self = membership_self(store->cluster->membership)->address;
+    store->pieces = memory_zero(store->manifest.count, sizeof *store->pieces);
+    store->swarm = swarm_create(&settings, self, hash_pair(hash_name(store->model), store->version),
+                                store->manifest.count, cluster_now() ^ self, &driver);
+}
+
+/* --- manifest ----------------------------------------------------------------------------------- */
+
+static void on_manifest(void *context, enum call_result result, const struct http_message *message)
+{
+    struct piece_store *store = context;
+    store->manifest_asked = false;
+    if (result != CALL_ANSWERED || http_message_status(message) != 200 || store->swarm)
+        return;
+    struct piece_manifest manifest;
+    if (platform_read_manifest(message->body.data, message->body.size, &manifest) != STATUS_OK ||
+        manifest.version != store->version) {
+        log_event(LOG_LEVEL_WARN, "pieces", "manifest-refused", "version=%" PRIu64 " named=%" PRIu64,
+                  manifest.version, store->version);
+        piece_manifest_clear(&manifest);
+        return;
+    }
+    store->manifest = manifest;
+    store->manifest_size = message->body.size;
+    store->manifest_body = memory_copy(message->body.data, message->body.size);
+    log_event(LOG_LEVEL_INFO, "pieces", "manifest", "model=%s version=%" PRIu64 " pieces=%u tries=%u",
+              store->model, store->version, manifest.count, store->manifest_tries);
+    start_swarm(store);
+}
+
+static struct source *source_of(struct piece_store *store, uint64_t id)
+{
+    for (uint32_t i = 0; i < store->source_count; i++)
+        if (store->sources[i].id == id)
+            return &store->sources[i];
+    if (store->source_count == PEERS_MOST)
+        return NULL;
+    struct sockaddr_in address = id == SWARM_ORIGIN
+                                     ? store->origin
+                                     : cluster_address(store->cluster, (uint32_t)id);
+    struct source *source = &store->sources[store->source_count++];
+    source->id = id;
+    source->caller = http_caller_create(store->cluster->loop, &address);
+    return source;
+}
+
+static uint32_t random_loader(const struct piece_store *store)
+{
+    const struct membership *members = store->cluster->membership;
+    uint64_t now = cluster_now();
+    uint32_t count = membership_count(members);
+    for (uint32_t i = 0; i < count; i++) {
+        const struct member_state *member =
+            membership_at(members, (uint32_t)((now / 1000 + i) % count));
+        if (member->role == MEMBER_LOADER && membership_alive(members, member, now))
+            return member->address;
+    }
+    return 0;
+}
+
+static void ask_manifest(struct piece_store *store)
+{
+    struct buffer target = {0};
+    /* The origin and peers by turns: either may be gone. */
+    uint64_t peer = random_loader(store);
+    bool ask_peer = peer && store->manifest_tries % 2 == (store->recent ? 1 : 0);
+    if (ask_peer)
+        buffer_append_format(&target, MANIFEST_PATH "?model=%s&version=%" PRIu64, store->model,
+                             store->version);
+    else
+        platform_write_manifest_target(store->model, store->version, &target);
+    buffer_append(&target, "", 1);
+    struct caller_request request = {.method = "GET",
+                                     .target = target.data,
+                                     .timeout_ms = MANIFEST_TIMEOUT_MS,
+                                     .body_limit = MANIFEST_LIMIT,
+                                     .done = on_manifest,
+                                     .context = store};
+    struct source *source = source_of(store, ask_peer ? peer : SWARM_ORIGIN);
+    store->manifest_tries++;
+    store->manifest_asked = source != NULL;
+    if (source)
+        http_caller_send(source->caller, &request);
+    buffer_clear(&target);
+}
+
+/* --- swarm -------------------------------------------------------------------------------------- */
+
+static void hold(struct piece_store *store, uint32_t piece, const void *bytes, size_t size)
+{
+    store->pieces[piece].data = memory_copy(bytes, size);
+    store->pieces[piece].size = size;
+    store->held++;
+    metric_add(METRIC_CHUNK_BYTES, size);
+}
+
+static bool digest_is_right(const struct piece_store *store, uint32_t piece, const void *bytes,
+                            size_t size)
+{
+    struct digest digest = digest_of(bytes, size);
+    return digest_equal(&digest, &store->manifest.digests[piece]);
+}
+
+static void take_piece(struct piece_store *store, const struct fetch *fetch,
+                       const struct http_message *message)
+{
+    uint64_t now = cluster_now();
+    bool from_origin = fetch->source == SWARM_ORIGIN;
+    if (!digest_is_right(store, fetch->piece, message->body.data, message->body.size)) {
+        metric_add(METRIC_CHUNKS_REJECTED, 1);
+        log_event(LOG_LEVEL_WARN, "pieces", "spoilt", "piece=%u source=%08" PRIx64 " bytes=%zu",
+                  fetch->piece, fetch->source, message->body.size);
+        swarm_on_failure(store->swarm, now, fetch->source, fetch->piece, SWARM_FAILURE_CORRUPT, 0);
+        return;
+    }
+    if (!swarm_on_chunk(store->swarm, now, fetch->source, fetch->piece))
+        return;
+    metric_add(from_origin ? METRIC_CHUNKS_FROM_ORIGIN : METRIC_CHUNKS_FROM_PEER, 1);
+    hold(store, fetch->piece, message->body.data, message->body.size);
+    store->callbacks.piece_held(store->callbacks.context, fetch->piece);
+}
+
+static enum swarm_failure failure_of(unsigned status)
+{
+    if (status == STATUS_BUSY || status == 503)
+        return SWARM_FAILURE_BUSY;
+    if (status == STATUS_PENDING)
+        return SWARM_FAILURE_PENDING;
+    return status == 404 || status == 410 ? SWARM_FAILURE_ABSENT : SWARM_FAILURE_ERROR;
+}
+
+static void on_piece(void *context, enum call_result result, const struct http_message *message)
+{
+    struct fetch *fetch = context;
+    struct piece_store *store = fetch->store;
+    unsigned status = result == CALL_ANSWERED ? http_message_status(message) : 0;
+    if (status == 200) {
+        take_piece(store, fetch, message);
+    } else {
+        metric_add(METRIC_CHUNKS_FAILED, 1);
+        swarm_on_failure(store->swarm, cluster_now(), fetch->source, fetch->piece,
+                         failure_of(status), 0);
+    }
+    free(fetch);
+}
+
+static void fetch(void *context, uint64_t source_id, uint32_t piece)
+{
+    struct piece_store *store = context;
+    struct buffer target = {0};
+    struct source *source = source_of(store, source_id);
+    if (!source)
+        return; /* the swarm gives the piece up after its time */
+    if (source_id == SWARM_ORIGIN)
+        platform_write_piece_target(store->model, store->version, piece, &target);
+    else
+        buffer_append_format(&target, PIECE_PATH "?model=%s&version=%" PRIu64 "&piece=%u",
+                             store->model, store->version, piece);
+    buffer_append(&target, "", 1);
+    struct fetch *fetch = memory_zero(1, sizeof *fetch);
+    *fetch = (struct fetch){store, source_id, piece};
+    struct caller_request request = {.method = "GET",
+                                     .target = target.data,
+                                     .timeout_ms = PIECE_TIMEOUT_MS,
+                                     .body_limit = PIECE_LIMIT,
+                                     .done = on_piece,
+                                     .context = fetch};
+    http_caller_send(source->caller, &request);
+    buffer_clear(&target);
+}
+
+static void cancel(void *context, uint64_t source, uint32_t piece)
+{
+    /* The answer is dropped when it comes: swarm_on_chunk() then says that the piece is held. */
+}
+
+static void announce(void *context, uint64_t peer, const struct swarm_update *update)
+{
+    struct piece_store *store = context;
+    Shuntrun__MemberMessage message = SHUNTRUN__MEMBER_MESSAGE__INIT;
+    Shuntrun__PieceNews news = SHUNTRUN__PIECE_NEWS__INIT;
+    news.model = store->model;
+    news.version = store->version;
+    news.sequence = update->sequence;
+    news.upload_queue = update->upload_queue;
+    news.want_full = update->want_full;
+    if (update->have_all) {
+        news.have_all.data = (uint8_t *)update->have_all;
+        news.have_all.len = update->have_words * sizeof *update->have_all;
+    }
+    news.have_new = (uint32_t *)update->have_new;
+    news.n_have_new = update->new_count;
+    message.pieces = &news;
+    cluster_send(store->cluster, (uint32_t)peer, &message);
+}
+
+void piece_store_on_news(struct piece_store *store, uint32_t peer, const Shuntrun__PieceNews *news)
+{
+    if (!store->swarm || news->version != store->version || strcmp(news->model, store->model) != 0)
+        return;
+    struct swarm_update update = {
+        .rollout = hash_pair(hash_name(store->model), store->version),
+        .sequence = news->sequence,
+        .upload_queue = news->upload_queue,
+        .have_new = news->have_new,
+        .new_count = (uint32_t)news->n_have_new,
+        .want_full = news->want_full,
+    };
+    uint64_t *have_all = NULL;
+    if (news->have_all.len) {
+        update.have_words = (uint32_t)(news->have_all.len / sizeof *have_all);
+        have_all = memory_copy(news->have_all.data, news->have_all.len);
+        update.have_all = have_all;
+    }
+    swarm_on_update(store->swarm, cluster_now(), peer, &update);
+    free(have_all);
+}
+
+/* --- plan: who lives ----------------------------------------------------------------------------- */
+
+static int by_id(const void *left, const void *right)
+{
+    const struct member *a = left;
+    const struct member *b = right;
+    return a->id < b->id ? -1 : a->id > b->id;
+}
+
+static uint16_t region_number(uint64_t *regions, uint16_t *count, const char *name)
+{
+    uint64_t hash = hash_name(name);
+    for (uint16_t i = 0; i < *count; i++)
+        if (regions[i] == hash)
+            return i;
+    if (*count == REGIONS_MOST)
+        return 0;
+    regions[*count] = hash;
+    return (*count)++;
+}
+
+static void make_plan(struct piece_store *store, uint64_t now)
+{
+    const struct membership *members = store->cluster->membership;
+    struct member list[PEERS_MOST];
+    uint64_t regions[REGIONS_MOST];
+    uint16_t region_count = 0;
+    uint32_t count = 0;
+    const struct member_state *self = membership_self(store->cluster->membership);
+    list[count++] = (struct member){self->address, region_number(regions, &region_count, self->zone),
+                                    region_number(regions, &region_count, self->region)};
+    for (uint32_t i = 0; i < membership_count(members) && count < PEERS_MOST; i++) {
+        const struct member_state *member = membership_at(members, i);
+        if (member->role != MEMBER_LOADER || !membership_alive(members, member, now))
+            continue;
+        list[count++] =
+            (struct member){member->address, region_number(regions, &region_count, member->zone),
+                            region_number(regions, &region_count, member->region)};
+    }
+    qsort(list, count, sizeof *list, by_id);
+    uint64_t hash = count;
+    for (uint32_t i = 0; i < count; i++)
+        hash = hash_pair(hash, list[i].id);
+    if (hash == store->members_hash)
+        return;
+    store->members_hash = hash;
+    struct swarm_plan *plan = swarm_plan_create(
+        hash_pair(hash_name(store->model), store->version), store->manifest.count, list, count);
+    swarm_set_plan(store->swarm, now, plan);
+    swarm_plan_release(plan);
+}
+
+/* --- serving ------------------------------------------------------------------------------------- */
+
+static void serve_piece(struct piece_store *store, struct service_call *call, uint32_t piece)
+{
+    uint64_t now = cluster_now();
+    uint64_t one = piece_time_us(store);
+    uint32_t queue =
+        store->uploads_end > now && one ? (uint32_t)((store->uploads_end - now) / one) : 0;
+    enum swarm_upload upload = swarm_admit_upload(store->swarm, piece, queue);
+    swarm_set_upload_queue(store->swarm, queue);
+    if (upload == SWARM_UPLOAD_SERVE && store->pieces[piece].data) {
+        store->uploads_end = (store->uploads_end > now ? store->uploads_end : now) + one;
+        metric_add(METRIC_CHUNKS_SERVED, 1);
+        service_reply(call, 200, "application/octet-stream", store->pieces[piece].data,
+                      store->pieces[piece].size);
+        return;
+    }
+    unsigned status = upload == SWARM_UPLOAD_BUSY ? STATUS_BUSY
+                      : upload == SWARM_UPLOAD_PENDING ? STATUS_PENDING
+                                                       : 404;
+    service_reply(call, status, NULL, NULL, 0);
+}
+
+bool piece_store_serve(struct piece_store *store, struct service_call *call,
+                       const struct service_request *request)
+{
+    char model[BACKEND_NAME_SIZE], version[32], piece[32];
+    http_query_value(request->target, request->target_length, "model", model, sizeof model);
+    http_query_value(request->target, request->target_length, "version", version, sizeof version);
+    if (strcmp(model, store->model) != 0 || strtoull(version, NULL, 10) != store->version)
+        return false;
+    if (service_path_is(request, MANIFEST_PATH) && store->manifest_body) {
+        service_reply(call, 200, "application/json", store->manifest_body, store->manifest_size);
+        return true;
+    }
+    if (!service_path_is(request, PIECE_PATH) || !store->swarm)
+        return false;
+    http_query_value(request->target, request->target_length, "piece", piece, sizeof piece);
+    uint32_t number = (uint32_t)strtoul(piece, NULL, 10);
+    if (number >= store->manifest.count)
+        return false;
+    serve_piece(store, call, number);
+    return true;
+}
+
+/* --- life ---------------------------------------------------------------------------------------- */
+
+struct piece_store *piece_store_create(struct cluster *cluster, const char *model,
+                                       const struct sockaddr_in *origin, uint64_t version,
+                                       bool recent, const struct piece_store_callbacks *callbacks)
+{
+    struct piece_store *store = memory_zero(1, sizeof *store);
+    store->cluster = cluster;
+    store->callbacks = *callbacks;
+    snprintf(store->model, sizeof store->model, "%s", model);
+    store->origin = *origin;
+    store->version = version;
+    store->recent = recent;
+    return store;
+}
+
+void piece_store_destroy(struct piece_store *store)
+{
+    if (!store)
+        return;
+    for (uint32_t i = 0; i < store->source_count; i++)
+        http_caller_destroy(store->sources[i].caller);
+    for (uint32_t i = 0; store->pieces && i < store->manifest.count; i++)
+        free(store->pieces[i].data);
+    if (store->swarm)
+        swarm_destroy(store->swarm);
+    free(store->pieces);
+    free(store->manifest_body);
+    piece_manifest_clear(&store->manifest);
+    free(store);
+}
+
+void piece_store_tick(struct piece_store *store, uint64_t now)
+{
+    if (!store->swarm) {
+        if (!store->manifest_asked)
+            ask_manifest(store);
+        return;
+    }
+    if (now >= store->next_plan) {
+        store->next_plan = now + PLAN_INTERVAL_US;
+        make_plan(store, now);
+    }
+    swarm_on_tick(store->swarm, now);
+}
+
+uint64_t piece_store_version(const struct piece_store *store)
+{
+    return store->version;
+}
+
+const struct piece_manifest *piece_store_manifest(const struct piece_store *store)
+{
+    return store->swarm ? &store->manifest : NULL;
+}
+
+const uint8_t *piece_store_data(const struct piece_store *store, uint32_t piece, size_t *size)
+{
+    *size = store->pieces[piece].size;
+    return store->pieces[piece].data;
+}
+
+bool piece_store_offer(struct piece_store *store, uint32_t piece, const void *bytes, size_t size)
+{
+    if (store->pieces[piece].data || !digest_is_right(store, piece, bytes, size))
+        return false;
+    if (!swarm_on_chunk(store->swarm, cluster_now(), SWARM_ORIGIN, piece))
+        return false;
+    hold(store, piece, bytes, size);
+    return true;
+}
+
+bool piece_store_complete(const struct piece_store *store)
+{
+    return store->swarm && store->held == store->manifest.count;
+}
--- /dev/null
+++ b/src/loader/piece_store.h
@@ -0,0 +1,37 @@
+/**
+ * The pieces of one version of a model: fetched by the swarm, held in memory, served to peers.
+ */
+#ifndef SHUNTRUN_PIECE_STORE_H
+#define SHUNTRUN_PIECE_STORE_H
+
+#include "cluster/cluster.h"
+#include "platform/platform.h"
+
+struct piece_store;
+
+struct piece_store_callbacks {
+    void *context;
+    /** A piece was fetched and its digest checked. */
+    void (*piece_held)(void *context, uint32_t piece);
+};
+
+struct piece_store *piece_store_create(struct cluster *cluster, const char *model,
+                                       const struct sockaddr_in *origin, uint64_t version,
+                                       bool recent, const struct piece_store_callbacks *callbacks);
+void piece_store_destroy(struct piece_store *store);
+void piece_store_tick(struct piece_store *store, uint64_t now);
+uint64_t piece_store_version(const struct piece_store *store);
+/** \return NULL before the manifest is known */
+const struct piece_manifest *piece_store_manifest(const struct piece_store *store);
+/** \return NULL when not held */
+const uint8_t *piece_store_data(const struct piece_store *store, uint32_t piece, size_t *size);
+/** \brief A piece came from the engine's own stage. \return whether its digest is right */
+bool piece_store_offer(struct piece_store *store, uint32_t piece, const void *bytes, size_t size);
+bool piece_store_complete(const struct piece_store *store);
+void piece_store_on_news(struct piece_store *store, uint32_t peer,
+                         const Shuntrun__PieceNews *news);
+/** \return whether the call was one for a piece or manifest, and is answered */
+bool piece_store_serve(struct piece_store *store, struct service_call *call,
+                       const struct service_request *request);
+
+#endif
--- a/src/main.c
+++ b/src/main.c
@@ -2,7 +2,9 @@
  * One binary, one subcommand for each role and tool.
  */
 #include "agent/agent.h"
+#include "edge/edge.h"
 #include "gateway/gateway.h"
+#include "loader/loader.h"
 #include "net/key_ring.h"
 #include "sim/scenario_run.h"
 #include "sim/simulate.h"
@@ -24,6 +26,8 @@
 static const struct subcommand subcommands[] = {
     {"gateway", gateway_main, "run a gateway for callers"},
     {"agent", agent_main, "run the agent of one back-end machine"},
+    {"edge", edge_main, "run a gateway that calls back ends directly"},
+    {"loader", loader_main, "run the loader of one model engine"},
     {"check", check_main, "check policies, configurations, machine lists and settings"},
     {"plan", plan_main, "say what a new configuration would move, and why"},
     {"status", status_main, "watch a rollout"},
--- /dev/null
+++ b/src/net/http_caller.h
@@ -0,0 +1,44 @@
+/**
+ * HTTP/1.1 calls to one address on a libuv loop: one call at a time on a connection that is kept,
+ * further calls wait in line. A call is sent once; nothing is repeated.
+ */
+#ifndef SHUNTRUN_HTTP_CALLER_H
+#define SHUNTRUN_HTTP_CALLER_H
+
+#include "net/http_message.h"
+#include "net/tcp_stream.h"
+
+struct http_caller;
+
+enum call_result {
+    CALL_ANSWERED,    /**< a whole answer came; see `message` */
+    CALL_NOT_REACHED, /**< no connection came up: the server saw nothing */
+    CALL_BROKEN,      /**< the connection broke, the answer was malformed, or time ran out */
+};
+
+/** \param message valid during the call only, NULL unless CALL_ANSWERED */
+typedef void call_done(void *context, enum call_result result, const struct http_message *message);
+
+struct http_caller *http_caller_create(uv_loop_t *loop, const struct sockaddr_in *address);
+/** \brief Drop the connection; callbacks of calls that wait are not called. */
+void http_caller_destroy(struct http_caller *caller);
+
+struct caller_request {
+    const char *method;
+    const char *target;
+    const char *headers; /**< whole lines, or NULL */
+    const void *body;    /**< copied */
+    size_t body_size;
+    uint32_t timeout_ms;
+    size_t body_limit;
+    call_done *done;
+    void *context;
+};
+
+void http_caller_send(struct http_caller *caller, const struct caller_request *request);
+/** \return calls that have no answer yet */
+uint32_t http_caller_waiting(const struct http_caller *caller);
+/** \brief Give all calls up as broken, and the connection. */
+void http_caller_abort(struct http_caller *caller);
+
+#endif
--- /dev/null
+++ b/src/net/http_message.c
@@ -0,0 +1,250 @@
+#include "net/http_message.h"
+
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+static int on_url(http_parser *parser, const char *bytes, size_t size)
+{
+    struct http_message *message = parser->data;
+    buffer_append(&message->text, bytes, size);
+    message->target_length += (uint32_t)size;
+    return 0;
+}
+
+static int on_field(http_parser *parser, const char *bytes, size_t size)
+{
+    struct http_message *message = parser->data;
+    if (message->head_complete)
+        return 0; /* a trailer */
+    if (message->in_value || !message->field_count) {
+        if (message->field_count == HTTP_MESSAGE_MAX_FIELDS) {
+            message->failure = HTTP_PARSE_HEAD_SIZE;
+            return 1;
+        }
+        message->in_value = false;
+        struct http_field *field = &message->fields[message->field_count++];
+        *field = (struct http_field){.name = (uint32_t)message->text.size};
+    }
+    message->fields[message->field_count - 1].name_length += (uint32_t)size;
+    buffer_append(&message->text, bytes, size);
+    return 0;
+}
+
+static int on_value(http_parser *parser, const char *bytes, size_t size)
+{
+    struct http_message *message = parser->data;
+    if (message->head_complete)
+        return 0;
+    struct http_field *field = &message->fields[message->field_count - 1];
+    if (!message->in_value) {
+        message->in_value = true;
+        field->value = (uint32_t)message->text.size;
+    }
+    field->value_length += (uint32_t)size;
+    buffer_append(&message->text, bytes, size);
+    return 0;
+}
+
+static int on_head(http_parser *parser)
+{
+    struct http_message *message = parser->data;
+    message->head_complete = true;
+    message->keep_alive = http_should_keep_alive(parser) != 0;
+    message->framed =
+        (parser->flags & F_CHUNKED) || parser->content_length != ULLONG_MAX ||
+        (message->kind == HTTP_MESSAGE_RESPONSE &&
+         (parser->status_code == 204 || parser->status_code == 304 || parser->status_code < 200));
+    if (message->body_limit && parser->content_length != ULLONG_MAX &&
+        parser->content_length > message->body_limit) {
+        message->failure = HTTP_PARSE_BODY_SIZE;
+        return -1;
+    }
+    return 0;
+}
+
+static int on_body(http_parser *parser, const char *bytes, size_t size)
+{
+    struct http_message *message = parser->data;
+    message->body_bytes += size;
+    if (message->body_limit && message->body_bytes > message->body_limit) {
+        message->failure = HTTP_PARSE_BODY_SIZE;
+        return 1;
+    }
+    buffer_append(&message->body, bytes, size);
+    return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+    struct http_message *message = parser->data;
+    message->complete = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+void http_message_begin(struct http_message *message, enum http_message_kind kind)
+{
+    struct buffer text = message->text;
+    struct buffer body = message->body;
+    size_t head_limit = message->head_limit;
+    size_t body_limit = message->body_limit;
+    memset(message, 0, offsetof(struct http_message, fields));
+    message->field_count = 0;
+    memset(&message->field_count, 0,
+           sizeof *message - offsetof(struct http_message, field_count));
+    message->kind = kind;
+    message->text = text;
+    message->body = body;
+    message->head_limit = head_limit;
+    message->body_limit = body_limit;
+    buffer_reset(&message->text);
+    buffer_reset(&message->body);
+    message->failure = HTTP_PARSE_MORE;
+    http_parser_init(&message->parser,
+                     kind == HTTP_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+    message->parser.data = message;
+}
+
+void http_message_clear(struct http_message *message)
+{
+    buffer_clear(&message->text);
+    buffer_clear(&message->body);
+}
+
+static enum http_parse_result result_of(struct http_message *message)
+{
+    if (message->failure != HTTP_PARSE_MORE)
+        return message->failure;
+    if (message->complete)
+        return HTTP_PARSE_DONE;
+    if (HTTP_PARSER_ERRNO(&message->parser) == HPE_HEADER_OVERFLOW)
+        return HTTP_PARSE_HEAD_SIZE;
+    if (HTTP_PARSER_ERRNO(&message->parser) != HPE_OK || message->parser.upgrade)
+        return HTTP_PARSE_MALFORMED;
+    if (message->head_limit && !message->head_complete && message->head_bytes > message->head_limit)
+        return HTTP_PARSE_HEAD_SIZE;
+    return HTTP_PARSE_MORE;
+}
+
+enum http_parse_result http_message_feed(struct http_message *message, const char *bytes,
+                                         size_t size, size_t *used)
+{
+    *used = 0;
+    if (message->complete)
+        return HTTP_PARSE_DONE;
+    bool in_head = !message->head_complete;
+    size_t body_before = message->body_bytes;
+    *used = http_parser_execute(&message->parser, &parser_settings, bytes, size);
+    if (in_head)
+        message->head_bytes += *used - (message->body_bytes - body_before);
+    enum http_parse_result result = result_of(message);
+    if (result == HTTP_PARSE_MORE && message->head_limit &&
+        message->head_bytes > message->head_limit)
+        return HTTP_PARSE_HEAD_SIZE;
+    return result;
+}
+
+enum http_parse_result http_message_end(struct http_message *message)
+{
+    if (message->complete)
+        return HTTP_PARSE_DONE;
+    if (!message->head_complete || message->framed)
+        return HTTP_PARSE_MALFORMED;
+    http_parser_execute(&message->parser, &parser_settings, "", 0);
+    return result_of(message);
+}
+
+const char *http_message_method(const struct http_message *message)
+{
+    return http_method_str((enum http_method)message->parser.method);
+}
+
+unsigned http_message_status(const struct http_message *message)
+{
+    return message->parser.status_code;
+}
+
+bool http_message_is(const struct http_message *message, uint32_t index, const char *name)
+{
+    const struct http_field *field = &message->fields[index];
+    return field->name_length == strlen(name) &&
+           strncasecmp(message->text.data + field->name, name, field->name_length) == 0;
+}
+
+int http_message_find(const struct http_message *message, const char *name)
+{
+    for (uint32_t i = 0; i < message->field_count; i++)
+        if (http_message_is(message, i, name))
+            return (int)i;
+    return -1;
+}
+
+bool http_message_value(const struct http_message *message, const char *name, char *value,
+                        size_t size)
+{
+    value[0] = 0;
+    int index = http_message_find(message, name);
+    if (index < 0)
+        return false;
+    const struct http_field *field = &message->fields[index];
+    if (field->value_length >= size)
+        return false;
+    if (field->value_length)
+        memcpy(value, message->text.data + field->value, field->value_length);
+    value[field->value_length] = 0;
+    return true;
+}
+
+static int hex_digit(char c)
+{
+    if (c >= '0' && c <= '9')
+        return c - '0';
+    c = (char)(c | 32);
+    return c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+}
+
+static void unescape(const char *from, size_t length, char *to, size_t size)
+{
+    size_t used = 0;
+    for (size_t i = 0; i < length && used + 1 < size; i++) {
+        if (from[i] == '%' && i + 2 < length && hex_digit(from[i + 1]) >= 0 &&
+            hex_digit(from[i + 2]) >= 0) {
+            to[used++] = (char)(hex_digit(from[i + 1]) * 16 + hex_digit(from[i + 2]));
+            i += 2;
+        } else {
+            to[used++] = from[i] == '+' ? ' ' : from[i];
+        }
+    }
+    to[used] = 0;
+}
+
+bool http_query_value(const char *target, size_t length, const char *name, char *value, size_t size)
+{
+    value[0] = 0;
+    const char *end = target + length;
+    const char *part = memchr(target, '?', length);
+    size_t name_length = strlen(name);
+    while (part && part < end) {
+        part++;
+        const char *next = memchr(part, '&', (size_t)(end - part));
+        size_t size_of_part = (size_t)((next ? next : end) - part);
+        if (size_of_part > name_length && memcmp(part, name, name_length) == 0 &&
+            part[name_length] == '=') {
+            unescape(part + name_length + 1, size_of_part - name_length - 1, value, size);
+            return true;
+        }
+        part = next;
+    }
+    return false;
+}
--- /dev/null
+++ b/src/net/http_service.c
@@ -0,0 +1,167 @@
+#include "net/http_service.h"
+
+#include "base/memory.h"
+#include "base/status.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HEAD_LIMIT 16384
+
+struct http_service {
+    uv_tcp_t listener;
+    size_t body_limit;
+    service_handler *handler;
+    void *context;
+};
+
+/* A connection; `waiting` is set while a call has no answer. */
+struct service_call {
+    struct http_service *service;
+    struct tcp_stream *stream; /* NULL when the peer is gone */
+    struct http_message message;
+    struct buffer unread;
+    bool waiting;
+    bool parsing;
+};
+
+static void call_free(struct service_call *call)
+{
+    http_message_clear(&call->message);
+    buffer_clear(&call->unread);
+    free(call);
+}
+
+static void call_end(struct service_call *call)
+{
+    if (call->stream)
+        tcp_stream_close(call->stream);
+    call->stream = NULL;
+    if (!call->waiting && !call->parsing)
+        call_free(call);
+}
+
+static void write_reply(struct service_call *call, unsigned status, const char *content_type,
+                        const void *body, size_t size)
+{
+    struct buffer reply = {0};
+    buffer_append_format(&reply, "HTTP/1.1 %u %s\r\nContent-Length: %zu\r\n", status,
+                         http_status_str((enum http_status)status), size);
+    if (content_type)
+        buffer_append_format(&reply, "Content-Type: %s\r\n", content_type);
+    buffer_append_text(&reply, call->message.keep_alive ? "\r\n" : "Connection: close\r\n\r\n");
+    buffer_append(&reply, body, size);
+    tcp_stream_write(call->stream, reply.data, reply.size);
+    buffer_clear(&reply);
+}
+
+static void dispatch(struct service_call *call)
+{
+    struct service_request request = {
+        .method = http_message_method(&call->message),
+        .target = call->message.text.data,
+        .target_length = call->message.target_length,
+        .body = call->message.body.data,
+        .body_size = call->message.body.size,
+    };
+    call->waiting = true;
+    call->service->handler(call->service->context, call, &request);
+}
+
+static void parse(struct service_call *call)
+{
+    call->parsing = true;
+    while (call->stream && !call->waiting && call->unread.size) {
+        size_t used;
+        enum http_parse_result result =
+            http_message_feed(&call->message, call->unread.data, call->unread.size, &used);
+        if (result == HTTP_PARSE_MORE) {
+            buffer_reset(&call->unread);
+            break;
+        }
+        if (result != HTTP_PARSE_DONE) {
+            write_reply(call, 400, NULL, NULL, 0);
+            tcp_stream_finish(call->stream);
+            call->stream = NULL;
+            break;
+        }
+        buffer_consume(&call->unread, used);
+        dispatch(call);
+    }
+    call->parsing = false;
+    if (!call->stream && !call->waiting)
+        call_free(call);
+}
+
+static void on_received(void *context, const char *bytes, size_t size)
+{
+    struct service_call *call = context;
+    buffer_append(&call->unread, bytes, size);
+    parse(call);
+}
+
+static void on_ended(void *context, enum tcp_end end)
+{
+    call_end(context);
+}
+
+static const struct tcp_stream_callbacks stream_callbacks = {.received = on_received,
+                                                             .ended = on_ended};
+
+void service_reply(struct service_call *call, unsigned status, const char *content_type,
+                   const void *body, size_t size)
+{
+    call->waiting = false;
+    if (call->stream) {
+        bool keep = call->message.keep_alive;
+        write_reply(call, status, content_type, body, size);
+        if (!keep) {
+            tcp_stream_finish(call->stream);
+            call->stream = NULL;
+        }
+    }
+    if (call->stream)
+        http_message_begin(&call->message, HTTP_MESSAGE_REQUEST);
+    if (call->parsing)
+        return;
+    if (!call->stream)
+        call_free(call);
+    else
+        parse(call);
+}
+
+bool service_path_is(const struct service_request *request, const char *path)
+{
+    size_t length = strlen(path);
+    return request->target_length >= length && memcmp(request->target, path, length) == 0 &&
+           (request->target_length == length || request->target[length] == '?');
+}
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+    if (status)
+        return;
+    struct service_call *call = memory_zero(1, sizeof *call);
+    call->service = listener->data;
+    call->message.head_limit = HEAD_LIMIT;
+    call->message.body_limit = call->service->body_limit;
+    http_message_begin(&call->message, HTTP_MESSAGE_REQUEST);
+    call->stream = tcp_stream_accept(listener, &stream_callbacks, call);
+    if (!call->stream)
+        call_free(call);
+}
+
+struct http_service *http_service_start(uv_loop_t *loop, const struct sockaddr_in *address,
+                                        size_t body_limit, service_handler *handler, void *context)
+{
+    struct http_service *service = memory_zero(1, sizeof *service);
+    service->body_limit = body_limit;
+    service->handler = handler;
+    service->context = context;
+    int error = tcp_listen(loop, &service->listener, address, on_accept, service);
+    if (error) {
+        status_fail(STATUS_IO, "cannot listen: %s", uv_strerror(error));
+        return NULL;
+    }
+    return service;
+}
--- /dev/null
+++ b/src/net/tcp_stream.c
@@ -0,0 +1,275 @@
+#include "net/tcp_stream.h"
+
+#include "base/memory.h"
+
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define READ_SIZE 65536
+#define LISTEN_BACKLOG 1024
+/** Bytes unacknowledged for so long break a connection: the peer is dead or cut off. */
+#define UNACKNOWLEDGED_MS 4000
+/** Time that a closing connection gets to send what waits and to hear the peer's end. */
+#define LINGER_MS 2000
+
+struct tcp_stream {
+    uv_tcp_t handle;
+    struct tcp_stream_callbacks callbacks;
+    void *context;
+    uv_connect_t connect;
+    uv_shutdown_t shutdown;
+    uv_timer_t linger; /* started by tcp_stream_finish() */
+    uint32_t writes_waiting;
+    bool lingers;
+    bool released; /* the owner has let go */
+    bool closing;
+    bool up;
+};
+
+struct waiting_write {
+    uv_write_t request;
+    struct tcp_stream *stream;
+    char bytes[];
+};
+
+/* One loop, one thread: every read passes through this buffer. */
+static char read_buffer[READ_SIZE];
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+    struct tcp_stream *stream = handle->data;
+    if (stream->lingers)
+        uv_close((uv_handle_t *)&stream->linger, on_timer_closed);
+    else
+        free(stream);
+}
+
+static void close_handle(struct tcp_stream *stream)
+{
+    if (stream->closing)
+        return;
+    stream->closing = true;
+    uv_close((uv_handle_t *)&stream->handle, on_closed);
+}
+
+static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+    *buffer = uv_buf_init(read_buffer, sizeof read_buffer);
+}
+
+static void on_read(uv_stream_t *handle, ssize_t size, const uv_buf_t *buffer)
+{
+    struct tcp_stream *stream = handle->data;
+    if (stream->released && size < 0)
+        close_handle(stream);
+    if (size == 0 || stream->released)
+        return;
+    if (size > 0)
+        stream->callbacks.received(stream->context, buffer->base, (size_t)size);
+    else
+        stream->callbacks.ended(stream->context, size == UV_EOF ? TCP_END_ORDERLY : TCP_END_RESET);
+}
+
+static void set_options(struct tcp_stream *stream)
+{
+    uv_os_fd_t descriptor;
+    int milliseconds = UNACKNOWLEDGED_MS;
+    uv_tcp_nodelay(&stream->handle, 1);
+    if (uv_fileno((uv_handle_t *)&stream->handle, &descriptor) == 0)
+        setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+}
+
+static struct tcp_stream *stream_create(uv_loop_t *loop,
+                                        const struct tcp_stream_callbacks *callbacks, void *context)
+{
+    struct tcp_stream *stream = memory_zero(1, sizeof *stream);
+    stream->callbacks = *callbacks;
+    stream->context = context;
+    uv_tcp_init(loop, &stream->handle);
+    stream->handle.data = stream;
+    return stream;
+}
+
+static void on_connected(uv_connect_t *request, int status)
+{
+    struct tcp_stream *stream = request->data;
+    if (stream->released)
+        return;
+    if (status == 0) {
+        stream->up = true;
+        set_options(stream);
+        uv_read_start((uv_stream_t *)&stream->handle, on_allocate, on_read);
+    }
+    stream->callbacks.connected(stream->context, status == 0);
+}
+
+struct tcp_stream *tcp_stream_connect(uv_loop_t *loop, const struct sockaddr_in *address,
+                                      const struct tcp_stream_callbacks *callbacks, void *context)
+{
+    struct tcp_stream *stream = stream_create(loop, callbacks, context);
+    stream->connect.data = stream;
+    int error = uv_tcp_connect(&stream->connect, &stream->handle, (const struct sockaddr *)address,
+                               on_connected);
+    if (error) {
+        stream->released = true;
+        close_handle(stream);
+        return NULL;
+    }
+    return stream;
+}
+
+struct tcp_stream *tcp_stream_accept(uv_stream_t *listener,
+                                     const struct tcp_stream_callbacks *callbacks, void *context)
+{
+    struct tcp_stream *stream = stream_create(listener->loop, callbacks, context);
+    if (uv_accept(listener, (uv_stream_t *)&stream->handle)) {
+        stream->released = true;
+        close_handle(stream);
+        return NULL;
+    }
+    stream->up = true;
+    set_options(stream);
+    uv_read_start((uv_stream_t *)&stream->handle, on_allocate, on_read);
+    return stream;
+}
+
+void tcp_stream_set_context(struct tcp_stream *stream, void *context)
+{
+    stream->context = context;
+}
+
+static void on_written(uv_write_t *request, int status)
+{
+    struct waiting_write *write = (struct waiting_write *)request;
+    struct tcp_stream *stream = write->stream;
+    free(write);
+    stream->writes_waiting--;
+    if (stream->released || stream->writes_waiting || status)
+        return;
+    if (stream->callbacks.drained)
+        stream->callbacks.drained(stream->context);
+}
+
+void tcp_stream_write(struct tcp_stream *stream, const void *bytes, size_t size)
+{
+    if (stream->closing || !size)
+        return;
+    const char *rest = bytes;
+    if (!stream->writes_waiting && stream->up) {
+        uv_buf_t buffer = uv_buf_init((char *)rest, (unsigned)size);
+        int sent = uv_try_write((uv_stream_t *)&stream->handle, &buffer, 1);
+        if (sent > 0) {
+            rest += sent;
+            size -= (size_t)sent;
+        }
+        if (!size)
+            return;
+    }
+    struct waiting_write *write = memory_zero(1, sizeof *write + size);
+    write->stream = stream;
+    memcpy(write->bytes, rest, size);
+    uv_buf_t buffer = uv_buf_init(write->bytes, (unsigned)size);
+    stream->writes_waiting++;
+    if (uv_write(&write->request, (uv_stream_t *)&stream->handle, &buffer, 1, on_written)) {
+        stream->writes_waiting--;
+        free(write);
+    }
+}
+
+size_t tcp_stream_pending(const struct tcp_stream *stream)
+{
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&stream->handle);
+}
+
+void tcp_stream_pause(struct tcp_stream *stream, bool pause)
+{
+    if (stream->closing || !stream->up)
+        return;
+    if (pause)
+        uv_read_stop((uv_stream_t *)&stream->handle);
+    else
+        uv_read_start((uv_stream_t *)&stream->handle, on_allocate, on_read);
+}
+
+static void on_shutdown(uv_shutdown_t *request, int status)
+{
+    if (status)
+        close_handle(request->data);
+}
+
+static void on_linger(uv_timer_t *timer)
+{
+    close_handle(timer->data);
+}
+
+void tcp_stream_finish(struct tcp_stream *stream)
+{
+    if (stream->released)
+        return;
+    stream->released = true;
+    stream->shutdown.data = stream;
+    if (!stream->up ||
+        uv_shutdown(&stream->shutdown, (uv_stream_t *)&stream->handle, on_shutdown)) {
+        close_handle(stream);
+        return;
+    }
+    uv_read_start((uv_stream_t *)&stream->handle, on_allocate, on_read);
+    uv_timer_init(stream->handle.loop, &stream->linger);
+    stream->linger.data = stream;
+    stream->lingers = true;
+    uv_timer_start(&stream->linger, on_linger, LINGER_MS, 0);
+}
+
+void tcp_stream_close(struct tcp_stream *stream)
+{
+    if (stream->released)
+        return;
+    if (stream->up && stream->writes_waiting) {
+        tcp_stream_finish(stream);
+        return;
+    }
+    stream->released = true;
+    close_handle(stream);
+}
+
+void tcp_stream_reset(struct tcp_stream *stream)
+{
+    if (stream->released)
+        return;
+    stream->released = true;
+    if (stream->closing)
+        return;
+    stream->closing = true;
+    if (!stream->up || uv_tcp_close_reset(&stream->handle, on_closed))
+        uv_close((uv_handle_t *)&stream->handle, on_closed);
+}
+
+bool tcp_address_parse(const char *text, struct sockaddr_in *address)
+{
+    char ip[INET_ADDRSTRLEN];
+    const char *colon = strrchr(text, ':');
+    if (!colon || (size_t)(colon - text) >= sizeof ip)
+        return false;
+    memcpy(ip, text, (size_t)(colon - text));
+    ip[colon - text] = 0;
+    char *end;
+    long port = strtol(colon + 1, &end, 10);
+    return !*end && end != colon + 1 && port > 0 && port < 65536 &&
+           uv_ip4_addr(ip, (int)port, address) == 0;
+}
+
+int tcp_listen(uv_loop_t *loop, uv_tcp_t *listener, const struct sockaddr_in *address,
+               uv_connection_cb accepted, void *context)
+{
+    uv_tcp_init(loop, listener);
+    listener->data = context;
+    int error = uv_tcp_bind(listener, (const struct sockaddr *)address, 0);
+    return error ? error : uv_listen((uv_stream_t *)listener, LISTEN_BACKLOG, accepted);
+}
