--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -149,7 +149,8 @@
 static void start_next(struct http_caller *caller)
 {
     struct pending_call *call = caller->first;
-    if (!call || caller->sent || caller->destroyed)
+    /* Not from within a callback: it still reads the last answer. */
+    if (!call || caller->sent || caller->destroyed || caller->depth)
         return;
     if (!caller->stream) {
         caller->up = false;
