--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -14,7 +14,7 @@
 #define FAULTY_SHARE 0.35
 /** Score of a back end in another zone or region, in requests. */
 #define ZONE_PENALTY 0.5
-#define REGION_PENALTY 1.0
+#define REGION_PENALTY 3.0
 #define FAILURE_PENALTY 30.0
 #define REFUSAL_PENALTY 12.0
 
@@ -180,6 +180,14 @@
     return reported > backend->listing.version ? reported : backend->listing.version;
 }
 
+bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
+                       uint64_t least_version, uint64_t now)
+{
+    if (!backend->listed || backend->listing.draining)
+        return false;
+    return !least_version || weights_version(pool, backend, now) >= least_version;
+}
+
 static bool is_excluded(const struct backend_wish *wish, const struct backend *backend)
 {
     for (uint32_t i = 0; i < wish->excluded_count; i++)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -126,6 +126,9 @@
 /** \brief Choose a back end for one request. */
 enum backend_absence backend_pool_choose(struct backend_pool *pool, const struct backend_wish *wish,
                                          uint64_t now, struct backend **chosen);
+/** \return whether a request may still begin there, with weights of at least this version */
+bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
+                       uint64_t least_version, uint64_t now);
 /** \brief Requests in progress or waiting at a back end, as far as known. */
 uint32_t backend_occupancy(const struct backend_pool *pool, const struct backend *backend,
                            uint32_t gateways, uint64_t now);
--- a/src/core/swarm.c
+++ b/src/core/swarm.c
@@ -32,6 +32,8 @@
     swarm->words = bitmap_words(chunk_count);
     swarm->have = memory_zero(swarm->words, sizeof(uint64_t));
     swarm->open = memory_zero(swarm->words, sizeof(uint64_t));
+    for (uint32_t rank = 0; rank < SWARM_REGION_RANKS; rank++)
+        swarm->imports[rank] = memory_zero(swarm->words, sizeof(uint64_t));
     swarm->availability = memory_zero(chunk_count, sizeof(uint16_t));
     swarm->arrivals = memory_zero(chunk_count, sizeof(uint32_t));
     for (uint32_t chunk = 0; chunk < chunk_count; chunk++)
@@ -48,6 +50,8 @@
     swarm_plan_release(swarm->plan);
     free(swarm->have);
     free(swarm->open);
+    for (uint32_t rank = 0; rank < SWARM_REGION_RANKS; rank++)
+        free(swarm->imports[rank]);
     free(swarm->availability);
     free(swarm->arrivals);
     free(swarm->duties);
@@ -193,8 +197,10 @@
         const struct neighbour *neighbour = &swarm->neighbours[i];
         if (!neighbour_usable(swarm, neighbour, now))
             continue;
+        bool far = neighbour->region != swarm->region;
         for (size_t word = 0; word < swarm->words; word++)
-            offers[word] |= neighbour->have[word];
+            offers[word] |=
+                neighbour->have[word] & (far ? swarm_far_word(swarm, word, now) : ~0ULL);
     }
     for (size_t word = 0; word < swarm->words; word++) {
         offers[word] &= swarm->open[word];
@@ -234,6 +240,12 @@
     return cost;
 }
 
+static bool may_import(const struct swarm *swarm, uint32_t chunk, uint64_t now)
+{
+    uint64_t word = swarm_far_word(swarm, chunk / BITMAP_WORD_BITS, now);
+    return (word >> (chunk % BITMAP_WORD_BITS)) & 1;
+}
+
 static struct neighbour *cheapest_holder(struct swarm *swarm, uint64_t now, uint32_t chunk)
 {
     struct neighbour *best = NULL;
@@ -243,6 +255,8 @@
         struct neighbour *neighbour = &swarm->neighbours[i];
         if (!bitmap_get(neighbour->have, chunk) || !neighbour_usable(swarm, neighbour, now))
             continue;
+        if (neighbour->region != swarm->region && !may_import(swarm, chunk, now))
+            continue;
         uint32_t cost = neighbour_cost(swarm, neighbour);
         if (!best || cost < best_cost) {
             best = neighbour;
@@ -292,6 +306,7 @@
     swarm_drop_former_members(swarm);
     swarm_fill_neighbours(swarm, now);
     swarm_collect_duties(swarm);
+    swarm_collect_imports(swarm);
     swarm_on_tick(swarm, now);
 }
 
--- a/src/core/swarm.h
+++ b/src/core/swarm.h
@@ -53,6 +53,9 @@
     uint64_t origin_copy_us;   /**< time that the origin's link takes for one copy */
     uint64_t origin_step_us;   /**< wait of a later rank, for each rank before it */
     uint64_t join_hold_us;     /**< wait for neighbours before the first origin read */
+    /** For so long only two members of a region, chosen for each chunk, take it from other regions;
+     *  0: all do. Saves bytes between regions. */
+    uint64_t far_hold_us;
 };
 
 /** Announcement to one neighbour; pointers are valid during the call only. */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -19,7 +19,7 @@
 #define QUEUE_PER_ENGINE 3
 #define LOAD_FRESH_US 1200000
 /** Time before the bound on old versions at which they get no new work. */
-#define VERSION_MARGIN_US 900000
+#define VERSION_MARGIN_US 1200000
 /** A list that failed less than this ago may have dropped back ends that live. */
 #define LIST_SETTLE_US 3500000
 /** A planned stop: requests are served for so long, then the process ends in any case. */
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -81,7 +81,7 @@
 void exchange_dispatch_waiting(struct edge *edge);
 
 enum upstream_event {
-    UPSTREAM_NOT_SENT, /**< no connection came up */
+    UPSTREAM_NOT_SENT, /**< no connection came up, or the request no longer fits */
     UPSTREAM_PROGRESS, /**< more of the head or body is there */
     UPSTREAM_DONE,     /**< the answer is complete */
     UPSTREAM_BROKEN,   /**< the connection broke or the bytes are no answer */
@@ -90,15 +90,22 @@
 /** \brief Told by the connection; on DONE, BROKEN and NOT_SENT it no longer belongs to the exchange. */
 void exchange_on_upstream(struct exchange *exchange, enum upstream_event event,
                           struct http_message *message);
+/**
+ * \brief Write the request for the present back end, with the time that is left now.
+ * \return false when it must not go there any more
+ */
+bool exchange_write(struct exchange *exchange, struct buffer *bytes);
 /** \return whether this answer belongs to another request and is to be passed over */
 bool exchange_is_foreign(const struct exchange *exchange, const struct http_message *message);
 
 /* --- connections to back ends: upstream.c ---------------------------------------------------------- */
 
-/** \param most_idle_us use no connection that was idle for longer */
+/**
+ * \brief Send the request that exchange_write() gives, now or when a connection is up.
+ * \param most_idle_us use no connection that was idle for longer
+ */
 struct upstream *upstream_send(struct edge *edge, struct backend *backend,
-                               struct exchange *exchange, const struct buffer *bytes,
-                               uint64_t most_idle_us);
+                               struct exchange *exchange, uint64_t most_idle_us);
 /** \brief Stop: the back end sees its connection close. */
 void upstream_cancel(struct upstream *upstream);
 /** \brief Whether the request was handed to a connection that is up. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -225,10 +225,14 @@
         wish->excluded[wish->excluded_count++] = exchange->tried[i];
 }
 
-static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
+bool exchange_write(struct exchange *exchange, struct buffer *bytes)
 {
-    struct buffer bytes = {0};
+    uint64_t now = cluster_now();
     uint64_t least = least_version(exchange, now);
+    struct backend *backend = exchange->backend;
+    if (now + MS_US > exchange->final_at ||
+        !backend_may_begin(exchange->edge->pool, backend, least, now))
+        return false;
     const struct http_message *request = edge_client_request(exchange->client);
     struct forward_head forward = {
         .deadline_ms = (uint32_t)((exchange->final_at - now) / MS_US),
@@ -239,10 +243,13 @@
         .version = exchange->resuming ? exchange->version : least,
         .urgency = exchange->service->engine.model ? urgency_of(exchange) : -1,
     };
-    if (!forward.deadline_ms)
-        forward.deadline_ms = 1;
-    platform_write_request(request, &forward, &bytes);
-    buffer_append(&bytes, request->body.data, request->body.size);
+    platform_write_request(request, &forward, bytes);
+    buffer_append(bytes, request->body.data, request->body.size);
+    return true;
+}
+
+static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
+{
     uint64_t most_idle =
         exchange->route->kind == ROUTE_UNREPEATABLE ? UNREPEATABLE_IDLE_US : ANY_IDLE_US;
     exchange->state = EXCHANGE_SENT;
@@ -253,8 +260,7 @@
     exchange->paused = false;
     exchange->last_event_at = now;
     backend_begin(backend, now);
-    exchange->upstream = upstream_send(exchange->edge, backend, exchange, &bytes, most_idle);
-    buffer_clear(&bytes);
+    exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
     if (!exchange->upstream) {
         end_attempt(exchange, BACKEND_UNREACHABLE);
         give_up_truly(exchange, "no-connection");
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -20,7 +20,6 @@
     struct http_message message;
     enum upstream_state state;
     struct exchange *exchange; /* NULL while idle */
-    struct buffer request;     /* waits for the connection */
     uint64_t started;
     uint64_t idle_since;
     uint64_t keep_until;
@@ -68,7 +67,6 @@
         tcp_stream_close(upstream->stream);
     backend_release(upstream->backend);
     http_message_clear(&upstream->message);
-    buffer_clear(&upstream->request);
     free(upstream);
 }
 
@@ -160,6 +158,19 @@
     finish(upstream, whole ? UPSTREAM_DONE : UPSTREAM_BROKEN, false);
 }
 
+static bool write_request(struct upstream *upstream)
+{
+    struct buffer bytes = {0};
+    bool fits = exchange_write(upstream->exchange, &bytes);
+    if (fits) {
+        upstream->state = UPSTREAM_BUSY;
+        begin_answer(upstream);
+        tcp_stream_write(upstream->stream, bytes.data, bytes.size);
+    }
+    buffer_clear(&bytes);
+    return fits;
+}
+
 static void on_connected(void *context, bool success)
 {
     struct upstream *upstream = context;
@@ -167,10 +178,8 @@
         finish(upstream, UPSTREAM_NOT_SENT, false);
         return;
     }
-    upstream->state = UPSTREAM_BUSY;
-    begin_answer(upstream);
-    tcp_stream_write(upstream->stream, upstream->request.data, upstream->request.size);
-    buffer_clear(&upstream->request);
+    if (!write_request(upstream))
+        finish(upstream, UPSTREAM_NOT_SENT, false);
 }
 
 static const struct tcp_stream_callbacks stream_callbacks = {
@@ -207,23 +216,19 @@
 }
 
 struct upstream *upstream_send(struct edge *edge, struct backend *backend,
-                               struct exchange *exchange, const struct buffer *bytes,
-                               uint64_t most_idle_us)
+                               struct exchange *exchange, uint64_t most_idle_us)
 {
     uint64_t now = cluster_now();
     struct upstream *upstream = find_idle(backend, now, most_idle_us);
-    if (upstream) {
-        upstream->state = UPSTREAM_BUSY;
-        begin_answer(upstream);
-        tcp_stream_write(upstream->stream, bytes->data, bytes->size);
-    } else {
+    bool is_idle = upstream != NULL;
+    if (!upstream)
         upstream = connect_new(edge, backend);
-        if (!upstream)
-            return NULL;
-        buffer_append(&upstream->request, bytes->data, bytes->size);
-    }
+    if (!upstream)
+        return NULL;
     upstream->exchange = exchange;
     upstream->started = now;
+    if (is_idle)
+        write_request(upstream); /* it fits: the back end was chosen just now */
     return upstream;
 }
 
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -26,6 +26,11 @@
 #define PLAN_INTERVAL_US 500000
 /** A node that joins late asks its peers for so long before it reads the origin. */
 #define JOIN_HOLD_US 600000
+#define UPLOADS_MOST 4
+/** See swarm_settings; past this, sparing bytes between regions would delay the version. */
+#define FAR_HOLD_US 2000000
+/** Share of the link's rate for uploads: the rest is for the answers of the engine. */
+#define UPLOAD_SHARE 0.6
 
 /* A connection for calls to one peer, or to the origin. */
 struct source {
@@ -38,6 +43,12 @@
     size_t size;
 };
 
+/* A peer's call that waits for the link. */
+struct upload {
+    struct service_call *call;
+    uint32_t piece;
+};
+
 struct piece_store {
     struct cluster *cluster;
     struct piece_store_callbacks callbacks;
@@ -57,7 +68,9 @@
     uint32_t held;
     struct source sources[PEERS_MOST];
     uint32_t source_count;
-    uint64_t uploads_end; /* time at which the uploads begun so far are through the link */
+    struct upload uploads[UPLOADS_MOST]; /* in order of asking */
+    uint32_t upload_count;
+    uv_timer_t upload_timer; /* runs while the link is busy with an upload */
 };
 
 struct fetch {
@@ -72,7 +85,7 @@
 
 static uint64_t piece_time_us(const struct piece_store *store)
 {
-    double bits_per_us = strtod(store->cluster->settings->link_mbit, NULL);
+    double bits_per_us = UPLOAD_SHARE * strtod(store->cluster->settings->link_mbit, NULL);
     return (uint64_t)(store->manifest.piece_bytes * 8.0 / (bits_per_us > 0 ? bits_per_us : 1000));
 }
 
@@ -80,10 +93,10 @@
 {
     return (struct swarm_settings){
         .origin_budget = 1,
-        .download_window = 4,
-        .peer_window = 2,
-        .upload_limit = 4,
-        .neighbours = 8,
+        .download_window = 2,
+        .peer_window = 1,
+        .upload_limit = 2,
+        .neighbours = 12,
         .announce_us = 80000,
         .silence_us = 1500000,
         .chunk_timeout_us = 2500000,
@@ -91,6 +104,7 @@
         .origin_copy_us = 700000,
         .origin_step_us = 250000,
         .join_hold_us = store->recent ? 0 : JOIN_HOLD_US,
+        .far_hold_us = FAR_HOLD_US,
     };
 }
 
@@ -371,24 +385,41 @@
 
 /* --- serving ------------------------------------------------------------------------------------- */
 
+static void on_link_free(uv_timer_t *timer);
+
+/* Send the first piece that waits; the next one waits until it is through the link. */
+static void upload_next(struct piece_store *store)
+{
+    if (!store->upload_count || uv_is_active((uv_handle_t *)&store->upload_timer))
+        return;
+    struct upload upload = store->uploads[0];
+    store->upload_count--;
+    memmove(store->uploads, store->uploads + 1, store->upload_count * sizeof *store->uploads);
+    const struct piece *piece = &store->pieces[upload.piece];
+    metric_add(METRIC_CHUNKS_SERVED, 1);
+    service_reply(upload.call, 200, "application/octet-stream", piece->data, piece->size);
+    uv_timer_start(&store->upload_timer, on_link_free, piece_time_us(store) / 1000, 0);
+}
+
+static void on_link_free(uv_timer_t *timer)
+{
+    upload_next(timer->data);
+}
+
 static void serve_piece(struct piece_store *store, struct service_call *call, uint32_t piece)
 {
-    uint64_t now = cluster_now();
-    uint64_t one = piece_time_us(store);
-    uint32_t queue =
-        store->uploads_end > now && one ? (uint32_t)((store->uploads_end - now) / one) : 0;
+    uint32_t queue = store->upload_count + uv_is_active((uv_handle_t *)&store->upload_timer);
     enum swarm_upload upload = swarm_admit_upload(store->swarm, piece, queue);
     swarm_set_upload_queue(store->swarm, queue);
-    if (upload == SWARM_UPLOAD_SERVE && store->pieces[piece].data) {
-        store->uploads_end = (store->uploads_end > now ? store->uploads_end : now) + one;
-        metric_add(METRIC_CHUNKS_SERVED, 1);
-        service_reply(call, 200, "application/octet-stream", store->pieces[piece].data,
-                      store->pieces[piece].size);
+    if (upload == SWARM_UPLOAD_SERVE && store->pieces[piece].data &&
+        store->upload_count < UPLOADS_MOST) {
+        store->uploads[store->upload_count++] = (struct upload){call, piece};
+        upload_next(store);
         return;
     }
-    unsigned status = upload == SWARM_UPLOAD_BUSY ? STATUS_BUSY
-                      : upload == SWARM_UPLOAD_PENDING ? STATUS_PENDING
-                                                       : 404;
+    unsigned status = upload == SWARM_UPLOAD_PENDING  ? STATUS_PENDING
+                      : upload == SWARM_UPLOAD_ABSENT ? 404
+                                                      : STATUS_BUSY;
     service_reply(call, status, NULL, NULL, 0);
 }
 
@@ -427,9 +458,16 @@
     store->origin = *origin;
     store->version = version;
     store->recent = recent;
+    uv_timer_init(cluster->loop, &store->upload_timer);
+    store->upload_timer.data = store;
     return store;
 }
 
+static void on_upload_timer_closed(uv_handle_t *handle)
+{
+    free(handle->data);
+}
+
 void piece_store_destroy(struct piece_store *store)
 {
     if (!store)
@@ -443,7 +481,9 @@
     free(store->pieces);
     free(store->manifest_body);
     piece_manifest_clear(&store->manifest);
-    free(store);
+    for (uint32_t i = 0; i < store->upload_count; i++)
+        service_reply(store->uploads[i].call, 404, NULL, NULL, 0);
+    uv_close((uv_handle_t *)&store->upload_timer, on_upload_timer_closed);
 }
 
 void piece_store_tick(struct piece_store *store, uint64_t now)
