Back ends that the list dropped, resets after a short read, earlier bound on old versions

Change: a dropped back end gets work for 1.4 s, whoever hears it; the socket is asked why it ended; old versions get no new work 2 s before the bound.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -112,28 +112,26 @@
     backend->listing = *listing;
     backend->distance = distance;
     backend->listed = true;
-    backend->distrusted = false;
+    backend->unlisted_until = 0;
     drop_others_at(pool, backend);
     return backend;
 }
 
-void backend_pool_unlist(struct backend_pool *pool, const char *id, bool trusted, uint64_t now)
+void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until)
 {
     struct backend *backend = find(pool, id);
     if (!backend)
         return;
-    if (trusted || backend->listing.draining) {
+    if (backend->listing.draining)
         drop_backend(pool, backend);
-        return;
-    }
-    backend->distrusted = true;
-    backend->unlisted_at = now;
+    else if (!backend->unlisted_until)
+        backend->unlisted_until = until;
 }
 
-void backend_pool_settle(struct backend_pool *pool, uint64_t before)
+void backend_pool_settle(struct backend_pool *pool, uint64_t now)
 {
     for (uint32_t i = pool->count; i-- > 0;)
-        if (pool->items[i]->distrusted && pool->items[i]->unlisted_at < before)
+        if (pool->items[i]->unlisted_until && pool->items[i]->unlisted_until <= now)
             drop(pool, i);
 }
 
@@ -180,10 +178,15 @@
     return reported > backend->listing.version ? reported : backend->listing.version;
 }
 
+static bool is_past_unlisting(const struct backend *backend, uint64_t now)
+{
+    return backend->unlisted_until && backend->unlisted_until <= now;
+}
+
 bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
                        uint64_t least_version, uint64_t now)
 {
-    if (!backend->listed || backend->listing.draining)
+    if (!backend->listed || backend->listing.draining || is_past_unlisting(backend, now))
         return false;
     return !least_version || weights_version(pool, backend, now) >= least_version;
 }
@@ -199,7 +202,8 @@
 static bool is_fit(const struct backend_pool *pool, const struct backend_wish *wish,
                    const struct backend *backend, uint64_t now)
 {
-    if (backend->listing.draining || strcmp(backend->listing.service, wish->service) != 0 ||
+    if (backend->listing.draining || is_past_unlisting(backend, now) ||
+        strcmp(backend->listing.service, wish->service) != 0 ||
         is_excluded(wish, backend))
         return false;
     if (!wish->engine)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -54,8 +54,7 @@
     struct backend_listing listing;
     uint32_t references; /**< of the pool, of requests and of connections */
     bool listed;         /**< false: the list has dropped it */
-    bool distrusted;     /**< dropped while the list itself was not to be trusted */
-    uint64_t unlisted_at;
+    uint64_t unlisted_until; /**< dropped by the list, but usable until then; 0: listed */
     uint16_t distance; /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight; /**< requests of this gateway */
     struct backend_load load;
@@ -86,12 +85,12 @@
 struct backend *backend_pool_list(struct backend_pool *pool, const struct backend_listing *listing,
                                   uint16_t distance);
 /**
- * \brief The list has dropped a back end. \param trusted false while the list may drop back ends that
- *        live; such a one stays usable until backend_pool_settle()
+ * \brief The list has dropped a back end. It stays usable until `until`, as the list may drop back ends
+ *        that live and list them again; one that said it leaves is dropped at once.
  */
-void backend_pool_unlist(struct backend_pool *pool, const char *id, bool trusted, uint64_t now);
-/** \brief The list is to be trusted again: drop what was unlisted before `before`. */
-void backend_pool_settle(struct backend_pool *pool, uint64_t before);
+void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until);
+/** \brief Drop what was unlisted and did not come back in time. */
+void backend_pool_settle(struct backend_pool *pool, uint64_t now);
 /** \brief The back end at an address is no longer the listed one. */
 void backend_pool_replaced(struct backend_pool *pool, struct backend *backend);
 /** \brief Take a report of load in. \return the back end, or NULL when none is listed there */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -19,9 +19,10 @@
 #define QUEUE_PER_ENGINE 3
 #define LOAD_FRESH_US 1200000
 /** Time before the bound on old versions at which they get no new work. */
-#define VERSION_MARGIN_US 1200000
-/** A list that failed less than this ago may have dropped back ends that live. */
-#define LIST_SETTLE_US 3500000
+#define VERSION_MARGIN_US 2000000
+/** The list may drop back ends that live, which then list themselves again; one that leaves without a
+ *  word serves on for longer than this. */
+#define UNLISTED_US 1400000
 /** A planned stop: requests are served for so long, then the process ends in any case. */
 #define STOP_IDLE_US 6200000
 #define STOP_MARGIN_US 500000
@@ -69,20 +70,13 @@
     edge->table = table;
 }
 
-static bool list_is_trusted(const struct edge *edge)
-{
-    uint64_t since = edge->cluster.reader ? store_reader_sound_since(edge->cluster.reader) : 0;
-    return since && cluster_now() > since + LIST_SETTLE_US;
-}
-
 static void take_backend(struct edge *edge, const char *id, const struct state_item *item)
 {
     struct backend_listing listing;
     if (item->gone) {
-        bool trusted = list_is_trusted(edge);
-        log_event(LOG_LEVEL_INFO, "backend", "gone", "id=%s revision=%" PRIu64 " trusted=%d", id,
-                  item->revision, trusted);
-        backend_pool_unlist(edge->pool, id, trusted, cluster_now());
+        log_event(LOG_LEVEL_INFO, "backend", "gone", "id=%s revision=%" PRIu64 " age_ms=%" PRIu64,
+                  id, item->revision, (cluster_now() - item->learned) / 1000);
+        backend_pool_unlist(edge->pool, id, item->learned + UNLISTED_US);
         return;
     }
     if (platform_parse_backend(id, item->value, item->size, &listing) != STATUS_OK) {
@@ -252,8 +246,7 @@
     struct edge *edge = timer->data;
     uint64_t now = cluster_now();
     count_gateways(edge);
-    if (list_is_trusted(edge))
-        backend_pool_settle(edge->pool, now - LIST_SETTLE_US);
+    backend_pool_settle(edge->pool, now);
     upstream_sweep(edge, now);
     edge_client_sweep(edge, now);
     exchange_dispatch_waiting(edge);
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -24,7 +24,7 @@
 /** The first version of a model; the operator names only later ones. */
 #define FIRST_VERSION 1
 
-static const struct start_turn_settings turn_settings = {.first_us = 2200000, .last_us = 6500000};
+static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 5800000};
 
 struct loader {
     struct process process;
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -64,6 +64,26 @@
     *buffer = uv_buf_init(read_buffer, sizeof read_buffer);
 }
 
+/*
+ * libuv reports an end of file as soon as the socket hangs up after a short read, without looking at
+ * why: a reset is taken for an orderly end. So the socket itself is asked.
+ */
+static enum tcp_end true_end(struct tcp_stream *stream)
+{
+    uv_os_fd_t descriptor;
+    char byte;
+    if (uv_fileno((uv_handle_t *)&stream->handle, &descriptor))
+        return TCP_END_RESET;
+    return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0 ? TCP_END_ORDERLY
+                                                                    : TCP_END_RESET;
+}
+
+static void on_read_end(struct tcp_stream *stream, bool end_of_file)
+{
+    enum tcp_end end = end_of_file ? true_end(stream) : TCP_END_RESET;
+    stream->callbacks.ended(stream->context, end);
+}
+
 static void on_read(uv_stream_t *handle, ssize_t size, const uv_buf_t *buffer)
 {
     struct tcp_stream *stream = handle->data;
@@ -74,7 +94,7 @@
     if (size > 0)
         stream->callbacks.received(stream->context, buffer->base, (size_t)size);
     else
-        stream->callbacks.ended(stream->context, size == UV_EOF ? TCP_END_ORDERLY : TCP_END_RESET);
+        on_read_end(stream, size == UV_EOF);
 }
 
 static void set_options(struct tcp_stream *stream)
