Fewer bytes between regions: smaller gossip, near engines and gateways first, loads told rarely far away

Change: 8 members a message, every 0.5 s; only changes by the operator are told at once, to those who lack them; loaders take only those; loads go to other regions three times a second; clients are sent to gateways of their zone, requests to engines of the region unless these hold more. Entries lost while the store fails are kept.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -7,15 +7,16 @@
 #include "cluster/state_sync.h"
 #include "cluster/store_reader.h"
 #include "core/hash.h"
+#include "platform/platform.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define TICK_MS 100
-#define ROUND_US 400000
+#define ROUND_US 500000
 #define FANOUT 3
-#define SUSPECT_US 2500000
+#define SUSPECT_US 3000000
 #define FORGET_US 20000000
 #define TARGETS_MOST 64
 #define DATAGRAM_SIZE 8192
@@ -65,33 +66,61 @@
         send_packed(cluster, address, bytes, size);
 }
 
-void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load)
+void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far)
 {
     uint8_t bytes[DATAGRAM_SIZE];
-    Shuntrun__MemberMessage message;
-    membership_write(cluster->membership, &message);
-    message.n_members = 0;
+    Shuntrun__MemberMessage message = SHUNTRUN__MEMBER_MESSAGE__INIT;
     message.load = load;
     size_t size = pack(&message, bytes);
     uint64_t now = cluster_now();
+    const char *region = membership_self(cluster->membership)->region;
     for (uint32_t i = 0; size && i < membership_count(cluster->membership); i++) {
         const struct member_state *member = membership_at(cluster->membership, i);
-        if (member->role == MEMBER_GATEWAY && membership_alive(cluster->membership, member, now))
+        if (member->role == MEMBER_GATEWAY && membership_alive(cluster->membership, member, now) &&
+            (far || strcmp(member->region, region) == 0))
             send_packed(cluster, member->address, bytes, size);
     }
 }
 
+static void write_revisions(struct cluster *cluster)
+{
+    struct member_state *self = membership_self(cluster->membership);
+    self->state_revision = state_cache_revision(cluster->state);
+    self->operator_revision = cluster->operator_revision;
+}
+
 static void send_news(struct cluster *cluster, const uint32_t *addresses, uint32_t count)
 {
     uint8_t bytes[DATAGRAM_SIZE];
     Shuntrun__MemberMessage message;
-    membership_self(cluster->membership)->state_revision = state_cache_revision(cluster->state);
+    write_revisions(cluster);
     membership_write(cluster->membership, &message);
     size_t size = pack(&message, bytes);
     for (uint32_t i = 0; size && i < count; i++)
         send_packed(cluster, addresses[i], bytes, size);
 }
 
+void cluster_tell_change(struct cluster *cluster)
+{
+    uint8_t bytes[DATAGRAM_SIZE];
+    Shuntrun__MemberMessage message;
+    if (!cluster->change_untold)
+        return;
+    cluster->change_untold = false;
+    write_revisions(cluster);
+    membership_self(cluster->membership)->heartbeat++;
+    membership_write(cluster->membership, &message);
+    message.n_members = 0;
+    size_t size = pack(&message, bytes);
+    uint64_t now = cluster_now();
+    for (uint32_t i = 0; size && i < membership_count(cluster->membership); i++) {
+        const struct member_state *member = membership_at(cluster->membership, i);
+        if (membership_alive(cluster->membership, member, now) &&
+            member->operator_revision < cluster->operator_revision)
+            send_packed(cluster, member->address, bytes, size);
+    }
+}
+
 void cluster_tell_all(struct cluster *cluster)
 {
     uint32_t addresses[TARGETS_MOST];
@@ -140,6 +169,19 @@
     state_sync_tick(cluster->sync, now);
 }
 
+static void take_sender(struct cluster *cluster, const Shuntrun__MemberMessage *message,
+                        uint32_t sender, uint64_t now)
+{
+    if (membership_read(cluster->membership, message, now))
+        send_news(cluster, &sender, 1);
+    /* A node that does not read the store needs only what the operator says. */
+    bool ahead = cluster->reader
+                     ? message->sender->state_revision > state_cache_revision(cluster->state)
+                     : message->sender->operator_revision > cluster->operator_revision;
+    if (ahead)
+        state_sync_heard(cluster->sync, sender, message->sender->state_revision, now);
+}
+
 static void on_datagram(uv_udp_t *socket, ssize_t size, const uv_buf_t *buffer,
                         const struct sockaddr *from, unsigned flags)
 {
@@ -152,17 +194,12 @@
         return;
     uint64_t now = cluster_now();
     uint32_t sender = ntohl(((const struct sockaddr_in *)from)->sin_addr.s_addr);
-    if (message->sender && message->sender->address == sender) {
-        bool is_new = membership_read(cluster->membership, message, now);
-        if (is_new)
-            send_news(cluster, &sender, 1);
-        state_sync_heard(cluster->sync, sender, message->sender->state_revision, now);
-        if (message->load && cluster->callbacks.load_received)
-            cluster->callbacks.load_received(cluster->callbacks.context, message->load);
-        if (message->pieces && cluster->callbacks.pieces_received)
-            cluster->callbacks.pieces_received(cluster->callbacks.context, sender,
-                                               message->pieces);
-    }
+    if (message->sender && message->sender->address == sender)
+        take_sender(cluster, message, sender, now);
+    if (message->load && cluster->callbacks.load_received)
+        cluster->callbacks.load_received(cluster->callbacks.context, message->load);
+    if (message->pieces && cluster->callbacks.pieces_received)
+        cluster->callbacks.pieces_received(cluster->callbacks.context, sender, message->pieces);
     shuntrun__member_message__free_unpacked(message, NULL);
 }
 
@@ -187,6 +224,13 @@
 static void on_item(void *context, const struct state_item *item)
 {
     struct cluster *cluster = context;
+    char name[PLATFORM_TEXT_SIZE];
+    enum item_kind kind = platform_item_kind(item->key, name, sizeof name);
+    if ((kind == ITEM_CONFIGURATION || kind == ITEM_VERSION) &&
+        item->revision > cluster->operator_revision) {
+        cluster->operator_revision = item->revision;
+        cluster->change_untold = true;
+    }
     cluster->callbacks.item_changed(cluster->callbacks.context, item);
 }
 
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -45,6 +45,8 @@
     uv_timer_t timer;
     uint16_t port; /**< of datagrams and calls, the same on all nodes */
     uint64_t next_round;
+    uint64_t operator_revision; /**< of the newest change by the operator that is known here */
+    bool change_untold; /**< of that change, peers were not told yet */
     uint64_t last_tick;
 };
 
@@ -56,8 +58,10 @@
 void cluster_tell_all(struct cluster *cluster);
 /** \brief Send one message; the sender's part is filled in. */
 void cluster_send(struct cluster *cluster, uint32_t address, Shuntrun__MemberMessage *message);
-/** \brief Send the load of the engine to all gateways. */
-void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load);
+/** \brief Send the load of the engine to the gateways. \param far also to those in other regions */
+void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far);
+/** \brief Tell those who do not know it of a change by the operator, when there was one. */
+void cluster_tell_change(struct cluster *cluster);
 /** \brief Address of a node's service for other nodes. */
 struct sockaddr_in cluster_address(const struct cluster *cluster, uint32_t address);
 /** \return gateways that are alive, at least 1 */
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -4,6 +4,7 @@
 #include "base/memory.h"
 #include "cluster/store_reader.h"
 #include "net/http_caller.h"
+#include "platform/platform.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -69,7 +70,7 @@
               (unsigned long long)state_cache_revision(sync->cluster->state), changes->n_items);
     take_changes(sync, changes);
     shuntrun__state_changes__free_unpacked(changes, NULL);
-    cluster_tell_all(sync->cluster);
+    cluster_tell_change(sync->cluster);
 }
 
 static void ask(struct state_sync *sync)
@@ -80,8 +81,9 @@
         http_caller_destroy(sync->caller);
     sync->caller = http_caller_create(sync->cluster->loop, &address);
     sync->asking = true;
-    snprintf(target, sizeof target, STATE_PATH "?after=%llu",
-             (unsigned long long)state_cache_revision(sync->cluster->state));
+    snprintf(target, sizeof target, STATE_PATH "?after=%llu%s",
+             (unsigned long long)state_cache_revision(sync->cluster->state),
+             sync->cluster->reader ? "" : "&operator=1");
     struct caller_request request = {.method = "GET",
                                      .target = target,
                                      .timeout_ms = TIMEOUT_MS,
@@ -93,7 +95,7 @@
 
 void state_sync_heard(struct state_sync *sync, uint32_t peer, uint64_t revision, uint64_t now)
 {
-    if (sync->asking || revision <= state_cache_revision(sync->cluster->state))
+    if (sync->asking)
         return;
     if (!sync->heard_at)
         sync->heard_at = now;
@@ -126,7 +128,14 @@
     out->age_ms = (now - item->learned) / 1000;
 }
 
-static void serve_changes(struct state_sync *sync, struct service_call *call, uint64_t after)
+static bool is_of_operator(const struct state_item *item)
+{
+    char name[PLATFORM_TEXT_SIZE];
+    return platform_item_kind(item->key, name, sizeof name) != ITEM_BACKEND;
+}
+
+static void serve_changes(struct state_sync *sync, struct service_call *call, uint64_t after,
+                          bool operator_only)
 {
     const struct state_cache *state = sync->cluster->state;
     uint64_t now = cluster_now();
@@ -141,6 +150,8 @@
         const struct state_item *item = state_cache_at(state, i);
         if (changes.whole ? item->gone : item->revision <= after)
             continue;
+        if (operator_only && !is_of_operator(item))
+            continue;
         write_item(item, now, &items[changes.n_items]);
         pointers[changes.n_items] = &items[changes.n_items];
         changes.n_items++;
@@ -157,10 +168,12 @@
 bool state_sync_serve(struct state_sync *sync, struct service_call *call,
                       const struct service_request *request)
 {
-    char after[32];
+    char after[32], operator_only[4];
     if (!service_path_is(request, STATE_PATH))
         return false;
     http_query_value(request->target, request->target_length, "after", after, sizeof after);
-    serve_changes(sync, call, strtoull(after, NULL, 10));
+    http_query_value(request->target, request->target_length, "operator", operator_only,
+                     sizeof operator_only);
+    serve_changes(sync, call, strtoull(after, NULL, 10), operator_only[0] == '1');
     return true;
 }
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -35,7 +35,6 @@
     struct sockaddr_in address;
     struct prefix_reader prefixes[MAX_PREFIXES];
     uint32_t count;
-    uint64_t sound_since;
 };
 
 static void read_on(struct prefix_reader *reader);
@@ -47,29 +46,21 @@
 
 static void failed(struct prefix_reader *reader, const char *reason)
 {
-    struct store_reader *owner = reader->owner;
     uint32_t wait = BACKOFF_FIRST_MS << (reader->failures < 3 ? reader->failures : 3);
     if (!reader->failures)
         log_event(LOG_LEVEL_WARN, "store", "lost", "prefix=%s reason=\"%s\" revision=%llu",
                   reader->prefix, reason, (unsigned long long)reader->revision);
     reader->failures++;
-    owner->sound_since = 0;
     reader->page_key[0] = 0;
     uv_timer_start(&reader->retry, on_retry, wait < BACKOFF_MOST_MS ? wait : BACKOFF_MOST_MS, 0);
 }
 
 static void recovered(struct prefix_reader *reader)
 {
-    struct store_reader *owner = reader->owner;
     if (reader->failures)
         log_event(LOG_LEVEL_INFO, "store", "regained", "prefix=%s failures=%u", reader->prefix,
                   reader->failures);
     reader->failures = 0;
-    bool sound = true;
-    for (uint32_t i = 0; i < owner->count; i++)
-        sound &= owner->prefixes[i].failures == 0 && owner->prefixes[i].revision > 0;
-    if (sound && !owner->sound_since)
-        owner->sound_since = cluster_now();
 }
 
 /* All changes up to the smaller of the prefixes' revisions are in. */
@@ -139,7 +130,6 @@
         failed(reader, reason);
         return;
     }
-    uint64_t before = state_cache_revision(reader->owner->cluster->state);
     if (!reader->revision) {
         take_page(reader, &answer);
     } else {
@@ -147,12 +137,10 @@
         if (answer.revision > reader->revision)
             reader->revision = answer.revision;
     }
-    bool news = answer.count > 0;
     store_answer_clear(&answer);
     recovered(reader);
     reach(reader->owner);
-    if (news && state_cache_revision(reader->owner->cluster->state) > before)
-        cluster_tell_all(reader->owner->cluster);
+    cluster_tell_change(reader->owner->cluster);
     read_on(reader);
 }
 
@@ -207,7 +195,10 @@
         http_caller_abort(owner->prefixes[i].caller);
 }
 
-uint64_t store_reader_sound_since(const struct store_reader *owner)
+bool store_reader_is_sound(const struct store_reader *owner)
 {
-    return owner->sound_since;
+    for (uint32_t i = 0; i < owner->count; i++)
+        if (owner->prefixes[i].failures)
+            return false;
+    return true;
 }
--- a/src/cluster/store_reader.h
+++ b/src/cluster/store_reader.h
@@ -9,7 +9,7 @@
 struct store_reader *store_reader_create(struct cluster *cluster);
 /** \brief Ask anew on fresh connections, after the process stood still. */
 void store_reader_restart(struct store_reader *reader);
-/** \return time since which the store answers without a failure, 0: it does not */
-uint64_t store_reader_sound_since(const struct store_reader *reader);
+/** \return whether the last call to the store had its answer, or waits for it without a failure */
+bool store_reader_is_sound(const struct store_reader *reader);
 
 #endif
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -17,12 +17,15 @@
 #define REGION_PENALTY 3.0
 #define FAILURE_PENALTY 30.0
 #define REFUSAL_PENALTY 12.0
+/** Time in which back ends that live list themselves again, once the list's keeper is back. */
+#define RELIST_US 2500000
 
 struct backend_pool {
     struct backend_pool_settings settings;
     struct random_stream random;
     struct backend **items;
     uint32_t count;
+    bool trusted; /* the list's keeper works */
 };
 
 struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
@@ -31,6 +34,7 @@
     struct backend_pool *pool = memory_zero(1, sizeof *pool);
     pool->settings = *settings;
     pool->random.seed = seed;
+    pool->trusted = true;
     return pool;
 }
 
@@ -128,9 +132,19 @@
         backend->unlisted_until = until;
 }
 
-void backend_pool_settle(struct backend_pool *pool, uint64_t now)
+static void extend_unlisted(struct backend_pool *pool, uint64_t until)
 {
-    for (uint32_t i = pool->count; i-- > 0;)
+    for (uint32_t i = 0; i < pool->count; i++)
+        if (pool->items[i]->unlisted_until && pool->items[i]->unlisted_until < until)
+            pool->items[i]->unlisted_until = until;
+}
+
+void backend_pool_settle(struct backend_pool *pool, bool trusted, uint64_t now)
+{
+    if (!trusted || !pool->trusted)
+        extend_unlisted(pool, now + RELIST_US);
+    pool->trusted = trusted;
+    for (uint32_t i = pool->count; trusted && i-- > 0;)
         if (pool->items[i]->unlisted_until && pool->items[i]->unlisted_until <= now)
             drop(pool, i);
 }
@@ -247,13 +261,46 @@
                           REFUSAL_PENALTY * backend->refusal_share) / 4;
 }
 
+/* Two candidates of one distance, each pair equally likely. */
+struct candidates {
+    struct backend *pair[2];
+    uint32_t count;
+};
+
+static void add_candidate(struct backend_pool *pool, struct candidates *candidates,
+                          struct backend *backend)
+{
+    candidates->count++;
+    if (candidates->count <= 2) {
+        candidates->pair[candidates->count - 1] = backend;
+        return;
+    }
+    uint64_t place = random_below(&pool->random, candidates->count);
+    if (place < 2)
+        candidates->pair[place] = backend;
+}
+
+static struct backend *better(const struct backend_pool *pool, const struct backend_wish *wish,
+                              struct backend *left, struct backend *right, uint64_t now)
+{
+    if (!left || !right)
+        return left ? left : right;
+    return score(pool, wish, right, now) < score(pool, wish, left, now) ? right : left;
+}
+
+static struct backend *best_of(const struct backend_pool *pool, const struct backend_wish *wish,
+                               const struct candidates *candidates, uint64_t now)
+{
+    return better(pool, wish, candidates->pair[0], candidates->pair[1], now);
+}
+
 enum backend_absence backend_pool_choose(struct backend_pool *pool, const struct backend_wish *wish,
                                          uint64_t now, struct backend **chosen)
 {
-    struct backend *fit[2] = {NULL, NULL};
+    struct candidates near = {.count = 0}, far = {.count = 0};
     struct backend *ejected = NULL;
-    uint32_t fit_count = 0, room_count = 0, probes = 0;
-    *chosen = NULL;
+    struct backend *probe = NULL;
+    uint32_t fit_count = 0, probes = 0;
     for (uint32_t i = 0; i < pool->count; i++) {
         struct backend *backend = pool->items[i];
         if (!is_fit(pool, wish, backend, now))
@@ -264,31 +311,22 @@
         if (is_ejected(backend, now)) {
             if (!ejected || backend->ejected_until < ejected->ejected_until)
                 ejected = backend;
-            continue;
-        }
-        if (backend->ejected_until) { /* its time is over: one request finds out */
-            probes++;
-            if (random_below(&pool->random, probes) == 0)
-                *chosen = backend;
-            continue;
-        }
-        /* Two candidates by reservoir, so that each pair is equally likely. */
-        room_count++;
-        if (room_count <= 2) {
-            fit[room_count - 1] = backend;
+        } else if (backend->ejected_until) { /* its time is over: one request finds out */
+            if (random_below(&pool->random, ++probes) == 0)
+                probe = backend;
         } else {
-            uint64_t place = random_below(&pool->random, room_count);
-            if (place < 2)
-                fit[place] = backend;
+            add_candidate(pool, backend->distance < 2 ? &near : &far, backend);
         }
     }
-    if (*chosen) {
-        (*chosen)->probing = true;
+    *chosen = probe;
+    if (probe) {
+        probe->probing = true;
         return BACKEND_FOUND;
     }
-    if (fit[1] && score(pool, wish, fit[1], now) < score(pool, wish, fit[0], now))
-        fit[0] = fit[1];
-    *chosen = fit[0] ? fit[0] : ejected;
+    *chosen = better(pool, wish, best_of(pool, wish, &near, now), best_of(pool, wish, &far, now),
+                     now);
+    if (!*chosen)
+        *chosen = ejected;
     if (*chosen)
         return BACKEND_FOUND;
     return fit_count ? BACKEND_FULL : BACKEND_NONE;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -89,8 +89,12 @@
  *        that live and list them again; one that said it leaves is dropped at once.
  */
 void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until);
-/** \brief Drop what was unlisted and did not come back in time. */
-void backend_pool_settle(struct backend_pool *pool, uint64_t now);
+/**
+ * \brief Drop what was unlisted and did not come back in time.
+ * \param trusted false while the list's keeper fails: then nothing is dropped, as it may have lost
+ *        entries of back ends that live; they get some more time when it is back
+ */
+void backend_pool_settle(struct backend_pool *pool, bool trusted, uint64_t now);
 /** \brief The back end at an address is no longer the listed one. */
 void backend_pool_replaced(struct backend_pool *pool, struct backend *backend);
 /** \brief Take a report of load in. \return the back end, or NULL when none is listed there */
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -103,6 +103,7 @@
     news->draining = state->draining;
     news->traffic_port = state->traffic_port;
     news->state_revision = state->state_revision;
+    news->operator_revision = state->operator_revision;
 }
 
 void membership_write(struct membership *membership, Shuntrun__MemberMessage *message)
@@ -169,6 +170,7 @@
     member->draining = news->draining;
     member->traffic_port = (uint16_t)news->traffic_port;
     member->state_revision = news->state_revision;
+    member->operator_revision = news->operator_revision;
     member->last_news = now;
     return is_new;
 }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -19,7 +19,7 @@
 
 #define MEMBER_NAME_SIZE 64
 /** Members told of in one message. */
-#define MEMBERSHIP_NEWS_MOST 16
+#define MEMBERSHIP_NEWS_MOST 8
 
 enum member_role { MEMBER_GATEWAY = 1, MEMBER_LOADER = 2 };
 
@@ -32,7 +32,8 @@
     char region[MEMBER_NAME_SIZE];
     bool draining;
     uint16_t traffic_port;
-    uint64_t state_revision;
+    uint64_t state_revision;    /**< up to which it knows what the platform publishes */
+    uint64_t operator_revision; /**< of the newest change by the operator that it knows */
     uint64_t last_news; /**< time at which the heartbeat last moved */
 };
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -170,20 +170,32 @@
     list->count++;
 }
 
-static void collect_addresses(struct edge *edge, struct address_list *list)
+/* Gateways that take new clients, as far as `place` wants them. */
+static void collect_addresses(struct edge *edge, const struct address_question *place,
+                              bool same_zone, struct address_list *list)
 {
     struct membership *members = edge->cluster.membership;
+    const struct member_state *self = membership_self(members);
     uint64_t now = cluster_now();
-    if (!edge->stopping_since)
-        add_address(list, membership_self(members));
+    if (!edge->stopping_since && (!same_zone || strcmp(self->zone, place->zone) == 0))
+        add_address(list, self);
     for (uint32_t i = 0; i < membership_count(members); i++) {
         const struct member_state *member = membership_at(members, i);
         if (member->role == MEMBER_GATEWAY && !member->draining &&
-            membership_alive(members, member, now))
+            membership_alive(members, member, now) &&
+            (!same_zone || strcmp(member->zone, place->zone) == 0))
             add_address(list, member);
     }
+}
+
+static void choose_addresses(struct edge *edge, const struct address_question *place,
+                             struct address_list *list)
+{
+    collect_addresses(edge, place, true, list);
+    if (!list->count)
+        collect_addresses(edge, place, false, list);
     if (!list->count)
-        add_address(list, membership_self(members));
+        add_address(list, membership_self(edge->cluster.membership));
 }
 
 static void on_directory_call(void *context, struct service_call *call,
@@ -191,13 +203,15 @@
 {
     struct edge *edge = context;
     struct address_list list = {.count = 0};
+    struct address_question question;
     struct buffer body = {0};
     if (platform_call_of(request->method, request->target, request->target_length) !=
         PLATFORM_CALL_ADDRESSES) {
         service_reply(call, 404, NULL, NULL, 0);
         return;
     }
-    collect_addresses(edge, &list);
+    platform_read_address_question(request->target, request->target_length, &question);
+    choose_addresses(edge, &question, &list);
     platform_write_addresses(list.pointers, list.count, ADDRESS_AGE_S, &body);
     service_reply(call, 200, "application/json", body.data, body.size);
     buffer_clear(&body);
@@ -246,7 +260,7 @@
     struct edge *edge = timer->data;
     uint64_t now = cluster_now();
     count_gateways(edge);
-    backend_pool_settle(edge->pool, now);
+    backend_pool_settle(edge->pool, store_reader_is_sound(edge->cluster.reader), now);
     upstream_sweep(edge, now);
     edge_client_sweep(edge, now);
     exchange_dispatch_waiting(edge);
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -19,6 +19,10 @@
 #define REPORT_LIMIT (1U << 20)
 /** An unchanged load is told again after this. */
 #define LOAD_REPEAT_US 300000
+/** Gateways of other regions hear of the load so often; they send little here. */
+#define FAR_LOAD_US 290000
+/** Time between ticks while pieces are fetched. */
+#define FETCH_TICK_MS 25
 /** A version named less than this ago cannot be held by peers yet. */
 #define RECENT_US 4000000
 /** The first version of a model; the operator names only later ones. */
@@ -43,8 +47,10 @@
     struct engine_report report;
     bool reachable;
     bool asking;
+    uint64_t next_report;
     struct backend_load told;
     uint64_t told_at;
+    uint64_t told_far_at; /* to gateways of other regions */
 };
 
 /* --- the engine's load --------------------------------------------------------------------------- */
@@ -64,7 +70,11 @@
     message.version = load.version;
     message.loading = load.loading;
     message.pace_permille = load.pace_permille;
-    cluster_send_load(&loader->cluster, &message);
+    bool far = now >= loader->told_far_at + FAR_LOAD_US || load.loading != loader->told.loading ||
+               load.version != loader->told.version;
+    if (far)
+        loader->told_far_at = now;
+    cluster_send_load(&loader->cluster, &message, far);
     loader->told = load;
     loader->told_at = now;
 }
@@ -259,12 +269,18 @@
 {
     struct loader *loader = timer->data;
     uint64_t now = cluster_now();
-    if (!loader->asking && loader->model[0])
+    if (!loader->asking && loader->model[0] && now >= loader->next_report) {
+        loader->next_report = now + REPORT_INTERVAL_MS * 1000;
         ask_report(loader);
-    if (loader->store)
+    }
+    if (loader->store) {
+        piece_store_share_link(loader->store, loader->report.load.version > 0);
         piece_store_tick(loader->store, now);
+    }
     if (loader->installer)
         installer_tick(loader->installer, now, own_turn(loader));
+    bool fetching = loader->store && !piece_store_complete(loader->store);
+    uv_timer_start(timer, on_tick, fetching ? FETCH_TICK_MS : REPORT_INTERVAL_MS, 0);
 }
 
 static void on_stop(struct process *process)
@@ -293,7 +309,7 @@
     loader->engine = http_caller_create(loop, &loader->engine_address);
     uv_timer_init(loop, &loader->timer);
     loader->timer.data = loader;
-    uv_timer_start(&loader->timer, on_tick, 1, REPORT_INTERVAL_MS);
+    uv_timer_start(&loader->timer, on_tick, 1, 0);
     return process_run(&loader->process, loop, on_stop, loader);
 }
 
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -70,6 +70,7 @@
     uint32_t source_count;
     struct upload uploads[UPLOADS_MOST]; /* in order of asking */
     uint32_t upload_count;
+    bool shares_link;
     uv_timer_t upload_timer; /* runs while the link is busy with an upload */
 };
 
@@ -85,7 +86,9 @@
 
 static uint64_t piece_time_us(const struct piece_store *store)
 {
-    double bits_per_us = UPLOAD_SHARE * strtod(store->cluster->settings->link_mbit, NULL);
+    double bits_per_us = strtod(store->cluster->settings->link_mbit, NULL);
+    if (store->shares_link)
+        bits_per_us *= UPLOAD_SHARE;
     return (uint64_t)(store->manifest.piece_bytes * 8.0 / (bits_per_us > 0 ? bits_per_us : 1000));
 }
 
@@ -93,11 +96,11 @@
 {
     return (struct swarm_settings){
         .origin_budget = 1,
-        .download_window = 2,
+        .download_window = store->shares_link ? 2 : 4,
         .peer_window = 1,
         .upload_limit = 2,
         .neighbours = 12,
-        .announce_us = 80000,
+        .announce_us = 40000,
         .silence_us = 1500000,
         .chunk_timeout_us = 2500000,
         .busy_backoff_us = piece_time_us(store),
@@ -486,6 +489,11 @@
     uv_close((uv_handle_t *)&store->upload_timer, on_upload_timer_closed);
 }
 
+void piece_store_share_link(struct piece_store *store, bool shared)
+{
+    store->shares_link = shared;
+}
+
 void piece_store_tick(struct piece_store *store, uint64_t now)
 {
     if (!store->swarm) {
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -19,6 +19,8 @@
                                        const struct sockaddr_in *origin, uint64_t version,
                                        bool recent, const struct piece_store_callbacks *callbacks);
 void piece_store_destroy(struct piece_store *store);
+/** \brief Whether the engine beside serves requests, whose answers need the link too. */
+void piece_store_share_link(struct piece_store *store, bool shared);
 void piece_store_tick(struct piece_store *store, uint64_t now);
 uint64_t piece_store_version(const struct piece_store *store);
 /** \return NULL before the manifest is known */
