Few prompts at a time on each engine; starts of a new version spread wider

Change: requests without a first token are bounded to 4 an engine and weigh in the choice; loaders say when a version is staged; turns from 2.0 to 6.8 s; uploads at 0.9 of the link.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -15,6 +15,8 @@
 /** Score of a back end in another zone or region, in requests. */
 #define ZONE_PENALTY 0.5
 #define REGION_PENALTY 3.0
+/** Score of a request that waits for its first token, besides that of being there. */
+#define PROMPT_COST 3.0
 #define FAILURE_PENALTY 30.0
 #define REFUSAL_PENALTY 12.0
 /** Time in which back ends that live list themselves again, once the list's keeper is back. */
@@ -164,6 +166,7 @@
         backend->load = *load;
         backend->load_at = now;
         backend->sent_since = 0;
+        backend->prompts_since = 0;
         return backend;
     }
     return NULL;
@@ -185,6 +188,16 @@
     return known > (int64_t)backend->in_flight ? (uint32_t)known : backend->in_flight;
 }
 
+/* Requests at an engine that wait for their first token, as far as known. */
+static uint32_t prompts_at(const struct backend_pool *pool, const struct backend *backend,
+                           uint32_t gateways, uint64_t now)
+{
+    if (!has_fresh_load(pool, backend, now))
+        return backend->unanswered * (gateways ? gateways : 1);
+    int64_t known = (int64_t)backend->load.waiting + backend->prompts_since;
+    return known > (int64_t)backend->unanswered ? (uint32_t)known : backend->unanswered;
+}
+
 static uint64_t weights_version(const struct backend_pool *pool, const struct backend *backend,
                                 uint64_t now)
 {
@@ -197,12 +210,25 @@
     return backend->unlisted_until && backend->unlisted_until <= now;
 }
 
+/* Whether the weights there are new enough, now and for the time that the request may wait. */
+static bool has_version(const struct backend_pool *pool, const struct backend_wish *wish,
+                        const struct backend *backend, uint64_t now)
+{
+    uint64_t version = weights_version(pool, backend, now);
+    if (!version || version < wish->least_version)
+        return false;
+    if (wish->exact_version && version != wish->exact_version)
+        return false;
+    bool staged = has_fresh_load(pool, backend, now) && backend->load.staged;
+    return version >= wish->next_version || staged;
+}
+
 bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
-                       uint64_t least_version, uint64_t now)
+                       const struct backend_wish *wish, uint64_t now)
 {
     if (!backend->listed || backend->listing.draining || is_past_unlisting(backend, now))
         return false;
-    return !least_version || weights_version(pool, backend, now) >= least_version;
+    return !wish->engine || has_version(pool, wish, backend, now);
 }
 
 static bool is_excluded(const struct backend_wish *wish, const struct backend *backend)
@@ -222,10 +248,7 @@
         return false;
     if (!wish->engine)
         return true;
-    uint64_t version = weights_version(pool, backend, now);
-    if (!version || version < wish->least_version)
-        return false;
-    if (wish->exact_version && version != wish->exact_version)
+    if (!has_version(pool, wish, backend, now))
         return false;
     return !(has_fresh_load(pool, backend, now) && backend->load.loading);
 }
@@ -238,10 +261,11 @@
 static bool has_room(const struct backend_pool *pool, const struct backend_wish *wish,
                      const struct backend *backend, uint64_t now)
 {
-    uint32_t most = backend->listing.slots + pool->settings.queue_per_engine;
     if (!wish->engine)
-        most = 2 * backend->listing.slots;
-    return backend_occupancy(pool, backend, wish->engine ? wish->gateways : 1, now) < most;
+        return backend->in_flight < 2 * backend->listing.slots;
+    uint32_t most = backend->listing.slots + pool->settings.queue_per_engine;
+    return prompts_at(pool, backend, wish->gateways, now) < pool->settings.prompts_per_engine &&
+           backend_occupancy(pool, backend, wish->gateways, now) < most;
 }
 
 /* Expected cost of one more request there; smaller is better. */
@@ -251,6 +275,8 @@
     double slots = backend->listing.slots ? backend->listing.slots : 1;
     double requests = backend_occupancy(pool, backend, wish->engine ? wish->gateways : 1, now);
     double cost = requests + 1;
+    if (wish->engine)
+        cost += PROMPT_COST * prompts_at(pool, backend, wish->gateways, now);
     if (backend->distance)
         cost += backend->distance == 1 ? ZONE_PENALTY : REGION_PENALTY;
     if (!wish->engine)
@@ -336,6 +362,14 @@
 {
     backend->in_flight++;
     backend->sent_since++;
+    backend->unanswered++;
+    backend->prompts_since++;
+}
+
+void backend_answers(struct backend *backend)
+{
+    backend->unanswered--;
+    backend->prompts_since--;
 }
 
 static void move(double *share, bool hit)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -36,6 +36,7 @@
     uint64_t memory_total;
     uint64_t version; /**< of the weights; 0: none */
     bool loading;     /**< it takes nothing new until it has other weights */
+    bool staged;      /**< it has all of a newer version at hand */
     uint32_t pace_permille; /**< above 1000: slower than it should be */
 };
 
@@ -57,9 +58,11 @@
     uint64_t unlisted_until; /**< dropped by the list, but usable until then; 0: listed */
     uint16_t distance; /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight; /**< requests of this gateway */
+    uint32_t unanswered; /**< those of them that have no byte of an answer yet */
     struct backend_load load;
     uint64_t load_at;       /**< time of the report, 0: none */
     int32_t sent_since;     /**< own requests begun less ended since the report */
+    int32_t prompts_since;  /**< own requests begun less first answered since the report */
     uint32_t failures;      /**< in a row */
     double failure_share;   /**< moving share of requests that failed */
     double refusal_share;   /**< moving share of requests that it refused */
@@ -73,7 +76,8 @@
 struct backend_pool;
 
 struct backend_pool_settings {
-    uint32_t queue_per_engine; /**< requests that may wait at a model engine */
+    uint32_t queue_per_engine; /**< requests beyond its slots that a model engine may hold */
+    uint32_t prompts_per_engine; /**< requests there that may wait for their first token */
     uint64_t load_fresh_us;    /**< older reports of load are not used */
 };
 
@@ -113,6 +117,7 @@
     const char *service;
     bool engine;            /**< of a model, with load reports */
     uint64_t least_version; /**< of the weights; 0: any */
+    uint64_t next_version;  /**< required soon: only engines that have it at hand may be older */
     uint64_t exact_version; /**< of the weights; 0: any */
     const struct backend *excluded[BACKEND_MAX_EXCLUDED];
     uint32_t excluded_count;
@@ -131,13 +136,15 @@
                                          uint64_t now, struct backend **chosen);
 /** \return whether a request may still begin there, with weights of at least this version */
 bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
-                       uint64_t least_version, uint64_t now);
+                       const struct backend_wish *wish, uint64_t now);
 /** \brief Requests in progress or waiting at a back end, as far as known. */
 uint32_t backend_occupancy(const struct backend_pool *pool, const struct backend *backend,
                            uint32_t gateways, uint64_t now);
 
 /** \brief Count a request in. */
 void backend_begin(struct backend *backend, uint64_t now);
+/** \brief The first byte of an answer came. */
+void backend_answers(struct backend *backend);
 /** \param latency_us time to the first byte of the answer, 0 when none came */
 void backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
                  uint64_t latency_us, uint64_t now);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -17,9 +17,10 @@
 #define ADDRESSES_MOST 64
 #define ADDRESS_AGE_S 2.0
 #define QUEUE_PER_ENGINE 3
+#define PROMPTS_PER_ENGINE 4
 #define LOAD_FRESH_US 1200000
 /** Time before the bound on old versions at which they get no new work. */
-#define VERSION_MARGIN_US 2000000
+#define VERSION_MARGIN_US 1100000
 /** The list may drop back ends that live, which then list themselves again; one that leaves without a
  *  word serves on for longer than this. */
 #define UNLISTED_US 1400000
@@ -138,6 +139,7 @@
         .memory_total = news->memory_total,
         .version = news->version,
         .loading = news->loading,
+        .staged = news->staged,
         .pace_permille = news->pace_permille,
     };
     if (backend_pool_report(edge->pool, news->address, &load, cluster_now()) && edge->waiting)
@@ -316,6 +318,7 @@
     struct cluster_callbacks callbacks = {
         .context = edge, .item_changed = on_item, .load_received = on_load, .woke = on_woke};
     struct backend_pool_settings pool = {.queue_per_engine = QUEUE_PER_ENGINE,
+                                         .prompts_per_engine = PROMPTS_PER_ENGINE,
                                          .load_fresh_us = LOAD_FRESH_US};
     edge->settings = settings;
     edge->loop = uv_default_loop();
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -29,6 +29,9 @@
 #define RETRY_AFTER_LEAST_MS 300
 #define RETRY_AFTER_SPREAD_MS 500
 #define URGENCY_MOST 9
+/** So long before a version is required, engines that do not have it at hand get no new work: their
+ *  links may be slow, and what waits there may begin late. */
+#define VERSION_LEAD_US 1300000
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
 
@@ -105,6 +108,8 @@
     exchange->backend = NULL;
     if (!backend)
         return;
+    if (!exchange->first_byte_at)
+        backend_answers(backend);
     uint64_t latency =
         exchange->first_byte_at && !exchange->resuming ? exchange->first_byte_at - exchange->sent_at
                                                        : 0;
@@ -205,10 +210,10 @@
     return urgency < URGENCY_MOST ? (int)urgency : URGENCY_MOST;
 }
 
-static uint64_t least_version(const struct exchange *exchange, uint64_t now)
+static uint64_t least_version(const struct exchange *exchange, uint64_t at)
 {
     const char *model = exchange->service->engine.model;
-    return model ? version_bounds_least(&exchange->edge->versions, model, now) : 0;
+    return model ? version_bounds_least(&exchange->edge->versions, model, at) : 0;
 }
 
 static void fill_wish(const struct exchange *exchange, uint64_t now, struct backend_wish *wish)
@@ -217,6 +222,7 @@
         .service = exchange->service->name,
         .engine = exchange->service->engine.model != NULL,
         .least_version = least_version(exchange, now),
+        .next_version = least_version(exchange, now + VERSION_LEAD_US),
         .exact_version = exchange->resuming ? exchange->version : 0,
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
@@ -228,10 +234,11 @@
 bool exchange_write(struct exchange *exchange, struct buffer *bytes)
 {
     uint64_t now = cluster_now();
-    uint64_t least = least_version(exchange, now);
     struct backend *backend = exchange->backend;
+    struct backend_wish wish;
+    fill_wish(exchange, now, &wish);
     if (now + MS_US > exchange->final_at ||
-        !backend_may_begin(exchange->edge->pool, backend, least, now))
+        !backend_may_begin(exchange->edge->pool, backend, &wish, now))
         return false;
     const struct http_message *request = edge_client_request(exchange->client);
     struct forward_head forward = {
@@ -240,7 +247,7 @@
         .tenant = exchange->tenant ? exchange->tenant->name : NULL,
         .last_event_id =
             exchange->resuming && exchange->events.last_id[0] ? exchange->events.last_id : NULL,
-        .version = exchange->resuming ? exchange->version : least,
+        .version = exchange->resuming ? exchange->version : wish.least_version,
         .urgency = exchange->service->engine.model ? urgency_of(exchange) : -1,
     };
     platform_write_request(request, &forward, bytes);
@@ -413,11 +420,18 @@
     buffer_clear(&whole);
 }
 
+static void note_first_byte(struct exchange *exchange)
+{
+    if (exchange->first_byte_at)
+        return;
+    exchange->first_byte_at = cluster_now();
+    backend_answers(exchange->backend);
+}
+
 static void on_progress(struct exchange *exchange, struct http_message *message)
 {
     struct answer_head head;
-    if (!exchange->first_byte_at)
-        exchange->first_byte_at = cluster_now();
+    note_first_byte(exchange);
     if (exchange->route->kind != ROUTE_STREAM || !message->head_complete)
         return;
     platform_read_answer(message, &head);
@@ -534,8 +548,7 @@
         on_progress(exchange, message);
         return;
     case UPSTREAM_DONE:
-        if (!exchange->first_byte_at)
-            exchange->first_byte_at = cluster_now();
+        note_first_byte(exchange);
         on_done(exchange, message);
         break;
     case UPSTREAM_BROKEN:
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -72,6 +72,7 @@
     installer->generation++;
     installer->step = STEP_IDLE;
     installer->busy = false;
+    installer->checked_at = 0;
     memset(installer->staged, 0, sizeof installer->staged);
 }
 
@@ -260,6 +261,7 @@
                   report->load.version);
         installer->step = STEP_IDLE;
         installer->busy = false;
+        installer->checked_at = 0;
         installer->generation++;
     }
 }
@@ -282,8 +284,7 @@
     }
     switch (installer->step) {
     case STEP_IDLE:
-        if (!installer->busy && !installer->report.load.loading &&
-            now + CHECK_FRESH_US / 2 >= turn)
+        if (!installer->busy && !installer->report.load.loading)
             check_begin(installer, now);
         break;
     case STEP_CHECK:
@@ -307,6 +308,11 @@
     }
 }
 
+bool installer_is_staged(const struct installer *installer)
+{
+    return installer->checked_at > 0 && installer->step != STEP_IDLE;
+}
+
 bool installer_is_loading(const struct installer *installer, uint64_t now)
 {
     if (installer->report.load.loading)
--- a/src/loader/installer.h
+++ b/src/loader/installer.h
@@ -24,6 +24,8 @@
                          bool reachable);
 /** \param turn time from which the order may be given */
 void installer_tick(struct installer *installer, uint64_t now, uint64_t turn);
+/** \return whether all of the wanted version lies at the engine, checked */
+bool installer_is_staged(const struct installer *installer);
 /** \return whether an order is under way, as far as this process knows */
 bool installer_is_loading(const struct installer *installer, uint64_t now);
 
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -28,7 +28,7 @@
 /** The first version of a model; the operator names only later ones. */
 #define FIRST_VERSION 1
 
-static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 5800000};
+static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 6800000};
 
 struct loader {
     struct process process;
@@ -59,6 +59,7 @@
 {
     struct backend_load load = loader->report.load;
     load.loading = loader->installer && installer_is_loading(loader->installer, now);
+    load.staged = loader->installer && installer_is_staged(loader->installer);
     if (memcmp(&load, &loader->told, sizeof load) == 0 && now < loader->told_at + LOAD_REPEAT_US)
         return;
     Shuntrun__EngineLoad message = SHUNTRUN__ENGINE_LOAD__INIT;
@@ -69,9 +70,10 @@
     message.memory_total = load.memory_total;
     message.version = load.version;
     message.loading = load.loading;
+    message.staged = load.staged;
     message.pace_permille = load.pace_permille;
     bool far = now >= loader->told_far_at + FAR_LOAD_US || load.loading != loader->told.loading ||
-               load.version != loader->told.version;
+               load.staged != loader->told.staged || load.version != loader->told.version;
     if (far)
         loader->told_far_at = now;
     cluster_send_load(&loader->cluster, &message, far);
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -30,7 +30,7 @@
 /** See swarm_settings; past this, sparing bytes between regions would delay the version. */
 #define FAR_HOLD_US 2000000
 /** Share of the link's rate for uploads: the rest is for the answers of the engine. */
-#define UPLOAD_SHARE 0.6
+#define UPLOAD_SHARE 0.9
 
 /* A connection for calls to one peer, or to the origin. */
 struct source {
