A planned stop takes no requests that it may not finish

Change: it stops accepting 3.2 s after the signal, when clients have had three times the age of an address answer (now 1 s) to move, and ends as soon as nothing is in progress.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -15,7 +15,7 @@
 #define TICK_MS 100
 #define SERVICE_BODY_LIMIT 4096
 #define ADDRESSES_MOST 64
-#define ADDRESS_AGE_S 2.0
+#define ADDRESS_AGE_S 1.0
 #define QUEUE_PER_ENGINE 3
 #define PROMPTS_PER_ENGINE 4
 #define LOAD_FRESH_US 1200000
@@ -24,8 +24,9 @@
 /** The list may drop back ends that live, which then list themselves again; one that leaves without a
  *  word serves on for longer than this. */
 #define UNLISTED_US 1400000
-/** A planned stop: requests are served for so long, then the process ends in any case. */
-#define STOP_IDLE_US 6200000
+/** A planned stop: new requests are taken for so long, as clients keep an address for up to three times
+ *  its age; what is in progress then still has time to finish. */
+#define STOP_ACCEPT_US 3200000
 #define STOP_MARGIN_US 500000
 /** The first news of this life say nothing of when they became true. */
 #define FIRST_NEWS_US 1500000
@@ -245,12 +246,25 @@
         edge->gateways_most = known;
 }
 
+/* Take no more: a request that comes now might not be finished in time. */
+static void stop_accepting(struct edge *edge)
+{
+    if (edge->closed)
+        return;
+    edge->closed = true;
+    log_event(LOG_LEVEL_INFO, "process", "closed-to-clients", "active=%u", edge->active);
+    uv_close((uv_handle_t *)&edge->listener, NULL);
+    edge_client_close_idle(edge);
+}
+
 static void consider_end(struct edge *edge, uint64_t now)
 {
     uint64_t grace = edge->settings->stop_grace_s * 1000000;
     uint64_t since = now - edge->stopping_since;
-    bool idle = edge->active == 0 && since > STOP_IDLE_US;
-    if (idle || since + STOP_MARGIN_US > grace) {
+    if (since < STOP_ACCEPT_US)
+        return;
+    stop_accepting(edge);
+    if (edge->active == 0 || since + STOP_MARGIN_US > grace) {
         log_event(LOG_LEVEL_INFO, "process", "drained", "active=%u took_ms=%" PRIu64, edge->active,
                   since / 1000);
         uv_stop(edge->loop);
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -267,6 +267,18 @@
     free_when_done(client);
 }
 
+void edge_client_close_idle(struct edge *edge)
+{
+    for (struct edge_client *client = edge->clients, *next; client; client = next) {
+        next = client->next;
+        if (client->exchange || !client->stream)
+            continue;
+        tcp_stream_finish(client->stream);
+        client->stream = NULL;
+        free_when_done(client);
+    }
+}
+
 static bool is_overdue(const struct edge_client *client, uint64_t now, bool *in_head)
 {
     const struct route_table *table = client->edge->table;
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -49,6 +49,7 @@
     uint32_t gateways_most;   /**< the most seen lately; shares the repeat budget */
     uint64_t started;
     uint64_t stopping_since; /**< 0: not stopping */
+    bool closed;             /**< takes no more requests */
 };
 
 /* --- clients: edge_client.c ---------------------------------------------------------------------- */
@@ -56,6 +57,8 @@
 void edge_client_accept(uv_stream_t *listener, int status);
 /** \brief Close clients that are idle, or slow with a head, for too long. */
 void edge_client_sweep(struct edge *edge, uint64_t now);
+/** \brief Close all connections on which no request is in progress. */
+void edge_client_close_idle(struct edge *edge);
 /** \brief A whole answer; the exchange is over afterwards. */
 void edge_client_answer(struct edge_client *client, const struct buffer *head, const void *body,
                         size_t size);
