Tests of the new core modules; gossip tells more members in fewer bytes

Cause: the new membership test failed at once: with 8 members a message and 20 nodes, a living member was suspected after 3 s in one of some hundred pairs. Ruled out: the freshest members only (stale ones then never travel). Change: targets in turn through a shuffled order; 20 members a message, their places told only while they are young. A head over the limit is refused also when the request came whole.

--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -9,6 +9,7 @@
 #define MAX_SEEDS 16
 /** A seed is asked besides the members in one of so many rounds. */
 #define SEED_ROUNDS 8
+#define YOUNG_HEARTBEATS 20
 
 struct membership {
     struct membership_settings settings;
@@ -18,6 +19,7 @@
     uint32_t seeds[MAX_SEEDS];
     uint32_t seed_count;
     uint64_t rounds;
+    uint32_t next_target; /* place in the shuffled members */
     struct random_stream random;
     /* What membership_write() points to. */
     Shuntrun__MemberNews news[MEMBERSHIP_NEWS_MOST + 1];
@@ -73,6 +75,31 @@
     return true;
 }
 
+static void swap(struct member_state *left, struct member_state *right)
+{
+    struct member_state kept = *left;
+    *left = *right;
+    *right = kept;
+}
+
+static void shuffle(struct membership *membership)
+{
+    for (uint32_t i = membership->count; i > 1; i--) {
+        uint64_t place = random_below(&membership->random, i);
+        swap(&membership->members[i - 1], &membership->members[place]);
+    }
+}
+
+/* Members are told in turn, in an order that is shuffled after each pass: nobody waits for long. */
+static const struct member_state *next_member(struct membership *membership)
+{
+    if (membership->next_target >= membership->count) {
+        shuffle(membership);
+        membership->next_target = 0;
+    }
+    return &membership->members[membership->next_target++];
+}
+
 uint32_t membership_targets(struct membership *membership, uint64_t now, uint32_t *addresses,
                             uint32_t most)
 {
@@ -80,10 +107,8 @@
     uint32_t wanted = membership->settings.fanout;
     if (wanted > membership->count)
         wanted = membership->count;
-    for (uint32_t tries = 0; count < wanted && tries < 4 * membership->settings.fanout; tries++) {
-        uint64_t place = random_below(&membership->random, membership->count);
-        add_target(addresses, &count, most, membership->members[place].address);
-    }
+    for (uint32_t i = 0; i < wanted; i++)
+        add_target(addresses, &count, most, next_member(membership)->address);
     bool ask_seeds = membership->count < membership->settings.fanout;
     for (uint32_t i = 0; i < membership->seed_count; i++)
         if (ask_seeds || membership->rounds % SEED_ROUNDS == i)
@@ -91,15 +116,19 @@
     return count;
 }
 
-static void write_news(const struct member_state *state, Shuntrun__MemberNews *news)
+/* The place of a member is told by itself, and by others only while it is young: it saves bytes. */
+static void write_news(const struct member_state *state, bool with_place,
+                       Shuntrun__MemberNews *news)
 {
     shuntrun__member_news__init(news);
     news->address = state->address;
     news->incarnation = state->incarnation;
     news->heartbeat = state->heartbeat;
     news->role = state->role;
-    news->zone = (char *)state->zone;
-    news->region = (char *)state->region;
+    if (with_place) {
+        news->zone = (char *)state->zone;
+        news->region = (char *)state->region;
+    }
     news->draining = state->draining;
     news->traffic_port = state->traffic_port;
     news->state_revision = state->state_revision;
@@ -108,15 +137,16 @@
 
 void membership_write(struct membership *membership, Shuntrun__MemberMessage *message)
 {
-    shuntrun__member_message__init(message);
-    write_news(&membership->self, &membership->news[0]);
-    message->sender = &membership->news[0];
     uint32_t count = membership->count < MEMBERSHIP_NEWS_MOST ? membership->count
                                                               : MEMBERSHIP_NEWS_MOST;
     uint64_t first = random_below(&membership->random, membership->count);
+    shuntrun__member_message__init(message);
+    write_news(&membership->self, true, &membership->news[0]);
+    message->sender = &membership->news[0];
     for (uint32_t i = 0; i < count; i++) {
-        write_news(&membership->members[(first + i) % membership->count],
-                   &membership->news[i + 1]);
+        const struct member_state *member =
+            &membership->members[(first + i) % membership->count];
+        write_news(member, member->heartbeat < YOUNG_HEARTBEATS, &membership->news[i + 1]);
         membership->news_pointers[i] = &membership->news[i + 1];
     }
     message->n_members = count;
@@ -165,8 +195,10 @@
     member->incarnation = news->incarnation;
     member->heartbeat = news->heartbeat;
     member->role = (enum member_role)news->role;
-    snprintf(member->zone, sizeof member->zone, "%s", news->zone);
-    snprintf(member->region, sizeof member->region, "%s", news->region);
+    if (news->zone[0]) {
+        snprintf(member->zone, sizeof member->zone, "%s", news->zone);
+        snprintf(member->region, sizeof member->region, "%s", news->region);
+    }
     member->draining = news->draining;
     member->traffic_port = (uint16_t)news->traffic_port;
     member->state_revision = news->state_revision;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -19,7 +19,7 @@
 
 #define MEMBER_NAME_SIZE 64
 /** Members told of in one message. */
-#define MEMBERSHIP_NEWS_MOST 8
+#define MEMBERSHIP_NEWS_MOST 20
 
 enum member_role { MEMBER_GATEWAY = 1, MEMBER_LOADER = 2 };
 
@@ -28,7 +28,7 @@
     uint64_t incarnation;
     uint64_t heartbeat;
     enum member_role role;
-    char zone[MEMBER_NAME_SIZE];
+    char zone[MEMBER_NAME_SIZE]; /**< "" until it is known */
     char region[MEMBER_NAME_SIZE];
     bool draining;
     uint16_t traffic_port;
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -126,14 +126,14 @@
 {
     if (message->failure != HTTP_PARSE_MORE)
         return message->failure;
+    if (message->head_limit && message->head_bytes > message->head_limit)
+        return HTTP_PARSE_HEAD_SIZE;
     if (message->complete)
         return HTTP_PARSE_DONE;
     if (HTTP_PARSER_ERRNO(&message->parser) == HPE_HEADER_OVERFLOW)
         return HTTP_PARSE_HEAD_SIZE;
     if (HTTP_PARSER_ERRNO(&message->parser) != HPE_OK || message->parser.upgrade)
         return HTTP_PARSE_MALFORMED;
-    if (message->head_limit && !message->head_complete && message->head_bytes > message->head_limit)
-        return HTTP_PARSE_HEAD_SIZE;
     return HTTP_PARSE_MORE;
 }
 
@@ -148,11 +148,7 @@
     *used = http_parser_execute(&message->parser, &parser_settings, bytes, size);
     if (in_head)
         message->head_bytes += *used - (message->body_bytes - body_before);
-    enum http_parse_result result = result_of(message);
-    if (result == HTTP_PARSE_MORE && message->head_limit &&
-        message->head_bytes > message->head_limit)
-        return HTTP_PARSE_HEAD_SIZE;
-    return result;
+    return result_of(message);
 }
 
 enum http_parse_result http_message_end(struct http_message *message)
--- /dev/null
+++ b/tests/core/backend_pool_test.c
@@ -0,0 +1,218 @@
+/* Which back end gets a request, and which gets none. */
+#include "testing.h"
+
+#include "core/backend_pool.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define SECOND_US 1000000ULL
+
+static const struct backend_pool_settings settings = {
+    .queue_per_engine = 3, .prompts_per_engine = 4, .load_fresh_us = SECOND_US};
+
+static struct backend_listing listing_of(int number, uint64_t version)
+{
+    struct backend_listing listing = {.slots = 16, .has_weights = true, .version = version};
+    snprintf(listing.id, sizeof listing.id, "i-%d", number);
+    snprintf(listing.address, sizeof listing.address, "10.0.0.%d:80", number);
+    strcpy(listing.service, "llm");
+    return listing;
+}
+
+static struct backend *add(struct backend_pool *pool, int number, uint64_t version,
+                           uint16_t distance)
+{
+    struct backend_listing listing = listing_of(number, version);
+    return backend_pool_list(pool, &listing, distance);
+}
+
+static struct backend_wish wish_of(void)
+{
+    return (struct backend_wish){.service = "llm", .engine = true, .gateways = 1};
+}
+
+static struct backend *choose(struct backend_pool *pool, const struct backend_wish *wish,
+                              uint64_t now)
+{
+    struct backend *chosen;
+    return backend_pool_choose(pool, wish, now, &chosen) == BACKEND_FOUND ? chosen : NULL;
+}
+
+static void report(struct backend_pool *pool, int number, struct backend_load load, uint64_t now)
+{
+    char address[BACKEND_ADDRESS_SIZE];
+    snprintf(address, sizeof address, "10.0.0.%d:80", number);
+    assert_non_null(backend_pool_report(pool, address, &load, now));
+}
+
+static void draining_and_empty_engines_get_nothing(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend_listing leaving = listing_of(1, 1);
+    leaving.draining = true;
+    backend_pool_list(pool, &leaving, 0);
+    add(pool, 2, 0, 0);
+    assert_null(choose(pool, &wish, 1));
+    struct backend *sound = add(pool, 3, 1, 0);
+    for (uint64_t now = 1; now < 50; now++)
+        assert_ptr_equal(choose(pool, &wish, now), sound);
+    backend_pool_destroy(pool);
+}
+
+static void a_dropped_entry_lasts_until_its_time(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 1, 0);
+    backend_pool_unlist(pool, "i-1", 10 * SECOND_US);
+    assert_non_null(choose(pool, &wish, 9 * SECOND_US));
+    assert_null(choose(pool, &wish, 10 * SECOND_US));
+    backend_pool_settle(pool, true, 10 * SECOND_US);
+    assert_int_equal(backend_pool_count(pool), 0);
+    backend_pool_destroy(pool);
+}
+
+static void nothing_is_dropped_while_the_list_fails(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 1, 0);
+    backend_pool_unlist(pool, "i-1", 10 * SECOND_US);
+    backend_pool_settle(pool, false, 9 * SECOND_US);
+    backend_pool_settle(pool, false, 11 * SECOND_US);
+    assert_non_null(choose(pool, &wish, 12 * SECOND_US));
+    /* It comes back and lists itself again, or it is dropped after all. */
+    backend_pool_settle(pool, true, 13 * SECOND_US);
+    assert_non_null(choose(pool, &wish, 14 * SECOND_US));
+    backend_pool_settle(pool, true, 16 * SECOND_US);
+    assert_null(choose(pool, &wish, 16 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void an_address_belongs_to_its_newest_start(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_listing again = listing_of(1, 1);
+    add(pool, 1, 1, 0);
+    strcpy(again.id, "i-new");
+    backend_pool_list(pool, &again, 0);
+    assert_int_equal(backend_pool_count(pool), 1);
+    assert_string_equal(backend_pool_at(pool, 0)->listing.id, "i-new");
+    backend_pool_destroy(pool);
+}
+
+static void old_versions_get_nothing_in_time(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 1, 0);
+    wish.next_version = 2;
+    assert_null(choose(pool, &wish, SECOND_US)); /* soon required, and not at hand there */
+    report(pool, 1, (struct backend_load){.version = 1, .staged = true}, SECOND_US);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    wish.least_version = 2;
+    assert_null(choose(pool, &wish, SECOND_US));
+    report(pool, 1, (struct backend_load){.version = 2}, SECOND_US);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    wish.exact_version = 1;
+    assert_null(choose(pool, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void an_engine_that_loads_gets_nothing(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 1, 0);
+    report(pool, 1, (struct backend_load){.version = 1, .loading = true}, SECOND_US);
+    assert_null(choose(pool, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void prompts_at_one_engine_are_bounded(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend *backend = add(pool, 1, 1, 0);
+    report(pool, 1, (struct backend_load){.version = 1, .running = 2}, SECOND_US);
+    for (uint32_t i = 0; i < settings.prompts_per_engine; i++) {
+        assert_non_null(choose(pool, &wish, SECOND_US));
+        backend_begin(backend, SECOND_US);
+    }
+    struct backend *chosen;
+    assert_int_equal(backend_pool_choose(pool, &wish, SECOND_US, &chosen), BACKEND_FULL);
+    backend_answers(backend);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void engines_near_go_first_until_they_hold_more(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend *near = add(pool, 1, 1, 0);
+    struct backend *far = add(pool, 2, 1, 2);
+    report(pool, 1, (struct backend_load){.version = 1, .running = 3}, SECOND_US);
+    report(pool, 2, (struct backend_load){.version = 1, .running = 3}, SECOND_US);
+    assert_ptr_equal(choose(pool, &wish, SECOND_US), near);
+    report(pool, 1, (struct backend_load){.version = 1, .running = 9}, SECOND_US);
+    assert_ptr_equal(choose(pool, &wish, SECOND_US), far);
+    backend_pool_destroy(pool);
+}
+
+static void a_failing_back_end_is_ejected_and_probed(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend *bad = add(pool, 1, 1, 0);
+    struct backend *good = add(pool, 2, 1, 0);
+    uint64_t now = SECOND_US;
+    for (int i = 0; i < 2; i++) {
+        backend_begin(bad, now);
+        backend_answers(bad);
+        backend_end(pool, bad, BACKEND_BROKEN, 0, now);
+    }
+    for (int i = 0; i < 50; i++)
+        assert_ptr_equal(choose(pool, &wish, now), good);
+    now += SECOND_US;
+    assert_ptr_equal(choose(pool, &wish, now), bad); /* one request finds out */
+    backend_begin(bad, now);
+    for (int i = 0; i < 50; i++)
+        assert_ptr_equal(choose(pool, &wish, now), good);
+    backend_answers(bad);
+    backend_end(pool, bad, BACKEND_SUCCEEDED, 1000, now);
+    assert_int_equal(bad->ejected_until, 0);
+    backend_pool_destroy(pool);
+}
+
+static void a_released_back_end_outlives_its_listing(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = backend_retain(add(pool, 1, 1, 0));
+    backend_begin(backend, 1);
+    backend_pool_replaced(pool, backend);
+    assert_false(backend->listed);
+    backend_answers(backend);
+    backend_end(pool, backend, BACKEND_CANCELLED, 0, 2);
+    backend_release(backend);
+    backend_pool_destroy(pool);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(draining_and_empty_engines_get_nothing),
+        cmocka_unit_test(a_dropped_entry_lasts_until_its_time),
+        cmocka_unit_test(nothing_is_dropped_while_the_list_fails),
+        cmocka_unit_test(an_address_belongs_to_its_newest_start),
+        cmocka_unit_test(old_versions_get_nothing_in_time),
+        cmocka_unit_test(an_engine_that_loads_gets_nothing),
+        cmocka_unit_test(prompts_at_one_engine_are_bounded),
+        cmocka_unit_test(engines_near_go_first_until_they_hold_more),
+        cmocka_unit_test(a_failing_back_end_is_ejected_and_probed),
+        cmocka_unit_test(a_released_back_end_outlives_its_listing),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/core/event_stream_test.c
@@ -0,0 +1,54 @@
+/* Whole events out of bytes that come in any pieces. */
+#include "testing.h"
+
+#include "core/event_stream.h"
+
+#include <string.h>
+
+static const char events[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+
+static void feed_in_steps(size_t step)
+{
+    struct event_stream stream = {0};
+    struct buffer whole = {0};
+    for (size_t place = 0; place < strlen(events); place += step) {
+        size_t rest = strlen(events) - place;
+        event_stream_feed(&stream, events + place, rest < step ? rest : step, &whole);
+    }
+    assert_int_equal(stream.events, 3);
+    assert_int_equal(whole.size, strlen(events));
+    assert_memory_equal(whole.data, events, whole.size);
+    assert_string_equal(stream.last_id, "3");
+    assert_int_equal(stream.partial.size, 0);
+    buffer_clear(&whole);
+    event_stream_clear(&stream);
+}
+
+static void events_are_the_same_however_their_bytes_come(void **state)
+{
+    for (size_t step = 1; step < strlen(events); step++)
+        feed_in_steps(step);
+}
+
+static void a_torn_event_is_kept_back(void **state)
+{
+    struct event_stream stream = {0};
+    struct buffer whole = {0};
+    assert_int_equal(event_stream_feed(&stream, "id: 4\ndata: x\n\nid: 5\nda", 23, &whole), 1);
+    assert_int_equal(whole.size, 15);
+    assert_string_equal(stream.last_id, "4");
+    event_stream_drop_partial(&stream);
+    assert_int_equal(event_stream_feed(&stream, "id: 5\ndata: y\n\n", 15, &whole), 1);
+    assert_string_equal(stream.last_id, "5");
+    buffer_clear(&whole);
+    event_stream_clear(&stream);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(events_are_the_same_however_their_bytes_come),
+        cmocka_unit_test(a_torn_event_is_kept_back),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/core/repeat_budget_test.c
@@ -0,0 +1,83 @@
+/* The shared budget of repeats, in every sliding window. */
+#include "testing.h"
+
+#include "core/random.h"
+#include "core/repeat_budget.h"
+
+#include <stdlib.h>
+
+#define GATEWAYS 6
+#define SECONDS 60
+#define SECOND_US 1000000ULL
+
+static const struct repeat_budget_settings settings = {
+    .ratio = 0.2, .allowance = 100, .window_us = 10 * SECOND_US};
+
+/* Repeats and requests of all gateways in steps of 10 ms. */
+struct counts {
+    uint32_t requests[SECONDS * 100];
+    uint32_t repeats[SECONDS * 100];
+};
+
+static void play(struct counts *counts, uint64_t seed, bool bursts)
+{
+    struct repeat_budget budgets[GATEWAYS];
+    struct random_stream random = {seed, 0};
+    uint64_t now = 1000 * SECOND_US;
+    for (int i = 0; i < GATEWAYS; i++)
+        repeat_budget_init(&budgets[i], &settings, now);
+    for (uint32_t step = 0; step < SECONDS * 100; step++, now += 10000) {
+        uint32_t rate = bursts && (step / 700) % 2 ? 1 : 4;
+        for (uint32_t i = 0; i < rate; i++) {
+            struct repeat_budget *budget = &budgets[random_below(&random, GATEWAYS)];
+            repeat_budget_earn(budget, now);
+            counts->requests[step]++;
+            /* Every request fails and wants to be repeated. */
+            counts->repeats[step] += repeat_budget_spend(budget, now, GATEWAYS);
+        }
+    }
+}
+
+static void check_windows(const struct counts *counts)
+{
+    for (uint32_t first = 0; first + 1000 <= SECONDS * 100; first += 7) {
+        uint32_t requests = 0, repeats = 0;
+        for (uint32_t i = first; i < first + 1000; i++) {
+            requests += counts->requests[i];
+            repeats += counts->repeats[i];
+        }
+        assert_true(repeats <= settings.ratio * requests + settings.allowance);
+    }
+}
+
+static void no_window_of_all_gateways_passes_the_bound(void **state)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        struct counts *counts = calloc(1, sizeof *counts);
+        play(counts, seed, seed % 2 == 0);
+        check_windows(counts);
+        free(counts);
+    }
+}
+
+static void an_idle_gateway_may_repeat_a_little(void **state)
+{
+    struct repeat_budget budget;
+    uint64_t now = 50 * SECOND_US;
+    uint32_t spent = 0;
+    repeat_budget_init(&budget, &settings, now);
+    while (repeat_budget_spend(&budget, now + 20 * SECOND_US, GATEWAYS))
+        spent++;
+    assert_int_equal(spent, 13); /* 0.8 of its sixth of 100 */
+    assert_false(repeat_budget_spend(&budget, now + 29 * SECOND_US, GATEWAYS));
+    assert_true(repeat_budget_spend(&budget, now + 31 * SECOND_US, GATEWAYS));
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(no_window_of_all_gateways_passes_the_bound),
+        cmocka_unit_test(an_idle_gateway_may_repeat_a_little),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/core/state_cache_test.c
@@ -0,0 +1,85 @@
+/* Copies of what the platform publishes merge in any order and never go back. */
+#include "testing.h"
+
+#include "core/state_cache.h"
+
+#include <string.h>
+
+static uint32_t changes;
+
+static void on_changed(void *context, const struct state_item *item)
+{
+    changes++;
+}
+
+static struct state_cache *cache_create(void)
+{
+    struct state_cache_listener listener = {NULL, on_changed};
+    changes = 0;
+    return state_cache_create(&listener);
+}
+
+static const char *value_of(const struct state_cache *cache, const char *key)
+{
+    const struct state_item *item = state_cache_find(cache, key);
+    return item ? item->value : "-";
+}
+
+static void an_item_never_goes_back(void **state)
+{
+    struct state_cache *cache = cache_create();
+    assert_true(state_cache_put(cache, "op/a", "new", 3, 9, 0));
+    assert_false(state_cache_put(cache, "op/a", "old", 3, 7, 0));
+    assert_false(state_cache_put(cache, "op/a", "new", 3, 9, 0));
+    assert_false(state_cache_remove(cache, "op/a", 8, 0));
+    assert_string_equal(value_of(cache, "op/a"), "new");
+    assert_true(state_cache_remove(cache, "op/a", 10, 0));
+    assert_false(state_cache_put(cache, "op/a", "new", 3, 9, 0));
+    assert_string_equal(value_of(cache, "op/a"), "-");
+    assert_int_equal(changes, 2);
+    state_cache_destroy(cache);
+}
+
+static void a_snapshot_removes_what_it_lacks(void **state)
+{
+    struct state_cache *cache = cache_create();
+    state_cache_put(cache, "servers/1", "x", 1, 3, 0);
+    state_cache_put(cache, "servers/2", "x", 1, 4, 0);
+    state_cache_put(cache, "servers/3", "x", 1, 20, 0); /* newer than the snapshot */
+    state_cache_put(cache, "op/a", "x", 1, 5, 0);
+    state_cache_snapshot_begin(cache, "servers/");
+    state_cache_put(cache, "servers/2", "x", 1, 4, 0);
+    state_cache_snapshot_end(cache, "servers/", 10, 0);
+    assert_string_equal(value_of(cache, "servers/1"), "-");
+    assert_string_equal(value_of(cache, "servers/2"), "x");
+    assert_string_equal(value_of(cache, "servers/3"), "x");
+    assert_string_equal(value_of(cache, "op/a"), "x");
+    state_cache_destroy(cache);
+}
+
+static void changes_are_covered_until_removals_are_forgotten(void **state)
+{
+    struct state_cache *cache = cache_create();
+    state_cache_put(cache, "a", "x", 1, 3, 0);
+    state_cache_remove(cache, "a", 6, 100);
+    state_cache_reach(cache, 8);
+    state_cache_trim(cache, 100);
+    assert_true(state_cache_covers(cache, 4));
+    state_cache_trim(cache, 101);
+    assert_int_equal(state_cache_count(cache), 0);
+    assert_false(state_cache_covers(cache, 4));
+    assert_true(state_cache_covers(cache, 6));
+    state_cache_reach(cache, 7);
+    assert_int_equal(state_cache_revision(cache), 8);
+    state_cache_destroy(cache);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(an_item_never_goes_back),
+        cmocka_unit_test(a_snapshot_removes_what_it_lacks),
+        cmocka_unit_test(changes_are_covered_until_removals_are_forgotten),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/core/version_bounds_test.c
@@ -0,0 +1,47 @@
+/* Versions that may begin work, and turns of engines. */
+#include "testing.h"
+
+#include "core/start_turn.h"
+#include "core/version_bounds.h"
+
+static void each_version_is_enforced_from_its_own_time(void **state)
+{
+    struct version_bounds bounds = {0};
+    version_bounds_name(&bounds, "m", 2, 1000);
+    version_bounds_name(&bounds, "m", 4, 3000);
+    version_bounds_name(&bounds, "m", 3, 500); /* older than what is known: no news */
+    assert_int_equal(version_bounds_least(&bounds, "m", 999), 0);
+    assert_int_equal(version_bounds_least(&bounds, "m", 1000), 2);
+    assert_int_equal(version_bounds_least(&bounds, "m", 2999), 2);
+    assert_int_equal(version_bounds_least(&bounds, "m", 3000), 4);
+    assert_int_equal(version_bounds_least(&bounds, "other", 3000), 0);
+}
+
+static void many_versions_keep_the_newest(void **state)
+{
+    struct version_bounds bounds = {0};
+    for (uint64_t version = 1; version <= 30; version++)
+        version_bounds_name(&bounds, "m", version, version * 100);
+    assert_int_equal(version_bounds_least(&bounds, "m", 2950), 29);
+    assert_int_equal(version_bounds_least(&bounds, "m", 5000), 30);
+}
+
+static void turns_fill_the_window(void **state)
+{
+    const struct start_turn_settings settings = {.first_us = 100, .last_us = 1000};
+    assert_int_equal(start_turn(&settings, 5000, 0, 1), 5100);
+    assert_int_equal(start_turn(&settings, 5000, 0, 10), 5100);
+    assert_int_equal(start_turn(&settings, 5000, 9, 10), 6000);
+    for (uint32_t i = 1; i < 10; i++)
+        assert_int_equal(start_turn(&settings, 0, i, 10) - start_turn(&settings, 0, i - 1, 10), 100);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(each_version_is_enforced_from_its_own_time),
+        cmocka_unit_test(many_versions_keep_the_newest),
+        cmocka_unit_test(turns_fill_the_window),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/net/http_message_test.c
@@ -0,0 +1,118 @@
+/* Messages out of bytes that come in any pieces. */
+#include "testing.h"
+
+#include "net/http_message.h"
+
+#include <string.h>
+
+static const char request[] = "POST /a%2Fb/c?x=1%202&y=z HTTP/1.1\r\nHost: h.example\r\n"
+                              "X-Odd:  spaced value \r\nContent-Length: 5\r\n\r\nhello";
+
+static void feed_request(size_t step)
+{
+    struct http_message message = {.head_limit = 1000, .body_limit = 1000};
+    char value[64];
+    size_t used;
+    enum http_parse_result result = HTTP_PARSE_MORE;
+    http_message_begin(&message, HTTP_MESSAGE_REQUEST);
+    for (size_t place = 0; place < strlen(request); place += step) {
+        size_t rest = strlen(request) - place;
+        result = http_message_feed(&message, request + place, rest < step ? rest : step, &used);
+    }
+    assert_int_equal(result, HTTP_PARSE_DONE);
+    assert_string_equal(http_message_method(&message), "POST");
+    assert_memory_equal(message.text.data, "/a%2Fb/c?x=1%202&y=z", message.target_length);
+    assert_true(http_message_value(&message, "host", value, sizeof value));
+    assert_string_equal(value, "h.example");
+    assert_int_equal(message.body.size, 5);
+    assert_true(http_query_value(message.text.data, message.target_length, "x", value, 64));
+    assert_string_equal(value, "1 2");
+    assert_false(http_query_value(message.text.data, message.target_length, "z", value, 64));
+    http_message_clear(&message);
+}
+
+static void a_request_is_the_same_however_its_bytes_come(void **state)
+{
+    for (size_t step = 1; step <= strlen(request); step++)
+        feed_request(step);
+}
+
+static void bytes_behind_a_message_are_not_a_part_of_it(void **state)
+{
+    static const char two[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n";
+    struct http_message message = {0};
+    size_t used;
+    http_message_begin(&message, HTTP_MESSAGE_RESPONSE);
+    assert_int_equal(http_message_feed(&message, two, strlen(two), &used), HTTP_PARSE_DONE);
+    assert_int_equal(used, strlen(two) - strlen("HTTP/1.1 200 OK\r\n"));
+    assert_true(message.framed);
+    http_message_clear(&message);
+}
+
+static void an_answer_without_length_ends_with_its_connection(void **state)
+{
+    static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nabc";
+    struct http_message message = {0};
+    size_t used;
+    http_message_begin(&message, HTTP_MESSAGE_RESPONSE);
+    assert_int_equal(http_message_feed(&message, answer, strlen(answer), &used), HTTP_PARSE_MORE);
+    assert_false(message.framed);
+    assert_int_equal(http_message_end(&message), HTTP_PARSE_DONE);
+    assert_int_equal(message.body.size, 3);
+    http_message_clear(&message);
+}
+
+static void a_framed_answer_does_not_end_early(void **state)
+{
+    static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc";
+    struct http_message message = {0};
+    size_t used;
+    http_message_begin(&message, HTTP_MESSAGE_RESPONSE);
+    assert_int_equal(http_message_feed(&message, answer, strlen(answer), &used), HTTP_PARSE_MORE);
+    assert_int_equal(http_message_end(&message), HTTP_PARSE_MALFORMED);
+    http_message_clear(&message);
+}
+
+static enum http_parse_result result_of(const char *text, size_t head_limit, size_t body_limit)
+{
+    struct http_message message = {.head_limit = head_limit, .body_limit = body_limit};
+    size_t used;
+    http_message_begin(&message, HTTP_MESSAGE_REQUEST);
+    enum http_parse_result result = http_message_feed(&message, text, strlen(text), &used);
+    http_message_clear(&message);
+    return result;
+}
+
+static void limits_and_malformed_requests_are_told_apart(void **state)
+{
+    assert_int_equal(result_of("GET / HTTP/1.1\r\nA: 0123456789\r\n\r\n", 20, 0),
+                     HTTP_PARSE_HEAD_SIZE);
+    assert_int_equal(result_of("GET / HTTP/1.1\r\nA: 0123456789", 20, 0), HTTP_PARSE_HEAD_SIZE);
+    assert_int_equal(result_of("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n", 0, 8),
+                     HTTP_PARSE_BODY_SIZE);
+    assert_int_equal(result_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "9\r\n012345678\r\n0\r\n\r\n",
+                               0, 8),
+                     HTTP_PARSE_BODY_SIZE);
+    assert_int_equal(result_of("no http at all\r\n\r\n", 0, 0), HTTP_PARSE_MALFORMED);
+    /* Two lengths: what is behind could be smuggled. */
+    assert_int_equal(result_of("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+                               0, 0),
+                     HTTP_PARSE_MALFORMED);
+    assert_int_equal(result_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                               "Content-Length: 2\r\n\r\n",
+                               0, 0),
+                     HTTP_PARSE_MALFORMED);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_request_is_the_same_however_its_bytes_come),
+        cmocka_unit_test(bytes_behind_a_message_are_not_a_part_of_it),
+        cmocka_unit_test(an_answer_without_length_ends_with_its_connection),
+        cmocka_unit_test(a_framed_answer_does_not_end_early),
+        cmocka_unit_test(limits_and_malformed_requests_are_told_apart),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/net/tcp_stream_test.c
@@ -0,0 +1,156 @@
+/* How a connection ended: a reset right behind the last bytes is no orderly end. */
+#include "testing.h"
+
+#include "net/http_caller.h"
+#include "net/tcp_stream.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct peer {
+    int listener;
+    struct sockaddr_in address;
+    size_t received;
+    int ends;
+    enum tcp_end end;
+};
+
+static void peer_open(struct peer *peer)
+{
+    socklen_t size = sizeof peer->address;
+    memset(peer, 0, sizeof *peer);
+    peer->listener = socket(AF_INET, SOCK_STREAM, 0);
+    peer->address.sin_family = AF_INET;
+    peer->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert_int_equal(bind(peer->listener, (struct sockaddr *)&peer->address, size), 0);
+    assert_int_equal(listen(peer->listener, 4), 0);
+    getsockname(peer->listener, (struct sockaddr *)&peer->address, &size);
+}
+
+static void on_connected(void *context, bool success)
+{
+    assert_true(success);
+}
+
+static void on_received(void *context, const char *bytes, size_t size)
+{
+    struct peer *peer = context;
+    peer->received += size;
+}
+
+static void on_ended(void *context, enum tcp_end end)
+{
+    struct peer *peer = context;
+    peer->ends++;
+    peer->end = end;
+}
+
+static const struct tcp_stream_callbacks callbacks = {
+    .connected = on_connected, .received = on_received, .ended = on_ended};
+
+/* Bytes and the end arrive together before the loop looks. */
+static enum tcp_end end_after(bool reset)
+{
+    struct peer peer;
+    uv_loop_t loop;
+    struct linger linger = {1, 0};
+    uv_loop_init(&loop);
+    peer_open(&peer);
+    struct tcp_stream *stream = tcp_stream_connect(&loop, &peer.address, &callbacks, &peer);
+    uv_run(&loop, UV_RUN_ONCE);
+    int connection = accept(peer.listener, NULL, NULL);
+    assert_int_equal(write(connection, "abc", 3), 3);
+    if (reset)
+        setsockopt(connection, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+    close(connection);
+    while (!peer.ends)
+        uv_run(&loop, UV_RUN_ONCE);
+    if (!reset)
+        assert_int_equal(peer.received, 3);
+    tcp_stream_close(stream);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+    close(peer.listener);
+    return peer.end;
+}
+
+static void a_reset_is_told_from_an_end(void **state)
+{
+    assert_int_equal(end_after(false), TCP_END_ORDERLY);
+    assert_int_equal(end_after(true), TCP_END_RESET);
+}
+
+/* --- a caller whose callback makes the next call ------------------------------------------------- */
+
+struct calls {
+    struct http_caller *caller;
+    char first[8];
+    int answers;
+};
+
+static void on_second(void *context, enum call_result result, const struct http_message *message)
+{
+    struct calls *calls = context;
+    assert_int_equal(result, CALL_ANSWERED);
+    calls->answers++;
+}
+
+static void send_call(struct calls *calls, call_done *done)
+{
+    struct caller_request request = {.method = "GET",
+                                     .target = "/",
+                                     .timeout_ms = 5000,
+                                     .body_limit = 100,
+                                     .done = done,
+                                     .context = calls};
+    http_caller_send(calls->caller, &request);
+}
+
+static void on_first(void *context, enum call_result result, const struct http_message *message)
+{
+    struct calls *calls = context;
+    assert_int_equal(result, CALL_ANSWERED);
+    send_call(calls, on_second);
+    /* The answer is still whole: the next call has not begun to overwrite it. */
+    assert_int_equal(message->body.size, 4);
+    memcpy(calls->first, message->body.data, 4);
+    calls->answers++;
+}
+
+static void an_answer_lasts_for_its_callback(void **state)
+{
+    struct peer peer;
+    struct calls calls = {0};
+    uv_loop_t loop;
+    char bytes[512];
+    static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    uv_loop_init(&loop);
+    peer_open(&peer);
+    calls.caller = http_caller_create(&loop, &peer.address);
+    send_call(&calls, on_first);
+    uv_run(&loop, UV_RUN_ONCE);
+    int connection = accept(peer.listener, NULL, NULL);
+    for (int i = 0; i < 2; i++) {
+        assert_true(recv(connection, bytes, sizeof bytes, 0) > 0);
+        assert_int_equal(write(connection, answer, strlen(answer)), (ssize_t)strlen(answer));
+        while (calls.answers <= i)
+            uv_run(&loop, UV_RUN_ONCE);
+    }
+    assert_memory_equal(calls.first, "body", 4);
+    http_caller_destroy(calls.caller);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    uv_loop_close(&loop);
+    close(connection);
+    close(peer.listener);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_reset_is_told_from_an_end),
+        cmocka_unit_test(an_answer_lasts_for_its_callback),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/platform/platform_test.c
@@ -0,0 +1,212 @@
+/* The platform's names and formats, both ways. */
+#include "testing.h"
+
+#include "platform/platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char configuration[] =
+    "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"A.example\",\"path_prefix\":\"/x/\","
+    "\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,\"priority\":1,"
+    "\"service\":\"llm\",\"attempts\":2,\"resumable\":true,\"target_gap_ms\":300},"
+    "{\"name\":\"s\",\"host\":\"b.example\",\"path_prefix\":\"/\",\"kind\":\"non_idempotent\","
+    "\"traffic_split\":[{\"service\":\"llm\",\"weight\":90},{\"service\":\"rec\",\"weight\":10}],"
+    "\"timeout_ms\":800,\"attempts\":1}],"
+    "\"services\":[{\"name\":\"llm\",\"connection_limit\":424,\"engine\":{\"slots\":16,"
+    "\"models\":[{\"name\":\"m\",\"warmup_s\":0.3}],\"chunks\":48,\"chunk_bytes\":49152}},"
+    "{\"name\":\"orig\",\"origin\":\"172.20.0.3:8006\",\"zone\":\"z\"}],"
+    "\"limits\":{\"header_bytes\":1000,\"body_bytes\":2000,\"header_timeout_ms\":3000,"
+    "\"idle_timeout_ms\":15000},"
+    "\"tenants\":[{\"name\":\"t\",\"keys\":[\"k1\",\"k2\"],\"priority\":1}]}";
+
+static void a_configuration_is_read_whole(void **state)
+{
+    struct findings findings = {0};
+    struct route_table *table =
+        platform_parse_configuration(configuration, strlen(configuration), &findings);
+    assert_non_null(table);
+    assert_int_equal(findings.count, 0);
+    assert_int_equal(route_table_version(table), 7);
+    const struct route *stream = route_table_match(table, "a.example", "/x/1", 4);
+    assert_int_equal(stream->kind, ROUTE_STREAM);
+    assert_true(stream->resumable);
+    assert_int_equal(stream->gap_ms, 300);
+    const struct route *split = route_table_match(table, "b.example", "/x", 2);
+    assert_int_equal(split->kind, ROUTE_UNREPEATABLE);
+    assert_int_equal(split->target_count, 2);
+    const struct service_entry *llm =
+        route_table_service(table, route_table_find_service(table, "llm"));
+    assert_string_equal(llm->engine.model, "m");
+    assert_int_equal(llm->engine.pieces, 48);
+    const struct service_entry *origin =
+        route_table_service(table, route_table_find_service(table, "orig"));
+    assert_string_equal(origin->origin, "172.20.0.3:8006");
+    assert_int_equal(route_table_limits(table)->head_bytes, 1000);
+    assert_int_not_equal(route_table_key_owner(table, "k2"), ROUTE_NO_TENANT);
+    route_table_release(table);
+}
+
+static size_t findings_of(const char *text)
+{
+    struct findings findings = {0};
+    struct route_table *table = platform_parse_configuration(text, strlen(text), &findings);
+    assert_null(table);
+    size_t count = findings.count;
+    findings_clear(&findings);
+    return count;
+}
+
+static void all_problems_of_a_configuration_are_found_together(void **state)
+{
+    assert_int_equal(findings_of("{\"version\":7,"), 1);
+    assert_int_equal(findings_of("{\"version\":\"x\",\"routes\":[]}"), 1);
+    assert_int_equal(
+        findings_of("{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+                    "\"path_prefix\":\"/x\",\"kind\":\"streaming\",\"service\":\"s\"},"
+                    "{\"name\":\"b\",\"host\":\"h\",\"path_prefix\":\"/x/\",\"kind\":\"odd\"}]}"),
+        2);
+}
+
+static void store_answers_are_decoded(void **state)
+{
+    static const char body[] =
+        "{\"items\":[{\"private_key\":\"op/config\",\"value\":\"aGVsbG8=\",\"revision\":4,"
+        "\"made\":4,\"lease\":0}],\"more\":true,\"at\":9}";
+    static const char events[] = "{\"events\":[{\"private_key\":\"servers/i\",\"revision\":5,"
+                                 "\"gone\":true}],\"at\":6}";
+    struct store_answer answer;
+    assert_int_equal(platform_read_store_answer(body, strlen(body), &answer), STATUS_OK);
+    assert_int_equal(answer.revision, 9);
+    assert_true(answer.more);
+    assert_string_equal(answer.items[0].value, "hello");
+    assert_int_equal(answer.items[0].size, 5);
+    store_answer_clear(&answer);
+    assert_int_equal(platform_read_store_answer(events, strlen(events), &answer), STATUS_OK);
+    assert_true(answer.items[0].gone);
+    store_answer_clear(&answer);
+    assert_int_not_equal(platform_read_store_answer("{}", 2, &answer), STATUS_OK);
+    store_answer_clear(&answer);
+    assert_int_not_equal(platform_read_store_answer("x", 1, &answer), STATUS_OK);
+    store_answer_clear(&answer);
+}
+
+static void parse_request(struct http_message *message, const char *text)
+{
+    size_t used;
+    memset(message, 0, sizeof *message);
+    http_message_begin(message, HTTP_MESSAGE_REQUEST);
+    assert_int_equal(http_message_feed(message, text, strlen(text), &used), HTTP_PARSE_DONE);
+}
+
+static bool contains(const struct buffer *bytes, const char *text)
+{
+    return memmem(bytes->data, bytes->size, text, strlen(text)) != NULL;
+}
+
+static void keys_and_forged_fields_do_not_reach_a_back_end(void **state)
+{
+    struct http_message message;
+    struct request_head head;
+    struct buffer bytes = {0};
+    parse_request(&message, "POST /a%2f/b HTTP/1.1\r\nHost: h\r\nShuntrun-Request-Id: 9c\r\n"
+                            "Authorization: Bearer secret\r\nShuntrun-Tenant: forged\r\n"
+                            "Shuntrun-Deadline-Ms: 900\r\nShuntrun-Expected-Version: 9\r\n"
+                            "Connection: close, X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n"
+                            "Shuntrun-Token-Counts: 1460,80\r\nContent-Length: 2\r\n\r\nhi");
+    platform_read_request(&message, &head);
+    assert_string_equal(head.id, "9c");
+    assert_string_equal(head.key, "secret");
+    assert_int_equal(head.deadline_ms, 900);
+    assert_int_equal(head.tokens_in, 1460);
+    assert_int_equal(head.tokens_out, 80);
+    struct forward_head forward = {
+        .deadline_ms = 850, .instance = "i-1", .tenant = "true", .urgency = -1};
+    platform_write_request(&message, &forward, &bytes);
+    assert_true(contains(&bytes, "POST /a%2f/b HTTP/1.1\r\n"));
+    assert_true(contains(&bytes, "Shuntrun-Deadline-Ms: 850\r\n"));
+    assert_true(contains(&bytes, "Shuntrun-Expected-Instance: i-1\r\n"));
+    assert_true(contains(&bytes, "Shuntrun-Tenant: true\r\n"));
+    assert_true(contains(&bytes, "X-Kept: 2\r\n"));
+    assert_true(contains(&bytes, "Content-Length: 2\r\n"));
+    assert_false(contains(&bytes, "secret"));
+    assert_false(contains(&bytes, "forged"));
+    assert_false(contains(&bytes, "900"));
+    assert_false(contains(&bytes, "Expected-Version"));
+    assert_false(contains(&bytes, "X-Hop"));
+    buffer_clear(&bytes);
+    http_message_clear(&message);
+}
+
+static void a_resumed_stream_names_its_own_last_event(void **state)
+{
+    struct http_message message;
+    struct buffer bytes = {0};
+    parse_request(&message, "GET / HTTP/1.1\r\nLast-Event-Id: 3\r\n\r\n");
+    struct forward_head forward = {.last_event_id = "12", .version = 2, .urgency = 1};
+    platform_write_request(&message, &forward, &bytes);
+    assert_true(contains(&bytes, "Last-Event-Id: 12\r\n"));
+    assert_false(contains(&bytes, "Last-Event-Id: 3\r\n"));
+    assert_true(contains(&bytes, "Shuntrun-Expected-Version: 2\r\n"));
+    assert_false(contains(&bytes, "Content-Length"));
+    buffer_clear(&bytes);
+    http_message_clear(&message);
+}
+
+static void answers_of_back_ends_are_understood(void **state)
+{
+    static const char text[] =
+        "HTTP/1.1 503 Service Unavailable\r\nShuntrun-Not-Executed: 1\r\n"
+        "Shuntrun-Request-Id: 9c\r\nShuntrun-Weight-Versions: 3\r\nKeep-Alive: timeout=7\r\n"
+        "Shuntrun-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n";
+    struct http_message message = {0};
+    struct answer_head head;
+    struct buffer bytes = {0};
+    size_t used;
+    http_message_begin(&message, HTTP_MESSAGE_RESPONSE);
+    http_message_feed(&message, text, strlen(text), &used);
+    platform_read_answer(&message, &head);
+    assert_true(head.not_executed);
+    assert_false(head.sealed);
+    assert_int_equal(head.version, 3);
+    assert_int_equal(head.keep_alive_ms, 7000);
+    assert_string_equal(head.instance, "i-2");
+    platform_write_answer(&message, &bytes);
+    assert_false(contains(&bytes, "Keep-Alive"));
+    assert_false(contains(&bytes, "Content-Length"));
+    assert_true(contains(&bytes, "Shuntrun-Weight-Versions: 3\r\n"));
+    buffer_clear(&bytes);
+    http_message_clear(&message);
+}
+
+static void an_engine_report_is_read(void **state)
+{
+    static const char text[] =
+        "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":2}],\"utilization\":true,"
+        "\"sequence\":5,\"waiting_requests\":1,\"running_requests\":12,\"kv_cache_used\":41000,"
+        "\"kv_cache_total\":90000,\"pace\":1.5}";
+    struct engine_report report;
+    assert_int_equal(platform_read_report(text, strlen(text), "m", &report), STATUS_OK);
+    assert_int_equal(report.load.version, 2);
+    assert_true(report.load.loading);
+    assert_int_equal(report.sequence, 5);
+    assert_int_equal(report.load.running, 12);
+    assert_int_equal(report.load.pace_permille, 1500);
+    assert_int_equal(platform_read_report(text, strlen(text), "other", &report), STATUS_OK);
+    assert_int_equal(report.load.version, 0);
+    assert_int_not_equal(platform_read_report("[", 1, "m", &report), STATUS_OK);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_configuration_is_read_whole),
+        cmocka_unit_test(all_problems_of_a_configuration_are_found_together),
+        cmocka_unit_test(store_answers_are_decoded),
+        cmocka_unit_test(keys_and_forged_fields_do_not_reach_a_back_end),
+        cmocka_unit_test(a_resumed_stream_names_its_own_last_event),
+        cmocka_unit_test(answers_of_back_ends_are_understood),
+        cmocka_unit_test(an_engine_report_is_read),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
