--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -12,13 +12,15 @@
 #define EJECTION_MOST_US 4000000
 /** Share of failed requests above which a back end counts as faulty. */
 #define FAULTY_SHARE 0.35
-/** Score of a back end in another zone or region, in requests. */
-#define ZONE_PENALTY 0.5
-#define REGION_PENALTY 3.0
-/** Score of a request that waits for its first token, besides that of being there. */
-#define PROMPT_COST 3.0
-#define FAILURE_PENALTY 30.0
-#define REFUSAL_PENALTY 12.0
+/** Parts of the expected time to the first token at an engine, ms. */
+#define ENGINE_BASE_MS 80
+#define ENGINE_REQUEST_MS 3
+#define ENGINE_QUEUE_MS 65
+/** What a back end in another zone or region must be better by, ms. */
+#define ZONE_PENALTY_MS 5
+#define REGION_PENALTY_MS 45
+#define FAILURE_PENALTY 8.0
+#define REFUSAL_PENALTY 3.0
 /** Time in which back ends that live list themselves again, once the list's keeper is back. */
 #define RELIST_US 2500000
 
@@ -166,7 +168,7 @@
         backend->load = *load;
         backend->load_at = now;
         backend->sent_since = 0;
-        backend->prompts_since = 0;
+        backend->tokens_since = 0;
         return backend;
     }
     return NULL;
@@ -188,14 +190,14 @@
     return known > (int64_t)backend->in_flight ? (uint32_t)known : backend->in_flight;
 }
 
-/* Requests at an engine that wait for their first token, as far as known. */
-static uint32_t prompts_at(const struct backend_pool *pool, const struct backend *backend,
-                           uint32_t gateways, uint64_t now)
+/* Tokens of prompts that an engine still has to read, as far as known. */
+static uint64_t unread_tokens(const struct backend_pool *pool, const struct backend_wish *wish,
+                              const struct backend *backend, uint64_t now)
 {
     if (!has_fresh_load(pool, backend, now))
-        return backend->unanswered * (gateways ? gateways : 1);
-    int64_t known = (int64_t)backend->load.waiting + backend->prompts_since;
-    return known > (int64_t)backend->unanswered ? (uint32_t)known : backend->unanswered;
+        return backend->unread_tokens * (wish->gateways ? wish->gateways : 1);
+    int64_t known = (int64_t)backend->load.waiting * wish->usual_tokens + backend->tokens_since;
+    return known > (int64_t)backend->unread_tokens ? (uint64_t)known : backend->unread_tokens;
 }
 
 static uint64_t weights_version(const struct backend_pool *pool, const struct backend *backend,
@@ -264,27 +266,45 @@
     if (!wish->engine)
         return backend->in_flight < 2 * backend->listing.slots;
     uint32_t most = backend->listing.slots + pool->settings.queue_per_engine;
-    return prompts_at(pool, backend, wish->gateways, now) < pool->settings.prompts_per_engine &&
-           backend_occupancy(pool, backend, wish->gateways, now) < most;
+    uint64_t tokens = unread_tokens(pool, wish, backend, now);
+    if (tokens && tokens + wish->tokens > pool->settings.tokens_per_engine)
+        return false;
+    return backend_occupancy(pool, backend, wish->gateways, now) < most;
+}
+
+/* Expected time to the first token of one more request at an engine, ms. */
+static double engine_cost(const struct backend_pool *pool, const struct backend_wish *wish,
+                          const struct backend *backend, uint64_t now)
+{
+    uint32_t requests = backend_occupancy(pool, backend, wish->gateways, now);
+    double rate = wish->read_tokens_per_ms > 0 ? wish->read_tokens_per_ms : 1;
+    double cost = ENGINE_BASE_MS + ENGINE_REQUEST_MS * requests;
+    cost += (double)(unread_tokens(pool, wish, backend, now) + wish->tokens) / rate;
+    if (requests >= backend->listing.slots)
+        cost += ENGINE_QUEUE_MS * (requests - backend->listing.slots + 1);
+    if (backend->load.pace_permille > 1000 && has_fresh_load(pool, backend, now))
+        cost = cost * backend->load.pace_permille / 1000;
+    if (backend->distance)
+        cost += backend->distance == 1 ? ZONE_PENALTY_MS : REGION_PENALTY_MS;
+    return cost;
 }
 
-/* Expected cost of one more request there; smaller is better. */
+/* Expected time of one more request at a plain service, ms. */
+static double service_cost(const struct backend *backend)
+{
+    double slots = backend->listing.slots ? backend->listing.slots : 1;
+    double latency_ms = backend->latency_us > 0 ? backend->latency_us / 1000 : 1;
+    return (1 + backend->in_flight / slots) * latency_ms;
+}
+
+/* Smaller is better. */
 static double score(const struct backend_pool *pool, const struct backend_wish *wish,
                     const struct backend *backend, uint64_t now)
 {
-    double slots = backend->listing.slots ? backend->listing.slots : 1;
-    double requests = backend_occupancy(pool, backend, wish->engine ? wish->gateways : 1, now);
-    double cost = requests + 1;
-    if (wish->engine)
-        cost += PROMPT_COST * prompts_at(pool, backend, wish->gateways, now);
-    if (backend->distance)
-        cost += backend->distance == 1 ? ZONE_PENALTY : REGION_PENALTY;
-    if (!wish->engine)
-        cost = (1 + requests / slots) * (backend->latency_us > 0 ? backend->latency_us : 1) / 1000;
-    else if (backend->load.pace_permille > 1000 && has_fresh_load(pool, backend, now))
-        cost = cost * backend->load.pace_permille / 1000;
-    return cost + cost * (FAILURE_PENALTY * backend->failure_share +
-                          REFUSAL_PENALTY * backend->refusal_share) / 4;
+    double cost =
+        wish->engine ? engine_cost(pool, wish, backend, now) : service_cost(backend);
+    return cost * (1 + FAILURE_PENALTY * backend->failure_share +
+                   REFUSAL_PENALTY * backend->refusal_share);
 }
 
 /* Two candidates of one distance, each pair equally likely. */
@@ -358,18 +378,20 @@
     return fit_count ? BACKEND_FULL : BACKEND_NONE;
 }
 
-void backend_begin(struct backend *backend, uint64_t now)
+void backend_begin(struct backend *backend, uint32_t tokens)
 {
     backend->in_flight++;
     backend->sent_since++;
-    backend->unanswered++;
-    backend->prompts_since++;
+    backend->unread++;
+    backend->unread_tokens += tokens;
+    backend->tokens_since += tokens;
 }
 
-void backend_answers(struct backend *backend)
+void backend_answers(struct backend *backend, uint32_t tokens)
 {
-    backend->unanswered--;
-    backend->prompts_since--;
+    backend->unread--;
+    backend->unread_tokens -= tokens;
+    backend->tokens_since -= tokens;
 }
 
 static void move(double *share, bool hit)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -58,11 +58,12 @@
     uint64_t unlisted_until; /**< dropped by the list, but usable until then; 0: listed */
     uint16_t distance; /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight; /**< requests of this gateway */
-    uint32_t unanswered; /**< those of them that have no byte of an answer yet */
+    uint32_t unread;     /**< those of them that have no byte of an answer yet */
+    uint64_t unread_tokens; /**< of their prompts */
     struct backend_load load;
     uint64_t load_at;       /**< time of the report, 0: none */
     int32_t sent_since;     /**< own requests begun less ended since the report */
-    int32_t prompts_since;  /**< own requests begun less first answered since the report */
+    int64_t tokens_since;   /**< of own prompts begun less first answered since the report */
     uint32_t failures;      /**< in a row */
     double failure_share;   /**< moving share of requests that failed */
     double refusal_share;   /**< moving share of requests that it refused */
@@ -76,9 +77,9 @@
 struct backend_pool;
 
 struct backend_pool_settings {
-    uint32_t queue_per_engine; /**< requests beyond its slots that a model engine may hold */
-    uint32_t prompts_per_engine; /**< requests there that may wait for their first token */
-    uint64_t load_fresh_us;    /**< older reports of load are not used */
+    uint32_t queue_per_engine;  /**< requests beyond its slots that a model engine may hold */
+    uint32_t tokens_per_engine; /**< of prompts that an engine may still have to read */
+    uint64_t load_fresh_us;     /**< older reports of load are not used */
 };
 
 struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
@@ -116,6 +117,9 @@
 struct backend_wish {
     const char *service;
     bool engine;            /**< of a model, with load reports */
+    uint32_t tokens;        /**< of this request's prompt */
+    uint32_t usual_tokens;  /**< of a prompt of others */
+    double read_tokens_per_ms; /**< rate at which an engine reads prompts */
     uint64_t least_version; /**< of the weights; 0: any */
     uint64_t next_version;  /**< required soon: only engines that have it at hand may be older */
     uint64_t exact_version; /**< of the weights; 0: any */
@@ -141,10 +145,10 @@
 uint32_t backend_occupancy(const struct backend_pool *pool, const struct backend *backend,
                            uint32_t gateways, uint64_t now);
 
-/** \brief Count a request in. */
-void backend_begin(struct backend *backend, uint64_t now);
-/** \brief The first byte of an answer came. */
-void backend_answers(struct backend *backend);
+/** \brief Count a request in. \param tokens of its prompt */
+void backend_begin(struct backend *backend, uint32_t tokens);
+/** \brief The first byte of an answer came. \param tokens as at the begin */
+void backend_answers(struct backend *backend, uint32_t tokens);
 /** \param latency_us time to the first byte of the answer, 0 when none came */
 void backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
                  uint64_t latency_us, uint64_t now);
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -55,6 +55,7 @@
     double step_ms;
     double step_ms_per_request;
     double read_tokens_per_ms;
+    uint32_t usual_prompt; /**< mean tokens of a prompt */
 };
 
 struct service_entry {
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -26,8 +26,11 @@
 #define ANY_IDLE_US 3600000000ULL
 /** A client that reads too slowly stops the back end from sending more. */
 #define CLIENT_PENDING_MOST 262144
-#define RETRY_AFTER_LEAST_MS 300
-#define RETRY_AFTER_SPREAD_MS 500
+/** Time after which a refused client may come back: soon when engines are full, later when none
+ *  serves at all, as that takes seconds to end. */
+#define FULL_RETRY_MS 500
+#define ABSENT_RETRY_MS 1700
+#define RETRY_SPREAD_MS 500
 #define URGENCY_MOST 9
 /** So long before a version is required, engines that do not have it at hand get no new work: their
  *  links may be slow, and what waits there may begin late. */
@@ -53,6 +56,7 @@
     uint32_t tried_count;
     uint32_t sends;    /* requests handed to a connection that came up */
     bool counted;      /* the present attempt is among them */
+    bool no_backend;   /* none was fit when it was last looked for */
     bool may_have_run; /* a send ended without a word on whether it ran */
     uint64_t sent_at;
     uint64_t first_byte_at; /* of the present back end, 0: none */
@@ -109,7 +113,7 @@
     if (!backend)
         return;
     if (!exchange->first_byte_at)
-        backend_answers(backend);
+        backend_answers(backend, exchange->head.tokens_in);
     uint64_t latency =
         exchange->first_byte_at && !exchange->resuming ? exchange->first_byte_at - exchange->sent_at
                                                        : 0;
@@ -144,9 +148,10 @@
     uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
 }
 
-static uint32_t retry_after_ms(struct edge *edge)
+static uint32_t retry_after_ms(struct edge *edge, bool absent)
 {
-    return RETRY_AFTER_LEAST_MS + (uint32_t)random_below(&edge->random, RETRY_AFTER_SPREAD_MS);
+    uint32_t least = absent ? ABSENT_RETRY_MS : FULL_RETRY_MS;
+    return least + (uint32_t)random_below(&edge->random, RETRY_SPREAD_MS);
 }
 
 static void answer_own(struct edge *edge, struct edge_client *client, const char *request_id,
@@ -173,9 +178,10 @@
         return;
     }
     char id[PLATFORM_TEXT_SIZE];
+    bool absent = exchange->no_backend;
     memcpy(id, exchange->head.id, sizeof id);
     finish(exchange);
-    answer_own(edge, client, id, status, status == 503 ? retry_after_ms(edge) : 0);
+    answer_own(edge, client, id, status, status == 503 ? retry_after_ms(edge, absent) : 0);
 }
 
 /* Nothing has run: say so, or admit that it is not known. */
@@ -221,6 +227,9 @@
     *wish = (struct backend_wish){
         .service = exchange->service->name,
         .engine = exchange->service->engine.model != NULL,
+        .tokens = exchange->head.tokens_in,
+        .usual_tokens = exchange->service->engine.usual_prompt,
+        .read_tokens_per_ms = exchange->service->engine.read_tokens_per_ms,
         .least_version = least_version(exchange, now),
         .next_version = least_version(exchange, now + VERSION_LEAD_US),
         .exact_version = exchange->resuming ? exchange->version : 0,
@@ -266,7 +275,7 @@
     exchange->counted = false;
     exchange->paused = false;
     exchange->last_event_at = now;
-    backend_begin(backend, now);
+    backend_begin(backend, exchange->head.tokens_in);
     exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
     if (!exchange->upstream) {
         end_attempt(exchange, BACKEND_UNREACHABLE);
@@ -309,6 +318,7 @@
         send_to(exchange, backend, now);
         return;
     }
+    exchange->no_backend = absence == BACKEND_NONE && !exchange->tried_count;
     if (now >= exchange->wait_until || exchange->tried_count == BACKEND_MAX_EXCLUDED) {
         give_up_truly(exchange, absence == BACKEND_FULL ? "full" : "no-backend");
         return;
@@ -425,7 +435,7 @@
     if (exchange->first_byte_at)
         return;
     exchange->first_byte_at = cluster_now();
-    backend_answers(exchange->backend);
+    backend_answers(exchange->backend, exchange->head.tokens_in);
 }
 
 static void on_progress(struct exchange *exchange, struct http_message *message)
@@ -663,7 +673,7 @@
               head->id, head->host, status, reason,
               edge->table ? route_table_version(edge->table) : 0);
     metric_add(METRIC_REQUESTS_BAD, 1);
-    answer_own(edge, client, head->id, status, status == 503 ? retry_after_ms(edge) : 0);
+    answer_own(edge, client, head->id, status, status == 503 ? retry_after_ms(edge, true) : 0);
 }
 
 static size_t path_length(const struct http_message *request)
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -14,7 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define REPORT_INTERVAL_MS 100
+#define REPORT_INTERVAL_MS 60
 #define REPORT_TIMEOUT_MS 600
 #define REPORT_LIMIT (1U << 20)
 /** An unchanged load is told again after this. */
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -9,7 +9,7 @@
 #define SECOND_US 1000000ULL
 
 static const struct backend_pool_settings settings = {
-    .queue_per_engine = 3, .prompts_per_engine = 4, .load_fresh_us = SECOND_US};
+    .queue_per_engine = 3, .tokens_per_engine = 4500, .load_fresh_us = SECOND_US};
 
 static struct backend_listing listing_of(int number, uint64_t version)
 {
@@ -29,7 +29,12 @@
 
 static struct backend_wish wish_of(void)
 {
-    return (struct backend_wish){.service = "llm", .engine = true, .gateways = 1};
+    return (struct backend_wish){.service = "llm",
+                                 .engine = true,
+                                 .tokens = 1000,
+                                 .usual_tokens = 1000,
+                                 .read_tokens_per_ms = 32,
+                                 .gateways = 1};
 }
 
 static struct backend *choose(struct backend_pool *pool, const struct backend_wish *wish,
@@ -137,13 +142,19 @@
     struct backend_wish wish = wish_of();
     struct backend *backend = add(pool, 1, 1, 0);
     report(pool, 1, (struct backend_load){.version = 1, .running = 2}, SECOND_US);
-    for (uint32_t i = 0; i < settings.prompts_per_engine; i++) {
+    for (uint32_t i = 0; i < 4; i++) {
         assert_non_null(choose(pool, &wish, SECOND_US));
-        backend_begin(backend, SECOND_US);
+        backend_begin(backend, 1000);
     }
     struct backend *chosen;
     assert_int_equal(backend_pool_choose(pool, &wish, SECOND_US, &chosen), BACKEND_FULL);
-    backend_answers(backend);
+    backend_answers(backend, 1000);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    /* A prompt above the bound goes to an engine that reads nothing else. */
+    wish.tokens = 9000;
+    assert_null(choose(pool, &wish, SECOND_US));
+    for (uint32_t i = 0; i < 3; i++)
+        backend_answers(backend, 1000);
     assert_non_null(choose(pool, &wish, SECOND_US));
     backend_pool_destroy(pool);
 }
@@ -157,7 +168,8 @@
     report(pool, 1, (struct backend_load){.version = 1, .running = 3}, SECOND_US);
     report(pool, 2, (struct backend_load){.version = 1, .running = 3}, SECOND_US);
     assert_ptr_equal(choose(pool, &wish, SECOND_US), near);
-    report(pool, 1, (struct backend_load){.version = 1, .running = 9}, SECOND_US);
+    report(pool, 1, (struct backend_load){.version = 1, .running = 9, .waiting = 2},
+           SECOND_US);
     assert_ptr_equal(choose(pool, &wish, SECOND_US), far);
     backend_pool_destroy(pool);
 }
@@ -170,18 +182,18 @@
     struct backend *good = add(pool, 2, 1, 0);
     uint64_t now = SECOND_US;
     for (int i = 0; i < 2; i++) {
-        backend_begin(bad, now);
-        backend_answers(bad);
+        backend_begin(bad, 1000);
+        backend_answers(bad, 1000);
         backend_end(pool, bad, BACKEND_BROKEN, 0, now);
     }
     for (int i = 0; i < 50; i++)
         assert_ptr_equal(choose(pool, &wish, now), good);
     now += SECOND_US;
     assert_ptr_equal(choose(pool, &wish, now), bad); /* one request finds out */
-    backend_begin(bad, now);
+    backend_begin(bad, 1000);
     for (int i = 0; i < 50; i++)
         assert_ptr_equal(choose(pool, &wish, now), good);
-    backend_answers(bad);
+    backend_answers(bad, 1000);
     backend_end(pool, bad, BACKEND_SUCCEEDED, 1000, now);
     assert_int_equal(bad->ejected_until, 0);
     backend_pool_destroy(pool);
@@ -191,10 +203,10 @@
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
     struct backend *backend = backend_retain(add(pool, 1, 1, 0));
-    backend_begin(backend, 1);
+    backend_begin(backend, 1000);
     backend_pool_replaced(pool, backend);
     assert_false(backend->listed);
-    backend_answers(backend);
+    backend_answers(backend, 1000);
     backend_end(pool, backend, BACKEND_CANCELLED, 0, 2);
     backend_release(backend);
     backend_pool_destroy(pool);
