An older version goes on while a newer one cannot be had; free places are divided among gateways

Engines that came back held 16 running and up to 8 waiting: every gateway took all the room of the same report. Ruled out: refusing engines that are not staged 2.4 s ahead (225 refused at 26 s). Change: loaders keep up to three versions and install the newest that is whole; a gateway takes its part of the free places of a report, parts of a place by a draw; 3 or 6 downloads at a time.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -169,6 +169,8 @@
         backend->load_at = now;
         backend->sent_since = 0;
         backend->tokens_since = 0;
+        backend->begun_since = 0;
+        backend->luck = random_unit(&pool->random);
         return backend;
     }
     return NULL;
@@ -260,16 +262,34 @@
     return backend->ejected_until && (now < backend->ejected_until || backend->probing);
 }
 
+/*
+ * This gateway's part of the places that were free at the last report. All gateways see the same
+ * report; if each took all that is free, an engine would get many times what it has room for.
+ */
+static double free_share(const struct backend_pool *pool, const struct backend_wish *wish,
+                         const struct backend *backend)
+{
+    double places = (double)backend->listing.slots + pool->settings.queue_per_engine -
+                    backend->load.running - backend->load.waiting;
+    double usual = wish->usual_tokens ? wish->usual_tokens : 1;
+    double prompts = pool->settings.tokens_per_engine / usual - backend->load.waiting;
+    double free = places < prompts ? places : prompts;
+    return free > 0 ? free / (wish->gateways ? wish->gateways : 1) + backend->luck : 0;
+}
+
 static bool has_room(const struct backend_pool *pool, const struct backend_wish *wish,
                      const struct backend *backend, uint64_t now)
 {
     if (!wish->engine)
         return backend->in_flight < 2 * backend->listing.slots;
-    uint32_t most = backend->listing.slots + pool->settings.queue_per_engine;
     uint64_t tokens = unread_tokens(pool, wish, backend, now);
     if (tokens && tokens + wish->tokens > pool->settings.tokens_per_engine)
         return false;
-    return backend_occupancy(pool, backend, wish->gateways, now) < most;
+    uint32_t most = backend->listing.slots + pool->settings.queue_per_engine;
+    if (backend_occupancy(pool, backend, wish->gateways, now) >= most)
+        return false;
+    return !has_fresh_load(pool, backend, now) ||
+           backend->begun_since < free_share(pool, wish, backend);
 }
 
 /* Expected time to the first token of one more request at an engine, ms. */
@@ -382,6 +402,7 @@
 {
     backend->in_flight++;
     backend->sent_since++;
+    backend->begun_since++;
     backend->unread++;
     backend->unread_tokens += tokens;
     backend->tokens_since += tokens;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -63,6 +63,8 @@
     struct backend_load load;
     uint64_t load_at;       /**< time of the report, 0: none */
     int32_t sent_since;     /**< own requests begun less ended since the report */
+    uint32_t begun_since;   /**< own requests begun since the report */
+    double luck;            /**< drawn at the report: decides on a part of a place */
     int64_t tokens_since;   /**< of own prompts begun less first answered since the report */
     uint32_t failures;      /**< in a row */
     double failure_share;   /**< moving share of requests that failed */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -34,7 +34,7 @@
 #define URGENCY_MOST 9
 /** So long before a version is required, engines that do not have it at hand get no new work: their
  *  links may be slow, and what waits there may begin late. */
-#define VERSION_LEAD_US 1300000
+#define VERSION_LEAD_US 400000
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
 
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -27,9 +27,19 @@
 #define RECENT_US 4000000
 /** The first version of a model; the operator names only later ones. */
 #define FIRST_VERSION 1
+/** Versions whose pieces are held: the one in use, one on its way and one named meanwhile. */
+#define VERSIONS_KEPT 3
+#define LOAD_LOG_US 500000
 
 static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 6800000};
 
+/* A version that the operator named. */
+struct wanted_version {
+    uint64_t version;
+    uint64_t named_at; /* time at which it was named */
+    struct piece_store *store;
+};
+
 struct loader {
     struct process process;
     struct cluster cluster;
@@ -37,19 +47,20 @@
     struct http_caller *engine;
     uv_timer_t timer;
     struct route_table *table;
-    struct piece_store *store;
+    struct wanted_version wanted[VERSIONS_KEPT]; /* rising */
+    uint32_t wanted_count;
+    uint64_t installing; /* version that the installer is at, 0: none */
     struct installer *installer;
     char model[BACKEND_NAME_SIZE];
     struct sockaddr_in origin;
     bool has_origin;
-    uint64_t version;  /* wanted */
-    uint64_t named_at; /* time at which it was named */
     struct engine_report report;
     bool reachable;
     bool asking;
     uint64_t next_report;
     struct backend_load told;
     uint64_t told_at;
+    uint64_t next_load_log;
     uint64_t told_far_at; /* to gateways of other regions */
 };
 
@@ -77,6 +88,14 @@
     if (far)
         loader->told_far_at = now;
     cluster_send_load(&loader->cluster, &message, far);
+    if (now >= loader->next_load_log) {
+        loader->next_load_log = now + LOAD_LOG_US;
+        log_event(LOG_LEVEL_INFO, "engine", "load",
+                  "running=%u waiting=%u memory_used=%" PRIu64 " weights=%" PRIu64
+                  " loading=%d staged=%d pace_permille=%u",
+                  load.running, load.waiting, load.memory_used, load.version, load.loading,
+                  load.staged, load.pace_permille);
+    }
     loader->told = load;
     loader->told_at = now;
 }
@@ -138,29 +157,66 @@
     }
 }
 
-static void on_piece_held(void *context, uint32_t piece)
+static void on_piece_held(void *context, const struct piece_store *store, uint32_t piece)
 {
     struct loader *loader = context;
-    installer_on_piece(loader->installer, piece);
+    if (piece_store_version(store) == loader->installing)
+        installer_on_piece(loader->installer, piece);
 }
 
+static void drop_store(struct loader *loader, uint32_t index)
+{
+    struct wanted_version *wanted = &loader->wanted[index];
+    if (loader->installing == wanted->version) {
+        installer_set_store(loader->installer, NULL);
+        loader->installing = 0;
+    }
+    piece_store_destroy(wanted->store);
+    loader->wanted_count--;
+    memmove(wanted, wanted + 1, (loader->wanted_count - index) * sizeof *wanted);
+}
+
+/* Versions are kept in rising order; an older one goes on while a newer one may not be had yet. */
 static void want_version(struct loader *loader, uint64_t version, uint64_t named_at)
 {
     uint64_t now = cluster_now();
-    if (version <= loader->version)
+    uint64_t newest =
+        loader->wanted_count ? loader->wanted[loader->wanted_count - 1].version : 0;
+    if (version <= newest)
         return;
     log_event(LOG_LEVEL_INFO, "weights", "version-wanted",
               "model=%s version=%" PRIu64 " before=%" PRIu64 " named_ms_ago=%" PRIu64,
-              loader->model, version, loader->version, (now - named_at) / 1000);
-    loader->version = version;
-    loader->named_at = named_at;
-    installer_set_store(loader->installer, NULL);
-    piece_store_destroy(loader->store);
+              loader->model, version, newest, (now - named_at) / 1000);
+    if (loader->wanted_count == VERSIONS_KEPT)
+        drop_store(loader, 0);
+    struct wanted_version *wanted = &loader->wanted[loader->wanted_count++];
     struct piece_store_callbacks callbacks = {loader, on_piece_held};
     bool recent = version > FIRST_VERSION && now - named_at < RECENT_US;
-    loader->store = piece_store_create(&loader->cluster, loader->model, &loader->origin, version,
+    *wanted = (struct wanted_version){.version = version, .named_at = named_at};
+    wanted->store = piece_store_create(&loader->cluster, loader->model, &loader->origin, version,
                                        recent, &callbacks);
-    installer_set_store(loader->installer, loader->store);
+}
+
+/* The newest version that is whole here is installed; before one is, the oldest that is missing. */
+static struct wanted_version *choose_version(struct loader *loader)
+{
+    for (uint32_t i = loader->wanted_count; i-- > 0;)
+        if (piece_store_complete(loader->wanted[i].store))
+            return &loader->wanted[i];
+    for (uint32_t i = 0; i < loader->wanted_count; i++)
+        if (loader->wanted[i].version > loader->report.load.version)
+            return &loader->wanted[i];
+    return NULL;
+}
+
+static void choose_store(struct loader *loader)
+{
+    struct wanted_version *wanted = choose_version(loader);
+    if (!wanted || wanted->version <= loader->installing ||
+        installer_is_loading(loader->installer, cluster_now()))
+        return;
+    loader->installing = wanted->version;
+    installer_set_store(loader->installer, wanted->store);
 }
 
 /* Find out which version the engine should have, once all that takes is known. */
@@ -220,15 +276,17 @@
 static void on_pieces(void *context, uint32_t address, const Shuntrun__PieceNews *news)
 {
     struct loader *loader = context;
-    if (loader->store)
-        piece_store_on_news(loader->store, address, news);
+    for (uint32_t i = 0; i < loader->wanted_count; i++)
+        piece_store_on_news(loader->wanted[i].store, address, news);
 }
 
 static void on_call(void *context, struct service_call *call, const struct service_request *request)
 {
     struct loader *loader = context;
-    if (!loader->store || !piece_store_serve(loader->store, call, request))
-        service_reply(call, 404, NULL, NULL, 0);
+    for (uint32_t i = 0; i < loader->wanted_count; i++)
+        if (piece_store_serve(loader->wanted[i].store, call, request))
+            return;
+    service_reply(call, 404, NULL, NULL, 0);
 }
 
 static void on_woke(void *context, uint64_t pause_us)
@@ -244,7 +302,7 @@
 {
     const struct membership *members = loader->cluster.membership;
     uint64_t now = cluster_now();
-    uint64_t own = hash_pair(loader->version,
+    uint64_t own = hash_pair(loader->installing,
                              membership_self(loader->cluster.membership)->address);
     uint32_t before = 0;
     *count = 1;
@@ -252,19 +310,40 @@
         const struct member_state *member = membership_at(members, i);
         if (member->role != MEMBER_LOADER || !membership_alive(members, member, now))
             continue;
-        before += hash_pair(loader->version, member->address) < own;
+        before += hash_pair(loader->installing, member->address) < own;
         (*count)++;
     }
     return before;
 }
 
+/* A version that was named before the one to install, and is missing too, sets the time. */
+static uint64_t install_named_at(const struct loader *loader)
+{
+    for (uint32_t i = 0; i < loader->wanted_count; i++)
+        if (loader->wanted[i].version > loader->report.load.version)
+            return loader->wanted[i].named_at;
+    return 0;
+}
+
 static uint64_t own_turn(const struct loader *loader)
 {
     uint32_t count;
     if (!loader->report.load.version)
         return 0; /* an empty engine does nothing else: at once */
     uint32_t position = own_position(loader, &count);
-    return start_turn(&turn_settings, loader->named_at, position, count);
+    return start_turn(&turn_settings, install_named_at(loader), position, count);
+}
+
+static bool tick_stores(struct loader *loader, uint64_t now)
+{
+    bool fetching = false;
+    for (uint32_t i = 0; i < loader->wanted_count; i++) {
+        struct piece_store *store = loader->wanted[i].store;
+        piece_store_share_link(store, loader->report.load.version > 0);
+        piece_store_tick(store, now);
+        fetching |= !piece_store_complete(store);
+    }
+    return fetching;
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -275,13 +354,11 @@
         loader->next_report = now + REPORT_INTERVAL_MS * 1000;
         ask_report(loader);
     }
-    if (loader->store) {
-        piece_store_share_link(loader->store, loader->report.load.version > 0);
-        piece_store_tick(loader->store, now);
-    }
-    if (loader->installer)
+    bool fetching = tick_stores(loader, now);
+    if (loader->installer) {
+        choose_store(loader);
         installer_tick(loader->installer, now, own_turn(loader));
-    bool fetching = loader->store && !piece_store_complete(loader->store);
+    }
     uv_timer_start(timer, on_tick, fetching ? FETCH_TICK_MS : REPORT_INTERVAL_MS, 0);
 }
 
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -96,7 +96,7 @@
 {
     return (struct swarm_settings){
         .origin_budget = 1,
-        .download_window = store->shares_link ? 2 : 4,
+        .download_window = store->shares_link ? 3 : 6,
         .peer_window = 1,
         .upload_limit = 2,
         .neighbours = 12,
@@ -235,7 +235,7 @@
         return;
     metric_add(from_origin ? METRIC_CHUNKS_FROM_ORIGIN : METRIC_CHUNKS_FROM_PEER, 1);
     hold(store, fetch->piece, message->body.data, message->body.size);
-    store->callbacks.piece_held(store->callbacks.context, fetch->piece);
+    store->callbacks.piece_held(store->callbacks.context, store, fetch->piece);
 }
 
 static enum swarm_failure failure_of(unsigned status)
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -12,7 +12,7 @@
 struct piece_store_callbacks {
     void *context;
     /** A piece was fetched and its digest checked. */
-    void (*piece_held)(void *context, uint32_t piece);
+    void (*piece_held)(void *context, const struct piece_store *store, uint32_t piece);
 };
 
 struct piece_store *piece_store_create(struct cluster *cluster, const char *model,
