The version to fetch is chosen when all items are in; slow links are spared

Change: the choice waits for the whole answer; an older version is fetched only while no newer one makes progress; on a link that takes 12 times as long for a piece one is fetched at a time.

--- a/src/core/swarm.c
+++ b/src/core/swarm.c
@@ -73,6 +73,16 @@
         add_chunk(swarm, chunk);
 }
 
+void swarm_set_download_window(struct swarm *swarm, uint32_t window)
+{
+    swarm->settings.download_window = window;
+}
+
+uint64_t swarm_mean_chunk_us(const struct swarm *swarm)
+{
+    return swarm->mean_chunk_us;
+}
+
 bool swarm_complete(const struct swarm *swarm)
 {
     return swarm->held == swarm->chunk_count;
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -49,6 +49,7 @@
     struct route_table *table;
     struct wanted_version wanted[VERSIONS_KEPT]; /* rising */
     uint32_t wanted_count;
+    bool reconsider;     /* the operator's items changed */
     uint64_t installing; /* version that the installer is at, 0: none */
     struct installer *installer;
     char model[BACKEND_NAME_SIZE];
@@ -267,8 +268,8 @@
         return;
     if (kind == ITEM_CONFIGURATION)
         take_configuration(loader, item);
-    if (kind == ITEM_CONFIGURATION || kind == ITEM_VERSION)
-        consider_version(loader);
+    /* Not at once: the other items of the same answer are still to come. */
+    loader->reconsider |= kind == ITEM_CONFIGURATION || kind == ITEM_VERSION;
 }
 
 /* --- peers --------------------------------------------------------------------------------------- */
@@ -334,14 +335,20 @@
     return start_turn(&turn_settings, install_named_at(loader), position, count);
 }
 
+/* Newest first; an older version is fetched only while no newer one makes progress. */
 static bool tick_stores(struct loader *loader, uint64_t now)
 {
     bool fetching = false;
-    for (uint32_t i = 0; i < loader->wanted_count; i++) {
+    bool newer_progresses = false;
+    for (uint32_t i = loader->wanted_count; i-- > 0;) {
         struct piece_store *store = loader->wanted[i].store;
+        bool complete = piece_store_complete(store);
+        if (!complete && newer_progresses)
+            continue;
         piece_store_share_link(store, loader->report.load.version > 0);
         piece_store_tick(store, now);
-        fetching |= !piece_store_complete(store);
+        fetching |= !complete;
+        newer_progresses |= piece_store_progresses(store, now);
     }
     return fetching;
 }
@@ -354,6 +361,10 @@
         loader->next_report = now + REPORT_INTERVAL_MS * 1000;
         ask_report(loader);
     }
+    if (loader->reconsider) {
+        loader->reconsider = false;
+        consider_version(loader);
+    }
     bool fetching = tick_stores(loader, now);
     if (loader->installer) {
         choose_store(loader);
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -26,7 +26,16 @@
 #define PLAN_INTERVAL_US 500000
 /** A node that joins late asks its peers for so long before it reads the origin. */
 #define JOIN_HOLD_US 600000
+/** A fetch that got no piece for so long does not progress. */
+#define PROGRESS_US 800000
 #define UPLOADS_MOST 4
+/** Downloads at once: beside an engine that serves, beside one that is empty, and on a slow link. */
+#define WINDOW_SHARED 3
+#define WINDOW_ALONE 6
+#define WINDOW_SLOW 1
+/** A link counts as slow when a piece takes so many times as long as it should. */
+#define SLOW_TIMES 12
+#define SLOW_UPLOAD_SHARE 0.1
 /** See swarm_settings; past this, sparing bytes between regions would delay the version. */
 #define FAR_HOLD_US 2000000
 /** Share of the link's rate for uploads: the rest is for the answers of the engine. */
@@ -71,6 +80,9 @@
     struct upload uploads[UPLOADS_MOST]; /* in order of asking */
     uint32_t upload_count;
     bool shares_link;
+    bool link_is_slow;
+    uint32_t held_before; /* at the last look at progress */
+    uint64_t progressed_at;
     uv_timer_t upload_timer; /* runs while the link is busy with an upload */
 };
 
@@ -87,7 +99,9 @@
 static uint64_t piece_time_us(const struct piece_store *store)
 {
     double bits_per_us = strtod(store->cluster->settings->link_mbit, NULL);
-    if (store->shares_link)
+    if (store->link_is_slow)
+        bits_per_us *= SLOW_UPLOAD_SHARE;
+    else if (store->shares_link)
         bits_per_us *= UPLOAD_SHARE;
     return (uint64_t)(store->manifest.piece_bytes * 8.0 / (bits_per_us > 0 ? bits_per_us : 1000));
 }
@@ -96,7 +110,7 @@
 {
     return (struct swarm_settings){
         .origin_budget = 1,
-        .download_window = store->shares_link ? 3 : 6,
+        .download_window = WINDOW_SHARED,
         .peer_window = 1,
         .upload_limit = 2,
         .neighbours = 12,
@@ -494,6 +508,28 @@
     store->shares_link = shared;
 }
 
+/* A piece takes long when the link is narrow, and every piece in flight delays answers there. */
+static void watch_link(struct piece_store *store)
+{
+    uint64_t mean = swarm_mean_chunk_us(store->swarm);
+    double bits_per_us = strtod(store->cluster->settings->link_mbit, NULL);
+    double nominal = bits_per_us > 0 ? store->manifest.piece_bytes * 8.0 / bits_per_us : 0;
+    bool slow = nominal > 0 && (double)mean > SLOW_TIMES * nominal;
+    if (slow != store->link_is_slow)
+        log_event(LOG_LEVEL_INFO, "pieces", slow ? "link-slow" : "link-sound",
+                  "version=%" PRIu64 " mean_ms=%" PRIu64 " nominal_ms=%.0f", store->version,
+                  mean / 1000, nominal / 1000);
+    store->link_is_slow = slow;
+    swarm_set_download_window(store->swarm, slow                 ? WINDOW_SLOW
+                                            : store->shares_link ? WINDOW_SHARED
+                                                                 : WINDOW_ALONE);
+}
+
+bool piece_store_progresses(const struct piece_store *store, uint64_t now)
+{
+    return !piece_store_complete(store) && now < store->progressed_at + PROGRESS_US;
+}
+
 void piece_store_tick(struct piece_store *store, uint64_t now)
 {
     if (!store->swarm) {
@@ -501,6 +537,11 @@
             ask_manifest(store);
         return;
     }
+    watch_link(store);
+    if (store->held > store->held_before) {
+        store->held_before = store->held;
+        store->progressed_at = now;
+    }
     if (now >= store->next_plan) {
         store->next_plan = now + PLAN_INTERVAL_US;
         make_plan(store, now);
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -30,6 +30,8 @@
 /** \brief A piece came from the engine's own stage. \return whether its digest is right */
 bool piece_store_offer(struct piece_store *store, uint32_t piece, const void *bytes, size_t size);
 bool piece_store_complete(const struct piece_store *store);
+/** \return whether pieces are missing and some came a moment ago */
+bool piece_store_progresses(const struct piece_store *store, uint64_t now);
 void piece_store_on_news(struct piece_store *store, uint32_t peer,
                          const Shuntrun__PieceNews *news);
 /** \return whether the call was one for a piece or manifest, and is answered */
