A version that is half here is finished first; the link's rate decides on the downloads at once

Change: link_rate estimates the link from transfers, one download at a time where it is narrow or not known; cancelled transfers are broken off; a half-held version goes first; progress is logged.

--- a/src/core/swarm.c
+++ b/src/core/swarm.c
@@ -78,9 +78,9 @@
     swarm->settings.download_window = window;
 }
 
-uint64_t swarm_mean_chunk_us(const struct swarm *swarm)
+uint32_t swarm_downloads(const struct swarm *swarm)
 {
-    return swarm->mean_chunk_us;
+    return swarm->downloads;
 }
 
 bool swarm_complete(const struct swarm *swarm)
--- a/src/core/swarm.h
+++ b/src/core/swarm.h
@@ -127,8 +127,8 @@
 enum swarm_upload swarm_admit_upload(const struct swarm *swarm, uint32_t chunk, uint32_t queue);
 /** \brief Chunk requests in flight from now on, for example fewer on a slow link. */
 void swarm_set_download_window(struct swarm *swarm, uint32_t window);
-/** \return moving time from a request to its chunk, microseconds; 0 before the first */
-uint64_t swarm_mean_chunk_us(const struct swarm *swarm);
+/** \return chunk requests in flight to peers, by offers */
+uint32_t swarm_downloads(const struct swarm *swarm);
 /** \brief Uploads queued or running now; told to neighbours. */
 void swarm_set_upload_queue(struct swarm *swarm, uint32_t queue);
 
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -335,20 +335,34 @@
     return start_turn(&turn_settings, install_named_at(loader), position, count);
 }
 
-/* Newest first; an older version is fetched only while no newer one makes progress. */
+/* \return the one version that goes first: the oldest that is half here, or the newest that comes */
+static uint32_t first_to_fetch(const struct loader *loader, uint64_t now)
+{
+    for (uint32_t i = 0; i < loader->wanted_count; i++)
+        if (piece_store_progresses(loader->wanted[i].store, now) &&
+            piece_store_half_held(loader->wanted[i].store))
+            return i;
+    for (uint32_t i = loader->wanted_count; i-- > 0;)
+        if (piece_store_progresses(loader->wanted[i].store, now))
+            return i;
+    return VERSIONS_KEPT; /* none: all try */
+}
+
 static bool tick_stores(struct loader *loader, uint64_t now)
 {
     bool fetching = false;
-    bool newer_progresses = false;
+    uint32_t first = first_to_fetch(loader, now);
     for (uint32_t i = loader->wanted_count; i-- > 0;) {
         struct piece_store *store = loader->wanted[i].store;
+        enum link_use use = loader->report.load.version ? LINK_WITH_ENGINE : LINK_ALONE;
         bool complete = piece_store_complete(store);
-        if (!complete && newer_progresses)
-            continue;
-        piece_store_share_link(store, loader->report.load.version > 0);
+        if (!complete && first < VERSIONS_KEPT && i < first)
+            continue; /* a newer one comes instead */
+        if (i > first)
+            use = LINK_BEHIND;
+        piece_store_share_link(store, use);
         piece_store_tick(store, now);
         fetching |= !complete;
-        newer_progresses |= piece_store_progresses(store, now);
     }
     return fetching;
 }
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -4,6 +4,7 @@
 #include "base/memory.h"
 #include "base/metrics.h"
 #include "core/hash.h"
+#include "core/link_rate.h"
 #include "core/swarm.h"
 #include "net/http_caller.h"
 
@@ -28,13 +29,13 @@
 #define JOIN_HOLD_US 600000
 /** A fetch that got no piece for so long does not progress. */
 #define PROGRESS_US 800000
+#define PROGRESS_LOG_US 400000
 #define UPLOADS_MOST 4
-/** Downloads at once: beside an engine that serves, beside one that is empty, and on a slow link. */
-#define WINDOW_SHARED 3
+/** Downloads at once: beside an engine that serves, beside one that is empty, and on a slow link or
+ *  behind another version. */
+#define WINDOW_SHARED 4
 #define WINDOW_ALONE 6
 #define WINDOW_SLOW 1
-/** A link counts as slow when a piece takes so many times as long as it should. */
-#define SLOW_TIMES 12
 #define SLOW_UPLOAD_SHARE 0.1
 /** See swarm_settings; past this, sparing bytes between regions would delay the version. */
 #define FAR_HOLD_US 2000000
@@ -45,6 +46,7 @@
 struct source {
     uint64_t id;
     struct http_caller *caller;
+    bool cancelled; /* its present call is to be broken off */
 };
 
 struct piece {
@@ -79,10 +81,12 @@
     uint32_t source_count;
     struct upload uploads[UPLOADS_MOST]; /* in order of asking */
     uint32_t upload_count;
-    bool shares_link;
+    enum link_use link_use;
+    struct link_rate rate;
     bool link_is_slow;
     uint32_t held_before; /* at the last look at progress */
     uint64_t progressed_at;
+    uint64_t next_progress_log;
     uv_timer_t upload_timer; /* runs while the link is busy with an upload */
 };
 
@@ -98,10 +102,10 @@
 
 static uint64_t piece_time_us(const struct piece_store *store)
 {
-    double bits_per_us = strtod(store->cluster->settings->link_mbit, NULL);
+    double bits_per_us = store->rate.nominal;
     if (store->link_is_slow)
         bits_per_us *= SLOW_UPLOAD_SHARE;
-    else if (store->shares_link)
+    else if (store->link_use != LINK_ALONE)
         bits_per_us *= UPLOAD_SHARE;
     return (uint64_t)(store->manifest.piece_bytes * 8.0 / (bits_per_us > 0 ? bits_per_us : 1000));
 }
@@ -172,6 +176,7 @@
                                      : cluster_address(store->cluster, (uint32_t)id);
     struct source *source = &store->sources[store->source_count++];
     source->id = id;
+    source->cancelled = false;
     source->caller = http_caller_create(store->cluster->loop, &address);
     return source;
 }
@@ -234,7 +239,7 @@
 }
 
 static void take_piece(struct piece_store *store, const struct fetch *fetch,
-                       const struct http_message *message)
+                       const struct http_message *message, uint64_t transfer_us)
 {
     uint64_t now = cluster_now();
     bool from_origin = fetch->source == SWARM_ORIGIN;
@@ -245,6 +250,9 @@
         swarm_on_failure(store->swarm, now, fetch->source, fetch->piece, SWARM_FAILURE_CORRUPT, 0);
         return;
     }
+    if (!from_origin)
+        link_rate_add(&store->rate, message->body.size, transfer_us,
+                      swarm_downloads(store->swarm));
     if (!swarm_on_chunk(store->swarm, now, fetch->source, fetch->piece))
         return;
     metric_add(from_origin ? METRIC_CHUNKS_FROM_ORIGIN : METRIC_CHUNKS_FROM_PEER, 1);
@@ -267,7 +275,8 @@
     struct piece_store *store = fetch->store;
     unsigned status = result == CALL_ANSWERED ? http_message_status(message) : 0;
     if (status == 200) {
-        take_piece(store, fetch, message);
+        struct source *source = source_of(store, fetch->source);
+        take_piece(store, fetch, message, source ? http_caller_transfer_us(source->caller) : 0);
     } else {
         metric_add(METRIC_CHUNKS_FAILED, 1);
         swarm_on_failure(store->swarm, cluster_now(), fetch->source, fetch->piece,
@@ -303,7 +312,11 @@
 
 static void cancel(void *context, uint64_t source, uint32_t piece)
 {
-    /* The answer is dropped when it comes: swarm_on_chunk() then says that the piece is held. */
+    /* Not at once: the swarm is in the midst of its own lists. */
+    struct piece_store *store = context;
+    struct source *place = source_of(store, source);
+    if (place)
+        place->cancelled = true;
 }
 
 static void announce(void *context, uint64_t peer, const struct swarm_update *update)
@@ -475,6 +488,7 @@
     store->origin = *origin;
     store->version = version;
     store->recent = recent;
+    store->rate.nominal = strtod(cluster->settings->link_mbit, NULL);
     uv_timer_init(cluster->loop, &store->upload_timer);
     store->upload_timer.data = store;
     return store;
@@ -503,26 +517,59 @@
     uv_close((uv_handle_t *)&store->upload_timer, on_upload_timer_closed);
 }
 
-void piece_store_share_link(struct piece_store *store, bool shared)
+void piece_store_share_link(struct piece_store *store, enum link_use use)
+{
+    store->link_use = use;
+}
+
+bool piece_store_half_held(const struct piece_store *store)
 {
-    store->shares_link = shared;
+    return store->swarm && 2 * store->held >= store->manifest.count;
+}
+
+/* Every piece in flight delays the answers of the engine: few on a link that is narrow, or may be. */
+static uint32_t download_window(const struct piece_store *store)
+{
+    if (store->link_use == LINK_ALONE)
+        return WINDOW_ALONE;
+    bool careful = store->link_is_slow || store->rate.estimated <= 0;
+    return careful || store->link_use == LINK_BEHIND ? WINDOW_SLOW : WINDOW_SHARED;
 }
 
-/* A piece takes long when the link is narrow, and every piece in flight delays answers there. */
 static void watch_link(struct piece_store *store)
 {
-    uint64_t mean = swarm_mean_chunk_us(store->swarm);
-    double bits_per_us = strtod(store->cluster->settings->link_mbit, NULL);
-    double nominal = bits_per_us > 0 ? store->manifest.piece_bytes * 8.0 / bits_per_us : 0;
-    bool slow = nominal > 0 && (double)mean > SLOW_TIMES * nominal;
+    bool slow = link_rate_is_slow(&store->rate);
     if (slow != store->link_is_slow)
         log_event(LOG_LEVEL_INFO, "pieces", slow ? "link-slow" : "link-sound",
-                  "version=%" PRIu64 " mean_ms=%" PRIu64 " nominal_ms=%.0f", store->version,
-                  mean / 1000, nominal / 1000);
+                  "version=%" PRIu64 " mbit=%.2f nominal_mbit=%.2f", store->version,
+                  store->rate.estimated, store->rate.nominal);
     store->link_is_slow = slow;
-    swarm_set_download_window(store->swarm, slow                 ? WINDOW_SLOW
-                                            : store->shares_link ? WINDOW_SHARED
-                                                                 : WINDOW_ALONE);
+    swarm_set_download_window(store->swarm, download_window(store));
+}
+
+static void log_progress(struct piece_store *store, uint64_t now)
+{
+    if (now < store->next_progress_log || piece_store_complete(store))
+        return;
+    store->next_progress_log = now + PROGRESS_LOG_US;
+    const struct swarm_counters *counters = swarm_counters(store->swarm);
+    log_event(LOG_LEVEL_INFO, "pieces", "progress",
+              "version=%" PRIu64 " held=%u of=%u from_peers=%" PRIu64 " from_origin=%" PRIu64
+              " in_flight=%u refusals=%" PRIu64 " timeouts=%" PRIu64 " corrupt=%" PRIu64
+              " mbit=%.2f",
+              store->version, store->held, store->manifest.count, counters->chunks_from_peers,
+              counters->chunks_from_origin, swarm_downloads(store->swarm), counters->refusals,
+              counters->timeouts, counters->chunks_corrupt, store->rate.estimated);
+}
+
+static void abort_cancelled(struct piece_store *store)
+{
+    for (uint32_t i = 0; i < store->source_count; i++) {
+        if (!store->sources[i].cancelled)
+            continue;
+        store->sources[i].cancelled = false;
+        http_caller_abort(store->sources[i].caller);
+    }
 }
 
 bool piece_store_progresses(const struct piece_store *store, uint64_t now)
@@ -537,7 +584,9 @@
             ask_manifest(store);
         return;
     }
+    abort_cancelled(store);
     watch_link(store);
+    log_progress(store, now);
     if (store->held > store->held_before) {
         store->held_before = store->held;
         store->progressed_at = now;
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -19,8 +19,14 @@
                                        const struct sockaddr_in *origin, uint64_t version,
                                        bool recent, const struct piece_store_callbacks *callbacks);
 void piece_store_destroy(struct piece_store *store);
-/** \brief Whether the engine beside serves requests, whose answers need the link too. */
-void piece_store_share_link(struct piece_store *store, bool shared);
+/** Who else needs the link while pieces are fetched. */
+enum link_use {
+    LINK_ALONE,       /**< nobody */
+    LINK_WITH_ENGINE, /**< the answers of the engine beside */
+    LINK_BEHIND,      /**< those, and another version that goes first */
+};
+
+void piece_store_share_link(struct piece_store *store, enum link_use use);
 void piece_store_tick(struct piece_store *store, uint64_t now);
 uint64_t piece_store_version(const struct piece_store *store);
 /** \return NULL before the manifest is known */
@@ -32,6 +38,8 @@
 bool piece_store_complete(const struct piece_store *store);
 /** \return whether pieces are missing and some came a moment ago */
 bool piece_store_progresses(const struct piece_store *store, uint64_t now);
+/** \return whether at least half of the pieces are held */
+bool piece_store_half_held(const struct piece_store *store);
 void piece_store_on_news(struct piece_store *store, uint32_t peer,
                          const Shuntrun__PieceNews *news);
 /** \return whether the call was one for a piece or manifest, and is answered */
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -1,5 +1,6 @@
 #include "net/http_caller.h"
 
+#include "base/clock.h"
 #include "base/memory.h"
 
 #include <arpa/inet.h>
@@ -27,6 +28,8 @@
     struct pending_call *first;
     struct pending_call **last;
     uint32_t waiting;
+    uint64_t first_byte_at; /* of the answer under way, 0: none yet */
+    uint64_t transfer_us;   /* of the last answer */
     uv_timer_t timer;
 };
 
@@ -121,9 +124,13 @@
         return;
     }
     size_t used;
+    uint64_t now = clock_monotonic_us();
+    if (!caller->first_byte_at)
+        caller->first_byte_at = now;
     enum http_parse_result result = http_message_feed(&caller->message, bytes, size, &used);
     if (result == HTTP_PARSE_MORE)
         return;
+    caller->transfer_us = now - caller->first_byte_at;
     if (result == HTTP_PARSE_DONE)
         finish_answer(caller, caller->message.keep_alive && used == size);
     else
@@ -162,6 +169,7 @@
     if (!caller->up)
         return;
     caller->sent = true;
+    caller->first_byte_at = 0;
     caller->message.body_limit = call->body_limit;
     http_message_begin(&caller->message, HTTP_MESSAGE_RESPONSE);
     uv_timer_start(&caller->timer, on_timeout, call->timeout_ms, 0);
@@ -216,6 +224,11 @@
     start_next(caller);
 }
 
+uint64_t http_caller_transfer_us(const struct http_caller *caller)
+{
+    return caller->transfer_us;
+}
+
 uint32_t http_caller_waiting(const struct http_caller *caller)
 {
     return caller->waiting;
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -38,6 +38,8 @@
 void http_caller_send(struct http_caller *caller, const struct caller_request *request);
 /** \return calls that have no answer yet */
 uint32_t http_caller_waiting(const struct http_caller *caller);
+/** \return time from the first to the last byte of the last answer, microseconds */
+uint64_t http_caller_transfer_us(const struct http_caller *caller);
 /** \brief Give all calls up as broken, and the connection. */
 void http_caller_abort(struct http_caller *caller);
 
