--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -15,6 +15,7 @@
 #define ANSWER_LIMIT (32U << 20)
 #define BACKOFF_FIRST_MS 150
 #define BACKOFF_MOST_MS 1000
+#define BACKOFF_EMPTY_MS 250
 #define MAX_PREFIXES 4
 #define KEY_SIZE 256
 
@@ -52,7 +53,9 @@
                   reader->prefix, reason, (unsigned long long)reader->revision);
     reader->failures++;
     reader->page_key[0] = 0;
-    uv_timer_start(&reader->retry, on_retry, wait < BACKOFF_MOST_MS ? wait : BACKOFF_MOST_MS, 0);
+    /* A node that knows nothing yet serves nobody. */
+    uint32_t most = reader->revision ? BACKOFF_MOST_MS : BACKOFF_EMPTY_MS;
+    uv_timer_start(&reader->retry, on_retry, wait < most ? wait : most, 0);
 }
 
 static void recovered(struct prefix_reader *reader)
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -16,10 +16,6 @@
 #define SERVICE_BODY_LIMIT 4096
 #define ADDRESSES_MOST 64
 #define ADDRESS_AGE_S 1.0
-#define QUEUE_PER_ENGINE 2
-/** An engine reads these within the time that a first token may take, and its streams do not pause
- *  for longer than they may. */
-#define TOKENS_PER_ENGINE 4500
 #define LOAD_FRESH_US 1200000
 /** Time before the bound on old versions at which they get no new work. */
 #define VERSION_MARGIN_US 1100000
@@ -333,8 +329,9 @@
 {
     struct cluster_callbacks callbacks = {
         .context = edge, .item_changed = on_item, .load_received = on_load, .woke = on_woke};
-    struct backend_pool_settings pool = {.queue_per_engine = QUEUE_PER_ENGINE,
-                                         .tokens_per_engine = TOKENS_PER_ENGINE,
+    struct backend_pool_settings pool = {.queue_per_engine = (uint32_t)settings->engine_queue,
+                                         .tokens_per_engine =
+                                             (uint32_t)settings->engine_unread_tokens,
                                          .load_fresh_us = LOAD_FRESH_US};
     edge->settings = settings;
     edge->loop = uv_default_loop();
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -9,8 +9,6 @@
 #include <string.h>
 
 #define MS_US ((uint64_t)1000)
-/** A request waits for a place for this share of its latency objective, then it is refused. */
-#define WAIT_SHARE 0.2
 #define WAIT_LEAST_US 15000
 /** Time for which a request without a client deadline or route timeout is held. */
 #define FALLBACK_TIMEOUT_MS 10000
@@ -689,7 +687,7 @@
         hold_ms = FALLBACK_TIMEOUT_MS;
     if (exchange->head.deadline_ms && exchange->head.deadline_ms < hold_ms)
         hold_ms = exchange->head.deadline_ms;
-    uint64_t wait = (uint64_t)(WAIT_SHARE * exchange->route->target_ms * MS_US);
+    uint64_t wait = exchange->edge->settings->wait_percent * exchange->route->target_ms * MS_US / 100;
     exchange->arrived = cluster_now();
     exchange->final_at = exchange->arrived + hold_ms * MS_US;
     exchange->wait_until =
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -122,8 +122,8 @@
         .silence_us = 1500000,
         .chunk_timeout_us = 2500000,
         .busy_backoff_us = piece_time_us(store),
-        .origin_copy_us = 700000,
-        .origin_step_us = 250000,
+        .origin_copy_us = 500000,
+        .origin_step_us = 100000,
         .join_hold_us = store->recent ? 0 : JOIN_HOLD_US,
         .far_hold_us = FAR_HOLD_US,
     };
