--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,7 @@
 # Formatting, static analysis, and whether the committed generated code is current.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t sources < <(git ls-files 'src/*.c' 'src/*.h' 'tests/*.c' 'tests/*.h' | grep -v '^src/generated/')
+mapfile -t sources < <(git ls-files 'src/*.c' 'src/*.h' 'platform/*.c' 'platform/*.h' 'tests/*.c' 'tests/*.h' | grep -v '^src/generated/')
 
 echo "clang-format"
 clang-format --dry-run --Werror "${sources[@]}"
@@ -11,8 +11,8 @@
 cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr --enable=warning,portability \
   --suppress=missingIncludeSystem \
   --suppress=preprocessorErrorDirective --suppress=normalCheckLevelMaxBranches --library=scripts/jansson.cfg \
-  -i src/generated -D_GNU_SOURCE -I src \
-  -j "$(nproc)" src tests
+  -i src/generated -D_GNU_SOURCE -I src -I . \
+  -j "$(nproc)" src platform tests
 
 echo "generated code"
 copy=$(mktemp -d)
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -33,6 +33,14 @@
     X(METRIC_UPDATES_SENT, "shuntrun_updates_sent_total", "updates sent to neighbours")            \
     X(METRIC_UPSTREAM_CONNECTIONS, "shuntrun_upstream_connections_total",                          \
       "connections opened to back ends")                                                           \
+    X(METRIC_BUDGET_SPENT, "shuntrun_repeat_budget_refusals_total",                                \
+      "repeats that the shared budget did not allow")                                              \
+    X(METRIC_CLIENTS_GONE, "shuntrun_clients_gone_total", "requests whose client left")            \
+    X(METRIC_EJECTIONS, "shuntrun_ejections_total", "back ends that were left out for a while")    \
+    X(METRIC_STORE_FAILURES, "shuntrun_store_failures_total", "calls to the store that failed")    \
+    X(METRIC_STATE_FROM_PEER, "shuntrun_state_from_peer_total", "changes taken from a peer")       \
+    X(METRIC_LOG_LINES_LEFT_OUT, "shuntrun_log_lines_left_out_total",                              \
+      "log lines left out by rate, or because nobody read them")                                   \
     X(METRIC_LINKS_REJECTED, "shuntrun_links_rejected_total", "links refused by their key")        \
     X(METRIC_UPDATE_BYTES, "shuntrun_update_bytes_total", "bytes of control messages sent")
 
@@ -41,16 +49,34 @@
     X(METRIC_CHUNK_MEMORY, "shuntrun_chunk_memory_bytes", "bytes of chunks held")                  \
     X(METRIC_ACTIVE_REQUESTS, "shuntrun_active_requests", "requests in progress")                  \
     X(METRIC_READY_MODELS, "shuntrun_ready_models", "models confirmed by the engine")              \
+    X(METRIC_STATE_REVISION, "shuntrun_state_revision", "revision of the platform's state held")   \
+    X(METRIC_WAITING_REQUESTS, "shuntrun_waiting_requests", "requests that wait for a place")      \
+    X(METRIC_BACKENDS, "shuntrun_backends", "back ends that are listed")                           \
+    X(METRIC_ENGINE_RUNNING, "shuntrun_engine_running", "requests that the own engine runs")       \
+    X(METRIC_ENGINE_WAITING, "shuntrun_engine_waiting", "requests that wait at the own engine")    \
+    X(METRIC_ENGINE_VERSION, "shuntrun_engine_weights_version", "weights of the own engine")       \
     X(METRIC_LIVE_PEERS, "shuntrun_live_peers", "neighbours heard within the suspicion time")
 
+/* Durations, in buckets of fixed bounds. */
+#define METRIC_HISTOGRAMS(X)                                                                       \
+    X(METRIC_FIRST_EVENT, "shuntrun_first_event_seconds",                                          \
+      "time from a request to the first event of its stream")                                      \
+    X(METRIC_WHOLE_ANSWER, "shuntrun_whole_answer_seconds",                                        \
+      "time from a request to its whole answer, not of streams")                                   \
+    X(METRIC_EVENT_PAUSE, "shuntrun_event_pause_seconds", "pauses between events of streams")      \
+    X(METRIC_PLACE_WAIT, "shuntrun_place_wait_seconds", "time a request waited for a place")
+
 #define METRIC_ENUM(identifier, series, help) identifier,
 enum metric_counter { METRIC_COUNTERS(METRIC_ENUM) METRIC_COUNTER_COUNT };
 enum metric_gauge { METRIC_GAUGES(METRIC_ENUM) METRIC_GAUGE_COUNT };
+enum metric_histogram { METRIC_HISTOGRAMS(METRIC_ENUM) METRIC_HISTOGRAM_COUNT };
 #undef METRIC_ENUM
 
 /** \brief Add to a counter; callable from any thread, takes no lock after a thread's first call. */
 void metric_add(enum metric_counter counter, uint64_t amount);
 void metric_gauge_set(enum metric_gauge gauge, uint64_t value);
+/** \brief Count a duration; callable from any thread. */
+void metric_observe(enum metric_histogram histogram, uint64_t microseconds);
 
 /** \brief Sum of a counter over all threads. */
 uint64_t metric_read(enum metric_counter counter);
--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -32,9 +32,8 @@
 
 struct sockaddr_in cluster_address(const struct cluster *cluster, uint32_t address)
 {
-    struct sockaddr_in result = {.sin_family = AF_INET,
-                                 .sin_port = htons(cluster->port),
-                                 .sin_addr.s_addr = htonl(address)};
+    struct sockaddr_in result = {
+        .sin_family = AF_INET, .sin_port = htons(cluster->port), .sin_addr.s_addr = htonl(address)};
     return result;
 }
 
@@ -160,8 +159,7 @@
         uint32_t addresses[TARGETS_MOST];
         cluster->next_round = now + ROUND_US;
         membership_tick(cluster->membership, now);
-        uint32_t count =
-            membership_targets(cluster->membership, now, addresses, TARGETS_MOST);
+        uint32_t count = membership_targets(cluster->membership, now, addresses, TARGETS_MOST);
         send_news(cluster, addresses, count);
         log_member_changes(cluster, now);
         state_cache_trim(cluster->state, now > TOMBSTONE_US ? now - TOMBSTONE_US : 0);
@@ -209,8 +207,7 @@
     *buffer = uv_buf_init(bytes, sizeof bytes);
 }
 
-static void on_call(void *context, struct service_call *call,
-                    const struct service_request *request)
+static void on_call(void *context, struct service_call *call, const struct service_request *request)
 {
     struct cluster *cluster = context;
     if (state_sync_serve(cluster->sync, call, request))
@@ -313,8 +310,7 @@
 
 uint32_t cluster_gateways(const struct cluster *cluster)
 {
-    uint32_t alive =
-        membership_alive_count(cluster->membership, MEMBER_GATEWAY, cluster_now());
+    uint32_t alive = membership_alive_count(cluster->membership, MEMBER_GATEWAY, cluster_now());
     return alive ? alive : 1;
 }
 
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -1,6 +1,6 @@
 /**
- * What every node on the users' platform shares: membership by datagrams, a copy of what the platform
- * publishes, read from its store or from peers, and a small HTTP service between nodes.
+ * What every node on the users' platform shares: membership by datagrams, a copy of what the
+ * platform publishes, read from its store or from peers, and a small HTTP service between nodes.
  *
  * One loop, one thread.
  */
@@ -46,7 +46,7 @@
     uint16_t port; /**< of datagrams and calls, the same on all nodes */
     uint64_t next_round;
     uint64_t operator_revision; /**< of the newest change by the operator that is known here */
-    bool change_untold; /**< of that change, peers were not told yet */
+    bool change_untold;         /**< of that change, peers were not told yet */
     uint64_t last_tick;
 };
 
--- a/src/cluster/process.c
+++ b/src/cluster/process.c
@@ -52,6 +52,7 @@
         service_reply(call, 404, NULL, NULL, 0);
         return;
     }
+    metric_add(METRIC_LOG_LINES_LEFT_OUT, log_dropped() - metric_read(METRIC_LOG_LINES_LEFT_OUT));
     char *text = metrics_format(&size);
     service_reply(call, 200, "text/plain; version=0.0.4", text, size);
     free(text);
@@ -88,6 +89,5 @@
 {
     for (size_t i = 0; i < findings->count && i < FINDINGS_LOGGED_MOST; i++)
         log_event(LOG_LEVEL_ERROR, "config", "refused", "revision=%llu place=\"%s\" problem=\"%s\"",
-                  (unsigned long long)revision, findings->items[i].place,
-                  findings->items[i].text);
+                  (unsigned long long)revision, findings->items[i].place, findings->items[i].text);
 }
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/memory.h"
+#include "base/metrics.h"
 #include "cluster/store_reader.h"
 #include "net/http_caller.h"
 #include "platform/platform.h"
@@ -68,6 +69,7 @@
     log_event(LOG_LEVEL_INFO, "state", "from-peer", "peer=%08x revision=%llu before=%llu items=%zu",
               peer, (unsigned long long)changes->revision,
               (unsigned long long)state_cache_revision(sync->cluster->state), changes->n_items);
+    metric_add(METRIC_STATE_FROM_PEER, 1);
     take_changes(sync, changes);
     shuntrun__state_changes__free_unpacked(changes, NULL);
     cluster_tell_change(sync->cluster);
--- a/src/cluster/state_sync.h
+++ b/src/cluster/state_sync.h
@@ -1,5 +1,6 @@
 /**
- * Takes what the platform publishes from peers that are ahead, and gives it to those that are behind.
+ * Takes what the platform publishes from peers that are ahead, and gives it to those that are
+ * behind.
  */
 #ifndef SHUNTRUN_STATE_SYNC_H
 #define SHUNTRUN_STATE_SYNC_H
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -52,6 +52,7 @@
         log_event(LOG_LEVEL_WARN, "store", "lost", "prefix=%s reason=\"%s\" revision=%llu",
                   reader->prefix, reason, (unsigned long long)reader->revision);
     reader->failures++;
+    metric_add(METRIC_STORE_FAILURES, 1);
     reader->page_key[0] = 0;
     /* A node that knows nothing yet serves nobody. */
     uint32_t most = reader->revision ? BACKOFF_MOST_MS : BACKOFF_EMPTY_MS;
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -187,8 +187,7 @@
 {
     if (!has_fresh_load(pool, backend, now))
         return backend->in_flight * (gateways ? gateways : 1);
-    int64_t known =
-        (int64_t)backend->load.running + backend->load.waiting + backend->sent_since;
+    int64_t known = (int64_t)backend->load.running + backend->load.waiting + backend->sent_since;
     return known > (int64_t)backend->in_flight ? (uint32_t)known : backend->in_flight;
 }
 
@@ -247,8 +246,7 @@
                    const struct backend *backend, uint64_t now)
 {
     if (backend->listing.draining || is_past_unlisting(backend, now) ||
-        strcmp(backend->listing.service, wish->service) != 0 ||
-        is_excluded(wish, backend))
+        strcmp(backend->listing.service, wish->service) != 0 || is_excluded(wish, backend))
         return false;
     if (!wish->engine)
         return true;
@@ -321,8 +319,7 @@
 static double score(const struct backend_pool *pool, const struct backend_wish *wish,
                     const struct backend *backend, uint64_t now)
 {
-    double cost =
-        wish->engine ? engine_cost(pool, wish, backend, now) : service_cost(backend);
+    double cost = wish->engine ? engine_cost(pool, wish, backend, now) : service_cost(backend);
     return cost * (1 + FAILURE_PENALTY * backend->failure_share +
                    REFUSAL_PENALTY * backend->refusal_share);
 }
@@ -389,8 +386,8 @@
         probe->probing = true;
         return BACKEND_FOUND;
     }
-    *chosen = better(pool, wish, best_of(pool, wish, &near, now), best_of(pool, wish, &far, now),
-                     now);
+    *chosen =
+        better(pool, wish, best_of(pool, wish, &near, now), best_of(pool, wish, &far, now), now);
     if (!*chosen)
         *chosen = ejected;
     if (*chosen)
@@ -432,7 +429,7 @@
     return result == BACKEND_BROKEN || result == BACKEND_SILENT || result == BACKEND_UNREACHABLE;
 }
 
-void backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
+bool backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
                  uint64_t latency_us, uint64_t now)
 {
     bool was_probe = backend->probing;
@@ -444,7 +441,7 @@
     else if (latency_us)
         backend->latency_us = (double)latency_us;
     if (result == BACKEND_CANCELLED)
-        return;
+        return false;
     move(&backend->failure_share, is_failure(result));
     move(&backend->refusal_share, result == BACKEND_REFUSED);
     if (!is_failure(result)) {
@@ -456,10 +453,13 @@
             if (backend->failure_share < 0.05)
                 backend->ejection_us = 0;
         }
-        return;
+        return false;
     }
     backend->failures++;
-    if (result == BACKEND_UNREACHABLE || was_probe ||
-        backend->failures >= FAILURES_BEFORE_EJECTION || backend->failure_share > FAULTY_SHARE)
+    bool faulty = result == BACKEND_UNREACHABLE || was_probe ||
+                  backend->failures >= FAILURES_BEFORE_EJECTION ||
+                  backend->failure_share > FAULTY_SHARE;
+    if (faulty)
         eject(backend, now);
+    return faulty;
 }
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -34,9 +34,9 @@
     uint32_t waiting;
     uint64_t memory_used; /**< in units of `memory_total` */
     uint64_t memory_total;
-    uint64_t version; /**< of the weights; 0: none */
-    bool loading;     /**< it takes nothing new until it has other weights */
-    bool staged;      /**< it has all of a newer version at hand */
+    uint64_t version;       /**< of the weights; 0: none */
+    bool loading;           /**< it takes nothing new until it has other weights */
+    bool staged;            /**< it has all of a newer version at hand */
     uint32_t pace_permille; /**< above 1000: slower than it should be */
 };
 
@@ -53,13 +53,13 @@
 
 struct backend {
     struct backend_listing listing;
-    uint32_t references; /**< of the pool, of requests and of connections */
-    bool listed;         /**< false: the list has dropped it */
+    uint32_t references;     /**< of the pool, of requests and of connections */
+    bool listed;             /**< false: the list has dropped it */
     uint64_t unlisted_until; /**< dropped by the list, but usable until then; 0: listed */
-    uint16_t distance; /**< 0 same zone, 1 same region, 2 other region */
-    uint32_t in_flight; /**< requests of this gateway */
-    uint32_t unread;     /**< those of them that have no byte of an answer yet */
-    uint64_t unread_tokens; /**< of their prompts */
+    uint16_t distance;       /**< 0 same zone, 1 same region, 2 other region */
+    uint32_t in_flight;      /**< requests of this gateway */
+    uint32_t unread;         /**< those of them that have no byte of an answer yet */
+    uint64_t unread_tokens;  /**< of their prompts */
     struct backend_load load;
     uint64_t load_at;       /**< time of the report, 0: none */
     int32_t sent_since;     /**< own requests begun less ended since the report */
@@ -92,8 +92,8 @@
 struct backend *backend_pool_list(struct backend_pool *pool, const struct backend_listing *listing,
                                   uint16_t distance);
 /**
- * \brief The list has dropped a back end. It stays usable until `until`, as the list may drop back ends
- *        that live and list them again; one that said it leaves is dropped at once.
+ * \brief The list has dropped a back end. It stays usable until `until`, as the list may drop back
+ * ends that live and list them again; one that said it leaves is dropped at once.
  */
 void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until);
 /**
@@ -118,13 +118,13 @@
 
 struct backend_wish {
     const char *service;
-    bool engine;            /**< of a model, with load reports */
-    uint32_t tokens;        /**< of this request's prompt */
-    uint32_t usual_tokens;  /**< of a prompt of others */
+    bool engine;               /**< of a model, with load reports */
+    uint32_t tokens;           /**< of this request's prompt */
+    uint32_t usual_tokens;     /**< of a prompt of others */
     double read_tokens_per_ms; /**< rate at which an engine reads prompts */
-    uint64_t least_version; /**< of the weights; 0: any */
-    uint64_t next_version;  /**< required soon: only engines that have it at hand may be older */
-    uint64_t exact_version; /**< of the weights; 0: any */
+    uint64_t least_version;    /**< of the weights; 0: any */
+    uint64_t next_version;     /**< required soon: only engines that have it at hand may be older */
+    uint64_t exact_version;    /**< of the weights; 0: any */
     const struct backend *excluded[BACKEND_MAX_EXCLUDED];
     uint32_t excluded_count;
     uint32_t gateways; /**< that send to the same back ends */
@@ -151,8 +151,12 @@
 void backend_begin(struct backend *backend, uint32_t tokens);
 /** \brief The first byte of an answer came. \param tokens as at the begin */
 void backend_answers(struct backend *backend, uint32_t tokens);
-/** \param latency_us time to the first byte of the answer, 0 when none came */
-void backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
+/**
+ * \brief Count a request out.
+ * \param latency_us time to the first byte of the answer, 0 when none came
+ * \return whether the back end is now left out for a while
+ */
+bool backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
                  uint64_t latency_us, uint64_t now);
 
 #endif
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -137,15 +137,14 @@
 
 void membership_write(struct membership *membership, Shuntrun__MemberMessage *message)
 {
-    uint32_t count = membership->count < MEMBERSHIP_NEWS_MOST ? membership->count
-                                                              : MEMBERSHIP_NEWS_MOST;
+    uint32_t count =
+        membership->count < MEMBERSHIP_NEWS_MOST ? membership->count : MEMBERSHIP_NEWS_MOST;
     uint64_t first = random_below(&membership->random, membership->count);
     shuntrun__member_message__init(message);
     write_news(&membership->self, true, &membership->news[0]);
     message->sender = &membership->news[0];
     for (uint32_t i = 0; i < count; i++) {
-        const struct member_state *member =
-            &membership->members[(first + i) % membership->count];
+        const struct member_state *member = &membership->members[(first + i) % membership->count];
         write_news(member, member->heartbeat < YOUNG_HEARTBEATS, &membership->news[i + 1]);
         membership->news_pointers[i] = &membership->news[i + 1];
     }
@@ -171,8 +170,7 @@
         membership->self.incarnation++;
 }
 
-static bool take_news(struct membership *membership, const Shuntrun__MemberNews *news,
-                      uint64_t now)
+static bool take_news(struct membership *membership, const Shuntrun__MemberNews *news, uint64_t now)
 {
     if (news->address == membership->self.address) {
         refute(membership, news);
@@ -183,13 +181,12 @@
     struct member_state *member = find(membership, news->address);
     bool is_new = !member;
     if (is_new) {
-        membership->members = memory_resize(
-            membership->members, (membership->count + 1) * sizeof *membership->members);
+        membership->members = memory_resize(membership->members,
+                                            (membership->count + 1) * sizeof *membership->members);
         member = &membership->members[membership->count++];
         *member = (struct member_state){.address = news->address};
     } else if (news->incarnation < member->incarnation ||
-               (news->incarnation == member->incarnation &&
-                news->heartbeat <= member->heartbeat)) {
+               (news->incarnation == member->incarnation && news->heartbeat <= member->heartbeat)) {
         return false;
     }
     member->incarnation = news->incarnation;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -34,11 +34,11 @@
     uint16_t traffic_port;
     uint64_t state_revision;    /**< up to which it knows what the platform publishes */
     uint64_t operator_revision; /**< of the newest change by the operator that it knows */
-    uint64_t last_news; /**< time at which the heartbeat last moved */
+    uint64_t last_news;         /**< time at which the heartbeat last moved */
 };
 
 struct membership_settings {
-    uint32_t fanout;     /**< members told at each round */
+    uint32_t fanout; /**< members told at each round */
     uint64_t suspect_us;
     uint64_t forget_us;
 };
--- a/src/core/repeat_budget.c
+++ b/src/core/repeat_budget.c
@@ -5,8 +5,8 @@
 /** Part of the bound that is used; the rest covers windows that are cut between steps. */
 #define USED_SHARE 0.8
 
-void repeat_budget_init(struct repeat_budget *budget,
-                        const struct repeat_budget_settings *settings, uint64_t now)
+void repeat_budget_init(struct repeat_budget *budget, const struct repeat_budget_settings *settings,
+                        uint64_t now)
 {
     memset(budget, 0, sizeof *budget);
     budget->settings = *settings;
--- a/src/core/repeat_budget.h
+++ b/src/core/repeat_budget.h
@@ -1,9 +1,9 @@
 /**
- * A budget of repeats that all gateways share without talking: each spends at most a share of its own
- * requests, and its part of a fixed allowance, in any sliding window.
+ * A budget of repeats that all gateways share without talking: each spends at most a share of its
+ * own requests, and its part of a fixed allowance, in any sliding window.
  *
- * The sum over all gateways then keeps the bound of the whole, also when they disagree on who lives:
- * the allowance is divided by the greatest number of gateways seen.
+ * The sum over all gateways then keeps the bound of the whole, also when they disagree on who
+ * lives: the allowance is divided by the greatest number of gateways seen.
  */
 #ifndef SHUNTRUN_REPEAT_BUDGET_H
 #define SHUNTRUN_REPEAT_BUDGET_H
@@ -28,8 +28,8 @@
     uint64_t started; /**< time of the first use; the allowance grows over the first window */
 };
 
-void repeat_budget_init(struct repeat_budget *budget,
-                        const struct repeat_budget_settings *settings, uint64_t now);
+void repeat_budget_init(struct repeat_budget *budget, const struct repeat_budget_settings *settings,
+                        uint64_t now);
 /** \brief Count a request from a client. */
 void repeat_budget_earn(struct repeat_budget *budget, uint64_t now);
 /** \brief Take one repeat. \param gateways that share the allowance \return false: do not repeat */
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -1,5 +1,6 @@
 /**
- * Routes, services and tenants of one configuration version, ready for look-ups by the request path.
+ * Routes, services and tenants of one configuration version, ready for look-ups by the request
+ * path.
  *
  * A table is filled by whoever parses the configuration's wire form, finished with
  * route_table_finish() and immutable from then on. Shared by reference count, one thread.
--- a/src/core/start_turn.h
+++ b/src/core/start_turn.h
@@ -1,8 +1,8 @@
 /**
  * When each engine of a model takes a new version, so that they do not all stand idle at once.
  *
- * Every loader computes its own moment from the members that it sees; there is no coordinator. Views
- * that differ move a few engines closer together and do no other harm.
+ * Every loader computes its own moment from the members that it sees; there is no coordinator.
+ * Views that differ move a few engines closer together and do no other harm.
  */
 #ifndef SHUNTRUN_START_TURN_H
 #define SHUNTRUN_START_TURN_H
--- a/src/core/state_cache.h
+++ b/src/core/state_cache.h
@@ -1,9 +1,10 @@
 /**
- * A copy of what the platform publishes, as items that each carry the revision of their last change.
+ * A copy of what the platform publishes, as items that each carry the revision of their last
+ * change.
  *
  * A single counter of revisions orders all changes, so copies of several nodes merge by taking the
- * greater revision of each item, in any order: no item ever goes back. Changes since a revision can be
- * handed to another node; a copy too old for that gets the whole.
+ * greater revision of each item, in any order: no item ever goes back. Changes since a revision can
+ * be handed to another node; a copy too old for that gets the whole.
  */
 #ifndef SHUNTRUN_STATE_CACHE_H
 #define SHUNTRUN_STATE_CACHE_H
--- a/src/core/swarm_duties.c
+++ b/src/core/swarm_duties.c
@@ -64,8 +64,8 @@
     for (uint32_t rank = 0; rank < SWARM_REGION_RANKS; rank++)
         memset(swarm->imports[rank], 0, swarm->words * sizeof(uint64_t));
     for (uint32_t chunk = 0; chunk < swarm->chunk_count && self != SWARM_NO_MEMBER; chunk++) {
-        size_t first = ((size_t)chunk * swarm->plan->region_count + swarm->region) *
-                       SWARM_REGION_RANKS;
+        size_t first =
+            ((size_t)chunk * swarm->plan->region_count + swarm->region) * SWARM_REGION_RANKS;
         for (uint32_t rank = 0; rank < SWARM_REGION_RANKS; rank++)
             if (swarm->plan->region_ranks[first + rank] == self)
                 bitmap_set(swarm->imports[rank], chunk);
--- a/src/core/swarm_internal.h
+++ b/src/core/swarm_internal.h
@@ -64,10 +64,11 @@
     size_t words;
     uint64_t started;
     uint64_t *have;
-    uint64_t *open;         /* missing and not in flight */
-    uint64_t *imports[SWARM_REGION_RANKS]; /* chunks for which this node is that rank of its region */
-    uint16_t *availability; /* neighbours that hold each chunk */
-    uint32_t *arrivals;     /* chunks in order of arrival */
+    uint64_t *open; /* missing and not in flight */
+    uint64_t
+        *imports[SWARM_REGION_RANKS]; /* chunks for which this node is that rank of its region */
+    uint16_t *availability;           /* neighbours that hold each chunk */
+    uint32_t *arrivals;               /* chunks in order of arrival */
     uint32_t held;
     uint32_t upload_queue;
     struct neighbour neighbours[SWARM_MAX_NEIGHBOURS];
--- a/src/core/version_bounds.c
+++ b/src/core/version_bounds.c
@@ -24,8 +24,8 @@
     }
     if (versions->count && version <= versions->bounds[0].version)
         return;
-    uint32_t kept = versions->count < VERSION_BOUNDS_VERSIONS ? versions->count
-                                                              : VERSION_BOUNDS_VERSIONS - 1;
+    uint32_t kept =
+        versions->count < VERSION_BOUNDS_VERSIONS ? versions->count : VERSION_BOUNDS_VERSIONS - 1;
     memmove(&versions->bounds[1], &versions->bounds[0], kept * sizeof versions->bounds[0]);
     versions->bounds[0] = (struct version_bound){version, enforced_at};
     versions->count = kept + 1;
--- a/src/core/version_bounds.h
+++ b/src/core/version_bounds.h
@@ -1,6 +1,6 @@
 /**
- * Which weight versions may still serve a model: each named version is the least one allowed from some
- * time after it was named.
+ * Which weight versions may still serve a model: each named version is the least one allowed from
+ * some time after it was named.
  */
 #ifndef SHUNTRUN_VERSION_BOUNDS_H
 #define SHUNTRUN_VERSION_BOUNDS_H
@@ -31,7 +31,6 @@
 void version_bounds_name(struct version_bounds *bounds, const char *model, uint64_t version,
                          uint64_t enforced_at);
 /** \return the least version that may begin work now; 0: any */
-uint64_t version_bounds_least(const struct version_bounds *bounds, const char *model,
-                              uint64_t now);
+uint64_t version_bounds_least(const struct version_bounds *bounds, const char *model, uint64_t now);
 
 #endif
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -19,17 +19,18 @@
 #define LOAD_FRESH_US 1200000
 /** Time before the bound on old versions at which they get no new work. */
 #define VERSION_MARGIN_US 1100000
-/** The list may drop back ends that live, which then list themselves again; one that leaves without a
- *  word serves on for longer than this. */
+/** The list may drop back ends that live, which then list themselves again; one that leaves without
+ * a word serves on for longer than this. */
 #define UNLISTED_US 1400000
-/** A planned stop: new requests are taken for so long, as clients keep an address for up to three times
- *  its age; what is in progress then still has time to finish. */
+/** A planned stop: new requests are taken for so long, as clients keep an address for up to three
+ * times its age; what is in progress then still has time to finish. */
 #define STOP_ACCEPT_US 3200000
 #define STOP_MARGIN_US 500000
 /** The first news of this life say nothing of when they became true. */
 #define FIRST_NEWS_US 1500000
 
-/* --- what the platform publishes ------------------------------------------------------------------- */
+/* --- what the platform publishes
+ * ------------------------------------------------------------------- */
 
 struct repeat_budget *edge_budget(struct edge *edge, const char *service)
 {
@@ -59,11 +60,11 @@
         metric_add(METRIC_CONFIG_REJECTED, 1);
         return;
     }
-    log_event(LOG_LEVEL_INFO, "config", "accepted",
-              "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " routes=%u age_ms=%" PRIu64,
-              route_table_version(table), edge->table ? route_table_version(edge->table) : 0,
-              item->revision, route_table_route_count(table),
-              (cluster_now() - item->learned) / 1000);
+    log_event(
+        LOG_LEVEL_INFO, "config", "accepted",
+        "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " routes=%u age_ms=%" PRIu64,
+        route_table_version(table), edge->table ? route_table_version(edge->table) : 0,
+        item->revision, route_table_route_count(table), (cluster_now() - item->learned) / 1000);
     metric_add(METRIC_CONFIG_ACCEPTED, 1);
     metric_gauge_set(METRIC_CONFIG_REVISION, route_table_version(table));
     route_table_release(edge->table);
@@ -87,8 +88,8 @@
     log_event(LOG_LEVEL_INFO, "backend", "listed",
               "id=%s service=%s address=%s zone=%s draining=%d weights=%" PRIu64
               " revision=%" PRIu64,
-              id, listing.service, listing.address, listing.zone, listing.draining,
-              listing.version, item->revision);
+              id, listing.service, listing.address, listing.zone, listing.draining, listing.version,
+              item->revision);
     backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
 }
 
@@ -101,8 +102,7 @@
     if (now < edge->started + FIRST_NEWS_US && now - named < 100000)
         named = now > bound ? now - bound / 2 : 0; /* it may be old news */
     log_event(LOG_LEVEL_INFO, "weights", "version-named",
-              "model=%s version=%" PRIu64 " age_ms=%" PRIu64, model, version,
-              (now - named) / 1000);
+              "model=%s version=%" PRIu64 " age_ms=%" PRIu64, model, version, (now - named) / 1000);
     version_bounds_name(&edge->versions, model, version, named + bound - VERSION_MARGIN_US);
 }
 
@@ -151,7 +151,8 @@
     upstream_close_idle(edge);
 }
 
-/* --- addresses and readiness ----------------------------------------------------------------------- */
+/* --- addresses and readiness
+ * ----------------------------------------------------------------------- */
 
 struct address_list {
     char texts[ADDRESSES_MOST][BACKEND_ADDRESS_SIZE];
@@ -232,7 +233,8 @@
     service_reply(call, !known ? 404 : is_ready(edge) ? 200 : 503, NULL, NULL, 0);
 }
 
-/* --- time and stop ----------------------------------------------------------------------------------- */
+/* --- time and stop
+ * ----------------------------------------------------------------------------------- */
 
 static void count_gateways(struct edge *edge)
 {
@@ -279,6 +281,9 @@
     edge_client_sweep(edge, now);
     exchange_dispatch_waiting(edge);
     metric_gauge_set(METRIC_ACTIVE_REQUESTS, edge->active);
+    metric_gauge_set(METRIC_BACKENDS, backend_pool_count(edge->pool));
+    metric_gauge_set(METRIC_STATE_REVISION, state_cache_revision(edge->cluster.state));
+    metric_gauge_set(METRIC_WAITING_REQUESTS, exchange_waiting_count(edge));
     if (edge->stopping_since)
         consider_end(edge, now);
 }
@@ -293,7 +298,8 @@
     cluster_tell_all(&edge->cluster);
 }
 
-/* --- start ------------------------------------------------------------------------------------------- */
+/* --- start
+ * ------------------------------------------------------------------------------------------- */
 
 static struct http_service *open_service(struct edge *edge, const char *text,
                                          service_handler *handler)
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -52,7 +52,8 @@
     bool closed;             /**< takes no more requests */
 };
 
-/* --- clients: edge_client.c ---------------------------------------------------------------------- */
+/* --- clients: edge_client.c ----------------------------------------------------------------------
+ */
 
 void edge_client_accept(uv_stream_t *listener, int status);
 /** \brief Close clients that are idle, or slow with a head, for too long. */
@@ -72,7 +73,8 @@
 struct edge *edge_client_edge(const struct edge_client *client);
 const struct http_message *edge_client_request(const struct edge_client *client);
 
-/* --- requests: exchange.c ------------------------------------------------------------------------ */
+/* --- requests: exchange.c ------------------------------------------------------------------------
+ */
 
 /** \brief Take the request that the client has sent whole. \return NULL when answered at once */
 struct exchange *exchange_begin(struct edge *edge, struct edge_client *client);
@@ -80,6 +82,8 @@
 void exchange_start(struct exchange *exchange);
 /** \brief The client is gone: stop the work. */
 void exchange_abandon(struct exchange *exchange);
+/** \return requests that wait for a place */
+uint32_t exchange_waiting_count(const struct edge *edge);
 /** \brief Places may be free again: offer them to those that wait. */
 void exchange_dispatch_waiting(struct edge *edge);
 
@@ -90,7 +94,8 @@
     UPSTREAM_BROKEN,   /**< the connection broke or the bytes are no answer */
 };
 
-/** \brief Told by the connection; on DONE, BROKEN and NOT_SENT it no longer belongs to the exchange. */
+/** \brief Told by the connection; on DONE, BROKEN and NOT_SENT it no longer belongs to the
+ * exchange. */
 void exchange_on_upstream(struct exchange *exchange, enum upstream_event event,
                           struct http_message *message);
 /**
@@ -101,7 +106,8 @@
 /** \return whether this answer belongs to another request and is to be passed over */
 bool exchange_is_foreign(const struct exchange *exchange, const struct http_message *message);
 
-/* --- connections to back ends: upstream.c ---------------------------------------------------------- */
+/* --- connections to back ends: upstream.c
+ * ---------------------------------------------------------- */
 
 /**
  * \brief Send the request that exchange_write() gives, now or when a connection is up.
@@ -120,7 +126,8 @@
 /** \brief Close all idle connections, after the process stood still. */
 void upstream_close_idle(struct edge *edge);
 
-/* --- the edge itself: edge.c ------------------------------------------------------------------------ */
+/* --- the edge itself: edge.c
+ * ------------------------------------------------------------------------ */
 
 struct repeat_budget *edge_budget(struct edge *edge, const char *service);
 
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -5,6 +5,7 @@
 #include "edge/edge_internal.h"
 
 #include <inttypes.h>
+#include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -30,6 +31,7 @@
 #define ABSENT_RETRY_MS 1700
 #define RETRY_SPREAD_MS 500
 #define URGENCY_MOST 9
+#define TRAIL_SIZE 320
 /** So long before a version is required, engines that do not have it at hand get no new work: their
  *  links may be slow, and what waits there may begin late. */
 #define VERSION_LEAD_US 400000
@@ -63,7 +65,9 @@
     struct event_stream events;
     uint64_t version; /* of the weights of the first back end */
     bool paused;
-    bool resuming; /* the next back end goes on with a stream that has begun */
+    bool resuming;          /* the next back end goes on with a stream that has begun */
+    char trail[TRAIL_SIZE]; /* attempts with what decided them, for the log */
+    size_t trail_length;
     uv_timer_t timer;
     struct exchange *next_waiting;
     bool in_line;
@@ -73,7 +77,36 @@
 static void arm(struct exchange *exchange);
 static void on_broken(struct exchange *exchange, enum backend_result result, const char *reason);
 
-/* --- end of an exchange -------------------------------------------------------------------------- */
+/* --- the trail of an exchange, for its one log line
+ * ----------------------------------------------- */
+
+static void note(struct exchange *exchange, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+
+static void note(struct exchange *exchange, const char *format, ...)
+{
+    size_t room = sizeof exchange->trail - exchange->trail_length;
+    va_list arguments;
+    va_start(arguments, format);
+    int length = vsnprintf(exchange->trail + exchange->trail_length, room, format, arguments);
+    va_end(arguments);
+    if (length > 0)
+        exchange->trail_length += (size_t)length < room ? (size_t)length : room - 1;
+}
+
+static void note_send(struct exchange *exchange, const struct backend *backend, uint64_t now)
+{
+    const struct edge *edge = exchange->edge;
+    uint64_t age_ms = backend->load_at ? (now - backend->load_at) / MS_US : 0;
+    note(exchange,
+         "%s@%" PRIu64 "ms:occupancy=%u,load_age=%" PRIu64 "ms,distance=%u,weights=%" PRIu64,
+         backend->listing.id, (now - exchange->arrived) / MS_US,
+         backend_occupancy(edge->pool, backend, edge->gateways, now), age_ms, backend->distance,
+         backend->load.version);
+}
+
+/* --- end of an exchange --------------------------------------------------------------------------
+ */
 
 static void on_timer_closed(uv_handle_t *handle)
 {
@@ -99,6 +132,13 @@
     }
 }
 
+static const char *const result_names[] = {
+    [BACKEND_SUCCEEDED] = "succeeded", [BACKEND_ERROR] = "error",
+    [BACKEND_REFUSED] = "refused",     [BACKEND_BROKEN] = "broken",
+    [BACKEND_SILENT] = "silent",       [BACKEND_UNREACHABLE] = "unreachable",
+    [BACKEND_CANCELLED] = "cancelled",
+};
+
 /* Let go of the back end. */
 static void end_attempt(struct exchange *exchange, enum backend_result result)
 {
@@ -112,10 +152,17 @@
         return;
     if (!exchange->first_byte_at)
         backend_answers(backend, exchange->head.tokens_in);
-    uint64_t latency =
-        exchange->first_byte_at && !exchange->resuming ? exchange->first_byte_at - exchange->sent_at
-                                                       : 0;
-    backend_end(exchange->edge->pool, backend, result, latency, now);
+    uint64_t latency = exchange->first_byte_at && !exchange->resuming
+                           ? exchange->first_byte_at - exchange->sent_at
+                           : 0;
+    if (backend_end(exchange->edge->pool, backend, result, latency, now)) {
+        metric_add(METRIC_EJECTIONS, 1);
+        log_event(LOG_LEVEL_WARN, "backend", "ejected",
+                  "id=%s request=%s result=%s failures=%u share=%.2f for_ms=%" PRIu64,
+                  backend->listing.id, exchange->head.id, result_names[result], backend->failures,
+                  backend->failure_share, backend->ejection_us / MS_US);
+    }
+    note(exchange, ",%s;", result_names[result]);
     if (exchange->tried_count < BACKEND_MAX_EXCLUDED)
         exchange->tried[exchange->tried_count++] = backend;
     else
@@ -127,14 +174,16 @@
 {
     uint64_t now = cluster_now();
     bool good = status >= 200 && status < 300 && strcmp(reason, "done") == 0;
-    log_event(good ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request", good ? "answered" : "failed",
-              "request=%s route=%s service=%s status=%u reason=%s backend=%s sends=%u events=%" PRIu64
-              " weights=%" PRIu64 " took_ms=%" PRIu64 " left_ms=%" PRId64 " config=%" PRIu64,
-              exchange->head.id, exchange->route->name, exchange->service->name, status, reason,
-              backend ? backend->listing.id : "-", exchange->sends, exchange->events.events,
-              exchange->version, (now - exchange->arrived) / MS_US,
-              ((int64_t)exchange->final_at - (int64_t)now) / (int64_t)MS_US,
-              route_table_version(exchange->table));
+    log_event(
+        good ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request", good ? "answered" : "failed",
+        "request=%s route=%s service=%s status=%u reason=%s backend=%s sends=%u events=%" PRIu64
+        " weights=%" PRIu64 " took_ms=%" PRIu64 " left_ms=%" PRId64 " config=%" PRIu64
+        " waiting=%d trail=\"%s\"",
+        exchange->head.id, exchange->route->name, exchange->service->name, status, reason,
+        backend ? backend->listing.id : "-", exchange->sends, exchange->events.events,
+        exchange->version, (now - exchange->arrived) / MS_US,
+        ((int64_t)exchange->final_at - (int64_t)now) / (int64_t)MS_US,
+        route_table_version(exchange->table), exchange->in_line, exchange->trail);
 }
 
 static void finish(struct exchange *exchange)
@@ -190,6 +239,7 @@
 
 void exchange_abandon(struct exchange *exchange)
 {
+    metric_add(METRIC_CLIENTS_GONE, 1);
     log_event(LOG_LEVEL_INFO, "request", "client-gone",
               "request=%s route=%s backend=%s sends=%u took_ms=%" PRIu64, exchange->head.id,
               exchange->route->name, exchange->backend ? exchange->backend->listing.id : "-",
@@ -199,7 +249,8 @@
     exchange_dispatch_waiting(edge);
 }
 
-/* --- sending ------------------------------------------------------------------------------------- */
+/* --- sending -------------------------------------------------------------------------------------
+ */
 
 static bool is_repeatable(const struct exchange *exchange)
 {
@@ -273,6 +324,8 @@
     exchange->counted = false;
     exchange->paused = false;
     exchange->last_event_at = now;
+    note_send(exchange, backend, now);
+    metric_observe(METRIC_PLACE_WAIT, now - exchange->arrived);
     backend_begin(backend, exchange->head.tokens_in);
     exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
     if (!exchange->upstream) {
@@ -309,8 +362,7 @@
     struct backend_wish wish;
     struct backend *backend;
     fill_wish(exchange, now, &wish);
-    enum backend_absence absence =
-        backend_pool_choose(exchange->edge->pool, &wish, now, &backend);
+    enum backend_absence absence = backend_pool_choose(exchange->edge->pool, &wish, now, &backend);
     if (absence == BACKEND_FOUND) {
         leave_line(exchange);
         send_to(exchange, backend, now);
@@ -326,6 +378,15 @@
     arm(exchange);
 }
 
+uint32_t exchange_waiting_count(const struct edge *edge)
+{
+    uint32_t count = 0;
+    for (const struct exchange *exchange = edge->waiting; exchange;
+         exchange = exchange->next_waiting)
+        count++;
+    return count;
+}
+
 void exchange_dispatch_waiting(struct edge *edge)
 {
     for (struct exchange *exchange = edge->waiting, *next; exchange; exchange = next) {
@@ -354,6 +415,7 @@
     }
     if (!repeat_budget_spend(edge_budget(edge, exchange->service->name), now,
                              edge->gateways_most)) {
+        metric_add(METRIC_BUDGET_SPENT, 1);
         log_event(LOG_LEVEL_WARN, "request", "budget-spent", "request=%s service=%s gateways=%u",
                   exchange->head.id, exchange->service->name, edge->gateways_most);
         give_up_truly(exchange, reason);
@@ -365,7 +427,8 @@
     dispatch(exchange);
 }
 
-/* --- answers ------------------------------------------------------------------------------------- */
+/* --- answers -------------------------------------------------------------------------------------
+ */
 
 bool exchange_is_foreign(const struct exchange *exchange, const struct http_message *message)
 {
@@ -397,6 +460,7 @@
     struct edge_client *client = exchange->client;
     write_head(message, &head);
     metric_add(METRIC_REQUESTS_DONE, 1);
+    metric_observe(METRIC_WHOLE_ANSWER, cluster_now() - exchange->arrived);
     log_end(exchange, http_message_status(message), reason,
             exchange->tried_count ? exchange->tried[exchange->tried_count - 1] : NULL);
     finish(exchange);
@@ -420,7 +484,10 @@
     event_stream_feed(&exchange->events, message->body.data, message->body.size, &whole);
     buffer_reset(&message->body);
     if (whole.size) {
-        exchange->last_event_at = cluster_now();
+        uint64_t now = cluster_now();
+        if (exchange->streaming)
+            metric_observe(METRIC_EVENT_PAUSE, now - exchange->last_event_at);
+        exchange->last_event_at = now;
         if (!exchange->streaming)
             begin_stream(exchange, message);
         edge_client_stream_data(exchange->client, whole.data, whole.size);
@@ -433,6 +500,8 @@
     if (exchange->first_byte_at)
         return;
     exchange->first_byte_at = cluster_now();
+    if (exchange->route->kind == ROUTE_STREAM && !exchange->streaming)
+        metric_observe(METRIC_FIRST_EVENT, exchange->first_byte_at - exchange->arrived);
     backend_answers(exchange->backend, exchange->head.tokens_in);
 }
 
@@ -570,7 +639,8 @@
     exchange_dispatch_waiting(edge);
 }
 
-/* --- time ---------------------------------------------------------------------------------------- */
+/* --- time ----------------------------------------------------------------------------------------
+ */
 
 static bool may_go_elsewhere(const struct exchange *exchange)
 {
@@ -623,8 +693,8 @@
 
 static void on_final_time(struct exchange *exchange)
 {
-    bool untouched = !exchange->may_have_run &&
-                     (!exchange->upstream || !upstream_is_sent(exchange->upstream));
+    bool untouched =
+        !exchange->may_have_run && (!exchange->upstream || !upstream_is_sent(exchange->upstream));
     if (exchange->backend && !exchange->first_byte_at)
         end_attempt(exchange, BACKEND_SILENT);
     give_up(exchange, untouched ? 503 : 504, "time-out");
@@ -662,14 +732,15 @@
         uv_timer_start(&exchange->timer, on_timer, wait, 0);
 }
 
-/* --- begin --------------------------------------------------------------------------------------- */
+/* --- begin ---------------------------------------------------------------------------------------
+ */
 
 static void refuse_early(struct edge *edge, struct edge_client *client,
                          const struct request_head *head, unsigned status, const char *reason)
 {
-    log_event(LOG_LEVEL_WARN, "request", "refused", "request=%s host=%s status=%u reason=%s config=%" PRIu64,
-              head->id, head->host, status, reason,
-              edge->table ? route_table_version(edge->table) : 0);
+    log_event(LOG_LEVEL_WARN, "request", "refused",
+              "request=%s host=%s status=%u reason=%s config=%" PRIu64, head->id, head->host,
+              status, reason, edge->table ? route_table_version(edge->table) : 0);
     metric_add(METRIC_REQUESTS_BAD, 1);
     answer_own(edge, client, head->id, status, status == 503 ? retry_after_ms(edge, true) : 0);
 }
@@ -687,11 +758,11 @@
         hold_ms = FALLBACK_TIMEOUT_MS;
     if (exchange->head.deadline_ms && exchange->head.deadline_ms < hold_ms)
         hold_ms = exchange->head.deadline_ms;
-    uint64_t wait = exchange->edge->settings->wait_percent * exchange->route->target_ms * MS_US / 100;
+    uint64_t wait =
+        exchange->edge->settings->wait_percent * exchange->route->target_ms * MS_US / 100;
     exchange->arrived = cluster_now();
     exchange->final_at = exchange->arrived + hold_ms * MS_US;
-    exchange->wait_until =
-        exchange->arrived + (wait > WAIT_LEAST_US ? wait : WAIT_LEAST_US);
+    exchange->wait_until = exchange->arrived + (wait > WAIT_LEAST_US ? wait : WAIT_LEAST_US);
 }
 
 static struct exchange *exchange_create(struct edge *edge, struct edge_client *client,
@@ -705,8 +776,7 @@
     exchange->table = route_table_retain(edge->table);
     exchange->route = route;
     exchange->service = route_table_service(edge->table, service);
-    exchange->tenant =
-        tenant == ROUTE_NO_TENANT ? NULL : route_table_tenant(edge->table, tenant);
+    exchange->tenant = tenant == ROUTE_NO_TENANT ? NULL : route_table_tenant(edge->table, tenant);
     exchange->head = *head;
     set_times(exchange);
     uv_timer_init(edge->loop, &exchange->timer);
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -125,8 +125,7 @@
     }
     while (size) {
         size_t used;
-        enum http_parse_result result =
-            http_message_feed(&upstream->message, bytes, size, &used);
+        enum http_parse_result result = http_message_feed(&upstream->message, bytes, size, &used);
         bytes += used;
         size -= used;
         if (result == HTTP_PARSE_DONE && !is_answer(upstream)) {
@@ -188,8 +187,7 @@
 static struct upstream *find_idle(struct backend *backend, uint64_t now, uint64_t most_idle_us)
 {
     struct upstream_list *list = backend->connections;
-    for (struct upstream *upstream = list ? list->first : NULL; upstream;
-         upstream = upstream->next)
+    for (struct upstream *upstream = list ? list->first : NULL; upstream; upstream = upstream->next)
         if (upstream->state == UPSTREAM_IDLE && now < upstream->keep_until &&
             now - upstream->idle_since <= most_idle_us)
             return upstream;
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -36,10 +36,10 @@
     enum install_step step;
     struct engine_report report;
     bool reachable;
-    uint32_t piece;            /* of the check under way */
-    bool busy;                 /* a stage call is under way */
-    uint32_t generation;       /* of the store, so that late answers are dropped */
-    uint64_t checked_at;       /* begin of the last whole check */
+    uint32_t piece;      /* of the check under way */
+    bool busy;           /* a stage call is under way */
+    uint32_t generation; /* of the store, so that late answers are dropped */
+    uint64_t checked_at; /* begin of the last whole check */
     uint64_t check_began;
     uint64_t ordered_at;
     uint64_t ordered_sequence; /* orders that the engine had taken before this one */
@@ -113,7 +113,8 @@
     return valid;
 }
 
-/* --- staging as pieces come ---------------------------------------------------------------------- */
+/* --- staging as pieces come ----------------------------------------------------------------------
+ */
 
 static void on_early_put(void *context, enum call_result result, const struct http_message *message)
 {
@@ -135,7 +136,8 @@
         send_stage(installer, "PUT", piece, data, size, on_early_put);
 }
 
-/* --- check --------------------------------------------------------------------------------------- */
+/* --- check ---------------------------------------------------------------------------------------
+ */
 
 static void on_put(void *context, enum call_result result, const struct http_message *message)
 {
@@ -206,7 +208,8 @@
     check_next(installer);
 }
 
-/* --- order --------------------------------------------------------------------------------------- */
+/* --- order ---------------------------------------------------------------------------------------
+ */
 
 static void on_order(void *context, enum call_result result, const struct http_message *message)
 {
@@ -277,8 +280,9 @@
         return;
     if (is_installed(installer)) {
         if (installer->step == STEP_ORDERED)
-            log_event(LOG_LEVEL_INFO, "install", "confirmed", "version=%" PRIu64 " took_ms=%" PRIu64,
-                      installer->report.load.version, (now - installer->ordered_at) / 1000);
+            log_event(LOG_LEVEL_INFO, "install", "confirmed",
+                      "version=%" PRIu64 " took_ms=%" PRIu64, installer->report.load.version,
+                      (now - installer->ordered_at) / 1000);
         installer->step = STEP_IDLE;
         return;
     }
--- a/src/loader/installer.h
+++ b/src/loader/installer.h
@@ -2,9 +2,9 @@
  * Brings one engine to one version of its model: stages the pieces, reads them back, and orders the
  * engine to take them when its turn has come.
  *
- * What lies at the engine may have turned bad, so every piece is read back and checked shortly before
- * the order. An order that shows no effect is given again only after the engine's own report says that
- * it took none.
+ * What lies at the engine may have turned bad, so every piece is read back and checked shortly
+ * before the order. An order that shows no effect is given again only after the engine's own report
+ * says that it took none.
  */
 #ifndef SHUNTRUN_INSTALLER_H
 #define SHUNTRUN_INSTALLER_H
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -65,7 +65,8 @@
     uint64_t told_far_at; /* to gateways of other regions */
 };
 
-/* --- the engine's load --------------------------------------------------------------------------- */
+/* --- the engine's load ---------------------------------------------------------------------------
+ */
 
 static void tell_load(struct loader *loader, uint64_t now)
 {
@@ -120,8 +121,12 @@
                  platform_read_report(message->body.data, message->body.size, loader->model,
                                       &report) == STATUS_OK;
     set_reachable(loader, valid);
-    if (valid)
+    if (valid) {
         loader->report = report;
+        metric_gauge_set(METRIC_ENGINE_RUNNING, report.load.running);
+        metric_gauge_set(METRIC_ENGINE_WAITING, report.load.waiting);
+        metric_gauge_set(METRIC_ENGINE_VERSION, report.load.version);
+    }
     if (loader->installer)
         installer_on_report(loader->installer, &loader->report, valid);
     if (valid)
@@ -140,7 +145,8 @@
     http_caller_send(loader->engine, &request);
 }
 
-/* --- what the platform publishes ------------------------------------------------------------------- */
+/* --- what the platform publishes
+ * ------------------------------------------------------------------- */
 
 static const struct service_entry *own_service(const struct loader *loader)
 {
@@ -181,8 +187,7 @@
 static void want_version(struct loader *loader, uint64_t version, uint64_t named_at)
 {
     uint64_t now = cluster_now();
-    uint64_t newest =
-        loader->wanted_count ? loader->wanted[loader->wanted_count - 1].version : 0;
+    uint64_t newest = loader->wanted_count ? loader->wanted[loader->wanted_count - 1].version : 0;
     if (version <= newest)
         return;
     log_event(LOG_LEVEL_INFO, "weights", "version-wanted",
@@ -272,7 +277,8 @@
     loader->reconsider |= kind == ITEM_CONFIGURATION || kind == ITEM_VERSION;
 }
 
-/* --- peers --------------------------------------------------------------------------------------- */
+/* --- peers ---------------------------------------------------------------------------------------
+ */
 
 static void on_pieces(void *context, uint32_t address, const Shuntrun__PieceNews *news)
 {
@@ -296,15 +302,16 @@
     http_caller_abort(loader->engine);
 }
 
-/* --- process ------------------------------------------------------------------------------------- */
+/* --- process -------------------------------------------------------------------------------------
+ */
 
 /* Place of this loader among those that live, and their number. */
 static uint32_t own_position(const struct loader *loader, uint32_t *count)
 {
     const struct membership *members = loader->cluster.membership;
     uint64_t now = cluster_now();
-    uint64_t own = hash_pair(loader->installing,
-                             membership_self(loader->cluster.membership)->address);
+    uint64_t own =
+        hash_pair(loader->installing, membership_self(loader->cluster.membership)->address);
     uint32_t before = 0;
     *count = 1;
     for (uint32_t i = 0; i < membership_count(members); i++) {
@@ -335,7 +342,8 @@
     return start_turn(&turn_settings, install_named_at(loader), position, count);
 }
 
-/* \return the one version that goes first: the oldest that is half here, or the newest that comes */
+/* \return the one version that goes first: the oldest that is half here, or the newest that comes
+ */
 static uint32_t first_to_fetch(const struct loader *loader, uint64_t now)
 {
     for (uint32_t i = 0; i < loader->wanted_count; i++)
@@ -404,8 +412,7 @@
                                           .woke = on_woke};
     uv_loop_t *loop = uv_default_loop();
     if (!tcp_address_parse(settings->engine_address, &loader->engine_address)) {
-        log_event(LOG_LEVEL_ERROR, "loader", "bad-address", "engine=%s",
-                  settings->engine_address);
+        log_event(LOG_LEVEL_ERROR, "loader", "bad-address", "engine=%s", settings->engine_address);
         return 2;
     }
     if (cluster_open(&loader->cluster, loop, settings, MEMBER_LOADER, &callbacks))
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -140,7 +140,8 @@
                                 store->manifest.count, cluster_now() ^ self, &driver);
 }
 
-/* --- manifest ----------------------------------------------------------------------------------- */
+/* --- manifest -----------------------------------------------------------------------------------
+ */
 
 static void on_manifest(void *context, enum call_result result, const struct http_message *message)
 {
@@ -151,16 +152,17 @@
     struct piece_manifest manifest;
     if (platform_read_manifest(message->body.data, message->body.size, &manifest) != STATUS_OK ||
         manifest.version != store->version) {
-        log_event(LOG_LEVEL_WARN, "pieces", "manifest-refused", "version=%" PRIu64 " named=%" PRIu64,
-                  manifest.version, store->version);
+        log_event(LOG_LEVEL_WARN, "pieces", "manifest-refused",
+                  "version=%" PRIu64 " named=%" PRIu64, manifest.version, store->version);
         piece_manifest_clear(&manifest);
         return;
     }
     store->manifest = manifest;
     store->manifest_size = message->body.size;
     store->manifest_body = memory_copy(message->body.data, message->body.size);
-    log_event(LOG_LEVEL_INFO, "pieces", "manifest", "model=%s version=%" PRIu64 " pieces=%u tries=%u",
-              store->model, store->version, manifest.count, store->manifest_tries);
+    log_event(LOG_LEVEL_INFO, "pieces", "manifest",
+              "model=%s version=%" PRIu64 " pieces=%u tries=%u", store->model, store->version,
+              manifest.count, store->manifest_tries);
     start_swarm(store);
 }
 
@@ -171,9 +173,8 @@
             return &store->sources[i];
     if (store->source_count == PEERS_MOST)
         return NULL;
-    struct sockaddr_in address = id == SWARM_ORIGIN
-                                     ? store->origin
-                                     : cluster_address(store->cluster, (uint32_t)id);
+    struct sockaddr_in address =
+        id == SWARM_ORIGIN ? store->origin : cluster_address(store->cluster, (uint32_t)id);
     struct source *source = &store->sources[store->source_count++];
     source->id = id;
     source->cancelled = false;
@@ -221,7 +222,8 @@
     buffer_clear(&target);
 }
 
-/* --- swarm -------------------------------------------------------------------------------------- */
+/* --- swarm --------------------------------------------------------------------------------------
+ */
 
 static void hold(struct piece_store *store, uint32_t piece, const void *bytes, size_t size)
 {
@@ -251,8 +253,7 @@
         return;
     }
     if (!from_origin)
-        link_rate_add(&store->rate, message->body.size, transfer_us,
-                      swarm_downloads(store->swarm));
+        link_rate_add(&store->rate, message->body.size, transfer_us, swarm_downloads(store->swarm));
     if (!swarm_on_chunk(store->swarm, now, fetch->source, fetch->piece))
         return;
     metric_add(from_origin ? METRIC_CHUNKS_FROM_ORIGIN : METRIC_CHUNKS_FROM_PEER, 1);
@@ -361,7 +362,8 @@
     free(have_all);
 }
 
-/* --- plan: who lives ----------------------------------------------------------------------------- */
+/* --- plan: who lives -----------------------------------------------------------------------------
+ */
 
 static int by_id(const void *left, const void *right)
 {
@@ -390,8 +392,9 @@
     uint16_t region_count = 0;
     uint32_t count = 0;
     const struct member_state *self = membership_self(store->cluster->membership);
-    list[count++] = (struct member){self->address, region_number(regions, &region_count, self->zone),
-                                    region_number(regions, &region_count, self->region)};
+    list[count++] =
+        (struct member){self->address, region_number(regions, &region_count, self->zone),
+                        region_number(regions, &region_count, self->region)};
     for (uint32_t i = 0; i < membership_count(members) && count < PEERS_MOST; i++) {
         const struct member_state *member = membership_at(members, i);
         if (member->role != MEMBER_LOADER || !membership_alive(members, member, now))
@@ -407,13 +410,14 @@
     if (hash == store->members_hash)
         return;
     store->members_hash = hash;
-    struct swarm_plan *plan = swarm_plan_create(
-        hash_pair(hash_name(store->model), store->version), store->manifest.count, list, count);
+    struct swarm_plan *plan = swarm_plan_create(hash_pair(hash_name(store->model), store->version),
+                                                store->manifest.count, list, count);
     swarm_set_plan(store->swarm, now, plan);
     swarm_plan_release(plan);
 }
 
-/* --- serving ------------------------------------------------------------------------------------- */
+/* --- serving -------------------------------------------------------------------------------------
+ */
 
 static void on_link_free(uv_timer_t *timer);
 
@@ -475,7 +479,8 @@
     return true;
 }
 
-/* --- life ---------------------------------------------------------------------------------------- */
+/* --- life ----------------------------------------------------------------------------------------
+ */
 
 struct piece_store *piece_store_create(struct cluster *cluster, const char *model,
                                        const struct sockaddr_in *origin, uint64_t version,
@@ -527,7 +532,8 @@
     return store->swarm && 2 * store->held >= store->manifest.count;
 }
 
-/* Every piece in flight delays the answers of the engine: few on a link that is narrow, or may be. */
+/* Every piece in flight delays the answers of the engine: few on a link that is narrow, or may be.
+ */
 static uint32_t download_window(const struct piece_store *store)
 {
     if (store->link_use == LINK_ALONE)
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -40,8 +40,7 @@
 bool piece_store_progresses(const struct piece_store *store, uint64_t now);
 /** \return whether at least half of the pieces are held */
 bool piece_store_half_held(const struct piece_store *store);
-void piece_store_on_news(struct piece_store *store, uint32_t peer,
-                         const Shuntrun__PieceNews *news);
+void piece_store_on_news(struct piece_store *store, uint32_t peer, const Shuntrun__PieceNews *news);
 /** \return whether the call was one for a piece or manifest, and is answered */
 bool piece_store_serve(struct piece_store *store, struct service_call *call,
                        const struct service_request *request);
--- a/src/main.c
+++ b/src/main.c
@@ -9,6 +9,7 @@
 #include "sim/scenario_run.h"
 #include "sim/simulate.h"
 #include "tool/check.h"
+#include "tool/explain.h"
 #include "tool/load.h"
 #include "tool/plan.h"
 #include "tool/report.h"
@@ -31,6 +32,7 @@
     {"check", check_main, "check policies, configurations, machine lists and settings"},
     {"plan", plan_main, "say what a new configuration would move, and why"},
     {"status", status_main, "watch a rollout"},
+    {"explain", explain_main, "say what became of a request, from the logs"},
     {"report", report_main, "report service-level burn"},
     {"simulate", simulate_main, "simulate a whole fleet on a virtual clock"},
     {"replay", replay_main, "run a recorded session again and compare"},
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -101,8 +101,7 @@
     size_t body_limit = message->body_limit;
     memset(message, 0, offsetof(struct http_message, fields));
     message->field_count = 0;
-    memset(&message->field_count, 0,
-           sizeof *message - offsetof(struct http_message, field_count));
+    memset(&message->field_count, 0, sizeof *message - offsetof(struct http_message, field_count));
     message->kind = kind;
     message->text = text;
     message->body = body;
@@ -111,8 +110,7 @@
     buffer_reset(&message->text);
     buffer_reset(&message->body);
     message->failure = HTTP_PARSE_MORE;
-    http_parser_init(&message->parser,
-                     kind == HTTP_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+    http_parser_init(&message->parser, kind == HTTP_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
     message->parser.data = message;
 }
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -1,8 +1,8 @@
 /**
  * One HTTP/1.1 message, parsed as its bytes come, over the parser library http-parser.
  *
- * Target and header fields are kept byte for byte as they came. The parser stops after each message,
- * so bytes behind it are never taken for a part of it.
+ * Target and header fields are kept byte for byte as they came. The parser stops after each
+ * message, so bytes behind it are never taken for a part of it.
  */
 #ifndef SHUNTRUN_HTTP_MESSAGE_H
 #define SHUNTRUN_HTTP_MESSAGE_H
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -65,8 +65,8 @@
 }
 
 /*
- * libuv reports an end of file as soon as the socket hangs up after a short read, without looking at
- * why: a reset is taken for an orderly end. So the socket itself is asked.
+ * libuv reports an end of file as soon as the socket hangs up after a short read, without looking
+ * at why: a reset is taken for an orderly end. So the socket itself is asked.
  */
 static enum tcp_end true_end(struct tcp_stream *stream)
 {
--- /dev/null
+++ b/src/tool/explain.c
@@ -0,0 +1,396 @@
+#include "tool/explain.h"
+
+#include "base/memory.h"
+#include "tool/tool.h"
+
+#include <argp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEY_OUTPUT 1000
+#define MAX_FILES 64
+#define READ_SIZE 65536
+#define FIELDS_MOST 40
+
+/* One key=value pair of a line; not ended by zero. */
+struct log_field {
+    const char *name;
+    size_t name_length;
+    const char *value;
+    size_t value_length;
+};
+
+struct log_line {
+    const char *start;
+    size_t length;
+    struct log_field fields[FIELDS_MOST];
+    uint32_t field_count;
+};
+
+/* --- parsing -------------------------------------------------------------------------------------
+ */
+
+/* A pair ends at a blank, or at the closing quotes of its value. */
+static size_t parse_value(const char *text, size_t length, struct log_field *field)
+{
+    size_t end = 0;
+    if (length && text[0] == '"') {
+        const char *quote = memchr(text + 1, '"', length - 1);
+        end = quote ? (size_t)(quote - text) + 1 : length;
+        field->value = text + 1;
+        field->value_length = quote ? end - 2 : length - 1;
+        return end;
+    }
+    while (end < length && text[end] != ' ')
+        end++;
+    field->value = text;
+    field->value_length = end;
+    return end;
+}
+
+/* \return false when the line does not hold a whole event of ours */
+static bool parse_line(const char *text, size_t length, struct log_line *line)
+{
+    const char *start = memmem(text, length, "time=", 5);
+    if (!start)
+        return false;
+    length -= (size_t)(start - text);
+    *line = (struct log_line){.start = start, .length = length};
+    for (size_t place = 0; place < length && line->field_count < FIELDS_MOST;) {
+        const char *equals = memchr(start + place, '=', length - place);
+        if (!equals)
+            break;
+        struct log_field *field = &line->fields[line->field_count++];
+        field->name = start + place;
+        field->name_length = (size_t)(equals - field->name);
+        place = (size_t)(equals - start) + 1;
+        place += parse_value(start + place, length - place, field);
+        while (place < length && start[place] == ' ')
+            place++;
+    }
+    return line->field_count > 3;
+}
+
+static const struct log_field *field_of(const struct log_line *line, const char *name)
+{
+    for (uint32_t i = 0; i < line->field_count; i++)
+        if (line->fields[i].name_length == strlen(name) &&
+            memcmp(line->fields[i].name, name, line->fields[i].name_length) == 0)
+            return &line->fields[i];
+    return NULL;
+}
+
+static bool field_is(const struct log_line *line, const char *name, const char *value)
+{
+    const struct log_field *field = field_of(line, name);
+    return field && field->value_length == strlen(value) &&
+           memcmp(field->value, value, field->value_length) == 0;
+}
+
+static char *copy_field(const struct log_line *line, const char *name)
+{
+    const struct log_field *field = field_of(line, name);
+    char *copy = memory_zero(field ? field->value_length + 1 : 1, 1);
+    if (field)
+        memcpy(copy, field->value, field->value_length);
+    return copy;
+}
+
+/* --- collecting ----------------------------------------------------------------------------------
+ */
+
+struct line_list {
+    struct log_line *lines;
+    uint32_t count;
+};
+
+static void add_line(struct line_list *list, const struct log_line *line)
+{
+    if ((list->count & (list->count + 1)) == 0)
+        list->lines =
+            memory_resize(list->lines, (2 * (size_t)list->count + 2) * sizeof *list->lines);
+    list->lines[list->count++] = *line;
+}
+
+static int by_time(const void *left, const void *right)
+{
+    const struct log_field *a = field_of(left, "time");
+    const struct log_field *b = field_of(right, "time");
+    size_t length = a->value_length < b->value_length ? a->value_length : b->value_length;
+    return memcmp(a->value, b->value, length);
+}
+
+static void read_lines(const char *logs, size_t size, struct line_list *list)
+{
+    for (size_t place = 0; place < size;) {
+        const char *end = memchr(logs + place, '\n', size - place);
+        size_t length = end ? (size_t)(end - logs) - place : size - place;
+        struct log_line line;
+        if (parse_line(logs + place, length, &line))
+            add_line(list, &line);
+        place += length + 1;
+    }
+    if (list->count)
+        qsort(list->lines, list->count, sizeof *list->lines, by_time);
+}
+
+static json_t *line_text(const struct log_line *line)
+{
+    return json_stringn(line->start, line->length);
+}
+
+/* The last line of a kind, by the same node where `node` is not NULL, up to the end of the request.
+ */
+static const struct log_line *last_before(const struct line_list *list, const struct log_line *end,
+                                          const char *subsystem, const char *event,
+                                          const char *node)
+{
+    const struct log_line *found = NULL;
+    for (uint32_t i = 0; i < list->count; i++) {
+        const struct log_line *line = &list->lines[i];
+        if (by_time(line, end) > 0)
+            break;
+        if (field_is(line, "subsystem", subsystem) && field_is(line, "event", event) &&
+            (!node || field_is(line, "node", node)))
+            found = line;
+    }
+    return found;
+}
+
+static void add_belief(json_t *beliefs, const struct log_line *line)
+{
+    if (line)
+        json_array_append_new(beliefs, line_text(line));
+}
+
+/* What the node knew: configuration, version of weights, members, store; and the back ends it
+ * tried. */
+static json_t *collect_beliefs(const struct line_list *list, const struct log_line *end)
+{
+    static const char *const kinds[][2] = {
+        {"config", "accepted"}, {"weights", "version-named"}, {"cluster", "members"},
+        {"store", "lost"},      {"store", "regained"},        {"process", "start"},
+        {"process", "stop"},    {"cluster", "woke"},
+    };
+    json_t *beliefs = json_array();
+    char *node = copy_field(end, "node");
+    for (size_t i = 0; i < sizeof kinds / sizeof kinds[0]; i++)
+        add_belief(beliefs, last_before(list, end, kinds[i][0], kinds[i][1], node));
+    const struct log_field *trail = field_of(end, "trail");
+    for (uint32_t i = 0; trail && i < list->count; i++) {
+        const struct log_line *line = &list->lines[i];
+        const struct log_field *id = field_of(line, "id");
+        if (by_time(line, end) > 0)
+            break;
+        if (id && id->value_length && field_is(line, "subsystem", "backend") &&
+            field_is(line, "node", node) &&
+            memmem(trail->value, trail->value_length, id->value, id->value_length))
+            json_array_append_new(beliefs, line_text(line));
+    }
+    free(node);
+    return beliefs;
+}
+
+/* --- the sentence --------------------------------------------------------------------------------
+ */
+
+struct reason {
+    const char *name;
+    const char *meaning;
+};
+
+static const struct reason reasons[] = {
+    {"done", "the back end's whole answer went to the client"},
+    {"backend-error", "the back end itself answered with a failure, which was passed on"},
+    {"full", "every fit back end was full for as long as the request may wait"},
+    {"no-backend", "no back end was fit: none listed, loading weights, or of a version too old"},
+    {"no-connection", "no connection to a back end came up"},
+    {"no-configuration", "this node knew no configuration yet"},
+    {"no-route", "the configuration in force has no route for it"},
+    {"unknown-key", "the configuration in force does not know its key"},
+    {"no-request-id", "it carried no request id"},
+    {"refused", "the back end refused it without running it, and it could not go elsewhere"},
+    {"misdirected", "another start of the back end, or other weights, were found at the address"},
+    {"broken", "the connection to the back end broke after the request was sent"},
+    {"silent", "the back end stayed silent after the request was sent"},
+    {"torn", "the answer ended within an event"},
+    {"no-seal", "the answer lacked the back end's signature or had an encoding"},
+    {"resume-refused", "the stream could not go on at another back end"},
+    {"time-out", "the time of the client or the route was over"},
+};
+
+static const char *meaning_of(const char *reason)
+{
+    for (size_t i = 0; i < sizeof reasons / sizeof reasons[0]; i++)
+        if (strcmp(reasons[i].name, reason) == 0)
+            return reasons[i].meaning;
+    return "its log gives no known reason";
+}
+
+static const struct log_line *find_end(const struct line_list *list, const char *request)
+{
+    const struct log_line *end = NULL;
+    for (uint32_t i = 0; i < list->count; i++)
+        if (field_is(&list->lines[i], "request", request))
+            end = &list->lines[i];
+    return end;
+}
+
+static char *write_sentence(const struct line_list *list, const struct log_line *end)
+{
+    struct buffer text = {0};
+    char *node = copy_field(end, "node"), *event = copy_field(end, "event");
+    char *status = copy_field(end, "status"), *reason = copy_field(end, "reason");
+    char *took = copy_field(end, "took_ms"), *trail = copy_field(end, "trail");
+    if (strcmp(event, "client-gone") == 0)
+        buffer_append_format(&text, "The client left %s ms after its request reached %s.", took,
+                             node);
+    else
+        buffer_append_format(&text, "%s answered %s%s%s%s: %s (%s).", node, status,
+                             took[0] ? " after " : "", took, took[0] ? " ms" : "",
+                             meaning_of(reason), reason);
+    if (trail[0])
+        buffer_append_format(&text, " Attempts: %s", trail);
+    const struct log_line *stop = last_before(list, end, "process", "stop", node);
+    const struct log_line *start = last_before(list, end, "process", "start", node);
+    if (stop && (!start || by_time(start, stop) < 0))
+        buffer_append_format(&text, " The node was in a planned stop.");
+    buffer_append(&text, "", 1);
+    free(node);
+    free(event);
+    free(status);
+    free(reason);
+    free(took);
+    free(trail);
+    return text.data;
+}
+
+bool explain_request(const char *logs, size_t size, const char *request,
+                     struct explanation *explanation)
+{
+    struct line_list list = {0};
+    *explanation = (struct explanation){0};
+    read_lines(logs, size, &list);
+    const struct log_line *end = find_end(&list, request);
+    if (end) {
+        explanation->lines = json_array();
+        for (uint32_t i = 0; i < list.count; i++)
+            if (field_is(&list.lines[i], "request", request))
+                json_array_append_new(explanation->lines, line_text(&list.lines[i]));
+        explanation->beliefs = collect_beliefs(&list, end);
+        explanation->sentence = write_sentence(&list, end);
+    }
+    free(list.lines);
+    return end != NULL;
+}
+
+void explanation_clear(struct explanation *explanation)
+{
+    json_decref(explanation->lines);
+    json_decref(explanation->beliefs);
+    free(explanation->sentence);
+    *explanation = (struct explanation){0};
+}
+
+/* --- command -------------------------------------------------------------------------------------
+ */
+
+struct explain_options {
+    const char *request;
+    const char *files[MAX_FILES];
+    uint32_t file_count;
+    bool json;
+};
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+    struct explain_options *options = state->input;
+    switch (key) {
+    case KEY_OUTPUT:
+        options->json = tool_parse_output(argument, state);
+        return 0;
+    case ARGP_KEY_ARG:
+        if (!options->request)
+            options->request = argument;
+        else if (options->file_count < MAX_FILES)
+            options->files[options->file_count++] = argument;
+        else
+            argp_error(state, "at most %d log files", MAX_FILES);
+        return 0;
+    case ARGP_KEY_NO_ARGS:
+        argp_error(state, "the id of a request is needed");
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void read_standard_input(struct buffer *logs)
+{
+    char bytes[READ_SIZE];
+    for (size_t size; (size = fread(bytes, 1, sizeof bytes, stdin)) > 0;)
+        buffer_append(logs, bytes, size);
+}
+
+static bool read_logs(const struct explain_options *options, struct buffer *logs)
+{
+    if (!options->file_count)
+        read_standard_input(logs);
+    for (uint32_t i = 0; i < options->file_count; i++) {
+        char *text;
+        size_t size;
+        if (tool_read_file(options->files[i], &text, &size) != STATUS_OK) {
+            fprintf(stderr, "shuntrun explain: %s\n", status_message());
+            return false;
+        }
+        buffer_append(logs, text, size);
+        buffer_append(logs, "\n", 1);
+        free(text);
+    }
+    return true;
+}
+
+static void print_list(const char *title, const json_t *list)
+{
+    printf("\n%s\n", title);
+    for (size_t i = 0; i < json_array_size(list); i++)
+        printf("  %s\n", json_string_value(json_array_get(list, i)));
+}
+
+int explain_main(int argc, char **argv)
+{
+    static const struct argp_option argp_options[] = {
+        {"output", KEY_OUTPUT, "FORMAT", 0, "json or text (text)", 0}, {0}};
+    static const struct argp argp = {argp_options,
+                                     parse_option,
+                                     "REQUEST-ID [LOG...]",
+                                     "Say what became of a request, from the logs of all "
+                                     "processes (standard input without LOG).",
+                                     NULL,
+                                     NULL,
+                                     NULL};
+    struct explain_options options = {0};
+    struct explanation explanation;
+    struct buffer logs = {0};
+    argp_parse(&argp, argc, argv, 0, NULL, &options);
+    if (!read_logs(&options, &logs))
+        return 2;
+    bool found =
+        explain_request(logs.data ? logs.data : "", logs.size, options.request, &explanation);
+    buffer_clear(&logs);
+    if (!found) {
+        fprintf(stderr, "shuntrun explain: no line names request %s\n", options.request);
+        return 1;
+    }
+    if (options.json) {
+        tool_print_json(json_pack("{s:s, s:s, s:O, s:O}", "request", options.request, "sentence",
+                                  explanation.sentence, "lines", explanation.lines, "beliefs",
+                                  explanation.beliefs));
+    } else {
+        printf("%s\n", explanation.sentence);
+        print_list("Lines of the request:", explanation.lines);
+        print_list("Believed then:", explanation.beliefs);
+    }
+    explanation_clear(&explanation);
+    return 0;
+}
--- /dev/null
+++ b/tests/base/log_test.c
@@ -0,0 +1,76 @@
+/* Log lines are bounded, whole, and never block, also when nobody reads them. */
+#include "testing.h"
+
+#include "base/log.h"
+
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#define EVENTS 5000
+
+/* Standard output becomes a pipe whose reading end is returned. */
+static int redirect(int *kept)
+{
+    int ends[2];
+    assert_int_equal(pipe(ends), 0);
+    *kept = dup(STDOUT_FILENO);
+    dup2(ends[1], STDOUT_FILENO);
+    close(ends[1]);
+    log_init("test", LOG_LEVEL_INFO);
+    return ends[0];
+}
+
+static void restore(int kept, int reader)
+{
+    dup2(kept, STDOUT_FILENO);
+    close(kept);
+    close(reader);
+}
+
+static void a_kind_of_event_is_bounded_and_says_what_it_left_out(void **state)
+{
+    char text[65536];
+    int kept;
+    int reader = redirect(&kept);
+    uint64_t before = log_dropped();
+    for (int i = 0; i < EVENTS; i++)
+        log_event(LOG_LEVEL_INFO, "test", "many", "number=%d", i);
+    ssize_t size = read(reader, text, sizeof text - 1);
+    restore(kept, reader);
+    assert_true(size > 0);
+    text[size] = 0;
+    assert_int_equal(text[size - 1], '\n');
+    uint32_t lines = 0;
+    for (const char *c = text; (c = strchr(c, '\n')); c++)
+        lines++;
+    assert_true(lines >= 60 && lines < 200);
+    assert_true(log_dropped() - before >= EVENTS - 200);
+}
+
+static void a_pipe_that_nobody_reads_does_not_block(void **state)
+{
+    static const char *const kinds[] = {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j",
+                                        "k", "l", "m", "n", "o", "p", "q", "r", "s", "t"};
+    char padding[700];
+    int kept;
+    int reader = redirect(&kept);
+    uint64_t before = log_dropped();
+    memset(padding, 'x', sizeof padding - 1);
+    padding[sizeof padding - 1] = 0;
+    /* 20 kinds with 60 lines of 0.8 KB each: far more than a pipe holds. */
+    for (int i = 0; i < 60; i++)
+        for (int k = 0; k < 20; k++)
+            log_event(LOG_LEVEL_INFO, "test", kinds[k], "text=%s", padding);
+    assert_true(log_dropped() > before);
+    restore(kept, reader);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_kind_of_event_is_bounded_and_says_what_it_left_out),
+        cmocka_unit_test(a_pipe_that_nobody_reads_does_not_block),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -168,8 +168,7 @@
     report(pool, 1, (struct backend_load){.version = 1, .running = 3}, SECOND_US);
     report(pool, 2, (struct backend_load){.version = 1, .running = 3}, SECOND_US);
     assert_ptr_equal(choose(pool, &wish, SECOND_US), near);
-    report(pool, 1, (struct backend_load){.version = 1, .running = 9, .waiting = 2},
-           SECOND_US);
+    report(pool, 1, (struct backend_load){.version = 1, .running = 9, .waiting = 2}, SECOND_US);
     assert_ptr_equal(choose(pool, &wish, SECOND_US), far);
     backend_pool_destroy(pool);
 }
--- a/tests/core/version_bounds_test.c
+++ b/tests/core/version_bounds_test.c
@@ -33,7 +33,8 @@
     assert_int_equal(start_turn(&settings, 5000, 0, 10), 5100);
     assert_int_equal(start_turn(&settings, 5000, 9, 10), 6000);
     for (uint32_t i = 1; i < 10; i++)
-        assert_int_equal(start_turn(&settings, 0, i, 10) - start_turn(&settings, 0, i - 1, 10), 100);
+        assert_int_equal(start_turn(&settings, 0, i, 10) - start_turn(&settings, 0, i - 1, 10),
+                         100);
 }
 
 int main(void)
--- a/tests/net/http_message_test.c
+++ b/tests/net/http_message_test.c
@@ -96,9 +96,9 @@
                      HTTP_PARSE_BODY_SIZE);
     assert_int_equal(result_of("no http at all\r\n\r\n", 0, 0), HTTP_PARSE_MALFORMED);
     /* Two lengths: what is behind could be smuggled. */
-    assert_int_equal(result_of("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-                               0, 0),
-                     HTTP_PARSE_MALFORMED);
+    assert_int_equal(
+        result_of("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 0, 0),
+        HTTP_PARSE_MALFORMED);
     assert_int_equal(result_of("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
                                "Content-Length: 2\r\n\r\n",
                                0, 0),
--- a/tests/net/tcp_stream_test.c
+++ b/tests/net/tcp_stream_test.c
@@ -82,7 +82,8 @@
     assert_int_equal(end_after(true), TCP_END_RESET);
 }
 
-/* --- a caller whose callback makes the next call ------------------------------------------------- */
+/* --- a caller whose callback makes the next call -------------------------------------------------
+ */
 
 struct calls {
     struct http_caller *caller;
--- /dev/null
+++ b/tests/tool/explain_test.c
@@ -0,0 +1,63 @@
+/* From a request's id to its cause, in logs that are unsorted, interleaved and torn. */
+#include "testing.h"
+
+#include "tool/explain.h"
+
+#include <string.h>
+
+static const char logs[] =
+    "31.2 front-1 time=2026-01-01T00:00:31.200Z level=warn node=front-1 subsystem=request "
+    "event=failed request=ab12 route=r service=s status=502 reason=broken backend=i-2 sends=1 "
+    "took_ms=20 trail=\"i-2@0ms:occupancy=3,load_age=40ms,distance=0,weights=1,broken;\"\n"
+    "time=2026-01-01T00:00:05.000Z level=info node=front-1 subsystem=config event=accepted "
+    "version=7\n"
+    "time=2026-01-01T00:00:04.000Z level=info node=front-1 subsystem=config event=accepted "
+    "version=6\n"
+    "time=2026-01-01T00:00:40.000Z level=info node=front-1 subsystem=config event=accepted "
+    "version=9\n"
+    "time=2026-01-01T00:00:06.000Z level=info node=front-1 subsystem=backend event=listed id=i-2 "
+    "service=s\n"
+    "time=2026-01-01T00:00:06.000Z level=info node=front-1 subsystem=backend event=listed id=i-3 "
+    "service=s\n"
+    "time=2026-01-01T00:00:30.000Z level=info node=front-1 subsystem=process event=stop signal=15\n"
+    "torn line without end time=2026-01-";
+
+static bool holds(const json_t *list, const char *text)
+{
+    for (size_t i = 0; i < json_array_size(list); i++)
+        if (strstr(json_string_value(json_array_get(list, i)), text))
+            return true;
+    return false;
+}
+
+static void the_cause_is_named_with_the_beliefs_of_then(void **state)
+{
+    struct explanation explanation;
+    assert_true(explain_request(logs, strlen(logs), "ab12", &explanation));
+    assert_non_null(strstr(explanation.sentence, "front-1 answered 502 after 20 ms"));
+    assert_non_null(strstr(explanation.sentence, "connection to the back end broke"));
+    assert_non_null(strstr(explanation.sentence, "planned stop"));
+    assert_int_equal(json_array_size(explanation.lines), 1);
+    assert_true(holds(explanation.beliefs, "version=7"));
+    assert_false(holds(explanation.beliefs, "version=6"));
+    assert_false(holds(explanation.beliefs, "version=9"));
+    assert_true(holds(explanation.beliefs, "id=i-2"));
+    assert_false(holds(explanation.beliefs, "id=i-3"));
+    explanation_clear(&explanation);
+}
+
+static void an_unknown_request_is_not_explained(void **state)
+{
+    struct explanation explanation;
+    assert_false(explain_request(logs, strlen(logs), "ab1", &explanation));
+    assert_false(explain_request("", 0, "ab12", &explanation));
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(the_cause_is_named_with_the_beliefs_of_then),
+        cmocka_unit_test(an_unknown_request_is_not_explained),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
