A stand-in of the users' platform and a system test of edges and loaders; loaders' state is partial

Cause: a restarted edge took the state from a loader while the store turned it away: it got only the operator's items, thought it complete, and answered 503 (no-backend). Found by the new system test, which failed first. Change: nodes that do not read the store no longer name a state revision. 16 cases: whole path, limits, at most once, repeats, foreign answers, torn streams, clients that leave, draining, refused configurations, a store that turns a node away, planned stops, a version with one copy of the origin.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -84,7 +84,8 @@
 static void write_revisions(struct cluster *cluster)
 {
     struct member_state *self = membership_self(cluster->membership);
-    self->state_revision = state_cache_revision(cluster->state);
+    /* A node that does not read the store holds only a part: nobody may take it for the whole. */
+    self->state_revision = cluster->reader ? state_cache_revision(cluster->state) : 0;
     self->operator_revision = cluster->operator_revision;
 }
 
--- /dev/null
+++ b/tests/system/platform_standin.py
@@ -0,0 +1,304 @@
+"""Stand-in of the users' platform on loopback: metadata store, engines, plain services, origin.
+
+It speaks what platform/ speaks, and fails on demand. One process, one thread for each connection.
+"""
+import base64
+import hashlib
+import http.server
+import json
+import socket
+import struct
+import threading
+import time
+import urllib.parse
+
+PIECES = 8
+PIECE_BYTES = 4096
+MODEL = "model-a"
+
+
+def piece_bytes(version, number):
+    return hashlib.sha256(b"%d/%d" % (version, number)).digest() * (PIECE_BYTES // 32)
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, address, handler, owner):
+        self.owner = owner
+        super().__init__(address, handler)
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05},
+                         daemon=True).start()
+
+
+    def handle_error(self, request, client_address):
+        pass  # connections break on purpose
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *arguments):
+        pass
+
+    def setup(self):
+        super().setup()
+        self.owner = self.server.owner
+
+    def reply(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def reply_json(self, value):
+        self.reply(200, json.dumps(value).encode(), [("Content-Type", "application/json")])
+
+    def reset(self):
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close_connection = True
+        # Both files hold the socket open.
+        self.rfile.close()
+        self.wfile.close()
+        self.connection.close()
+
+    def parts(self):
+        path = urllib.parse.urlsplit(self.path)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(path.query, keep_blank_values=True).items()}
+        return path.path, query
+
+    def read_body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+
+class Store:
+    """Items with revisions, ranges and watches; `mode` "busy" answers 503."""
+
+    def __init__(self, address):
+        self.changed = threading.Condition()
+        self.items = {}
+        self.events = []
+        self.revision = 0
+        self.mode = "good"
+        self.server = Server(address, StoreHandler, self)
+
+    def put(self, key, value):
+        with self.changed:
+            self.revision += 1
+            text = base64.b64encode(json.dumps(value).encode()).decode()
+            item = {"private_key": key, "value": text, "revision": self.revision,
+                    "made": self.revision, "lease": 0}
+            self.items[key] = item
+            self.events.append(item)
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.events.append({"private_key": key, "revision": self.revision, "gone": True})
+            self.changed.notify_all()
+
+
+class StoreHandler(Handler):
+    def do_GET(self):
+        store = self.owner
+        path, query = self.parts()
+        if store.mode == "busy":
+            self.reply(503)
+        elif path == "/api/kv-range":
+            with store.changed:
+                items = [i for k, i in sorted(store.items.items())
+                         if k.startswith(query.get("path_prefix", ""))]
+                answer = {"items": items, "more": False, "at": store.revision}
+            self.reply_json(answer)
+        elif path == "/api/kv-watch":
+            self.watch(store, query)
+        else:
+            self.reply(404)
+
+    def watch(self, store, query):
+        after = int(query["after_revision"])
+        end = time.monotonic() + int(query["wait_ms"]) / 1000
+        with store.changed:
+            while True:
+                events = [e for e in store.events if e["revision"] > after]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    break
+                store.changed.wait(left)
+            answer = {"events": events, "at": store.revision}
+        self.reply_json(answer)
+
+
+class Backend:
+    """An engine or plain service; `faults` is a list of words, used up one a request."""
+
+    def __init__(self, address, identity, store, service, version=None):
+        self.address = address
+        self.identity = identity
+        self.store = store
+        self.service = service
+        self.version = version
+        self.faults = []
+        self.runs = []          # (request id, headers, body)
+        self.gone = []          # ids whose connection closed while they were worked on
+        self.staged = {}
+        self.orders = 0
+        self.loading = False
+        self.lock = threading.Lock()
+        self.server = Server(address, BackendHandler, self)
+        self.list()
+
+    def list(self, state="ready"):
+        models = [] if self.version is None else [{"name": MODEL, "version": self.version,
+                                                   "adapters": []}]
+        self.store.put("servers/" + self.identity, {
+            "service": self.service, "address": "%s:%d" % self.address, "zone": "zone-a",
+            "version": "v1", "slots": 16, "state": state, "cold_remaining_ms": 0,
+            "stage": "both", "models": models, "sequence": 1})
+
+    def next_fault(self):
+        with self.lock:
+            return self.faults.pop(0) if self.faults else None
+
+
+class BackendHandler(Handler):
+    def do_GET(self):
+        path, query = self.parts()
+        owner = self.owner
+        if path == "/api/report":
+            self.reply_json({"stage": "both", "models": [{"name": MODEL, "version": owner.version or 0,
+                                                          "adapters": []}],
+                             "utilization": owner.loading, "sequence": owner.orders,
+                             "waiting_requests": 0, "running_requests": 0, "kv_cache_used": 0,
+                             "kv_cache_total": 1000, "handles": 0})
+        elif path.startswith("/api/stage-get/"):
+            data = owner.staged.get(int(query["sample_count"]))
+            self.reply(200, data) if data is not None else self.reply(404)
+        else:
+            self.run()
+
+    def do_PUT(self):
+        _, query = self.parts()
+        self.owner.staged[int(query["sample_count"])] = self.read_body()
+        self.reply(200)
+
+    def do_POST(self):
+        path, _ = self.parts()
+        if path == "/api/order":
+            self.order(json.loads(self.read_body()))
+        else:
+            self.run()
+
+    def order(self, order):
+        owner = self.owner
+        if order.get("expected_revision", owner.orders) != owner.orders:
+            self.reply(409)
+            return
+        right = all(owner.staged.get(n) == piece_bytes(order["version"], n) for n in range(PIECES))
+        owner.orders += 1
+        owner.version = order["version"] if right else 0
+        owner.list()
+        self.reply(202)
+
+    def run(self):
+        owner = self.owner
+        body = self.read_body()
+        identity = self.headers.get("Shuntrun-Request-Id", "")
+        expected = self.headers.get("Shuntrun-Expected-Instance")
+        if expected not in (None, owner.identity):
+            self.reply(421, b"", [("Shuntrun-Request-Id", identity),
+                                  ("Shuntrun-Instance-Id", owner.identity)])
+            return
+        fault = owner.next_fault()
+        echo = [("Shuntrun-Request-Id", identity)]
+        if fault == "shed":
+            self.reply(503, b"", echo + [("Shuntrun-Not-Executed", "1")])
+            return
+        owner.runs.append((identity, dict(self.headers), body))
+        if fault == "reset":
+            self.reset()
+        elif fault == "silent":
+            time.sleep(3)
+            self.reset()
+        elif fault == "unsealed":
+            self.reply(200, b"not whole", echo)
+        elif fault == "foreign":
+            self.reply(200, b"of another", [("Shuntrun-Request-Id", "other"),
+                                            ("Shuntrun-Response-Seal", "s")])
+            self.reply(200, self.payload(body), echo + self.seal())
+        elif self.path.startswith("/stream/"):
+            self.stream(echo, fault)
+        else:
+            self.reply(200, self.payload(body), echo + self.seal())
+
+    def seal(self):
+        return [("Shuntrun-Response-Seal", "seal-" + self.owner.identity)]
+
+    def payload(self, body):
+        return b"answer to " + self.path.encode() + b" " + body
+
+    def stream(self, echo, fault):
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        self.send_response(200)
+        for name, value in echo + self.seal() + [("Content-Type", "text/event-stream"),
+                                                 ("Shuntrun-Weight-Versions",
+                                                  str(self.owner.version))]:
+            self.send_header(name, value)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for number in range(first, 11):
+            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+            if fault == "torn" and number == first + 3:
+                self.wfile.write(b"%x\r\n%s\r\n" % (len(event[:9]), event[:9]))
+                self.wfile.flush()
+                time.sleep(0.05)
+                self.reset()
+                return
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if fault == "slow":
+                time.sleep(0.15)
+                self.connection.settimeout(0.001)
+                try:
+                    if self.connection.recv(1, socket.MSG_PEEK) == b"":
+                        raise ConnectionError
+                except (TimeoutError, BlockingIOError):
+                    pass
+                except OSError:
+                    self.owner.gone.append(echo[0][1])
+                    self.close_connection = True
+                    return
+                self.connection.settimeout(None)
+        self.wfile.write(b"0\r\n\r\n")
+
+
+class Origin:
+    def __init__(self, address):
+        self.newest = 1
+        self.pieces_sent = 0
+        self.spoil = 0
+        self.server = Server(address, OriginHandler, self)
+
+
+class OriginHandler(Handler):
+    def do_GET(self):
+        path, query = self.parts()
+        version = int(query.get("version") or self.owner.newest)
+        if path.startswith("/api/manifest/"):
+            digests = [hashlib.sha256(piece_bytes(version, n)).hexdigest() for n in range(PIECES)]
+            self.reply_json({"model": MODEL, "version": version, "chunk_bytes": PIECE_BYTES,
+                             "layers": 4, "digests": digests})
+        elif path.startswith("/api/piece/"):
+            self.owner.pieces_sent += 1
+            data = piece_bytes(version, int(query["sample_count"]))
+            if self.owner.spoil:
+                self.owner.spoil -= 1
+                data = b"?" + data[1:]
+            self.reply(200, data)
+        else:
+            self.reply(404)
--- /dev/null
+++ b/tests/system/platform_test.py
@@ -0,0 +1,339 @@
+#!/usr/bin/env python3
+"""Edges and loaders as real processes before a stand-in of the users' platform, on loopback."""
+import argparse
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_standin as standin  # noqa: E402
+
+OPTIONS = None
+STORE = ("127.9.0.1", 8100)
+ORIGIN = ("127.9.0.2", 8101)
+EDGES = ["127.9.1.1", "127.9.1.2"]
+SIDES = ["127.9.2.1", "127.9.2.2", "127.9.2.3"]
+PLAIN = ["127.9.3.1", "127.9.3.2"]
+PEER_PORT = 7811
+FRONT, READY, DIRECTORY, ENGINE, METRICS = 8102, 8103, 8104, 8105, 9565
+PATIENCE_S = 20
+
+
+def wait_for(condition, what):
+    end = time.monotonic() + PATIENCE_S
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError("not in time: " + what)
+
+
+def configuration(version, **changes):
+    def route(name, prefix, kind, service, **more):
+        return dict({"name": name, "host": "a.example", "path_prefix": prefix, "kind": kind,
+                     "timeout_ms": 2500, "target_latency_ms": 400, "priority": 1,
+                     "service": service, "attempts": 2, "allow_anonymous": False,
+                     "resumable": kind == "streaming", "target_gap_ms": 300}, **more)
+    value = {
+        "version": version,
+        "routes": [route("stream", "/stream/", "streaming", "llm"),
+                   route("get", "/get/", "idempotent", "records"),
+                   route("put", "/put/", "non_idempotent", "records", attempts=1)],
+        "services": [
+            {"name": "llm", "connection_limit": 100,
+             "engine": {"slots": 16, "models": [{"name": standin.MODEL, "warmup_s": 0.1}],
+                        "usual": {"prompt": 100, "answer": 10}, "read_per_s": 30000,
+                        "chunks": standin.PIECES, "chunk_bytes": standin.PIECE_BYTES}},
+            {"name": "records", "connection_limit": 100},
+            {"name": "origin", "origin": "%s:%d" % ORIGIN, "zone": "zone-a"}],
+        "limits": {"header_bytes": 8192, "body_bytes": 100000, "header_timeout_ms": 1000,
+                   "idle_timeout_ms": 5000},
+        "tenants": [{"name": "tenant-a", "keys": ["key-a"], "priority": 0}],
+    }
+    value.update(changes)
+    return value
+
+
+class Node:
+    def __init__(self, role, address, extra):
+        self.address = address
+        self.log_path = os.path.join(OPTIONS.work, "%s-%s.log" % (role, address))
+        settings = {"name": "%s-%s" % (role, address), "zone": "zone-a", "region": "region-a",
+                    "address": address, "zones": "zone-a=region-a", "peer-port": PEER_PORT,
+                    "metrics-port": METRICS, "seeds": "%s:1,127.9.9.9:1" % EDGES[0]}
+        settings.update(extra)
+        path = os.path.join(OPTIONS.work, "%s-%s.settings" % (role, address))
+        with open(path, "w") as stream:
+            stream.write("".join("%s = %s\n" % pair for pair in settings.items()))
+        self.command = [os.path.join(OPTIONS.build, "shuntrun"), role, "--settings", path]
+        self.start()
+
+    def start(self):
+        self.log = open(self.log_path, "a")
+        self.process = subprocess.Popen(self.command, stdout=self.log, stderr=self.log)
+
+    def stop(self, number=signal.SIGKILL):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+        status = self.process.wait(timeout=PATIENCE_S)
+        self.log.close()
+        return status
+
+
+def edge(address):
+    return Node("edge", address, {
+        "store-address": "%s:%d" % STORE, "client-address": "%s:%d" % (address, FRONT),
+        "ready-address": "%s:%d" % (address, READY), "least-gateways": 2,
+        "directory-address": "%s:%d" % (address, DIRECTORY), "repeat-budget-ratio": "0.5",
+        "repeat-budget-allowance": 1000})
+
+
+def loader(address):
+    return Node("loader", address, {"engine-address": "%s:%d" % (address, ENGINE),
+                                    "engine-service": "llm", "link-mbit": "100"})
+
+
+class Answer:
+    def __init__(self, response, body):
+        self.status = response.status
+        self.headers = dict(response.getheaders())
+        self.body = body
+
+
+NUMBER = [0]
+
+
+def ask(method, path, body=None, address=EDGES[0], key="key-a", timeout=8, **headers):
+    NUMBER[0] += 1
+    identity = "%016x" % NUMBER[0]
+    connection = http.client.HTTPConnection(address, FRONT, timeout=timeout)
+    fields = {"Host": "a.example", "Shuntrun-Request-Id": identity, "Shuntrun-Deadline-Ms": "2000"}
+    if key:
+        fields["Authorization"] = "Bearer " + key
+    fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+    try:
+        connection.request(method, path, body, fields)
+        response = connection.getresponse()
+        answer = Answer(response, response.read())
+    finally:
+        connection.close()
+    answer.identity = identity
+    return answer
+
+
+def get(address, port, path):
+    connection = http.client.HTTPConnection(address, port, timeout=5)
+    try:
+        connection.request("GET", path)
+        response = connection.getresponse()
+        return response.status, response.read()
+    except OSError:
+        return 0, b""
+    finally:
+        connection.close()
+
+
+def whole_stream(first=1):
+    return b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(first, 11))
+
+
+class PlatformTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.store = standin.Store(STORE)
+        cls.origin = standin.Origin(ORIGIN)
+        cls.engines = [standin.Backend((ip, ENGINE), "engine-%d" % i, cls.store, "llm",
+                                       1 if i < 2 else None) for i, ip in enumerate(SIDES)]
+        cls.plain = [standin.Backend((ip, ENGINE), "plain-%d" % i, cls.store, "records")
+                     for i, ip in enumerate(PLAIN)]
+        cls.store.put("op/config", configuration(1))
+        cls.edges = [edge(ip) for ip in EDGES]
+        cls.loaders = [loader(ip) for ip in SIDES]
+        wait_for(lambda: all(get(ip, READY, "/api/readiness")[0] == 200 for ip in EDGES),
+                 "ready edges")
+        # The third engine is empty at first; its loader fills it from peers or the origin.
+        wait_for(lambda: cls.engines[2].version == 1, "an empty engine filled")
+        wait_for(lambda: ask("POST", "/stream/1", b"x").status == 200, "a stream served")
+
+    @classmethod
+    def tearDownClass(cls):
+        for node in cls.edges + cls.loaders:
+            node.stop()
+
+    def setUp(self):
+        for backend in self.engines + self.plain:
+            backend.faults.clear()
+            backend.runs.clear()
+            backend.gone.clear()
+
+    def runs_of(self, identity):
+        return [run for backend in self.engines + self.plain for run in backend.runs
+                if run[0] == identity]
+
+    def test_addresses_name_all_edges(self):
+        status, body = get(EDGES[0], DIRECTORY, "/api/resolve?name=a&region=region-a&zone=zone-a")
+        answer = json.loads(body)
+        self.assertEqual(status, 200)
+        self.assertEqual(sorted(answer["addresses"]), ["%s:%d" % (ip, FRONT) for ip in EDGES])
+        self.assertGreater(answer["ttl_s"], 0)
+
+    def test_a_request_arrives_as_it_was_sent(self):
+        answer = ask("POST", "/put/a%2Fb?q=%20x", b"body", Shuntrun_Tenant="forged")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, b"answer to /put/a%2Fb?q=%20x body")
+        self.assertIn("Shuntrun-Response-Seal", answer.headers)
+        (_, headers, body), = self.runs_of(answer.identity)
+        self.assertEqual(headers["Shuntrun-Tenant"], "tenant-a")
+        self.assertLessEqual(int(headers["Shuntrun-Deadline-Ms"]), 2000)
+        self.assertNotIn("Authorization", headers)
+        self.assertEqual(body, b"body")
+
+    def test_unknown_routes_and_keys(self):
+        self.assertEqual(ask("GET", "/nowhere/1").status, 404)
+        self.assertEqual(ask("GET", "/get/1", key="other").status, 401)
+        self.assertEqual(ask("GET", "/get/1", key=None).status, 401)
+        self.assertEqual(sum(len(b.runs) for b in self.plain), 0)
+
+    def test_limits(self):
+        self.assertEqual(ask("POST", "/put/1", b"x" * 100001).status, 413)
+        self.assertEqual(ask("GET", "/get/1", X_Long="x" * 9000).status, 431)
+        with socket.create_connection((EDGES[0], FRONT), timeout=5) as connection:
+            connection.sendall(b"no http\r\n\r\n")
+            self.assertIn(b" 400 ", connection.recv(1000))
+        with socket.create_connection((EDGES[0], FRONT), timeout=5) as connection:
+            connection.sendall(b"GET /get/1 HTTP/1.1\r\nHost: a")
+            self.assertIn(b" 408 ", connection.recv(1000))
+
+    def test_an_unrepeatable_request_runs_once(self):
+        for fault in ("reset", "unsealed"):
+            for backend in self.plain:
+                backend.faults[:] = [fault]
+            answer = ask("POST", "/put/1", b"x")
+            self.assertEqual(answer.status, 502, fault)
+            self.assertEqual(len(self.runs_of(answer.identity)), 1, fault)
+
+    def test_a_repeatable_request_goes_elsewhere(self):
+        for fault in ("reset", "unsealed", "shed", "silent"):
+            self.plain[0].faults[:] = [fault]
+            self.plain[1].faults[:] = []
+            for _ in range(6):
+                self.assertEqual(ask("GET", "/get/1").status, 200, fault)
+
+    def test_an_answer_of_another_request_is_passed_over(self):
+        for backend in self.plain:
+            backend.faults[:] = ["foreign"]
+        for _ in range(4):
+            self.assertEqual(ask("GET", "/get/1").body, b"answer to /get/1 ")
+
+    def test_a_refusal_says_when_to_come_back(self):
+        for backend in self.plain:
+            backend.faults[:] = ["shed"] * 3
+        answer = ask("POST", "/put/1", b"x")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        self.assertEqual(self.runs_of(answer.identity), [])
+
+    def test_a_torn_stream_goes_on_at_another_engine(self):
+        for engine in self.engines:
+            engine.faults[:] = []
+        for _ in range(6):
+            self.engines[0].faults[:] = ["torn"]
+            answer = ask("POST", "/stream/1", b"x")
+            self.assertEqual(answer.body, whole_stream())
+        wait_for(lambda: ask("POST", "/stream/1", b"x").status == 200, "engines back")
+
+    def test_a_client_that_leaves_is_heard_of(self):
+        for engine in self.engines:
+            engine.faults[:] = ["slow"] * 5
+        connection = http.client.HTTPConnection(EDGES[0], FRONT, timeout=5)
+        connection.request("POST", "/stream/1", b"x", {
+            "Host": "a.example", "Shuntrun-Request-Id": "leaver", "Shuntrun-Deadline-Ms": "2000",
+            "Authorization": "Bearer key-a"})
+        connection.getresponse().read(10)
+        connection.sock.close() if connection.sock else None
+        connection.close()
+        wait_for(lambda: any("leaver" in e.gone for e in self.engines), "the engine hears of it")
+
+    def test_a_draining_back_end_gets_nothing(self):
+        self.plain[0].list("draining")
+        try:
+            time.sleep(0.5)
+            for _ in range(8):
+                self.assertEqual(ask("GET", "/get/1").status, 200)
+            self.assertEqual(self.plain[0].runs, [])
+        finally:
+            self.plain[0].list()
+            time.sleep(0.3)
+
+    def test_configuration_reaches_a_node_that_the_store_turns_away(self):
+        self.store.put("op/config", configuration(2))
+        self.store.mode = "busy"
+        edges = self.edges
+        try:
+            edges[1].stop()
+            edges[1].start()
+            wait_for(lambda: get(EDGES[1], READY, "/api/readiness")[0] == 200, "state from a peer")
+            self.assertEqual(ask("GET", "/get/1", address=EDGES[1]).status, 200)
+        finally:
+            self.store.mode = "good"
+
+    def test_a_refused_configuration_changes_nothing(self):
+        self.store.put("op/config", {"version": 3, "routes": [{"name": "x"}]})
+        time.sleep(0.3)
+        self.assertEqual(ask("GET", "/get/1").status, 200)
+        with open(self.edges[0].log_path) as log:
+            self.assertIn("subsystem=config event=refused", log.read())
+        self.store.put("op/config", configuration(4))
+
+    def test_a_planned_stop_cuts_nothing(self):
+        for engine in self.engines:
+            engine.faults[:] = ["slow"] * 2
+        connection = http.client.HTTPConnection(EDGES[1], FRONT, timeout=8)
+        connection.request("POST", "/stream/1", b"x", {
+            "Host": "a.example", "Shuntrun-Request-Id": "stayer", "Shuntrun-Deadline-Ms": "6000",
+            "Authorization": "Bearer key-a"})
+        response = connection.getresponse()
+        self.edges[1].process.send_signal(signal.SIGTERM)
+        body = response.read()
+        self.assertTrue(body.startswith(b"id: 1\n"))
+        self.assertEqual(get(EDGES[1], READY, "/api/readiness")[0], 503)
+        addresses = json.loads(get(EDGES[0], DIRECTORY, "/api/resolve?zone=zone-a")[1])["addresses"]
+        self.assertEqual(addresses, ["%s:%d" % (EDGES[0], FRONT)])
+        self.assertEqual(self.edges[1].process.wait(timeout=PATIENCE_S), 0)
+        self.edges[1].start()
+        wait_for(lambda: get(EDGES[1], READY, "/api/readiness")[0] == 200, "the edge again")
+
+    def test_metrics_are_served(self):
+        status, body = get(EDGES[0], METRICS, "/metrics")
+        self.assertEqual(status, 200)
+        self.assertIn(b"shuntrun_first_event_seconds_bucket", body)
+
+    def test_zz_a_new_version_spreads_with_one_copy_of_the_origin(self):
+        self.origin.newest = 2
+        self.origin.spoil = 2
+        before = self.origin.pieces_sent
+        self.store.put("op/version/" + standin.MODEL, {"model": standin.MODEL, "version": 2})
+        wait_for(lambda: all(e.version == 2 for e in self.engines), "version 2 everywhere")
+        self.assertLess(self.origin.pieces_sent - before, 2 * standin.PIECES + 2)
+        wait_for(lambda: ask("POST", "/stream/1", b"x").headers.get(
+            "Shuntrun-Weight-Versions") == "2", "answers of version 2")
+
+
+def main():
+    global OPTIONS
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--work", required=True)
+    OPTIONS, rest = parser.parse_known_args()
+    os.makedirs(OPTIONS.work, exist_ok=True)
+    unittest.main(argv=[sys.argv[0]] + rest, verbosity=2)
+
+
+if __name__ == "__main__":
+    main()
