State between nodes is compressed; engines on slow links get no old version late

Configurations of 36 KB went to every node, ten times in a storm, uncompressed. Change: loaders tell that their link is slow, such engines get no work on a version that is required within 3.5 s; state goes between nodes as zstd.

--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -9,10 +9,12 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <zstd.h>
 
 #define STATE_PATH "/state"
 #define TIMEOUT_MS 1200
 #define ANSWER_LIMIT (32U << 20)
+#define COMPRESSION_LEVEL 1
 /** A node that reads the store itself gets the change in this time; only then are peers asked. */
 #define READER_GRACE_US 250000
 
@@ -53,6 +55,22 @@
     state_cache_reach(state, changes->revision);
 }
 
+/* Configurations are texts that compress to a tenth. */
+static Shuntrun__StateChanges *unpack_changes(const char *bytes, size_t size)
+{
+    unsigned long long length = ZSTD_getFrameContentSize(bytes, size);
+    if (length == ZSTD_CONTENTSIZE_ERROR || length == ZSTD_CONTENTSIZE_UNKNOWN ||
+        length > ANSWER_LIMIT)
+        return NULL;
+    uint8_t *plain = memory_zero(length, 1);
+    size_t plain_size = ZSTD_decompress(plain, length, bytes, size);
+    Shuntrun__StateChanges *changes = NULL;
+    if (!ZSTD_isError(plain_size))
+        changes = shuntrun__state_changes__unpack(NULL, plain_size, plain);
+    free(plain);
+    return changes;
+}
+
 static void on_changes(void *context, enum call_result result, const struct http_message *message)
 {
     struct state_sync *sync = context;
@@ -62,8 +80,7 @@
     sync->heard_at = 0;
     if (result != CALL_ANSWERED || http_message_status(message) != 200)
         return;
-    Shuntrun__StateChanges *changes = shuntrun__state_changes__unpack(
-        NULL, message->body.size, (const uint8_t *)message->body.data);
+    Shuntrun__StateChanges *changes = unpack_changes(message->body.data, message->body.size);
     if (!changes)
         return;
     log_event(LOG_LEVEL_INFO, "state", "from-peer", "peer=%08x revision=%llu before=%llu items=%zu",
@@ -130,6 +147,18 @@
     out->age_ms = (now - item->learned) / 1000;
 }
 
+static void reply_compressed(struct service_call *call, const uint8_t *bytes, size_t size)
+{
+    size_t bound = ZSTD_compressBound(size);
+    uint8_t *compressed = memory_zero(bound, 1);
+    size_t length = ZSTD_compress(compressed, bound, bytes, size, COMPRESSION_LEVEL);
+    if (ZSTD_isError(length))
+        service_reply(call, 500, NULL, NULL, 0);
+    else
+        service_reply(call, 200, "application/zstd", compressed, length);
+    free(compressed);
+}
+
 static bool is_of_operator(const struct state_item *item)
 {
     char name[PLATFORM_TEXT_SIZE];
@@ -161,7 +190,7 @@
     size_t size = shuntrun__state_changes__get_packed_size(&changes);
     uint8_t *bytes = memory_zero(size, 1);
     shuntrun__state_changes__pack(&changes, bytes);
-    service_reply(call, 200, "application/x-protobuf", bytes, size);
+    reply_compressed(call, bytes, size);
     free(bytes);
     free(items);
     free(pointers);
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -222,6 +222,8 @@
         return false;
     if (wish->exact_version && version != wish->exact_version)
         return false;
+    if (backend->load.link_slow && version < wish->later_version)
+        return false;
     bool staged = has_fresh_load(pool, backend, now) && backend->load.staged;
     return version >= wish->next_version || staged;
 }
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -37,6 +37,7 @@
     uint64_t version;       /**< of the weights; 0: none */
     bool loading;           /**< it takes nothing new until it has other weights */
     bool staged;            /**< it has all of a newer version at hand */
+    bool link_slow;         /**< its link is narrow: what is sent there may arrive late */
     uint32_t pace_permille; /**< above 1000: slower than it should be */
 };
 
@@ -124,7 +125,8 @@
     double read_tokens_per_ms; /**< rate at which an engine reads prompts */
     uint64_t least_version;    /**< of the weights; 0: any */
     uint64_t next_version;     /**< required soon: only engines that have it at hand may be older */
-    uint64_t exact_version;    /**< of the weights; 0: any */
+    uint64_t later_version; /**< required in a while: engines on slow links must have it already */
+    uint64_t exact_version; /**< of the weights; 0: any */
     const struct backend *excluded[BACKEND_MAX_EXCLUDED];
     uint32_t excluded_count;
     uint32_t gateways; /**< that send to the same back ends */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -139,6 +139,7 @@
         .version = news->version,
         .loading = news->loading,
         .staged = news->staged,
+        .link_slow = news->link_slow,
         .pace_permille = news->pace_permille,
     };
     if (backend_pool_report(edge->pool, news->address, &load, cluster_now()) && edge->waiting)
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -35,6 +35,7 @@
 /** So long before a version is required, engines that do not have it at hand get no new work: their
  *  links may be slow, and what waits there may begin late. */
 #define VERSION_LEAD_US 400000
+#define VERSION_SLOW_LEAD_US 3500000
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
 
@@ -281,6 +282,7 @@
         .read_tokens_per_ms = exchange->service->engine.read_tokens_per_ms,
         .least_version = least_version(exchange, now),
         .next_version = least_version(exchange, now + VERSION_LEAD_US),
+        .later_version = least_version(exchange, now + VERSION_SLOW_LEAD_US),
         .exact_version = exchange->resuming ? exchange->version : 0,
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -73,6 +73,8 @@
     struct backend_load load = loader->report.load;
     load.loading = loader->installer && installer_is_loading(loader->installer, now);
     load.staged = loader->installer && installer_is_staged(loader->installer);
+    for (uint32_t i = 0; i < loader->wanted_count; i++)
+        load.link_slow |= piece_store_link_is_slow(loader->wanted[i].store);
     if (memcmp(&load, &loader->told, sizeof load) == 0 && now < loader->told_at + LOAD_REPEAT_US)
         return;
     Shuntrun__EngineLoad message = SHUNTRUN__ENGINE_LOAD__INIT;
@@ -84,6 +86,7 @@
     message.version = load.version;
     message.loading = load.loading;
     message.staged = load.staged;
+    message.link_slow = load.link_slow;
     message.pace_permille = load.pace_permille;
     bool far = now >= loader->told_far_at + FAR_LOAD_US || load.loading != loader->told.loading ||
                load.staged != loader->told.staged || load.version != loader->told.version;
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -527,6 +527,11 @@
     store->link_use = use;
 }
 
+bool piece_store_link_is_slow(const struct piece_store *store)
+{
+    return store->link_is_slow;
+}
+
 bool piece_store_half_held(const struct piece_store *store)
 {
     return store->swarm && 2 * store->held >= store->manifest.count;
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -38,6 +38,8 @@
 bool piece_store_complete(const struct piece_store *store);
 /** \return whether pieces are missing and some came a moment ago */
 bool piece_store_progresses(const struct piece_store *store, uint64_t now);
+/** \return whether transfers show a link much narrower than it should be */
+bool piece_store_link_is_slow(const struct piece_store *store);
 /** \return whether at least half of the pieces are held */
 bool piece_store_half_held(const struct piece_store *store);
 void piece_store_on_news(struct piece_store *store, uint32_t peer, const Shuntrun__PieceNews *news);
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -126,6 +126,21 @@
     backend_pool_destroy(pool);
 }
 
+static void an_engine_on_a_slow_link_gets_no_old_version_late(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 1, 0);
+    wish.later_version = 2;
+    report(pool, 1, (struct backend_load){.version = 1}, SECOND_US);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    report(pool, 1, (struct backend_load){.version = 1, .link_slow = true}, SECOND_US);
+    assert_null(choose(pool, &wish, SECOND_US));
+    report(pool, 1, (struct backend_load){.version = 2, .link_slow = true}, SECOND_US);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
 static void an_engine_that_loads_gets_nothing(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -219,6 +234,7 @@
         cmocka_unit_test(nothing_is_dropped_while_the_list_fails),
         cmocka_unit_test(an_address_belongs_to_its_newest_start),
         cmocka_unit_test(old_versions_get_nothing_in_time),
+        cmocka_unit_test(an_engine_on_a_slow_link_gets_no_old_version_late),
         cmocka_unit_test(an_engine_that_loads_gets_nothing),
         cmocka_unit_test(prompts_at_one_engine_are_bounded),
         cmocka_unit_test(engines_near_go_first_until_they_hold_more),
--- /dev/null
+++ b/tests/core/link_rate_test.c
@@ -0,0 +1,34 @@
+/* A narrow link is told from a sound one that several transfers share. */
+#include "testing.h"
+
+#include "core/link_rate.h"
+
+static void transfers_that_share_a_link_do_not_make_it_slow(void **state)
+{
+    struct link_rate rate = {.nominal = 9.4};
+    assert_false(link_rate_is_slow(&rate));
+    for (int i = 0; i < 10; i++)
+        link_rate_add(&rate, 49152, 3 * 42000, 3);
+    assert_false(link_rate_is_slow(&rate));
+}
+
+static void a_narrow_link_is_slow_from_its_first_transfer_on(void **state)
+{
+    struct link_rate rate = {.nominal = 9.4};
+    link_rate_add(&rate, 49152, 330000, 1);
+    assert_true(link_rate_is_slow(&rate));
+    link_rate_add(&rate, 49152, 0, 1); /* no duration: no news */
+    assert_true(link_rate_is_slow(&rate));
+    for (int i = 0; i < 5; i++)
+        link_rate_add(&rate, 49152, 42000, 1);
+    assert_false(link_rate_is_slow(&rate));
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(transfers_that_share_a_link_do_not_make_it_slow),
+        cmocka_unit_test(a_narrow_link_is_slow_from_its_first_transfer_on),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
