Silent engines get nothing more; late ones no old version near the bound

Change: the gateway itself judges: an engine with a request unread for 0.7 s gets no more, one whose last first byte took over 0.6 s gets no version that is required within 1.7 s.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -21,6 +21,10 @@
 #define REGION_PENALTY_MS 45
 #define FAILURE_PENALTY 8.0
 #define REFUSAL_PENALTY 3.0
+/** Silence after which a model engine gets nothing more until it answers. */
+#define STALLED_US 700000
+/** A first byte after this time shows a back end, or a way to it, that is late. */
+#define LATE_US 600000
 /** Time in which back ends that live list themselves again, once the list's keeper is back. */
 #define RELIST_US 2500000
 
@@ -213,6 +217,19 @@
     return backend->unlisted_until && backend->unlisted_until <= now;
 }
 
+/* A request was sent a while ago and nothing came back. */
+static bool is_stalled(const struct backend *backend, uint64_t now)
+{
+    return backend->unread && now > backend->unread_since + STALLED_US;
+}
+
+/* What is sent there may begin much later. */
+static bool is_late(const struct backend *backend, uint64_t now)
+{
+    return backend->load.link_slow || backend->last_latency_us > LATE_US ||
+           is_stalled(backend, now);
+}
+
 /* Whether the weights there are new enough, now and for the time that the request may wait. */
 static bool has_version(const struct backend_pool *pool, const struct backend_wish *wish,
                         const struct backend *backend, uint64_t now)
@@ -222,7 +239,7 @@
         return false;
     if (wish->exact_version && version != wish->exact_version)
         return false;
-    if (backend->load.link_slow && version < wish->later_version)
+    if (is_late(backend, now) && version < wish->later_version)
         return false;
     bool staged = has_fresh_load(pool, backend, now) && backend->load.staged;
     return version >= wish->next_version || staged;
@@ -254,7 +271,8 @@
         return true;
     if (!has_version(pool, wish, backend, now))
         return false;
-    return !(has_fresh_load(pool, backend, now) && backend->load.loading);
+    return !(has_fresh_load(pool, backend, now) && backend->load.loading) &&
+           !is_stalled(backend, now);
 }
 
 static bool is_ejected(const struct backend *backend, uint64_t now)
@@ -397,8 +415,10 @@
     return fit_count ? BACKEND_FULL : BACKEND_NONE;
 }
 
-void backend_begin(struct backend *backend, uint32_t tokens)
+void backend_begin(struct backend *backend, uint32_t tokens, uint64_t now)
 {
+    if (!backend->unread)
+        backend->unread_since = now;
     backend->in_flight++;
     backend->sent_since++;
     backend->begun_since++;
@@ -407,8 +427,9 @@
     backend->tokens_since += tokens;
 }
 
-void backend_answers(struct backend *backend, uint32_t tokens)
+void backend_answers(struct backend *backend, uint32_t tokens, uint64_t now)
 {
+    backend->unread_since = now;
     backend->unread--;
     backend->unread_tokens -= tokens;
     backend->tokens_since -= tokens;
@@ -442,6 +463,8 @@
         backend->latency_us += LATENCY_WEIGHT * ((double)latency_us - backend->latency_us);
     else if (latency_us)
         backend->latency_us = (double)latency_us;
+    if (latency_us)
+        backend->last_latency_us = latency_us;
     if (result == BACKEND_CANCELLED)
         return false;
     move(&backend->failure_share, is_failure(result));
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -54,13 +54,15 @@
 
 struct backend {
     struct backend_listing listing;
-    uint32_t references;     /**< of the pool, of requests and of connections */
-    bool listed;             /**< false: the list has dropped it */
-    uint64_t unlisted_until; /**< dropped by the list, but usable until then; 0: listed */
-    uint16_t distance;       /**< 0 same zone, 1 same region, 2 other region */
-    uint32_t in_flight;      /**< requests of this gateway */
-    uint32_t unread;         /**< those of them that have no byte of an answer yet */
-    uint64_t unread_tokens;  /**< of their prompts */
+    uint32_t references;      /**< of the pool, of requests and of connections */
+    bool listed;              /**< false: the list has dropped it */
+    uint64_t unlisted_until;  /**< dropped by the list, but usable until then; 0: listed */
+    uint16_t distance;        /**< 0 same zone, 1 same region, 2 other region */
+    uint32_t in_flight;       /**< requests of this gateway */
+    uint32_t unread;          /**< those of them that have no byte of an answer yet */
+    uint64_t unread_tokens;   /**< of their prompts */
+    uint64_t unread_since;    /**< last time that one of them was begun alone or answered */
+    uint64_t last_latency_us; /**< time to the first byte of the last answer, 0: not known */
     struct backend_load load;
     uint64_t load_at;       /**< time of the report, 0: none */
     int32_t sent_since;     /**< own requests begun less ended since the report */
@@ -150,9 +152,9 @@
                            uint32_t gateways, uint64_t now);
 
 /** \brief Count a request in. \param tokens of its prompt */
-void backend_begin(struct backend *backend, uint32_t tokens);
+void backend_begin(struct backend *backend, uint32_t tokens, uint64_t now);
 /** \brief The first byte of an answer came. \param tokens as at the begin */
-void backend_answers(struct backend *backend, uint32_t tokens);
+void backend_answers(struct backend *backend, uint32_t tokens, uint64_t now);
 /**
  * \brief Count a request out.
  * \param latency_us time to the first byte of the answer, 0 when none came
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -35,7 +35,7 @@
 /** So long before a version is required, engines that do not have it at hand get no new work: their
  *  links may be slow, and what waits there may begin late. */
 #define VERSION_LEAD_US 400000
-#define VERSION_SLOW_LEAD_US 3500000
+#define VERSION_SLOW_LEAD_US 1700000
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
 
@@ -152,7 +152,7 @@
     if (!backend)
         return;
     if (!exchange->first_byte_at)
-        backend_answers(backend, exchange->head.tokens_in);
+        backend_answers(backend, exchange->head.tokens_in, now);
     uint64_t latency = exchange->first_byte_at && !exchange->resuming
                            ? exchange->first_byte_at - exchange->sent_at
                            : 0;
@@ -328,7 +328,7 @@
     exchange->last_event_at = now;
     note_send(exchange, backend, now);
     metric_observe(METRIC_PLACE_WAIT, now - exchange->arrived);
-    backend_begin(backend, exchange->head.tokens_in);
+    backend_begin(backend, exchange->head.tokens_in, now);
     exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
     if (!exchange->upstream) {
         end_attempt(exchange, BACKEND_UNREACHABLE);
@@ -504,7 +504,7 @@
     exchange->first_byte_at = cluster_now();
     if (exchange->route->kind == ROUTE_STREAM && !exchange->streaming)
         metric_observe(METRIC_FIRST_EVENT, exchange->first_byte_at - exchange->arrived);
-    backend_answers(exchange->backend, exchange->head.tokens_in);
+    backend_answers(exchange->backend, exchange->head.tokens_in, exchange->first_byte_at);
 }
 
 static void on_progress(struct exchange *exchange, struct http_message *message)
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -141,6 +141,23 @@
     backend_pool_destroy(pool);
 }
 
+static void an_engine_that_stays_silent_gets_nothing_more(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend *backend = add(pool, 1, 1, 0);
+    backend_begin(backend, 100, SECOND_US);
+    assert_non_null(choose(pool, &wish, SECOND_US + 600000));
+    assert_null(choose(pool, &wish, SECOND_US + 800000));
+    backend_answers(backend, 100, SECOND_US + 800000);
+    assert_non_null(choose(pool, &wish, SECOND_US + 900000));
+    /* It was late: near the bound it gets nothing on the old version. */
+    backend_end(pool, backend, BACKEND_SUCCEEDED, 800000, SECOND_US + 900000);
+    wish.later_version = 2;
+    assert_null(choose(pool, &wish, SECOND_US + 900000));
+    backend_pool_destroy(pool);
+}
+
 static void an_engine_that_loads_gets_nothing(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -159,17 +176,17 @@
     report(pool, 1, (struct backend_load){.version = 1, .running = 2}, SECOND_US);
     for (uint32_t i = 0; i < 4; i++) {
         assert_non_null(choose(pool, &wish, SECOND_US));
-        backend_begin(backend, 1000);
+        backend_begin(backend, 1000, SECOND_US);
     }
     struct backend *chosen;
     assert_int_equal(backend_pool_choose(pool, &wish, SECOND_US, &chosen), BACKEND_FULL);
-    backend_answers(backend, 1000);
+    backend_answers(backend, 1000, SECOND_US);
     assert_non_null(choose(pool, &wish, SECOND_US));
     /* A prompt above the bound goes to an engine that reads nothing else. */
     wish.tokens = 9000;
     assert_null(choose(pool, &wish, SECOND_US));
     for (uint32_t i = 0; i < 3; i++)
-        backend_answers(backend, 1000);
+        backend_answers(backend, 1000, SECOND_US);
     assert_non_null(choose(pool, &wish, SECOND_US));
     backend_pool_destroy(pool);
 }
@@ -196,18 +213,18 @@
     struct backend *good = add(pool, 2, 1, 0);
     uint64_t now = SECOND_US;
     for (int i = 0; i < 2; i++) {
-        backend_begin(bad, 1000);
-        backend_answers(bad, 1000);
+        backend_begin(bad, 1000, SECOND_US);
+        backend_answers(bad, 1000, SECOND_US);
         backend_end(pool, bad, BACKEND_BROKEN, 0, now);
     }
     for (int i = 0; i < 50; i++)
         assert_ptr_equal(choose(pool, &wish, now), good);
     now += SECOND_US;
     assert_ptr_equal(choose(pool, &wish, now), bad); /* one request finds out */
-    backend_begin(bad, 1000);
+    backend_begin(bad, 1000, SECOND_US);
     for (int i = 0; i < 50; i++)
         assert_ptr_equal(choose(pool, &wish, now), good);
-    backend_answers(bad, 1000);
+    backend_answers(bad, 1000, SECOND_US);
     backend_end(pool, bad, BACKEND_SUCCEEDED, 1000, now);
     assert_int_equal(bad->ejected_until, 0);
     backend_pool_destroy(pool);
@@ -217,10 +234,10 @@
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
     struct backend *backend = backend_retain(add(pool, 1, 1, 0));
-    backend_begin(backend, 1000);
+    backend_begin(backend, 1000, SECOND_US);
     backend_pool_replaced(pool, backend);
     assert_false(backend->listed);
-    backend_answers(backend, 1000);
+    backend_answers(backend, 1000, SECOND_US);
     backend_end(pool, backend, BACKEND_CANCELLED, 0, 2);
     backend_release(backend);
     backend_pool_destroy(pool);
@@ -235,6 +252,7 @@
         cmocka_unit_test(an_address_belongs_to_its_newest_start),
         cmocka_unit_test(old_versions_get_nothing_in_time),
         cmocka_unit_test(an_engine_on_a_slow_link_gets_no_old_version_late),
+        cmocka_unit_test(an_engine_that_stays_silent_gets_nothing_more),
         cmocka_unit_test(an_engine_that_loads_gets_nothing),
         cmocka_unit_test(prompts_at_one_engine_are_bounded),
         cmocka_unit_test(engines_near_go_first_until_they_hold_more),
