Dead ranks are passed soon; fewer bytes between loaders of different regions

Cause: after a loss of power all loaders held 46 of 48 pieces for a second: the member that should have read one from the origin was gone, and the next in rank waited 2.5 s for it. After 2 s everybody took pieces from other regions. Loaders that hold all told each other so every 0.4 s. Change: probe_timeout_us 0.35 s; 3 s before everybody imports; heartbeats of the swarm every 1.25 s without the sender's place.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -57,9 +57,6 @@
 void cluster_send(struct cluster *cluster, uint32_t address, Shuntrun__MemberMessage *message)
 {
     uint8_t bytes[DATAGRAM_SIZE];
-    Shuntrun__MemberMessage own;
-    membership_write(cluster->membership, &own);
-    message->sender = own.sender;
     size_t size = pack(message, bytes);
     if (size)
         send_packed(cluster, address, bytes, size);
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -56,7 +56,7 @@
 uint64_t cluster_now(void);
 /** \brief Tell everybody at once, for example that this node leaves. */
 void cluster_tell_all(struct cluster *cluster);
-/** \brief Send one message; the sender's part is filled in. */
+/** \brief Send one message to one member. */
 void cluster_send(struct cluster *cluster, uint32_t address, Shuntrun__MemberMessage *message);
 /** \brief Send the load of the engine to the gateways. \param far also to those in other regions */
 void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far);
--- a/src/core/swarm.c
+++ b/src/core/swarm.c
@@ -146,6 +146,8 @@
     *request = (struct request){.source = source, .chunk = chunk, .probe = probe, .started = now};
     uint64_t timeout =
         source == SWARM_ORIGIN ? swarm->settings.chunk_timeout_us * 4 : request_timeout(swarm);
+    if (probe && swarm->settings.probe_timeout_us && timeout > swarm->settings.probe_timeout_us)
+        timeout = swarm->settings.probe_timeout_us;
     request->deadline = now + timeout;
     bitmap_clear(swarm->open, chunk);
     if (source == SWARM_ORIGIN)
--- a/src/core/swarm.h
+++ b/src/core/swarm.h
@@ -49,6 +49,7 @@
     uint64_t announce_us;      /**< least time between announcements */
     uint64_t silence_us;       /**< a silent neighbour is replaced after this */
     uint64_t chunk_timeout_us; /**< a request without its chunk is given up */
+    uint64_t probe_timeout_us; /**< an earlier rank that does not answer is passed; 0: as a chunk */
     uint64_t busy_backoff_us;  /**< pause before a busy peer is asked again */
     uint64_t origin_copy_us;   /**< time that the origin's link takes for one copy */
     uint64_t origin_step_us;   /**< wait of a later rank, for each rank before it */
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -17,6 +17,8 @@
 #define PIECE_PATH "/piece"
 #define MANIFEST_TIMEOUT_MS 700
 #define PIECE_TIMEOUT_MS 2500
+/** A member that should have read a piece from the origin answers within this time, or is dead. */
+#define PROBE_TIMEOUT_US 350000
 #define MANIFEST_LIMIT (1U << 20)
 #define PIECE_LIMIT (8U << 20)
 #define PEERS_MOST 128
@@ -38,7 +40,9 @@
 #define WINDOW_SLOW 1
 #define SLOW_UPLOAD_SHARE 0.1
 /** See swarm_settings; past this, sparing bytes between regions would delay the version. */
-#define FAR_HOLD_US 2000000
+#define FAR_HOLD_US 3000000
+/** Loaders that hold all tell each other so a quarter as often; the dead leave the plan sooner. */
+#define SILENCE_US 5000000
 /** Share of the link's rate for uploads: the rest is for the answers of the engine. */
 #define UPLOAD_SHARE 0.9
 
@@ -119,8 +123,9 @@
         .upload_limit = 2,
         .neighbours = 12,
         .announce_us = 40000,
-        .silence_us = 1500000,
+        .silence_us = SILENCE_US,
         .chunk_timeout_us = 2500000,
+        .probe_timeout_us = PROBE_TIMEOUT_US,
         .busy_backoff_us = piece_time_us(store),
         .origin_copy_us = 500000,
         .origin_step_us = 100000,
