How fast a back end works is learned from successes only; plain services near first

Cause: probes of idle routes run into their 400 ms time-out at plain services; their times made the near one look slow, and 90 of 100 requests went to other regions. Later ranks asked earlier ones of other regions before the origin could have given a copy. Change: latency from successes; 15 ms against plain services of other regions; later ranks wait 1.3 s.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -19,6 +19,7 @@
 /** What a back end in another zone or region must be better by, ms. */
 #define ZONE_PENALTY_MS 5
 #define REGION_PENALTY_MS 45
+#define SERVICE_REGION_PENALTY_MS 15
 #define FAILURE_PENALTY 8.0
 #define REFUSAL_PENALTY 3.0
 /** Silence after which a model engine gets nothing more until it answers. */
@@ -332,7 +333,8 @@
 {
     double slots = backend->listing.slots ? backend->listing.slots : 1;
     double latency_ms = backend->latency_us > 0 ? backend->latency_us / 1000 : 1;
-    return (1 + backend->in_flight / slots) * latency_ms;
+    double cost = (1 + backend->in_flight / slots) * latency_ms;
+    return backend->distance == 2 ? cost + SERVICE_REGION_PENALTY_MS : cost;
 }
 
 /* Smaller is better. */
@@ -459,9 +461,10 @@
     backend->in_flight--;
     backend->sent_since--;
     backend->probing = false;
-    if (latency_us && backend->latency_us > 0)
+    /* Failures take as long as they like: only successes tell how fast it works. */
+    if (result == BACKEND_SUCCEEDED && latency_us && backend->latency_us > 0)
         backend->latency_us += LATENCY_WEIGHT * ((double)latency_us - backend->latency_us);
-    else if (latency_us)
+    else if (result == BACKEND_SUCCEEDED && latency_us)
         backend->latency_us = (double)latency_us;
     if (latency_us)
         backend->last_latency_us = latency_us;
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -127,7 +127,7 @@
         .chunk_timeout_us = 2500000,
         .probe_timeout_us = PROBE_TIMEOUT_US,
         .busy_backoff_us = piece_time_us(store),
-        .origin_copy_us = 500000,
+        .origin_copy_us = 1300000,
         .origin_step_us = 100000,
         .join_hold_us = store->recent ? 0 : JOIN_HOLD_US,
         .far_hold_us = FAR_HOLD_US,
