--- a/src/cluster/process.c
+++ b/src/cluster/process.c
@@ -4,11 +4,14 @@
 #include "base/metrics.h"
 #include "net/http_service.h"
 
+#include <execinfo.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #define METRICS_BODY_LIMIT 4096
 #define FINDINGS_LOGGED_MOST 20
+#define FRAMES_MOST 40
 
 int process_open(struct process *process, enum setting_role role, int argc, char **argv,
                  struct settings *settings)
@@ -24,6 +27,25 @@
     return 0;
 }
 
+/* The place of a crash is the one thing that a restart would lose. */
+static void on_fatal_signal(int number)
+{
+    static const char text[] = "event=crashed, stack:\n";
+    void *frames[FRAMES_MOST];
+    int count = backtrace(frames, FRAMES_MOST);
+    if (write(STDERR_FILENO, text, sizeof text - 1) > 0)
+        backtrace_symbols_fd(frames, count, STDERR_FILENO);
+    signal(number, SIG_DFL);
+    raise(number);
+}
+
+static void watch_fatal_signals(void)
+{
+    static const int numbers[] = {SIGSEGV, SIGBUS, SIGABRT, SIGFPE, SIGILL};
+    for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+        signal(numbers[i], on_fatal_signal);
+}
+
 static void on_stop_signal(uv_signal_t *signal, int number)
 {
     struct process *process = signal->data;
@@ -74,6 +96,7 @@
     process->stop = stop;
     process->context = context;
     signal(SIGPIPE, SIG_IGN);
+    watch_fatal_signals();
     watch_signal(loop, &process->terminate, SIGTERM, on_stop_signal, process);
     watch_signal(loop, &process->interrupt, SIGINT, on_stop_signal, process);
     watch_signal(loop, &process->reload, SIGHUP, on_reload_signal, process);
