A loader takes the pieces of the version that its engine runs from the engine's own stage

Cause: at the start every loader of a filled engine fetched version 1 over the network: a copy of the origin and two between regions, before any traffic. Change: the stage is read first, checked by digests; the network gives what it lacks.

--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -36,9 +36,12 @@
     enum install_step step;
     struct engine_report report;
     bool reachable;
-    uint32_t piece;      /* of the check under way */
-    bool busy;           /* a stage call is under way */
-    uint32_t generation; /* of the store, so that late answers are dropped */
+    uint32_t piece;                 /* of the check under way */
+    bool busy;                      /* a stage call is under way */
+    uint32_t generation;            /* of the store, so that late answers are dropped */
+    struct piece_store *recovering; /* gets what lies at the engine; NULL: none */
+    uint32_t recover_piece;
+    uint32_t recovered;
     uint64_t checked_at; /* begin of the last whole check */
     uint64_t check_began;
     uint64_t ordered_at;
@@ -69,6 +72,7 @@
 void installer_set_store(struct installer *installer, struct piece_store *store)
 {
     installer->store = store;
+    installer->recovering = NULL;
     installer->generation++;
     installer->step = STEP_IDLE;
     installer->busy = false;
@@ -136,6 +140,56 @@
         send_stage(installer, "PUT", piece, data, size, on_early_put);
 }
 
+/* --- recovery of pieces from the engine's stage
+ * --------------------------------------------------- */
+
+static void recover_next(struct installer *installer);
+
+static void on_recovered(void *context, enum call_result result, const struct http_message *message)
+{
+    struct installer *installer;
+    uint32_t piece;
+    if (!take_call(context, &installer, &piece) || !installer->recovering)
+        return;
+    bool there = result == CALL_ANSWERED && http_message_status(message) == 200;
+    if (there &&
+        piece_store_offer(installer->recovering, piece, message->body.data, message->body.size))
+        installer->recovered++;
+    installer->recover_piece = piece + 1;
+    if (result == CALL_ANSWERED)
+        recover_next(installer);
+    else
+        installer->recovering = NULL;
+}
+
+static void recover_next(struct installer *installer)
+{
+    const struct piece_manifest *manifest = piece_store_manifest(installer->recovering);
+    if (installer->recover_piece < manifest->count) {
+        send_stage(installer, "GET", installer->recover_piece, NULL, 0, on_recovered);
+        return;
+    }
+    log_event(LOG_LEVEL_INFO, "install", "recovered", "version=%" PRIu64 " pieces=%u of=%u",
+              piece_store_version(installer->recovering), installer->recovered, manifest->count);
+    installer->recovering = NULL;
+}
+
+bool installer_recover(struct installer *installer, struct piece_store *store)
+{
+    if (installer->recovering || installer->step != STEP_IDLE)
+        return false;
+    installer->recovering = store;
+    installer->recover_piece = 0;
+    installer->recovered = 0;
+    recover_next(installer);
+    return true;
+}
+
+bool installer_is_recovering(const struct installer *installer)
+{
+    return installer->recovering != NULL;
+}
+
 /* --- check ---------------------------------------------------------------------------------------
  */
 
@@ -265,6 +319,7 @@
         installer->step = STEP_IDLE;
         installer->busy = false;
         installer->checked_at = 0;
+        installer->recovering = NULL;
         installer->generation++;
     }
 }
--- a/src/loader/installer.h
+++ b/src/loader/installer.h
@@ -17,6 +17,13 @@
                                    const char *model);
 /** \brief Install from this store from now on; NULL: nothing to install. */
 void installer_set_store(struct installer *installer, struct piece_store *store);
+/**
+ * \brief Read the engine's stage into a store of the version that it runs. It ends by itself, also
+ * when the stage lacks a piece. \return false while another reading is under way
+ */
+bool installer_recover(struct installer *installer, struct piece_store *store);
+/** \return whether such a reading is under way */
+bool installer_is_recovering(const struct installer *installer);
 /** \brief A piece of the store was fetched: stage it at once. */
 void installer_on_piece(struct installer *installer, uint32_t piece);
 /** \brief The engine's own report. \param reachable false: it gave none */
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -30,6 +30,8 @@
 /** Versions whose pieces are held: the one in use, one on its way and one named meanwhile. */
 #define VERSIONS_KEPT 3
 #define LOAD_LOG_US 500000
+/** Time in which the engine gives its first report, or is dead. */
+#define FIRST_REPORT_US 1500000
 
 static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 6800000};
 
@@ -38,6 +40,8 @@
     uint64_t version;
     uint64_t named_at; /* time at which it was named */
     struct piece_store *store;
+    uint64_t wanted_at; /* time at which this process heard of it */
+    bool recovered;     /* the engine's stage was read, or need not be */
 };
 
 struct loader {
@@ -201,7 +205,8 @@
     struct wanted_version *wanted = &loader->wanted[loader->wanted_count++];
     struct piece_store_callbacks callbacks = {loader, on_piece_held};
     bool recent = version > FIRST_VERSION && now - named_at < RECENT_US;
-    *wanted = (struct wanted_version){.version = version, .named_at = named_at};
+    *wanted = (struct wanted_version){
+        .version = version, .named_at = named_at, .wanted_at = now, .recovered = recent};
     wanted->store = piece_store_create(&loader->cluster, loader->model, &loader->origin, version,
                                        recent, &callbacks);
 }
@@ -366,6 +371,26 @@
     return VERSIONS_KEPT; /* none: all try */
 }
 
+/*
+ * The engine that runs a version has its pieces in its stage: they are taken from there before
+ * anything is fetched over the network. \return whether the store has to wait for that
+ */
+static bool recover_from_stage(struct loader *loader, struct wanted_version *wanted, uint64_t now)
+{
+    if (wanted->recovered)
+        return installer_is_recovering(loader->installer) &&
+               wanted->version == loader->report.load.version;
+    if (!loader->reachable && now < wanted->wanted_at + FIRST_REPORT_US)
+        return true;
+    if (!loader->reachable || loader->report.load.version != wanted->version) {
+        wanted->recovered = true;
+        return false;
+    }
+    if (piece_store_manifest(wanted->store) && installer_recover(loader->installer, wanted->store))
+        wanted->recovered = true;
+    return true;
+}
+
 static bool tick_stores(struct loader *loader, uint64_t now)
 {
     bool fetching = false;
@@ -379,6 +404,7 @@
         if (i > first)
             use = LINK_BEHIND;
         piece_store_share_link(store, use);
+        piece_store_hold_back(store, recover_from_stage(loader, &loader->wanted[i], now));
         piece_store_tick(store, now);
         fetching |= !complete;
     }
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -88,6 +88,7 @@
     enum link_use link_use;
     struct link_rate rate;
     bool link_is_slow;
+    bool held_back;
     uint32_t held_before; /* at the last look at progress */
     uint64_t progressed_at;
     uint64_t next_progress_log;
@@ -537,6 +538,11 @@
     return store->link_is_slow;
 }
 
+void piece_store_hold_back(struct piece_store *store, bool held_back)
+{
+    store->held_back = held_back;
+}
+
 bool piece_store_half_held(const struct piece_store *store)
 {
     return store->swarm && 2 * store->held >= store->manifest.count;
@@ -601,6 +607,8 @@
         return;
     }
     abort_cancelled(store);
+    if (store->held_back)
+        return;
     watch_link(store);
     log_progress(store, now);
     if (store->held > store->held_before) {
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -36,6 +36,8 @@
 /** \brief A piece came from the engine's own stage. \return whether its digest is right */
 bool piece_store_offer(struct piece_store *store, uint32_t piece, const void *bytes, size_t size);
 bool piece_store_complete(const struct piece_store *store);
+/** \brief Fetch nothing for now: the engine's own stage is read first. */
+void piece_store_hold_back(struct piece_store *store, bool held_back);
 /** \return whether pieces are missing and some came a moment ago */
 bool piece_store_progresses(const struct piece_store *store, uint64_t now);
 /** \return whether transfers show a link much narrower than it should be */
