Old versions near the bound only where answers are prompt

Change: within 1.7 s of the time from which a version is required, older engines get work only when their last first byte came within 1.5 s and took less than 0.45 s. The Release build is part of make check.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD := build/release
 JOBS ?= $(shell nproc)
 
-.PHONY: dependencies build demo check check-asan check-tsan lint format generate
+.PHONY: dependencies build deploy-build demo check check-asan check-tsan lint format generate
 
 dependencies:
 	scripts/install-dependencies.sh
@@ -14,7 +14,12 @@
 demo: build
 	python3 scripts/demo.py --build $(BUILD)
 
-check: build check-asan
+# The build that the users' platform makes: type Release, without tests.
+deploy-build: dependencies
+	cmake -S . -B build/deploy -G Ninja -DCMAKE_BUILD_TYPE=Release -DSHUNTRUN_TESTS=OFF
+	cmake --build build/deploy -j $(JOBS) --target shuntrun
+
+check: build deploy-build check-asan
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 check-asan: dependencies
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -25,7 +25,9 @@
 /** Silence after which a model engine gets nothing more until it answers. */
 #define STALLED_US 700000
 /** A first byte after this time shows a back end, or a way to it, that is late. */
-#define LATE_US 600000
+#define LATE_US 450000
+/** Only an answer within this time shows that it is not. */
+#define PROMPT_US 1500000
 /** Time in which back ends that live list themselves again, once the list's keeper is back. */
 #define RELIST_US 2500000
 
@@ -224,11 +226,11 @@
     return backend->unread && now > backend->unread_since + STALLED_US;
 }
 
-/* What is sent there may begin much later. */
+/* What is sent there may begin much later, as far as this gateway's own traffic shows. */
 static bool is_late(const struct backend *backend, uint64_t now)
 {
     return backend->load.link_slow || backend->last_latency_us > LATE_US ||
-           is_stalled(backend, now);
+           now > backend->last_answer_at + PROMPT_US || is_stalled(backend, now);
 }
 
 /* Whether the weights there are new enough, now and for the time that the request may wait. */
@@ -429,8 +431,12 @@
     backend->tokens_since += tokens;
 }
 
-void backend_answers(struct backend *backend, uint32_t tokens, uint64_t now)
+void backend_answers(struct backend *backend, uint32_t tokens, uint64_t latency_us, uint64_t now)
 {
+    if (latency_us) {
+        backend->last_answer_at = now;
+        backend->last_latency_us = latency_us;
+    }
     backend->unread_since = now;
     backend->unread--;
     backend->unread_tokens -= tokens;
@@ -466,8 +472,6 @@
         backend->latency_us += LATENCY_WEIGHT * ((double)latency_us - backend->latency_us);
     else if (result == BACKEND_SUCCEEDED && latency_us)
         backend->latency_us = (double)latency_us;
-    if (latency_us)
-        backend->last_latency_us = latency_us;
     if (result == BACKEND_CANCELLED)
         return false;
     move(&backend->failure_share, is_failure(result));
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -62,6 +62,7 @@
     uint32_t unread;          /**< those of them that have no byte of an answer yet */
     uint64_t unread_tokens;   /**< of their prompts */
     uint64_t unread_since;    /**< last time that one of them was begun alone or answered */
+    uint64_t last_answer_at;  /**< time of the last first byte, 0: none yet */
     uint64_t last_latency_us; /**< time to the first byte of the last answer, 0: not known */
     struct backend_load load;
     uint64_t load_at;       /**< time of the report, 0: none */
@@ -153,8 +154,12 @@
 
 /** \brief Count a request in. \param tokens of its prompt */
 void backend_begin(struct backend *backend, uint32_t tokens, uint64_t now);
-/** \brief The first byte of an answer came. \param tokens as at the begin */
-void backend_answers(struct backend *backend, uint32_t tokens, uint64_t now);
+/**
+ * \brief The first byte of an answer came, or none will come.
+ * \param tokens as at the begin
+ * \param latency_us from the send to that byte, 0: none came
+ */
+void backend_answers(struct backend *backend, uint32_t tokens, uint64_t latency_us, uint64_t now);
 /**
  * \brief Count a request out.
  * \param latency_us time to the first byte of the answer, 0 when none came
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -152,7 +152,7 @@
     if (!backend)
         return;
     if (!exchange->first_byte_at)
-        backend_answers(backend, exchange->head.tokens_in, now);
+        backend_answers(backend, exchange->head.tokens_in, 0, now);
     uint64_t latency = exchange->first_byte_at && !exchange->resuming
                            ? exchange->first_byte_at - exchange->sent_at
                            : 0;
@@ -504,7 +504,8 @@
     exchange->first_byte_at = cluster_now();
     if (exchange->route->kind == ROUTE_STREAM && !exchange->streaming)
         metric_observe(METRIC_FIRST_EVENT, exchange->first_byte_at - exchange->arrived);
-    backend_answers(exchange->backend, exchange->head.tokens_in, exchange->first_byte_at);
+    backend_answers(exchange->backend, exchange->head.tokens_in,
+                    exchange->first_byte_at - exchange->sent_at, exchange->first_byte_at);
 }
 
 static void on_progress(struct exchange *exchange, struct http_message *message)
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -130,10 +130,14 @@
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
     struct backend_wish wish = wish_of();
-    add(pool, 1, 1, 0);
+    struct backend *backend = add(pool, 1, 1, 0);
     wish.later_version = 2;
     report(pool, 1, (struct backend_load){.version = 1}, SECOND_US);
+    backend_begin(backend, 1000, SECOND_US);
+    backend_answers(backend, 1000, 100000, SECOND_US);
     assert_non_null(choose(pool, &wish, SECOND_US));
+    /* Without a prompt answer a moment ago nobody knows. */
+    assert_null(choose(pool, &wish, 3 * SECOND_US));
     report(pool, 1, (struct backend_load){.version = 1, .link_slow = true}, SECOND_US);
     assert_null(choose(pool, &wish, SECOND_US));
     report(pool, 1, (struct backend_load){.version = 2, .link_slow = true}, SECOND_US);
@@ -149,7 +153,7 @@
     backend_begin(backend, 100, SECOND_US);
     assert_non_null(choose(pool, &wish, SECOND_US + 600000));
     assert_null(choose(pool, &wish, SECOND_US + 800000));
-    backend_answers(backend, 100, SECOND_US + 800000);
+    backend_answers(backend, 100, 800000, SECOND_US + 800000);
     assert_non_null(choose(pool, &wish, SECOND_US + 900000));
     /* It was late: near the bound it gets nothing on the old version. */
     backend_end(pool, backend, BACKEND_SUCCEEDED, 800000, SECOND_US + 900000);
@@ -180,13 +184,13 @@
     }
     struct backend *chosen;
     assert_int_equal(backend_pool_choose(pool, &wish, SECOND_US, &chosen), BACKEND_FULL);
-    backend_answers(backend, 1000, SECOND_US);
+    backend_answers(backend, 1000, 100000, SECOND_US);
     assert_non_null(choose(pool, &wish, SECOND_US));
     /* A prompt above the bound goes to an engine that reads nothing else. */
     wish.tokens = 9000;
     assert_null(choose(pool, &wish, SECOND_US));
     for (uint32_t i = 0; i < 3; i++)
-        backend_answers(backend, 1000, SECOND_US);
+        backend_answers(backend, 1000, 100000, SECOND_US);
     assert_non_null(choose(pool, &wish, SECOND_US));
     backend_pool_destroy(pool);
 }
@@ -214,7 +218,7 @@
     uint64_t now = SECOND_US;
     for (int i = 0; i < 2; i++) {
         backend_begin(bad, 1000, SECOND_US);
-        backend_answers(bad, 1000, SECOND_US);
+        backend_answers(bad, 1000, 100000, SECOND_US);
         backend_end(pool, bad, BACKEND_BROKEN, 0, now);
     }
     for (int i = 0; i < 50; i++)
@@ -224,7 +228,7 @@
     backend_begin(bad, 1000, SECOND_US);
     for (int i = 0; i < 50; i++)
         assert_ptr_equal(choose(pool, &wish, now), good);
-    backend_answers(bad, 1000, SECOND_US);
+    backend_answers(bad, 1000, 100000, SECOND_US);
     backend_end(pool, bad, BACKEND_SUCCEEDED, 1000, now);
     assert_int_equal(bad->ejected_until, 0);
     backend_pool_destroy(pool);
@@ -237,7 +241,7 @@
     backend_begin(backend, 1000, SECOND_US);
     backend_pool_replaced(pool, backend);
     assert_false(backend->listed);
-    backend_answers(backend, 1000, SECOND_US);
+    backend_answers(backend, 1000, 100000, SECOND_US);
     backend_end(pool, backend, BACKEND_CANCELLED, 0, 2);
     backend_release(backend);
     backend_pool_destroy(pool);
