Part the exchange and the piece store by what they do

Change: exchange.c (begin, time), exchange_end.c, exchange_send.c, exchange_answer.c; upload_queue and piece_plan taken out of piece_store; calls under way belong to their store.

--- /dev/null
+++ b/src/edge/exchange_answer.c
@@ -0,0 +1,222 @@
+/* Answers of back ends: what is whole and belongs to the request goes to the client. */
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "edge/exchange_internal.h"
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* --- answers -------------------------------------------------------------------------------------
+ */
+
+bool exchange_is_foreign(const struct exchange *exchange, const struct http_message *message)
+{
+    struct answer_head head;
+    if (!exchange->head.id[0])
+        return false;
+    platform_read_answer(message, &head);
+    return strcmp(head.request_id, exchange->head.id) != 0;
+}
+
+static bool is_success(const struct http_message *message, const struct answer_head *head)
+{
+    unsigned status = http_message_status(message);
+    return status >= 200 && status < 300 && head->sealed && !head->encoded && !head->not_executed;
+}
+
+static void write_head(const struct http_message *message, struct buffer *head)
+{
+    unsigned status = http_message_status(message);
+    buffer_append_format(head, "HTTP/1.1 %u %s\r\n", status,
+                         http_status_str((enum http_status)status));
+    platform_write_answer(message, head);
+}
+
+/* A whole answer of the back end goes to the client as it is. */
+static void pass_on(struct exchange *exchange, struct http_message *message, const char *reason)
+{
+    struct buffer head = {0};
+    struct edge_client *client = exchange->client;
+    write_head(message, &head);
+    metric_add(METRIC_REQUESTS_DONE, 1);
+    metric_observe(METRIC_WHOLE_ANSWER, cluster_now() - exchange->arrived);
+    exchange_log_end(exchange, http_message_status(message), reason,
+                     exchange->tried_count ? exchange->tried[exchange->tried_count - 1] : NULL);
+    exchange_finish(exchange);
+    edge_client_answer(client, &head, message->body.data, message->body.size);
+    buffer_clear(&head);
+}
+
+static void begin_stream(struct exchange *exchange, struct http_message *message)
+{
+    struct buffer head = {0};
+    write_head(message, &head);
+    edge_client_stream_begin(exchange->client, &head);
+    buffer_clear(&head);
+    exchange->streaming = true;
+}
+
+/* Take new bytes of a stream's body, and hand on the events that are whole. */
+static void pass_events(struct exchange *exchange, struct http_message *message)
+{
+    struct buffer whole = {0};
+    event_stream_feed(&exchange->events, message->body.data, message->body.size, &whole);
+    buffer_reset(&message->body);
+    if (whole.size) {
+        uint64_t now = cluster_now();
+        if (exchange->streaming)
+            metric_observe(METRIC_EVENT_PAUSE, now - exchange->last_event_at);
+        exchange->last_event_at = now;
+        if (!exchange->streaming)
+            begin_stream(exchange, message);
+        edge_client_stream_data(exchange->client, whole.data, whole.size);
+    }
+    buffer_clear(&whole);
+}
+
+static void note_first_byte(struct exchange *exchange)
+{
+    if (exchange->first_byte_at)
+        return;
+    exchange->first_byte_at = cluster_now();
+    if (exchange->route->kind == ROUTE_STREAM && !exchange->streaming)
+        metric_observe(METRIC_FIRST_EVENT, exchange->first_byte_at - exchange->arrived);
+    backend_answers(exchange->backend, exchange->head.tokens_in,
+                    exchange->first_byte_at - exchange->sent_at, exchange->first_byte_at);
+}
+
+static void on_progress(struct exchange *exchange, struct http_message *message)
+{
+    struct answer_head head;
+    note_first_byte(exchange);
+    if (exchange->route->kind != ROUTE_STREAM || !message->head_complete)
+        return;
+    platform_read_answer(message, &head);
+    if (!is_success(message, &head))
+        return; /* kept until it is complete */
+    if (!exchange->version)
+        exchange->version = head.version;
+    pass_events(exchange, message);
+    if (exchange->upstream && edge_client_pending(exchange->client) > CLIENT_PENDING_MOST) {
+        exchange->paused = true;
+        upstream_pause(exchange->upstream, true);
+        exchange_arm(exchange);
+    }
+}
+
+static void finish_stream(struct exchange *exchange, struct http_message *message)
+{
+    struct edge_client *client = exchange->client;
+    pass_events(exchange, message);
+    if (exchange->events.partial.size) {
+        /* Complete by its framing, but torn: no whole answer. */
+        exchange_on_broken(exchange, BACKEND_BROKEN, "torn");
+        return;
+    }
+    if (!exchange->streaming)
+        begin_stream(exchange, message);
+    exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
+    metric_add(METRIC_REQUESTS_DONE, 1);
+    exchange_log_end(exchange, 200, "done", exchange->tried_count ? exchange->tried[0] : NULL);
+    exchange_finish(exchange);
+    edge_client_stream_end(client);
+}
+
+static void on_misdirected(struct exchange *exchange, const struct answer_head *head)
+{
+    struct backend *backend = exchange->backend;
+    if (!head->instance[0] || strcmp(head->instance, backend->listing.id) == 0)
+        return;
+    log_event(LOG_LEVEL_WARN, "backend", "replaced", "expected=%s found=%s address=%s",
+              backend->listing.id, head->instance, backend->listing.address);
+    backend_pool_replaced(exchange->edge->pool, backend);
+}
+
+void exchange_on_broken(struct exchange *exchange, enum backend_result result, const char *reason)
+{
+    bool stream = exchange->route->kind == ROUTE_STREAM;
+    exchange_end_attempt(exchange, result);
+    exchange->may_have_run = true;
+    event_stream_drop_partial(&exchange->events);
+    if (stream && exchange->streaming) {
+        if (!exchange->route->resumable) {
+            exchange_give_up(exchange, 502, reason);
+            return;
+        }
+        exchange->resuming = true;
+        metric_add(METRIC_RESUMES, 1);
+    }
+    exchange_try_again(exchange, reason);
+}
+
+static void on_done(struct exchange *exchange, struct http_message *message)
+{
+    struct answer_head head;
+    unsigned status = http_message_status(message);
+    platform_read_answer(message, &head);
+    if (head.not_executed || status == 421) {
+        if (status == 421)
+            on_misdirected(exchange, &head);
+        exchange_end_attempt(exchange, status == 421 ? BACKEND_CANCELLED : BACKEND_REFUSED);
+        exchange_try_again(exchange, status == 421 ? "misdirected" : "refused");
+        return;
+    }
+    if (!head.sealed || head.encoded) {
+        exchange_on_broken(exchange, BACKEND_BROKEN, "no-seal");
+        return;
+    }
+    if (is_success(message, &head)) {
+        if (exchange->route->kind == ROUTE_STREAM) {
+            if (!exchange->version)
+                exchange->version = head.version;
+            finish_stream(exchange, message);
+            return;
+        }
+        exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
+        pass_on(exchange, message, "done");
+        return;
+    }
+    if (exchange->streaming) { /* a resumed stream cannot end in another answer */
+        exchange_on_broken(exchange, BACKEND_ERROR, "resume-refused");
+        return;
+    }
+    exchange_end_attempt(exchange, BACKEND_ERROR);
+    pass_on(exchange, message, "backend-error");
+}
+
+void exchange_count_send(struct exchange *exchange)
+{
+    if (exchange->counted)
+        return;
+    exchange->counted = true;
+    exchange->sends++;
+}
+
+void exchange_on_upstream(struct exchange *exchange, enum upstream_event event,
+                          struct http_message *message)
+{
+    if (event != UPSTREAM_PROGRESS)
+        exchange->upstream = NULL;
+    if (event != UPSTREAM_NOT_SENT)
+        exchange_count_send(exchange);
+    struct edge *edge = exchange->edge;
+    switch (event) {
+    case UPSTREAM_PROGRESS:
+        on_progress(exchange, message);
+        return;
+    case UPSTREAM_DONE:
+        note_first_byte(exchange);
+        on_done(exchange, message);
+        break;
+    case UPSTREAM_BROKEN:
+        exchange_on_broken(exchange, BACKEND_BROKEN, "broken");
+        break;
+    case UPSTREAM_NOT_SENT:
+        exchange_end_attempt(exchange, BACKEND_UNREACHABLE);
+        exchange_dispatch(exchange);
+        break;
+    }
+    exchange_dispatch_waiting(edge);
+}
--- /dev/null
+++ b/src/edge/exchange_end.c
@@ -0,0 +1,186 @@
+/* How a request, or one attempt at a back end, ends; and the one log line that says so. */
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "edge/exchange_internal.h"
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** Time after which a refused client may come back: soon when engines are full, later when none
+ *  serves at all, as that takes seconds to end. */
+#define FULL_RETRY_MS 500
+#define ABSENT_RETRY_MS 1700
+#define RETRY_SPREAD_MS 500
+
+/* --- the trail of an exchange, for its one log line
+ * ----------------------------------------------- */
+
+void exchange_note(struct exchange *exchange, const char *format, ...)
+{
+    size_t room = sizeof exchange->trail - exchange->trail_length;
+    va_list arguments;
+    va_start(arguments, format);
+    int length = vsnprintf(exchange->trail + exchange->trail_length, room, format, arguments);
+    va_end(arguments);
+    if (length > 0)
+        exchange->trail_length += (size_t)length < room ? (size_t)length : room - 1;
+}
+
+void exchange_note_send(struct exchange *exchange, const struct backend *backend, uint64_t now)
+{
+    const struct edge *edge = exchange->edge;
+    uint64_t age_ms = backend->load_at ? (now - backend->load_at) / MS_US : 0;
+    exchange_note(exchange,
+                  "%s@%" PRIu64 "ms:occupancy=%u,load_age=%" PRIu64
+                  "ms,distance=%u,weights=%" PRIu64,
+                  backend->listing.id, (now - exchange->arrived) / MS_US,
+                  backend_occupancy(edge->pool, backend, edge->gateways, now), age_ms,
+                  backend->distance, backend->load.version);
+}
+
+/* --- end of an exchange --------------------------------------------------------------------------
+ */
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+    struct exchange *exchange = handle->data;
+    for (uint32_t i = 0; i < exchange->tried_count; i++)
+        backend_release(exchange->tried[i]);
+    event_stream_clear(&exchange->events);
+    route_table_release(exchange->table);
+    free(exchange);
+}
+
+void exchange_leave_line(struct exchange *exchange)
+{
+    if (!exchange->in_line)
+        return;
+    exchange->in_line = false;
+    for (struct exchange **place = &exchange->edge->waiting; *place;
+         place = &(*place)->next_waiting) {
+        if (*place == exchange) {
+            *place = exchange->next_waiting;
+            return;
+        }
+    }
+}
+
+static const char *const result_names[] = {
+    [BACKEND_SUCCEEDED] = "succeeded", [BACKEND_ERROR] = "error",
+    [BACKEND_REFUSED] = "refused",     [BACKEND_BROKEN] = "broken",
+    [BACKEND_SILENT] = "silent",       [BACKEND_UNREACHABLE] = "unreachable",
+    [BACKEND_CANCELLED] = "cancelled",
+};
+
+/* Let go of the back end. */
+void exchange_end_attempt(struct exchange *exchange, enum backend_result result)
+{
+    uint64_t now = cluster_now();
+    struct backend *backend = exchange->backend;
+    if (exchange->upstream)
+        upstream_cancel(exchange->upstream);
+    exchange->upstream = NULL;
+    exchange->backend = NULL;
+    if (!backend)
+        return;
+    if (!exchange->first_byte_at)
+        backend_answers(backend, exchange->head.tokens_in, 0, now);
+    uint64_t latency = exchange->first_byte_at && !exchange->resuming
+                           ? exchange->first_byte_at - exchange->sent_at
+                           : 0;
+    if (backend_end(exchange->edge->pool, backend, result, latency, now)) {
+        metric_add(METRIC_EJECTIONS, 1);
+        log_event(LOG_LEVEL_WARN, "backend", "ejected",
+                  "id=%s request=%s result=%s failures=%u share=%.2f for_ms=%" PRIu64,
+                  backend->listing.id, exchange->head.id, result_names[result], backend->failures,
+                  backend->failure_share, backend->ejection_us / MS_US);
+    }
+    exchange_note(exchange, ",%s;", result_names[result]);
+    if (exchange->tried_count < BACKEND_MAX_EXCLUDED)
+        exchange->tried[exchange->tried_count++] = backend;
+    else
+        backend_release(backend);
+}
+
+void exchange_log_end(const struct exchange *exchange, unsigned status, const char *reason,
+                      const struct backend *backend)
+{
+    uint64_t now = cluster_now();
+    bool good = status >= 200 && status < 300 && strcmp(reason, "done") == 0;
+    log_event(
+        good ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request", good ? "answered" : "failed",
+        "request=%s route=%s service=%s status=%u reason=%s backend=%s sends=%u events=%" PRIu64
+        " weights=%" PRIu64 " took_ms=%" PRIu64 " left_ms=%" PRId64 " config=%" PRIu64
+        " waiting=%d trail=\"%s\"",
+        exchange->head.id, exchange->route->name, exchange->service->name, status, reason,
+        backend ? backend->listing.id : "-", exchange->sends, exchange->events.events,
+        exchange->version, (now - exchange->arrived) / MS_US,
+        ((int64_t)exchange->final_at - (int64_t)now) / (int64_t)MS_US,
+        route_table_version(exchange->table), exchange->in_line, exchange->trail);
+}
+
+void exchange_finish(struct exchange *exchange)
+{
+    struct edge *edge = exchange->edge;
+    exchange_leave_line(exchange);
+    exchange_end_attempt(exchange, BACKEND_CANCELLED);
+    edge->active--;
+    uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
+}
+
+uint32_t exchange_retry_after_ms(struct edge *edge, bool absent)
+{
+    uint32_t least = absent ? ABSENT_RETRY_MS : FULL_RETRY_MS;
+    return least + (uint32_t)random_below(&edge->random, RETRY_SPREAD_MS);
+}
+
+void exchange_answer_own(struct edge *edge, struct edge_client *client, const char *request_id,
+                         unsigned status, uint32_t wait_ms)
+{
+    struct buffer head = {0};
+    buffer_append_format(&head, "HTTP/1.1 %u %s\r\n", status,
+                         http_status_str((enum http_status)status));
+    platform_write_own_answer(request_id, wait_ms, &head);
+    edge_client_answer(client, &head, NULL, 0);
+    buffer_clear(&head);
+}
+
+/* The final answer is one of this system's own. */
+void exchange_give_up(struct exchange *exchange, unsigned status, const char *reason)
+{
+    struct edge_client *client = exchange->client;
+    struct edge *edge = exchange->edge;
+    exchange_log_end(exchange, status, reason, exchange->backend);
+    metric_add(status == 503 ? METRIC_REQUESTS_NOT_RUN : METRIC_REQUESTS_UNKNOWN, 1);
+    if (exchange->streaming) {
+        exchange_finish(exchange);
+        edge_client_break(client);
+        return;
+    }
+    char id[PLATFORM_TEXT_SIZE];
+    bool absent = exchange->no_backend;
+    memcpy(id, exchange->head.id, sizeof id);
+    exchange_finish(exchange);
+    exchange_answer_own(edge, client, id, status,
+                        status == 503 ? exchange_retry_after_ms(edge, absent) : 0);
+}
+
+/* Nothing has run: say so, or admit that it is not known. */
+void exchange_give_up_truly(struct exchange *exchange, const char *reason)
+{
+    exchange_give_up(exchange, exchange->may_have_run ? 502 : 503, reason);
+}
+
+void exchange_abandon(struct exchange *exchange)
+{
+    metric_add(METRIC_CLIENTS_GONE, 1);
+    log_event(LOG_LEVEL_INFO, "request", "client-gone",
+              "request=%s route=%s backend=%s sends=%u took_ms=%" PRIu64, exchange->head.id,
+              exchange->route->name, exchange->backend ? exchange->backend->listing.id : "-",
+              exchange->sends, (cluster_now() - exchange->arrived) / MS_US);
+    struct edge *edge = exchange->edge;
+    exchange_finish(exchange);
+    exchange_dispatch_waiting(edge);
+}
--- /dev/null
+++ b/src/edge/exchange_internal.h
@@ -0,0 +1,96 @@
+/**
+ * A request of a client from its whole arrival to its one final answer: state and calls that the
+ * exchange modules share.
+ */
+#ifndef SHUNTRUN_EXCHANGE_INTERNAL_H
+#define SHUNTRUN_EXCHANGE_INTERNAL_H
+
+#include "edge/edge_internal.h"
+
+#define MS_US ((uint64_t)1000)
+#define TRAIL_SIZE 320
+/** A client with so many bytes unread stops the back end from sending more. */
+#define CLIENT_PENDING_MOST 262144
+
+enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
+
+struct exchange {
+    struct edge *edge;
+    struct edge_client *client;
+    struct route_table *table;
+    const struct route *route;
+    const struct service_entry *service;
+    const struct tenant_entry *tenant; /* NULL: none */
+    struct request_head head;
+    enum exchange_state state;
+    uint64_t arrived;
+    uint64_t final_at;   /* the final answer is due */
+    uint64_t wait_until; /* without a place by then it is refused */
+    struct upstream *upstream;
+    struct backend *backend;
+    struct backend *tried[BACKEND_MAX_EXCLUDED];
+    uint32_t tried_count;
+    uint32_t sends;    /* requests handed to a connection that came up */
+    bool counted;      /* the present attempt is among them */
+    bool no_backend;   /* none was fit when it was last looked for */
+    bool may_have_run; /* a send ended without a word on whether it ran */
+    uint64_t sent_at;
+    uint64_t first_byte_at; /* of the present back end, 0: none */
+    uint64_t last_event_at;
+    bool streaming; /* the head went out to the client */
+    struct event_stream events;
+    uint64_t version; /* of the weights of the first back end */
+    bool paused;
+    bool resuming;          /* the next back end goes on with a stream that has begun */
+    char trail[TRAIL_SIZE]; /* attempts with what decided them, for the log */
+    size_t trail_length;
+    uv_timer_t timer;
+    struct exchange *next_waiting;
+    bool in_line;
+};
+
+/* --- exchange.c ---- */
+
+/** \brief Set the timer to the next moment at which time alone changes something. */
+void exchange_arm(struct exchange *exchange);
+
+/* --- exchange_end.c ---- */
+
+/** \brief Append to the trail that the log line of the request's end shows. */
+void exchange_note(struct exchange *exchange, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+/** \brief Note a back end with what decided for it. */
+void exchange_note_send(struct exchange *exchange, const struct backend *backend, uint64_t now);
+/** \brief Let go of the present back end. */
+void exchange_end_attempt(struct exchange *exchange, enum backend_result result);
+void exchange_log_end(const struct exchange *exchange, unsigned status, const char *reason,
+                      const struct backend *backend);
+/** \brief The request is over; the exchange is freed once its timer is closed. */
+void exchange_finish(struct exchange *exchange);
+/** \brief Answer the client in this system's own name. \param wait_ms Retry-After, 0: none */
+void exchange_answer_own(struct edge *edge, struct edge_client *client, const char *request_id,
+                         unsigned status, uint32_t wait_ms);
+/** \param absent no back end was fit: that lasts longer than one that is full */
+uint32_t exchange_retry_after_ms(struct edge *edge, bool absent);
+/** \brief End with an answer of this system's own, at once; a begun stream is broken off. */
+void exchange_give_up(struct exchange *exchange, unsigned status, const char *reason);
+/** \brief Give up with 503 when nothing has run, and 502 when that is not known. */
+void exchange_give_up_truly(struct exchange *exchange, const char *reason);
+
+/* --- exchange_send.c ---- */
+
+bool exchange_is_repeatable(const struct exchange *exchange);
+void exchange_leave_line(struct exchange *exchange);
+/** \brief Send to a back end, wait in line for one, or give up. */
+void exchange_dispatch(struct exchange *exchange);
+/** \brief Go to another back end, if attempts, time and the shared budget allow it. */
+void exchange_try_again(struct exchange *exchange, const char *reason);
+
+/* --- exchange_answer.c ---- */
+
+/** \brief The attempt failed after the request was sent: it may have run. */
+void exchange_on_broken(struct exchange *exchange, enum backend_result result, const char *reason);
+/** \brief The request reached a connection that is up. */
+void exchange_count_send(struct exchange *exchange);
+
+#endif
--- /dev/null
+++ b/src/edge/exchange_send.c
@@ -0,0 +1,199 @@
+/* Where a request goes: the choice of a back end, the line of those that wait, repeats. */
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "edge/exchange_internal.h"
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** No further back end is tried when less time than this is left. */
+#define RETRY_LEAST_US 60000
+/** An unrepeatable request uses no connection that was idle for longer. */
+#define UNREPEATABLE_IDLE_US 1500000
+#define ANY_IDLE_US 3600000000ULL
+#define URGENCY_MOST 9
+/** So long before a version is required, engines that do not have it at hand get no new work: their
+ *  links may be slow, and what waits there may begin late. */
+#define VERSION_LEAD_US 400000
+#define VERSION_SLOW_LEAD_US 1700000
+
+/* --- sending -------------------------------------------------------------------------------------
+ */
+
+bool exchange_is_repeatable(const struct exchange *exchange)
+{
+    return exchange->route->kind == ROUTE_REPEATABLE ||
+           (exchange->route->kind == ROUTE_STREAM && exchange->route->resumable);
+}
+
+static int urgency_of(const struct exchange *exchange)
+{
+    uint32_t tenant = exchange->tenant ? exchange->tenant->priority : 0;
+    uint32_t urgency = 2 * tenant + exchange->route->priority;
+    return urgency < URGENCY_MOST ? (int)urgency : URGENCY_MOST;
+}
+
+static uint64_t least_version(const struct exchange *exchange, uint64_t at)
+{
+    const char *model = exchange->service->engine.model;
+    return model ? version_bounds_least(&exchange->edge->versions, model, at) : 0;
+}
+
+static void fill_wish(const struct exchange *exchange, uint64_t now, struct backend_wish *wish)
+{
+    *wish = (struct backend_wish){
+        .service = exchange->service->name,
+        .engine = exchange->service->engine.model != NULL,
+        .tokens = exchange->head.tokens_in,
+        .usual_tokens = exchange->service->engine.usual_prompt,
+        .read_tokens_per_ms = exchange->service->engine.read_tokens_per_ms,
+        .least_version = least_version(exchange, now),
+        .next_version = least_version(exchange, now + VERSION_LEAD_US),
+        .later_version = least_version(exchange, now + VERSION_SLOW_LEAD_US),
+        .exact_version = exchange->resuming ? exchange->version : 0,
+        .gateways = exchange->edge->gateways,
+        .any_load = exchange->resuming,
+    };
+    for (uint32_t i = 0; i < exchange->tried_count; i++)
+        wish->excluded[wish->excluded_count++] = exchange->tried[i];
+}
+
+bool exchange_write(struct exchange *exchange, struct buffer *bytes)
+{
+    uint64_t now = cluster_now();
+    struct backend *backend = exchange->backend;
+    struct backend_wish wish;
+    fill_wish(exchange, now, &wish);
+    if (now + MS_US > exchange->final_at ||
+        !backend_may_begin(exchange->edge->pool, backend, &wish, now))
+        return false;
+    const struct http_message *request = edge_client_request(exchange->client);
+    struct forward_head forward = {
+        .deadline_ms = (uint32_t)((exchange->final_at - now) / MS_US),
+        .instance = backend->listing.id,
+        .tenant = exchange->tenant ? exchange->tenant->name : NULL,
+        .last_event_id =
+            exchange->resuming && exchange->events.last_id[0] ? exchange->events.last_id : NULL,
+        .version = exchange->resuming ? exchange->version : wish.least_version,
+        .urgency = exchange->service->engine.model ? urgency_of(exchange) : -1,
+    };
+    platform_write_request(request, &forward, bytes);
+    buffer_append(bytes, request->body.data, request->body.size);
+    return true;
+}
+
+static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
+{
+    uint64_t most_idle =
+        exchange->route->kind == ROUTE_UNREPEATABLE ? UNREPEATABLE_IDLE_US : ANY_IDLE_US;
+    exchange->state = EXCHANGE_SENT;
+    exchange->backend = backend_retain(backend);
+    exchange->sent_at = now;
+    exchange->first_byte_at = 0;
+    exchange->counted = false;
+    exchange->paused = false;
+    exchange->last_event_at = now;
+    exchange_note_send(exchange, backend, now);
+    metric_observe(METRIC_PLACE_WAIT, now - exchange->arrived);
+    backend_begin(backend, exchange->head.tokens_in, now);
+    exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
+    if (!exchange->upstream) {
+        exchange_end_attempt(exchange, BACKEND_UNREACHABLE);
+        exchange_give_up_truly(exchange, "no-connection");
+        return;
+    }
+    exchange_arm(exchange);
+}
+
+static bool goes_before(const struct exchange *left, const struct exchange *right)
+{
+    int left_urgency = urgency_of(left), right_urgency = urgency_of(right);
+    if (left_urgency != right_urgency)
+        return left_urgency < right_urgency;
+    return left->arrived < right->arrived;
+}
+
+static void join_line(struct exchange *exchange)
+{
+    struct exchange **place = &exchange->edge->waiting;
+    if (exchange->in_line)
+        return;
+    while (*place && !goes_before(exchange, *place))
+        place = &(*place)->next_waiting;
+    exchange->next_waiting = *place;
+    *place = exchange;
+    exchange->in_line = true;
+}
+
+void exchange_dispatch(struct exchange *exchange)
+{
+    uint64_t now = cluster_now();
+    struct backend_wish wish;
+    struct backend *backend;
+    fill_wish(exchange, now, &wish);
+    enum backend_absence absence = backend_pool_choose(exchange->edge->pool, &wish, now, &backend);
+    if (absence == BACKEND_FOUND) {
+        exchange_leave_line(exchange);
+        send_to(exchange, backend, now);
+        return;
+    }
+    exchange->no_backend = absence == BACKEND_NONE && !exchange->tried_count;
+    if (now >= exchange->wait_until || exchange->tried_count == BACKEND_MAX_EXCLUDED) {
+        exchange_give_up_truly(exchange, absence == BACKEND_FULL ? "full" : "no-backend");
+        return;
+    }
+    exchange->state = EXCHANGE_WAITING;
+    join_line(exchange);
+    exchange_arm(exchange);
+}
+
+uint32_t exchange_waiting_count(const struct edge *edge)
+{
+    uint32_t count = 0;
+    for (const struct exchange *exchange = edge->waiting; exchange;
+         exchange = exchange->next_waiting)
+        count++;
+    return count;
+}
+
+void exchange_dispatch_waiting(struct edge *edge)
+{
+    for (struct exchange *exchange = edge->waiting, *next; exchange; exchange = next) {
+        next = exchange->next_waiting;
+        uint64_t now = cluster_now();
+        struct backend_wish wish;
+        struct backend *backend;
+        fill_wish(exchange, now, &wish);
+        if (backend_pool_choose(edge->pool, &wish, now, &backend) != BACKEND_FOUND)
+            continue;
+        exchange_leave_line(exchange);
+        send_to(exchange, backend, now);
+        next = edge->waiting; /* a send that fails may have changed the line */
+    }
+}
+
+/* Go to another back end, if the rules and the budget allow it. */
+void exchange_try_again(struct exchange *exchange, const char *reason)
+{
+    struct edge *edge = exchange->edge;
+    uint64_t now = cluster_now();
+    if (exchange->sends >= exchange->route->attempts || exchange->final_at < now + RETRY_LEAST_US ||
+        (exchange->may_have_run && !exchange_is_repeatable(exchange))) {
+        exchange_give_up_truly(exchange, reason);
+        return;
+    }
+    if (!repeat_budget_spend(edge_budget(edge, exchange->service->name), now,
+                             edge->gateways_most)) {
+        metric_add(METRIC_BUDGET_SPENT, 1);
+        log_event(LOG_LEVEL_WARN, "request", "budget-spent", "request=%s service=%s gateways=%u",
+                  exchange->head.id, exchange->service->name, edge->gateways_most);
+        exchange_give_up_truly(exchange, reason);
+        return;
+    }
+    metric_add(METRIC_RETRIES, 1);
+    log_event(LOG_LEVEL_INFO, "request", "retry", "request=%s reason=%s sends=%u took_ms=%" PRIu64,
+              exchange->head.id, reason, exchange->sends, (now - exchange->arrived) / MS_US);
+    exchange_dispatch(exchange);
+}
--- /dev/null
+++ b/src/loader/piece_plan.c
@@ -0,0 +1,69 @@
+#include "loader/piece_plan.h"
+
+#include "core/hash.h"
+
+#include <stdlib.h>
+
+#define REGIONS_MOST 16
+
+/* Numbers for zones and regions, in order of their first mention. */
+struct names {
+    uint64_t hashes[REGIONS_MOST];
+    uint16_t count;
+};
+
+static int by_id(const void *left, const void *right)
+{
+    const struct member *a = left;
+    const struct member *b = right;
+    return a->id < b->id ? -1 : a->id > b->id;
+}
+
+static uint16_t number_of(struct names *names, const char *name)
+{
+    uint64_t hash = hash_name(name);
+    for (uint16_t i = 0; i < names->count; i++)
+        if (names->hashes[i] == hash)
+            return i;
+    if (names->count == REGIONS_MOST)
+        return 0;
+    names->hashes[names->count] = hash;
+    return names->count++;
+}
+
+static void add_member(struct member *list, uint32_t *count, struct names *names,
+                       const struct member_state *state)
+{
+    list[(*count)++] = (struct member){state->address, number_of(names, state->zone),
+                                       number_of(names, state->region)};
+}
+
+static uint32_t collect(const struct cluster *cluster, struct member list[PIECE_PLAN_MEMBERS])
+{
+    const struct membership *members = cluster->membership;
+    struct names names = {.count = 0};
+    uint64_t now = cluster_now();
+    uint32_t count = 0;
+    add_member(list, &count, &names, membership_self(cluster->membership));
+    for (uint32_t i = 0; i < membership_count(members) && count < PIECE_PLAN_MEMBERS; i++) {
+        const struct member_state *member = membership_at(members, i);
+        if (member->role == MEMBER_LOADER && membership_alive(members, member, now))
+            add_member(list, &count, &names, member);
+    }
+    qsort(list, count, sizeof *list, by_id);
+    return count;
+}
+
+struct swarm_plan *piece_plan_refresh(const struct cluster *cluster, uint64_t rollout,
+                                      uint32_t pieces, uint64_t *members_hash)
+{
+    struct member list[PIECE_PLAN_MEMBERS];
+    uint32_t count = collect(cluster, list);
+    uint64_t hash = count;
+    for (uint32_t i = 0; i < count; i++)
+        hash = hash_pair(hash_pair(hash, list[i].id), list[i].region);
+    if (hash == *members_hash)
+        return NULL;
+    *members_hash = hash;
+    return swarm_plan_create(rollout, pieces, list, count);
+}
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -6,10 +6,13 @@
 #include "core/hash.h"
 #include "core/link_rate.h"
 #include "core/swarm.h"
+#include "loader/piece_plan.h"
+#include "loader/upload_queue.h"
 #include "net/http_caller.h"
 
 #include <arpa/inet.h>
 #include <inttypes.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,7 +25,6 @@
 #define MANIFEST_LIMIT (1U << 20)
 #define PIECE_LIMIT (8U << 20)
 #define PEERS_MOST 128
-#define REGIONS_MOST 16
 /** Answers of a node that has no upload slot, or will have the piece soon. */
 #define STATUS_BUSY 429
 #define STATUS_PENDING 409
@@ -32,7 +34,6 @@
 /** A fetch that got no piece for so long does not progress. */
 #define PROGRESS_US 800000
 #define PROGRESS_LOG_US 400000
-#define UPLOADS_MOST 4
 /** Downloads at once: beside an engine that serves, beside one that is empty, and on a slow link or
  *  behind another version. */
 #define WINDOW_SHARED 4
@@ -58,12 +59,6 @@
     size_t size;
 };
 
-/* A peer's call that waits for the link. */
-struct upload {
-    struct service_call *call;
-    uint32_t piece;
-};
-
 struct piece_store {
     struct cluster *cluster;
     struct piece_store_callbacks callbacks;
@@ -83,8 +78,8 @@
     uint32_t held;
     struct source sources[PEERS_MOST];
     uint32_t source_count;
-    struct upload uploads[UPLOADS_MOST]; /* in order of asking */
-    uint32_t upload_count;
+    struct fetch *fetches;
+    struct upload_queue uploads;
     enum link_use link_use;
     struct link_rate rate;
     bool link_is_slow;
@@ -92,10 +87,11 @@
     uint32_t held_before; /* at the last look at progress */
     uint64_t progressed_at;
     uint64_t next_progress_log;
-    uv_timer_t upload_timer; /* runs while the link is busy with an upload */
 };
 
+/* A call for a piece under way. */
 struct fetch {
+    struct fetch *next;
     struct piece_store *store;
     uint64_t source;
     uint32_t piece;
@@ -276,6 +272,15 @@
     return status == 404 || status == 410 ? SWARM_FAILURE_ABSENT : SWARM_FAILURE_ERROR;
 }
 
+static void fetch_end(struct fetch *fetch)
+{
+    struct fetch **place = &fetch->store->fetches;
+    while (*place != fetch)
+        place = &(*place)->next;
+    *place = fetch->next;
+    free(fetch);
+}
+
 static void on_piece(void *context, enum call_result result, const struct http_message *message)
 {
     struct fetch *fetch = context;
@@ -289,7 +294,7 @@
         swarm_on_failure(store->swarm, cluster_now(), fetch->source, fetch->piece,
                          failure_of(status), 0);
     }
-    free(fetch);
+    fetch_end(fetch);
 }
 
 static void fetch(void *context, uint64_t source_id, uint32_t piece)
@@ -306,7 +311,8 @@
                              store->model, store->version, piece);
     buffer_append(&target, "", 1);
     struct fetch *fetch = memory_zero(1, sizeof *fetch);
-    *fetch = (struct fetch){store, source_id, piece};
+    *fetch = (struct fetch){store->fetches, store, source_id, piece};
+    store->fetches = fetch;
     struct caller_request request = {.method = "GET",
                                      .target = target.data,
                                      .timeout_ms = PIECE_TIMEOUT_MS,
@@ -371,53 +377,13 @@
 /* --- plan: who lives -----------------------------------------------------------------------------
  */
 
-static int by_id(const void *left, const void *right)
-{
-    const struct member *a = left;
-    const struct member *b = right;
-    return a->id < b->id ? -1 : a->id > b->id;
-}
-
-static uint16_t region_number(uint64_t *regions, uint16_t *count, const char *name)
-{
-    uint64_t hash = hash_name(name);
-    for (uint16_t i = 0; i < *count; i++)
-        if (regions[i] == hash)
-            return i;
-    if (*count == REGIONS_MOST)
-        return 0;
-    regions[*count] = hash;
-    return (*count)++;
-}
-
-static void make_plan(struct piece_store *store, uint64_t now)
+static void refresh_plan(struct piece_store *store, uint64_t now)
 {
-    const struct membership *members = store->cluster->membership;
-    struct member list[PEERS_MOST];
-    uint64_t regions[REGIONS_MOST];
-    uint16_t region_count = 0;
-    uint32_t count = 0;
-    const struct member_state *self = membership_self(store->cluster->membership);
-    list[count++] =
-        (struct member){self->address, region_number(regions, &region_count, self->zone),
-                        region_number(regions, &region_count, self->region)};
-    for (uint32_t i = 0; i < membership_count(members) && count < PEERS_MOST; i++) {
-        const struct member_state *member = membership_at(members, i);
-        if (member->role != MEMBER_LOADER || !membership_alive(members, member, now))
-            continue;
-        list[count++] =
-            (struct member){member->address, region_number(regions, &region_count, member->zone),
-                            region_number(regions, &region_count, member->region)};
-    }
-    qsort(list, count, sizeof *list, by_id);
-    uint64_t hash = count;
-    for (uint32_t i = 0; i < count; i++)
-        hash = hash_pair(hash, list[i].id);
-    if (hash == store->members_hash)
+    struct swarm_plan *plan =
+        piece_plan_refresh(store->cluster, hash_pair(hash_name(store->model), store->version),
+                           store->manifest.count, &store->members_hash);
+    if (!plan)
         return;
-    store->members_hash = hash;
-    struct swarm_plan *plan = swarm_plan_create(hash_pair(hash_name(store->model), store->version),
-                                                store->manifest.count, list, count);
     swarm_set_plan(store->swarm, now, plan);
     swarm_plan_release(plan);
 }
@@ -425,38 +391,16 @@
 /* --- serving -------------------------------------------------------------------------------------
  */
 
-static void on_link_free(uv_timer_t *timer);
-
-/* Send the first piece that waits; the next one waits until it is through the link. */
-static void upload_next(struct piece_store *store)
+static void serve_piece(struct piece_store *store, struct service_call *call, uint32_t number)
 {
-    if (!store->upload_count || uv_is_active((uv_handle_t *)&store->upload_timer))
-        return;
-    struct upload upload = store->uploads[0];
-    store->upload_count--;
-    memmove(store->uploads, store->uploads + 1, store->upload_count * sizeof *store->uploads);
-    const struct piece *piece = &store->pieces[upload.piece];
-    metric_add(METRIC_CHUNKS_SERVED, 1);
-    service_reply(upload.call, 200, "application/octet-stream", piece->data, piece->size);
-    uv_timer_start(&store->upload_timer, on_link_free, piece_time_us(store) / 1000, 0);
-}
-
-static void on_link_free(uv_timer_t *timer)
-{
-    upload_next(timer->data);
-}
-
-static void serve_piece(struct piece_store *store, struct service_call *call, uint32_t piece)
-{
-    uint32_t queue = store->upload_count + uv_is_active((uv_handle_t *)&store->upload_timer);
-    enum swarm_upload upload = swarm_admit_upload(store->swarm, piece, queue);
+    uint32_t queue = upload_queue_length(&store->uploads);
+    enum swarm_upload upload = swarm_admit_upload(store->swarm, number, queue);
+    const struct piece *piece = &store->pieces[number];
     swarm_set_upload_queue(store->swarm, queue);
-    if (upload == SWARM_UPLOAD_SERVE && store->pieces[piece].data &&
-        store->upload_count < UPLOADS_MOST) {
-        store->uploads[store->upload_count++] = (struct upload){call, piece};
-        upload_next(store);
+    store->uploads.pace_us = piece_time_us(store);
+    if (upload == SWARM_UPLOAD_SERVE && piece->data &&
+        upload_queue_add(&store->uploads, call, piece->data, piece->size))
         return;
-    }
     unsigned status = upload == SWARM_UPLOAD_PENDING  ? STATUS_PENDING
                       : upload == SWARM_UPLOAD_ABSENT ? 404
                                                       : STATUS_BUSY;
@@ -500,14 +444,14 @@
     store->version = version;
     store->recent = recent;
     store->rate.nominal = strtod(cluster->settings->link_mbit, NULL);
-    uv_timer_init(cluster->loop, &store->upload_timer);
-    store->upload_timer.data = store;
+    upload_queue_open(&store->uploads, cluster->loop);
     return store;
 }
 
-static void on_upload_timer_closed(uv_handle_t *handle)
+static void on_uploads_closed(uv_handle_t *handle)
 {
-    free(handle->data);
+    struct upload_queue *uploads = handle->data;
+    free((char *)uploads - offsetof(struct piece_store, uploads));
 }
 
 void piece_store_destroy(struct piece_store *store)
@@ -516,6 +460,9 @@
         return;
     for (uint32_t i = 0; i < store->source_count; i++)
         http_caller_destroy(store->sources[i].caller);
+    while (store->fetches)
+        fetch_end(store->fetches);
+    upload_queue_close(&store->uploads, on_uploads_closed);
     for (uint32_t i = 0; store->pieces && i < store->manifest.count; i++)
         free(store->pieces[i].data);
     if (store->swarm)
@@ -523,9 +470,6 @@
     free(store->pieces);
     free(store->manifest_body);
     piece_manifest_clear(&store->manifest);
-    for (uint32_t i = 0; i < store->upload_count; i++)
-        service_reply(store->uploads[i].call, 404, NULL, NULL, 0);
-    uv_close((uv_handle_t *)&store->upload_timer, on_upload_timer_closed);
 }
 
 void piece_store_share_link(struct piece_store *store, enum link_use use)
@@ -617,7 +561,7 @@
     }
     if (now >= store->next_plan) {
         store->next_plan = now + PLAN_INTERVAL_US;
-        make_plan(store, now);
+        refresh_plan(store, now);
     }
     swarm_on_tick(store->swarm, now);
 }
