A request without time left is not sent, and leaves its connection to nobody

Cause: by reading, after the crash of an edge: a request with less than 1 ms left wrote nothing to an idle connection, which stayed idle and yet pointed to the request; when it closed first, the request kept a freed connection. Not shown to be the cause of the crash. Change: no send with less than 2 ms left; the connection is let go. Measured: system test 17 of 17; its new case passed before the change as well, so it proves only the answer.

--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -14,6 +14,8 @@
 #define UNREPEATABLE_IDLE_US 1500000
 #define ANY_IDLE_US 3600000000ULL
 #define URGENCY_MOST 9
+/** With less time left a request is not sent any more. */
+#define LEAST_LEFT_US 2000
 /** So long before a version is required, engines that do not have it at hand get no new work: their
  *  links may be slow, and what waits there may begin late. */
 #define VERSION_LEAD_US 400000
@@ -86,6 +88,10 @@
 
 static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
 {
+    if (now + LEAST_LEFT_US > exchange->final_at) { /* no back end could begin in time */
+        exchange_give_up(exchange, exchange->may_have_run ? 504 : 503, "time-out");
+        return;
+    }
     uint64_t most_idle =
         exchange->route->kind == ROUTE_UNREPEATABLE ? UNREPEATABLE_IDLE_US : ANY_IDLE_US;
     exchange->state = EXCHANGE_SENT;
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -225,8 +225,11 @@
         return NULL;
     upstream->exchange = exchange;
     upstream->started = now;
-    if (is_idle)
-        write_request(upstream); /* it fits: the back end was chosen just now */
+    if (is_idle && !write_request(upstream)) {
+        /* Nothing was sent: the connection stays idle and belongs to nobody. */
+        upstream->exchange = NULL;
+        return NULL;
+    }
     return upstream;
 }
 
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -260,6 +260,17 @@
         connection.close()
         wait_for(lambda: any("leaver" in e.gone for e in self.engines), "the engine hears of it")
 
+    def test_requests_without_time_leave_connections_sound(self):
+        for _ in range(20):
+            ask("GET", "/get/1")  # connections to both back ends are kept
+        for backend in self.plain:
+            backend.runs.clear()
+        for _ in range(20):
+            self.assertEqual(ask("GET", "/get/1", Shuntrun_Deadline_Ms="1").status, 503)
+        self.assertEqual(sum(len(b.runs) for b in self.plain), 0)
+        for _ in range(20):
+            self.assertEqual(ask("GET", "/get/1").status, 200)
+
     def test_a_draining_back_end_gets_nothing(self):
         self.plain[0].list("draining")
         try:
