--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -34,6 +34,11 @@
         return json.loads(response.read() or b"null")
 
 
+def number_of(text):
+    """A sample's value: counters are whole, sums of durations are not."""
+    return float(text) if "." in text else int(text)
+
+
 def wait_until(what, condition, seconds=WAIT_SECONDS):
     """Poll a condition; returns its first true value."""
     end = time.monotonic() + seconds
@@ -181,8 +186,8 @@
         request = urllib.request.build_opener(urllib.request.ProxyHandler({}))
         with request.open(self.http(name) + "/metrics", timeout=5) as response:
             lines = response.read().decode().splitlines()
-        return {line.rsplit(" ", 1)[0]: int(line.rsplit(" ", 1)[1])
-                for line in lines if not line.startswith("#")}
+        samples = (line.rsplit(" ", 1) for line in lines if not line.startswith("#"))
+        return {name: number_of(text) for name, text in samples}
 
     def serves(self, name, version):
         return any(ready["version"] == version for ready in self.status(name)["ready"])
