Few loaders read from the origin, and rest their connections to it

Cause: the origin accepts 48 connections; each of 76 loaders kept one for the manifest and one for each version, and asked without a pause. Test: core.swarm few_members_read_from_the_origin_first (does not compile on the old code).

--- a/src/core/swarm.h
+++ b/src/core/swarm.h
@@ -34,9 +34,14 @@
  * \brief Rank members for every chunk of a rollout.
  * \param rollout key of the version, for example a hash of the manifest digest
  * \param members sorted by id; copied
+ * \param origin_readers so many members, by rendezvous weight, share the reading from the origin,
+ *        which may accept few connections; 0: all. The best two of each region come after them.
  */
 struct swarm_plan *swarm_plan_create(uint64_t rollout, uint32_t chunk_count,
-                                     const struct member *members, uint32_t member_count);
+                                     const struct member *members, uint32_t member_count,
+                                     uint32_t origin_readers);
+/** \return whether a member is one of those that read from the origin first */
+bool swarm_plan_reads_origin(const struct swarm_plan *plan, uint64_t member);
 struct swarm_plan *swarm_plan_retain(struct swarm_plan *plan);
 void swarm_plan_release(struct swarm_plan *plan);
 
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -24,7 +24,14 @@
 #define PROBE_TIMEOUT_US 350000
 #define MANIFEST_LIMIT (1U << 20)
 #define PIECE_LIMIT (8U << 20)
-#define PEERS_MOST 128
+#define PEERS_MOST 512
+/** Pause between questions for a manifest; it grows by as much with each, up to the last one. */
+#define MANIFEST_PAUSE_US 60000
+#define MANIFEST_PAUSES_MOST 5
+/** Who does not read from the origin asks it for the manifest only after so many questions. */
+#define MANIFEST_PEER_TRIES 10
+/** A connection to the origin, which accepts few, is closed after so long without use. */
+#define ORIGIN_IDLE_US 250000
 /** Answers of a node that has no upload slot, or will have the piece soon. */
 #define STATUS_BUSY 429
 #define STATUS_PENDING 409
@@ -65,12 +72,14 @@
     char model[BACKEND_NAME_SIZE];
     struct sockaddr_in origin;
     uint64_t version;
+    uint64_t rollout; /* key of the version */
     bool recent; /* the version was named a moment ago: nobody can have it yet */
     struct piece_manifest manifest;
     char *manifest_body;
     size_t manifest_size;
     bool manifest_asked;
     uint32_t manifest_tries;
+    uint64_t next_manifest; /* time of the next question for it */
     struct swarm *swarm;
     uint64_t members_hash; /* of the members that the plan was made for */
     uint64_t next_plan;
@@ -138,7 +147,7 @@
     struct swarm_settings settings = swarm_settings_of(store);
     uint64_t self = membership_self(store->cluster->membership)->address;
     store->pieces = memory_zero(store->manifest.count, sizeof *store->pieces);
-    store->swarm = swarm_create(&settings, self, hash_pair(hash_name(store->model), store->version),
+    store->swarm = swarm_create(&settings, self, store->rollout,
                                 store->manifest.count, cluster_now() ^ self, &driver);
 }
 
@@ -184,27 +193,29 @@
     return source;
 }
 
-static uint32_t random_loader(const struct piece_store *store)
+/* The origin, or a peer: those that read from the origin have the manifest first.
+ * \return address of the peer, 0: the origin */
+static uint32_t manifest_source(const struct piece_store *store)
 {
-    const struct membership *members = store->cluster->membership;
-    uint64_t now = cluster_now();
-    uint32_t count = membership_count(members);
-    for (uint32_t i = 0; i < count; i++) {
-        const struct member_state *member =
-            membership_at(members, (uint32_t)((now / 1000 + i) % count));
-        if (member->role == MEMBER_LOADER && member_is_alive(member))
-            return member->address;
-    }
-    return 0;
+    uint32_t try = store->manifest_tries;
+    bool reads = piece_plan_reads_origin(store->cluster, store->rollout);
+    bool ask_origin = reads ? try % 2 == (store->recent ? 0 : 1)
+                            : try >= MANIFEST_PEER_TRIES && try % 4 == 0;
+    if (ask_origin)
+        return 0;
+    return piece_plan_random_loader(store->cluster, store->rollout, try % 2 == 0);
+}
+
+static uint64_t manifest_pause_us(uint32_t tries)
+{
+    return MANIFEST_PAUSE_US * (tries < MANIFEST_PAUSES_MOST ? tries : MANIFEST_PAUSES_MOST);
 }
 
 static void ask_manifest(struct piece_store *store)
 {
     struct buffer target = {0};
-    /* The origin and peers by turns: either may be gone. */
-    uint64_t peer = random_loader(store);
-    bool ask_peer = peer && store->manifest_tries % 2 == (store->recent ? 1 : 0);
-    if (ask_peer)
+    uint32_t peer = manifest_source(store);
+    if (peer)
         buffer_append_format(&target, MANIFEST_PATH "?model=%s&version=%" PRIu64, store->model,
                              store->version);
     else
@@ -216,8 +227,9 @@
                                      .body_limit = MANIFEST_LIMIT,
                                      .done = on_manifest,
                                      .context = store};
-    struct source *source = source_of(store, ask_peer ? peer : SWARM_ORIGIN);
+    struct source *source = source_of(store, peer ? peer : SWARM_ORIGIN);
     store->manifest_tries++;
+    store->next_manifest = cluster_now() + manifest_pause_us(store->manifest_tries);
     store->manifest_asked = source != NULL;
     if (source)
         http_caller_send(source->caller, &request);
@@ -357,7 +369,7 @@
     if (!store->swarm || news->version != store->version || strcmp(news->model, store->model) != 0)
         return;
     struct swarm_update update = {
-        .rollout = hash_pair(hash_name(store->model), store->version),
+        .rollout = store->rollout,
         .sequence = news->sequence,
         .upload_queue = news->upload_queue,
         .have_new = news->have_new,
@@ -380,7 +392,7 @@
 static void refresh_plan(struct piece_store *store, uint64_t now)
 {
     struct swarm_plan *plan =
-        piece_plan_refresh(store->cluster, hash_pair(hash_name(store->model), store->version),
+        piece_plan_refresh(store->cluster, store->rollout,
                            store->manifest.count, &store->members_hash);
     if (!plan)
         return;
@@ -442,6 +454,7 @@
     snprintf(store->model, sizeof store->model, "%s", model);
     store->origin = *origin;
     store->version = version;
+    store->rollout = hash_pair(hash_name(model), version);
     store->recent = recent;
     store->rate.nominal = strtod(cluster->settings->link_mbit, NULL);
     upload_queue_open(&store->uploads, cluster->loop);
@@ -538,6 +551,13 @@
     }
 }
 
+static void rest_origin(struct piece_store *store)
+{
+    for (uint32_t i = 0; i < store->source_count; i++)
+        if (store->sources[i].id == SWARM_ORIGIN)
+            http_caller_rest(store->sources[i].caller, ORIGIN_IDLE_US);
+}
+
 bool piece_store_progresses(const struct piece_store *store, uint64_t now)
 {
     return !piece_store_complete(store) && now < store->progressed_at + PROGRESS_US;
@@ -545,8 +565,9 @@
 
 void piece_store_tick(struct piece_store *store, uint64_t now)
 {
+    rest_origin(store);
     if (!store->swarm) {
-        if (!store->manifest_asked)
+        if (!store->manifest_asked && now >= store->next_manifest)
             ask_manifest(store);
         return;
     }
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -30,6 +30,7 @@
     uint32_t waiting;
     uint64_t first_byte_at; /* of the answer under way, 0: none yet */
     uint64_t transfer_us;   /* of the last answer */
+    uint64_t idle_since;    /* time of the end of the last call */
     uv_timer_t timer;
 };
 
@@ -67,6 +68,7 @@
         caller->last = &caller->first;
     caller->waiting--;
     caller->sent = false;
+    caller->idle_since = clock_monotonic_us();
     caller->depth++;
     call->done(call->context, result, result == CALL_ANSWERED ? &caller->message : NULL);
     caller->depth--;
@@ -229,6 +231,13 @@
     return caller->transfer_us;
 }
 
+void http_caller_rest(struct http_caller *caller, uint64_t idle_us)
+{
+    if (!caller->first && !caller->depth && caller->stream &&
+        clock_monotonic_us() > caller->idle_since + idle_us)
+        drop_stream(caller);
+}
+
 uint32_t http_caller_waiting(const struct http_caller *caller)
 {
     return caller->waiting;
--- a/tests/core/swarm_test.c
+++ b/tests/core/swarm_test.c
@@ -53,12 +53,17 @@
     };
 }
 
-static struct swarm_plan *make_plan(uint32_t members)
+static struct swarm_plan *make_plan_with_readers(uint32_t members, uint32_t readers)
 {
     struct member list[MEMBERS];
     for (uint32_t i = 0; i < members; i++)
         list[i] = (struct member){100 + i, (uint16_t)(i % 2), (uint16_t)(i % 2)};
-    return swarm_plan_create(ROLLOUT, CHUNKS, list, members);
+    return swarm_plan_create(ROLLOUT, CHUNKS, list, members, readers);
+}
+
+static struct swarm_plan *make_plan(uint32_t members)
+{
+    return make_plan_with_readers(members, 0);
 }
 
 static struct swarm *make_swarm(struct recorder *recorder, uint64_t self, uint32_t members)
@@ -90,6 +95,23 @@
     swarm_on_update(swarm, now, peer, &update);
 }
 
+/* An origin that accepts few connections is read by few members. */
+static void few_members_read_from_the_origin_first(void **state)
+{
+    struct swarm_plan *plan = make_plan_with_readers(MEMBERS, 3);
+    bool reads[MEMBERS] = {false};
+    uint32_t readers = 0;
+    for (uint32_t chunk = 0; chunk < CHUNKS; chunk++)
+        for (uint32_t i = 0; i < MEMBERS; i++)
+            reads[i] |= rank_of(plan, chunk, 100 + i) == 0;
+    for (uint32_t i = 0; i < MEMBERS; i++) {
+        readers += swarm_plan_reads_origin(plan, 100 + i);
+        assert_true(!reads[i] || swarm_plan_reads_origin(plan, 100 + i));
+    }
+    assert_int_equal(readers, 3);
+    swarm_plan_release(plan);
+}
+
 static void each_chunk_has_one_first_reader(void **state)
 {
     struct swarm_plan *plan = make_plan(MEMBERS);
@@ -265,6 +287,7 @@
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(few_members_read_from_the_origin_first),
         cmocka_unit_test(each_chunk_has_one_first_reader),
         cmocka_unit_test(a_later_rank_asks_before_it_reads),
         cmocka_unit_test(two_members_of_a_region_import_each_chunk),
