Three gateways of each region read the store, and push what they learn

Ruled out: a separate watch for versions (the same bytes would still share the link). Change: core/reader_role: the first three gateways of each region by rendezvous weight read; others step in while none of them gets answers, and go on for 2 s when views differ. Readers say whether the store answers (settling the list of back ends needs it), and push what they learn to their region: up to 1,200 bytes in the message, more by a call. Changes by the operator travel with the message too (cluster/news_push). Peers of the own region are asked first. Tests: core.reader_role (new module), core.membership, system.platform.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -4,10 +4,10 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "cluster/news_push.h"
 #include "cluster/state_sync.h"
 #include "cluster/store_reader.h"
 #include "core/hash.h"
-#include "core/news_targets.h"
 #include "platform/platform.h"
 
 #include <arpa/inet.h>
@@ -81,12 +81,25 @@
     }
 }
 
+bool cluster_reads_store(const struct cluster *cluster)
+{
+    return cluster->role.reads;
+}
+
+bool cluster_store_is_sound(const struct cluster *cluster)
+{
+    if (cluster->role.reads)
+        return store_reader_is_sound(cluster->reader);
+    return reader_role_somebody_is_sound(cluster->membership);
+}
+
 static void write_revisions(struct cluster *cluster)
 {
     struct member_state *self = membership_self(cluster->membership);
-    /* A node that does not read the store holds only a part: nobody may take it for the whole. */
-    self->state_revision = cluster->reader ? state_cache_revision(cluster->state) : 0;
+    /* Nobody may take a part for the whole. */
+    self->state_revision = cluster->holds_all ? state_cache_revision(cluster->state) : 0;
     self->operator_revision = cluster->operator_revision;
+    self->store_sound = cluster->reader && store_reader_is_sound(cluster->reader);
 }
 
 static void on_membership_send(void *context, uint32_t address,
@@ -95,23 +108,14 @@
     cluster_send(context, address, message);
 }
 
-void cluster_tell_change(struct cluster *cluster)
+void cluster_pass_on(struct cluster *cluster)
 {
-    uint32_t addresses[NEWS_TARGETS_MOST];
-    if (!cluster->change_untold)
-        return;
-    cluster->change_untold = false;
     write_revisions(cluster);
-    uint32_t count = news_targets(cluster->membership, cluster->operator_revision,
-                                  &cluster->random, addresses);
-    for (uint32_t i = 0; i < count; i++)
-        membership_tell(cluster->membership, addresses[i]);
+    news_push(cluster);
 }
 
-void cluster_tell_draining(struct cluster *cluster)
+static void tell_gateways(struct cluster *cluster)
 {
-    membership_self(cluster->membership)->draining = true;
-    membership_self_changed(cluster->membership);
     for (uint32_t i = 0; i < membership_count(cluster->membership); i++) {
         const struct member_state *member = membership_at(cluster->membership, i);
         if (member_is_alive(member) && member->role == MEMBER_GATEWAY)
@@ -119,6 +123,27 @@
     }
 }
 
+void cluster_tell_draining(struct cluster *cluster)
+{
+    membership_self(cluster->membership)->draining = true;
+    membership_self_changed(cluster->membership);
+    tell_gateways(cluster);
+}
+
+/* Others have to know at once whether they can rely on this reader. */
+static void watch_store(struct cluster *cluster, uint64_t now)
+{
+    if (!cluster->reader)
+        return;
+    bool was_sound = membership_self(cluster->membership)->store_sound;
+    bool known = state_cache_revision(cluster->state) > 0;
+    reader_role_update(&cluster->role, cluster->membership, known, now);
+    store_reader_set_active(cluster->reader, cluster->role.reads);
+    write_revisions(cluster);
+    if (membership_self(cluster->membership)->store_sound != was_sound)
+        tell_gateways(cluster);
+}
+
 static void log_member_changes(struct cluster *cluster)
 {
     uint32_t alive = membership_alive_count(cluster->membership, MEMBER_GATEWAY) +
@@ -143,6 +168,7 @@
         if (cluster->reader)
             store_reader_restart(cluster->reader);
     }
+    watch_store(cluster, now);
     write_revisions(cluster);
     membership_tick(cluster->membership, now);
     if (now >= cluster->next_round) {
@@ -158,12 +184,17 @@
 {
     write_revisions(cluster);
     membership_read(cluster->membership, sender, message, now);
-    /* A node that does not read the store needs only what the operator says. */
-    bool ahead = cluster->reader
+    if (message->changes)
+        state_sync_take(cluster->sync, message->changes);
+    /* A node that holds only the operator's part needs nothing else. */
+    bool ahead = cluster->holds_all
                      ? message->sender->state_revision > state_cache_revision(cluster->state)
                      : message->sender->operator_revision > cluster->operator_revision;
-    if (ahead)
-        state_sync_heard(cluster->sync, sender, message->sender->state_revision, now);
+    if (!ahead)
+        return;
+    const char *region = membership_self(cluster->membership)->region;
+    bool near = strcmp(message->sender->region, region) == 0;
+    state_sync_heard(cluster->sync, sender, message->sender->state_revision, near, now);
 }
 
 static void on_datagram(uv_udp_t *socket, ssize_t size, const uv_buf_t *buffer,
@@ -212,10 +243,8 @@
     char name[PLATFORM_TEXT_SIZE];
     enum item_kind kind = platform_item_kind(item->key, name, sizeof name);
     if ((kind == ITEM_CONFIGURATION || kind == ITEM_VERSION) &&
-        item->revision > cluster->operator_revision) {
+        item->revision > cluster->operator_revision)
         cluster->operator_revision = item->revision;
-        cluster->change_untold = true;
-    }
     cluster->callbacks.item_changed(cluster->callbacks.context, item);
 }
 
@@ -287,7 +316,8 @@
     cluster->sync = state_sync_create(cluster);
     if (open_sockets(cluster, self.address))
         return 1;
-    if (role == MEMBER_GATEWAY)
+    cluster->holds_all = role == MEMBER_GATEWAY;
+    if (cluster->holds_all)
         cluster->reader = store_reader_create(cluster);
     cluster->last_tick = cluster_now();
     uv_timer_init(loop, &cluster->timer);
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -9,6 +9,7 @@
 
 #include "base/settings.h"
 #include "core/membership.h"
+#include "core/reader_role.h"
 #include "core/state_cache.h"
 #include "net/http_service.h"
 
@@ -39,14 +40,17 @@
     struct membership *membership;
     struct state_cache *state;
     struct http_service *service;
-    struct store_reader *reader; /**< NULL on nodes that do not read the store */
+    bool holds_all;              /**< all that the platform publishes, not only the operator's part */
+    struct store_reader *reader; /**< NULL on nodes that never read the store */
+    struct reader_role role;
     struct state_sync *sync;
     uv_udp_t socket;
     uv_timer_t timer;
     uint16_t port; /**< of datagrams and calls, the same on all nodes */
     uint64_t next_round;
     uint64_t operator_revision; /**< of the newest change by the operator that is known here */
-    bool change_untold;         /**< of that change, peers were not told yet */
+    uint64_t pushed_operator_revision; /**< up to which others were told of such changes */
+    uint64_t pushed_revision;          /**< up to which others were told of all changes */
     uint64_t last_tick;
     struct random_stream random;
     uint32_t alive_before; /**< members alive at the last look */
@@ -63,8 +67,12 @@
                   const Shuntrun__MemberMessage *message);
 /** \brief Send the load of the engine to the gateways. \param far also to those in other regions */
 void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far);
-/** \brief Pass a change by the operator on, when there was one. */
-void cluster_tell_change(struct cluster *cluster);
+/** \brief Tell others of what this node has learned lately. */
+void cluster_pass_on(struct cluster *cluster);
+/** \return whether this node reads the platform's store now */
+bool cluster_reads_store(const struct cluster *cluster);
+/** \return whether this node, or one that tells it, gets answers of the store */
+bool cluster_store_is_sound(const struct cluster *cluster);
 /** \brief Address of a node's service for other nodes. */
 struct sockaddr_in cluster_address(const struct cluster *cluster, uint32_t address);
 /** \return gateways that are alive, at least 1 */
--- /dev/null
+++ b/src/cluster/news_push.c
@@ -0,0 +1,113 @@
+#include "cluster/news_push.h"
+
+#include "base/memory.h"
+#include "core/news_targets.h"
+#include "platform/platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** Larger changes do not travel in a message. */
+#define PUSH_BYTES_MOST 1200
+#define PUSH_ITEMS_MOST 12
+
+/** Changes in the form of a message; points into the state. */
+struct pushed_changes {
+    Shuntrun__StateChanges changes;
+    Shuntrun__StateItem items[PUSH_ITEMS_MOST];
+    Shuntrun__StateItem *pointers[PUSH_ITEMS_MOST];
+    bool fits;
+};
+
+static bool is_of_operator(const struct state_item *item)
+{
+    char name[PLATFORM_TEXT_SIZE];
+    return platform_item_kind(item->key, name, sizeof name) != ITEM_BACKEND;
+}
+
+static void add_item(struct pushed_changes *pushed, const struct state_item *item, uint64_t now)
+{
+    if (pushed->changes.n_items == PUSH_ITEMS_MOST) {
+        pushed->fits = false;
+        return;
+    }
+    Shuntrun__StateItem *out = &pushed->items[pushed->changes.n_items];
+    shuntrun__state_item__init(out);
+    out->key = item->key;
+    out->value.data = (uint8_t *)item->value;
+    out->value.len = item->size;
+    out->revision = item->revision;
+    out->gone = item->gone;
+    out->age_ms = (now - item->learned) / 1000;
+    pushed->pointers[pushed->changes.n_items++] = out;
+}
+
+static void collect(const struct cluster *cluster, uint64_t after, uint64_t revision,
+                    bool operator_only, struct pushed_changes *pushed)
+{
+    const struct state_cache *state = cluster->state;
+    uint64_t now = cluster_now();
+    shuntrun__state_changes__init(&pushed->changes);
+    pushed->changes.items = pushed->pointers;
+    pushed->changes.after = after;
+    pushed->changes.revision = revision;
+    pushed->changes.operator_only = operator_only;
+    pushed->fits = after && state_cache_covers(state, after);
+    for (uint32_t i = 0; pushed->fits && i < state_cache_count(state); i++) {
+        const struct state_item *item = state_cache_at(state, i);
+        if (item->revision > after && (!operator_only || is_of_operator(item)))
+            add_item(pushed, item, now);
+    }
+    if (pushed->fits)
+        pushed->fits = shuntrun__state_changes__get_packed_size(&pushed->changes) <= PUSH_BYTES_MOST;
+}
+
+static void tell(struct cluster *cluster, uint32_t address, struct pushed_changes *pushed)
+{
+    membership_tell_changes(cluster->membership, address, pushed->fits ? &pushed->changes : NULL);
+}
+
+/* Gateways of the own region that do not read the store. */
+static void tell_region(struct cluster *cluster, uint64_t revision, struct pushed_changes *pushed)
+{
+    const struct member_state *self = membership_self(cluster->membership);
+    for (uint32_t i = 0; i < membership_count(cluster->membership); i++) {
+        const struct member_state *member = membership_at(cluster->membership, i);
+        if (member->role == MEMBER_GATEWAY && member_is_alive(member) && !member->store_sound &&
+            member->state_revision < revision && strcmp(member->region, self->region) == 0)
+            tell(cluster, member->address, pushed);
+    }
+}
+
+static void push_state(struct cluster *cluster)
+{
+    struct pushed_changes pushed;
+    uint64_t revision = state_cache_revision(cluster->state);
+    uint64_t before = cluster->pushed_revision;
+    cluster->pushed_revision = revision;
+    if (revision <= before || !cluster_reads_store(cluster))
+        return;
+    collect(cluster, before, revision, false, &pushed);
+    tell_region(cluster, revision, &pushed);
+}
+
+static void push_operator_change(struct cluster *cluster)
+{
+    uint32_t addresses[NEWS_TARGETS_MOST];
+    struct pushed_changes pushed;
+    uint64_t revision = cluster->operator_revision;
+    uint64_t before = cluster->pushed_operator_revision;
+    cluster->pushed_operator_revision = revision;
+    if (revision <= before)
+        return;
+    collect(cluster, before, revision, true, &pushed);
+    uint32_t count = news_targets(cluster->membership, revision, &cluster->random, addresses);
+    for (uint32_t i = 0; i < count; i++)
+        tell(cluster, addresses[i], &pushed);
+}
+
+void news_push(struct cluster *cluster)
+{
+    push_state(cluster);
+    push_operator_change(cluster);
+}
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -3,7 +3,6 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "cluster/store_reader.h"
 #include "net/http_caller.h"
 #include "platform/platform.h"
 
@@ -34,12 +33,10 @@
     return sync;
 }
 
-static void take_changes(struct state_sync *sync, const Shuntrun__StateChanges *changes)
+static void take_items(struct state_sync *sync, const Shuntrun__StateChanges *changes)
 {
     struct state_cache *state = sync->cluster->state;
     uint64_t now = cluster_now();
-    if (changes->whole)
-        state_cache_snapshot_begin(state, "");
     for (size_t i = 0; i < changes->n_items; i++) {
         const Shuntrun__StateItem *item = changes->items[i];
         uint64_t age = item->age_ms * 1000;
@@ -50,8 +47,16 @@
             state_cache_put(state, item->key, (const char *)item->value.data, item->value.len,
                             item->revision, learned);
     }
+}
+
+static void take_changes(struct state_sync *sync, const Shuntrun__StateChanges *changes)
+{
+    struct state_cache *state = sync->cluster->state;
+    if (changes->whole)
+        state_cache_snapshot_begin(state, "");
+    take_items(sync, changes);
     if (changes->whole)
-        state_cache_snapshot_end(state, "", changes->revision, now);
+        state_cache_snapshot_end(state, "", changes->revision, cluster_now());
     state_cache_reach(state, changes->revision);
 }
 
@@ -89,7 +94,7 @@
     metric_add(METRIC_STATE_FROM_PEER, 1);
     take_changes(sync, changes);
     shuntrun__state_changes__free_unpacked(changes, NULL);
-    cluster_tell_change(sync->cluster);
+    cluster_pass_on(sync->cluster);
 }
 
 static void ask(struct state_sync *sync)
@@ -102,7 +107,7 @@
     sync->asking = true;
     snprintf(target, sizeof target, STATE_PATH "?after=%llu%s",
              (unsigned long long)state_cache_revision(sync->cluster->state),
-             sync->cluster->reader ? "" : "&operator=1");
+             sync->cluster->holds_all ? "" : "&operator=1");
     struct caller_request request = {.method = "GET",
                                      .target = target,
                                      .timeout_ms = TIMEOUT_MS,
@@ -112,7 +117,30 @@
     http_caller_send(sync->caller, &request);
 }
 
-void state_sync_heard(struct state_sync *sync, uint32_t peer, uint64_t revision, uint64_t now)
+bool state_sync_take(struct state_sync *sync, const Shuntrun__StateChanges *changes)
+{
+    struct cluster *cluster = sync->cluster;
+    uint64_t known = changes->operator_only ? cluster->operator_revision
+                                            : state_cache_revision(cluster->state);
+    if (!known || changes->after > known)
+        return false;
+    if (changes->revision <= known)
+        return true;
+    take_items(sync, changes);
+    if (!changes->operator_only)
+        state_cache_reach(cluster->state, changes->revision);
+    cluster_pass_on(cluster);
+    return true;
+}
+
+/* Who reads the store itself gets the change by itself, or is told by somebody near. */
+static bool asks_at_once(const struct state_sync *sync, bool near)
+{
+    return near && !cluster_reads_store(sync->cluster);
+}
+
+void state_sync_heard(struct state_sync *sync, uint32_t peer, uint64_t revision, bool near,
+                      uint64_t now)
 {
     if (sync->asking)
         return;
@@ -120,7 +148,7 @@
         sync->heard_at = now;
     sync->peer = peer;
     sync->peer_revision = revision;
-    if (!sync->cluster->reader)
+    if (asks_at_once(sync, near))
         ask(sync);
 }
 
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -38,6 +38,8 @@
     struct sockaddr_in address;
     struct prefix_reader prefixes[MAX_PREFIXES];
     uint32_t count;
+    bool active;
+    bool answered; /* the store gave an answer since this node began to read */
 };
 
 static void read_on(struct prefix_reader *reader);
@@ -63,6 +65,7 @@
 
 static void recovered(struct prefix_reader *reader)
 {
+    reader->owner->answered = true;
     if (reader->failures)
         log_event(LOG_LEVEL_INFO, "store", "regained", "prefix=%s failures=%u", reader->prefix,
                   reader->failures);
@@ -118,6 +121,8 @@
     struct prefix_reader *reader = context;
     struct store_answer answer;
     char reason[64];
+    if (!reader->owner->active)
+        return;
     if (result != CALL_ANSWERED) {
         failed(reader, result == CALL_BROKEN ? "no answer" : "not reached");
         return;
@@ -147,7 +152,7 @@
     store_answer_clear(&answer);
     recovered(reader);
     reach(reader->owner);
-    cluster_tell_change(reader->owner->cluster);
+    cluster_pass_on(reader->owner->cluster);
     /* Changes come in bursts, and every call is priced: the next ones are taken together. */
     if (reader->revision && news)
         uv_timer_start(&reader->retry, on_retry, GATHER_MS, 0);
@@ -195,11 +200,42 @@
         uv_timer_init(cluster->loop, &reader->retry);
         reader->retry.data = reader;
     }
-    for (uint32_t i = 0; i < owner->count; i++)
-        read_on(&owner->prefixes[i]);
     return owner;
 }
 
+static void stop(struct prefix_reader *reader)
+{
+    uv_timer_stop(&reader->retry);
+    http_caller_abort(reader->caller);
+    reader->page_key[0] = 0;
+    reader->failures = 0;
+}
+
+/* Peers told what happened meanwhile: the watch goes on from there. */
+static void resume(struct prefix_reader *reader)
+{
+    uint64_t known = state_cache_revision(reader->owner->cluster->state);
+    if (known)
+        reader->revision = known;
+    read_on(reader);
+}
+
+void store_reader_set_active(struct store_reader *owner, bool active)
+{
+    if (owner->active == active)
+        return;
+    log_event(LOG_LEVEL_INFO, "store", active ? "reads" : "rests", "revision=%llu",
+              (unsigned long long)state_cache_revision(owner->cluster->state));
+    owner->active = active;
+    owner->answered = false;
+    for (uint32_t i = 0; i < owner->count; i++) {
+        if (active)
+            resume(&owner->prefixes[i]);
+        else
+            stop(&owner->prefixes[i]);
+    }
+}
+
 void store_reader_restart(struct store_reader *owner)
 {
     for (uint32_t i = 0; i < owner->count; i++)
@@ -208,6 +244,8 @@
 
 bool store_reader_is_sound(const struct store_reader *owner)
 {
+    if (!owner->active || !owner->answered)
+        return false;
     for (uint32_t i = 0; i < owner->count; i++)
         if (owner->prefixes[i].failures)
             return false;
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -136,6 +136,7 @@
         return;
     member->state_revision = sender->state_revision;
     member->operator_revision = sender->operator_revision;
+    member->store_sound = sender->store_sound;
     if (member->incarnation > sender->incarnation)
         membership_tell(membership, sender->address);
 }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -47,6 +47,7 @@
     uint16_t traffic_port;
     uint64_t state_revision;    /**< it knows up to here what the platform publishes, as last heard */
     uint64_t operator_revision; /**< of the newest change by the operator that it knows, likewise */
+    bool store_sound;           /**< it reads the platform's store and gets answers, likewise */
     uint64_t heard_at;          /**< time of its last own message, 0: none */
     uint64_t changed_at;        /**< time at which health last changed here */
     uint32_t told;              /**< messages that carried the last change */
@@ -88,6 +89,9 @@
 void membership_heard(struct membership *membership, uint32_t from, uint64_t now);
 /** \brief Send the own state and news to one node, outside of the periods. */
 void membership_tell(struct membership *membership, uint32_t address);
+/** \brief The same, with changes of what the platform publishes. */
+void membership_tell_changes(struct membership *membership, uint32_t address,
+                             Shuntrun__StateChanges *changes);
 
 /** \brief Other members, whatever their health. */
 uint32_t membership_count(const struct membership *membership);
--- a/src/core/membership_news.c
+++ b/src/core/membership_news.c
@@ -30,6 +30,7 @@
     write_news(&membership->self, &message->sender);
     message->sender.state_revision = membership->self.state_revision;
     message->sender.operator_revision = membership->self.operator_revision;
+    message->sender.store_sound = membership->self.store_sound;
     message->message.sender = &message->sender;
     message->message.members = message->pointers;
 }
@@ -78,16 +79,23 @@
     membership->driver.send(membership->driver.context, recipient, &message->message);
 }
 
-void membership_tell(struct membership *membership, uint32_t address)
+void membership_tell_changes(struct membership *membership, uint32_t address,
+                             Shuntrun__StateChanges *changes)
 {
     struct membership_message message;
     membership_message_begin(membership, &message);
+    message.message.changes = changes;
     const struct member_state *known = membership_lookup(membership, address);
     if (known && known->health == MEMBER_ALIVE)
         add_news(&message, known);
     membership_message_send(membership, &message, address);
 }
 
+void membership_tell(struct membership *membership, uint32_t address)
+{
+    membership_tell_changes(membership, address, NULL);
+}
+
 /* --- comparison of tables ------------------------------------------------------------------------
  */
 
--- /dev/null
+++ b/src/core/reader_role.c
@@ -0,0 +1,84 @@
+#include "core/reader_role.h"
+
+#include "core/hash.h"
+
+#include <string.h>
+
+/** Gateways of each region that read. */
+#define READERS 3
+/** While no reader gets answers, so many more read after each such time. */
+#define STEP_IN_US 700000
+/** Who need not read goes on for so long, as views of who lives differ for a moment. */
+#define STEP_OUT_US 2000000
+#define READER_KEY 0x72656164657273ULL
+
+static bool is_candidate(const struct member_state *member, const char *region)
+{
+    return member->role == MEMBER_GATEWAY && member_is_trusted(member) && !member->draining &&
+           strcmp(member->region, region) == 0;
+}
+
+/* Place of this node among the gateways of its region. */
+static uint32_t own_rank(struct membership *membership)
+{
+    const struct member_state *self = membership_self(membership);
+    uint64_t own = hash_pair(READER_KEY, self->address);
+    uint32_t before = 0;
+    for (uint32_t i = 0; i < membership_count(membership); i++) {
+        const struct member_state *member = membership_at(membership, i);
+        before += is_candidate(member, self->region) &&
+                  hash_pair(READER_KEY, member->address) > own;
+    }
+    return before;
+}
+
+static bool region_is_sound(struct membership *membership)
+{
+    const struct member_state *self = membership_self(membership);
+    if (self->store_sound)
+        return true;
+    for (uint32_t i = 0; i < membership_count(membership); i++) {
+        const struct member_state *member = membership_at(membership, i);
+        if (is_candidate(member, self->region) && member->store_sound)
+            return true;
+    }
+    return false;
+}
+
+bool reader_role_somebody_is_sound(struct membership *membership)
+{
+    if (region_is_sound(membership))
+        return true;
+    for (uint32_t i = 0; i < membership_count(membership); i++) {
+        const struct member_state *member = membership_at(membership, i);
+        if (member->role == MEMBER_GATEWAY && member_is_trusted(member) && member->store_sound)
+            return true;
+    }
+    return false;
+}
+
+static bool is_needed(struct reader_role *role, struct membership *membership, uint64_t now)
+{
+    if (region_is_sound(membership))
+        role->unsound_since = 0;
+    else if (!role->unsound_since)
+        role->unsound_since = now;
+    uint64_t readers = READERS;
+    if (role->unsound_since)
+        readers += READERS * ((now - role->unsound_since) / STEP_IN_US);
+    return own_rank(membership) < readers;
+}
+
+bool reader_role_update(struct reader_role *role, struct membership *membership, bool known,
+                        uint64_t now)
+{
+    if (!known || is_needed(role, membership, now)) {
+        role->needless_since = 0;
+        role->reads = true;
+    } else if (!role->needless_since) {
+        role->needless_since = now;
+    } else if (now >= role->needless_since + STEP_OUT_US) {
+        role->reads = false;
+    }
+    return role->reads;
+}
--- /dev/null
+++ b/src/core/reader_role.h
@@ -0,0 +1,28 @@
+/**
+ * Whether a gateway reads the platform's store itself. Calls to the store are dear and its link is
+ * narrow, so in each region a few gateways read, by rendezvous weight, and tell the others.
+ *
+ * Others step in, some at a time, while no reader of the region gets answers.
+ */
+#ifndef SHUNTRUN_READER_ROLE_H
+#define SHUNTRUN_READER_ROLE_H
+
+#include "core/membership.h"
+
+struct reader_role {
+    bool reads;
+    uint64_t unsound_since; /**< no reader of the region got answers since then; 0: one does */
+    uint64_t needless_since; /**< this node need not read since then; 0: it must */
+};
+
+/**
+ * \brief Decide anew, from who lives and what readers said of the store.
+ * \param known false: this node knows nothing that the platform published, and reads in any case
+ * \return whether this node is to read
+ */
+bool reader_role_update(struct reader_role *role, struct membership *membership, bool known,
+                        uint64_t now);
+/** \return whether a gateway of the own region, or else of any, reads the store and gets answers */
+bool reader_role_somebody_is_sound(struct membership *membership);
+
+#endif
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -3,7 +3,6 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "cluster/store_reader.h"
 #include "core/hash.h"
 #include "edge/edge_internal.h"
 
@@ -276,7 +275,7 @@
     struct edge *edge = timer->data;
     uint64_t now = cluster_now();
     count_gateways(edge);
-    backend_pool_settle(edge->pool, store_reader_is_sound(edge->cluster.reader), now);
+    backend_pool_settle(edge->pool, cluster_store_is_sound(&edge->cluster), now);
     upstream_sweep(edge, now);
     edge_client_sweep(edge, now);
     exchange_dispatch_waiting(edge);
--- /dev/null
+++ b/tests/core/reader_role_test.c
@@ -0,0 +1,120 @@
+/* Which gateways read the platform's store. */
+#include "testing.h"
+
+#include "core/reader_role.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#define GATEWAYS 33
+#define REGIONS 3
+#define STEP_US 100000ULL
+
+struct fixture {
+    struct membership *nodes[GATEWAYS];
+    struct reader_role roles[GATEWAYS];
+    uint32_t count;
+    uint64_t now;
+};
+
+static void on_send(void *context, uint32_t address, const Shuntrun__MemberMessage *message)
+{
+}
+
+static void hear(struct membership *listener, const struct member_state *state, bool sound,
+                 uint64_t now)
+{
+    Shuntrun__MemberMessage message = SHUNTRUN__MEMBER_MESSAGE__INIT;
+    Shuntrun__MemberNews news = SHUNTRUN__MEMBER_NEWS__INIT;
+    news.address = state->address;
+    news.incarnation = state->incarnation;
+    news.health = MEMBER_ALIVE;
+    news.role = state->role;
+    news.region = (char *)state->region;
+    news.store_sound = sound;
+    message.sender = &news;
+    membership_read(listener, state->address, &message, now);
+}
+
+static void say_all(struct fixture *fixture, bool sound)
+{
+    for (uint32_t i = 0; i < fixture->count; i++) {
+        struct member_state *self = membership_self(fixture->nodes[i]);
+        self->store_sound = sound && fixture->roles[i].reads;
+        for (uint32_t k = 0; k < fixture->count; k++)
+            if (k != i)
+                hear(fixture->nodes[k], self, self->store_sound, fixture->now);
+    }
+}
+
+static uint32_t play(struct fixture *fixture, uint64_t time_us)
+{
+    uint32_t readers = 0;
+    for (uint64_t end = fixture->now + time_us; fixture->now < end; fixture->now += STEP_US) {
+        readers = 0;
+        for (uint32_t i = 0; i < fixture->count; i++)
+            readers += reader_role_update(&fixture->roles[i], fixture->nodes[i], true, fixture->now);
+    }
+    return readers;
+}
+
+static void open_fixture(struct fixture *fixture, uint32_t count)
+{
+    static const struct membership_settings settings = {.period_us = 1000000};
+    struct membership_driver driver = {NULL, on_send};
+    *fixture = (struct fixture){.count = count, .now = 1000000};
+    for (uint32_t i = 0; i < count; i++) {
+        struct member_state self = {
+            .address = i + 1, .incarnation = 7, .role = MEMBER_GATEWAY, .health = MEMBER_ALIVE};
+        snprintf(self.region, sizeof self.region, "region-%u", i % REGIONS);
+        fixture->nodes[i] = membership_create(&settings, &self, i, &driver);
+        assert_true(reader_role_update(&fixture->roles[i], fixture->nodes[i], false, fixture->now));
+    }
+    say_all(fixture, true);
+}
+
+static void close_fixture(struct fixture *fixture)
+{
+    for (uint32_t i = 0; i < fixture->count; i++)
+        membership_destroy(fixture->nodes[i]);
+}
+
+static void three_of_each_region_read(void **state)
+{
+    struct fixture fixture;
+    open_fixture(&fixture, GATEWAYS);
+    assert_int_equal(play(&fixture, 1000000), GATEWAYS); /* nobody stops at once */
+    assert_int_equal(play(&fixture, 2000000), 3 * REGIONS);
+    close_fixture(&fixture);
+}
+
+static void a_few_gateways_all_read(void **state)
+{
+    struct fixture fixture;
+    open_fixture(&fixture, 6);
+    assert_int_equal(play(&fixture, 5000000), 6);
+    close_fixture(&fixture);
+}
+
+static void others_step_in_while_no_reader_gets_answers(void **state)
+{
+    struct fixture fixture;
+    open_fixture(&fixture, GATEWAYS);
+    play(&fixture, 4000000);
+    say_all(&fixture, false);
+    assert_int_equal(play(&fixture, 500000), 3 * REGIONS);
+    assert_int_equal(play(&fixture, 500000), 6 * REGIONS);
+    say_all(&fixture, true);
+    assert_int_equal(play(&fixture, 3000000), 3 * REGIONS);
+    close_fixture(&fixture);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(three_of_each_region_read),
+        cmocka_unit_test(a_few_gateways_all_read),
+        cmocka_unit_test(others_step_in_while_no_reader_gets_answers),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
