--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -126,7 +126,7 @@
         .origin_budget = 1,
         .download_window = WINDOW_SHARED,
         .peer_window = 1,
-        .upload_limit = 2,
+        .upload_limit = 4,
         .neighbours = 12,
         .announce_us = 40000,
         .silence_us = SILENCE_US,
