After a loss of power: seeds asked until one answers, readers before others, silence borne where nothing else is free

When engines came back, 34 gateways each sent one request to each engine at once (12 slots), then gave up after 0.9 s of silence though nothing else was free. Change: a node that knows nobody asks all seeds every 50 ms; only readers of each region read at a start, others take the state from them; a report of lost weights goes before the list; a gateway waits 1 s for the first reports; where others wait too, a gateway takes no more than its part of the free places; a silent back end is kept when no other has room or the shared budget is spent, if it answers others or the client came back before; clients that came back wait for up to 0.45 of their time (core/waiting), after requests that can still meet their objective and in a part of each engine.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -15,6 +15,8 @@
 #include <string.h>
 
 #define TICK_MS 100
+/** Time between ticks while this node knows nothing. */
+#define FIRST_TICK_MS 25
 #define DATAGRAM_SIZE 8192
 /** Time between looks at what is to be logged or dropped. */
 #define ROUND_US 500000
@@ -27,7 +29,8 @@
                                                                .direct_us = 150000,
                                                                .suspect_us = 1500000,
                                                                .forget_us = 30000000,
-                                                               .compare_us = 2000000};
+                                                               .compare_us = 2000000,
+                                                               .question_us = 50000};
 
 uint64_t cluster_now(void)
 {
@@ -136,8 +139,7 @@
     if (!cluster->reader)
         return;
     bool was_sound = membership_self(cluster->membership)->store_sound;
-    bool known = state_cache_revision(cluster->state) > 0;
-    reader_role_update(&cluster->role, cluster->membership, known, now);
+    reader_role_update(&cluster->role, cluster->membership, now);
     store_reader_set_active(cluster->reader, cluster->role.reads);
     write_revisions(cluster);
     if (membership_self(cluster->membership)->store_sound != was_sound)
@@ -177,6 +179,7 @@
         state_cache_trim(cluster->state, now > TOMBSTONE_US ? now - TOMBSTONE_US : 0);
     }
     state_sync_tick(cluster->sync, now);
+    uv_timer_start(timer, on_tick, cluster->operator_revision ? TICK_MS : FIRST_TICK_MS, 0);
 }
 
 static void take_sender(struct cluster *cluster, const Shuntrun__MemberMessage *message,
@@ -322,7 +325,7 @@
     cluster->last_tick = cluster_now();
     uv_timer_init(loop, &cluster->timer);
     cluster->timer.data = cluster;
-    uv_timer_start(&cluster->timer, on_tick, 10, TICK_MS);
+    uv_timer_start(&cluster->timer, on_tick, FIRST_TICK_MS, 0);
     return 0;
 }
 
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -40,7 +40,7 @@
     struct membership *membership;
     struct state_cache *state;
     struct http_service *service;
-    bool holds_all;              /**< all that the platform publishes, not only the operator's part */
+    bool holds_all; /**< all that the platform publishes, not only the operator's part */
     struct store_reader *reader; /**< NULL on nodes that never read the store */
     struct reader_role role;
     struct state_sync *sync;
--- a/src/cluster/news_push.c
+++ b/src/cluster/news_push.c
@@ -59,7 +59,8 @@
             add_item(pushed, item, now);
     }
     if (pushed->fits)
-        pushed->fits = shuntrun__state_changes__get_packed_size(&pushed->changes) <= PUSH_BYTES_MOST;
+        pushed->fits =
+            shuntrun__state_changes__get_packed_size(&pushed->changes) <= PUSH_BYTES_MOST;
 }
 
 static void tell(struct cluster *cluster, uint32_t address, struct pushed_changes *pushed)
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -120,8 +120,8 @@
 bool state_sync_take(struct state_sync *sync, const Shuntrun__StateChanges *changes)
 {
     struct cluster *cluster = sync->cluster;
-    uint64_t known = changes->operator_only ? cluster->operator_revision
-                                            : state_cache_revision(cluster->state);
+    uint64_t known =
+        changes->operator_only ? cluster->operator_revision : state_cache_revision(cluster->state);
     if (!known || changes->after > known)
         return false;
     if (changes->revision <= known)
@@ -133,7 +133,7 @@
     return true;
 }
 
-/* Who reads the store itself gets the change by itself, or is told by somebody near. */
+/* Who reads the store itself gets the change by itself, others are told by somebody near. */
 static bool asks_at_once(const struct state_sync *sync, bool near)
 {
     return near && !cluster_reads_store(sync->cluster);
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -28,6 +28,8 @@
 #define LATE_US 450000
 /** Only an answer within this time shows that it is not. */
 #define PROMPT_US 1500000
+/** A gateway that began so lately has heard no load yet: it waits for the first report. */
+#define FIRST_REPORTS_US 1000000
 /** Time in which back ends that live list themselves again, once the list's keeper is back. */
 #define RELIST_US 2500000
 
@@ -211,8 +213,7 @@
 static uint64_t weights_version(const struct backend_pool *pool, const struct backend *backend,
                                 uint64_t now)
 {
-    uint64_t reported = has_fresh_load(pool, backend, now) ? backend->load.version : 0;
-    return reported > backend->listing.version ? reported : backend->listing.version;
+    return has_fresh_load(pool, backend, now) ? backend->load.version : backend->listing.version;
 }
 
 static bool is_past_unlisting(const struct backend *backend, uint64_t now)
@@ -298,6 +299,33 @@
     return free > 0 ? free / (wish->gateways ? wish->gateways : 1) + backend->luck : 0;
 }
 
+/* After a start the list may name engines that are gone, or that lost their weights. */
+static bool awaits_first_report(const struct backend_pool *pool, const struct backend *backend,
+                                uint64_t now)
+{
+    return !backend->load_at && pool->settings.created &&
+           now < pool->settings.created + FIRST_REPORTS_US;
+}
+
+/* This gateway's part is mostly less than one place. Where others wait too, that decides whether it
+ * may send at all; else there is room for the first one. */
+static bool has_part(const struct backend_pool *pool, const struct backend_wish *wish,
+                     const struct backend *backend)
+{
+    uint32_t begun = backend->begun_since + (wish->contended ? 1 : 0);
+    double part = free_share(pool, wish, backend);
+    return wish->contended ? begun <= part : begun < part;
+}
+
+/* Requests that an engine may hold when this one has come. */
+static uint32_t places(const struct backend_pool *pool, const struct backend_wish *wish,
+                       const struct backend *backend)
+{
+    if (wish->room_share > 0 && wish->room_share < 1)
+        return (uint32_t)(wish->room_share * backend->listing.slots);
+    return backend->listing.slots + pool->settings.queue_per_engine;
+}
+
 static bool has_room(const struct backend_pool *pool, const struct backend_wish *wish,
                      const struct backend *backend, uint64_t now)
 {
@@ -306,11 +334,11 @@
     uint64_t tokens = unread_tokens(pool, wish, backend, now);
     if (tokens && tokens + wish->tokens > pool->settings.tokens_per_engine)
         return false;
-    uint32_t most = backend->listing.slots + pool->settings.queue_per_engine;
-    if (backend_occupancy(pool, backend, wish->gateways, now) >= most)
+    if (backend_occupancy(pool, backend, wish->gateways, now) >= places(pool, wish, backend))
         return false;
-    return !has_fresh_load(pool, backend, now) ||
-           backend->begun_since < free_share(pool, wish, backend);
+    if (!has_fresh_load(pool, backend, now))
+        return !awaits_first_report(pool, backend, now);
+    return has_part(pool, wish, backend);
 }
 
 /* Expected time to the first token of one more request at an engine, ms. */
@@ -419,6 +447,17 @@
     return fit_count ? BACKEND_FULL : BACKEND_NONE;
 }
 
+bool backend_pool_has_room(struct backend_pool *pool, const struct backend_wish *wish, uint64_t now)
+{
+    for (uint32_t i = 0; i < pool->count; i++) {
+        const struct backend *backend = pool->items[i];
+        if (is_fit(pool, wish, backend, now) && !backend->ejected_until &&
+            (wish->any_load || has_room(pool, wish, backend, now)))
+            return true;
+    }
+    return false;
+}
+
 void backend_begin(struct backend *backend, uint32_t tokens, uint64_t now)
 {
     if (!backend->unread)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -86,6 +86,7 @@
     uint32_t queue_per_engine;  /**< requests beyond its slots that a model engine may hold */
     uint32_t tokens_per_engine; /**< of prompts that an engine may still have to read */
     uint64_t load_fresh_us;     /**< older reports of load are not used */
+    uint64_t created;           /**< time at which this gateway began, 0: long ago */
 };
 
 struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
@@ -134,6 +135,8 @@
     uint32_t excluded_count;
     uint32_t gateways; /**< that send to the same back ends */
     bool any_load;     /**< also to one that is full */
+    bool contended;    /**< other requests wait for a place as well */
+    double room_share; /**< part of an engine's places that may be taken already; 0: all but one */
 };
 
 enum backend_absence {
@@ -145,6 +148,9 @@
 /** \brief Choose a back end for one request. */
 enum backend_absence backend_pool_choose(struct backend_pool *pool, const struct backend_wish *wish,
                                          uint64_t now, struct backend **chosen);
+/** \return whether a back end that is not ejected has room for the request */
+bool backend_pool_has_room(struct backend_pool *pool, const struct backend_wish *wish,
+                           uint64_t now);
 /** \return whether a request may still begin there, with weights of at least this version */
 bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
                        const struct backend_wish *wish, uint64_t now);
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -87,8 +87,8 @@
 
 static struct member_state *add_member(struct membership *membership, uint32_t address)
 {
-    membership->members = memory_resize(membership->members,
-                                        (membership->count + 1) * sizeof *membership->members);
+    membership->members =
+        memory_resize(membership->members, (membership->count + 1) * sizeof *membership->members);
     /* At a random place, so that not all nodes probe the members in the order of their joining. */
     uint64_t place = random_below(&membership->random, ++membership->count);
     struct member_state *member = &membership->members[place];
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -7,7 +7,8 @@
  *   the member, and after `suspect_us` holds it for dead. The cost for a node does not grow with
  *   the number of members.
  * - Dissemination: changes travel on the probes and acknowledgements, each a few times.
- * - Refutation: a member that hears that it is suspected or dead raises its incarnation and says so.
+ * - Refutation: a member that hears that it is suspected or dead raises its incarnation and says
+ * so.
  * - Repair: now and then two nodes compare digests of their tables and send what differs. Dead
  *   members and seeds are probed now and then, so that parted fleets find each other again.
  *
@@ -45,7 +46,7 @@
     char region[MEMBER_NAME_SIZE];
     bool draining;
     uint16_t traffic_port;
-    uint64_t state_revision;    /**< it knows up to here what the platform publishes, as last heard */
+    uint64_t state_revision; /**< it knows up to here what the platform publishes, as last heard */
     uint64_t operator_revision; /**< of the newest change by the operator that it knows, likewise */
     bool store_sound;           /**< it reads the platform's store and gets answers, likewise */
     uint64_t heard_at;          /**< time of its last own message, 0: none */
@@ -55,11 +56,12 @@
 };
 
 struct membership_settings {
-    uint64_t period_us;  /**< one probe in each */
-    uint64_t direct_us;  /**< wait for an acknowledgement before others are asked */
-    uint64_t suspect_us; /**< time for a suspected member to refute */
-    uint64_t forget_us;  /**< time for which the dead are remembered */
-    uint64_t compare_us; /**< time between comparisons of tables */
+    uint64_t period_us;   /**< one probe in each */
+    uint64_t direct_us;   /**< wait for an acknowledgement before others are asked */
+    uint64_t suspect_us;  /**< time for a suspected member to refute */
+    uint64_t forget_us;   /**< time for which the dead are remembered */
+    uint64_t compare_us;  /**< time between comparisons of tables */
+    uint64_t question_us; /**< time between questions of a node that knows nobody */
 };
 
 /** How messages leave; the message is valid during the call only. */
--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -47,6 +47,7 @@
     uint64_t last_tick;
     uint64_t next_period;
     uint64_t next_compare;
+    uint64_t next_question;
     uint64_t periods;
     uint64_t messages; /* sent with changes */
     uint64_t heard_at; /* time of the last message from anybody */
--- a/src/core/membership_news.c
+++ b/src/core/membership_news.c
@@ -161,7 +161,7 @@
         send_page(membership, &page, address);
         pages++;
     }
-    if (page.message.n_members || own[bucket_of(&membership->self)] !=
-                                      digests[bucket_of(&membership->self)])
+    if (page.message.n_members ||
+        own[bucket_of(&membership->self)] != digests[bucket_of(&membership->self)])
         send_page(membership, &page, address);
 }
--- a/src/core/membership_probe.c
+++ b/src/core/membership_probe.c
@@ -190,20 +190,33 @@
     return true;
 }
 
-/* Whoever knows nobody asks all seeds; others look now and then for those that were lost. */
+/* Now and then a node looks for those that were lost. */
 static void look_for_others(struct membership *membership)
 {
-    bool alone = knows_nobody(membership);
-    if (!alone && membership->periods % DEAD_PERIODS != 0)
+    if (membership->periods % DEAD_PERIODS != 0)
         return;
-    ask_seeds(membership, alone);
+    ask_seeds(membership, false);
     if (membership->count)
         ask_a_dead_one(membership);
 }
 
+/* Seeds may start a moment later than this node: they are asked until one has answered. */
+static bool find_anybody(struct membership *membership, uint64_t now)
+{
+    if (!knows_nobody(membership))
+        return true;
+    if (now >= membership->next_question) {
+        membership->next_question = now + membership->settings.question_us;
+        ask_seeds(membership, true);
+    }
+    return false;
+}
+
 void membership_probe_tick(struct membership *membership, uint64_t now)
 {
     struct probe *probe = &membership->probe;
+    if (!find_anybody(membership, now) && !membership->count)
+        return;
     if (probe->target && !probe->relayed && now >= probe->began + membership->settings.direct_us &&
         !is_answered(membership))
         ask_helpers(membership);
--- a/src/core/reader_role.c
+++ b/src/core/reader_role.c
@@ -10,6 +10,8 @@
 #define STEP_IN_US 700000
 /** Who need not read goes on for so long, as views of who lives differ for a moment. */
 #define STEP_OUT_US 2000000
+/** After its start a node looks for other gateways for so long. */
+#define FIRST_LOOK_US 300000
 #define READER_KEY 0x72656164657273ULL
 
 static bool is_candidate(const struct member_state *member, const char *region)
@@ -26,8 +28,8 @@
     uint32_t before = 0;
     for (uint32_t i = 0; i < membership_count(membership); i++) {
         const struct member_state *member = membership_at(membership, i);
-        before += is_candidate(member, self->region) &&
-                  hash_pair(READER_KEY, member->address) > own;
+        before +=
+            is_candidate(member, self->region) && hash_pair(READER_KEY, member->address) > own;
     }
     return before;
 }
@@ -69,10 +71,21 @@
     return own_rank(membership) < readers;
 }
 
-bool reader_role_update(struct reader_role *role, struct membership *membership, bool known,
-                        uint64_t now)
+static bool knows_a_gateway(const struct membership *membership)
 {
-    if (!known || is_needed(role, membership, now)) {
+    for (uint32_t i = 0; i < membership_count(membership); i++)
+        if (membership_at(membership, i)->role == MEMBER_GATEWAY)
+            return true;
+    return false;
+}
+
+bool reader_role_update(struct reader_role *role, struct membership *membership, uint64_t now)
+{
+    if (!role->first_update)
+        role->first_update = now;
+    if (!knows_a_gateway(membership) && now < role->first_update + FIRST_LOOK_US)
+        return false;
+    if (is_needed(role, membership, now)) {
         role->needless_since = 0;
         role->reads = true;
     } else if (!role->needless_since) {
--- a/src/core/reader_role.h
+++ b/src/core/reader_role.h
@@ -11,17 +11,17 @@
 
 struct reader_role {
     bool reads;
-    uint64_t unsound_since; /**< no reader of the region got answers since then; 0: one does */
+    uint64_t unsound_since;  /**< no reader of the region got answers since then; 0: one does */
     uint64_t needless_since; /**< this node need not read since then; 0: it must */
+    uint64_t first_update;   /**< time of the first decision, 0: none yet */
 };
 
 /**
  * \brief Decide anew, from who lives and what readers said of the store.
- * \param known false: this node knows nothing that the platform published, and reads in any case
+ * A node that has just begun, and knows no other gateway, waits a moment for one.
  * \return whether this node is to read
  */
-bool reader_role_update(struct reader_role *role, struct membership *membership, bool known,
-                        uint64_t now);
+bool reader_role_update(struct reader_role *role, struct membership *membership, uint64_t now);
 /** \return whether a gateway of the own region, or else of any, reads the store and gets answers */
 bool reader_role_somebody_is_sound(struct membership *membership);
 
--- a/src/core/repeat_budget.c
+++ b/src/core/repeat_budget.c
@@ -49,7 +49,7 @@
     budget->requests[budget->step % (REPEAT_BUDGET_STEPS + 1)]++;
 }
 
-bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now, uint32_t gateways)
+bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now, uint32_t gateways)
 {
     advance(budget, now);
     double part = 1.0;
@@ -58,7 +58,12 @@
         part = 0.5;
     double allowance = part * budget->settings.allowance / (gateways ? gateways : 1);
     double bound = USED_SHARE * (budget->settings.ratio * sum(budget->requests) + allowance);
-    if (sum(budget->repeats) + 1 > bound)
+    return sum(budget->repeats) + 1 <= bound;
+}
+
+bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now, uint32_t gateways)
+{
+    if (!repeat_budget_allows(budget, now, gateways))
         return false;
     budget->repeats[budget->step % (REPEAT_BUDGET_STEPS + 1)]++;
     return true;
--- a/src/core/repeat_budget.h
+++ b/src/core/repeat_budget.h
@@ -32,6 +32,8 @@
                         uint64_t now);
 /** \brief Count a request from a client. */
 void repeat_budget_earn(struct repeat_budget *budget, uint64_t now);
+/** \return whether a repeat may be taken now */
+bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now, uint32_t gateways);
 /** \brief Take one repeat. \param gateways that share the allowance \return false: do not repeat */
 bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now, uint32_t gateways);
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -31,22 +31,22 @@
 /* --- what the platform publishes
  * ------------------------------------------------------------------- */
 
-struct repeat_budget *edge_budget(struct edge *edge, const char *service)
+struct service_state *edge_service(struct edge *edge, const char *service)
 {
-    for (uint32_t i = 0; i < edge->budget_count; i++)
-        if (strcmp(edge->budgets[i].service, service) == 0)
-            return &edge->budgets[i].budget;
-    if (edge->budget_count == EDGE_SERVICES_MOST)
-        return &edge->budgets[0].budget;
-    struct service_budget *entry = &edge->budgets[edge->budget_count++];
+    for (uint32_t i = 0; i < edge->service_count; i++)
+        if (strcmp(edge->services[i].service, service) == 0)
+            return &edge->services[i];
+    if (edge->service_count == EDGE_SERVICES_MOST)
+        return &edge->services[0];
+    struct service_state *state = &edge->services[edge->service_count++];
     struct repeat_budget_settings settings = {
         .ratio = strtod(edge->settings->repeat_budget_ratio, NULL),
         .allowance = (uint32_t)edge->settings->repeat_budget_allowance,
         .window_us = edge->settings->repeat_budget_window_s * 1000000,
     };
-    snprintf(entry->service, sizeof entry->service, "%s", service);
-    repeat_budget_init(&entry->budget, &settings, cluster_now());
-    return &entry->budget;
+    snprintf(state->service, sizeof state->service, "%s", service);
+    repeat_budget_init(&state->budget, &settings, cluster_now());
+    return state;
 }
 
 static void take_configuration(struct edge *edge, const struct state_item *item)
@@ -182,8 +182,7 @@
         add_address(list, self);
     for (uint32_t i = 0; i < membership_count(members); i++) {
         const struct member_state *member = membership_at(members, i);
-        if (member->role == MEMBER_GATEWAY && !member->draining &&
-            member_is_trusted(member) &&
+        if (member->role == MEMBER_GATEWAY && !member->draining && member_is_trusted(member) &&
             (!same_zone || strcmp(member->zone, place->zone) == 0))
             add_address(list, member);
     }
@@ -336,7 +335,8 @@
     struct backend_pool_settings pool = {.queue_per_engine = (uint32_t)settings->engine_queue,
                                          .tokens_per_engine =
                                              (uint32_t)settings->engine_unread_tokens,
-                                         .load_fresh_us = LOAD_FRESH_US};
+                                         .load_fresh_us = LOAD_FRESH_US,
+                                         .created = cluster_now()};
     edge->settings = settings;
     edge->loop = uv_default_loop();
     edge->started = cluster_now();
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -21,10 +21,11 @@
 struct exchange;
 struct upstream;
 
-/** Shared repeat budget of one service. */
-struct service_budget {
+/** What this edge keeps of one service. */
+struct service_state {
     char service[BACKEND_NAME_SIZE];
     struct repeat_budget budget;
+    uint64_t longest_deadline_us; /**< that a client was seen to wait */
 };
 
 struct edge {
@@ -35,8 +36,8 @@
     struct route_table *table; /**< NULL before the first configuration */
     struct backend_pool *pool;
     struct version_bounds versions;
-    struct service_budget budgets[EDGE_SERVICES_MOST];
-    uint32_t budget_count;
+    struct service_state services[EDGE_SERVICES_MOST];
+    uint32_t service_count;
     struct random_stream random;
     uv_tcp_t listener;
     struct http_service *directory;
@@ -129,6 +130,7 @@
 /* --- the edge itself: edge.c
  * ------------------------------------------------------------------------ */
 
-struct repeat_budget *edge_budget(struct edge *edge, const char *service);
+/** \brief State of a service, begun at its first use. */
+struct service_state *edge_service(struct edge *edge, const char *service);
 
 #endif
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -8,7 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WAIT_LEAST_US 15000
 /** Time for which a request without a client deadline or route timeout is held. */
 #define FALLBACK_TIMEOUT_MS 10000
 /** Silence before the first byte after which a repeatable request goes elsewhere. */
@@ -16,6 +15,8 @@
 #define SILENCE_LEAST_US 300000
 /** Silence between events after which a resumable stream goes elsewhere. */
 #define STREAM_SILENCE_US 1000000
+/** A back end that gave an answer so lately works. */
+#define ANSWERS_LATELY_US 500000
 
 /* --- time ----------------------------------------------------------------------------------------
  */
@@ -26,15 +27,23 @@
            exchange->upstream;
 }
 
+/* A silence that was borne before, as nothing better was to be had, is counted anew. */
+static uint64_t silence_began(const struct exchange *exchange, uint64_t last_sign)
+{
+    return exchange->silence_borne_at > last_sign ? exchange->silence_borne_at : last_sign;
+}
+
 /* Time at which the silence of the back end is too long, 0: never. */
 static uint64_t silence_end(const struct exchange *exchange)
 {
     if (exchange->state != EXCHANGE_SENT || exchange->paused || !may_go_elsewhere(exchange))
         return 0;
     if (exchange->streaming)
-        return exchange->last_event_at + STREAM_SILENCE_US;
+        return silence_began(exchange, exchange->last_event_at) + STREAM_SILENCE_US;
     uint64_t silence = (uint64_t)(SILENCE_TARGETS * exchange->route->target_ms * MS_US);
-    return exchange->sent_at + (silence > SILENCE_LEAST_US ? silence : SILENCE_LEAST_US);
+    if (silence < SILENCE_LEAST_US)
+        silence = SILENCE_LEAST_US;
+    return silence_began(exchange, exchange->sent_at) + silence;
 }
 
 static uint64_t next_moment(const struct exchange *exchange)
@@ -58,10 +67,26 @@
         upstream_pause(exchange->upstream, false);
 }
 
+/* With no other place for the request the answer may still come: from a back end that answers
+ * others, or for a client that will not come back. */
+static bool bears_silence(struct exchange *exchange, uint64_t now)
+{
+    if (exchange_may_move(exchange))
+        return false;
+    bool answers_others = now < exchange->backend->last_answer_at + ANSWERS_LATELY_US;
+    return waiting_came_back(&exchange->terms) ||
+           (answers_others && exchange->silence_borne_at < exchange->sent_at);
+}
+
 static void on_silence(struct exchange *exchange)
 {
     if (upstream_is_sent(exchange->upstream)) {
         exchange_count_send(exchange);
+        if (bears_silence(exchange, cluster_now())) {
+            exchange->silence_borne_at = cluster_now();
+            exchange_arm(exchange);
+            return;
+        }
         exchange_on_broken(exchange, BACKEND_SILENT, "silent");
         return;
     }
@@ -130,6 +155,22 @@
     return query ? (size_t)(query - request->text.data) : request->target_length;
 }
 
+static void set_waiting_terms(struct exchange *exchange)
+{
+    struct service_state *service = exchange->state_of_service;
+    uint64_t deadline_us = exchange->head.deadline_ms * MS_US;
+    if (deadline_us > service->longest_deadline_us)
+        service->longest_deadline_us = deadline_us;
+    exchange->terms = (struct waiting_terms){
+        .arrived = exchange->arrived,
+        .deadline_us = deadline_us,
+        .longest_deadline_us = service->longest_deadline_us,
+        .target_us = exchange->route->target_ms * MS_US,
+        .wait_percent = (uint32_t)exchange->edge->settings->wait_percent,
+    };
+    exchange->wait_until = waiting_until(&exchange->terms);
+}
+
 static void set_times(struct exchange *exchange)
 {
     uint64_t hold_ms = exchange->route->timeout_ms;
@@ -137,11 +178,9 @@
         hold_ms = FALLBACK_TIMEOUT_MS;
     if (exchange->head.deadline_ms && exchange->head.deadline_ms < hold_ms)
         hold_ms = exchange->head.deadline_ms;
-    uint64_t wait =
-        exchange->edge->settings->wait_percent * exchange->route->target_ms * MS_US / 100;
     exchange->arrived = cluster_now();
     exchange->final_at = exchange->arrived + hold_ms * MS_US;
-    exchange->wait_until = exchange->arrived + (wait > WAIT_LEAST_US ? wait : WAIT_LEAST_US);
+    set_waiting_terms(exchange);
 }
 
 static struct exchange *exchange_create(struct edge *edge, struct edge_client *client,
@@ -157,6 +196,7 @@
     exchange->service = route_table_service(edge->table, service);
     exchange->tenant = tenant == ROUTE_NO_TENANT ? NULL : route_table_tenant(edge->table, tenant);
     exchange->head = *head;
+    exchange->state_of_service = edge_service(edge, exchange->service->name);
     set_times(exchange);
     uv_timer_init(edge->loop, &exchange->timer);
     exchange->timer.data = exchange;
@@ -189,7 +229,7 @@
         return NULL;
     }
     struct exchange *exchange = exchange_create(edge, client, &head, route, tenant);
-    repeat_budget_earn(edge_budget(edge, exchange->service->name), exchange->arrived);
+    repeat_budget_earn(&exchange->state_of_service->budget, exchange->arrived);
     return exchange;
 }
 
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -5,6 +5,7 @@
 #ifndef SHUNTRUN_EXCHANGE_INTERNAL_H
 #define SHUNTRUN_EXCHANGE_INTERNAL_H
 
+#include "core/waiting.h"
 #include "edge/edge_internal.h"
 
 #define MS_US ((uint64_t)1000)
@@ -21,6 +22,8 @@
     const struct route *route;
     const struct service_entry *service;
     const struct tenant_entry *tenant; /* NULL: none */
+    struct service_state *state_of_service;
+    struct waiting_terms terms;
     struct request_head head;
     enum exchange_state state;
     uint64_t arrived;
@@ -37,6 +40,7 @@
     uint64_t sent_at;
     uint64_t first_byte_at; /* of the present back end, 0: none */
     uint64_t last_event_at;
+    uint64_t silence_borne_at; /* time at which a long silence was borne, as no other was free */
     bool streaming; /* the head went out to the client */
     struct event_stream events;
     uint64_t version; /* of the weights of the first back end */
@@ -83,6 +87,8 @@
 void exchange_leave_line(struct exchange *exchange);
 /** \brief Send to a back end, wait in line for one, or give up. */
 void exchange_dispatch(struct exchange *exchange);
+/** \return whether another back end has room and the shared budget a repeat for it */
+bool exchange_may_move(struct exchange *exchange);
 /** \brief Go to another back end, if attempts, time and the shared budget allow it. */
 void exchange_try_again(struct exchange *exchange, const char *reason);
 
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -57,6 +57,8 @@
         .exact_version = exchange->resuming ? exchange->version : 0,
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
+        .contended = exchange->edge->waiting != NULL,
+        .room_share = exchange->sends ? 0 : waiting_room_share(&exchange->terms, now),
     };
     for (uint32_t i = 0; i < exchange->tried_count; i++)
         wish->excluded[wish->excluded_count++] = exchange->tried[i];
@@ -164,22 +166,63 @@
     return count;
 }
 
-void exchange_dispatch_waiting(struct edge *edge)
+/* \return whether the exchange has left the line */
+static bool dispatch_one(struct exchange *exchange, uint64_t now, enum backend_absence *absence)
 {
+    struct backend_wish wish;
+    struct backend *backend;
+    fill_wish(exchange, now, &wish);
+    *absence = backend_pool_choose(exchange->edge->pool, &wish, now, &backend);
+    if (*absence != BACKEND_FOUND)
+        return false;
+    exchange_leave_line(exchange);
+    send_to(exchange, backend, now);
+    return true;
+}
+
+/* Offer places to those in line that are overdue, or to those that are not. Once nothing of a
+ * service takes an overdue request, it takes no other one either. */
+static void dispatch_line(struct edge *edge, bool overdue)
+{
+    const struct service_state *closed = NULL;
+    uint64_t now = cluster_now();
     for (struct exchange *exchange = edge->waiting, *next; exchange; exchange = next) {
+        enum backend_absence absence;
         next = exchange->next_waiting;
-        uint64_t now = cluster_now();
-        struct backend_wish wish;
-        struct backend *backend;
-        fill_wish(exchange, now, &wish);
-        if (backend_pool_choose(edge->pool, &wish, now, &backend) != BACKEND_FOUND)
+        if (waiting_is_overdue(&exchange->terms, now) != overdue ||
+            exchange->state_of_service == closed)
             continue;
-        exchange_leave_line(exchange);
-        send_to(exchange, backend, now);
-        next = edge->waiting; /* a send that fails may have changed the line */
+        if (dispatch_one(exchange, now, &absence))
+            next = edge->waiting; /* a send that fails may have changed the line */
+        else if (overdue || absence == BACKEND_NONE)
+            closed = exchange->state_of_service;
     }
 }
 
+void exchange_dispatch_waiting(struct edge *edge)
+{
+    if (!edge->waiting)
+        return;
+    dispatch_line(edge, false);
+    dispatch_line(edge, true);
+}
+
+bool exchange_may_move(struct exchange *exchange)
+{
+    struct edge *edge = exchange->edge;
+    uint64_t now = cluster_now();
+    struct backend_wish wish;
+    if (exchange->sends >= exchange->route->attempts || exchange->final_at < now + RETRY_LEAST_US ||
+        !repeat_budget_allows(&exchange->state_of_service->budget, now, edge->gateways_most))
+        return false;
+    fill_wish(exchange, now, &wish);
+    wish.exact_version = exchange->streaming ? exchange->version : 0;
+    wish.any_load = exchange->streaming;
+    if (wish.excluded_count < BACKEND_MAX_EXCLUDED)
+        wish.excluded[wish.excluded_count++] = exchange->backend;
+    return backend_pool_has_room(edge->pool, &wish, now);
+}
+
 /* Go to another back end, if the rules and the budget allow it. */
 void exchange_try_again(struct exchange *exchange, const char *reason)
 {
@@ -190,8 +233,7 @@
         exchange_give_up_truly(exchange, reason);
         return;
     }
-    if (!repeat_budget_spend(edge_budget(edge, exchange->service->name), now,
-                             edge->gateways_most)) {
+    if (!repeat_budget_spend(&exchange->state_of_service->budget, now, edge->gateways_most)) {
         metric_add(METRIC_BUDGET_SPENT, 1);
         log_event(LOG_LEVEL_WARN, "request", "budget-spent", "request=%s service=%s gateways=%u",
                   exchange->head.id, exchange->service->name, edge->gateways_most);
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -18,7 +18,7 @@
 
 #define MANIFEST_PATH "/manifest"
 #define PIECE_PATH "/piece"
-#define MANIFEST_TIMEOUT_MS 700
+#define MANIFEST_TIMEOUT_MS 400
 #define PIECE_TIMEOUT_MS 2500
 /** A member that should have read a piece from the origin answers within this time, or is dead. */
 #define PROBE_TIMEOUT_US 350000
@@ -26,7 +26,7 @@
 #define PIECE_LIMIT (8U << 20)
 #define PEERS_MOST 512
 /** Pause between questions for a manifest; it grows by as much with each, up to the last one. */
-#define MANIFEST_PAUSE_US 60000
+#define MANIFEST_PAUSE_US 30000
 #define MANIFEST_PAUSES_MOST 5
 /** Who does not read from the origin asks it for the manifest only after so many questions. */
 #define MANIFEST_PEER_TRIES 10
@@ -37,7 +37,7 @@
 #define STATUS_PENDING 409
 #define PLAN_INTERVAL_US 500000
 /** A node that joins late asks its peers for so long before it reads the origin. */
-#define JOIN_HOLD_US 600000
+#define JOIN_HOLD_US 300000
 /** A fetch that got no piece for so long does not progress. */
 #define PROGRESS_US 800000
 #define PROGRESS_LOG_US 400000
@@ -73,7 +73,7 @@
     struct sockaddr_in origin;
     uint64_t version;
     uint64_t rollout; /* key of the version */
-    bool recent; /* the version was named a moment ago: nobody can have it yet */
+    bool recent;      /* the version was named a moment ago: nobody can have it yet */
     struct piece_manifest manifest;
     char *manifest_body;
     size_t manifest_size;
@@ -147,8 +147,8 @@
     struct swarm_settings settings = swarm_settings_of(store);
     uint64_t self = membership_self(store->cluster->membership)->address;
     store->pieces = memory_zero(store->manifest.count, sizeof *store->pieces);
-    store->swarm = swarm_create(&settings, self, store->rollout,
-                                store->manifest.count, cluster_now() ^ self, &driver);
+    store->swarm = swarm_create(&settings, self, store->rollout, store->manifest.count,
+                                cluster_now() ^ self, &driver);
 }
 
 /* --- manifest -----------------------------------------------------------------------------------
@@ -199,8 +199,8 @@
 {
     uint32_t try = store->manifest_tries;
     bool reads = piece_plan_reads_origin(store->cluster, store->rollout);
-    bool ask_origin = reads ? try % 2 == (store->recent ? 0 : 1)
-                            : try >= MANIFEST_PEER_TRIES && try % 4 == 0;
+    bool ask_origin =
+        reads ? try % 2 == (store->recent ? 0 : 1) : try >= MANIFEST_PEER_TRIES && try % 4 == 0;
     if (ask_origin)
         return 0;
     return piece_plan_random_loader(store->cluster, store->rollout, try % 2 == 0);
@@ -391,9 +391,8 @@
 
 static void refresh_plan(struct piece_store *store, uint64_t now)
 {
-    struct swarm_plan *plan =
-        piece_plan_refresh(store->cluster, store->rollout,
-                           store->manifest.count, &store->members_hash);
+    struct swarm_plan *plan = piece_plan_refresh(store->cluster, store->rollout,
+                                                 store->manifest.count, &store->members_hash);
     if (!plan)
         return;
     swarm_set_plan(store->swarm, now, plan);
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -247,9 +247,77 @@
     backend_pool_destroy(pool);
 }
 
+static void overdue_requests_leave_places_to_others(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 1, 0);
+    report(pool, 1, (struct backend_load){.running = 8, .version = 1}, SECOND_US);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    wish.room_share = 0.5;
+    assert_null(choose(pool, &wish, SECOND_US));
+    wish.room_share = 0.6;
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+/* Every gateway sees the same report: together they must not send much more than there is room. */
+static void many_gateways_do_not_overfill_an_engine(void **state)
+{
+    const uint32_t gateways = 34;
+    uint32_t begun = 0;
+    for (uint32_t gateway = 0; gateway < gateways; gateway++) {
+        struct backend_pool *pool = backend_pool_create(&settings, gateway + 1);
+        struct backend_wish wish = wish_of();
+        struct backend *backend;
+        wish.gateways = gateways;
+        wish.contended = true;
+        wish.tokens = 10;
+        wish.usual_tokens = 10;
+        add(pool, 1, 1, 0);
+        report(pool, 1, (struct backend_load){.version = 1}, SECOND_US);
+        while (begun < 1000 && (backend = choose(pool, &wish, SECOND_US))) {
+            backend_begin(backend, 10, SECOND_US);
+            begun++;
+        }
+        backend_pool_destroy(pool);
+    }
+    assert_in_range(begun, 12, 26); /* 16 slots and a queue of 3 */
+}
+
+static void a_report_of_lost_weights_goes_before_the_list(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 2, 0);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    report(pool, 1, (struct backend_load){.version = 0}, SECOND_US);
+    assert_null(choose(pool, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void a_gateway_that_has_just_begun_waits_for_reports(void **state)
+{
+    struct backend_pool_settings young = settings;
+    young.created = SECOND_US;
+    struct backend_pool *pool = backend_pool_create(&young, 1);
+    struct backend_wish wish = wish_of();
+    struct backend *chosen;
+    add(pool, 1, 2, 0);
+    assert_int_equal(backend_pool_choose(pool, &wish, SECOND_US + 1000, &chosen), BACKEND_FULL);
+    assert_non_null(choose(pool, &wish, 3 * SECOND_US));
+    report(pool, 1, (struct backend_load){.version = 2}, SECOND_US + 2000);
+    assert_non_null(choose(pool, &wish, SECOND_US + 3000));
+    backend_pool_destroy(pool);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(overdue_requests_leave_places_to_others),
+        cmocka_unit_test(many_gateways_do_not_overfill_an_engine),
+        cmocka_unit_test(a_report_of_lost_weights_goes_before_the_list),
+        cmocka_unit_test(a_gateway_that_has_just_begun_waits_for_reports),
         cmocka_unit_test(draining_and_empty_engines_get_nothing),
         cmocka_unit_test(a_dropped_entry_lasts_until_its_time),
         cmocka_unit_test(nothing_is_dropped_while_the_list_fails),
