--- a/src/cluster/news_push.c
+++ b/src/cluster/news_push.c
@@ -8,8 +8,8 @@
 #include <string.h>
 
 /** Larger changes do not travel in a message. */
-#define PUSH_BYTES_MOST 1200
-#define PUSH_ITEMS_MOST 12
+#define PUSH_BYTES_MOST 4000
+#define PUSH_ITEMS_MOST 24
 
 /** Changes in the form of a message; points into the state. */
 struct pushed_changes {
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -242,12 +242,15 @@
         http_caller_abort(owner->prefixes[i].caller);
 }
 
-bool store_reader_is_sound(const struct store_reader *owner)
+bool store_reader_is_failing(const struct store_reader *owner)
 {
-    if (!owner->active || !owner->answered)
-        return false;
     for (uint32_t i = 0; i < owner->count; i++)
         if (owner->prefixes[i].failures)
-            return false;
-    return true;
+            return true;
+    return false;
+}
+
+bool store_reader_is_sound(const struct store_reader *owner)
+{
+    return owner->active && owner->answered && !store_reader_is_failing(owner);
 }
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -32,13 +32,16 @@
 #define FIRST_REPORTS_US 1000000
 /** Time in which back ends that live list themselves again, once the list's keeper is back. */
 #define RELIST_US 2500000
+/** News of what it lost meanwhile come so long after it is back. */
+#define DOUBT_US 600000
 
 struct backend_pool {
     struct backend_pool_settings settings;
     struct random_stream random;
     struct backend **items;
     uint32_t count;
-    bool trusted; /* the list's keeper works */
+    bool trusted;           /* the list's keeper works */
+    uint64_t trusted_since; /* time at which it was back, 0: it never failed */
 };
 
 struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
@@ -130,35 +133,49 @@
     backend->distance = distance;
     backend->listed = true;
     backend->unlisted_until = 0;
+    backend->doubtful = false;
     drop_others_at(pool, backend);
     return backend;
 }
 
-void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until)
+void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until, uint64_t now)
 {
     struct backend *backend = find(pool, id);
     if (!backend)
         return;
-    if (backend->listing.draining)
+    if (backend->listing.draining) {
         drop_backend(pool, backend);
-    else if (!backend->unlisted_until)
-        backend->unlisted_until = until;
+        return;
+    }
+    if (backend->unlisted_until)
+        return;
+    backend->doubtful =
+        !pool->trusted || (pool->trusted_since && now < pool->trusted_since + DOUBT_US);
+    backend->unlisted_until = backend->doubtful ? now + RELIST_US : until;
 }
 
-static void extend_unlisted(struct backend_pool *pool, uint64_t until)
+static void extend_doubtful(struct backend_pool *pool, uint64_t until)
 {
     for (uint32_t i = 0; i < pool->count; i++)
-        if (pool->items[i]->unlisted_until && pool->items[i]->unlisted_until < until)
+        if (pool->items[i]->unlisted_until && pool->items[i]->doubtful)
             pool->items[i]->unlisted_until = until;
 }
 
+static bool is_overdue(const struct backend *backend, bool trusted, uint64_t now)
+{
+    return backend->unlisted_until && backend->unlisted_until <= now &&
+           (trusted || !backend->doubtful);
+}
+
 void backend_pool_settle(struct backend_pool *pool, bool trusted, uint64_t now)
 {
     if (!trusted || !pool->trusted)
-        extend_unlisted(pool, now + RELIST_US);
+        extend_doubtful(pool, now + RELIST_US);
+    if (trusted && !pool->trusted)
+        pool->trusted_since = now;
     pool->trusted = trusted;
-    for (uint32_t i = pool->count; trusted && i-- > 0;)
-        if (pool->items[i]->unlisted_until && pool->items[i]->unlisted_until <= now)
+    for (uint32_t i = pool->count; i-- > 0;)
+        if (is_overdue(pool->items[i], trusted, now))
             drop(pool, i);
 }
 
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -57,6 +57,7 @@
     uint32_t references;      /**< of the pool, of requests and of connections */
     bool listed;              /**< false: the list has dropped it */
     uint64_t unlisted_until;  /**< dropped by the list, but usable until then; 0: listed */
+    bool doubtful;            /**< dropped by a list whose keeper failed */
     uint16_t distance;        /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight;       /**< requests of this gateway */
     uint32_t unread;          /**< those of them that have no byte of an answer yet */
@@ -98,13 +99,14 @@
                                   uint16_t distance);
 /**
  * \brief The list has dropped a back end. It stays usable until `until`, as the list may drop back
- * ends that live and list them again; one that said it leaves is dropped at once.
+ * ends that live and list them again; one that said it leaves is dropped at once. What is dropped
+ * while the list's keeper fails, or just after that, is doubtful: see backend_pool_settle().
  */
-void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until);
+void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until, uint64_t now);
 /**
  * \brief Drop what was unlisted and did not come back in time.
- * \param trusted false while the list's keeper fails: then nothing is dropped, as it may have lost
- *        entries of back ends that live; they get some more time when it is back
+ * \param trusted false while the list's keeper fails: doubtful entries then stay, as it may have
+ * lost entries of back ends that live; they get some more time when it is back
  */
 void backend_pool_settle(struct backend_pool *pool, bool trusted, uint64_t now);
 /** \brief The back end at an address is no longer the listed one. */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -76,7 +76,7 @@
     if (item->gone) {
         log_event(LOG_LEVEL_INFO, "backend", "gone", "id=%s revision=%" PRIu64 " age_ms=%" PRIu64,
                   id, item->revision, (cluster_now() - item->learned) / 1000);
-        backend_pool_unlist(edge->pool, id, item->learned + UNLISTED_US);
+        backend_pool_unlist(edge->pool, id, item->learned + UNLISTED_US, cluster_now());
         return;
     }
     if (platform_parse_backend(id, item->value, item->size, &listing) != STATUS_OK) {
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -71,7 +71,7 @@
     struct backend_pool *pool = backend_pool_create(&settings, 1);
     struct backend_wish wish = wish_of();
     add(pool, 1, 1, 0);
-    backend_pool_unlist(pool, "i-1", 10 * SECOND_US);
+    backend_pool_unlist(pool, "i-1", 10 * SECOND_US, 8 * SECOND_US);
     assert_non_null(choose(pool, &wish, 9 * SECOND_US));
     assert_null(choose(pool, &wish, 10 * SECOND_US));
     backend_pool_settle(pool, true, 10 * SECOND_US);
@@ -79,12 +79,13 @@
     backend_pool_destroy(pool);
 }
 
-static void nothing_is_dropped_while_the_list_fails(void **state)
+static void what_a_failing_list_drops_is_doubted(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
     struct backend_wish wish = wish_of();
     add(pool, 1, 1, 0);
-    backend_pool_unlist(pool, "i-1", 10 * SECOND_US);
+    backend_pool_settle(pool, false, 8 * SECOND_US);
+    backend_pool_unlist(pool, "i-1", 10 * SECOND_US, 8 * SECOND_US);
     backend_pool_settle(pool, false, 9 * SECOND_US);
     backend_pool_settle(pool, false, 11 * SECOND_US);
     assert_non_null(choose(pool, &wish, 12 * SECOND_US));
@@ -96,6 +97,35 @@
     backend_pool_destroy(pool);
 }
 
+static void what_was_lost_meanwhile_is_told_when_the_list_is_back(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 1, 0);
+    backend_pool_settle(pool, false, 8 * SECOND_US);
+    backend_pool_settle(pool, true, 9 * SECOND_US);
+    backend_pool_unlist(pool, "i-1", 9 * SECOND_US + 100, 9 * SECOND_US + SECOND_US / 5);
+    assert_non_null(choose(pool, &wish, 11 * SECOND_US));
+    assert_null(choose(pool, &wish, 12 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+/* granite-lane-grown trouble-1: a gateway began to read the store and counted as one without
+ * answers until its first watch ended; an entry that had gone before got new time from that. */
+static void what_a_sound_list_dropped_stays_dropped_when_it_fails(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 1, 0);
+    backend_pool_settle(pool, true, 8 * SECOND_US);
+    backend_pool_unlist(pool, "i-1", 10 * SECOND_US, 8 * SECOND_US);
+    backend_pool_settle(pool, false, 9 * SECOND_US);
+    assert_non_null(choose(pool, &wish, 9 * SECOND_US));
+    backend_pool_settle(pool, false, 10 * SECOND_US);
+    assert_null(choose(pool, &wish, 10 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
 static void an_address_belongs_to_its_newest_start(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -305,7 +335,9 @@
         cmocka_unit_test(a_gateway_that_has_just_begun_waits_for_reports),
         cmocka_unit_test(draining_and_empty_engines_get_nothing),
         cmocka_unit_test(a_dropped_entry_lasts_until_its_time),
-        cmocka_unit_test(nothing_is_dropped_while_the_list_fails),
+        cmocka_unit_test(what_a_failing_list_drops_is_doubted),
+        cmocka_unit_test(what_was_lost_meanwhile_is_told_when_the_list_is_back),
+        cmocka_unit_test(what_a_sound_list_dropped_stays_dropped_when_it_fails),
         cmocka_unit_test(an_address_belongs_to_its_newest_start),
         cmocka_unit_test(old_versions_get_nothing_in_time),
         cmocka_unit_test(an_engine_on_a_slow_link_gets_no_old_version_late),
