With many gateways chance decides in proportion whether one may send to an engine at all

Cause: a gateway might always send one request for each report of an engine's load. Change: a gateway sends when its part, twice the free places divided by the gateways, and a chance drawn with each report make a whole place; so all together send in proportion to what is free. Also: connections of a rollout are a module (loader/piece_sources); readers ask the origin for the manifest first; a loader that joins waits 0.15 s for peers instead of 0.3 s.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -28,6 +28,8 @@
 #define LATE_US 450000
 /** Only an answer within this time shows that it is not. */
 #define PROMPT_US 1500000
+/** So much more than its part a gateway may take, as not all take theirs. */
+#define OVERCOMMIT 2.0
 /** A gateway that began so lately has heard no load yet: it waits for the first report. */
 #define FIRST_REPORTS_US 1000000
 /** Time in which back ends that live list themselves again, once the list's keeper is back. */
@@ -301,6 +303,13 @@
     return backend->ejected_until && (now < backend->ejected_until || backend->probing);
 }
 
+/* Places that were free at the last report, below 0 where more are taken than there are. */
+static double free_places(const struct backend_pool *pool, const struct backend *backend)
+{
+    return (double)backend->listing.slots + pool->settings.queue_per_engine -
+           backend->load.running - backend->load.waiting;
+}
+
 /*
  * This gateway's part of the places that were free at the last report. All gateways see the same
  * report; if each took all that is free, an engine would get many times what it has room for.
@@ -308,12 +317,11 @@
 static double free_share(const struct backend_pool *pool, const struct backend_wish *wish,
                          const struct backend *backend)
 {
-    double places = (double)backend->listing.slots + pool->settings.queue_per_engine -
-                    backend->load.running - backend->load.waiting;
+    double places = free_places(pool, backend);
     double usual = wish->usual_tokens ? wish->usual_tokens : 1;
     double prompts = pool->settings.tokens_per_engine / usual - backend->load.waiting;
     double free = places < prompts ? places : prompts;
-    return free > 0 ? free / (wish->gateways ? wish->gateways : 1) + backend->luck : 0;
+    return free > 0 ? OVERCOMMIT * free / (wish->gateways ? wish->gateways : 1) : 0;
 }
 
 /* After a start the list may name engines that are gone, or that lost their weights. */
@@ -324,14 +332,16 @@
            now < pool->settings.created + FIRST_REPORTS_US;
 }
 
-/* This gateway's part is mostly less than one place. Where others wait too, that decides whether it
- * may send at all; else there is room for the first one. */
+/*
+ * With many gateways a part is mostly less than one place: chance decides in proportion whether
+ * this gateway may send at all. If the first one might always go, an engine that looks free would
+ * get one from every gateway.
+ */
 static bool has_part(const struct backend_pool *pool, const struct backend_wish *wish,
                      const struct backend *backend)
 {
-    uint32_t begun = backend->begun_since + (wish->contended ? 1 : 0);
     double part = free_share(pool, wish, backend);
-    return wish->contended ? begun <= part : begun < part;
+    return part > 0 && backend->begun_since + 1 <= part + backend->luck;
 }
 
 static bool has_room(const struct backend_pool *pool, const struct backend_wish *wish,
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -137,7 +137,6 @@
     uint32_t excluded_count;
     uint32_t gateways; /**< that send to the same back ends */
     bool any_load;     /**< also to one that is full */
-    bool contended;    /**< other requests wait for a place as well */
 };
 
 enum backend_absence {
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -57,7 +57,6 @@
         .exact_version = exchange->resuming ? exchange->version : 0,
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
-        .contended = exchange->edge->waiting != NULL,
     };
     for (uint32_t i = 0; i < exchange->tried_count; i++)
         wish->excluded[wish->excluded_count++] = exchange->tried[i];
--- a/src/loader/piece_plan.h
+++ b/src/loader/piece_plan.h
@@ -24,7 +24,8 @@
 
 /** \return whether this node is one of those that read from the origin first */
 bool piece_plan_reads_origin(const struct cluster *cluster, uint64_t rollout);
-/** \return address of a living loader by chance, one that reads from the origin if asked for; 0: none */
+/** \return address of a living loader by chance, one that reads from the origin if asked for; 0:
+ * none */
 uint32_t piece_plan_random_loader(struct cluster *cluster, uint64_t rollout, bool reader);
 
 #endif
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -7,8 +7,8 @@
 #include "core/link_rate.h"
 #include "core/swarm.h"
 #include "loader/piece_plan.h"
+#include "loader/piece_sources.h"
 #include "loader/upload_queue.h"
-#include "net/http_caller.h"
 
 #include <arpa/inet.h>
 #include <inttypes.h>
@@ -24,20 +24,17 @@
 #define PROBE_TIMEOUT_US 350000
 #define MANIFEST_LIMIT (1U << 20)
 #define PIECE_LIMIT (8U << 20)
-#define PEERS_MOST 512
 /** Pause between questions for a manifest; it grows by as much with each, up to the last one. */
 #define MANIFEST_PAUSE_US 30000
 #define MANIFEST_PAUSES_MOST 5
 /** Who does not read from the origin asks it for the manifest only after so many questions. */
 #define MANIFEST_PEER_TRIES 10
-/** A connection to the origin, which accepts few, is closed after so long without use. */
-#define ORIGIN_IDLE_US 250000
 /** Answers of a node that has no upload slot, or will have the piece soon. */
 #define STATUS_BUSY 429
 #define STATUS_PENDING 409
 #define PLAN_INTERVAL_US 500000
 /** A node that joins late asks its peers for so long before it reads the origin. */
-#define JOIN_HOLD_US 300000
+#define JOIN_HOLD_US 150000
 /** A fetch that got no piece for so long does not progress. */
 #define PROGRESS_US 800000
 #define PROGRESS_LOG_US 400000
@@ -54,13 +51,6 @@
 /** Share of the link's rate for uploads: the rest is for the answers of the engine. */
 #define UPLOAD_SHARE 0.9
 
-/* A connection for calls to one peer, or to the origin. */
-struct source {
-    uint64_t id;
-    struct http_caller *caller;
-    bool cancelled; /* its present call is to be broken off */
-};
-
 struct piece {
     uint8_t *data;
     size_t size;
@@ -70,7 +60,6 @@
     struct cluster *cluster;
     struct piece_store_callbacks callbacks;
     char model[BACKEND_NAME_SIZE];
-    struct sockaddr_in origin;
     uint64_t version;
     uint64_t rollout; /* key of the version */
     bool recent;      /* the version was named a moment ago: nobody can have it yet */
@@ -85,8 +74,7 @@
     uint64_t next_plan;
     struct piece *pieces;
     uint32_t held;
-    struct source sources[PEERS_MOST];
-    uint32_t source_count;
+    struct piece_sources sources;
     struct fetch *fetches;
     struct upload_queue uploads;
     enum link_use link_use;
@@ -177,30 +165,13 @@
     start_swarm(store);
 }
 
-static struct source *source_of(struct piece_store *store, uint64_t id)
-{
-    for (uint32_t i = 0; i < store->source_count; i++)
-        if (store->sources[i].id == id)
-            return &store->sources[i];
-    if (store->source_count == PEERS_MOST)
-        return NULL;
-    struct sockaddr_in address =
-        id == SWARM_ORIGIN ? store->origin : cluster_address(store->cluster, (uint32_t)id);
-    struct source *source = &store->sources[store->source_count++];
-    source->id = id;
-    source->cancelled = false;
-    source->caller = http_caller_create(store->cluster->loop, &address);
-    return source;
-}
-
 /* The origin, or a peer: those that read from the origin have the manifest first.
  * \return address of the peer, 0: the origin */
 static uint32_t manifest_source(const struct piece_store *store)
 {
     uint32_t try = store->manifest_tries;
     bool reads = piece_plan_reads_origin(store->cluster, store->rollout);
-    bool ask_origin =
-        reads ? try % 2 == (store->recent ? 0 : 1) : try >= MANIFEST_PEER_TRIES && try % 4 == 0;
+    bool ask_origin = reads ? try % 2 == 0 : try >= MANIFEST_PEER_TRIES && try % 4 == 0;
     if (ask_origin)
         return 0;
     return piece_plan_random_loader(store->cluster, store->rollout, try % 2 == 0);
@@ -227,12 +198,12 @@
                                      .body_limit = MANIFEST_LIMIT,
                                      .done = on_manifest,
                                      .context = store};
-    struct source *source = source_of(store, peer ? peer : SWARM_ORIGIN);
+    struct http_caller *source = piece_sources_get(&store->sources, peer ? peer : SWARM_ORIGIN);
     store->manifest_tries++;
     store->next_manifest = cluster_now() + manifest_pause_us(store->manifest_tries);
     store->manifest_asked = source != NULL;
     if (source)
-        http_caller_send(source->caller, &request);
+        http_caller_send(source, &request);
     buffer_clear(&target);
 }
 
@@ -299,8 +270,8 @@
     struct piece_store *store = fetch->store;
     unsigned status = result == CALL_ANSWERED ? http_message_status(message) : 0;
     if (status == 200) {
-        struct source *source = source_of(store, fetch->source);
-        take_piece(store, fetch, message, source ? http_caller_transfer_us(source->caller) : 0);
+        struct http_caller *source = piece_sources_get(&store->sources, fetch->source);
+        take_piece(store, fetch, message, source ? http_caller_transfer_us(source) : 0);
     } else {
         metric_add(METRIC_CHUNKS_FAILED, 1);
         swarm_on_failure(store->swarm, cluster_now(), fetch->source, fetch->piece,
@@ -313,7 +284,7 @@
 {
     struct piece_store *store = context;
     struct buffer target = {0};
-    struct source *source = source_of(store, source_id);
+    struct http_caller *source = piece_sources_get(&store->sources, source_id);
     if (!source)
         return; /* the swarm gives the piece up after its time */
     if (source_id == SWARM_ORIGIN)
@@ -331,7 +302,7 @@
                                      .body_limit = PIECE_LIMIT,
                                      .done = on_piece,
                                      .context = fetch};
-    http_caller_send(source->caller, &request);
+    http_caller_send(source, &request);
     buffer_clear(&target);
 }
 
@@ -339,9 +310,7 @@
 {
     /* Not at once: the swarm is in the midst of its own lists. */
     struct piece_store *store = context;
-    struct source *place = source_of(store, source);
-    if (place)
-        place->cancelled = true;
+    piece_sources_cancel(&store->sources, source);
 }
 
 static void announce(void *context, uint64_t peer, const struct swarm_update *update)
@@ -451,7 +420,8 @@
     store->cluster = cluster;
     store->callbacks = *callbacks;
     snprintf(store->model, sizeof store->model, "%s", model);
-    store->origin = *origin;
+    store->sources.cluster = cluster;
+    store->sources.origin = *origin;
     store->version = version;
     store->rollout = hash_pair(hash_name(model), version);
     store->recent = recent;
@@ -470,8 +440,7 @@
 {
     if (!store)
         return;
-    for (uint32_t i = 0; i < store->source_count; i++)
-        http_caller_destroy(store->sources[i].caller);
+    piece_sources_close(&store->sources);
     while (store->fetches)
         fetch_end(store->fetches);
     upload_queue_close(&store->uploads, on_uploads_closed);
@@ -540,23 +509,6 @@
               counters->timeouts, counters->chunks_corrupt, store->rate.estimated);
 }
 
-static void abort_cancelled(struct piece_store *store)
-{
-    for (uint32_t i = 0; i < store->source_count; i++) {
-        if (!store->sources[i].cancelled)
-            continue;
-        store->sources[i].cancelled = false;
-        http_caller_abort(store->sources[i].caller);
-    }
-}
-
-static void rest_origin(struct piece_store *store)
-{
-    for (uint32_t i = 0; i < store->source_count; i++)
-        if (store->sources[i].id == SWARM_ORIGIN)
-            http_caller_rest(store->sources[i].caller, ORIGIN_IDLE_US);
-}
-
 bool piece_store_progresses(const struct piece_store *store, uint64_t now)
 {
     return !piece_store_complete(store) && now < store->progressed_at + PROGRESS_US;
@@ -564,13 +516,12 @@
 
 void piece_store_tick(struct piece_store *store, uint64_t now)
 {
-    rest_origin(store);
+    piece_sources_tick(&store->sources);
     if (!store->swarm) {
         if (!store->manifest_asked && now >= store->next_manifest)
             ask_manifest(store);
         return;
     }
-    abort_cancelled(store);
     if (store->held_back)
         return;
     watch_link(store);
