Engines under pressure drain for half a second, then break off what still runs

Change: the order breaks running streams off after 0.5 s without new requests, where six tenths of the places are taken (core/drain_wait); gateways resume them at another engine of the same version. The last quarter of the engines runs empty, as nobody could go on with their streams. A break while an engine loads is no fault of it (core/backend_pool). Of two versions heard of at once the newer is fetched first (core/fetch_order): half of the engines took both.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -518,6 +518,13 @@
     return result == BACKEND_BROKEN || result == BACKEND_SILENT || result == BACKEND_UNREACHABLE;
 }
 
+/* An engine that takes other weights may break off what it still runs: that is no fault. */
+static bool is_planned_break(const struct backend_pool *pool, const struct backend *backend,
+                             enum backend_result result, uint64_t now)
+{
+    return result == BACKEND_BROKEN && has_fresh_load(pool, backend, now) && backend->load.loading;
+}
+
 bool backend_end(struct backend_pool *pool, struct backend *backend, enum backend_result result,
                  uint64_t latency_us, uint64_t now)
 {
@@ -530,7 +537,7 @@
         backend->latency_us += LATENCY_WEIGHT * ((double)latency_us - backend->latency_us);
     else if (result == BACKEND_SUCCEEDED && latency_us)
         backend->latency_us = (double)latency_us;
-    if (result == BACKEND_CANCELLED)
+    if (result == BACKEND_CANCELLED || is_planned_break(pool, backend, result, now))
         return false;
     move(&backend->failure_share, is_failure(result));
     move(&backend->refusal_share, result == BACKEND_REFUSED);
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -17,6 +17,9 @@
 #define CHECK_FRESH_US 1500000
 /** After an order without effect in the engine's report, it is given again. */
 #define ORDER_EFFECT_US 1500000
+/** An engine under pressure runs on for so long without new requests before it breaks off what is
+ *  left: about the time that a request of usual length takes, so that only long ones are moved. */
+#define SHORT_DRAIN_US 500000
 #define PIECE_BITMAP_WORDS 64
 #define PIECES_MOST (PIECE_BITMAP_WORDS * BITMAP_WORD_BITS)
 
@@ -24,6 +27,7 @@
     STEP_IDLE,
     STEP_CHECK, /* read every piece back, stage what is missing or wrong */
     STEP_READY, /* all is there; wait for the turn */
+    STEP_DRAIN, /* takes no new requests, and is cut over soon */
     STEP_ORDERED,
 };
 
@@ -44,6 +48,7 @@
     uint32_t recovered;
     uint64_t checked_at; /* begin of the last whole check */
     uint64_t check_began;
+    uint64_t drain_began;
     uint64_t ordered_at;
     uint64_t ordered_sequence; /* orders that the engine had taken before this one */
     uint64_t staged[PIECE_BITMAP_WORDS];
@@ -279,18 +284,21 @@
         installer->step = STEP_IDLE;
 }
 
-static void give_order(struct installer *installer, uint64_t now)
+static void give_order(struct installer *installer, uint64_t now, enum start_method method)
 {
     struct buffer body = {0};
     installer->step = STEP_ORDERED;
     installer->ordered_at = now;
     installer->ordered_sequence = installer->report.sequence;
-    platform_write_start_order(installer->model, piece_store_version(installer->store),
+    platform_write_start_order(installer->model, piece_store_version(installer->store), method,
                                installer->ordered_sequence, 0, &body);
     log_event(LOG_LEVEL_INFO, "install", "order",
-              "version=%" PRIu64 " held=%" PRIu64 " sequence=%" PRIu64 " checked_ms_ago=%" PRIu64,
+              "version=%" PRIu64 " held=%" PRIu64 " sequence=%" PRIu64 " checked_ms_ago=%" PRIu64
+              " method=%s running=%u",
               piece_store_version(installer->store), installer->report.load.version,
-              installer->ordered_sequence, (now - installer->checked_at) / 1000);
+              installer->ordered_sequence, (now - installer->checked_at) / 1000,
+              method == START_BREAKING_OFF ? "break-off" : "run-empty",
+              installer->report.load.running);
     metric_add(METRIC_ENGINE_LOADS, 1);
     struct caller_request request = {.method = "POST",
                                      .target = platform_order_target(),
@@ -329,7 +337,32 @@
     return installer->report.load.version >= piece_store_version(installer->store);
 }
 
-void installer_tick(struct installer *installer, uint64_t now, uint64_t turn)
+static void tick_ready(struct installer *installer, uint64_t now, const struct install_turn *turn)
+{
+    if (now < turn->at || installer->report.load.loading)
+        return;
+    if (now - installer->checked_at > CHECK_FRESH_US) {
+        check_begin(installer, now);
+        return;
+    }
+    if (!turn->short_drain) {
+        give_order(installer, now, START_WHEN_EMPTY);
+        return;
+    }
+    installer->step = STEP_DRAIN;
+    installer->drain_began = now;
+    log_event(LOG_LEVEL_INFO, "install", "drain", "version=%" PRIu64 " running=%u",
+              piece_store_version(installer->store), installer->report.load.running);
+}
+
+static void tick_drain(struct installer *installer, uint64_t now)
+{
+    const struct backend_load *load = &installer->report.load;
+    if (load->running + load->waiting == 0 || now >= installer->drain_began + SHORT_DRAIN_US)
+        give_order(installer, now, START_BREAKING_OFF);
+}
+
+void installer_tick(struct installer *installer, uint64_t now, const struct install_turn *turn)
 {
     if (!installer->store || !installer->reachable || !piece_store_complete(installer->store))
         return;
@@ -349,12 +382,10 @@
     case STEP_CHECK:
         break;
     case STEP_READY:
-        if (now < turn || installer->report.load.loading)
-            break;
-        if (now - installer->checked_at > CHECK_FRESH_US)
-            check_begin(installer, now);
-        else
-            give_order(installer, now);
+        tick_ready(installer, now, turn);
+        break;
+    case STEP_DRAIN:
+        tick_drain(installer, now);
         break;
     case STEP_ORDERED:
         if (now - installer->ordered_at > ORDER_EFFECT_US && !installer->report.load.loading &&
@@ -374,7 +405,7 @@
 
 bool installer_is_loading(const struct installer *installer, uint64_t now)
 {
-    if (installer->report.load.loading)
+    if (installer->report.load.loading || installer->step == STEP_DRAIN)
         return true;
     return installer->step == STEP_ORDERED && now - installer->ordered_at < ORDER_EFFECT_US;
 }
--- a/src/loader/installer.h
+++ b/src/loader/installer.h
@@ -13,6 +13,12 @@
 
 struct installer;
 
+/** When the engine may take the wanted version, and how. */
+struct install_turn {
+    uint64_t at;      /**< time from which the order may be given */
+    bool short_drain; /**< what still runs a while after that is broken off */
+};
+
 struct installer *installer_create(uv_loop_t *loop, const struct sockaddr_in *engine,
                                    const char *model);
 /** \brief Install from this store from now on; NULL: nothing to install. */
@@ -29,8 +35,7 @@
 /** \brief The engine's own report. \param reachable false: it gave none */
 void installer_on_report(struct installer *installer, const struct engine_report *report,
                          bool reachable);
-/** \param turn time from which the order may be given */
-void installer_tick(struct installer *installer, uint64_t now, uint64_t turn);
+void installer_tick(struct installer *installer, uint64_t now, const struct install_turn *turn);
 /** \return whether all of the wanted version lies at the engine, checked */
 bool installer_is_staged(const struct installer *installer);
 /** \return whether an order is under way, as far as this process knows */
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -5,6 +5,8 @@
 #include "base/metrics.h"
 #include "cluster/cluster.h"
 #include "cluster/process.h"
+#include "core/drain_wait.h"
+#include "core/fetch_order.h"
 #include "core/hash.h"
 #include "core/start_turn.h"
 #include "loader/installer.h"
@@ -30,10 +32,18 @@
 /** Versions whose pieces are held: the one in use, one on its way and one named meanwhile. */
 #define VERSIONS_KEPT 3
 #define LOAD_LOG_US 500000
+/** A version of which no piece came for so long does not progress: some ten times the time that a
+ *  piece takes on a machine's link. */
+#define FETCH_PATIENCE_US 800000
 /** Time in which the engine gives its first report, or is dead. */
 #define FIRST_REPORT_US 1500000
 
 static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 6800000};
+/** Trials: below six tenths waiting cost nothing; in the last quarter broken streams found no
+ *  engine of their version. */
+static const struct drain_wait_settings drain_settings = {.pressed_share = 0.6, .movers = 0.75};
+/** Weight of one report in the moving share of places taken: about a second of reports. */
+#define PLACES_WEIGHT 0.08
 
 /* A version that the operator named. */
 struct wanted_version {
@@ -60,6 +70,7 @@
     struct sockaddr_in origin;
     bool has_origin;
     struct engine_report report;
+    double places_taken; /* moving mean share of the engine's places */
     bool reachable;
     bool asking;
     uint64_t next_report;
@@ -109,6 +120,23 @@
     loader->told_at = now;
 }
 
+static const struct service_entry *own_service(const struct loader *loader)
+{
+    uint32_t index =
+        route_table_find_service(loader->table, loader->cluster.settings->engine_service);
+    return index == ROUTE_NO_SERVICE ? NULL : route_table_service(loader->table, index);
+}
+
+static void count_places(struct loader *loader)
+{
+    const struct service_entry *service = loader->table ? own_service(loader) : NULL;
+    if (!service || !service->engine.slots ||
+        installer_is_loading(loader->installer, cluster_now()))
+        return;
+    double taken = (double)loader->report.load.running / service->engine.slots;
+    loader->places_taken += PLACES_WEIGHT * (taken - loader->places_taken);
+}
+
 static void set_reachable(struct loader *loader, bool reachable)
 {
     if (reachable != loader->reachable)
@@ -136,6 +164,8 @@
     }
     if (loader->installer)
         installer_on_report(loader->installer, &loader->report, valid);
+    if (loader->installer && valid)
+        count_places(loader);
     if (valid)
         tell_load(loader, now);
 }
@@ -155,13 +185,6 @@
 /* --- what the platform publishes
  * ------------------------------------------------------------------- */
 
-static const struct service_entry *own_service(const struct loader *loader)
-{
-    uint32_t index =
-        route_table_find_service(loader->table, loader->cluster.settings->engine_service);
-    return index == ROUTE_NO_SERVICE ? NULL : route_table_service(loader->table, index);
-}
-
 static void find_origin(struct loader *loader)
 {
     for (uint32_t i = 0; i < route_table_service_count(loader->table); i++) {
@@ -347,27 +370,30 @@
     return 0;
 }
 
-static uint64_t own_turn(const struct loader *loader)
+static struct install_turn own_turn(const struct loader *loader)
 {
     uint32_t count;
     if (!loader->report.load.version)
-        return 0; /* an empty engine does nothing else: at once */
+        return (struct install_turn){0}; /* an empty engine does nothing else: at once */
     uint32_t position = own_position(loader, &count);
-    return start_turn(&turn_settings, install_named_at(loader), position, count);
+    return (struct install_turn){
+        .at = start_turn(&turn_settings, install_named_at(loader), position, count),
+        .short_drain = drain_wait_is_short(&drain_settings, loader->places_taken, position, count)};
 }
 
-/* \return the one version that goes first: the oldest that is half here, or the newest that comes
- */
 static uint32_t first_to_fetch(const struct loader *loader, uint64_t now)
 {
-    for (uint32_t i = 0; i < loader->wanted_count; i++)
-        if (piece_store_progresses(loader->wanted[i].store, now) &&
-            piece_store_half_held(loader->wanted[i].store))
-            return i;
-    for (uint32_t i = loader->wanted_count; i-- > 0;)
-        if (piece_store_progresses(loader->wanted[i].store, now))
-            return i;
-    return VERSIONS_KEPT; /* none: all try */
+    struct fetch_state states[VERSIONS_KEPT];
+    for (uint32_t i = 0; i < loader->wanted_count; i++) {
+        const struct wanted_version *wanted = &loader->wanted[i];
+        states[i] = (struct fetch_state){
+            .complete = piece_store_complete(wanted->store),
+            .half_held = piece_store_half_held(wanted->store),
+            .wanted_at = wanted->wanted_at,
+            .progress_at = piece_store_progress_at(wanted->store),
+        };
+    }
+    return fetch_order_first(states, loader->wanted_count, FETCH_PATIENCE_US, now);
 }
 
 /*
@@ -398,7 +424,7 @@
         struct piece_store *store = loader->wanted[i].store;
         enum link_use use = loader->report.load.version ? LINK_WITH_ENGINE : LINK_ALONE;
         bool complete = piece_store_complete(store);
-        if (!complete && first < VERSIONS_KEPT && i < first)
+        if (!complete && first != FETCH_ORDER_NONE && i < first)
             continue; /* a newer one comes instead */
         if (i > first)
             use = LINK_BEHIND;
@@ -426,7 +452,8 @@
     if (loader->installer) {
         drop_outdated(loader);
         choose_store(loader);
-        installer_tick(loader->installer, now, own_turn(loader));
+        struct install_turn turn = own_turn(loader);
+        installer_tick(loader->installer, now, &turn);
     }
     uv_timer_start(timer, on_tick, fetching ? FETCH_TICK_MS : REPORT_INTERVAL_MS, 0);
 }
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -35,8 +35,6 @@
 #define PLAN_INTERVAL_US 500000
 /** A node that joins late asks its peers for so long before it reads the origin. */
 #define JOIN_HOLD_US 150000
-/** A fetch that got no piece for so long does not progress. */
-#define PROGRESS_US 800000
 #define PROGRESS_LOG_US 400000
 /** Downloads at once: beside an engine that serves, beside one that is empty, and on a slow link or
  *  behind another version. */
@@ -509,9 +507,9 @@
               counters->timeouts, counters->chunks_corrupt, store->rate.estimated);
 }
 
-bool piece_store_progresses(const struct piece_store *store, uint64_t now)
+uint64_t piece_store_progress_at(const struct piece_store *store)
 {
-    return !piece_store_complete(store) && now < store->progressed_at + PROGRESS_US;
+    return store->progressed_at;
 }
 
 void piece_store_tick(struct piece_store *store, uint64_t now)
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -38,8 +38,8 @@
 bool piece_store_complete(const struct piece_store *store);
 /** \brief Fetch nothing for now: the engine's own stage is read first. */
 void piece_store_hold_back(struct piece_store *store, bool held_back);
-/** \return whether pieces are missing and some came a moment ago */
-bool piece_store_progresses(const struct piece_store *store, uint64_t now);
+/** \return time at which the last piece was seen to have come, 0: none yet */
+uint64_t piece_store_progress_at(const struct piece_store *store);
 /** \return whether transfers show a link much narrower than it should be */
 bool piece_store_link_is_slow(const struct piece_store *store);
 /** \return whether at least half of the pieces are held */
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -202,6 +202,23 @@
     backend_pool_destroy(pool);
 }
 
+static void streams_broken_off_for_new_weights_are_no_fault(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = add(pool, 1, 1, 0);
+    report(pool, 1, (struct backend_load){.version = 1, .loading = true}, SECOND_US);
+    for (uint32_t i = 0; i < 8; i++) {
+        backend_begin(backend, 1000, SECOND_US);
+        assert_false(backend_end(pool, backend, BACKEND_BROKEN, 0, SECOND_US + 1));
+    }
+    assert_true(backend->failure_share == 0);
+    report(pool, 1, (struct backend_load){.version = 2}, SECOND_US + 2);
+    backend_begin(backend, 1000, SECOND_US + 2);
+    backend_end(pool, backend, BACKEND_BROKEN, 0, SECOND_US + 3);
+    assert_true(backend->failure_share > 0);
+    backend_pool_destroy(pool);
+}
+
 static void prompts_at_one_engine_are_bounded(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -342,6 +359,7 @@
         cmocka_unit_test(an_engine_on_a_slow_link_gets_no_old_version_late),
         cmocka_unit_test(an_engine_that_stays_silent_gets_nothing_more),
         cmocka_unit_test(an_engine_that_loads_gets_nothing),
+        cmocka_unit_test(streams_broken_off_for_new_weights_are_no_fault),
         cmocka_unit_test(prompts_at_one_engine_are_bounded),
         cmocka_unit_test(engines_near_go_first_until_they_hold_more),
         cmocka_unit_test(a_failing_back_end_is_ejected_and_probed),
