Gateways relay weights: loaders fetch pieces from them instead of from each other

Gateways' links stood idle. Ruled out by earlier trials: other windows, other time-outs. Change: core/relay_plan names relays (gateways with the fastest links, at least two of each region, enough to feed its loaders); each piece is read from the origin by one of them, crosses to another region once, and waits for nobody: loaders ask for any of the pieces that they lack, and the relay answers the moment one is there (src/weights). A relay fetches a version when it is first asked for it, keeps three, and leaves 0.3 of its link to requests.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -219,8 +219,6 @@
         membership_heard(cluster->membership, sender, now);
     if (message->load && cluster->callbacks.load_received)
         cluster->callbacks.load_received(cluster->callbacks.context, message->load);
-    if (message->pieces && cluster->callbacks.pieces_received)
-        cluster->callbacks.pieces_received(cluster->callbacks.context, sender, message->pieces);
     shuntrun__member_message__free_unpacked(message, NULL);
 }
 
@@ -274,6 +272,7 @@
     self->role = role;
     snprintf(self->zone, sizeof self->zone, "%s", settings->zone);
     snprintf(self->region, sizeof self->region, "%s", settings->region);
+    self->link_mbit = (uint32_t)(strtod(settings->link_mbit, NULL) + 0.5);
     struct sockaddr_in traffic;
     if (role == MEMBER_GATEWAY && tcp_address_parse(settings->client_address, &traffic))
         self->traffic_port = ntohs(traffic.sin_port);
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -25,8 +25,6 @@
     void (*item_changed)(void *context, const struct state_item *item);
     /** A loader told the load of its engine; may be NULL. */
     void (*load_received)(void *context, const Shuntrun__EngineLoad *load);
-    /** A loader told what it holds; may be NULL. */
-    void (*pieces_received)(void *context, uint32_t address, const Shuntrun__PieceNews *news);
     /** A call of another node that is not the cluster's own; may be NULL. */
     service_handler *call_received;
     /** The process stood still for so long. */
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -123,6 +123,7 @@
     snprintf(member->region, sizeof member->region, "%s", news->region);
     member->draining = news->draining;
     member->traffic_port = (uint16_t)news->traffic_port;
+    member->link_mbit = news->link_mbit;
     membership_set_health(member, (enum member_health)news->health, now);
     member->told = told;
 }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -46,6 +46,7 @@
     char region[MEMBER_NAME_SIZE];
     bool draining;
     uint16_t traffic_port;
+    uint32_t link_mbit;      /**< rate of its machine's link, 0: not known */
     uint64_t state_revision; /**< it knows up to here what the platform publishes, as last heard */
     uint64_t operator_revision; /**< of the newest change by the operator that it knows, likewise */
     bool store_sound;           /**< it reads the platform's store and gets answers, likewise */
--- a/src/core/membership_news.c
+++ b/src/core/membership_news.c
@@ -21,6 +21,7 @@
     news->region = (char *)state->region;
     news->draining = state->draining;
     news->traffic_port = state->traffic_port;
+    news->link_mbit = state->link_mbit;
 }
 
 void membership_message_begin(const struct membership *membership,
--- /dev/null
+++ b/src/core/relay_plan.c
@@ -0,0 +1,236 @@
+#include "core/relay_plan.h"
+
+#include "core/hash.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/** Relays of a region, if it has so many gateways: one may fail. */
+#define RELAYS_LEAST 2
+/** The relays' links carry so many times what the region's loaders can take: what is left over is
+ *  for the requests of clients. */
+#define FEED_MARGIN 2
+
+/* A gateway that may become a relay. */
+struct candidate {
+    uint32_t address;
+    uint32_t link_mbit;
+    uint64_t weight;
+};
+
+struct candidate_list {
+    struct candidate items[RELAY_PLAN_MOST];
+    uint32_t count;
+};
+
+static bool goes_before(const struct candidate *left, const struct candidate *right)
+{
+    if (left->link_mbit != right->link_mbit)
+        return left->link_mbit > right->link_mbit;
+    return left->weight > right->weight;
+}
+
+static void insert(struct candidate_list *list, const struct candidate *candidate)
+{
+    uint32_t place = list->count;
+    while (place > 0 && goes_before(candidate, &list->items[place - 1]))
+        place--;
+    if (place == RELAY_PLAN_MOST)
+        return;
+    uint32_t moved = list->count < RELAY_PLAN_MOST ? list->count : RELAY_PLAN_MOST - 1;
+    memmove(&list->items[place + 1], &list->items[place], (moved - place) * sizeof *candidate);
+    list->items[place] = *candidate;
+    list->count = moved + 1;
+}
+
+static bool may_relay(const struct member_state *member, const char *region)
+{
+    return member->role == MEMBER_GATEWAY && member_is_trusted(member) && !member->draining &&
+           strcmp(member->region, region) == 0;
+}
+
+static void consider(struct candidate_list *list, const struct member_state *member,
+                     const char *region, uint64_t rollout)
+{
+    if (!may_relay(member, region))
+        return;
+    struct candidate candidate = {member->address, member->link_mbit,
+                                  hash_pair(rollout, member->address)};
+    insert(list, &candidate);
+}
+
+static uint64_t demand_of_member(const struct member_state *member, const char *region)
+{
+    bool takes = member->role == MEMBER_LOADER && member_is_alive(member) &&
+                 strcmp(member->region, region) == 0;
+    return takes ? member->link_mbit : 0;
+}
+
+/* Rate at which the loaders of a region can take pieces, Mbit/s. */
+static uint64_t demand_of(struct membership *membership, const char *region)
+{
+    uint64_t demand = demand_of_member(membership_self(membership), region);
+    for (uint32_t i = 0; i < membership_count(membership); i++)
+        demand += demand_of_member(membership_at(membership, i), region);
+    return demand;
+}
+
+static void add_region(struct relay_plan *plan, struct membership *membership, const char *region)
+{
+    struct candidate_list list = {.count = 0};
+    consider(&list, membership_self(membership), region, plan->rollout);
+    for (uint32_t i = 0; i < membership_count(membership); i++)
+        consider(&list, membership_at(membership, i), region, plan->rollout);
+    uint64_t demand = FEED_MARGIN * demand_of(membership, region);
+    uint64_t supply = 0;
+    for (uint32_t i = 0; i < list.count && plan->count < RELAY_PLAN_MOST; i++) {
+        if (i >= RELAYS_LEAST && supply >= demand)
+            return;
+        struct relay *relay = &plan->relays[plan->count++];
+        relay->address = list.items[i].address;
+        snprintf(relay->region, sizeof relay->region, "%s", region);
+        supply += list.items[i].link_mbit;
+    }
+}
+
+static bool has_region(const struct relay_plan *plan, const char *region)
+{
+    for (uint32_t i = 0; i < plan->count; i++)
+        if (strcmp(plan->relays[i].region, region) == 0)
+            return true;
+    return false;
+}
+
+static void choose_loaders(struct relay_plan *plan, struct membership *membership)
+{
+    uint64_t best[2] = {0, 0};
+    plan->loaders[0] = plan->loaders[1] = 0;
+    for (uint32_t i = 0; i < membership_count(membership); i++) {
+        const struct member_state *member = membership_at(membership, i);
+        uint64_t weight = hash_pair(plan->rollout ^ plan->self, member->address);
+        if (member->role != MEMBER_LOADER || !member_is_trusted(member) ||
+            strcmp(member->region, plan->region) != 0)
+            continue;
+        uint32_t worse = best[0] < best[1] ? 0 : 1;
+        if (weight > best[worse]) {
+            best[worse] = weight;
+            plan->loaders[worse] = member->address;
+        }
+    }
+}
+
+void relay_plan_refresh(struct relay_plan *plan, struct membership *membership, uint64_t rollout)
+{
+    const struct member_state *self = membership_self(membership);
+    plan->rollout = rollout;
+    plan->self = self->address;
+    plan->count = 0;
+    snprintf(plan->region, sizeof plan->region, "%s", self->region);
+    add_region(plan, membership, plan->region);
+    for (uint32_t i = 0; i < membership_count(membership); i++) {
+        const char *region = membership_at(membership, i)->region;
+        if (strcmp(region, plan->region) != 0 && !has_region(plan, region))
+            add_region(plan, membership, region);
+    }
+    choose_loaders(plan, membership);
+}
+
+bool relay_plan_has_self(const struct relay_plan *plan)
+{
+    for (uint32_t i = 0; i < plan->count; i++)
+        if (plan->relays[i].address == plan->self)
+            return true;
+    return false;
+}
+
+static void add(struct relay_sources *sources, uint32_t address)
+{
+    for (uint32_t i = 0; i < sources->count; i++)
+        if (sources->addresses[i] == address)
+            return;
+    if (sources->count < RELAY_SOURCES_MOST)
+        sources->addresses[sources->count++] = address;
+}
+
+/* Add the relays of one region, or of all others, by rendezvous weight for a key. */
+static void add_ranked(const struct relay_plan *plan, uint64_t key, const char *region, bool others,
+                       struct relay_sources *sources)
+{
+    uint64_t before = UINT64_MAX;
+    for (;;) {
+        const struct relay *best = NULL;
+        uint64_t best_weight = 0;
+        for (uint32_t i = 0; i < plan->count; i++) {
+            const struct relay *relay = &plan->relays[i];
+            uint64_t weight = hash_pair(key, relay->address);
+            bool fits = (strcmp(relay->region, region) == 0) != others;
+            if (fits && weight < before && (!best || weight > best_weight)) {
+                best = relay;
+                best_weight = weight;
+            }
+        }
+        if (!best || sources->count == RELAY_SOURCES_MOST)
+            return;
+        if (best->address != plan->self)
+            add(sources, best->address);
+        before = best_weight;
+    }
+}
+
+void relay_plan_loader_sources(const struct relay_plan *plan, bool origin,
+                               struct relay_sources *sources)
+{
+    sources->count = 0;
+    uint64_t key = hash_pair(plan->rollout, plan->self);
+    add_ranked(plan, key, plan->region, false, sources);
+    add_ranked(plan, key, plan->region, true, sources);
+    if (!origin)
+        return;
+    if (sources->count == RELAY_SOURCES_MOST)
+        sources->count--;
+    add(sources, RELAY_ORIGIN);
+}
+
+/* \return the relay of greatest weight for a piece, of one region or of all (NULL) */
+static const struct relay *first_for(const struct relay_plan *plan, uint64_t key,
+                                     const char *region)
+{
+    const struct relay *best = NULL;
+    for (uint32_t i = 0; i < plan->count; i++) {
+        const struct relay *relay = &plan->relays[i];
+        if (region && strcmp(relay->region, region) != 0)
+            continue;
+        if (!best || hash_pair(key, relay->address) > hash_pair(key, best->address))
+            best = relay;
+    }
+    return best;
+}
+
+/* Room for the origin and two loaders is kept. */
+static void trim(struct relay_sources *sources)
+{
+    if (sources->count > RELAY_SOURCES_MOST - 3)
+        sources->count = RELAY_SOURCES_MOST - 3;
+}
+
+void relay_plan_relay_sources(const struct relay_plan *plan, uint32_t piece,
+                              struct relay_sources *sources)
+{
+    uint64_t key = hash_pair(plan->rollout, piece);
+    const struct relay *reader = first_for(plan, key, NULL);
+    const struct relay *importer = first_for(plan, key, plan->region);
+    sources->count = 0;
+    if (!reader || reader->address == plan->self) {
+        add(sources, RELAY_ORIGIN);
+    } else {
+        bool imports = !importer || importer->address == plan->self;
+        bool near = strcmp(reader->region, plan->region) == 0;
+        add(sources, imports || near ? reader->address : importer->address);
+    }
+    add_ranked(plan, key, plan->region, false, sources);
+    trim(sources);
+    add(sources, RELAY_ORIGIN);
+    for (uint32_t i = 0; i < 2; i++)
+        if (plan->loaders[i])
+            add(sources, plan->loaders[i]);
+}
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 #include "core/hash.h"
 #include "edge/edge_internal.h"
+#include "weights/weight_relay.h"
 
 #include <arpa/inet.h>
 #include <inttypes.h>
@@ -49,6 +50,17 @@
     return state;
 }
 
+/* The relay reads weights from where the configuration says. */
+static void tell_origin(struct edge *edge)
+{
+    struct sockaddr_in address;
+    for (uint32_t i = 0; i < route_table_service_count(edge->table); i++) {
+        const struct service_entry *service = route_table_service(edge->table, i);
+        if (service->origin && tcp_address_parse(service->origin, &address))
+            weight_relay_set_origin(edge->relay, &address);
+    }
+}
+
 static void take_configuration(struct edge *edge, const struct state_item *item)
 {
     struct findings findings = {0};
@@ -68,6 +80,7 @@
     metric_gauge_set(METRIC_CONFIG_REVISION, route_table_version(table));
     route_table_release(edge->table);
     edge->table = table;
+    tell_origin(edge);
 }
 
 static void take_backend(struct edge *edge, const char *id, const struct state_item *item)
@@ -145,6 +158,14 @@
         exchange_dispatch_waiting(edge);
 }
 
+/* Other nodes ask for weights. */
+static void on_call(void *context, struct service_call *call, const struct service_request *request)
+{
+    struct edge *edge = context;
+    if (!weight_relay_serve(edge->relay, call, request))
+        service_reply(call, 404, NULL, NULL, 0);
+}
+
 static void on_woke(void *context, uint64_t pause_us)
 {
     struct edge *edge = context;
@@ -274,6 +295,7 @@
     struct edge *edge = timer->data;
     uint64_t now = cluster_now();
     count_gateways(edge);
+    weight_relay_tick(edge->relay, now);
     backend_pool_settle(edge->pool, cluster_store_is_sound(&edge->cluster), now);
     upstream_sweep(edge, now);
     edge_client_sweep(edge, now);
@@ -330,8 +352,11 @@
 
 static int edge_run(struct edge *edge, const struct settings *settings)
 {
-    struct cluster_callbacks callbacks = {
-        .context = edge, .item_changed = on_item, .load_received = on_load, .woke = on_woke};
+    struct cluster_callbacks callbacks = {.context = edge,
+                                          .item_changed = on_item,
+                                          .load_received = on_load,
+                                          .call_received = on_call,
+                                          .woke = on_woke};
     struct backend_pool_settings pool = {.queue_per_engine = (uint32_t)settings->engine_queue,
                                          .tokens_per_engine =
                                              (uint32_t)settings->engine_unread_tokens,
@@ -342,6 +367,7 @@
     edge->started = cluster_now();
     edge->random.seed = hash_name(settings->name) ^ edge->started;
     edge->pool = backend_pool_create(&pool, edge->random.seed + 1);
+    edge->relay = weight_relay_create(&edge->cluster);
     edge->gateways = 1;
     edge->gateways_most = (uint32_t)settings->least_gateways;
     int result = open_listeners(edge);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -20,6 +20,7 @@
 struct edge_client;
 struct exchange;
 struct upstream;
+struct weight_relay;
 
 /** What this edge keeps of one service. */
 struct service_state {
@@ -34,6 +35,7 @@
     const struct settings *settings;
     struct route_table *table; /**< NULL before the first configuration */
     struct backend_pool *pool;
+    struct weight_relay *relay; /**< hands weights on to loaders */
     struct version_bounds versions;
     struct service_state services[EDGE_SERVICES_MOST];
     uint32_t service_count;
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -20,8 +20,6 @@
 /** An engine under pressure runs on for so long without new requests before it breaks off what is
  *  left: about the time that a request of usual length takes, so that only long ones are moved. */
 #define SHORT_DRAIN_US 500000
-#define PIECE_BITMAP_WORDS 64
-#define PIECES_MOST (PIECE_BITMAP_WORDS * BITMAP_WORD_BITS)
 
 enum install_step {
     STEP_IDLE,
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -25,7 +25,7 @@
 #define FAR_LOAD_US 290000
 /** Time between ticks while pieces are fetched. */
 #define FETCH_TICK_MS 25
-/** A version named less than this ago cannot be held by peers yet. */
+/** A version named less than this ago cannot lie at the engine yet. */
 #define RECENT_US 4000000
 /** The first version of a model; the operator names only later ones. */
 #define FIRST_VERSION 1
@@ -230,8 +230,8 @@
     bool recent = version > FIRST_VERSION && now - named_at < RECENT_US;
     *wanted = (struct wanted_version){
         .version = version, .named_at = named_at, .wanted_at = now, .recovered = recent};
-    wanted->store = piece_store_create(&loader->cluster, loader->model, &loader->origin, version,
-                                       recent, &callbacks);
+    wanted->store =
+        piece_store_create(&loader->cluster, loader->model, &loader->origin, version, &callbacks);
 }
 
 /* The newest version that is whole here is installed; before one is, the oldest that is missing. */
@@ -318,18 +318,13 @@
 /* --- peers ---------------------------------------------------------------------------------------
  */
 
-static void on_pieces(void *context, uint32_t address, const Shuntrun__PieceNews *news)
-{
-    struct loader *loader = context;
-    for (uint32_t i = 0; i < loader->wanted_count; i++)
-        piece_store_on_news(loader->wanted[i].store, address, news);
-}
-
 static void on_call(void *context, struct service_call *call, const struct service_request *request)
 {
     struct loader *loader = context;
-    for (uint32_t i = 0; i < loader->wanted_count; i++)
-        if (piece_store_serve(loader->wanted[i].store, call, request))
+    struct piece_call wanted;
+    piece_wire_read(request, &wanted);
+    for (uint32_t i = 0; wanted.kind != PIECE_CALL_OTHER && i < loader->wanted_count; i++)
+        if (piece_store_serve(loader->wanted[i].store, call, &wanted))
             return;
     service_reply(call, 404, NULL, NULL, 0);
 }
@@ -467,11 +462,8 @@
 
 static int loader_run(struct loader *loader, const struct settings *settings)
 {
-    struct cluster_callbacks callbacks = {.context = loader,
-                                          .item_changed = on_item,
-                                          .pieces_received = on_pieces,
-                                          .call_received = on_call,
-                                          .woke = on_woke};
+    struct cluster_callbacks callbacks = {
+        .context = loader, .item_changed = on_item, .call_received = on_call, .woke = on_woke};
     uv_loop_t *loop = uv_default_loop();
     if (!tcp_address_parse(settings->engine_address, &loader->engine_address)) {
         log_event(LOG_LEVEL_ERROR, "loader", "bad-address", "engine=%s", settings->engine_address);
--- a/src/loader/piece_store.h
+++ b/src/loader/piece_store.h
@@ -1,11 +1,13 @@
 /**
- * The pieces of one version of a model: fetched by the swarm, held in memory, served to peers.
+ * The pieces of one version of a model at a loader: fetched from relays, held in memory, and served
+ * to relays that find them nowhere else.
  */
 #ifndef SHUNTRUN_PIECE_STORE_H
 #define SHUNTRUN_PIECE_STORE_H
 
 #include "cluster/cluster.h"
 #include "platform/platform.h"
+#include "weights/piece_wire.h"
 
 struct piece_store;
 
@@ -17,7 +19,7 @@
 
 struct piece_store *piece_store_create(struct cluster *cluster, const char *model,
                                        const struct sockaddr_in *origin, uint64_t version,
-                                       bool recent, const struct piece_store_callbacks *callbacks);
+                                       const struct piece_store_callbacks *callbacks);
 void piece_store_destroy(struct piece_store *store);
 /** Who else needs the link while pieces are fetched. */
 enum link_use {
@@ -38,15 +40,14 @@
 bool piece_store_complete(const struct piece_store *store);
 /** \brief Fetch nothing for now: the engine's own stage is read first. */
 void piece_store_hold_back(struct piece_store *store, bool held_back);
-/** \return time at which the last piece was seen to have come, 0: none yet */
+/** \return time of the last fetched piece, 0: none yet */
 uint64_t piece_store_progress_at(const struct piece_store *store);
 /** \return whether transfers show a link much narrower than it should be */
 bool piece_store_link_is_slow(const struct piece_store *store);
 /** \return whether at least half of the pieces are held */
 bool piece_store_half_held(const struct piece_store *store);
-void piece_store_on_news(struct piece_store *store, uint32_t peer, const Shuntrun__PieceNews *news);
-/** \return whether the call was one for a piece or manifest, and is answered */
+/** \return whether the call was one for a piece or manifest of this version, and is answered */
 bool piece_store_serve(struct piece_store *store, struct service_call *call,
-                       const struct service_request *request);
+                       const struct piece_call *wanted);
 
 #endif
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -28,7 +28,7 @@
     struct pending_call *first;
     struct pending_call **last;
     uint32_t waiting;
-    uint64_t first_byte_at; /* of the answer under way, 0: none yet */
+    uint64_t first_byte_at; /* of the answer under way or the last one, 0: none yet */
     uint64_t transfer_us;   /* of the last answer */
     uint64_t idle_since;    /* time of the end of the last call */
     uv_timer_t timer;
@@ -231,6 +231,11 @@
     return caller->transfer_us;
 }
 
+bool http_caller_is_receiving(const struct http_caller *caller)
+{
+    return caller->sent && caller->first_byte_at;
+}
+
 void http_caller_rest(struct http_caller *caller, uint64_t idle_us)
 {
     if (!caller->first && !caller->depth && caller->stream &&
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -40,6 +40,8 @@
 uint32_t http_caller_waiting(const struct http_caller *caller);
 /** \return time from the first to the last byte of the last answer, microseconds */
 uint64_t http_caller_transfer_us(const struct http_caller *caller);
+/** \return whether part of an answer has come */
+bool http_caller_is_receiving(const struct http_caller *caller);
 /** \brief Close a connection that was not used for so long. */
 void http_caller_rest(struct http_caller *caller, uint64_t idle_us);
 /** \brief Give all calls up as broken, and the connection. */
--- /dev/null
+++ b/src/weights/piece_fetch.h
@@ -0,0 +1,51 @@
+/**
+ * Fetches the manifest and the pieces of one version from relays, loaders or the origin.
+ *
+ * Each source has a few connections, each with one call under way. A call to a node names all
+ * missing pieces of its connection's part and gets whichever the node has first; the origin is
+ * asked for one piece after the other. A source that fails rests for a while, and the next one in
+ * the plan's order is asked instead.
+ */
+#ifndef SHUNTRUN_PIECE_FETCH_H
+#define SHUNTRUN_PIECE_FETCH_H
+
+#include "cluster/cluster.h"
+#include "core/link_rate.h"
+#include "core/relay_plan.h"
+#include "weights/piece_set.h"
+
+struct piece_fetch;
+
+/** Connections to one source at most. */
+#define PIECE_FETCH_LANES 4
+
+struct piece_fetch_callbacks {
+    void *context;
+    /** The manifest came. */
+    void (*manifest_known)(void *context);
+    /** A piece came and its digest is right. */
+    void (*piece_held)(void *context, uint32_t piece);
+};
+
+/** Which of the plan's ways to its sources a node goes. */
+enum piece_fetch_role { PIECE_FETCH_AS_LOADER, PIECE_FETCH_AS_RELAY };
+
+/** \param set must outlive the fetch */
+struct piece_fetch *piece_fetch_create(struct cluster *cluster, struct piece_set *set,
+                                       enum piece_fetch_role role,
+                                       const struct piece_fetch_callbacks *callbacks);
+void piece_fetch_destroy(struct piece_fetch *fetch);
+/** \brief Say where the origin is; until then it is not asked. */
+void piece_fetch_set_origin(struct piece_fetch *fetch, const struct sockaddr_in *origin);
+/** \brief Connections to each source from now on, at most PIECE_FETCH_LANES. */
+void piece_fetch_set_lanes(struct piece_fetch *fetch, uint32_t lanes);
+/** \brief Ask for no more pieces for now, or go on. The manifest is fetched all the same. */
+void piece_fetch_hold_back(struct piece_fetch *fetch, bool held_back);
+/** \brief Time-outs, rests and changes of the plan; call some ten times a second. */
+void piece_fetch_tick(struct piece_fetch *fetch, uint64_t now);
+/** \return time of the last piece, 0: none came yet */
+uint64_t piece_fetch_progress_at(const struct piece_fetch *fetch);
+/** \brief The machine's link as the transfers show it. */
+struct link_rate *piece_fetch_link(struct piece_fetch *fetch);
+
+#endif
--- /dev/null
+++ b/src/weights/piece_server.c
@@ -0,0 +1,162 @@
+#include "weights/piece_server.h"
+
+#include "base/clock.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "core/bitmap.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** Calls that wait at once; each node has a few connections. */
+#define CALLS_MOST 2048
+#define STATUS_ABSENT 404
+#define STATUS_NOT_IN_TIME 409
+#define STATUS_BUSY 429
+/** Answers may leave so much ahead of their pace, as timers are no finer. */
+#define PACE_SLACK_US 2000
+
+struct waiting_call {
+    struct service_call *call;
+    struct piece_call wanted;
+    uint64_t until;
+};
+
+struct piece_server {
+    const struct piece_set *set;
+    double bits_per_us;
+    uint64_t wait_us;
+    struct waiting_call *waiting; /* in order of arrival */
+    uint32_t count;
+    uint64_t link_free_at; /* what was answered is through the link */
+    uv_timer_t timer;      /* runs while the link is busy */
+};
+
+static void on_link_free(uv_timer_t *timer);
+
+struct piece_server *piece_server_create(uv_loop_t *loop, const struct piece_set *set,
+                                         double bits_per_us, uint64_t wait_us)
+{
+    struct piece_server *server = memory_zero(1, sizeof *server);
+    server->set = set;
+    server->bits_per_us = bits_per_us;
+    server->wait_us = wait_us;
+    uv_timer_init(loop, &server->timer);
+    server->timer.data = server;
+    return server;
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+    struct piece_server *server = handle->data;
+    free(server->waiting);
+    free(server);
+}
+
+void piece_server_destroy(struct piece_server *server)
+{
+    for (uint32_t i = 0; i < server->count; i++)
+        service_reply(server->waiting[i].call, STATUS_ABSENT, NULL, NULL, 0);
+    server->count = 0;
+    uv_close((uv_handle_t *)&server->timer, on_timer_closed);
+}
+
+/* \return number of a wanted piece that is held, or the count of pieces */
+static uint32_t find_held(const struct piece_server *server, const struct piece_call *wanted)
+{
+    const struct piece_manifest *manifest = piece_set_manifest(server->set);
+    uint32_t count = manifest ? manifest->count : 0;
+    for (uint32_t i = 0; i < count && i < PIECES_MOST; i++) {
+        size_t size;
+        if (bitmap_get(wanted->wanted, i) && piece_set_data(server->set, i, &size))
+            return i;
+    }
+    return count;
+}
+
+/* \return bytes to answer a call with, NULL while they are not there */
+static const void *find_answer(const struct piece_server *server, const struct piece_call *wanted,
+                               size_t *size)
+{
+    const struct piece_manifest *manifest = piece_set_manifest(server->set);
+    if (!manifest)
+        return NULL;
+    if (wanted->kind == PIECE_CALL_MANIFEST)
+        return piece_set_manifest_body(server->set, size);
+    uint32_t piece = find_held(server, wanted);
+    return piece < manifest->count ? piece_set_data(server->set, piece, size) : NULL;
+}
+
+static void remove_call(struct piece_server *server, uint32_t index)
+{
+    server->count--;
+    memmove(&server->waiting[index], &server->waiting[index + 1],
+            (server->count - index) * sizeof *server->waiting);
+}
+
+static void count_on_link(struct piece_server *server, size_t size, uint64_t now)
+{
+    if (server->bits_per_us <= 0)
+        return;
+    if (server->link_free_at < now)
+        server->link_free_at = now;
+    server->link_free_at += (uint64_t)((double)size * 8 / server->bits_per_us);
+}
+
+void piece_server_advance(struct piece_server *server, uint64_t now)
+{
+    for (uint32_t i = 0; i < server->count;) {
+        size_t size;
+        const void *bytes = find_answer(server, &server->waiting[i].wanted, &size);
+        if (!bytes) {
+            i++;
+            continue;
+        }
+        if (server->link_free_at > now + PACE_SLACK_US) {
+            uint64_t wait_us = server->link_free_at - now - PACE_SLACK_US;
+            uv_timer_start(&server->timer, on_link_free, wait_us / 1000 + 1, 0);
+            return;
+        }
+        struct waiting_call answered = server->waiting[i];
+        remove_call(server, i);
+        count_on_link(server, size, now);
+        if (answered.wanted.kind == PIECE_CALL_PIECE)
+            metric_add(METRIC_CHUNKS_SERVED, 1);
+        service_reply(answered.call, 200, "application/octet-stream", bytes, size);
+    }
+}
+
+static void on_link_free(uv_timer_t *timer)
+{
+    struct piece_server *server = timer->data;
+    piece_server_advance(server, clock_monotonic_us());
+}
+
+void piece_server_take(struct piece_server *server, struct service_call *call,
+                       const struct piece_call *wanted, uint64_t now)
+{
+    if (server->count == CALLS_MOST) {
+        service_reply(call, STATUS_BUSY, NULL, NULL, 0);
+        return;
+    }
+    server->waiting = memory_resize(server->waiting, (server->count + 1) * sizeof *server->waiting);
+    server->waiting[server->count++] = (struct waiting_call){call, *wanted, now + server->wait_us};
+    piece_server_advance(server, now);
+    if (!server->wait_us)
+        piece_server_tick(server, now);
+}
+
+void piece_server_tick(struct piece_server *server, uint64_t now)
+{
+    for (uint32_t i = 0; i < server->count;) {
+        size_t size;
+        struct waiting_call *waiting = &server->waiting[i];
+        if (now < waiting->until || find_answer(server, &waiting->wanted, &size)) {
+            i++; /* what is there only waits for the link */
+            continue;
+        }
+        struct service_call *call = waiting->call;
+        remove_call(server, i);
+        service_reply(call, STATUS_NOT_IN_TIME, NULL, NULL, 0);
+    }
+}
--- /dev/null
+++ b/src/weights/piece_set.h
@@ -0,0 +1,43 @@
+/**
+ * The pieces of one version of a model that this process holds in memory, checked by their digests.
+ */
+#ifndef SHUNTRUN_PIECE_SET_H
+#define SHUNTRUN_PIECE_SET_H
+
+#include "base/status.h"
+#include "core/backend_pool.h"
+#include "platform/platform.h"
+
+struct piece_set;
+
+enum piece_verdict {
+    PIECE_NEW,     /**< taken */
+    PIECE_KNOWN,   /**< held already */
+    PIECE_FOREIGN, /**< its digest is none of this version's */
+};
+
+struct piece_set *piece_set_create(const char *model, uint64_t version);
+void piece_set_destroy(struct piece_set *set);
+const char *piece_set_model(const struct piece_set *set);
+uint64_t piece_set_version(const struct piece_set *set);
+/** \return key of the version for rendezvous hashing */
+uint64_t piece_set_rollout(const struct piece_set *set);
+
+/** \brief Take the manifest as it came. \return STATUS_INVALID when it is not one of this version
+ */
+enum status piece_set_take_manifest(struct piece_set *set, const char *body, size_t size);
+/** \return NULL before it is known */
+const struct piece_manifest *piece_set_manifest(const struct piece_set *set);
+/** \brief The manifest as it came. \return NULL before it is known */
+const char *piece_set_manifest_body(const struct piece_set *set, size_t *size);
+
+/** \brief Take a piece, known by its digest. \param piece gets its number unless foreign */
+enum piece_verdict piece_set_take(struct piece_set *set, const void *bytes, size_t size,
+                                  uint32_t *piece);
+/** \return NULL when not held */
+const uint8_t *piece_set_data(const struct piece_set *set, uint32_t piece, size_t *size);
+/** \return pieces held */
+uint32_t piece_set_held(const struct piece_set *set);
+bool piece_set_complete(const struct piece_set *set);
+
+#endif
--- /dev/null
+++ b/src/weights/weight_relay.c
@@ -0,0 +1,147 @@
+#include "weights/weight_relay.h"
+
+#include "base/log.h"
+#include "base/memory.h"
+#include "weights/piece_fetch.h"
+#include "weights/piece_server.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** Versions held at once, all models together: the one in use, one on its way, and one named
+ *  meanwhile. Bounds the memory for weights. */
+#define VERSIONS_MOST 3
+/** A call for what is not here yet waits for so long; its caller takes longer silence for a loss.
+ */
+#define CALL_WAIT_US 300000
+/** Share of the machine's link that pieces may take: the rest is for the requests of clients. */
+#define LINK_SHARE 0.7
+/** Connections to each source: one call is on its way while another one's answer comes. */
+#define LANES 2
+
+/* A version that is held or on its way. */
+struct relayed_version {
+    struct piece_set *set;
+    struct piece_fetch *fetch;
+    struct piece_server *server;
+    uint64_t asked_at; /* time of the last call for it */
+};
+
+struct weight_relay {
+    struct cluster *cluster;
+    struct sockaddr_in origin;
+    bool has_origin;
+    struct relayed_version *versions[VERSIONS_MOST];
+    uint32_t count;
+};
+
+struct weight_relay *weight_relay_create(struct cluster *cluster)
+{
+    struct weight_relay *relay = memory_zero(1, sizeof *relay);
+    relay->cluster = cluster;
+    return relay;
+}
+
+void weight_relay_set_origin(struct weight_relay *relay, const struct sockaddr_in *origin)
+{
+    relay->origin = *origin;
+    relay->has_origin = true;
+    for (uint32_t i = 0; i < relay->count; i++)
+        piece_fetch_set_origin(relay->versions[i]->fetch, origin);
+}
+
+static void on_manifest_known(void *context)
+{
+    struct relayed_version *version = context;
+    piece_server_advance(version->server, cluster_now());
+}
+
+static void on_piece_held(void *context, uint32_t piece)
+{
+    struct relayed_version *version = context;
+    piece_server_advance(version->server, cluster_now());
+    if (piece_set_complete(version->set))
+        log_event(LOG_LEVEL_INFO, "relay", "complete", "model=%s version=%" PRIu64,
+                  piece_set_model(version->set), piece_set_version(version->set));
+}
+
+static void drop(struct weight_relay *relay, uint32_t index)
+{
+    struct relayed_version *version = relay->versions[index];
+    log_event(LOG_LEVEL_INFO, "relay", "version-dropped", "model=%s version=%" PRIu64,
+              piece_set_model(version->set), piece_set_version(version->set));
+    piece_server_destroy(version->server);
+    piece_fetch_destroy(version->fetch);
+    piece_set_destroy(version->set);
+    free(version);
+    relay->versions[index] = relay->versions[--relay->count];
+}
+
+/* The version that was asked for longest ago makes room. */
+static void make_room(struct weight_relay *relay)
+{
+    uint32_t oldest = 0;
+    if (relay->count < VERSIONS_MOST)
+        return;
+    for (uint32_t i = 1; i < relay->count; i++)
+        if (relay->versions[i]->asked_at < relay->versions[oldest]->asked_at)
+            oldest = i;
+    drop(relay, oldest);
+}
+
+static struct relayed_version *add(struct weight_relay *relay, const char *model, uint64_t number)
+{
+    make_room(relay);
+    struct relayed_version *version = memory_zero(1, sizeof *version);
+    struct piece_fetch_callbacks callbacks = {version, on_manifest_known, on_piece_held};
+    double link = strtod(relay->cluster->settings->link_mbit, NULL);
+    version->set = piece_set_create(model, number);
+    version->server =
+        piece_server_create(relay->cluster->loop, version->set, LINK_SHARE * link, CALL_WAIT_US);
+    version->fetch =
+        piece_fetch_create(relay->cluster, version->set, PIECE_FETCH_AS_RELAY, &callbacks);
+    piece_fetch_set_lanes(version->fetch, LANES);
+    if (relay->has_origin)
+        piece_fetch_set_origin(version->fetch, &relay->origin);
+    relay->versions[relay->count++] = version;
+    log_event(LOG_LEVEL_INFO, "relay", "version-wanted", "model=%s version=%" PRIu64, model,
+              number);
+    return version;
+}
+
+static struct relayed_version *find(struct weight_relay *relay, const char *model, uint64_t number)
+{
+    for (uint32_t i = 0; i < relay->count; i++)
+        if (piece_set_version(relay->versions[i]->set) == number &&
+            strcmp(piece_set_model(relay->versions[i]->set), model) == 0)
+            return relay->versions[i];
+    return NULL;
+}
+
+bool weight_relay_serve(struct weight_relay *relay, struct service_call *call,
+                        const struct service_request *request)
+{
+    struct piece_call wanted;
+    uint64_t now = cluster_now();
+    piece_wire_read(request, &wanted);
+    if (wanted.kind == PIECE_CALL_OTHER)
+        return false;
+    struct relayed_version *version = find(relay, wanted.model, wanted.version);
+    bool is_new = !version;
+    if (is_new)
+        version = add(relay, wanted.model, wanted.version);
+    version->asked_at = now;
+    piece_server_take(version->server, call, &wanted, now);
+    if (is_new)
+        piece_fetch_tick(version->fetch, now);
+    return true;
+}
+
+void weight_relay_tick(struct weight_relay *relay, uint64_t now)
+{
+    for (uint32_t i = 0; i < relay->count; i++) {
+        piece_fetch_tick(relay->versions[i]->fetch, now);
+        piece_server_tick(relay->versions[i]->server, now);
+    }
+}
--- /dev/null
+++ b/tests/core/relay_plan_test.c
@@ -0,0 +1,158 @@
+/* Who hands on weights, and where each node takes a piece from. */
+#include "testing.h"
+
+#include "core/fleet_members.h"
+#include "core/relay_plan.h"
+
+#include <string.h>
+
+#define ROLLOUT 42
+#define PIECES 64
+
+static uint32_t few_fast_gateways(uint32_t index)
+{
+    if (fleet_role(index) == MEMBER_LOADER)
+        return 7;
+    return index < 2 * FLEET_REGIONS ? 200 : 40;
+}
+
+static uint32_t slow_gateways(uint32_t index)
+{
+    return fleet_role(index) == MEMBER_LOADER ? 8 : 40;
+}
+
+static void plan_of(uint32_t index, fleet_link *link, struct relay_plan *plan)
+{
+    struct membership *membership = fleet_seen_by(index, link);
+    relay_plan_refresh(plan, membership, ROLLOUT);
+    membership_destroy(membership);
+}
+
+static bool names(const struct relay_plan *plan, uint32_t address)
+{
+    for (uint32_t i = 0; i < plan->count; i++)
+        if (plan->relays[i].address == address)
+            return true;
+    return false;
+}
+
+static void all_nodes_name_the_same_relays(void **state)
+{
+    struct relay_plan first, other;
+    plan_of(0, few_fast_gateways, &first);
+    for (uint32_t index = 1; index < FLEET_MEMBERS; index += 7) {
+        plan_of(index, few_fast_gateways, &other);
+        assert_int_equal(other.count, first.count);
+        for (uint32_t i = 0; i < first.count; i++)
+            assert_true(names(&other, first.relays[i].address));
+    }
+}
+
+static void gateways_with_fast_links_relay(void **state)
+{
+    struct relay_plan plan;
+    plan_of(FLEET_GATEWAYS, few_fast_gateways, &plan);
+    /* 26 loaders of a region take 182 Mbit/s: twice that is less than two links of 200. */
+    for (uint32_t address = 1; address <= 2 * FLEET_REGIONS; address++)
+        assert_true(names(&plan, address));
+}
+
+static void slow_links_make_more_relays(void **state)
+{
+    struct relay_plan plan;
+    plan_of(FLEET_GATEWAYS, slow_gateways, &plan);
+    assert_true(plan.count >= 10 * FLEET_REGIONS);
+}
+
+static void two_relays_a_region_when_rates_are_not_known(void **state)
+{
+    struct relay_plan plan;
+    plan_of(FLEET_GATEWAYS, NULL, &plan);
+    assert_int_equal(plan.count, 2 * FLEET_REGIONS);
+}
+
+/* Count, over all relays, where one piece is taken from. */
+static void count_sources(const struct relay_plan *all, uint32_t piece, uint32_t *from_origin,
+                          uint32_t *crossings)
+{
+    for (uint32_t i = 0; i < all->count; i++) {
+        uint32_t self = all->relays[i].address;
+        struct relay_plan plan;
+        struct relay_sources sources;
+        plan_of(self - 1, few_fast_gateways, &plan);
+        relay_plan_relay_sources(&plan, piece, &sources);
+        uint32_t best = sources.addresses[0];
+        *from_origin += best == RELAY_ORIGIN;
+        *crossings += best != RELAY_ORIGIN && best % FLEET_REGIONS != self % FLEET_REGIONS;
+        assert_int_not_equal(best, self);
+    }
+}
+
+static void a_piece_is_read_once_and_crosses_to_each_other_region_once(void **state)
+{
+    struct relay_plan plan;
+    plan_of(0, few_fast_gateways, &plan);
+    for (uint32_t piece = 0; piece < PIECES; piece += 9) {
+        uint32_t from_origin = 0, crossings = 0;
+        count_sources(&plan, piece, &from_origin, &crossings);
+        assert_int_equal(from_origin, 1);
+        assert_int_equal(crossings, FLEET_REGIONS - 1);
+    }
+}
+
+static void a_relay_whose_peers_fail_goes_to_the_origin_then_to_loaders(void **state)
+{
+    struct relay_plan plan;
+    struct relay_sources sources;
+    plan_of(0, few_fast_gateways, &plan);
+    relay_plan_relay_sources(&plan, 5, &sources);
+    assert_true(sources.count >= 4);
+    uint32_t origin = 0;
+    while (sources.addresses[origin] != RELAY_ORIGIN)
+        origin++;
+    for (uint32_t i = origin + 1; i < sources.count; i++)
+        assert_true(sources.addresses[i] > FLEET_GATEWAYS || names(&plan, sources.addresses[i]));
+    assert_true(sources.addresses[sources.count - 1] > FLEET_GATEWAYS);
+}
+
+static void a_loader_asks_its_own_region_first(void **state)
+{
+    struct relay_plan plan;
+    struct relay_sources sources;
+    plan_of(FLEET_GATEWAYS, few_fast_gateways, &plan);
+    relay_plan_loader_sources(&plan, false, &sources);
+    assert_int_equal(sources.count, 2 * FLEET_REGIONS);
+    for (uint32_t i = 0; i < 2; i++)
+        assert_int_equal((sources.addresses[i] - 1) % FLEET_REGIONS,
+                         FLEET_GATEWAYS % FLEET_REGIONS);
+    for (uint32_t i = 0; i < sources.count; i++)
+        assert_int_not_equal(sources.addresses[i], RELAY_ORIGIN);
+    relay_plan_loader_sources(&plan, true, &sources);
+    assert_int_equal(sources.addresses[sources.count - 1], RELAY_ORIGIN);
+}
+
+static void the_dead_do_not_relay(void **state)
+{
+    struct relay_plan plan;
+    struct membership *membership = fleet_seen_by(FLEET_GATEWAYS, few_fast_gateways);
+    fleet_tell(membership, 0, few_fast_gateways, MEMBER_DEAD);
+    relay_plan_refresh(&plan, membership, ROLLOUT);
+    assert_false(names(&plan, 1));
+    assert_true(names(&plan, 2));
+    membership_destroy(membership);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(all_nodes_name_the_same_relays),
+        cmocka_unit_test(gateways_with_fast_links_relay),
+        cmocka_unit_test(slow_links_make_more_relays),
+        cmocka_unit_test(two_relays_a_region_when_rates_are_not_known),
+        cmocka_unit_test(a_piece_is_read_once_and_crosses_to_each_other_region_once),
+        cmocka_unit_test(a_relay_whose_peers_fail_goes_to_the_origin_then_to_loaders),
+        cmocka_unit_test(a_loader_asks_its_own_region_first),
+        cmocka_unit_test(the_dead_do_not_relay),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/weights/piece_server_test.c
@@ -0,0 +1,248 @@
+/* Pieces of a version: held by digest, asked for as a set, handed on when they come. */
+#include "testing.h"
+
+#include "base/clock.h"
+#include "core/bitmap.h"
+#include "net/http_caller.h"
+#include "weights/piece_server.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define PIECES 3
+#define WAIT_US 60000
+#define RATE_BITS_PER_US 0.016 /* a piece of 20 bytes takes 10 ms */
+
+static const char *const contents[PIECES] = {"piece 0 ............", "piece 1 ............",
+                                             "piece 2 ............"};
+
+static struct piece_set *set_with_manifest(void)
+{
+    struct piece_set *set = piece_set_create("m", 2);
+    struct buffer body = {0};
+    buffer_append_text(&body, "{\"version\":2,\"chunk_bytes\":20,\"digests\":[");
+    for (uint32_t i = 0; i < PIECES; i++) {
+        struct digest digest = digest_of(contents[i], strlen(contents[i]));
+        char hex[DIGEST_HEX_SIZE];
+        digest_to_hex(&digest, hex);
+        buffer_append_format(&body, "%s\"%s\"", i ? "," : "", hex);
+    }
+    buffer_append_text(&body, "]}");
+    assert_int_equal(piece_set_take_manifest(set, body.data, body.size), STATUS_OK);
+    buffer_clear(&body);
+    return set;
+}
+
+static void give(struct piece_set *set, uint32_t piece)
+{
+    uint32_t number;
+    assert_int_equal(piece_set_take(set, contents[piece], strlen(contents[piece]), &number),
+                     PIECE_NEW);
+    assert_int_equal(number, piece);
+}
+
+static void a_piece_is_known_by_its_digest(void **state)
+{
+    struct piece_set *set = set_with_manifest();
+    uint32_t number;
+    give(set, 1);
+    assert_int_equal(piece_set_take(set, contents[1], strlen(contents[1]), &number), PIECE_KNOWN);
+    assert_int_equal(piece_set_take(set, "spoilt", 6, &number), PIECE_FOREIGN);
+    give(set, 0);
+    assert_false(piece_set_complete(set));
+    give(set, 2);
+    assert_true(piece_set_complete(set));
+    piece_set_destroy(set);
+}
+
+static void a_manifest_of_another_version_is_refused(void **state)
+{
+    static const char body[] = "{\"version\":3,\"chunk_bytes\":20,\"digests\":"
+                               "[\"0000000000000000000000000000000000000000000000000000000000000000"
+                               "\"]}";
+    struct piece_set *set = piece_set_create("m", 2);
+    assert_int_equal(piece_set_take_manifest(set, body, sizeof body - 1), STATUS_INVALID);
+    assert_null(piece_set_manifest(set));
+    piece_set_destroy(set);
+}
+
+static enum piece_call_kind kind_of(const char *target, struct piece_call *call)
+{
+    struct service_request request = {
+        .method = "GET", .target = target, .target_length = strlen(target)};
+    piece_wire_read(&request, call);
+    return call->kind;
+}
+
+static void calls_are_read_as_they_are_written(void **state)
+{
+    uint64_t wanted[PIECE_BITMAP_WORDS] = {0};
+    struct piece_call call;
+    struct buffer target = {0};
+    bitmap_set(wanted, 3);
+    bitmap_set(wanted, 70);
+    piece_wire_write_piece("m", 12, wanted, 100, &target);
+    assert_int_equal(kind_of(target.data, &call), PIECE_CALL_PIECE);
+    assert_string_equal(call.model, "m");
+    assert_int_equal(call.version, 12);
+    assert_memory_equal(call.wanted, wanted, sizeof wanted);
+    buffer_clear(&target);
+    piece_wire_write_manifest("m", 12, &target);
+    assert_int_equal(kind_of(target.data, &call), PIECE_CALL_MANIFEST);
+    buffer_clear(&target);
+}
+
+static void malformed_calls_are_none(void **state)
+{
+    struct piece_call call;
+    assert_int_equal(kind_of("/piece?model=m&version=1", &call), PIECE_CALL_OTHER);
+    assert_int_equal(kind_of("/piece?model=m&version=1&wanted=12", &call), PIECE_CALL_OTHER);
+    assert_int_equal(kind_of("/piece?model=m&version=1&wanted=00000000000000zz", &call),
+                     PIECE_CALL_OTHER);
+    assert_int_equal(kind_of("/manifest?version=1", &call), PIECE_CALL_OTHER);
+    assert_int_equal(kind_of("/state?model=m&version=1", &call), PIECE_CALL_OTHER);
+}
+
+/* A server on loopback and calls to it. */
+struct exchange_fixture {
+    uv_loop_t *loop;
+    struct piece_set *set;
+    struct piece_server *server;
+    struct sockaddr_in address;
+    uint32_t answers;
+    unsigned statuses[PIECES];
+    char last_body[32];
+};
+
+static void on_call(void *context, struct service_call *call, const struct service_request *request)
+{
+    struct exchange_fixture *fixture = context;
+    struct piece_call wanted;
+    piece_wire_read(request, &wanted);
+    assert_int_equal(wanted.kind, PIECE_CALL_PIECE);
+    piece_server_take(fixture->server, call, &wanted, clock_monotonic_us());
+}
+
+static void on_answer(void *context, enum call_result result, const struct http_message *message)
+{
+    struct exchange_fixture *fixture = context;
+    assert_int_equal(result, CALL_ANSWERED);
+    fixture->statuses[fixture->answers++] = http_message_status(message);
+    snprintf(fixture->last_body, sizeof fixture->last_body, "%.*s", (int)message->body.size,
+             message->body.size ? message->body.data : "");
+}
+
+/* A port that was free a moment ago. */
+static void find_port(struct sockaddr_in *address)
+{
+    socklen_t size = sizeof *address;
+    int probe = socket(AF_INET, SOCK_STREAM, 0);
+    memset(address, 0, sizeof *address);
+    address->sin_family = AF_INET;
+    address->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert_int_equal(bind(probe, (struct sockaddr *)address, size), 0);
+    getsockname(probe, (struct sockaddr *)address, &size);
+    close(probe);
+}
+
+static void fixture_open(struct exchange_fixture *fixture, double bits_per_us, uint64_t wait_us)
+{
+    memset(fixture, 0, sizeof *fixture);
+    fixture->loop = uv_default_loop();
+    fixture->set = set_with_manifest();
+    fixture->server = piece_server_create(fixture->loop, fixture->set, bits_per_us, wait_us);
+    find_port(&fixture->address);
+    assert_non_null(http_service_start(fixture->loop, &fixture->address, 1024, on_call, fixture));
+}
+
+static void ask(struct exchange_fixture *fixture, uint64_t pieces)
+{
+    uint64_t wanted[PIECE_BITMAP_WORDS] = {pieces};
+    struct buffer target = {0};
+    piece_wire_write_piece("m", 2, wanted, PIECES, &target);
+    struct caller_request request = {.method = "GET",
+                                     .target = target.data,
+                                     .timeout_ms = 5000,
+                                     .body_limit = 1024,
+                                     .done = on_answer,
+                                     .context = fixture};
+    http_caller_send(http_caller_create(fixture->loop, &fixture->address), &request);
+    buffer_clear(&target);
+}
+
+static void on_nothing(uv_timer_t *timer)
+{
+}
+
+/* Let the loop run until so many answers came; the timer only wakes the loop. */
+static void run_until(struct exchange_fixture *fixture, uint32_t answers)
+{
+    uv_timer_t wake;
+    uv_timer_init(fixture->loop, &wake);
+    uv_timer_start(&wake, on_nothing, 5, 5);
+    while (fixture->answers < answers) {
+        uv_run(fixture->loop, UV_RUN_ONCE);
+        piece_server_tick(fixture->server, clock_monotonic_us());
+    }
+    uv_close((uv_handle_t *)&wake, NULL);
+    uv_run(fixture->loop, UV_RUN_NOWAIT);
+}
+
+static void a_call_waits_for_any_of_its_pieces(void **state)
+{
+    struct exchange_fixture fixture;
+    fixture_open(&fixture, 0, 60 * (uint64_t)1000000);
+    ask(&fixture, 0x5); /* 0 or 2 */
+    for (uint32_t i = 0; i < 20; i++)
+        uv_run(fixture.loop, UV_RUN_NOWAIT);
+    give(fixture.set, 1);
+    piece_server_advance(fixture.server, clock_monotonic_us());
+    assert_int_equal(fixture.answers, 0);
+    give(fixture.set, 2);
+    piece_server_advance(fixture.server, clock_monotonic_us());
+    run_until(&fixture, 1);
+    assert_int_equal(fixture.statuses[0], 200);
+    assert_string_equal(fixture.last_body, contents[2]);
+}
+
+static void what_does_not_come_is_refused_in_time(void **state)
+{
+    struct exchange_fixture fixture;
+    fixture_open(&fixture, 0, WAIT_US);
+    ask(&fixture, 0x1);
+    run_until(&fixture, 1);
+    assert_int_equal(fixture.statuses[0], 409);
+}
+
+static void answers_leave_at_the_pace_of_the_link(void **state)
+{
+    struct exchange_fixture fixture;
+    fixture_open(&fixture, RATE_BITS_PER_US, WAIT_US);
+    for (uint32_t i = 0; i < PIECES; i++)
+        give(fixture.set, i);
+    uint64_t began = clock_monotonic_us();
+    for (uint32_t i = 0; i < PIECES; i++)
+        ask(&fixture, 0x7);
+    run_until(&fixture, PIECES);
+    /* The first leaves at once, the others after 10 and 20 ms, less the slack of timers. */
+    assert_true(clock_monotonic_us() - began >= 16000);
+    for (uint32_t i = 0; i < PIECES; i++)
+        assert_int_equal(fixture.statuses[i], 200);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_piece_is_known_by_its_digest),
+        cmocka_unit_test(a_manifest_of_another_version_is_refused),
+        cmocka_unit_test(calls_are_read_as_they_are_written),
+        cmocka_unit_test(malformed_calls_are_none),
+        cmocka_unit_test(a_call_waits_for_any_of_its_pieces),
+        cmocka_unit_test(what_does_not_come_is_refused_in_time),
+        cmocka_unit_test(answers_leave_at_the_pace_of_the_link),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
