A back end's own error sends a request that may be repeated elsewhere, within attempts and budget

Change: a 5xx of a back end is passed on only when no other back end has room, or attempts or budget are spent.

--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -8,6 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** Statuses from here on are failures of the back end, not of the request. */
+#define FIRST_SERVER_ERROR 500
+
 /* --- answers -------------------------------------------------------------------------------------
  */
 
@@ -151,6 +154,13 @@
     exchange_try_again(exchange, reason);
 }
 
+/* Another back end may do better, if the request may be repeated and there is one with room. */
+static bool goes_on_after_error(struct exchange *exchange, unsigned status)
+{
+    return status >= FIRST_SERVER_ERROR && exchange_is_repeatable(exchange) &&
+           exchange_may_move(exchange);
+}
+
 static void on_done(struct exchange *exchange, struct http_message *message)
 {
     struct answer_head head;
@@ -182,6 +192,12 @@
         exchange_on_broken(exchange, BACKEND_ERROR, "resume-refused");
         return;
     }
+    if (goes_on_after_error(exchange, status)) {
+        exchange_end_attempt(exchange, BACKEND_ERROR);
+        exchange->may_have_run = true;
+        exchange_try_again(exchange, "backend-error");
+        return;
+    }
     exchange_end_attempt(exchange, BACKEND_ERROR);
     pass_on(exchange, message, "backend-error");
 }
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -223,6 +223,8 @@
         owner.runs.append((identity, dict(self.headers), body))
         if fault == "reset":
             self.reset()
+        elif fault == "error":
+            self.reply(500, b"failed", echo + self.seal())
         elif fault == "silent":
             time.sleep(3)
             self.reset()
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -219,12 +219,20 @@
             self.assertEqual(len(self.runs_of(answer.identity)), 1, fault)
 
     def test_a_repeatable_request_goes_elsewhere(self):
-        for fault in ("reset", "unsealed", "shed", "silent"):
+        for fault in ("reset", "unsealed", "shed", "silent", "error"):
             self.plain[0].faults[:] = [fault]
             self.plain[1].faults[:] = []
             for _ in range(6):
                 self.assertEqual(ask("GET", "/get/1").status, 200, fault)
 
+    def test_an_error_of_all_back_ends_is_passed_on_whole(self):
+        for backend in self.plain:
+            backend.faults[:] = ["error"]
+        answer = ask("GET", "/get/1")
+        self.assertEqual((answer.status, answer.body), (500, b"failed"))
+        self.assertTrue(answer.headers.get("Shuntrun-Response-Seal", "").startswith("seal-"))
+        self.assertEqual(len(self.runs_of(answer.identity)), 2)
+
     def test_an_answer_of_another_request_is_passed_over(self):
         for backend in self.plain:
             backend.faults[:] = ["foreign"]
