Starts are quicker: gateways look for others for 0.1 s, relays read first what is theirs by rank

Cause: after a loss of power the first configuration was read 0.35 s after the first gateway's start, 0.3 s of which it waited for others; relays that did not know each other yet all read the pieces in the same order, so that the origin sent up to 0.9 of a copy twice; loaders looked at their engine 60 ms after each step. Change: FIRST_LOOK_US 100 ms; a relay asks the origin first for the pieces of which its rendezvous weight is greatest; 25 ms between looks while something is installed.

--- a/src/core/reader_role.c
+++ b/src/core/reader_role.c
@@ -10,8 +10,9 @@
 #define STEP_IN_US 700000
 /** Who need not read goes on for so long, as views of who lives differ for a moment. */
 #define STEP_OUT_US 2000000
-/** After its start a node looks for other gateways for so long. */
-#define FIRST_LOOK_US 300000
+/** After its start a node looks for other gateways for so long: some round trips to a seed. Who
+ *  finds nobody reads, as nobody serves before somebody has read. */
+#define FIRST_LOOK_US 100000
 #define READER_KEY 0x72656164657273ULL
 
 static bool is_candidate(const struct member_state *member, const char *region)
--- a/src/core/relay_plan.c
+++ b/src/core/relay_plan.c
@@ -135,6 +135,11 @@
     choose_loaders(plan, membership);
 }
 
+uint64_t relay_plan_weight(const struct relay_plan *plan, uint32_t piece)
+{
+    return hash_pair(hash_pair(plan->rollout, piece), plan->self);
+}
+
 bool relay_plan_has_self(const struct relay_plan *plan)
 {
     for (uint32_t i = 0; i < plan->count; i++)
--- a/src/core/relay_plan.h
+++ b/src/core/relay_plan.h
@@ -44,6 +44,8 @@
 
 /** \brief Compute the relays from the present members. \param rollout key of the version */
 void relay_plan_refresh(struct relay_plan *plan, struct membership *membership, uint64_t rollout);
+/** \return rank of this node for a piece: the relay of greatest weight reads it from the origin */
+uint64_t relay_plan_weight(const struct relay_plan *plan, uint32_t piece);
 /** \return whether this node is a relay */
 bool relay_plan_has_self(const struct relay_plan *plan);
 /**
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -396,6 +396,11 @@
     }
 }
 
+bool installer_is_busy(const struct installer *installer)
+{
+    return installer->step != STEP_IDLE && installer->step != STEP_READY;
+}
+
 bool installer_is_staged(const struct installer *installer)
 {
     return installer->checked_at > 0 && installer->step != STEP_IDLE;
--- a/src/loader/installer.h
+++ b/src/loader/installer.h
@@ -36,6 +36,8 @@
 void installer_on_report(struct installer *installer, const struct engine_report *report,
                          bool reachable);
 void installer_tick(struct installer *installer, uint64_t now, const struct install_turn *turn);
+/** \return whether there is a next step to take soon */
+bool installer_is_busy(const struct installer *installer);
 /** \return whether all of the wanted version lies at the engine, checked */
 bool installer_is_staged(const struct installer *installer);
 /** \return whether an order is under way, as far as this process knows */
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -23,8 +23,9 @@
 #define LOAD_REPEAT_US 300000
 /** Gateways of other regions hear of the load so often; they send little here. */
 #define FAR_LOAD_US 290000
-/** Time between ticks while pieces are fetched. */
-#define FETCH_TICK_MS 25
+/** Time between ticks while pieces are fetched or installed, and between looks at the engine while
+ *  it loads: a tenth of the time that loading takes. */
+#define BUSY_TICK_MS 25
 /** A version named less than this ago cannot lie at the engine yet. */
 #define RECENT_US 4000000
 /** The first version of a model; the operator names only later ones. */
@@ -436,7 +437,8 @@
     struct loader *loader = timer->data;
     uint64_t now = cluster_now();
     if (!loader->asking && loader->model[0] && now >= loader->next_report) {
-        loader->next_report = now + REPORT_INTERVAL_MS * 1000;
+        bool changes = loader->installer && installer_is_loading(loader->installer, now);
+        loader->next_report = now + (changes ? BUSY_TICK_MS : REPORT_INTERVAL_MS) * 1000;
         ask_report(loader);
     }
     if (loader->reconsider) {
@@ -450,7 +452,8 @@
         struct install_turn turn = own_turn(loader);
         installer_tick(loader->installer, now, &turn);
     }
-    uv_timer_start(timer, on_tick, fetching ? FETCH_TICK_MS : REPORT_INTERVAL_MS, 0);
+    bool busy = fetching || (loader->installer && installer_is_busy(loader->installer));
+    uv_timer_start(timer, on_tick, busy ? BUSY_TICK_MS : REPORT_INTERVAL_MS, 0);
 }
 
 static void on_stop(struct process *process)
--- a/src/weights/piece_fetch.c
+++ b/src/weights/piece_fetch.c
@@ -307,12 +307,15 @@
     advance(lane->fetch, now);
 }
 
-/* Missing pieces that this lane is to fetch. \return the first of them, or the count of pieces */
+/* Missing pieces that this lane is to fetch. \return the one that is this node's most of all by
+ * rank, so that nodes that do not know each other yet read different ones; the count of pieces:
+ * none */
 static uint32_t list_wanted(struct lane *lane, uint64_t now, uint64_t wanted[PIECE_BITMAP_WORDS])
 {
     struct piece_fetch *fetch = lane->fetch;
     uint32_t count = piece_set_manifest(fetch->set)->count;
-    uint32_t first = count;
+    uint32_t best = count;
+    uint64_t best_weight = 0;
     memset(wanted, 0, PIECE_BITMAP_WORDS * sizeof *wanted);
     for (uint32_t i = 0; i < count && i < PIECES_MOST; i++) {
         size_t size;
@@ -320,10 +323,13 @@
             choose_source(fetch, i, now) != lane->source)
             continue;
         bitmap_set(wanted, i);
-        if (first == count)
-            first = i;
+        uint64_t weight = relay_plan_weight(&fetch->plan, i);
+        if (best == count || weight > best_weight) {
+            best = i;
+            best_weight = weight;
+        }
     }
-    return first;
+    return best;
 }
 
 static void ask_piece(struct lane *lane, uint64_t now)
@@ -331,13 +337,13 @@
     struct piece_fetch *fetch = lane->fetch;
     uint64_t wanted[PIECE_BITMAP_WORDS];
     struct buffer target = {0};
-    uint32_t first = list_wanted(lane, now, wanted);
+    uint32_t best = list_wanted(lane, now, wanted);
     uint32_t count = piece_set_manifest(fetch->set)->count;
-    if (first == count)
+    if (best == count)
         return;
     if (lane->source->address == RELAY_ORIGIN) {
         platform_write_piece_target(piece_set_model(fetch->set), piece_set_version(fetch->set),
-                                    first, &target);
+                                    best, &target);
         buffer_append(&target, "", 1);
     } else {
         piece_wire_write_piece(piece_set_model(fetch->set), piece_set_version(fetch->set), wanted,
