Relays get work in proportion to their links; one gateway of a region reads the whole state first

(1) Of 39 gateways 30 read the whole state (1,849 routes) from the store at once, as seeds come 0.3 s late and nobody knows anybody until then: the links between regions were full until 37.9 s. (2) A relay with a link of 40 Mbit/s had as much to do as those with 200: each piece through it took 0.47 s. Ruled out: losses on the lanes (failures 0 to 6), the origin (lagos had all pieces at 39.4 s). Change: core/relay_plan ranks by weighted rendezvous; core/reader_role lets one gateway of a region read while it knows nothing, later ranks after 0.4 s each; who knows nobody waits 0.3 s for seeds, but for one in four.

--- a/src/core/reader_role.c
+++ b/src/core/reader_role.c
@@ -10,9 +10,15 @@
 #define STEP_IN_US 700000
 /** Who need not read goes on for so long, as views of who lives differ for a moment. */
 #define STEP_OUT_US 2000000
-/** After its start a node looks for other gateways for so long: some round trips to a seed. Who
- *  finds nobody reads, as nobody serves before somebody has read. */
+/** After its start a node looks for other gateways for so long: some round trips to a seed. */
 #define FIRST_LOOK_US 100000
+/** Seeds may begin so much later than others; until then nobody finds anybody. */
+#define SEEDS_LATE_US 300000
+/** One in so many gateways does not wait for late seeds: somebody should know the state by then. */
+#define EARLY_ONE_IN 4
+/** While nothing is known, one more gateway of a region begins to read in each such time: about as
+ *  long as the whole takes to come through a link between regions. */
+#define COLD_STEP_US 400000
 #define READER_KEY 0x72656164657273ULL
 
 static bool is_candidate(const struct member_state *member, const char *region)
@@ -80,11 +86,31 @@
     return false;
 }
 
+static bool is_early(struct membership *membership)
+{
+    return hash_pair(READER_KEY, membership_self(membership)->address) % EARLY_ONE_IN == 0;
+}
+
+/*
+ * After a loss of power all gateways know nothing. If many of them read the whole at once, they
+ * choke the links between regions: so one of a region does, and the others get it from there,
+ * compressed. Later ranks step in as that one may fail.
+ */
+static bool may_read_whole(const struct reader_role *role, struct membership *membership,
+                           uint64_t now)
+{
+    uint64_t elapsed = now - role->first_update;
+    if (!knows_a_gateway(membership))
+        return elapsed >= (is_early(membership) ? FIRST_LOOK_US : SEEDS_LATE_US);
+    return elapsed >= FIRST_LOOK_US + own_rank(membership) * COLD_STEP_US;
+}
+
 bool reader_role_update(struct reader_role *role, struct membership *membership, uint64_t now)
 {
     if (!role->first_update)
         role->first_update = now;
-    if (!knows_a_gateway(membership) && now < role->first_update + FIRST_LOOK_US)
+    bool knows_nothing = membership_self(membership)->state_revision == 0;
+    if (knows_nothing && !role->reads && !may_read_whole(role, membership, now))
         return false;
     if (is_needed(role, membership, now)) {
         role->needless_since = 0;
--- a/src/core/reader_role.h
+++ b/src/core/reader_role.h
@@ -18,7 +18,8 @@
 
 /**
  * \brief Decide anew, from who lives and what readers said of the store.
- * A node that has just begun, and knows no other gateway, waits a moment for one.
+ * A node that has just begun looks for others first; see may_read_whole() for those that know
+ * nothing yet.
  * \return whether this node is to read
  */
 bool reader_role_update(struct reader_role *role, struct membership *membership, uint64_t now);
--- a/src/core/relay_plan.c
+++ b/src/core/relay_plan.c
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -88,6 +89,7 @@
             return;
         struct relay *relay = &plan->relays[plan->count++];
         relay->address = list.items[i].address;
+        relay->link_mbit = list.items[i].link_mbit ? list.items[i].link_mbit : 1;
         snprintf(relay->region, sizeof relay->region, "%s", region);
         supply += list.items[i].link_mbit;
     }
@@ -157,17 +159,25 @@
         sources->addresses[sources->count++] = address;
 }
 
+/* Rendezvous weight: the greatest one is at each relay as often as its link's share says. */
+static double weight_of(const struct relay *relay, uint64_t key)
+{
+    /* In (0, 1): neither end can come. */
+    double uniform = ((double)(hash_pair(key, relay->address) >> 12) + 0.5) / (double)(1ULL << 52);
+    return relay->link_mbit / -log(uniform);
+}
+
 /* Add the relays of one region, or of all others, by rendezvous weight for a key. */
 static void add_ranked(const struct relay_plan *plan, uint64_t key, const char *region, bool others,
                        struct relay_sources *sources)
 {
-    uint64_t before = UINT64_MAX;
+    double before = INFINITY;
     for (;;) {
         const struct relay *best = NULL;
-        uint64_t best_weight = 0;
+        double best_weight = 0;
         for (uint32_t i = 0; i < plan->count; i++) {
             const struct relay *relay = &plan->relays[i];
-            uint64_t weight = hash_pair(key, relay->address);
+            double weight = weight_of(relay, key);
             bool fits = (strcmp(relay->region, region) == 0) != others;
             if (fits && weight < before && (!best || weight > best_weight)) {
                 best = relay;
@@ -205,7 +215,7 @@
         const struct relay *relay = &plan->relays[i];
         if (region && strcmp(relay->region, region) != 0)
             continue;
-        if (!best || hash_pair(key, relay->address) > hash_pair(key, best->address))
+        if (!best || weight_of(relay, key) > weight_of(best, key))
             best = relay;
     }
     return best;
--- a/src/core/relay_plan.h
+++ b/src/core/relay_plan.h
@@ -8,7 +8,8 @@
  * asked for a piece gets it.
  *
  * Each piece is read from the origin by one relay, crosses to another region once, and goes from
- * there to the other relays and the loaders of that region.
+ * there to the other relays and the loaders of that region. Work falls to relays in proportion to
+ * their links.
  */
 #ifndef SHUNTRUN_RELAY_PLAN_H
 #define SHUNTRUN_RELAY_PLAN_H
@@ -24,6 +25,7 @@
 
 struct relay {
     uint32_t address;
+    uint32_t link_mbit; /**< at least 1 */
     char region[MEMBER_NAME_SIZE];
 };
 
@@ -44,7 +46,7 @@
 
 /** \brief Compute the relays from the present members. \param rollout key of the version */
 void relay_plan_refresh(struct relay_plan *plan, struct membership *membership, uint64_t rollout);
-/** \return rank of this node for a piece: the relay of greatest weight reads it from the origin */
+/** \return by which of its pieces this node begins, greatest first: other nodes begin by others */
 uint64_t relay_plan_weight(const struct relay_plan *plan, uint32_t piece);
 /** \return whether this node is a relay */
 bool relay_plan_has_self(const struct relay_plan *plan);
--- a/tests/core/relay_plan_test.c
+++ b/tests/core/relay_plan_test.c
@@ -131,6 +131,29 @@
     assert_int_equal(sources.addresses[sources.count - 1], RELAY_ORIGIN);
 }
 
+static uint32_t one_fast_gateway(uint32_t index)
+{
+    if (fleet_role(index) == MEMBER_LOADER)
+        return 12;
+    return index < FLEET_REGIONS ? 400 : 40;
+}
+
+/* Some 26 loaders of a region take 312 Mbit/s: twice that is one link of 400 and six of 40. */
+static void loaders_spread_over_relays_as_these_have_links(void **state)
+{
+    uint32_t at_fast = 0, loaders = 0;
+    for (uint32_t index = FLEET_GATEWAYS; index < FLEET_MEMBERS; index++) {
+        struct relay_plan plan;
+        struct relay_sources sources;
+        plan_of(index, one_fast_gateway, &plan);
+        relay_plan_loader_sources(&plan, false, &sources);
+        at_fast += sources.addresses[0] <= FLEET_REGIONS;
+        loaders++;
+    }
+    /* 400 of 640 in the mean; one of seven without regard to the links. */
+    assert_in_range(at_fast, loaders / 2, loaders * 3 / 4);
+}
+
 static void the_dead_do_not_relay(void **state)
 {
     struct relay_plan plan;
@@ -152,6 +175,7 @@
         cmocka_unit_test(a_piece_is_read_once_and_crosses_to_each_other_region_once),
         cmocka_unit_test(a_relay_whose_peers_fail_goes_to_the_origin_then_to_loaders),
         cmocka_unit_test(a_loader_asks_its_own_region_first),
+        cmocka_unit_test(loaders_spread_over_relays_as_these_have_links),
         cmocka_unit_test(the_dead_do_not_relay),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
