A node that the store turns away trusts the list that others read

An engine left at 25.41 s. The node counted the list's keeper as failing until then, as its own reader failed, so it doubted the entry for 2.5 s and sent to the engine 2.1 to 2.5 s after it had left. (The unit test holds the function that the cluster now asks; it was right before, the cluster asked more.)

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -91,9 +91,8 @@
 
 bool cluster_store_is_sound(const struct cluster *cluster)
 {
-    if (cluster->role.reads && store_reader_is_failing(cluster->reader))
-        return false;
-    /* A reader whose first watch still waits knows no more of the store than others. */
+    /* A node that the store turns away gets the list from others: their word counts, not its own
+     * failures. */
     return reader_role_somebody_is_sound(cluster->membership);
 }
 
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -242,7 +242,7 @@
         http_caller_abort(owner->prefixes[i].caller);
 }
 
-bool store_reader_is_failing(const struct store_reader *owner)
+static bool is_failing(const struct store_reader *owner)
 {
     for (uint32_t i = 0; i < owner->count; i++)
         if (owner->prefixes[i].failures)
@@ -252,5 +252,5 @@
 
 bool store_reader_is_sound(const struct store_reader *owner)
 {
-    return owner->active && owner->answered && !store_reader_is_failing(owner);
+    return owner->active && owner->answered && !is_failing(owner);
 }
--- a/src/cluster/store_reader.h
+++ b/src/cluster/store_reader.h
@@ -11,8 +11,6 @@
 void store_reader_set_active(struct store_reader *reader, bool active);
 /** \brief Ask anew on fresh connections, after the process stood still. */
 void store_reader_restart(struct store_reader *reader);
-/** \return whether the last call to the store failed */
-bool store_reader_is_failing(const struct store_reader *reader);
 /** \return whether the last call to the store had its answer, or waits for it without a failure */
 bool store_reader_is_sound(const struct store_reader *reader);
 
--- a/tests/core/reader_role_test.c
+++ b/tests/core/reader_role_test.c
@@ -134,6 +134,21 @@
     assert_in_range(early, 60, 140);
 }
 
+/* The list that a node gets from others is as good as theirs. */
+static void the_list_is_sound_while_any_gateway_gets_answers(void **state)
+{
+    struct fixture fixture;
+    open_fixture(&fixture, GATEWAYS);
+    know_all(&fixture);
+    play(&fixture, 300000);
+    say_all(&fixture, true);
+    membership_self(fixture.nodes[0])->store_sound = false; /* the store turns it away */
+    assert_true(reader_role_somebody_is_sound(fixture.nodes[0]));
+    say_all(&fixture, false);
+    assert_false(reader_role_somebody_is_sound(fixture.nodes[0]));
+    close_fixture(&fixture);
+}
+
 static void a_few_gateways_all_read(void **state)
 {
     struct fixture fixture;
@@ -164,6 +179,7 @@
         cmocka_unit_test(one_of_each_region_reads_the_whole_first),
         cmocka_unit_test(three_of_each_region_read_once_they_know_the_state),
         cmocka_unit_test(who_knows_nobody_waits_for_seeds_but_for_a_few),
+        cmocka_unit_test(the_list_is_sound_while_any_gateway_gets_answers),
         cmocka_unit_test(a_few_gateways_all_read),
         cmocka_unit_test(others_step_in_while_no_reader_gets_answers),
     };
