--- a/schema/generate_settings.py
+++ b/schema/generate_settings.py
@@ -7,6 +7,7 @@
 ROLE_BITS = {"gateway": "SETTING_ROLE_GATEWAY", "agent": "SETTING_ROLE_AGENT",
              "edge": "SETTING_ROLE_EDGE", "loader": "SETTING_ROLE_LOADER"}
 C_TYPES = {"string": "const char *", "url": "const char *", "choice": "const char *",
+           "endpoint": "const char *", "number": "const char *",
            "uint": "uint64_t ", "bool": "bool "}
 BANNER = "/* Generated from schema/settings.json by schema/generate_settings.py; do not edit. */\n"
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -3,6 +3,7 @@
 #include "base/memory.h"
 
 #include <argp.h>
+#include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
 #include <stdlib.h>
@@ -139,6 +140,22 @@
     }
 }
 
+static const char *description_of(enum setting_role role)
+{
+    switch (role) {
+    case SETTING_ROLE_AGENT:
+        return "Run the agent of one back-end machine.";
+    case SETTING_ROLE_EDGE:
+        return "Run a gateway of the users' platform: it takes clients' requests and relays "
+               "weights.";
+    case SETTING_ROLE_LOADER:
+        return "Run a loader beside one model engine: it brings the engine to the named version.";
+    case SETTING_ROLE_GATEWAY:
+        break;
+    }
+    return "Run a gateway for callers.";
+}
+
 static void parse_flags(struct flags *flags, int argc, char **argv)
 {
     struct argp_option options[SETTING_COUNT + 2] = {
@@ -155,10 +172,8 @@
                                                 descriptor->help,
                                                 0};
     }
-    const char *doc = flags->reading->role == SETTING_ROLE_AGENT
-                          ? "Run the agent of one back-end machine."
-                          : "Run a gateway for callers.";
-    struct argp argp = {options, parse_flag, NULL, doc, NULL, NULL, NULL};
+    struct argp argp = {options, parse_flag, NULL, description_of(flags->reading->role),
+                        NULL,    NULL,       NULL};
     argp_parse(&argp, argc, argv, 0, NULL, flags);
 }
 
@@ -191,6 +206,30 @@
     *target = number;
 }
 
+/* An IPv4 address and a port, as "10.0.0.1:80". */
+static bool is_endpoint(const char *text)
+{
+    char address[INET_ADDRSTRLEN];
+    const char *colon = strrchr(text, ':');
+    size_t length = colon ? (size_t)(colon - text) : sizeof address;
+    struct in_addr ip;
+    char *end = NULL;
+    if (length >= sizeof address)
+        return false;
+    memcpy(address, text, length);
+    address[length] = 0;
+    unsigned long port = strtoul(colon + 1, &end, 10);
+    return inet_pton(AF_INET, address, &ip) == 1 && isdigit((unsigned char)colon[1]) && !*end &&
+           port >= 1 && port <= 65535;
+}
+
+static bool is_number(const char *text)
+{
+    char *end = NULL;
+    double number = strtod(text, &end);
+    return end != text && !*end && number >= 0 && number < 1e12;
+}
+
 static void check_value(const struct setting_descriptor *descriptor,
                         const struct setting_value *value, void *target, struct findings *findings)
 {
@@ -215,9 +254,20 @@
             findings_add(findings, FINDING_ERROR, value->place, "`%s` is not one of %s",
                          value->text, descriptor->choices);
         break;
+    case SETTING_ENDPOINT:
+        if (!is_endpoint(value->text))
+            findings_add(findings, FINDING_ERROR, value->place, "`%s` of %s is not IP:PORT",
+                         value->text, descriptor->name);
+        break;
+    case SETTING_NUMBER:
+        if (!is_number(value->text))
+            findings_add(findings, FINDING_ERROR, value->place,
+                         "`%s` of %s is not a number of 0 or more", value->text, descriptor->name);
+        break;
     case SETTING_STRING:
         if (!value->text[0])
-            findings_add(findings, FINDING_ERROR, value->place, "must not be empty");
+            findings_add(findings, FINDING_ERROR, value->place, "%s must not be empty",
+                         descriptor->name);
         break;
     }
     *(const char **)target = value->text;
@@ -244,9 +294,13 @@
         struct setting_value *value = &reading->values[i];
         if (!(descriptor->roles & reading->role))
             continue;
-        if (!value->text && descriptor->default_text)
-            give_value(reading, i, descriptor->default_text, "default");
         void *target = (char *)settings + descriptor->offset;
+        if (!value->text && descriptor->default_text && !descriptor->default_text[0]) {
+            *(const char **)target = memory_string(""); /* nothing to check */
+            continue;
+        }
+        if (!value->text && descriptor->default_text)
+            give_value(reading, i, descriptor->default_text, descriptor->name);
         if (value->text)
             take_value(descriptor, value, target, reading->findings);
         else if (descriptor->required)
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -11,7 +11,15 @@
 
 #include <stddef.h>
 
-enum setting_type { SETTING_STRING, SETTING_URL, SETTING_CHOICE, SETTING_UINT, SETTING_BOOL };
+enum setting_type {
+    SETTING_STRING,
+    SETTING_URL,
+    SETTING_CHOICE,
+    SETTING_UINT,
+    SETTING_BOOL,
+    SETTING_ENDPOINT, /**< "IP:PORT" */
+    SETTING_NUMBER,   /**< a number of 0 or more, with a fraction or without */
+};
 enum setting_role {
     SETTING_ROLE_GATEWAY = 1,
     SETTING_ROLE_AGENT = 2,
--- a/tests/base/settings_test.c
+++ b/tests/base/settings_test.c
@@ -65,11 +65,54 @@
     settings_clear(&settings);
 }
 
+static void a_malformed_address_or_number_is_refused_by_name(void **state)
+{
+    static char *arguments[] = {"edge",
+                                "--name=e",
+                                "--zone=z",
+                                "--region=r",
+                                "--address=127.0.0.1",
+                                "--store-address=10.0.0.1",
+                                "--client-address=nowhere",
+                                "--directory-address=10.0.0.1:99999",
+                                "--ready-address=10.0.0.1:80",
+                                "--link-mbit=fast",
+                                NULL};
+    struct settings settings;
+    struct findings findings = {0};
+    assert_int_equal(settings_read(SETTING_ROLE_EDGE, 10, arguments, &settings, &findings),
+                     STATUS_INVALID);
+    assert_true(has_finding(&findings, "--store-address", "store-address is not IP:PORT"));
+    assert_true(has_finding(&findings, "--client-address", "client-address is not IP:PORT"));
+    assert_true(has_finding(&findings, "--directory-address", "is not IP:PORT"));
+    assert_true(has_finding(&findings, "--link-mbit", "link-mbit is not a number"));
+    assert_int_equal(findings.error_count, 4);
+    findings_clear(&findings);
+    settings_clear(&settings);
+}
+
+static void only_what_is_missing_is_reported(void **state)
+{
+    static char *arguments[] = {"edge", "--name=", NULL};
+    struct settings settings;
+    struct findings findings = {0};
+    assert_int_equal(settings_read(SETTING_ROLE_EDGE, 2, arguments, &settings, &findings),
+                     STATUS_INVALID);
+    assert_true(has_finding(&findings, "--name", "name must not be empty"));
+    assert_true(has_finding(&findings, "client-address", "missing"));
+    for (size_t i = 0; i < findings.count; i++)
+        assert_string_not_equal(findings.items[i].place, "default");
+    findings_clear(&findings);
+    settings_clear(&settings);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(all_problems_are_reported_with_their_place),
         cmocka_unit_test(a_flag_goes_before_a_variable_before_the_default),
+        cmocka_unit_test(a_malformed_address_or_number_is_refused_by_name),
+        cmocka_unit_test(only_what_is_missing_is_reported),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
