--- a/src/cluster/news_push.c
+++ b/src/cluster/news_push.c
@@ -1,10 +1,8 @@
 #include "cluster/news_push.h"
 
-#include "base/memory.h"
+#include "cluster/state_message.h"
 #include "core/news_targets.h"
-#include "platform/platform.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 /** Larger changes do not travel in a message. */
@@ -19,12 +17,6 @@
     bool fits;
 };
 
-static bool is_of_operator(const struct state_item *item)
-{
-    char name[PLATFORM_TEXT_SIZE];
-    return platform_item_kind(item->key, name, sizeof name) != ITEM_BACKEND;
-}
-
 static void add_item(struct pushed_changes *pushed, const struct state_item *item, uint64_t now)
 {
     if (pushed->changes.n_items == PUSH_ITEMS_MOST) {
@@ -32,13 +24,7 @@
         return;
     }
     Shuntrun__StateItem *out = &pushed->items[pushed->changes.n_items];
-    shuntrun__state_item__init(out);
-    out->key = item->key;
-    out->value.data = (uint8_t *)item->value;
-    out->value.len = item->size;
-    out->revision = item->revision;
-    out->gone = item->gone;
-    out->age_ms = (now - item->learned) / 1000;
+    state_message_write_item(item, now, out);
     pushed->pointers[pushed->changes.n_items++] = out;
 }
 
@@ -55,7 +41,7 @@
     pushed->fits = after && state_cache_covers(state, after);
     for (uint32_t i = 0; pushed->fits && i < state_cache_count(state); i++) {
         const struct state_item *item = state_cache_at(state, i);
-        if (item->revision > after && (!operator_only || is_of_operator(item)))
+        if (item->revision > after && (!operator_only || state_message_is_of_operator(item)))
             add_item(pushed, item, now);
     }
     if (pushed->fits)
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -3,8 +3,8 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "cluster/state_message.h"
 #include "net/http_caller.h"
-#include "platform/platform.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -164,17 +164,6 @@
     }
 }
 
-static void write_item(const struct state_item *item, uint64_t now, Shuntrun__StateItem *out)
-{
-    shuntrun__state_item__init(out);
-    out->key = item->key;
-    out->value.data = (uint8_t *)item->value;
-    out->value.len = item->size;
-    out->revision = item->revision;
-    out->gone = item->gone;
-    out->age_ms = (now - item->learned) / 1000;
-}
-
 static void reply_compressed(struct service_call *call, const uint8_t *bytes, size_t size)
 {
     size_t bound = ZSTD_compressBound(size);
@@ -187,12 +176,6 @@
     free(compressed);
 }
 
-static bool is_of_operator(const struct state_item *item)
-{
-    char name[PLATFORM_TEXT_SIZE];
-    return platform_item_kind(item->key, name, sizeof name) != ITEM_BACKEND;
-}
-
 static void serve_changes(struct state_sync *sync, struct service_call *call, uint64_t after,
                           bool operator_only)
 {
@@ -209,9 +192,9 @@
         const struct state_item *item = state_cache_at(state, i);
         if (changes.whole ? item->gone : item->revision <= after)
             continue;
-        if (operator_only && !is_of_operator(item))
+        if (operator_only && !state_message_is_of_operator(item))
             continue;
-        write_item(item, now, &items[changes.n_items]);
+        state_message_write_item(item, now, &items[changes.n_items]);
         pointers[changes.n_items] = &items[changes.n_items];
         changes.n_items++;
     }
--- a/src/loader/piece_store.c
+++ b/src/loader/piece_store.c
@@ -48,7 +48,7 @@
     store->callbacks = *callbacks;
     store->set = piece_set_create(model, version);
     store->server = piece_server_create(cluster->loop, store->set, UPLOAD_SHARE * link, 0);
-    store->fetch = piece_fetch_create(cluster, store->set, PIECE_FETCH_AS_LOADER, &fetch_callbacks);
+    store->fetch = piece_fetch_create(cluster, store->set, PIECE_ROLE_LOADER, &fetch_callbacks);
     piece_fetch_set_origin(store->fetch, origin);
     return store;
 }
--- a/src/weights/piece_fetch.h
+++ b/src/weights/piece_fetch.h
@@ -11,14 +11,11 @@
 
 #include "cluster/cluster.h"
 #include "core/link_rate.h"
-#include "core/relay_plan.h"
 #include "weights/piece_set.h"
+#include "weights/piece_sources.h"
 
 struct piece_fetch;
 
-/** Connections to one source at most. */
-#define PIECE_FETCH_LANES 4
-
 struct piece_fetch_callbacks {
     void *context;
     /** The manifest came. */
@@ -27,17 +24,14 @@
     void (*piece_held)(void *context, uint32_t piece);
 };
 
-/** Which of the plan's ways to its sources a node goes. */
-enum piece_fetch_role { PIECE_FETCH_AS_LOADER, PIECE_FETCH_AS_RELAY };
-
 /** \param set must outlive the fetch */
 struct piece_fetch *piece_fetch_create(struct cluster *cluster, struct piece_set *set,
-                                       enum piece_fetch_role role,
+                                       enum piece_role role,
                                        const struct piece_fetch_callbacks *callbacks);
 void piece_fetch_destroy(struct piece_fetch *fetch);
 /** \brief Say where the origin is; until then it is not asked. */
 void piece_fetch_set_origin(struct piece_fetch *fetch, const struct sockaddr_in *origin);
-/** \brief Connections to each source from now on, at most PIECE_FETCH_LANES. */
+/** \brief Connections to each source from now on, at most PIECE_LANES_MOST. */
 void piece_fetch_set_lanes(struct piece_fetch *fetch, uint32_t lanes);
 /** \brief Ask for no more pieces for now, or go on. The manifest is fetched all the same. */
 void piece_fetch_hold_back(struct piece_fetch *fetch, bool held_back);
--- a/src/weights/weight_relay.c
+++ b/src/weights/weight_relay.c
@@ -99,8 +99,7 @@
     version->set = piece_set_create(model, number);
     version->server =
         piece_server_create(relay->cluster->loop, version->set, LINK_SHARE * link, CALL_WAIT_US);
-    version->fetch =
-        piece_fetch_create(relay->cluster, version->set, PIECE_FETCH_AS_RELAY, &callbacks);
+    version->fetch = piece_fetch_create(relay->cluster, version->set, PIECE_ROLE_RELAY, &callbacks);
     piece_fetch_set_lanes(version->fetch, LANES);
     if (relay->has_origin)
         piece_fetch_set_origin(version->fetch, &relay->origin);
