A call sent while others are given up goes out

Cause: http_caller_abort() ran the callbacks of the calls that it gave up, and did not start what these sent: such a call waited until the next one, without a time-out.

--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -255,5 +255,8 @@
     for (uint32_t rest = caller->waiting; rest && !caller->destroyed; rest--)
         finish_first(caller, CALL_BROKEN);
     caller->depth--;
-    release(caller);
+    if (caller->destroyed)
+        release(caller);
+    else
+        start_next(caller); /* a callback may have sent another call */
 }
--- /dev/null
+++ b/tests/net/http_caller_test.c
@@ -0,0 +1,113 @@
+/* Calls to one address: what is sent while others are given up. */
+#include "testing.h"
+
+#include "net/http_caller.h"
+#include "net/http_service.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/** Turns of the loop, each at most 10 ms long, after which an answer is no more expected. */
+#define TURNS_MOST 500
+
+struct fixture {
+    uv_loop_t *loop;
+    struct sockaddr_in address;
+    struct http_caller *caller;
+    struct service_call *parked;
+    uint32_t broken;
+    uint32_t answered;
+};
+
+static void on_call(void *context, struct service_call *call, const struct service_request *request)
+{
+    struct fixture *fixture = context;
+    if (service_path_is(request, "/parked"))
+        fixture->parked = call;
+    else
+        service_reply(call, 200, NULL, NULL, 0);
+}
+
+static void on_answer(void *context, enum call_result result, const struct http_message *message)
+{
+    struct fixture *fixture = context;
+    fixture->answered += result == CALL_ANSWERED;
+}
+
+static void call(struct fixture *fixture, const char *target, call_done *done)
+{
+    struct caller_request request = {.method = "GET",
+                                     .target = target,
+                                     .timeout_ms = 60000,
+                                     .body_limit = 100,
+                                     .done = done,
+                                     .context = fixture};
+    http_caller_send(fixture->caller, &request);
+}
+
+static void on_broken(void *context, enum call_result result, const struct http_message *message)
+{
+    struct fixture *fixture = context;
+    fixture->broken += result == CALL_BROKEN;
+    call(fixture, "/other", on_answer);
+}
+
+static void on_nothing(uv_timer_t *timer)
+{
+}
+
+static void turn(struct fixture *fixture, bool (*done)(const struct fixture *fixture))
+{
+    for (uint32_t i = 0; i < TURNS_MOST && !done(fixture); i++)
+        uv_run(fixture->loop, UV_RUN_ONCE);
+}
+
+static bool is_parked(const struct fixture *fixture)
+{
+    return fixture->parked;
+}
+
+static bool is_answered(const struct fixture *fixture)
+{
+    return fixture->answered;
+}
+
+/* A port that was free a moment ago. */
+static void find_port(struct sockaddr_in *address)
+{
+    socklen_t size = sizeof *address;
+    int probe = socket(AF_INET, SOCK_STREAM, 0);
+    memset(address, 0, sizeof *address);
+    address->sin_family = AF_INET;
+    address->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    assert_int_equal(bind(probe, (struct sockaddr *)address, size), 0);
+    getsockname(probe, (struct sockaddr *)address, &size);
+    close(probe);
+}
+
+static void a_call_sent_while_others_are_given_up_goes_out(void **state)
+{
+    struct fixture fixture = {.loop = uv_default_loop()};
+    uv_timer_t wake;
+    find_port(&fixture.address);
+    assert_non_null(http_service_start(fixture.loop, &fixture.address, 100, on_call, &fixture));
+    fixture.caller = http_caller_create(fixture.loop, &fixture.address);
+    uv_timer_init(fixture.loop, &wake);
+    uv_timer_start(&wake, on_nothing, 10, 10);
+    call(&fixture, "/parked", on_broken);
+    turn(&fixture, is_parked);
+    http_caller_abort(fixture.caller);
+    assert_int_equal(fixture.broken, 1);
+    turn(&fixture, is_answered);
+    assert_int_equal(fixture.answered, 1);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_call_sent_while_others_are_given_up_goes_out),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
