--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -16,8 +16,6 @@
 #define SILENCE_LEAST_US 300000
 /** Silence between events after which a resumable stream goes elsewhere. */
 #define STREAM_SILENCE_US 1000000
-/** A back end that gave an answer so lately works. */
-#define ANSWERS_LATELY_US 500000
 
 /* --- time ----------------------------------------------------------------------------------------
  */
@@ -28,23 +26,17 @@
            exchange->upstream;
 }
 
-/* A silence that was borne before, as nothing better was to be had, is counted anew. */
-static uint64_t silence_began(const struct exchange *exchange, uint64_t last_sign)
-{
-    return exchange->silence_borne_at > last_sign ? exchange->silence_borne_at : last_sign;
-}
-
 /* Time at which the silence of the back end is too long, 0: never. */
 static uint64_t silence_end(const struct exchange *exchange)
 {
     if (exchange->state != EXCHANGE_SENT || exchange->paused || !may_go_elsewhere(exchange))
         return 0;
     if (exchange->streaming)
-        return silence_began(exchange, exchange->last_event_at) + STREAM_SILENCE_US;
+        return exchange->last_event_at + STREAM_SILENCE_US;
     uint64_t silence = (uint64_t)(SILENCE_TARGETS * exchange->route->target_ms * MS_US);
     if (silence < SILENCE_LEAST_US)
         silence = SILENCE_LEAST_US;
-    return silence_began(exchange, exchange->sent_at) + silence;
+    return exchange->sent_at + silence;
 }
 
 static uint64_t next_moment(const struct exchange *exchange)
@@ -68,25 +60,10 @@
         upstream_pause(exchange->upstream, false);
 }
 
-/* With no other place for the request the answer of a back end that answers others may still come.
- */
-static bool bears_silence(struct exchange *exchange, uint64_t now)
-{
-    if (exchange_may_move(exchange))
-        return false;
-    bool answers_others = now < exchange->backend->last_answer_at + ANSWERS_LATELY_US;
-    return answers_others && exchange->silence_borne_at < exchange->sent_at;
-}
-
 static void on_silence(struct exchange *exchange)
 {
     if (upstream_is_sent(exchange->upstream)) {
         exchange_count_send(exchange);
-        if (bears_silence(exchange, cluster_now())) {
-            exchange->silence_borne_at = cluster_now();
-            exchange_arm(exchange);
-            return;
-        }
         exchange_on_broken(exchange, BACKEND_SILENT, "silent");
         return;
     }
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -38,8 +38,7 @@
     uint64_t sent_at;
     uint64_t first_byte_at; /* of the present back end, 0: none */
     uint64_t last_event_at;
-    uint64_t silence_borne_at; /* time at which a long silence was borne, as no other was free */
-    bool streaming;            /* the head went out to the client */
+    bool streaming; /* the head went out to the client */
     struct event_stream events;
     uint64_t version; /* of the weights of the first back end */
     bool paused;
