--- a/tests/net/http_caller_test.c
+++ b/tests/net/http_caller_test.c
@@ -10,7 +10,7 @@
 #include <unistd.h>
 
 /** Turns of the loop, each at most 10 ms long, after which an answer is no more expected. */
-#define TURNS_MOST 500
+#define TURNS_MOST 200
 
 struct fixture {
     uv_loop_t *loop;
@@ -74,6 +74,11 @@
     return fixture->answered;
 }
 
+static bool is_never(const struct fixture *fixture)
+{
+    return false;
+}
+
 /* A port that was free a moment ago. */
 static void find_port(struct sockaddr_in *address)
 {
@@ -102,6 +107,11 @@
     assert_int_equal(fixture.broken, 1);
     turn(&fixture, is_answered);
     assert_int_equal(fixture.answered, 1);
+    service_reply(fixture.parked, 404, NULL, NULL, 0); /* its connection is gone */
+    http_caller_destroy(fixture.caller);
+    turn(&fixture, is_never);
+    uv_close((uv_handle_t *)&wake, NULL);
+    uv_run(fixture.loop, UV_RUN_NOWAIT);
 }
 
 int main(void)
