Engines break streams off only where others can go on with them

Cause, found by reading: a short drain breaks off whatever runs, but a route whose streams cannot be resumed, or that sends to one back end only, would lose them. Change: core/route_table says whether every route to the service lets its requests move; else the engine runs empty.

--- a/src/core/drain_wait.h
+++ b/src/core/drain_wait.h
@@ -19,14 +19,16 @@
 };
 
 /**
+ * \param movable whether others can go on with what is broken off
  * \param places_taken moving mean share of the engine's places that are taken, 0 to 1
  * \param position of this engine's turn among `count`
  * \return whether it breaks off what still runs after a while
  */
-static inline bool drain_wait_is_short(const struct drain_wait_settings *settings,
+static inline bool drain_wait_is_short(const struct drain_wait_settings *settings, bool movable,
                                        double places_taken, uint32_t position, uint32_t count)
 {
-    return places_taken >= settings->pressed_share && position + 1 <= settings->movers * count;
+    return movable && places_taken >= settings->pressed_share &&
+           position + 1 <= settings->movers * count;
 }
 
 #endif
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -366,6 +366,13 @@
     return 0;
 }
 
+static bool requests_may_move(const struct loader *loader)
+{
+    uint32_t service =
+        route_table_find_service(loader->table, loader->cluster.settings->engine_service);
+    return service != ROUTE_NO_SERVICE && route_table_service_moves(loader->table, service);
+}
+
 static struct install_turn own_turn(const struct loader *loader)
 {
     uint32_t count;
@@ -374,7 +381,8 @@
     uint32_t position = own_position(loader, &count);
     return (struct install_turn){
         .at = start_turn(&turn_settings, install_named_at(loader), position, count),
-        .short_drain = drain_wait_is_short(&drain_settings, loader->places_taken, position, count)};
+        .short_drain = drain_wait_is_short(&drain_settings, requests_may_move(loader),
+                                           loader->places_taken, position, count)};
 }
 
 static uint32_t first_to_fetch(const struct loader *loader, uint64_t now)
