Just after a start nobody has heard of the list's keeper yet: that is no failure of it

An engine left at 36.22 s, requests reached it until 38.57 s. Change: in the first 5 s of a life an unheard-of keeper is not a failing one. Two cases in core.backend_pool; the first one failed before.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -34,6 +34,9 @@
 #define FIRST_REPORTS_US 1000000
 /** Time in which back ends that live list themselves again, once the list's keeper is back. */
 #define RELIST_US 2500000
+/** After a start it takes so long at most until somebody is known to get answers from the keeper.
+ */
+#define FIRST_SOUND_US 5000000
 /** News of what it lost meanwhile come so long after it is back. */
 #define DOUBT_US 600000
 
@@ -43,6 +46,7 @@
     struct backend **items;
     uint32_t count;
     bool trusted;           /* the list's keeper works */
+    bool was_sound;         /* the keeper was seen to work since the start */
     uint64_t trusted_since; /* time at which it was back, 0: it never failed */
 };
 
@@ -169,8 +173,17 @@
            (trusted || !backend->doubtful);
 }
 
-void backend_pool_settle(struct backend_pool *pool, bool trusted, uint64_t now)
+/* Nobody has heard of the keeper yet: that is no failure of it, so nothing is doubted for it. */
+static bool begins(const struct backend_pool *pool, uint64_t now)
+{
+    return !pool->was_sound && pool->settings.created &&
+           now < pool->settings.created + FIRST_SOUND_US;
+}
+
+void backend_pool_settle(struct backend_pool *pool, bool sound, uint64_t now)
 {
+    bool trusted = sound || begins(pool, now);
+    pool->was_sound |= sound;
     if (!trusted || !pool->trusted)
         extend_doubtful(pool, now + RELIST_US);
     if (trusted && !pool->trusted)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -105,10 +105,11 @@
 void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until, uint64_t now);
 /**
  * \brief Drop what was unlisted and did not come back in time.
- * \param trusted false while the list's keeper fails: doubtful entries then stay, as it may have
- * lost entries of back ends that live; they get some more time when it is back
+ * \param sound false while the list's keeper fails: doubtful entries then stay, as it may have lost
+ * entries of back ends that live; they get some more time when it is back. Just after the start
+ * of this gateway it only means that nobody has heard of the keeper yet.
  */
-void backend_pool_settle(struct backend_pool *pool, bool trusted, uint64_t now);
+void backend_pool_settle(struct backend_pool *pool, bool sound, uint64_t now);
 /** \brief The back end at an address is no longer the listed one. */
 void backend_pool_replaced(struct backend_pool *pool, struct backend *backend);
 /** \brief Take a report of load in. \return the back end, or NULL when none is listed there */
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -126,6 +126,36 @@
     backend_pool_destroy(pool);
 }
 
+/* After a loss of power the keeper is first heard of some tenths of a second after the start. */
+static void a_keeper_not_heard_of_yet_has_not_failed(void **state)
+{
+    struct backend_pool_settings begun = settings;
+    begun.created = 8 * SECOND_US;
+    struct backend_pool *pool = backend_pool_create(&begun, 1);
+    add(pool, 1, 1, 0);
+    backend_pool_settle(pool, false, 8 * SECOND_US + 100000);
+    backend_pool_settle(pool, true, 8 * SECOND_US + 400000);
+    backend_pool_unlist(pool, "i-1", 10 * SECOND_US, 8 * SECOND_US + 600000);
+    backend_pool_settle(pool, true, 10 * SECOND_US);
+    assert_int_equal(backend_pool_count(pool), 0);
+    backend_pool_destroy(pool);
+}
+
+/* Who began while the keeper was away doubts what it drops when it is back. */
+static void a_keeper_not_heard_of_for_long_has_failed(void **state)
+{
+    struct backend_pool_settings begun = settings;
+    begun.created = 8 * SECOND_US;
+    struct backend_pool *pool = backend_pool_create(&begun, 1);
+    add(pool, 1, 1, 0);
+    backend_pool_settle(pool, false, 14 * SECOND_US);
+    backend_pool_settle(pool, true, 15 * SECOND_US);
+    backend_pool_unlist(pool, "i-1", 16 * SECOND_US, 15 * SECOND_US + 100000);
+    backend_pool_settle(pool, true, 16 * SECOND_US);
+    assert_int_equal(backend_pool_count(pool), 1);
+    backend_pool_destroy(pool);
+}
+
 static void an_address_belongs_to_its_newest_start(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -354,6 +384,8 @@
         cmocka_unit_test(what_a_failing_list_drops_is_doubted),
         cmocka_unit_test(what_was_lost_meanwhile_is_told_when_the_list_is_back),
         cmocka_unit_test(what_a_sound_list_dropped_stays_dropped_when_it_fails),
+        cmocka_unit_test(a_keeper_not_heard_of_yet_has_not_failed),
+        cmocka_unit_test(a_keeper_not_heard_of_for_long_has_failed),
         cmocka_unit_test(an_address_belongs_to_its_newest_start),
         cmocka_unit_test(old_versions_get_nothing_in_time),
         cmocka_unit_test(an_engine_on_a_slow_link_gets_no_old_version_late),
