Log what gateways make of a back end that the list drops

Cause: of a request that reached a leaving back end, neither logs nor metrics could tell whether the gateway had not heard of the leaving, or had heard and doubted it: 'gone' named no time until which the back end stays usable, and a request that succeeds leaves no line.

Change: 'gone' says for how long the back end stays usable, whether the drop is doubted, and what is thought of the store; 'listed' says the age of the news; each request sent to a back end that the list had dropped gets a line 'sent-unlisted' (limited in rate as all) and is counted in shuntrun_sends_unlisted_total.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -144,20 +144,23 @@
     return backend;
 }
 
-void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until, uint64_t now)
+const struct backend *backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until,
+                                          uint64_t now)
 {
     struct backend *backend = find(pool, id);
     if (!backend)
-        return;
+        return NULL;
     if (backend->listing.draining) {
         drop_backend(pool, backend);
-        return;
+        return NULL;
     }
     if (backend->unlisted_until)
-        return;
+        return backend;
+    backend->unlisted_at = now;
     backend->doubtful =
         !pool->trusted || (pool->trusted_since && now < pool->trusted_since + DOUBT_US);
     backend->unlisted_until = backend->doubtful ? now + RELIST_US : until;
+    return backend;
 }
 
 static void extend_doubtful(struct backend_pool *pool, uint64_t until)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -56,6 +56,7 @@
     struct backend_listing listing;
     uint32_t references;      /**< of the pool, of requests and of connections */
     bool listed;              /**< false: the list has dropped it */
+    uint64_t unlisted_at;     /**< time at which this gateway heard that the list dropped it */
     uint64_t unlisted_until;  /**< dropped by the list, but usable until then; 0: listed */
     bool doubtful;            /**< dropped by a list whose keeper failed */
     uint16_t distance;        /**< 0 same zone, 1 same region, 2 other region */
@@ -101,8 +102,10 @@
  * \brief The list has dropped a back end. It stays usable until `until`, as the list may drop back
  * ends that live and list them again; one that said it leaves is dropped at once. What is dropped
  * while the list's keeper fails, or just after that, is doubtful: see backend_pool_settle().
+ * \return the back end, or NULL when it gets nothing more at once
  */
-void backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until, uint64_t now);
+const struct backend *backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until,
+                                          uint64_t now);
 /**
  * \brief Drop what was unlisted and did not come back in time.
  * \param sound false while the list's keeper fails: doubtful entries then stay, as it may have lost
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -83,13 +83,25 @@
     tell_origin(edge);
 }
 
+static void drop_listing(struct edge *edge, const char *id, const struct state_item *item)
+{
+    uint64_t now = cluster_now();
+    const struct backend *backend =
+        backend_pool_unlist(edge->pool, id, item->learned + UNLISTED_US, now);
+    uint64_t until = backend ? backend->unlisted_until : 0;
+    log_event(LOG_LEVEL_INFO, "backend", "gone",
+              "id=%s revision=%" PRIu64 " age_ms=%" PRIu64 " usable_ms=%" PRIu64
+              " doubtful=%d store_sound=%d",
+              id, item->revision, (now - item->learned) / 1000,
+              until > now ? (until - now) / 1000 : 0, backend && backend->doubtful,
+              cluster_store_is_sound(&edge->cluster));
+}
+
 static void take_backend(struct edge *edge, const char *id, const struct state_item *item)
 {
     struct backend_listing listing;
     if (item->gone) {
-        log_event(LOG_LEVEL_INFO, "backend", "gone", "id=%s revision=%" PRIu64 " age_ms=%" PRIu64,
-                  id, item->revision, (cluster_now() - item->learned) / 1000);
-        backend_pool_unlist(edge->pool, id, item->learned + UNLISTED_US, cluster_now());
+        drop_listing(edge, id, item);
         return;
     }
     if (platform_parse_backend(id, item->value, item->size, &listing) != STATUS_OK) {
@@ -99,9 +111,9 @@
     }
     log_event(LOG_LEVEL_INFO, "backend", "listed",
               "id=%s service=%s address=%s zone=%s draining=%d weights=%" PRIu64
-              " revision=%" PRIu64,
+              " revision=%" PRIu64 " age_ms=%" PRIu64,
               id, listing.service, listing.address, listing.zone, listing.draining, listing.version,
-              item->revision);
+              item->revision, (cluster_now() - item->learned) / 1000);
     backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
 }
 
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -86,6 +86,17 @@
     return true;
 }
 
+/* The list dropped it: whether it still should have got this request shows here alone. */
+static void log_unlisted(const struct exchange *exchange, const struct backend *backend,
+                         uint64_t now)
+{
+    metric_add(METRIC_SENDS_UNLISTED, 1);
+    log_event(LOG_LEVEL_INFO, "request", "sent-unlisted",
+              "request=%s backend=%s unlisted_ms=%" PRIu64 " usable_ms=%" PRIu64 " doubtful=%d",
+              exchange->head.id, backend->listing.id, (now - backend->unlisted_at) / MS_US,
+              (backend->unlisted_until - now) / MS_US, backend->doubtful);
+}
+
 static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
 {
     if (now + LEAST_LEFT_US > exchange->final_at) { /* no back end could begin in time */
@@ -103,6 +114,8 @@
     exchange->paused = false;
     exchange->last_event_at = now;
     exchange_note_send(exchange, backend, now);
+    if (backend->unlisted_until)
+        log_unlisted(exchange, backend, now);
     metric_observe(METRIC_PLACE_WAIT, now - exchange->arrived);
     backend_begin(backend, exchange->head.tokens_in, now);
     exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
