How the store is followed is decided in core

Cause: which call to the platform's store comes next, after what time, and whether the store counts as sound was decided in callbacks of cluster/store_reader, beside an array of prefixes of which there was only ever one. No test could reach it.

Change: core/store_watch decides, without clock or socket; cluster/store_reader makes the calls.

--- /dev/null
+++ b/src/core/store_watch.h
@@ -0,0 +1,38 @@
+/**
+ * How a reader follows the platform's store: it reads the whole once, then watches for changes.
+ * Says which call comes next and when, from how the calls before ended.
+ *
+ * No clock, socket or thread.
+ */
+#ifndef SHUNTRUN_STORE_WATCH_H
+#define SHUNTRUN_STORE_WATCH_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct store_watch {
+    uint64_t revision; /**< all changes up to here are known; 0: the whole must be read */
+    uint32_t failures; /**< calls in a row that had no answer */
+    bool answered;     /**< the store gave an answer since this reader began */
+};
+
+/** One call to the store. */
+struct store_call {
+    bool watches;        /**< for changes after the known revision; false: the whole is read */
+    uint32_t wait_ms;    /**< for which the store may wait for a change */
+    uint32_t timeout_ms; /**< after which there will be no answer */
+};
+
+/** \brief Begin to read. \param known revision up to which all is known from others, 0: none */
+void store_watch_begin(struct store_watch *watch, uint64_t known);
+struct store_call store_watch_next_call(const struct store_watch *watch);
+/** \brief A call had no answer. \return time until the next one, ms */
+uint32_t store_watch_failed(struct store_watch *watch);
+/** \brief The store no longer has the changes after the known revision: the whole is read again. */
+void store_watch_history_lost(struct store_watch *watch);
+/** \brief An answer came; all changes up to `revision` are known, 0: not all of the whole is in. */
+void store_watch_answered(struct store_watch *watch, uint64_t revision);
+/** \return whether the last call had its answer, or waits for it without a failure before */
+bool store_watch_is_sound(const struct store_watch *watch);
+
+#endif
