A failing test: an engine that leaves after an outage of the store gets new work too long

Symptom: a request reached an engine 2,062 ms after the store had acknowledged that it leaves; at most 2,000 ms are allowed.

The test plays the sequence on a virtual clock, over outages of 0.25 to 4.6 s: it fails on the code as it is. Its second case, what an outage drops is used until it is back, passes and has to stay so.

--- /dev/null
+++ b/tests/core/store_outage_test.c
@@ -0,0 +1,229 @@
+/*
+ * An engine that leaves after an outage of the platform's store gets no new work.
+ *
+ * Symptom: a request reached an engine 2,062 ms after the store had acknowledged that it leaves;
+ * the bound is 2,000 ms. Sequence: a silence of the store swallowed the watches of all gateways,
+ * which noticed only when the watches timed out, up to 3 s later. The store had long worked again,
+ * but until the next answer they held it for failing. An engine left in that time without a word.
+ * Its entry went, the gateways took that for one of the entries that a failing store loses, and
+ * kept the engine for 2.5 s. Cause: the doubt went by what a gateway thought of the store when it
+ * heard of the drop, not by whether the drop can have happened in the outage. What settled it, from
+ * the gateways' logs, an engine gone at 18.95 s after an outage that ended at 15.32 s:
+ *
+ *   18.225 event=lost reason="no answer"
+ *   18.955 event=gone age_ms=0 usable_ms=2500 doubtful=1 store_sound=0
+ *   21.083 event=sent-unlisted unlisted_ms=2128 usable_ms=392 doubtful=1
+ *
+ * A store, its gateways and one engine on a virtual clock of milliseconds.
+ */
+#include "testing.h"
+
+#include "core/backend_pool.h"
+#include "core/store_watch.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define MS_US 1000ULL
+#define GATEWAYS 7
+#define TICK_MS 100
+#define GATHER_MS 200
+/** One way between a gateway and the store. */
+#define DELAY_MS 2
+/** Time for which an entry that vanishes stays usable; as in edge/edge.c. */
+#define UNLISTED_MS 1400
+/** After it an engine that leaves gets no new work. */
+#define DRAIN_MS 2000
+/** So long after an outage nodes count as in touch with the store again. */
+#define CONTACT_MS 3000
+/** In so long engines that the store lost in an outage list themselves again. */
+#define RELIST_MS 2000
+
+static const struct backend_pool_settings pool_settings = {.queue_per_engine = 3,
+                                                           .tokens_per_engine = 4500};
+
+/** What happens in one session, in ms. */
+struct script {
+    uint64_t change_at;    /**< answers all watches, so that all begin anew at the same time */
+    uint64_t silent_from;  /**< calls that begin, or would be answered, from here on */
+    uint64_t silent_until; /**< to here are never answered */
+    uint64_t drop_at;      /**< the engine's entry goes */
+};
+
+struct gateway {
+    struct store_watch watch;
+    struct backend_pool *pool;
+    struct backend *engine;
+    struct store_call call;
+    bool calling;
+    bool lost;           /**< the call under way will never be answered */
+    uint64_t begun;      /**< of the call under way */
+    uint64_t next_call;  /**< time of it while none is under way */
+    uint64_t revision;   /**< of the store that the last answer told */
+    uint64_t learned_at; /**< time at which the drop was heard of, 0: not yet */
+};
+
+struct session {
+    struct script script;
+    struct gateway gateways[GATEWAYS];
+    uint64_t now;
+};
+
+static uint64_t revision_at(const struct script *script, uint64_t time)
+{
+    return 1 + (time >= script->change_at) + (time >= script->drop_at);
+}
+
+static bool is_silent(const struct script *script, uint64_t time)
+{
+    return time >= script->silent_from && time < script->silent_until;
+}
+
+static void open_session(struct session *session, const struct script *script)
+{
+    *session = (struct session){.script = *script, .now = 1};
+    struct backend_listing listing = {
+        .id = "i-1", .address = "10.0.0.1:80", .service = "llm", .slots = 16};
+    for (uint32_t i = 0; i < GATEWAYS; i++) {
+        struct gateway *gateway = &session->gateways[i];
+        gateway->pool = backend_pool_create(&pool_settings, i);
+        gateway->engine = backend_retain(backend_pool_list(gateway->pool, &listing, 0));
+        gateway->revision = 1;
+        store_watch_begin(&gateway->watch, 1);
+        store_watch_answered(&gateway->watch, 1);
+    }
+}
+
+static void close_session(struct session *session)
+{
+    for (uint32_t i = 0; i < GATEWAYS; i++) {
+        backend_release(session->gateways[i].engine);
+        backend_pool_destroy(session->gateways[i].pool);
+    }
+}
+
+static void take_answer(struct session *session, struct gateway *gateway)
+{
+    uint64_t revision = revision_at(&session->script, session->now);
+    bool news = revision > gateway->revision;
+    bool dropped = session->now >= session->script.drop_at && !gateway->learned_at;
+    gateway->calling = false;
+    gateway->revision = revision;
+    if (dropped) {
+        gateway->learned_at = session->now;
+        backend_pool_unlist(gateway->pool, "i-1", (session->now + UNLISTED_MS) * MS_US,
+                            session->now * MS_US);
+    }
+    store_watch_answered(&gateway->watch, revision);
+    gateway->next_call = session->now + (news ? GATHER_MS : 0);
+}
+
+static void step_call(struct session *session, struct gateway *gateway)
+{
+    uint64_t now = session->now;
+    if (!gateway->calling) {
+        if (now < gateway->next_call)
+            return;
+        gateway->calling = true;
+        gateway->begun = now;
+        gateway->lost = false;
+        gateway->call = store_watch_next_call(&gateway->watch);
+        return;
+    }
+    uint64_t waited = now - gateway->begun;
+    bool ready = revision_at(&session->script, now - DELAY_MS) > gateway->revision ||
+                 waited >= gateway->call.wait_ms;
+    gateway->lost |= is_silent(&session->script, ready ? now : gateway->begun);
+    if (ready && waited >= 2 * DELAY_MS && !gateway->lost) {
+        take_answer(session, gateway);
+    } else if (waited >= gateway->call.timeout_ms) {
+        gateway->calling = false;
+        gateway->next_call = now + store_watch_failed(&gateway->watch);
+    }
+}
+
+static bool somebody_is_sound(const struct session *session)
+{
+    for (uint32_t i = 0; i < GATEWAYS; i++)
+        if (store_watch_is_sound(&session->gateways[i].watch))
+            return true;
+    return false;
+}
+
+static void step(struct session *session)
+{
+    session->now++;
+    for (uint32_t i = 0; i < GATEWAYS; i++)
+        step_call(session, &session->gateways[i]);
+    bool sound = somebody_is_sound(session);
+    for (uint32_t i = 0; i < GATEWAYS; i++)
+        if (session->now % TICK_MS == i)
+            backend_pool_settle(session->gateways[i].pool, sound, session->now * MS_US);
+}
+
+static void run_until(struct session *session, uint64_t end)
+{
+    while (session->now < end)
+        step(session);
+}
+
+static uint32_t count_who_may_send(const struct session *session)
+{
+    static const struct backend_wish wish = {.service = "llm"};
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < GATEWAYS; i++) {
+        const struct gateway *gateway = &session->gateways[i];
+        count += backend_may_begin(gateway->pool, gateway->engine, &wish, session->now * MS_US);
+    }
+    return count;
+}
+
+/* Outages of many lengths that begin before and after all gateways begin a watch at 1.2 s, and that
+ * each swallow a call. */
+#define FOR_EACH_OUTAGE(script)                                                                    \
+    for (uint64_t before = 0; before <= 400; before += 50)                                         \
+        for (uint64_t length = before < 200 ? 250 : 2300; length <= 4600; length += 150)           \
+            for (struct script script = {.change_at = 1000,                                        \
+                                        .silent_from = 1000 + before,                              \
+                                        .silent_until = 1000 + before + length};                   \
+                 script.change_at; script.change_at = 0)
+
+static void an_engine_that_leaves_after_an_outage_gets_nothing_past_the_bound(void **state)
+{
+    FOR_EACH_OUTAGE(script)
+    {
+        for (uint64_t after = 0; after <= 1500; after += 100) {
+            struct session session;
+            script.drop_at = script.silent_until + CONTACT_MS + after;
+            open_session(&session, &script);
+            run_until(&session, script.drop_at + DRAIN_MS);
+            assert_int_equal(count_who_may_send(&session), 0);
+            close_session(&session);
+        }
+    }
+}
+
+/* The purpose of the doubt: what an outage loses lives, and lists itself again. */
+static void an_engine_that_an_outage_drops_is_used_until_it_is_back(void **state)
+{
+    FOR_EACH_OUTAGE(script)
+    {
+        struct session session;
+        script.drop_at = script.silent_until - 50;
+        open_session(&session, &script);
+        run_until(&session, script.silent_until + RELIST_MS);
+        assert_int_equal(count_who_may_send(&session), GATEWAYS);
+        run_until(&session, script.silent_until + 4 * RELIST_MS);
+        assert_int_equal(count_who_may_send(&session), 0);
+        close_session(&session);
+    }
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(an_engine_that_leaves_after_an_outage_gets_nothing_past_the_bound),
+        cmocka_unit_test(an_engine_that_an_outage_drops_is_used_until_it_is_back),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
