What an outage of the store lost is told from what left after it

Cause: a gateway doubted that a back end had left whenever it thought, on hearing of it, that the store failed. It thinks so until the first answer after a failed call, and it noticed a lost watch up to 3.0 s after the store was back, at the same time as all others, as all watches begin with the last change. An engine that left without a word in the second after that stayed in use for 2.5 s; the bound is 2.0 s. The class: a belief about now decided on the meaning of news of another time.

Change: - core/store_watch says of each loss whether it can have happened in an outage: it is in the first answer after calls that found the store away. The flag travels with the item, so that all gateways judge alike; core/backend_pool goes by it alone. - Watches of 2.0 s, and after a silent one a check at once: a lost watch is noticed, and answered anew, within 2.8 s of the store's return, before nodes count as in touch again at 3.0 s. - The same cause elsewhere: what a gateway missed because it was cut off itself, or because the store forgot its history, counts as gone since its last answer, not since it heard of it. - The time for which a vanished entry is used is bounded by the platform's bound on leaving (drain-bound-ms) less 0.6 s; it was 1.4 s whatever the bound. - A call that times out is told from one that breaks (CALL_SILENT).

Cases of core.backend_pool that set the doubt by what the pool thought of the store now set it by the drop itself, with the same times. a_keeper_not_heard_of_for_long wanted the doubt after 5 s without news; that rule is gone, and the case now holds that the flag alone decides.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -24,6 +24,9 @@
 /** A tick so late means that the process stood still. */
 #define PAUSE_US 1000000
 #define TOMBSTONE_US 60000000
+/** Loaders tell their load three times a second, nodes probe each other in each 0.4 s: in this time
+ *  some message comes through, also where one in ten is lost. */
+#define ISOLATED_US 1200000
 
 static const struct membership_settings membership_settings = {.period_us = 400000,
                                                                .direct_us = 150000,
@@ -200,6 +203,22 @@
     state_sync_heard(cluster->sync, sender, message->sender->state_revision, near, now);
 }
 
+static void note_contact(struct cluster *cluster, uint64_t now)
+{
+    if (cluster->heard_at && now > cluster->heard_at + ISOLATED_US) {
+        log_event(LOG_LEVEL_WARN, "cluster", "contact-regained", "silence_ms=%llu",
+                  (unsigned long long)(now - cluster->heard_at) / 1000);
+        cluster->isolated_until = now;
+    }
+    cluster->heard_at = now;
+}
+
+bool cluster_was_isolated(const struct cluster *cluster, uint64_t since)
+{
+    bool still = cluster->heard_at && cluster_now() > cluster->heard_at + ISOLATED_US;
+    return still || cluster->isolated_until > since;
+}
+
 static void on_datagram(uv_udp_t *socket, ssize_t size, const uv_buf_t *buffer,
                         const struct sockaddr *from, unsigned flags)
 {
@@ -212,6 +231,7 @@
         return;
     uint64_t now = cluster_now();
     uint32_t sender = ntohl(((const struct sockaddr_in *)from)->sin_addr.s_addr);
+    note_contact(cluster, now);
     if (message->sender && message->sender->address == sender)
         take_sender(cluster, message, sender, now);
     else
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -50,6 +50,8 @@
     uint64_t pushed_operator_revision; /**< up to which others were told of such changes */
     uint64_t pushed_revision;          /**< up to which others were told of all changes */
     uint64_t last_tick;
+    uint64_t heard_at;       /**< time of the last message of another node, 0: none yet */
+    uint64_t isolated_until; /**< end of the last time in which no other node was heard, 0: none */
     struct random_stream random;
     uint32_t alive_before; /**< members alive at the last look */
 };
@@ -71,6 +73,11 @@
 bool cluster_reads_store(const struct cluster *cluster);
 /** \return whether this node, or one that tells it, gets answers of the store */
 bool cluster_store_is_sound(const struct cluster *cluster);
+/**
+ * \return whether this node heard from no other for a while after `since`: what it learns late then
+ * is its own fault, not the store's
+ */
+bool cluster_was_isolated(const struct cluster *cluster, uint64_t since);
 /** \brief Address of a node's service for other nodes. */
 struct sockaddr_in cluster_address(const struct cluster *cluster, uint32_t address);
 /** \return gateways that are alive, at least 1 */
--- a/src/cluster/state_message.c
+++ b/src/cluster/state_message.c
@@ -11,6 +11,7 @@
     out->revision = item->revision;
     out->gone = item->gone;
     out->age_ms = (now - item->learned) / 1000;
+    out->from_outage = item->from_outage;
 }
 
 bool state_message_is_of_operator(const struct state_item *item)
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -41,8 +41,9 @@
         const Shuntrun__StateItem *item = changes->items[i];
         uint64_t age = item->age_ms * 1000;
         uint64_t learned = now > age ? now - age : 0;
+        struct state_loss loss = {learned, item->from_outage};
         if (item->gone)
-            state_cache_remove(state, item->key, item->revision, learned);
+            state_cache_remove(state, item->key, item->revision, &loss);
         else
             state_cache_put(state, item->key, (const char *)item->value.data, item->value.len,
                             item->revision, learned);
@@ -55,8 +56,10 @@
     if (changes->whole)
         state_cache_snapshot_begin(state, "");
     take_items(sync, changes);
+    /* This node was so far behind that nobody knows when what is missing went: long ago. */
+    struct state_loss loss = {.learned = 1};
     if (changes->whole)
-        state_cache_snapshot_end(state, "", changes->revision, cluster_now());
+        state_cache_snapshot_end(state, "", changes->revision, &loss);
     state_cache_reach(state, changes->revision);
 }
 
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -22,7 +22,7 @@
     struct http_caller *caller;
     uv_timer_t timer; /* until the next call */
     struct store_watch watch;
-    uint64_t page_revision; /* of the whole that is being read */
+    uint64_t page_revision;  /* of the whole that is being read */
     char page_key[KEY_SIZE]; /* the last key of the page before */
     bool active;
 };
@@ -34,24 +34,31 @@
     call_store(timer->data);
 }
 
-static void on_failure(struct store_reader *reader, const char *reason)
+static void on_failure(struct store_reader *reader, enum store_failure failure, const char *reason)
 {
     if (!reader->watch.failures)
         log_event(LOG_LEVEL_WARN, "store", "lost", "reason=\"%s\" revision=%" PRIu64, reason,
                   reader->watch.revision);
     metric_add(METRIC_STORE_FAILURES, 1);
     reader->page_key[0] = 0;
-    uv_timer_start(&reader->timer, on_timer, store_watch_failed(&reader->watch), 0);
+    uv_timer_start(&reader->timer, on_timer, store_watch_failed(&reader->watch, failure), 0);
+}
+
+static struct state_loss loss_now(const struct store_reader *reader)
+{
+    bool own_gap = cluster_was_isolated(reader->cluster, reader->watch.answered_at);
+    return store_watch_loss(&reader->watch, own_gap, cluster_now());
 }
 
 static void take_items(struct store_reader *reader, const struct store_answer *answer)
 {
     struct state_cache *state = reader->cluster->state;
+    struct state_loss loss = loss_now(reader);
     uint64_t now = cluster_now();
     for (uint32_t i = 0; i < answer->count; i++) {
         const struct store_item *item = &answer->items[i];
         if (item->gone)
-            state_cache_remove(state, item->key, item->revision, now);
+            state_cache_remove(state, item->key, item->revision, &loss);
         else
             state_cache_put(state, item->key, item->value, item->size, item->revision, now);
     }
@@ -72,7 +79,8 @@
         return 0;
     }
     reader->page_key[0] = 0;
-    state_cache_snapshot_end(state, PLATFORM_ALL_KEYS, reader->page_revision, cluster_now());
+    struct state_loss loss = loss_now(reader);
+    state_cache_snapshot_end(state, PLATFORM_ALL_KEYS, reader->page_revision, &loss);
     log_event(LOG_LEVEL_INFO, "store", "read", "revision=%" PRIu64, reader->page_revision);
     return reader->page_revision;
 }
@@ -88,8 +96,10 @@
     bool whole = !reader->watch.revision;
     uint64_t revision = whole ? take_page(reader, answer) : take_changes(reader, answer);
     if (reader->watch.failures)
-        log_event(LOG_LEVEL_INFO, "store", "regained", "failures=%u", reader->watch.failures);
-    store_watch_answered(&reader->watch, revision);
+        log_event(LOG_LEVEL_INFO, "store", "regained", "failures=%u outage=%d gap_ms=%" PRIu64,
+                  reader->watch.failures, reader->watch.outage,
+                  (cluster_now() - reader->watch.answered_at) / 1000);
+    store_watch_answered(&reader->watch, revision, cluster_now());
     state_cache_reach(reader->cluster->state, reader->watch.revision);
     cluster_pass_on(reader->cluster);
     /* Changes come in bursts, and every call is priced: the next ones are taken together. */
@@ -99,6 +109,18 @@
         call_store(reader);
 }
 
+static enum store_failure failure_of(enum call_result result)
+{
+    switch (result) {
+    case CALL_BROKEN:
+        return STORE_CUT;
+    case CALL_SILENT:
+        return STORE_SILENT;
+    default:
+        return STORE_AWAY;
+    }
+}
+
 static void on_answer(void *context, enum call_result result, const struct http_message *message)
 {
     struct store_reader *reader = context;
@@ -107,7 +129,7 @@
     if (!reader->active)
         return;
     if (result != CALL_ANSWERED) {
-        on_failure(reader, result == CALL_BROKEN ? "no answer" : "not reached");
+        on_failure(reader, failure_of(result), call_result_name(result));
         return;
     }
     unsigned status = http_message_status(message);
@@ -121,7 +143,7 @@
     if (status != 200 ||
         platform_read_store_answer(message->body.data, message->body.size, &answer) != STATUS_OK) {
         snprintf(reason, sizeof reason, "status %u", status);
-        on_failure(reader, reason);
+        on_failure(reader, STORE_AWAY, reason);
         return;
     }
     take_answer(reader, &answer);
@@ -140,8 +162,8 @@
     if (call.watches)
         platform_write_watch_call(PLATFORM_ALL_KEYS, reader->watch.revision, call.wait_ms, &target);
     else
-        platform_write_range_call(PLATFORM_ALL_KEYS,
-                                  reader->page_key[0] ? reader->page_key : NULL, &target);
+        platform_write_range_call(PLATFORM_ALL_KEYS, reader->page_key[0] ? reader->page_key : NULL,
+                                  &target);
     buffer_append(&target, "", 1);
     request.target = target.data;
     metric_add(METRIC_PLATFORM_CALLS, 1);
@@ -175,7 +197,7 @@
 /* Peers told what happened meanwhile: the watch goes on from there. */
 static void resume(struct store_reader *reader)
 {
-    store_watch_begin(&reader->watch, state_cache_revision(reader->cluster->state));
+    store_watch_begin(&reader->watch, state_cache_revision(reader->cluster->state), cluster_now());
     call_store(reader);
 }
 
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -32,22 +32,16 @@
 #define OVERCOMMIT 2.0
 /** A gateway that began so lately has heard no load yet: it waits for the first report. */
 #define FIRST_REPORTS_US 1000000
-/** Time in which back ends that live list themselves again, once the list's keeper is back. */
+/** Back ends that live list themselves again within two seconds of the return of the list's keeper,
+ *  as its operators say; half a second more for the news to get here. */
 #define RELIST_US 2500000
-/** After a start it takes so long at most until somebody is known to get answers from the keeper.
- */
-#define FIRST_SOUND_US 5000000
-/** News of what it lost meanwhile come so long after it is back. */
-#define DOUBT_US 600000
 
 struct backend_pool {
     struct backend_pool_settings settings;
     struct random_stream random;
     struct backend **items;
     uint32_t count;
-    bool trusted;           /* the list's keeper works */
-    bool was_sound;         /* the keeper was seen to work since the start */
-    uint64_t trusted_since; /* time at which it was back, 0: it never failed */
+    bool sound; /* the list's keeper works */
 };
 
 struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
@@ -56,7 +50,7 @@
     struct backend_pool *pool = memory_zero(1, sizeof *pool);
     pool->settings = *settings;
     pool->random.seed = seed;
-    pool->trusted = true;
+    pool->sound = true;
     return pool;
 }
 
@@ -144,8 +138,18 @@
     return backend;
 }
 
-const struct backend *backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until,
-                                          uint64_t now)
+static bool is_past_unlisting(const struct backend *backend, uint64_t now)
+{
+    return backend->unlisted_until && backend->unlisted_until <= now;
+}
+
+/*
+ * Whether the drop is doubted goes by when it can have happened, not by what is thought of the
+ * keeper when the news come: gateways notice an outage up to 2.8 s late, and an engine that left in
+ * that time got work until 2.5 s after, 0.5 s past the bound (core.store_outage).
+ */
+const struct backend *backend_pool_unlist(struct backend_pool *pool, const char *id,
+                                          const struct backend_drop *drop, uint64_t now)
 {
     struct backend *backend = find(pool, id);
     if (!backend)
@@ -157,9 +161,9 @@
     if (backend->unlisted_until)
         return backend;
     backend->unlisted_at = now;
-    backend->doubtful =
-        !pool->trusted || (pool->trusted_since && now < pool->trusted_since + DOUBT_US);
-    backend->unlisted_until = backend->doubtful ? now + RELIST_US : until;
+    backend->doubtful = drop->from_outage;
+    backend->unlisted_until =
+        drop->learned + (drop->from_outage ? RELIST_US : pool->settings.unlisted_us);
     return backend;
 }
 
@@ -170,30 +174,13 @@
             pool->items[i]->unlisted_until = until;
 }
 
-static bool is_overdue(const struct backend *backend, bool trusted, uint64_t now)
-{
-    return backend->unlisted_until && backend->unlisted_until <= now &&
-           (trusted || !backend->doubtful);
-}
-
-/* Nobody has heard of the keeper yet: that is no failure of it, so nothing is doubted for it. */
-static bool begins(const struct backend_pool *pool, uint64_t now)
-{
-    return !pool->was_sound && pool->settings.created &&
-           now < pool->settings.created + FIRST_SOUND_US;
-}
-
 void backend_pool_settle(struct backend_pool *pool, bool sound, uint64_t now)
 {
-    bool trusted = sound || begins(pool, now);
-    pool->was_sound |= sound;
-    if (!trusted || !pool->trusted)
+    if (!sound || !pool->sound)
         extend_doubtful(pool, now + RELIST_US);
-    if (trusted && !pool->trusted)
-        pool->trusted_since = now;
-    pool->trusted = trusted;
+    pool->sound = sound;
     for (uint32_t i = pool->count; i-- > 0;)
-        if (is_overdue(pool->items[i], trusted, now))
+        if (is_past_unlisting(pool->items[i], now))
             drop(pool, i);
 }
 
@@ -251,11 +238,6 @@
     return has_fresh_load(pool, backend, now) ? backend->load.version : backend->listing.version;
 }
 
-static bool is_past_unlisting(const struct backend *backend, uint64_t now)
-{
-    return backend->unlisted_until && backend->unlisted_until <= now;
-}
-
 /* A request was sent a while ago and nothing came back. */
 static bool is_stalled(const struct backend *backend, uint64_t now)
 {
@@ -415,6 +397,7 @@
 struct candidates {
     struct backend *pair[2];
     uint32_t count;
+    bool sound; /* the list's keeper works */
 };
 
 static void add_candidate(struct backend_pool *pool, struct candidates *candidates,
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -58,7 +58,7 @@
     bool listed;              /**< false: the list has dropped it */
     uint64_t unlisted_at;     /**< time at which this gateway heard that the list dropped it */
     uint64_t unlisted_until;  /**< dropped by the list, but usable until then; 0: listed */
-    bool doubtful;            /**< dropped by a list whose keeper failed */
+    bool doubtful;            /**< dropped by an outage of the list's keeper, perhaps */
     uint16_t distance;        /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight;       /**< requests of this gateway */
     uint32_t unread;          /**< those of them that have no byte of an answer yet */
@@ -88,6 +88,7 @@
     uint32_t queue_per_engine;  /**< requests beyond its slots that a model engine may hold */
     uint32_t tokens_per_engine; /**< of prompts that an engine may still have to read */
     uint64_t load_fresh_us;     /**< older reports of load are not used */
+    uint64_t unlisted_us;       /**< for which a back end that the list drops stays usable */
     uint64_t created;           /**< time at which this gateway began, 0: long ago */
 };
 
@@ -98,19 +99,24 @@
 /** \brief Take a listing in, new or changed. \return the back end */
 struct backend *backend_pool_list(struct backend_pool *pool, const struct backend_listing *listing,
                                   uint16_t distance);
+/** What is known of when the list dropped a back end. */
+struct backend_drop {
+    uint64_t learned; /**< time at which a gateway first knew of it */
+    bool from_outage; /**< the list's keeper may have lost the entry in an outage */
+};
+
 /**
- * \brief The list has dropped a back end. It stays usable until `until`, as the list may drop back
- * ends that live and list them again; one that said it leaves is dropped at once. What is dropped
- * while the list's keeper fails, or just after that, is doubtful: see backend_pool_settle().
+ * \brief The list has dropped a back end. It stays usable for `unlisted_us`, as the list may drop
+ * back ends that live and list them again; one that said it leaves is dropped at once. What an
+ * outage of the list's keeper dropped stays until its back end had the time to list itself again.
  * \return the back end, or NULL when it gets nothing more at once
  */
-const struct backend *backend_pool_unlist(struct backend_pool *pool, const char *id, uint64_t until,
-                                          uint64_t now);
+const struct backend *backend_pool_unlist(struct backend_pool *pool, const char *id,
+                                          const struct backend_drop *drop, uint64_t now);
 /**
  * \brief Drop what was unlisted and did not come back in time.
- * \param sound false while the list's keeper fails: doubtful entries then stay, as it may have lost
- * entries of back ends that live; they get some more time when it is back. Just after the start
- * of this gateway it only means that nobody has heard of the keeper yet.
+ * \param sound false while the list's keeper fails: what an outage dropped then stays, as its back
+ * end cannot list itself again
  */
 void backend_pool_settle(struct backend_pool *pool, bool sound, uint64_t now);
 /** \brief The back end at an address is no longer the listed one. */
--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -87,29 +87,31 @@
     item->revision = revision;
     item->gone = false;
     item->learned = learned;
+    item->from_outage = false;
     cache->listener.changed(cache->listener.context, item);
     return true;
 }
 
 static void set_gone(struct state_cache *cache, struct state_item *item, uint64_t revision,
-                     uint64_t learned)
+                     const struct state_loss *loss)
 {
     free(item->value);
     item->value = NULL;
     item->size = 0;
     item->revision = revision;
     item->gone = true;
-    item->learned = learned;
+    item->learned = loss->learned;
+    item->from_outage = loss->from_outage;
     cache->listener.changed(cache->listener.context, item);
 }
 
 bool state_cache_remove(struct state_cache *cache, const char *key, uint64_t revision,
-                        uint64_t learned)
+                        const struct state_loss *loss)
 {
     struct state_item *item = item_for(cache, key);
     if (revision <= item->revision)
         return false;
-    set_gone(cache, item, revision, learned);
+    set_gone(cache, item, revision, loss);
     return true;
 }
 
@@ -132,12 +134,12 @@
 }
 
 void state_cache_snapshot_end(struct state_cache *cache, const char *prefix, uint64_t revision,
-                              uint64_t now)
+                              const struct state_loss *loss)
 {
     for (uint32_t i = 0; i < cache->count; i++) {
         struct state_item *item = cache->items[i];
         if (has_prefix(item, prefix) && !item->seen && !item->gone && item->revision <= revision)
-            set_gone(cache, item, revision, now);
+            set_gone(cache, item, revision, loss);
     }
 }
 
--- a/src/core/state_cache.h
+++ b/src/core/state_cache.h
@@ -20,9 +20,17 @@
     uint64_t revision;
     bool gone;
     uint64_t learned; /**< time at which a node first knew of it */
+    bool from_outage; /**< the store may have lost the item in an outage, see struct state_loss */
     bool seen;        /**< by the snapshot that is being taken in */
 };
 
+/** What is known of when an item went. */
+struct state_loss {
+    uint64_t learned; /**< time at which a node first knew of it; at the latest then it went */
+    bool from_outage; /**< it may have been in an outage of the store: then whatever the item stood
+                         for may live, and come back */
+};
+
 struct state_cache;
 
 struct state_cache_listener {
@@ -38,7 +46,7 @@
 bool state_cache_put(struct state_cache *cache, const char *key, const char *value, size_t size,
                      uint64_t revision, uint64_t learned);
 bool state_cache_remove(struct state_cache *cache, const char *key, uint64_t revision,
-                        uint64_t learned);
+                        const struct state_loss *loss);
 /** \brief All changes up to this revision are in. */
 void state_cache_reach(struct state_cache *cache, uint64_t revision);
 
@@ -46,7 +54,7 @@
 void state_cache_snapshot_begin(struct state_cache *cache, const char *prefix);
 /** \brief Items under the prefix that did not come are gone, unless newer than `revision`. */
 void state_cache_snapshot_end(struct state_cache *cache, const char *prefix, uint64_t revision,
-                              uint64_t now);
+                              const struct state_loss *loss);
 
 /** \return the revision up to which all changes are in, 0 before the first snapshot */
 uint64_t state_cache_revision(const struct state_cache *cache);
--- a/src/core/store_watch.h
+++ b/src/core/store_watch.h
@@ -7,13 +7,18 @@
 #ifndef SHUNTRUN_STORE_WATCH_H
 #define SHUNTRUN_STORE_WATCH_H
 
+#include "core/state_cache.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
 struct store_watch {
-    uint64_t revision; /**< all changes up to here are known; 0: the whole must be read */
-    uint32_t failures; /**< calls in a row that had no answer */
-    bool answered;     /**< the store gave an answer since this reader began */
+    uint64_t revision;    /**< all changes up to here are known; 0: the whole must be read */
+    uint32_t failures;    /**< calls in a row that had no answer */
+    bool outage;          /**< the store was away since the last answer, as far as its calls tell */
+    bool history_lost;    /**< the whole is read as the store forgot changes: they may be old */
+    bool answered;        /**< the store gave an answer since this reader began */
+    uint64_t answered_at; /**< time of the last answer: all that went before is known */
 };
 
 /** One call to the store. */
@@ -23,15 +28,30 @@
     uint32_t timeout_ms; /**< after which there will be no answer */
 };
 
+/** How a call ended that had no answer. */
+enum store_failure {
+    STORE_CUT,    /**< the connection broke: the store may do that and work on */
+    STORE_SILENT, /**< no answer came in time: the store was away when the call began, or later */
+    STORE_AWAY,   /**< it was not reached, or answered that it cannot serve */
+};
+
 /** \brief Begin to read. \param known revision up to which all is known from others, 0: none */
-void store_watch_begin(struct store_watch *watch, uint64_t known);
+void store_watch_begin(struct store_watch *watch, uint64_t known, uint64_t now);
 struct store_call store_watch_next_call(const struct store_watch *watch);
 /** \brief A call had no answer. \return time until the next one, ms */
-uint32_t store_watch_failed(struct store_watch *watch);
+uint32_t store_watch_failed(struct store_watch *watch, enum store_failure failure);
 /** \brief The store no longer has the changes after the known revision: the whole is read again. */
 void store_watch_history_lost(struct store_watch *watch);
-/** \brief An answer came; all changes up to `revision` are known, 0: not all of the whole is in. */
-void store_watch_answered(struct store_watch *watch, uint64_t revision);
+/**
+ * \brief An answer came; all changes up to `revision` are known, 0: not all of the whole is in.
+ * Ask store_watch_loss() before, for what the answer says is gone.
+ */
+void store_watch_answered(struct store_watch *watch, uint64_t revision, uint64_t now);
+/**
+ * \brief What is known of when the items went that the present answer lacks.
+ * \param own_gap this node heard nothing for a while by its own fault
+ */
+struct state_loss store_watch_loss(const struct store_watch *watch, bool own_gap, uint64_t now);
 /** \return whether the last call had its answer, or waits for it without a failure before */
 bool store_watch_is_sound(const struct store_watch *watch);
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -21,7 +21,10 @@
 #define VERSION_MARGIN_US 1100000
 /** The list may drop back ends that live, which then list themselves again; one that leaves without
  * a word serves on for longer than this. */
-#define UNLISTED_US 1400000
+#define UNLISTED_MOST_US 1400000
+/** So long before the bound on leaving a back end gets nothing more: news take 0.2 s from one call
+ * to the store to the next, 0.2 s more when it is slow, and requests some time on their way. */
+#define DRAIN_MARGIN_US 600000
 /** A planned stop: new requests are taken for so long, as clients keep an address for up to three
  * times its age; what is in progress then still has time to finish. */
 #define STOP_ACCEPT_US 3200000
@@ -86,15 +89,13 @@
 static void drop_listing(struct edge *edge, const char *id, const struct state_item *item)
 {
     uint64_t now = cluster_now();
-    const struct backend *backend =
-        backend_pool_unlist(edge->pool, id, item->learned + UNLISTED_US, now);
+    struct backend_drop drop = {item->learned, item->from_outage};
+    const struct backend *backend = backend_pool_unlist(edge->pool, id, &drop, now);
     uint64_t until = backend ? backend->unlisted_until : 0;
     log_event(LOG_LEVEL_INFO, "backend", "gone",
-              "id=%s revision=%" PRIu64 " age_ms=%" PRIu64 " usable_ms=%" PRIu64
-              " doubtful=%d store_sound=%d",
+              "id=%s revision=%" PRIu64 " age_ms=%" PRIu64 " usable_ms=%" PRIu64 " from_outage=%d",
               id, item->revision, (now - item->learned) / 1000,
-              until > now ? (until - now) / 1000 : 0, backend && backend->doubtful,
-              cluster_store_is_sound(&edge->cluster));
+              until > now ? (until - now) / 1000 : 0, item->from_outage);
 }
 
 static void take_backend(struct edge *edge, const char *id, const struct state_item *item)
@@ -362,6 +363,12 @@
     return 0;
 }
 
+static uint64_t unlisted_us(const struct settings *settings)
+{
+    uint64_t bound = settings->drain_bound_ms * 1000 - DRAIN_MARGIN_US;
+    return bound < UNLISTED_MOST_US ? bound : UNLISTED_MOST_US;
+}
+
 static int edge_run(struct edge *edge, const struct settings *settings)
 {
     struct cluster_callbacks callbacks = {.context = edge,
@@ -373,6 +380,7 @@
                                          .tokens_per_engine =
                                              (uint32_t)settings->engine_unread_tokens,
                                          .load_fresh_us = LOAD_FRESH_US,
+                                         .unlisted_us = unlisted_us(settings),
                                          .created = cluster_now()};
     edge->settings = settings;
     edge->loop = uv_default_loop();
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -92,7 +92,7 @@
 {
     metric_add(METRIC_SENDS_UNLISTED, 1);
     log_event(LOG_LEVEL_INFO, "request", "sent-unlisted",
-              "request=%s backend=%s unlisted_ms=%" PRIu64 " usable_ms=%" PRIu64 " doubtful=%d",
+              "request=%s backend=%s unlisted_ms=%" PRIu64 " usable_ms=%" PRIu64 " from_outage=%d",
               exchange->head.id, backend->listing.id, (now - backend->unlisted_at) / MS_US,
               (backend->unlisted_until - now) / MS_US, backend->doubtful);
 }
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -36,6 +36,15 @@
 
 static void start_next(struct http_caller *caller);
 
+const char *call_result_name(enum call_result result)
+{
+    static const char *const names[] = {[CALL_ANSWERED] = "answered",
+                                        [CALL_NOT_REACHED] = "not reached",
+                                        [CALL_BROKEN] = "broken",
+                                        [CALL_SILENT] = "no answer"};
+    return names[result];
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
     struct http_caller *caller = handle->data;
@@ -91,7 +100,7 @@
 static void on_timeout(uv_timer_t *timer)
 {
     struct http_caller *caller = timer->data;
-    fail_first(caller, caller->up ? CALL_BROKEN : CALL_NOT_REACHED);
+    fail_first(caller, caller->up ? CALL_SILENT : CALL_NOT_REACHED);
 }
 
 static void on_connected(void *context, bool success)
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -13,9 +13,13 @@
 enum call_result {
     CALL_ANSWERED,    /**< a whole answer came; see `message` */
     CALL_NOT_REACHED, /**< no connection came up: the server saw nothing */
-    CALL_BROKEN,      /**< the connection broke, the answer was malformed, or time ran out */
+    CALL_BROKEN,      /**< the connection broke, or the answer was malformed */
+    CALL_SILENT,      /**< no whole answer came in time */
 };
 
+/** \return the result in words, for logs */
+const char *call_result_name(enum call_result result);
+
 /** \param message valid during the call only, NULL unless CALL_ANSWERED */
 typedef void call_done(void *context, enum call_result result, const struct http_message *message);
 
--- a/src/weights/piece_fetch.c
+++ b/src/weights/piece_fetch.c
@@ -164,7 +164,7 @@
     uint64_t now = cluster_now();
     lane->busy = false;
     if (result != CALL_ANSWERED)
-        fail_lane(lane, result == CALL_BROKEN ? "broken" : "not reached", now);
+        fail_lane(lane, call_result_name(result), now);
     else if (http_message_status(message) == STATUS_NOT_IN_TIME)
         on_not_in_time(lane, now);
     else if (http_message_status(message) != 200)
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -8,8 +8,10 @@
 
 #define SECOND_US 1000000ULL
 
-static const struct backend_pool_settings settings = {
-    .queue_per_engine = 3, .tokens_per_engine = 4500, .load_fresh_us = SECOND_US};
+static const struct backend_pool_settings settings = {.queue_per_engine = 3,
+                                                      .tokens_per_engine = 4500,
+                                                      .load_fresh_us = SECOND_US,
+                                                      .unlisted_us = 2 * SECOND_US};
 
 static struct backend_listing listing_of(int number, uint64_t version)
 {
@@ -51,6 +53,12 @@
     assert_non_null(backend_pool_report(pool, address, &load, now));
 }
 
+static void unlist(struct backend_pool *pool, bool from_outage, uint64_t now)
+{
+    struct backend_drop drop = {.learned = now, .from_outage = from_outage};
+    backend_pool_unlist(pool, "i-1", &drop, now);
+}
+
 static void draining_and_empty_engines_get_nothing(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -71,7 +79,7 @@
     struct backend_pool *pool = backend_pool_create(&settings, 1);
     struct backend_wish wish = wish_of();
     add(pool, 1, 1, 0);
-    backend_pool_unlist(pool, "i-1", 10 * SECOND_US, 8 * SECOND_US);
+    unlist(pool, false, 8 * SECOND_US);
     assert_non_null(choose(pool, &wish, 9 * SECOND_US));
     assert_null(choose(pool, &wish, 10 * SECOND_US));
     backend_pool_settle(pool, true, 10 * SECOND_US);
@@ -85,7 +93,7 @@
     struct backend_wish wish = wish_of();
     add(pool, 1, 1, 0);
     backend_pool_settle(pool, false, 8 * SECOND_US);
-    backend_pool_unlist(pool, "i-1", 10 * SECOND_US, 8 * SECOND_US);
+    unlist(pool, true, 8 * SECOND_US);
     backend_pool_settle(pool, false, 9 * SECOND_US);
     backend_pool_settle(pool, false, 11 * SECOND_US);
     assert_non_null(choose(pool, &wish, 12 * SECOND_US));
@@ -104,21 +112,21 @@
     add(pool, 1, 1, 0);
     backend_pool_settle(pool, false, 8 * SECOND_US);
     backend_pool_settle(pool, true, 9 * SECOND_US);
-    backend_pool_unlist(pool, "i-1", 9 * SECOND_US + 100, 9 * SECOND_US + SECOND_US / 5);
+    unlist(pool, true, 9 * SECOND_US + SECOND_US / 5);
     assert_non_null(choose(pool, &wish, 11 * SECOND_US));
     assert_null(choose(pool, &wish, 12 * SECOND_US));
     backend_pool_destroy(pool);
 }
 
-/* granite-lane-grown trouble-1: a gateway began to read the store and counted as one without
- * answers until its first watch ended; an entry that had gone before got new time from that. */
+/* A gateway that begins to read the store counts as one without answers until its first watch ends:
+ * an entry that had gone before gets no new time from that. */
 static void what_a_sound_list_dropped_stays_dropped_when_it_fails(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
     struct backend_wish wish = wish_of();
     add(pool, 1, 1, 0);
     backend_pool_settle(pool, true, 8 * SECOND_US);
-    backend_pool_unlist(pool, "i-1", 10 * SECOND_US, 8 * SECOND_US);
+    unlist(pool, false, 8 * SECOND_US);
     backend_pool_settle(pool, false, 9 * SECOND_US);
     assert_non_null(choose(pool, &wish, 9 * SECOND_US));
     backend_pool_settle(pool, false, 10 * SECOND_US);
@@ -135,8 +143,8 @@
     add(pool, 1, 1, 0);
     backend_pool_settle(pool, false, 8 * SECOND_US + 100000);
     backend_pool_settle(pool, true, 8 * SECOND_US + 400000);
-    backend_pool_unlist(pool, "i-1", 10 * SECOND_US, 8 * SECOND_US + 600000);
-    backend_pool_settle(pool, true, 10 * SECOND_US);
+    unlist(pool, false, 8 * SECOND_US + 600000);
+    backend_pool_settle(pool, true, 10 * SECOND_US + 600000);
     assert_int_equal(backend_pool_count(pool), 0);
     backend_pool_destroy(pool);
 }
@@ -150,7 +158,7 @@
     add(pool, 1, 1, 0);
     backend_pool_settle(pool, false, 14 * SECOND_US);
     backend_pool_settle(pool, true, 15 * SECOND_US);
-    backend_pool_unlist(pool, "i-1", 16 * SECOND_US, 15 * SECOND_US + 100000);
+    unlist(pool, true, 15 * SECOND_US + 100000);
     backend_pool_settle(pool, true, 16 * SECOND_US);
     assert_int_equal(backend_pool_count(pool), 1);
     backend_pool_destroy(pool);
--- a/tests/core/state_cache_test.c
+++ b/tests/core/state_cache_test.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+static const struct state_loss no_loss = {0};
+
 static uint32_t changes;
 
 static void on_changed(void *context, const struct state_item *item)
@@ -31,9 +33,9 @@
     assert_true(state_cache_put(cache, "op/a", "new", 3, 9, 0));
     assert_false(state_cache_put(cache, "op/a", "old", 3, 7, 0));
     assert_false(state_cache_put(cache, "op/a", "new", 3, 9, 0));
-    assert_false(state_cache_remove(cache, "op/a", 8, 0));
+    assert_false(state_cache_remove(cache, "op/a", 8, &no_loss));
     assert_string_equal(value_of(cache, "op/a"), "new");
-    assert_true(state_cache_remove(cache, "op/a", 10, 0));
+    assert_true(state_cache_remove(cache, "op/a", 10, &no_loss));
     assert_false(state_cache_put(cache, "op/a", "new", 3, 9, 0));
     assert_string_equal(value_of(cache, "op/a"), "-");
     assert_int_equal(changes, 2);
@@ -49,7 +51,7 @@
     state_cache_put(cache, "op/a", "x", 1, 5, 0);
     state_cache_snapshot_begin(cache, "servers/");
     state_cache_put(cache, "servers/2", "x", 1, 4, 0);
-    state_cache_snapshot_end(cache, "servers/", 10, 0);
+    state_cache_snapshot_end(cache, "servers/", 10, &no_loss);
     assert_string_equal(value_of(cache, "servers/1"), "-");
     assert_string_equal(value_of(cache, "servers/2"), "x");
     assert_string_equal(value_of(cache, "servers/3"), "x");
@@ -61,7 +63,7 @@
 {
     struct state_cache *cache = cache_create();
     state_cache_put(cache, "a", "x", 1, 3, 0);
-    state_cache_remove(cache, "a", 6, 100);
+    state_cache_remove(cache, "a", 6, &(struct state_loss){.learned = 100});
     state_cache_reach(cache, 8);
     state_cache_trim(cache, 100);
     assert_true(state_cache_covers(cache, 4));
--- a/tests/core/store_outage_test.c
+++ b/tests/core/store_outage_test.c
@@ -30,8 +30,6 @@
 #define GATHER_MS 200
 /** One way between a gateway and the store. */
 #define DELAY_MS 2
-/** Time for which an entry that vanishes stays usable; as in edge/edge.c. */
-#define UNLISTED_MS 1400
 /** After it an engine that leaves gets no new work. */
 #define DRAIN_MS 2000
 /** So long after an outage nodes count as in touch with the store again. */
@@ -39,8 +37,8 @@
 /** In so long engines that the store lost in an outage list themselves again. */
 #define RELIST_MS 2000
 
-static const struct backend_pool_settings pool_settings = {.queue_per_engine = 3,
-                                                           .tokens_per_engine = 4500};
+static const struct backend_pool_settings pool_settings = {
+    .queue_per_engine = 3, .tokens_per_engine = 4500, .unlisted_us = 1400 * MS_US};
 
 /** What happens in one session, in ms. */
 struct script {
@@ -89,8 +87,8 @@
         gateway->pool = backend_pool_create(&pool_settings, i);
         gateway->engine = backend_retain(backend_pool_list(gateway->pool, &listing, 0));
         gateway->revision = 1;
-        store_watch_begin(&gateway->watch, 1);
-        store_watch_answered(&gateway->watch, 1);
+        store_watch_begin(&gateway->watch, 1, MS_US);
+        store_watch_answered(&gateway->watch, 1, MS_US);
     }
 }
 
@@ -111,10 +109,11 @@
     gateway->revision = revision;
     if (dropped) {
         gateway->learned_at = session->now;
-        backend_pool_unlist(gateway->pool, "i-1", (session->now + UNLISTED_MS) * MS_US,
-                            session->now * MS_US);
+        struct state_loss loss = store_watch_loss(&gateway->watch, false, session->now * MS_US);
+        struct backend_drop drop = {loss.learned, loss.from_outage};
+        backend_pool_unlist(gateway->pool, "i-1", &drop, session->now * MS_US);
     }
-    store_watch_answered(&gateway->watch, revision);
+    store_watch_answered(&gateway->watch, revision, session->now * MS_US);
     gateway->next_call = session->now + (news ? GATHER_MS : 0);
 }
 
@@ -138,7 +137,7 @@
         take_answer(session, gateway);
     } else if (waited >= gateway->call.timeout_ms) {
         gateway->calling = false;
-        gateway->next_call = now + store_watch_failed(&gateway->watch);
+        gateway->next_call = now + store_watch_failed(&gateway->watch, STORE_SILENT);
     }
 }
 
