Gateways tell at once when the store fails or works again

Cause: the own soundness was written at each message received, and only a change between two lines of one tick was told.

Change: what was last told is kept (reader_role_must_tell). Case added to core.reader_role.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -136,16 +136,15 @@
     tell_gateways(cluster);
 }
 
-/* Others have to know at once whether they can rely on this reader. */
 static void watch_store(struct cluster *cluster, uint64_t now)
 {
     if (!cluster->reader)
         return;
-    bool was_sound = membership_self(cluster->membership)->store_sound;
     reader_role_update(&cluster->role, cluster->membership, now);
     store_reader_set_active(cluster->reader, cluster->role.reads);
     write_revisions(cluster);
-    if (membership_self(cluster->membership)->store_sound != was_sound)
+    /* The own state is written at each message too: it says nothing of what others were told. */
+    if (reader_role_must_tell(&cluster->role, membership_self(cluster->membership)->store_sound))
         tell_gateways(cluster);
 }
 
--- a/src/core/reader_role.c
+++ b/src/core/reader_role.c
@@ -105,6 +105,13 @@
     return elapsed >= FIRST_LOOK_US + own_rank(membership) * COLD_STEP_US;
 }
 
+bool reader_role_must_tell(struct reader_role *role, bool sound)
+{
+    bool changed = sound != role->told_sound;
+    role->told_sound = sound;
+    return changed;
+}
+
 bool reader_role_update(struct reader_role *role, struct membership *membership, uint64_t now)
 {
     if (!role->first_update)
--- a/src/core/reader_role.h
+++ b/src/core/reader_role.h
@@ -14,6 +14,7 @@
     uint64_t unsound_since;  /**< no reader of the region got answers since then; 0: one does */
     uint64_t needless_since; /**< this node need not read since then; 0: it must */
     uint64_t first_update;   /**< time of the first decision, 0: none yet */
+    bool told_sound;         /**< what the other gateways were last told of the store */
 };
 
 /**
@@ -23,6 +24,11 @@
  * \return whether this node is to read
  */
 bool reader_role_update(struct reader_role *role, struct membership *membership, uint64_t now);
+/**
+ * \brief Others have to know at once whether they can rely on this reader.
+ * \return whether they are to be told now that the store is `sound`
+ */
+bool reader_role_must_tell(struct reader_role *role, bool sound);
 /** \return whether a gateway of the own region, or else of any, reads the store and gets answers */
 bool reader_role_somebody_is_sound(struct membership *membership);
 
--- a/tests/core/reader_role_test.c
+++ b/tests/core/reader_role_test.c
@@ -173,6 +173,17 @@
     close_fixture(&fixture);
 }
 
+/* The own state is written several times between two looks; the change must not get lost in it. */
+static void a_change_of_soundness_is_told_once(void **state)
+{
+    struct reader_role role = {0};
+    assert_false(reader_role_must_tell(&role, false));
+    assert_true(reader_role_must_tell(&role, true));
+    assert_false(reader_role_must_tell(&role, true));
+    assert_true(reader_role_must_tell(&role, false));
+    assert_false(reader_role_must_tell(&role, false));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -182,6 +193,7 @@
         cmocka_unit_test(the_list_is_sound_while_any_gateway_gets_answers),
         cmocka_unit_test(a_few_gateways_all_read),
         cmocka_unit_test(others_step_in_while_no_reader_gets_answers),
+        cmocka_unit_test(a_change_of_soundness_is_told_once),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
