A request that is given up is taken back by a reset

Cause: a request reached an engine 3.1 s after it had said that it leaves, and 5.2 s after the client's answer had been broken off. Its gateway was cut off from 6.2 to 10.2 s. The stream fell silent, the gateway sent the request on over a kept connection at about 7.1 s, gave it up at 8.1 s and closed the connection. After a close the kernel still delivers what was written: TCP sent it again at 13.35 s, the sixth time (0.2 s doubled). That it was the retransmission follows from the times, no log line shows it.

Change: connections with a request that was handed over and not answered are reset (edge/upstream, net/http_caller), which drops what the kernel holds. Connections at rest are closed as before.

Test: system.platform a_request_that_is_given_up_cannot_arrive_later; the stand-in saw 'closed' before, 'reset' now.

--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -60,11 +60,23 @@
     list->first = upstream;
 }
 
+/*
+ * A request that is given up must not arrive any more. After a close the kernel still delivers what
+ * was written: through a link that was cut for 4 s, 6.2 s after the send.
+ */
+static void close_stream(struct upstream *upstream)
+{
+    if (upstream->state == UPSTREAM_BUSY)
+        tcp_stream_reset(upstream->stream);
+    else
+        tcp_stream_close(upstream->stream);
+}
+
 static void destroy(struct upstream *upstream)
 {
     unlink_upstream(upstream);
     if (upstream->stream)
-        tcp_stream_close(upstream->stream);
+        close_stream(upstream);
     backend_release(upstream->backend);
     http_message_clear(&upstream->message);
     free(upstream);
@@ -75,11 +87,12 @@
 {
     struct exchange *exchange = upstream->exchange;
     struct http_message message = upstream->message;
+    if (event == UPSTREAM_DONE)
+        upstream->state = UPSTREAM_IDLE;
     upstream->exchange = NULL;
     upstream->message = (struct http_message){0};
     /* The parser's position is part of the message that is handed over. */
     if (reusable) {
-        upstream->state = UPSTREAM_IDLE;
         upstream->idle_since = cluster_now();
         unlink_upstream(upstream);
         link_first(upstream);
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -54,7 +54,9 @@
 
 static void drop_stream(struct http_caller *caller)
 {
-    if (caller->stream)
+    if (caller->stream && caller->sent) /* what was given up must not arrive any more */
+        tcp_stream_reset(caller->stream);
+    else if (caller->stream)
         tcp_stream_close(caller->stream);
     caller->stream = NULL;
     caller->up = false;
@@ -117,6 +119,7 @@
 static void finish_answer(struct http_caller *caller, bool reusable)
 {
     caller->depth++;
+    caller->sent = false;
     if (!reusable)
         drop_stream(caller);
     finish_first(caller, CALL_ANSWERED);
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -58,6 +58,16 @@
     def reply_json(self, value):
         self.reply(200, json.dumps(value).encode(), [("Content-Type", "application/json")])
 
+    def wait_for_end(self, seconds):
+        """How the caller ends the connection: "reset", "closed", or None while it stays open."""
+        self.connection.settimeout(seconds)
+        try:
+            return "closed" if self.connection.recv(1) == b"" else None
+        except ConnectionResetError:
+            return "reset"
+        except TimeoutError:
+            return None
+
     def reset(self):
         self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.close_connection = True
@@ -147,6 +157,7 @@
         self.faults = []
         self.runs = []          # (request id, headers, body)
         self.gone = []          # ids whose connection closed while they were worked on
+        self.ends = {}          # id of a request without an answer -> how its connection ended
         self.staged = {}
         self.orders = 0
         self.loading = False
@@ -226,7 +237,7 @@
         elif fault == "error":
             self.reply(500, b"failed", echo + self.seal())
         elif fault == "silent":
-            time.sleep(3)
+            owner.ends[identity] = self.wait_for_end(3)
             self.reset()
         elif fault == "unsealed":
             self.reply(200, b"not whole", echo)
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -171,6 +171,7 @@
             backend.faults.clear()
             backend.runs.clear()
             backend.gone.clear()
+            backend.ends.clear()
 
     def runs_of(self, identity):
         return [run for backend in self.engines + self.plain for run in backend.runs
@@ -225,6 +226,19 @@
             for _ in range(6):
                 self.assertEqual(ask("GET", "/get/1").status, 200, fault)
 
+    def test_a_request_that_is_given_up_cannot_arrive_later(self):
+        """A request reached an engine 3.1 s after the engine had said that it leaves, and 5.2 s after
+        its client had been answered. Its gateway was cut off from 6.2 to 10.2 s. It sent the request
+        on at about 7.1 s, when the first engine had been silent for 1 s, gave it up at 8.1 s, and closed
+        the connection. After a close the kernel still delivers what was written: TCP retransmitted
+        the request at 13.35 s. A reset takes it back."""
+        self.plain[0].faults = ["silent"]
+        self.plain[1].faults = ["silent"]
+        ask("GET", "/get/given-up")
+        wait_for(lambda: any(backend.ends for backend in self.plain), "an end of the connection")
+        ends = [end for backend in self.plain for end in backend.ends.values()]
+        self.assertEqual(set(ends), {"reset"})
+
     def test_an_error_of_all_back_ends_is_passed_on_whole(self):
         for backend in self.plain:
             backend.faults[:] = ["error"]
