--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -286,8 +286,8 @@
     uint64_t idle = table ? route_table_limits(table)->idle_timeout_ms : DEFAULT_IDLE_TIMEOUT_MS;
     *in_head = client->head_started != 0;
     if (*in_head)
-        return !client->request.head_complete && now - client->head_started > head * 1000;
-    return now - client->idle_since > idle * 1000;
+        return !client->request.head_complete && now > client->head_started + head * 1000;
+    return now > client->idle_since + idle * 1000;
 }
 
 void edge_client_sweep(struct edge *edge, uint64_t now)
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -202,7 +202,7 @@
     struct upstream_list *list = backend->connections;
     for (struct upstream *upstream = list ? list->first : NULL; upstream; upstream = upstream->next)
         if (upstream->state == UPSTREAM_IDLE && now < upstream->keep_until &&
-            now - upstream->idle_since <= most_idle_us)
+            now <= upstream->idle_since + most_idle_us)
             return upstream;
     return NULL;
 }
@@ -270,7 +270,8 @@
         if (upstream->state == UPSTREAM_IDLE &&
             (now >= upstream->keep_until || !upstream->backend->listed))
             return upstream;
-        if (upstream->state == UPSTREAM_CONNECTING && now - upstream->started > CONNECT_TIMEOUT_US)
+        /* One that was opened in this sweep began after `now`. */
+        if (upstream->state == UPSTREAM_CONNECTING && now > upstream->started + CONNECT_TIMEOUT_US)
             return upstream;
     }
     return NULL;
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -341,7 +341,7 @@
 {
     if (now < turn->at || installer->report.load.loading)
         return;
-    if (now - installer->checked_at > CHECK_FRESH_US) {
+    if (now > installer->checked_at + CHECK_FRESH_US) {
         check_begin(installer, now);
         return;
     }
@@ -388,11 +388,11 @@
         tick_drain(installer, now);
         break;
     case STEP_ORDERED:
-        if (now - installer->ordered_at > ORDER_EFFECT_US && !installer->report.load.loading &&
+        if (now > installer->ordered_at + ORDER_EFFECT_US && !installer->report.load.loading &&
             installer->report.sequence == installer->ordered_sequence)
             installer->step = STEP_IDLE;
         else if (installer->report.sequence > installer->ordered_sequence &&
-                 !installer->report.load.loading && now - installer->ordered_at > ORDER_EFFECT_US)
+                 !installer->report.load.loading && now > installer->ordered_at + ORDER_EFFECT_US)
             installer->step = STEP_IDLE;
         break;
     }
@@ -412,5 +412,5 @@
 {
     if (installer->report.load.loading || installer->step == STEP_DRAIN)
         return true;
-    return installer->step == STEP_ORDERED && now - installer->ordered_at < ORDER_EFFECT_US;
+    return installer->step == STEP_ORDERED && now < installer->ordered_at + ORDER_EFFECT_US;
 }
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -290,6 +290,27 @@
         self.wfile.write(b"0\r\n\r\n")
 
 
+class Unreachable:
+    """A back end of the list whose connections hang: its queue of new connections is full."""
+
+    def __init__(self, address, identity, store, service):
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(0)
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        store.put("servers/" + identity, {
+            "service": service, "address": "%s:%d" % address, "zone": "zone-a", "version": "v1",
+            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 1})
+
+    def close(self):
+        for sock in self.fillers + [self.listener]:
+            sock.close()
+
+
 class Origin:
     def __init__(self, address):
         self.newest = 1
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -20,6 +20,7 @@
 EDGES = ["127.9.1.1", "127.9.1.2"]
 SIDES = ["127.9.2.1", "127.9.2.2", "127.9.2.3"]
 PLAIN = ["127.9.3.1", "127.9.3.2"]
+HUNG = ["127.9.4.%d" % n for n in range(1, 6)]
 PEER_PORT = 7811
 FRONT, READY, DIRECTORY, ENGINE, METRICS = 8102, 8103, 8104, 8105, 9565
 PATIENCE_S = 20
@@ -43,6 +44,7 @@
     value = {
         "version": version,
         "routes": [route("stream", "/stream/", "streaming", "llm"),
+                   route("hung", "/hung/", "idempotent", "hung", timeout_ms=6000),
                    route("get", "/get/", "idempotent", "records"),
                    route("put", "/put/", "non_idempotent", "records", attempts=1)],
         "services": [
@@ -51,6 +53,7 @@
                         "usual": {"prompt": 100, "answer": 10}, "read_per_s": 30000,
                         "chunks": standin.PIECES, "chunk_bytes": standin.PIECE_BYTES}},
             {"name": "records", "connection_limit": 100},
+            {"name": "hung", "connection_limit": 100},
             {"name": "origin", "origin": "%s:%d" % ORIGIN, "zone": "zone-a"}],
         "limits": {"header_bytes": 8192, "body_bytes": 100000, "header_timeout_ms": 1000,
                    "idle_timeout_ms": 5000},
@@ -139,6 +142,13 @@
         connection.close()
 
 
+def metric(name, address=EDGES[0]):
+    for line in get(address, METRICS, "/metrics")[1].decode().splitlines():
+        if line.startswith(name + " "):
+            return int(line.split()[1])
+    raise AssertionError("no metric " + name)
+
+
 def whole_stream(first=1):
     return b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(first, 11))
 
@@ -239,6 +249,23 @@
         ends = [end for backend in self.plain for end in backend.ends.values()]
         self.assertEqual(set(ends), {"reset"})
 
+    def test_a_back_end_that_hangs_is_not_tried_without_end(self):
+        """A gateway that was cut off stood still for up to 5.4 s, with 6,976 lines like "event=ejected
+        result=unreachable failures=..." for one request. Its sweep of connections that take too long
+        compared with a time read before the sweep: a connection opened in the sweep seemed to have
+        begun in the future, the difference of unsigned numbers was huge, it was given up at once, and
+        the next one opened, until the request had no time left. Nothing else was done meanwhile: news
+        of engines that left were read 2.9 s late."""
+        for number, ip in enumerate(HUNG):
+            hung = standin.Unreachable((ip, ENGINE), "hung-%d" % number, self.store, "hung")
+            self.addCleanup(hung.close)
+            self.addCleanup(self.store.remove, "servers/hung-%d" % number)
+        known = len(self.engines + self.plain + HUNG)
+        wait_for(lambda: metric("shuntrun_backends") >= known, "the listing")
+        before = metric("shuntrun_upstream_connections_total")
+        self.assertEqual(ask("GET", "/hung/1", Shuntrun_Deadline_Ms="6000").status, 503)
+        self.assertLess(metric("shuntrun_upstream_connections_total") - before, 50)
+
     def test_an_error_of_all_back_ends_is_passed_on_whole(self):
         for backend in self.plain:
             backend.faults[:] = ["error"]
