A request that no back end can take is refused at once

Cause: it waited for a fifth of its latency objective (80 ms of 400) also where no back end was fit at all, as after a loss of power; a place cannot come free there, and the caller could not come back sooner.

Change: core/place_wait: only where back ends are fit but full does a request wait.

Test: core.place_wait (2 cases; the second fails with the rule as it was).

--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -2,6 +2,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "core/place_wait.h"
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
 #include <stdarg.h>
@@ -160,7 +161,8 @@
         return;
     }
     exchange->no_backend = absence == BACKEND_NONE && !exchange->tried_count;
-    if (now >= exchange->wait_until || exchange->tried_count == BACKEND_MAX_EXCLUDED) {
+    if (place_wait_is_over(absence, exchange->wait_until, now) ||
+        exchange->tried_count == BACKEND_MAX_EXCLUDED) {
         if (absence == BACKEND_FULL)
             exchange_count_place(exchange, false);
         exchange_give_up_truly(exchange, absence == BACKEND_FULL ? "full" : "no-backend");
--- /dev/null
+++ b/tests/core/place_wait_test.c
@@ -0,0 +1,24 @@
+/* Who waits for a place, and who is refused at once. */
+#include "testing.h"
+
+#include "core/place_wait.h"
+
+static void a_request_waits_for_a_place_while_back_ends_are_full(void **state)
+{
+    assert_false(place_wait_is_over(BACKEND_FULL, 100, 10));
+    assert_true(place_wait_is_over(BACKEND_FULL, 100, 100));
+}
+
+static void a_request_that_no_back_end_can_take_is_refused_at_once(void **state)
+{
+    assert_true(place_wait_is_over(BACKEND_NONE, 100, 10));
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_request_waits_for_a_place_while_back_ends_are_full),
+        cmocka_unit_test(a_request_that_no_back_end_can_take_is_refused_at_once),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
