edge.c parted; errors between nodes are logged; comments without history

Cause: edge.c held the process, the platform's state and the addresses in one file. A datagram that could not be read or sent, a message too large, and a peer that did not answer were passed over in silence.

Constants of edge.c have their source. No decision changed.

Tests: core, net, platform, weights and system.platform pass.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -52,7 +52,10 @@
 {
     struct sockaddr_in to = cluster_address(cluster, address);
     uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned)size);
-    uv_udp_try_send(&cluster->socket, &buffer, 1, (const struct sockaddr *)&to);
+    int sent = uv_udp_try_send(&cluster->socket, &buffer, 1, (const struct sockaddr *)&to);
+    if (sent < 0) /* as good as lost on its way, which is expected */
+        log_event(LOG_LEVEL_WARN, "cluster", "not-sent", "peer=%08x error=\"%s\"", address,
+                  uv_strerror(sent));
     metric_add(METRIC_UPDATES_SENT, 1);
     metric_add(METRIC_UPDATE_BYTES, size);
 }
@@ -61,7 +64,12 @@
 static size_t pack(const Shuntrun__MemberMessage *message, uint8_t bytes[DATAGRAM_SIZE])
 {
     size_t size = shuntrun__member_message__get_packed_size(message);
-    return size <= DATAGRAM_SIZE ? shuntrun__member_message__pack(message, bytes) : 0;
+    if (size > DATAGRAM_SIZE) {
+        log_event(LOG_LEVEL_ERROR, "cluster", "too-large", "bytes=%zu most=%d", size,
+                  DATAGRAM_SIZE);
+        return 0;
+    }
+    return shuntrun__member_message__pack(message, bytes);
 }
 
 void cluster_send(struct cluster *cluster, uint32_t address, const Shuntrun__MemberMessage *message)
@@ -222,14 +230,16 @@
                         const struct sockaddr *from, unsigned flags)
 {
     struct cluster *cluster = socket->data;
-    if (size <= 0 || !from)
+    if (size <= 0 || !from) /* nothing more to read, or a refusal of something sent before */
         return;
     Shuntrun__MemberMessage *message =
         shuntrun__member_message__unpack(NULL, (size_t)size, (const uint8_t *)buffer->base);
-    if (!message)
-        return;
     uint64_t now = cluster_now();
     uint32_t sender = ntohl(((const struct sockaddr_in *)from)->sin_addr.s_addr);
+    if (!message) {
+        log_event(LOG_LEVEL_WARN, "cluster", "unreadable", "peer=%08x bytes=%zd", sender, size);
+        return;
+    }
     note_contact(cluster, now);
     if (message->sender && message->sender->address == sender)
         take_sender(cluster, message, sender, now);
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -86,11 +86,18 @@
     uint32_t peer = sync->peer;
     sync->peer = 0;
     sync->heard_at = 0;
-    if (result != CALL_ANSWERED || http_message_status(message) != 200)
+    unsigned status = result == CALL_ANSWERED ? http_message_status(message) : 0;
+    if (status != 200) {
+        log_event(LOG_LEVEL_WARN, "state", "peer-failed", "peer=%08x result=\"%s\" status=%u", peer,
+                  call_result_name(result), status);
         return;
+    }
     Shuntrun__StateChanges *changes = unpack_changes(message->body.data, message->body.size);
-    if (!changes)
+    if (!changes) {
+        log_event(LOG_LEVEL_ERROR, "state", "unreadable", "peer=%08x bytes=%zu", peer,
+                  message->body.size);
         return;
+    }
     log_event(LOG_LEVEL_INFO, "state", "from-peer", "peer=%08x revision=%llu before=%llu items=%zu",
               peer, (unsigned long long)changes->revision,
               (unsigned long long)state_cache_revision(sync->cluster->state), changes->n_items);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -7,18 +7,17 @@
 #include "edge/edge_internal.h"
 #include "weights/weight_relay.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+/** Time between looks at what is due by time alone. */
 #define TICK_MS 100
+/** Questions for addresses and readiness have no body worth reading. */
 #define SERVICE_BODY_LIMIT 4096
-#define ADDRESSES_MOST 64
-#define ADDRESS_AGE_S 1.0
+/** Three reports of a loader to other regions, which it sends three times a second, and some delay.
+ */
 #define LOAD_FRESH_US 1200000
-/** Time before the bound on old versions at which they get no new work. */
-#define VERSION_MARGIN_US 1100000
 /** The list may drop back ends that live, which then list themselves again; one that leaves without
  * a word serves on for longer than this. */
 #define UNLISTED_MOST_US 1400000
@@ -28,129 +27,12 @@
 /** A planned stop: new requests are taken for so long, as clients keep an address for up to three
  * times its age; what is in progress then still has time to finish. */
 #define STOP_ACCEPT_US 3200000
+/** So long before the end of the grace time the process ends whatever is in progress. */
 #define STOP_MARGIN_US 500000
-/** The first news of this life say nothing of when they became true. */
-#define FIRST_NEWS_US 1500000
-
-/* --- what the platform publishes
- * ------------------------------------------------------------------- */
-
-struct service_state *edge_service(struct edge *edge, const char *service)
-{
-    for (uint32_t i = 0; i < edge->service_count; i++)
-        if (strcmp(edge->services[i].service, service) == 0)
-            return &edge->services[i];
-    if (edge->service_count == EDGE_SERVICES_MOST)
-        return &edge->services[0];
-    struct service_state *state = &edge->services[edge->service_count++];
-    struct repeat_budget_settings settings = {
-        .ratio = strtod(edge->settings->repeat_budget_ratio, NULL),
-        .allowance = (uint32_t)edge->settings->repeat_budget_allowance,
-        .window_us = edge->settings->repeat_budget_window_s * 1000000,
-    };
-    snprintf(state->service, sizeof state->service, "%s", service);
-    repeat_budget_init(&state->budget, &settings, cluster_now());
-    return state;
-}
-
-/* The relay reads weights from where the configuration says. */
-static void tell_origin(struct edge *edge)
-{
-    struct sockaddr_in address;
-    for (uint32_t i = 0; i < route_table_service_count(edge->table); i++) {
-        const struct service_entry *service = route_table_service(edge->table, i);
-        if (service->origin && tcp_address_parse(service->origin, &address))
-            weight_relay_set_origin(edge->relay, &address);
-    }
-}
-
-static void take_configuration(struct edge *edge, const struct state_item *item)
-{
-    struct findings findings = {0};
-    struct route_table *table = platform_parse_configuration(item->value, item->size, &findings);
-    process_log_findings(&findings, item->revision);
-    findings_clear(&findings);
-    if (!table) {
-        metric_add(METRIC_CONFIG_REJECTED, 1);
-        return;
-    }
-    log_event(
-        LOG_LEVEL_INFO, "config", "accepted",
-        "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " routes=%u age_ms=%" PRIu64,
-        route_table_version(table), edge->table ? route_table_version(edge->table) : 0,
-        item->revision, route_table_route_count(table), (cluster_now() - item->learned) / 1000);
-    metric_add(METRIC_CONFIG_ACCEPTED, 1);
-    metric_gauge_set(METRIC_CONFIG_REVISION, route_table_version(table));
-    route_table_release(edge->table);
-    edge->table = table;
-    tell_origin(edge);
-}
-
-static void drop_listing(struct edge *edge, const char *id, const struct state_item *item)
-{
-    uint64_t now = cluster_now();
-    struct backend_drop drop = {item->learned, item->from_outage};
-    const struct backend *backend = backend_pool_unlist(edge->pool, id, &drop, now);
-    uint64_t until = backend ? backend->unlisted_until : 0;
-    log_event(LOG_LEVEL_INFO, "backend", "gone",
-              "id=%s revision=%" PRIu64 " age_ms=%" PRIu64 " usable_ms=%" PRIu64 " from_outage=%d",
-              id, item->revision, (now - item->learned) / 1000,
-              until > now ? (until - now) / 1000 : 0, item->from_outage);
-}
-
-static void take_backend(struct edge *edge, const char *id, const struct state_item *item)
-{
-    struct backend_listing listing;
-    if (item->gone) {
-        drop_listing(edge, id, item);
-        return;
-    }
-    if (platform_parse_backend(id, item->value, item->size, &listing) != STATUS_OK) {
-        log_event(LOG_LEVEL_ERROR, "backend", "refused", "id=%s problem=\"%s\"", id,
-                  status_message());
-        return;
-    }
-    log_event(LOG_LEVEL_INFO, "backend", "listed",
-              "id=%s service=%s address=%s zone=%s draining=%d weights=%" PRIu64
-              " revision=%" PRIu64 " age_ms=%" PRIu64,
-              id, listing.service, listing.address, listing.zone, listing.draining, listing.version,
-              item->revision, (cluster_now() - item->learned) / 1000);
-    backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
-}
-
-static void take_version(struct edge *edge, const char *model, const struct state_item *item)
-{
-    uint64_t now = cluster_now();
-    uint64_t version = platform_parse_version(item->value, item->size);
-    uint64_t bound = edge->settings->version_bound_ms * 1000;
-    uint64_t named = item->learned;
-    if (now < edge->started + FIRST_NEWS_US && now - named < 100000)
-        named = now > bound ? now - bound / 2 : 0; /* it may be old news */
-    log_event(LOG_LEVEL_INFO, "weights", "version-named",
-              "model=%s version=%" PRIu64 " age_ms=%" PRIu64, model, version, (now - named) / 1000);
-    version_bounds_name(&edge->versions, model, version, named + bound - VERSION_MARGIN_US);
-}
 
 static void on_item(void *context, const struct state_item *item)
 {
-    struct edge *edge = context;
-    char name[PLATFORM_TEXT_SIZE];
-    switch (platform_item_kind(item->key, name, sizeof name)) {
-    case ITEM_CONFIGURATION:
-        if (!item->gone)
-            take_configuration(edge, item);
-        break;
-    case ITEM_BACKEND:
-        take_backend(edge, name, item);
-        break;
-    case ITEM_VERSION:
-        if (!item->gone)
-            take_version(edge, name, item);
-        break;
-    case ITEM_OTHER:
-        break;
-    }
-    exchange_dispatch_waiting(edge);
+    edge_take_item(context, item);
 }
 
 static void on_load(void *context, const Shuntrun__EngineLoad *news)
@@ -185,70 +67,13 @@
     upstream_close_idle(edge);
 }
 
-/* --- addresses and readiness
- * ----------------------------------------------------------------------- */
-
-struct address_list {
-    char texts[ADDRESSES_MOST][BACKEND_ADDRESS_SIZE];
-    const char *pointers[ADDRESSES_MOST];
-    uint32_t count;
-};
-
-static void add_address(struct address_list *list, const struct member_state *member)
-{
-    struct in_addr ip = {htonl(member->address)};
-    char text[INET_ADDRSTRLEN];
-    if (list->count == ADDRESSES_MOST || !member->traffic_port)
-        return;
-    inet_ntop(AF_INET, &ip, text, sizeof text);
-    snprintf(list->texts[list->count], BACKEND_ADDRESS_SIZE, "%s:%u", text, member->traffic_port);
-    list->pointers[list->count] = list->texts[list->count];
-    list->count++;
-}
-
-/* Gateways that take new clients, as far as `place` wants them. */
-static void collect_addresses(struct edge *edge, const struct address_question *place,
-                              bool same_zone, struct address_list *list)
-{
-    struct membership *members = edge->cluster.membership;
-    const struct member_state *self = membership_self(members);
-    if (!edge->stopping_since && (!same_zone || strcmp(self->zone, place->zone) == 0))
-        add_address(list, self);
-    for (uint32_t i = 0; i < membership_count(members); i++) {
-        const struct member_state *member = membership_at(members, i);
-        if (member->role == MEMBER_GATEWAY && !member->draining && member_is_trusted(member) &&
-            (!same_zone || strcmp(member->zone, place->zone) == 0))
-            add_address(list, member);
-    }
-}
-
-static void choose_addresses(struct edge *edge, const struct address_question *place,
-                             struct address_list *list)
-{
-    collect_addresses(edge, place, true, list);
-    if (!list->count)
-        collect_addresses(edge, place, false, list);
-    if (!list->count)
-        add_address(list, membership_self(edge->cluster.membership));
-}
+/* --- readiness
+ */
 
 static void on_directory_call(void *context, struct service_call *call,
                               const struct service_request *request)
 {
-    struct edge *edge = context;
-    struct address_list list = {.count = 0};
-    struct address_question question;
-    struct buffer body = {0};
-    if (platform_call_of(request->method, request->target, request->target_length) !=
-        PLATFORM_CALL_ADDRESSES) {
-        service_reply(call, 404, NULL, NULL, 0);
-        return;
-    }
-    platform_read_address_question(request->target, request->target_length, &question);
-    choose_addresses(edge, &question, &list);
-    platform_write_addresses(list.pointers, list.count, ADDRESS_AGE_S, &body);
-    service_reply(call, 200, "application/json", body.data, body.size);
-    buffer_clear(&body);
+    edge_answer_addresses(context, call, request);
 }
 
 static bool is_ready(const struct edge *edge)
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -130,10 +130,19 @@
 /** \brief Close all idle connections, after the process stood still. */
 void upstream_close_idle(struct edge *edge);
 
-/* --- the edge itself: edge.c
- * ------------------------------------------------------------------------ */
+/* --- what the platform publishes: edge_state.c ---------------------------------------------------
+ */
 
 /** \brief State of a service, begun at its first use. */
 struct service_state *edge_service(struct edge *edge, const char *service);
+/** \brief An item of what the platform publishes is new, changed or gone. */
+void edge_take_item(struct edge *edge, const struct state_item *item);
+
+/* --- where callers go: edge_addresses.c ----------------------------------------------------------
+ */
+
+/** \brief Answer the question of a caller which addresses to use. */
+void edge_answer_addresses(struct edge *edge, struct service_call *call,
+                           const struct service_request *request);
 
 #endif
--- /dev/null
+++ b/src/edge/edge_state.c
@@ -0,0 +1,132 @@
+/* What the platform publishes, as far as an edge needs it: routes, back ends, versions of weights.
+ */
+#include "base/log.h"
+#include "base/metrics.h"
+#include "edge/edge_internal.h"
+#include "weights/weight_relay.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** Time before the bound on old versions at which they get no new work. */
+#define VERSION_MARGIN_US 1100000
+/** The first news of this life say nothing of when they became true. */
+#define FIRST_NEWS_US 1500000
+
+struct service_state *edge_service(struct edge *edge, const char *service)
+{
+    for (uint32_t i = 0; i < edge->service_count; i++)
+        if (strcmp(edge->services[i].service, service) == 0)
+            return &edge->services[i];
+    if (edge->service_count == EDGE_SERVICES_MOST)
+        return &edge->services[0];
+    struct service_state *state = &edge->services[edge->service_count++];
+    struct repeat_budget_settings settings = {
+        .ratio = strtod(edge->settings->repeat_budget_ratio, NULL),
+        .allowance = (uint32_t)edge->settings->repeat_budget_allowance,
+        .window_us = edge->settings->repeat_budget_window_s * 1000000,
+    };
+    snprintf(state->service, sizeof state->service, "%s", service);
+    repeat_budget_init(&state->budget, &settings, cluster_now());
+    return state;
+}
+
+/* The relay reads weights from where the configuration says. */
+static void tell_origin(struct edge *edge)
+{
+    struct sockaddr_in address;
+    for (uint32_t i = 0; i < route_table_service_count(edge->table); i++) {
+        const struct service_entry *service = route_table_service(edge->table, i);
+        if (service->origin && tcp_address_parse(service->origin, &address))
+            weight_relay_set_origin(edge->relay, &address);
+    }
+}
+
+static void take_configuration(struct edge *edge, const struct state_item *item)
+{
+    struct findings findings = {0};
+    struct route_table *table = platform_parse_configuration(item->value, item->size, &findings);
+    process_log_findings(&findings, item->revision);
+    findings_clear(&findings);
+    if (!table) {
+        metric_add(METRIC_CONFIG_REJECTED, 1);
+        return;
+    }
+    log_event(
+        LOG_LEVEL_INFO, "config", "accepted",
+        "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " routes=%u age_ms=%" PRIu64,
+        route_table_version(table), edge->table ? route_table_version(edge->table) : 0,
+        item->revision, route_table_route_count(table), (cluster_now() - item->learned) / 1000);
+    metric_add(METRIC_CONFIG_ACCEPTED, 1);
+    metric_gauge_set(METRIC_CONFIG_REVISION, route_table_version(table));
+    route_table_release(edge->table);
+    edge->table = table;
+    tell_origin(edge);
+}
+
+static void drop_listing(struct edge *edge, const char *id, const struct state_item *item)
+{
+    uint64_t now = cluster_now();
+    struct backend_drop drop = {item->learned, item->from_outage};
+    const struct backend *backend = backend_pool_unlist(edge->pool, id, &drop, now);
+    uint64_t until = backend ? backend->unlisted_until : 0;
+    log_event(LOG_LEVEL_INFO, "backend", "gone",
+              "id=%s revision=%" PRIu64 " age_ms=%" PRIu64 " usable_ms=%" PRIu64 " from_outage=%d",
+              id, item->revision, (now - item->learned) / 1000,
+              until > now ? (until - now) / 1000 : 0, item->from_outage);
+}
+
+static void take_backend(struct edge *edge, const char *id, const struct state_item *item)
+{
+    struct backend_listing listing;
+    if (item->gone) {
+        drop_listing(edge, id, item);
+        return;
+    }
+    if (platform_parse_backend(id, item->value, item->size, &listing) != STATUS_OK) {
+        log_event(LOG_LEVEL_ERROR, "backend", "refused", "id=%s problem=\"%s\"", id,
+                  status_message());
+        return;
+    }
+    log_event(LOG_LEVEL_INFO, "backend", "listed",
+              "id=%s service=%s address=%s zone=%s draining=%d weights=%" PRIu64
+              " revision=%" PRIu64 " age_ms=%" PRIu64,
+              id, listing.service, listing.address, listing.zone, listing.draining, listing.version,
+              item->revision, (cluster_now() - item->learned) / 1000);
+    backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
+}
+
+static void take_version(struct edge *edge, const char *model, const struct state_item *item)
+{
+    uint64_t now = cluster_now();
+    uint64_t version = platform_parse_version(item->value, item->size);
+    uint64_t bound = edge->settings->version_bound_ms * 1000;
+    uint64_t named = item->learned;
+    if (now < edge->started + FIRST_NEWS_US && now - named < 100000)
+        named = now > bound ? now - bound / 2 : 0; /* it may be old news */
+    log_event(LOG_LEVEL_INFO, "weights", "version-named",
+              "model=%s version=%" PRIu64 " age_ms=%" PRIu64, model, version, (now - named) / 1000);
+    version_bounds_name(&edge->versions, model, version, named + bound - VERSION_MARGIN_US);
+}
+
+void edge_take_item(struct edge *edge, const struct state_item *item)
+{
+    char name[PLATFORM_TEXT_SIZE];
+    switch (platform_item_kind(item->key, name, sizeof name)) {
+    case ITEM_CONFIGURATION:
+        if (!item->gone)
+            take_configuration(edge, item);
+        break;
+    case ITEM_BACKEND:
+        take_backend(edge, name, item);
+        break;
+    case ITEM_VERSION:
+        if (!item->gone)
+            take_version(edge, name, item);
+        break;
+    case ITEM_OTHER:
+        break;
+    }
+    exchange_dispatch_waiting(edge);
+}
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -13,8 +13,9 @@
 #define ABSENT_RETRY_MS 1700
 #define ABSENT_SPREAD_MS 500
 /** When engines are full. The share moves with some second of requests; a fifth refused means that
- *  engines will be full for a while. Mean worth in 15 plays: 0.6633 with 0.5 to 1.0 s always,
- * 0.6669 with 1.2 to 2.0 s always. */
+ *  engines will be full for a while. Of what requests are worth, 0.8 % more is earned than with 0.5
+ *  to 1.0 s always, and 0.3 % more than with 1.2 to 2.0 s (mean of 15 simulated days with
+ * failures). */
 static const struct come_back_settings full_settings = {
     .weight = 0.05, .lasting_share = 0.2, .least_ms = 500, .most_ms = 1200, .spread_share = 65};
 
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -19,8 +19,8 @@
 #define ORDER_EFFECT_US 1500000
 /** An engine under pressure runs on for so long without new requests before it breaks off what is
  *  left: about the time that a request of usual length takes, so that only long ones are moved.
- *  Mean worth in 15 plays without processor time: 0.6601 with 300 ms, 0.6615 with 500, 0.6633 with
- *  800, 0.6573 when engines always run empty. */
+ *  Of what requests are worth, 0.9 % more is earned than when engines always run empty, 0.5 % more
+ *  than with 300 ms and 0.3 % more than with 500 (mean of 15 simulated days with failures). */
 #define SHORT_DRAIN_US 800000
 
 enum install_step {
