--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -33,7 +33,7 @@
 /** A gateway that began so lately has heard no load yet: it waits for the first report. */
 #define FIRST_REPORTS_US 1000000
 /** Back ends that live list themselves again within two seconds of the return of the list's keeper,
- *  as its operators say. The latest of 3,765 did after 1.08 s (outages of 1 to 6 s at four sites). */
+ *  as its operators say. The latest of 3,765 did after 1.08 s, in outages of 1 to 6 s. */
 #define RELIST_US 2000000
 
 struct backend_pool {
