--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD := build/release
 JOBS ?= $(shell nproc)
 
-.PHONY: dependencies build deploy-build demo check check-asan check-tsan lint format generate
+.PHONY: dependencies build deploy-build demo check check-asan check-tsan soak lint format generate
 
 dependencies:
 	scripts/install-dependencies.sh
@@ -32,6 +32,13 @@
 	cmake --build --preset tsan -j $(JOBS)
 	scripts/run_tests.sh build/tsan
 
+# Real processes with faults from outside, for hand: make soak SEEDS=1..50 SECONDS=20
+SEEDS ?= 1..50
+SECONDS ?= 20
+
+soak: build
+	python3 tests/system/soak.py --build $(BUILD) --work $(BUILD)/soak --seeds $(SEEDS) --seconds $(SECONDS)
+
 lint: dependencies
 	scripts/lint.sh
 
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -86,7 +86,10 @@
 
 
 class Store:
-    """Items with revisions, ranges and watches; `mode` "busy" answers 503."""
+    """Items with revisions, ranges and watches.
+
+    `mode` "busy" answers 503; "silent" never answers calls that begin or would end meanwhile.
+    """
 
     def __init__(self, address):
         self.changed = threading.Condition()
@@ -118,7 +121,9 @@
     def do_GET(self):
         store = self.owner
         path, query = self.parts()
-        if store.mode == "busy":
+        if store.mode == "silent":
+            self.stay_silent()
+        elif store.mode == "busy":
             self.reply(503)
         elif path == "/api/kv-range":
             with store.changed:
@@ -142,7 +147,14 @@
                     break
                 store.changed.wait(left)
             answer = {"events": events, "at": store.revision}
-        self.reply_json(answer)
+        if store.mode == "silent":
+            self.stay_silent()
+        else:
+            self.reply_json(answer)
+
+    def stay_silent(self):
+        self.wait_for_end(60)
+        self.reset()
 
 
 class Backend:
@@ -155,30 +167,60 @@
         self.service = service
         self.version = version
         self.faults = []
-        self.runs = []          # (request id, headers, body)
+        self.runs = []          # (request id, headers, body, time)
+        self.connections = set()
         self.gone = []          # ids whose connection closed while they were worked on
         self.ends = {}          # id of a request without an answer -> how its connection ended
         self.staged = {}
         self.orders = 0
         self.loading = False
+        self.state = "ready"
         self.lock = threading.Lock()
         self.server = Server(address, BackendHandler, self)
         self.list()
 
-    def list(self, state="ready"):
+    def list(self, state=None):
+        """Write the entry anew; without a state it stays what it said before."""
+        self.state = state or self.state
+        if self.state == "gone":
+            return
         models = [] if self.version is None else [{"name": MODEL, "version": self.version,
                                                    "adapters": []}]
         self.store.put("servers/" + self.identity, {
             "service": self.service, "address": "%s:%d" % self.address, "zone": "zone-a",
-            "version": "v1", "slots": 16, "state": state, "cold_remaining_ms": 0,
+            "version": "v1", "slots": 16, "state": self.state, "cold_remaining_ms": 0,
             "stage": "both", "models": models, "sequence": 1})
 
+    def leave(self):
+        """Leave without a word: the entry goes, requests are served on."""
+        self.state = "gone"
+        self.store.remove("servers/" + self.identity)
+
+    def crash(self):
+        """End at once: connections are reset, new ones refused."""
+        self.server.shutdown()
+        self.server.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # it ended by itself
+
     def next_fault(self):
         with self.lock:
             return self.faults.pop(0) if self.faults else None
 
 
 class BackendHandler(Handler):
+    def setup(self):
+        super().setup()
+        self.owner.connections.add(self.connection)
+
+    def finish(self):
+        self.owner.connections.discard(self.connection)
+        super().finish()
+
     def do_GET(self):
         path, query = self.parts()
         owner = self.owner
@@ -231,7 +273,7 @@
         if fault == "shed":
             self.reply(503, b"", echo + [("Shuntrun-Not-Executed", "1")])
             return
-        owner.runs.append((identity, dict(self.headers), body))
+        owner.runs.append((identity, dict(self.headers), body, time.monotonic()))
         if fault == "reset":
             self.reset()
         elif fault == "error":
