--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -247,8 +247,10 @@
         timer.start()
 
     def take_held_orders(self):
-        while self.held_orders:
-            self.take(self.held_orders.pop(0))
+        with self.lock:
+            orders, self.held_orders = self.held_orders, []
+        for order in orders:
+            self.take(order)
 
 
 class BackendHandler(Handler):
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -5,6 +5,7 @@
 back ends saw, without the system's logs:
 
   whole      a success is the whole answer to its own request
+  weights    what an engine takes when it is ordered to is whole and of the ordered version
   once       an unrepeatable request runs at most once
   not-run    what was answered 429 or 503 has not run and does not run later
   drain      nothing begins at a back end longer than DRAIN_S after the store said that it leaves
@@ -37,6 +38,7 @@
 RECOVERY_S = 12.0    # the platform's bound
 CALM_S = 3.0         # without trouble of the store, after which its news bind
 GRACE_S = 8          # from SIGTERM to the end
+NEXT_WEIGHTS_S = 2.5  # between two versions; the first engine's turn is 2 s after one is named
 CLIENTS = 8
 FAULT_GAP_S = (0.3, 1.2)
 SPARE_S = 0.3        # beside the measured slack: a request on its way
@@ -349,6 +351,15 @@
         self.put_configuration()
 
     def fault_weights(self, fault):
+        """Every second time, each engine's next order gets no answer and is taken later; one more
+        version is named when the first engines were ordered to take this one."""
+        self.name_weights()
+        if fault["which"] % 2:
+            for backend in self.live.values():
+                backend.orders_to_hold = 1
+            self.later(NEXT_WEIGHTS_S, self.name_weights)
+
+    def name_weights(self):
         self.weights += 1
         self.origin.newest = self.weights
         self.store.put("op/version/" + standin.MODEL,
@@ -418,6 +429,7 @@
         for result in results:
             self.check_result(result, runs.get(result.identity, []))
         for backend in self.starts:
+            self.check_weights(backend)
             self.check_drain(backend, {r.identity: r.edge for r in results})
         self.counts = (len(results), sum(r.whole for r in results))
 
@@ -431,6 +443,11 @@
         if result.cut and runs:  # it was read
             self.check_cut(result)
 
+    def check_weights(self, backend):
+        for version in backend.spoilt_starts:
+            self.find("weights", "%s took version %d from a stage that was not whole" %
+                      (backend.identity, version))
+
     def check_cut(self, result):
         """A request that was under way at a stop, or began soon after, is not cut by it."""
         for edge, at in self.stops:
