An order without an answer is given again after 0.6 s

Cause: an order is answered within some 5 ms, but was waited for during 1.5 s, while the engine takes no requests. Change: 0.6 s; a drain that has begun, and an order given again, do not wait for a turn that has moved.

--- a/src/core/weight_install.c
+++ b/src/core/weight_install.c
@@ -223,8 +223,9 @@
 static bool may_order(const struct weight_install *install, uint64_t now,
                       const struct install_turn *turn)
 {
+    bool begun = install->drain_began || install->order_at; /* its turn may have moved since */
     if (!install->reachable || install->order != ORDER_NONE || install->engine.loading ||
-        now < turn->at || now < install->order_pause)
+        (!begun && now < turn->at) || now < install->order_pause)
         return false;
     uint64_t read_at = weight_install_read_at(install);
     return read_at && now < read_at + install->settings.fresh_us;
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -11,7 +11,10 @@
 #include <string.h>
 
 #define STAGE_TIMEOUT_MS 2000
-#define ORDER_TIMEOUT_MS 1500
+/** An order is answered within some 5 ms. One that is not is given again after this, and the
+ * engine, which takes no requests meanwhile, waits 0.9 s less than with 1.5 s (a held order, real
+ * processes). */
+#define ORDER_TIMEOUT_MS 600
 #define STAGE_LIMIT (8U << 20)
 
 static const struct weight_install_settings install_settings = {
@@ -167,7 +170,7 @@
     bool failed = put ? result != INSTALL_DONE
                       : was_staged || result == INSTALL_UNSENT || result == INSTALL_NO_ANSWER;
     if (result != INSTALL_DONE && failed)
-        log_event(LOG_LEVEL_WARN, "install", put ? "put-failed" : "staged-piece-wrong",
+        log_event(LOG_LEVEL_WARN, "install", put ? "put-failed" : "read-failed",
                   "version=%" PRIu64 " piece=%u result=%s status=%u", installer->install.version,
                   piece, result_name(result), status);
     weight_install_stage_done(&installer->install, result, now);
