--- a/src/core/weight_install.c
+++ b/src/core/weight_install.c
@@ -19,8 +19,8 @@
            install->engine.sequence <= install->order_doubt_sequence;
 }
 
-/* The order that an earlier process may have left is of the version after the one that runs, or of
- * the one to install; neither is harmed by the pieces of the version after the one that runs. */
+/* An earlier process can have ordered only versions above the engine's, and none above this one. If
+ * this one follows the engine's directly, there is no other, and its own pieces spoil nothing. */
 static bool predecessor_in_doubt(const struct weight_install *install, uint64_t now)
 {
     return install->predecessor && now < install->predecessor_until &&
