The versions that a loader wants are a module of their own

Cause: loader.c had grown to 513 lines: which versions are kept, fetched and installed stood between the engine's reports, the platform's items and the process. Change: loader/wanted_versions holds that; loader.c has 366 lines. The test's world is parted from the hash of worlds. No behaviour changes.

--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -6,10 +6,9 @@
 #include "cluster/cluster.h"
 #include "cluster/process.h"
 #include "core/drain_wait.h"
-#include "core/fetch_order.h"
 #include "core/hash.h"
 #include "core/start_turn.h"
-#include "loader/installer.h"
+#include "loader/wanted_versions.h"
 #include "net/http_caller.h"
 
 #include <inttypes.h>
@@ -27,18 +26,7 @@
 /** Time between ticks while pieces are fetched or installed, and between looks at the engine while
  *  it loads: a tenth of the time that loading takes. */
 #define BUSY_TICK_MS 25
-/** A version named less than this ago cannot lie at the engine yet. */
-#define RECENT_US 4000000
-/** The first version of a model; the operator names only later ones. */
-#define FIRST_VERSION 1
-/** Versions whose pieces are held: the one in use, one on its way and one named meanwhile. */
-#define VERSIONS_KEPT 3
 #define LOAD_LOG_US 500000
-/** A version of which no piece came for so long does not progress: some ten times the time that a
- *  piece takes on a machine's link. */
-#define FETCH_PATIENCE_US 800000
-/** Time in which the engine gives its first report, or is dead. */
-#define FIRST_REPORT_US 1500000
 
 static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 6800000};
 /** Trials: below six tenths waiting cost nothing; in the last quarter broken streams found no
@@ -47,15 +35,6 @@
 /** Weight of one report in the moving share of places taken: about a second of reports. */
 #define PLACES_WEIGHT 0.08
 
-/* A version that the operator named. */
-struct wanted_version {
-    uint64_t version;
-    uint64_t named_at; /* time at which it was named */
-    struct piece_store *store;
-    uint64_t wanted_at; /* time at which this process heard of it */
-    bool recovered;     /* the engine's stage was read, or need not be */
-};
-
 struct loader {
     struct process process;
     struct cluster cluster;
@@ -63,10 +42,8 @@
     struct http_caller *engine;
     uv_timer_t timer;
     struct route_table *table;
-    struct wanted_version wanted[VERSIONS_KEPT]; /* rising */
-    uint32_t wanted_count;
-    bool reconsider;     /* the operator's items changed */
-    uint64_t installing; /* version that the installer is at, 0: none */
+    struct wanted_versions versions;
+    bool reconsider; /* the operator's items changed */
     struct installer *installer;
     char model[BACKEND_NAME_SIZE];
     struct sockaddr_in origin;
@@ -90,8 +67,7 @@
     struct backend_load load = loader->report.load;
     load.loading = loader->installer && installer_is_loading(loader->installer, now);
     load.staged = loader->installer && installer_is_staged(loader->installer);
-    for (uint32_t i = 0; i < loader->wanted_count; i++)
-        load.link_slow |= piece_store_link_is_slow(loader->wanted[i].store);
+    load.link_slow |= wanted_versions_link_is_slow(&loader->versions);
     if (memcmp(&load, &loader->told, sizeof load) == 0 && now < loader->told_at + LOAD_REPEAT_US)
         return;
     Shuntrun__EngineLoad message = SHUNTRUN__ENGINE_LOAD__INIT;
@@ -197,83 +173,22 @@
 static void on_piece_held(void *context, const struct piece_store *store, uint32_t piece)
 {
     struct loader *loader = context;
-    if (piece_store_version(store) == loader->installing)
-        installer_on_piece(loader->installer, piece);
-}
-
-/* What calls for a version may still do at the engine can only be set right with its pieces. */
-static bool may_drop(const struct loader *loader, uint32_t index, uint64_t now)
-{
-    return loader->wanted[index].version != loader->installing ||
-           !installer_is_bound(loader->installer, now);
+    wanted_versions_take_piece(&loader->versions, store, piece);
 }
 
-static void drop_store(struct loader *loader, uint32_t index, uint64_t now)
-{
-    struct wanted_version *wanted = &loader->wanted[index];
-    if (loader->installing == wanted->version) {
-        installer_set_store(loader->installer, NULL, now);
-        loader->installing = 0;
-    }
-    installer_forget_store(loader->installer, wanted->store);
-    piece_store_destroy(wanted->store);
-    loader->wanted_count--;
-    memmove(wanted, wanted + 1, (loader->wanted_count - index) * sizeof *wanted);
-}
-
-/* Make place for one more version. At most one of them may not be dropped. */
-static void drop_oldest(struct loader *loader, uint64_t now)
-{
-    drop_store(loader, may_drop(loader, 0, now) ? 0 : 1, now);
-}
-
-/* Versions are kept in rising order; an older one goes on while a newer one may not be had yet. */
 static void want_version(struct loader *loader, uint64_t version, uint64_t named_at)
 {
     uint64_t now = cluster_now();
-    uint64_t newest = loader->wanted_count ? loader->wanted[loader->wanted_count - 1].version : 0;
+    uint64_t newest = wanted_versions_newest(&loader->versions);
     if (version <= newest)
         return;
     log_event(LOG_LEVEL_INFO, "weights", "version-wanted",
               "model=%s version=%" PRIu64 " before=%" PRIu64 " named_ms_ago=%" PRIu64,
               loader->model, version, newest, (now - named_at) / 1000);
-    if (loader->wanted_count == VERSIONS_KEPT)
-        drop_oldest(loader, now);
-    struct wanted_version *wanted = &loader->wanted[loader->wanted_count++];
     struct piece_store_callbacks callbacks = {loader, on_piece_held};
-    bool recent = version > FIRST_VERSION && now - named_at < RECENT_US;
-    *wanted = (struct wanted_version){
-        .version = version, .named_at = named_at, .wanted_at = now, .recovered = recent};
-    wanted->store =
+    struct piece_store *store =
         piece_store_create(&loader->cluster, loader->model, &loader->origin, version, &callbacks);
-}
-
-/* The newest version that is whole here is installed; before one is, the oldest that is missing. */
-static struct wanted_version *choose_version(struct loader *loader)
-{
-    for (uint32_t i = loader->wanted_count; i-- > 0;)
-        if (piece_store_complete(loader->wanted[i].store))
-            return &loader->wanted[i];
-    for (uint32_t i = 0; i < loader->wanted_count; i++)
-        if (loader->wanted[i].version > loader->report.load.version)
-            return &loader->wanted[i];
-    return NULL;
-}
-
-/* Nobody asks for versions older than the one that the engine runs. */
-static void drop_outdated(struct loader *loader, uint64_t now)
-{
-    while (loader->wanted_count > 1 && loader->wanted[0].version < loader->report.load.version &&
-           may_drop(loader, 0, now))
-        drop_store(loader, 0, now);
-}
-
-static void choose_store(struct loader *loader, uint64_t now)
-{
-    struct wanted_version *wanted = choose_version(loader);
-    if (wanted && wanted->version > loader->installing &&
-        installer_set_store(loader->installer, wanted->store, now))
-        loader->installing = wanted->version;
+    wanted_versions_add(&loader->versions, store, named_at, now);
 }
 
 /* Find out which version the engine should have, once all that takes is known. */
@@ -313,6 +228,7 @@
     snprintf(loader->model, sizeof loader->model, "%s", service->engine.model);
     loader->installer =
         installer_create(loader->cluster.loop, &loader->engine_address, loader->model);
+    loader->versions.installer = loader->installer;
 }
 
 static void on_item(void *context, const struct state_item *item)
@@ -336,9 +252,8 @@
     struct loader *loader = context;
     struct piece_call wanted;
     piece_wire_read(request, &wanted);
-    for (uint32_t i = 0; wanted.kind != PIECE_CALL_OTHER && i < loader->wanted_count; i++)
-        if (piece_store_serve(loader->wanted[i].store, call, &wanted))
-            return;
+    if (wanted.kind != PIECE_CALL_OTHER && wanted_versions_serve(&loader->versions, call, &wanted))
+        return;
     service_reply(call, 404, NULL, NULL, 0);
 }
 
@@ -355,29 +270,20 @@
 static uint32_t own_position(const struct loader *loader, uint32_t *count)
 {
     const struct membership *members = loader->cluster.membership;
-    uint64_t own =
-        hash_pair(loader->installing, membership_self(loader->cluster.membership)->address);
+    uint64_t own = hash_pair(loader->versions.installing,
+                             membership_self(loader->cluster.membership)->address);
     uint32_t before = 0;
     *count = 1;
     for (uint32_t i = 0; i < membership_count(members); i++) {
         const struct member_state *member = membership_at(members, i);
         if (member->role != MEMBER_LOADER || !member_is_alive(member))
             continue;
-        before += hash_pair(loader->installing, member->address) < own;
+        before += hash_pair(loader->versions.installing, member->address) < own;
         (*count)++;
     }
     return before;
 }
 
-/* A version that was named before the one to install, and is missing too, sets the time. */
-static uint64_t install_named_at(const struct loader *loader)
-{
-    for (uint32_t i = 0; i < loader->wanted_count; i++)
-        if (loader->wanted[i].version > loader->report.load.version)
-            return loader->wanted[i].named_at;
-    return 0;
-}
-
 static bool requests_may_move(const struct loader *loader)
 {
     uint32_t service =
@@ -392,66 +298,13 @@
         return (struct install_turn){0}; /* an empty engine does nothing else: at once */
     uint32_t position = own_position(loader, &count);
     return (struct install_turn){
-        .at = start_turn(&turn_settings, install_named_at(loader), position, count),
+        .at = start_turn(&turn_settings,
+                         wanted_versions_named_at(&loader->versions, loader->report.load.version),
+                         position, count),
         .short_drain = drain_wait_is_short(&drain_settings, requests_may_move(loader),
                                            loader->places_taken, position, count)};
 }
 
-static uint32_t first_to_fetch(const struct loader *loader, uint64_t now)
-{
-    struct fetch_state states[VERSIONS_KEPT];
-    for (uint32_t i = 0; i < loader->wanted_count; i++) {
-        const struct wanted_version *wanted = &loader->wanted[i];
-        states[i] = (struct fetch_state){
-            .complete = piece_store_complete(wanted->store),
-            .half_held = piece_store_half_held(wanted->store),
-            .wanted_at = wanted->wanted_at,
-            .progress_at = piece_store_progress_at(wanted->store),
-        };
-    }
-    return fetch_order_first(states, loader->wanted_count, FETCH_PATIENCE_US, now);
-}
-
-/*
- * The engine that runs a version has its pieces in its stage: they are taken from there before
- * anything is fetched over the network. \return whether the store has to wait for that
- */
-static bool recover_from_stage(struct loader *loader, struct wanted_version *wanted, uint64_t now)
-{
-    if (wanted->recovered)
-        return installer_is_recovering(loader->installer) &&
-               wanted->version == loader->report.load.version;
-    if (!loader->reachable && now < wanted->wanted_at + FIRST_REPORT_US)
-        return true;
-    if (!loader->reachable || loader->report.load.version != wanted->version) {
-        wanted->recovered = true;
-        return false;
-    }
-    if (piece_store_manifest(wanted->store) && installer_recover(loader->installer, wanted->store))
-        wanted->recovered = true;
-    return true;
-}
-
-static bool tick_stores(struct loader *loader, uint64_t now)
-{
-    bool fetching = false;
-    uint32_t first = first_to_fetch(loader, now);
-    for (uint32_t i = loader->wanted_count; i-- > 0;) {
-        struct piece_store *store = loader->wanted[i].store;
-        enum link_use use = loader->report.load.version ? LINK_WITH_ENGINE : LINK_ALONE;
-        bool complete = piece_store_complete(store);
-        if (!complete && first != FETCH_ORDER_NONE && i < first)
-            continue; /* a newer one comes instead */
-        if (i > first)
-            use = LINK_BEHIND;
-        piece_store_share_link(store, use);
-        piece_store_hold_back(store, recover_from_stage(loader, &loader->wanted[i], now));
-        piece_store_tick(store, now);
-        fetching |= !complete;
-    }
-    return fetching;
-}
-
 static void on_tick(uv_timer_t *timer)
 {
     struct loader *loader = timer->data;
@@ -465,10 +318,10 @@
         loader->reconsider = false;
         consider_version(loader);
     }
-    bool fetching = tick_stores(loader, now);
+    struct engine_state engine = {loader->report.load.version, loader->reachable};
+    bool fetching = wanted_versions_fetch(&loader->versions, &engine, now);
     if (loader->installer) {
-        drop_outdated(loader, now);
-        choose_store(loader, now);
+        wanted_versions_install(&loader->versions, engine.version, now);
         struct install_turn turn = own_turn(loader);
         installer_tick(loader->installer, now, &turn);
     }
--- a/tests/core/weight_install_test.c
+++ b/tests/core/weight_install_test.c
@@ -10,7 +10,7 @@
 
 #include "base/memory.h"
 #include "core/random.h"
-#include "weight_install_world.h"
+#include "weight_install_world_hash.h"
 
 #include <ck_ht.h>
 #include <stdio.h>
