Sight: each silence of a back end is logged with how late the gateway's own timer was; streams cut are counted

Cause: lines said 'silent' or 'broken', not how long the back end had said nothing, nor whether the gateway itself had stood still. Measured (real processes): a gateway stopped for 1.5 s logs silence_ms=1546 timer_late_ms=970 for each of its streams; an engine that pauses silence_ms=1000 timer_late_ms=0.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -17,6 +17,8 @@
     X(METRIC_REQUESTS_SHED, "shuntrun_shed_requests_total", "requests refused by admission")       \
     X(METRIC_RETRIES, "shuntrun_retries_total", "requests tried again on another agent")           \
     X(METRIC_RESUMES, "shuntrun_stream_resumes_total", "streams resumed on another replica")       \
+    X(METRIC_STREAMS_CUT, "shuntrun_streams_cut_total",                                            \
+      "streams whose client got some events and then a reset")                                     \
     X(METRIC_TOKENS, "shuntrun_tokens_total", "tokens passed to callers")                          \
     X(METRIC_ANSWERS_DROPPED, "shuntrun_dropped_answers_total", "late or doubled answers dropped") \
     X(METRIC_KEYS_REPLAYED, "shuntrun_replayed_answers_total", "kept answers given to a repeat")   \
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -60,8 +60,20 @@
         upstream_pause(exchange->upstream, false);
 }
 
+static void log_silence(const struct exchange *exchange, uint64_t now)
+{
+    uint64_t heard_at = exchange->streaming ? exchange->last_event_at : exchange->sent_at;
+    log_event(LOG_LEVEL_WARN, "request", "silent",
+              "request=%s backend=%s silence_ms=%" PRIu64 " timer_late_ms=%" PRIu64
+              " sent=%d sends=%u events=%" PRIu64,
+              exchange->head.id, exchange->backend->listing.id, (now - heard_at) / MS_US,
+              now > exchange->timer_due ? (now - exchange->timer_due) / MS_US : 0,
+              upstream_is_sent(exchange->upstream), exchange->sends, exchange->events.events);
+}
+
 static void on_silence(struct exchange *exchange)
 {
+    log_silence(exchange, cluster_now());
     if (upstream_is_sent(exchange->upstream)) {
         exchange_count_send(exchange);
         exchange_on_broken(exchange, BACKEND_SILENT, "silent");
@@ -108,6 +120,7 @@
     uint64_t wait = moment > now ? (moment - now) / MS_US + 1 : 1;
     if (exchange->paused && wait > 50)
         wait = 50;
+    exchange->timer_due = now + wait * MS_US;
     if (!uv_is_closing((uv_handle_t *)&exchange->timer))
         uv_timer_start(&exchange->timer, on_timer, wait, 0);
 }
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -173,6 +173,7 @@
     exchange_log_end(exchange, status, reason, exchange->backend);
     metric_add(status == 503 ? METRIC_REQUESTS_NOT_RUN : METRIC_REQUESTS_UNKNOWN, 1);
     if (exchange->streaming) {
+        metric_add(METRIC_STREAMS_CUT, 1);
         exchange_finish(exchange);
         edge_client_break(client);
         return;
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -46,6 +46,7 @@
     char trail[TRAIL_SIZE]; /* attempts with what decided them, for the log */
     size_t trail_length;
     uv_timer_t timer;
+    uint64_t timer_due; /* when the timer was set to fire */
     struct exchange *next_waiting;
     bool in_line;
 };
