--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -17,6 +17,18 @@
 MODEL = "model-a"
 # An order without an answer is taken after so long at the latest.
 HELD_ORDER_S = 4
+# Events of a stream whose path does not say how many.
+STREAM_EVENTS = 10
+# For which the fault "pause" stops a stream that goes on afterwards; "late" holds its beginning.
+PAUSE_S = 1.5
+
+
+def stream_event(number):
+    return b"id: %d\ndata: token %d\n\n" % (number, number)
+
+
+def whole_stream(first=1, count=STREAM_EVENTS):
+    return b"".join(stream_event(n) for n in range(first, count + 1))
 
 
 def piece_bytes(version, number):
@@ -38,6 +50,15 @@
         pass  # connections break on purpose
 
 
+def reset_connection(connection):
+    """Break a connection that another thread works on: it sees an error at its next write."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass  # it ended by itself
+
+
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
@@ -179,6 +200,11 @@
         self.held_orders = []
         self.corrupt_starts = []  # versions taken from a stage that was not theirs
         self.loading = False
+        self.slots = 16
+        self.event_gap_s = 0.0  # between the events of a stream
+        self.load_s = None      # an order takes so long once nothing runs; None: at once, beside all
+        self.running = set()    # connections of the streams that it works on
+        self.broken_off = []    # ids of the streams that an order broke off
         self.state = "ready"
         self.lock = threading.Lock()
         self.server = Server(address, BackendHandler, self)
@@ -193,7 +219,7 @@
                                                    "adapters": []}]
         self.store.put("servers/" + self.identity, {
             "service": self.service, "address": "%s:%d" % self.address, "zone": "zone-a",
-            "version": "v1", "slots": 16, "state": self.state, "cold_remaining_ms": 0,
+            "version": "v1", "slots": self.slots, "state": self.state, "cold_remaining_ms": 0,
             "stage": "both", "models": models, "sequence": 1})
 
     def leave(self):
@@ -206,11 +232,7 @@
         self.server.shutdown()
         self.server.server_close()
         for connection in list(self.connections):
-            try:
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # it ended by itself
+            reset_connection(connection)
 
     def next_fault(self):
         with self.lock:
@@ -230,14 +252,48 @@
         with self.lock:
             if order.get("expected_revision", self.orders) != self.orders:
                 return 409
+            if self.loading:
+                return 409
             self.orders += 1
-            right = self.holds_whole(order["version"])
-            self.version = order["version"] if right else 0
-            if not right:
-                self.corrupt_starts.append(order["version"])
-        self.list()
+            self.loading = self.load_s is not None
+        if self.loading:
+            threading.Thread(target=self.load, args=(order,), daemon=True).start()
+        else:
+            self.take_staged(order["version"])
         return 202
 
+    def take_staged(self, version):
+        right = self.holds_whole(version)
+        self.version = version if right else 0
+        if not right:
+            self.corrupt_starts.append(version)
+        self.list()
+
+    def load(self, order):
+        """Run empty, or break off what runs if the order says so, then take what lies there."""
+        with self.lock:
+            streams = list(self.running) if order["method"] == "cutover" else []
+        for connection, identity in streams:
+            self.broken_off.append(identity)
+            reset_connection(connection)
+        while self.running:
+            time.sleep(0.01)
+        time.sleep(self.load_s)
+        self.take_staged(order["version"])
+        self.loading = False
+
+    def begin_stream(self, connection, identity):
+        """Whether there is a place for it, and no order under way."""
+        with self.lock:
+            if self.loading or len(self.running) >= self.slots:
+                return False
+            self.running.add((connection, identity))
+            return True
+
+    def end_stream(self, connection, identity):
+        with self.lock:
+            self.running.discard((connection, identity))
+
     def hold(self, order, seconds):
         """Leave an order without an answer, and take it after some seconds at the latest."""
         self.orders_to_hold -= 1
@@ -269,7 +325,8 @@
             self.reply_json({"stage": "both", "models": [{"name": MODEL, "version": owner.version or 0,
                                                           "adapters": []}],
                              "utilization": owner.loading, "sequence": owner.orders,
-                             "waiting_requests": 0, "running_requests": 0, "kv_cache_used": 0,
+                             "waiting_requests": 0,
+                             "running_requests": len(owner.running), "kv_cache_used": 0,
                              "kv_cache_total": 1000, "handles": 0})
         elif path.startswith("/api/stage-get/"):
             data = owner.staged.get(int(query["sample_count"]))
@@ -302,15 +359,24 @@
         body = self.read_body()
         identity = self.headers.get("Shuntrun-Request-Id", "")
         expected = self.headers.get("Shuntrun-Expected-Instance")
-        if expected not in (None, owner.identity):
+        version = self.headers.get("Shuntrun-Expected-Version")
+        if expected not in (None, owner.identity) or version not in (None, str(owner.version)):
             self.reply(421, b"", [("Shuntrun-Request-Id", identity),
                                   ("Shuntrun-Instance-Id", owner.identity)])
             return
         fault = owner.next_fault()
         echo = [("Shuntrun-Request-Id", identity)]
-        if fault == "shed":
+        streams = self.path.startswith("/stream/")
+        if fault == "shed" or (streams and not owner.begin_stream(self.connection, identity)):
             self.reply(503, b"", echo + [("Shuntrun-Not-Executed", "1")])
             return
+        try:
+            self.work(identity, body, fault, echo)
+        finally:
+            owner.end_stream(self.connection, identity)
+
+    def work(self, identity, body, fault, echo):
+        owner = self.owner
         owner.runs.append((identity, dict(self.headers), body, time.monotonic()))
         if fault == "reset":
             self.reset()
@@ -337,6 +403,8 @@
         return b"answer to " + self.path.encode() + b" " + body
 
     def stream(self, echo, fault):
+        if fault == "late":
+            time.sleep(PAUSE_S)
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
         self.send_response(200)
         for name, value in echo + self.seal() + [("Content-Type", "text/event-stream"),
@@ -345,8 +413,11 @@
             self.send_header(name, value)
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
-        for number in range(first, 11):
-            event = b"id: %d\ndata: token %d\n\n" % (number, number)
+        _, query = self.parts()
+        for number in range(first, int(query.get("events", STREAM_EVENTS)) + 1):
+            event = stream_event(number)
+            if fault == "pause" and number == first + 3:
+                time.sleep(PAUSE_S)
             if fault == "torn" and number == first + 3:
                 self.wfile.write(b"%x\r\n%s\r\n" % (len(event[:9]), event[:9]))
                 self.wfile.flush()
@@ -354,8 +425,9 @@
                 self.reset()
                 return
             self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-            if fault == "slow":
-                time.sleep(0.15)
+            gap = 0.15 if fault == "slow" else self.owner.event_gap_s
+            if gap:
+                time.sleep(gap)
                 self.connection.settimeout(0.001)
                 try:
                     if self.connection.recv(1, socket.MSG_PEEK) == b"":
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -149,8 +149,7 @@
     raise AssertionError("no metric " + name)
 
 
-def whole_stream(first=1):
-    return b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(first, 11))
+whole_stream = standin.whole_stream
 
 
 class PlatformTest(unittest.TestCase):
--- /dev/null
+++ b/tests/system/streams_test.py
@@ -0,0 +1,235 @@
+#!/usr/bin/env python3
+"""A stream that a client reads ends whole, as long as an engine can finish it.
+
+Clients lost streams that an engine still worked on: the gateway reset their connections. It took a
+stream from an engine that sent nothing for 1 s, and looked for another one only afterwards; when that
+one refused, was silent too, or did not exist, the client's connection was all that was left to end.
+An engine need not even be slow: a gateway that stood still for 1.5 s fired its timers before it read
+the events that had arrived meanwhile. In the same way loaders had engines break streams off for new
+weights, before anybody knew who would go on with them.
+What settled it: `broken,refused` 64 times, `broken,broken` 36 times and no engine of the version 35
+times in the trails of 144 streams cut on one day; here, three versions 2 s apart cut 50 of 1,008.
+"""
+import argparse
+import http.client
+import os
+import random
+import signal
+import sys
+import threading
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_standin as standin  # noqa: E402
+import platform_test as platform  # noqa: E402
+
+DEADLINE_MS = 6000
+STOOD_STILL_S = 1.5  # longer than a gateway bears the silence of an engine
+EVENT_GAP_S = 0.1
+
+
+class Reader(threading.Thread):
+    """One client that reads one stream."""
+
+    def __init__(self, identity, events, address=platform.EDGES[0]):
+        super().__init__(daemon=True)
+        self.identity, self.events, self.address = identity, events, address
+        self.status, self.body, self.error = None, b"", None
+        self.start()
+
+    def run(self):
+        connection = http.client.HTTPConnection(self.address, platform.FRONT, timeout=10)
+        try:
+            connection.request("POST", "/stream/%s?events=%d" % (self.identity, self.events), b"x", {
+                "Host": "a.example", "Shuntrun-Request-Id": self.identity,
+                "Shuntrun-Deadline-Ms": str(DEADLINE_MS), "Authorization": "Bearer key-a"})
+            response = connection.getresponse()
+            self.status = response.status
+            self.body = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            self.error = error
+        finally:
+            connection.close()
+
+    @property
+    def whole(self):
+        return self.status == 200 and self.body == standin.whole_stream(1, self.events)
+
+    @property
+    def cut(self):
+        return self.status == 200 and not self.whole
+
+
+def configuration(version, slots, **changes):
+    value = platform.configuration(version, **changes)
+    value["services"][0]["engine"]["slots"] = slots
+    for route in value["routes"]:
+        route["timeout_ms"] = DEADLINE_MS
+    return value
+
+
+class Fleet(unittest.TestCase):
+    ENGINES = 1
+    GATEWAYS = 1
+    SLOTS = 16
+    EVENT_GAP_S = EVENT_GAP_S
+
+    def setUp(self):
+        self.store = standin.Store(platform.STORE)
+        self.origin = standin.Origin(platform.ORIGIN)
+        self.engines = [self.begin_engine(index) for index in range(self.ENGINES)]
+        self.store.put("op/config", configuration(1, self.SLOTS))
+        self.gateways = [platform.edge(self.gateway(n)) for n in range(self.GATEWAYS)]
+        self.loaders = [platform.loader(engine.address[0]) for engine in self.engines]
+        for node in self.gateways + self.loaders:
+            self.addCleanup(node.stop)
+        for owner in [self.store, self.origin] + self.engines:
+            self.addCleanup(owner.server.server_close)
+            self.addCleanup(owner.server.shutdown)
+        platform.wait_for(lambda: all(platform.get(self.gateway(n), platform.READY,
+                                                   "/api/readiness")[0] == 200
+                                      for n in range(self.GATEWAYS)), "ready gateways")
+        platform.wait_for(self.is_served, "a stream")
+
+    @staticmethod
+    def gateway(number):
+        return "127.9.1.%d" % (number + 1)
+
+    def begin_engine(self, index):
+        address = ("127.9.2.%d" % (index + 1), platform.ENGINE)
+        engine = standin.Backend(address, "engine-%d" % index, self.store, "llm", 1)
+        engine.event_gap_s = self.EVENT_GAP_S
+        engine.slots = self.SLOTS
+        engine.load_s = 0.2
+        return engine
+
+    def is_served(self):
+        reader = Reader("first-%f" % time.monotonic(), 1)
+        reader.join()
+        return reader.whole
+
+    def name_version(self, version):
+        self.origin.newest = version
+        self.store.put("op/version/" + standin.MODEL, {"model": standin.MODEL, "version": version})
+
+    def runs(self, identity):
+        return sum(run[0] == identity for engine in self.engines for run in engine.runs)
+
+    def engine_of(self, identity):
+        return next((e for e in self.engines if any(r[0] == identity for r in e.runs)), None)
+
+    def read_from(self, identity, events=20):
+        """A stream that is under way, and the engine that runs it."""
+        reader = Reader(identity, events)
+        platform.wait_for(lambda: self.engine_of(identity), "a run")
+        return reader, self.engine_of(identity)
+
+    def assert_whole(self, reader):
+        reader.join()
+        self.assertEqual((reader.error, reader.status), (None, 200))
+        self.assertTrue(reader.whole, reader.body[-60:])
+
+
+class OneEngine(Fleet):
+    def test_a_gateway_that_stood_still_takes_no_engine_for_silent(self):
+        readers = [Reader("still-%d" % n, 30) for n in range(8)]
+        platform.wait_for(lambda: all(self.runs(r.identity) for r in readers), "streams under way")
+        time.sleep(3 * EVENT_GAP_S)
+        gateway = self.gateways[0].process
+        gateway.send_signal(signal.SIGSTOP)
+        time.sleep(STOOD_STILL_S)
+        gateway.send_signal(signal.SIGCONT)
+        for reader in readers:
+            self.assert_whole(reader)
+            self.assertEqual(self.runs(reader.identity), 1)
+
+    def test_a_silent_engine_is_kept_when_no_other_can_go_on(self):
+        self.engines[0].faults = ["pause"]
+        self.assert_whole(Reader("paused", 10))
+
+    def test_a_configuration_takes_nothing_from_streams_under_way(self):
+        readers = [Reader("configured-%d" % n, 25) for n in range(4)]
+        platform.wait_for(lambda: all(self.runs(r.identity) for r in readers), "streams under way")
+        others = configuration(2, self.SLOTS)["routes"][1:]
+        self.store.put("op/config", configuration(2, self.SLOTS, routes=others, tenants=[]))
+        platform.wait_for(lambda: platform.metric("shuntrun_config_revision") == 2, "configuration 2")
+        self.gateways[0].process.send_signal(signal.SIGHUP)
+        for reader in readers:
+            self.assert_whole(reader)
+
+
+class ThreeEngines(Fleet):
+    ENGINES = 3
+
+    def test_a_refusal_does_not_end_a_stream(self):
+        for engine in self.engines:
+            engine.faults = ["torn"]
+        reader, first = self.read_from("refused")
+        for engine in self.engines:
+            engine.faults = [] if engine is first else ["shed"]
+        self.assert_whole(reader)
+
+    def test_a_stream_that_was_taken_up_bears_silence(self):
+        for engine in self.engines:
+            engine.faults = ["torn"]
+        reader, first = self.read_from("paused-later")
+        for engine in self.engines:
+            engine.faults = ["late"]
+        self.assert_whole(reader)
+
+
+class Versions(Fleet):
+    ENGINES = 12
+    GATEWAYS = 3
+    SLOTS = 12
+    CLIENTS = 110  # of 144 places
+    LONGEST_EVENTS = 33
+    VERSIONS = 3
+    VERSION_GAP_S = 2.0
+
+    def read_streams(self, number):
+        """One client after the other; the random numbers are those of its seed."""
+        chance = random.Random(number)
+        count = 0
+        while not self.over.is_set():
+            count += 1
+            reader = Reader("v%03d-%04d" % (number, count),
+                            chance.randint(10, self.LONGEST_EVENTS),
+                            self.gateway(chance.randrange(self.GATEWAYS)))
+            reader.join()
+            self.read.append(reader)
+            time.sleep(0.02 if reader.status == 200 else 0.3)
+
+    def test_new_weights_cut_no_stream(self):
+        self.over = threading.Event()
+        self.read = []
+        clients = [threading.Thread(target=self.read_streams, args=(n,), daemon=True)
+                   for n in range(self.CLIENTS)]
+        for client in clients:
+            client.start()
+        places = 0.6 * self.ENGINES * self.SLOTS
+        platform.wait_for(lambda: sum(len(e.running) for e in self.engines) > places, "full engines")
+        for version in range(2, 2 + self.VERSIONS):
+            self.name_version(version)
+            time.sleep(self.VERSION_GAP_S)
+        platform.wait_for(lambda: all(e.version == 1 + self.VERSIONS for e in self.engines),
+                          "the last version at all engines")
+        self.over.set()
+        for client in clients:
+            client.join()
+        self.assertGreater(sum(reader.whole for reader in self.read), 200)
+        self.assertEqual([r.identity for r in self.read if r.cut], [])
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--work", required=True)
+    platform.OPTIONS, rest = parser.parse_known_args()
+    os.makedirs(platform.OPTIONS.work, exist_ok=True)
+    unittest.main(argv=[sys.argv[0]] + rest, verbosity=2)
+
+
+if __name__ == "__main__":
+    main()
