A stream that has begun is given up only when nobody can finish it

Cause: a gateway left an engine that was silent for 1 s before it knew who goes on, also when the silence was its own (its timers fire before it reads what has arrived); a refusal to go on used up the second and last attempt; a spent repeat budget, or nobody free at the moment, ended the stream. Each of these reset the client's connection while an engine worked on. Change: core/attempt_rule, pure: silence is borne while no other has room, no attempt or no repeat is left, and after the process stood still; a refusal of a begun stream is no attempt, as it has not run. A begun stream waits in line for a place, the budget, or an engine that is only ejected or silent, until its deadline; it is ended at once when no engine has its version any more. Connections are not swept in the tick after a pause of the process, as what arrived is not read yet.

--- /dev/null
+++ b/src/core/attempt_rule.h
@@ -0,0 +1,67 @@
+/**
+ * When a request leaves a back end for another one, and when it has to stay or to wait.
+ *
+ * A client that reads a stream loses an answer when its connection breaks, so a stream that has
+ * begun is given up only when nobody can finish it: silence alone ends nothing, and a back end that
+ * refuses to go on is followed by another one, or by a wait for a place.
+ */
+#ifndef SHUNTRUN_ATTEMPT_RULE_H
+#define SHUNTRUN_ATTEMPT_RULE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** What is known of a request between two attempts, or in the middle of one. */
+struct attempt_facts {
+    bool repeatable;    /**< it may run more than once */
+    bool may_have_run;  /**< an attempt ended without a word on whether it ran */
+    bool begun;         /**< the client has the first events of a stream */
+    uint32_t sends;     /**< back ends that got it, with the present one */
+    uint32_t refusals;  /**< of these, back ends that did not run it after the stream had begun */
+    uint32_t most;      /**< attempts that its route allows */
+    uint64_t time_left; /**< until its final answer is due, microseconds */
+};
+
+/** No further back end is tried when less time than this is left: an engine reads a prompt of usual
+ *  length in 40 to 50 ms. */
+#define ATTEMPT_LEAST_LEFT_US ((uint64_t)60000)
+
+/**
+ * \brief Whether one more back end may get the request.
+ *
+ * The number of attempts bounds how often a request runs. A back end that refuses to go on with a
+ * begun stream has not run it; counted as an attempt, 64 of 144 cut streams ended at a second
+ * engine that was only full (one simulated day with failures).
+ */
+static inline bool attempt_may_follow(const struct attempt_facts *facts)
+{
+    uint32_t used = facts->begun ? facts->sends - facts->refusals : facts->sends;
+    return used < facts->most && facts->time_left >= ATTEMPT_LEAST_LEFT_US &&
+           (facts->repeatable || !facts->may_have_run);
+}
+
+/** What to do about a back end that has sent nothing for a while. */
+enum silence_verdict {
+    SILENCE_BORNE, /**< stay with it: the silence is this process's own, or nobody else can go on */
+    SILENCE_LEAVES, /**< go to another back end */
+};
+
+/** A timer of this process that fires later than this shows that the process stood still, or was
+ *  short of processor time: what has arrived meanwhile is not read yet. Timers of a busy gateway
+ *  are late by less than 20 ms. */
+#define OWN_PAUSE_US ((uint64_t)100000)
+
+/**
+ * \param late by how much the timer fired after its time, microseconds
+ * \param others whether another back end has room for the request now, and the shared budget a
+ * repeat
+ */
+static inline enum silence_verdict silence_judge(const struct attempt_facts *facts, uint64_t late,
+                                                 bool others)
+{
+    if (late > OWN_PAUSE_US || !others || !attempt_may_follow(facts))
+        return SILENCE_BORNE;
+    return SILENCE_LEAVES;
+}
+
+#endif
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -279,6 +279,23 @@
     return !wish->engine || has_version(pool, wish, backend, now);
 }
 
+static bool is_loading(const struct backend_pool *pool, const struct backend *backend, uint64_t now)
+{
+    return backend_has_recent_load(pool, backend, now) && backend->load.loading;
+}
+
+bool backend_pool_may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
+                            uint64_t now)
+{
+    const struct backend_group *group = backend_table_group(&pool->table, wish->service);
+    for (uint32_t i = 0; group && i < group->count; i++) {
+        const struct backend *backend = group->items[i];
+        if (backend_may_begin(pool, backend, wish, now) && !is_loading(pool, backend, now))
+            return true;
+    }
+    return false;
+}
+
 static bool is_excluded(const struct backend_wish *wish, const struct backend *backend)
 {
     for (uint32_t i = 0; i < wish->excluded_count; i++)
@@ -296,8 +313,7 @@
         return true;
     if (!has_version(pool, wish, backend, now))
         return false;
-    return !(backend_has_recent_load(pool, backend, now) && backend->load.loading) &&
-           !is_stalled(backend, now);
+    return !is_loading(pool, backend, now) && !is_stalled(backend, now);
 }
 
 static bool is_ejected(const struct backend *backend, uint64_t now)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -166,6 +166,10 @@
 /** \return whether a back end that is not ejected has room for the request */
 bool backend_pool_has_room(struct backend_pool *pool, const struct backend_wish *wish,
                            uint64_t now);
+/** \return whether some back end could run the request once it has a place, is no longer ejected or
+ * answers again; those that the wish leaves out count too */
+bool backend_pool_may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
+                            uint64_t now);
 /** \return whether a request may still begin there, with weights of at least this version */
 bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
                        const struct backend_wish *wish, uint64_t now);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "core/attempt_rule.h"
 #include "core/hash.h"
 #include "edge/edge_internal.h"
 #include "weights/weight_relay.h"
@@ -132,6 +133,18 @@
     }
 }
 
+/* Close what is idle or unanswered for too long. After a pause of this process what has arrived
+ * meanwhile is not read yet: connections that seem to be silent get until the next tick. */
+static void sweep_connections(struct edge *edge, uint64_t now)
+{
+    bool paused = edge->last_tick && now > edge->last_tick + TICK_MS * 1000 + OWN_PAUSE_US;
+    edge->last_tick = now;
+    if (paused)
+        return;
+    upstream_sweep(edge, now);
+    edge_client_sweep(edge, now);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
     struct edge *edge = timer->data;
@@ -139,8 +152,7 @@
     count_gateways(edge);
     weight_relay_tick(edge->relay, now);
     backend_pool_settle(edge->pool, cluster_store_is_sound(&edge->cluster), now);
-    upstream_sweep(edge, now);
-    edge_client_sweep(edge, now);
+    sweep_connections(edge, now);
     exchange_dispatch_waiting(edge);
     metric_gauge_set(METRIC_ACTIVE_REQUESTS, edge->active);
     metric_gauge_set(METRIC_BACKENDS, backend_pool_count(edge->pool));
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -46,6 +46,7 @@
     struct http_service *directory;
     struct http_service *readiness;
     uv_timer_t timer;
+    uint64_t last_tick;
     struct edge_client *clients;
     struct exchange *waiting; /**< requests that wait for a place, most urgent first */
     uint32_t active;          /**< requests that have no final answer yet */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -14,29 +14,50 @@
 /** Silence before the first byte after which a repeatable request goes elsewhere. */
 #define SILENCE_TARGETS 2.2
 #define SILENCE_LEAST_US 300000
-/** Silence between events after which a resumable stream goes elsewhere. */
+/** Silence between events after which a resumable stream goes elsewhere, if another can go on. */
 #define STREAM_SILENCE_US 1000000
+/** Between two looks for a back end that could take over from a silent one. */
+#define SILENCE_LOOK_US 100000
 
 /* --- time ----------------------------------------------------------------------------------------
  */
 
-static bool may_go_elsewhere(const struct exchange *exchange)
+struct attempt_facts exchange_facts(const struct exchange *exchange, uint64_t now)
 {
-    return exchange_is_repeatable(exchange) && exchange->sends < exchange->route->attempts &&
-           exchange->upstream;
+    bool sent = exchange->upstream && upstream_is_sent(exchange->upstream);
+    return (struct attempt_facts){
+        .repeatable = exchange_is_repeatable(exchange),
+        .may_have_run = exchange->may_have_run || sent,
+        .begun = exchange->streaming,
+        .sends = exchange->sends + (sent && !exchange->counted),
+        .refusals = exchange->refusals,
+        .most = exchange->route->attempts,
+        .time_left = exchange->final_at > now ? exchange->final_at - now : 0,
+    };
+}
+
+/* Silence of the present back end after which another one is looked for. */
+static uint64_t silence_limit(const struct exchange *exchange)
+{
+    if (exchange->streaming)
+        return STREAM_SILENCE_US;
+    uint64_t limit = (uint64_t)(SILENCE_TARGETS * exchange->route->target_ms * MS_US);
+    return limit > SILENCE_LEAST_US ? limit : SILENCE_LEAST_US;
+}
+
+static uint64_t heard_at(const struct exchange *exchange)
+{
+    return exchange->streaming ? exchange->last_event_at : exchange->sent_at;
 }
 
 /* Time at which the silence of the back end is too long, 0: never. */
 static uint64_t silence_end(const struct exchange *exchange)
 {
-    if (exchange->state != EXCHANGE_SENT || exchange->paused || !may_go_elsewhere(exchange))
+    if (exchange->state != EXCHANGE_SENT || exchange->paused || !exchange->upstream ||
+        !exchange_is_repeatable(exchange))
         return 0;
-    if (exchange->streaming)
-        return exchange->last_event_at + STREAM_SILENCE_US;
-    uint64_t silence = (uint64_t)(SILENCE_TARGETS * exchange->route->target_ms * MS_US);
-    if (silence < SILENCE_LEAST_US)
-        silence = SILENCE_LEAST_US;
-    return exchange->sent_at + silence;
+    uint64_t end = heard_at(exchange) + silence_limit(exchange);
+    return end > exchange->bear_until ? end : exchange->bear_until;
 }
 
 static uint64_t next_moment(const struct exchange *exchange)
@@ -60,20 +81,20 @@
         upstream_pause(exchange->upstream, false);
 }
 
-static void log_silence(const struct exchange *exchange, uint64_t now)
+static void log_silence(const struct exchange *exchange, uint64_t now, uint64_t late, bool others,
+                        enum silence_verdict verdict)
 {
-    uint64_t heard_at = exchange->streaming ? exchange->last_event_at : exchange->sent_at;
     log_event(LOG_LEVEL_WARN, "request", "silent",
               "request=%s backend=%s silence_ms=%" PRIu64 " timer_late_ms=%" PRIu64
-              " sent=%d sends=%u events=%" PRIu64,
-              exchange->head.id, exchange->backend->listing.id, (now - heard_at) / MS_US,
-              now > exchange->timer_due ? (now - exchange->timer_due) / MS_US : 0,
-              upstream_is_sent(exchange->upstream), exchange->sends, exchange->events.events);
+              " sent=%d sends=%u refusals=%u events=%" PRIu64 " others=%d outcome=%s",
+              exchange->head.id, exchange->backend->listing.id, (now - heard_at(exchange)) / MS_US,
+              late / MS_US, upstream_is_sent(exchange->upstream), exchange->sends,
+              exchange->refusals, exchange->events.events, others,
+              verdict == SILENCE_LEAVES ? "leave" : "stay");
 }
 
-static void on_silence(struct exchange *exchange)
+static void leave_silent(struct exchange *exchange)
 {
-    log_silence(exchange, cluster_now());
     if (upstream_is_sent(exchange->upstream)) {
         exchange_count_send(exchange);
         exchange_on_broken(exchange, BACKEND_SILENT, "silent");
@@ -83,6 +104,24 @@
     exchange_dispatch(exchange);
 }
 
+/* A back end that sends nothing may be at work still: it is left only for another one that can take
+ * the request. While there is none, silence ends nothing but the time of the request. */
+static void on_silence(struct exchange *exchange, uint64_t now)
+{
+    uint64_t late = now > exchange->timer_due ? now - exchange->timer_due : 0;
+    struct attempt_facts facts = exchange_facts(exchange, now);
+    bool others = exchange_has_other(exchange);
+    enum silence_verdict verdict = silence_judge(&facts, late, others);
+    if (verdict == SILENCE_LEAVES || !exchange->bear_until)
+        log_silence(exchange, now, late, others, verdict);
+    if (verdict == SILENCE_LEAVES) {
+        leave_silent(exchange);
+        return;
+    }
+    exchange->bear_until = now + (late > OWN_PAUSE_US ? silence_limit(exchange) : SILENCE_LOOK_US);
+    exchange_arm(exchange);
+}
+
 static void on_final_time(struct exchange *exchange)
 {
     bool untouched =
@@ -107,7 +146,7 @@
     }
     uint64_t silence = silence_end(exchange);
     if (silence && now >= silence) {
-        on_silence(exchange);
+        on_silence(exchange, now);
         return;
     }
     exchange_arm(exchange);
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -166,8 +166,10 @@
 /* Another back end may do better, if the request may be repeated and there is one with room. */
 static bool goes_on_after_error(struct exchange *exchange, unsigned status)
 {
-    return status >= FIRST_SERVER_ERROR && exchange_is_repeatable(exchange) &&
-           exchange_may_move(exchange);
+    struct attempt_facts facts = exchange_facts(exchange, cluster_now());
+    facts.may_have_run = true;
+    return status >= FIRST_SERVER_ERROR && attempt_may_follow(&facts) &&
+           exchange_has_other(exchange);
 }
 
 static void on_done(struct exchange *exchange, struct http_message *message)
@@ -179,6 +181,7 @@
         if (status == 421)
             on_misdirected(exchange, &head);
         exchange_end_attempt(exchange, status == 421 ? BACKEND_CANCELLED : BACKEND_REFUSED);
+        exchange->refusals += exchange->streaming;
         exchange_try_again(exchange, status == 421 ? "misdirected" : "refused");
         return;
     }
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -79,6 +79,19 @@
     [BACKEND_CANCELLED] = "cancelled",
 };
 
+/* Takes over the reference to the back end. */
+static void remember_tried(struct exchange *exchange, struct backend *backend)
+{
+    if (exchange->tried_count == BACKEND_MAX_EXCLUDED) {
+        backend_release(exchange->tried[0]);
+        memmove(exchange->tried, exchange->tried + 1,
+                (BACKEND_MAX_EXCLUDED - 1) * sizeof exchange->tried[0]);
+        exchange->tried_count--;
+        exchange->excluded_from -= exchange->excluded_from > 0;
+    }
+    exchange->tried[exchange->tried_count++] = backend;
+}
+
 /* Let go of the back end. */
 void exchange_end_attempt(struct exchange *exchange, enum backend_result result)
 {
@@ -103,10 +116,7 @@
                   backend->failure_share, backend->ejection_us / MS_US);
     }
     exchange_note(exchange, ",%s;", result_names[result]);
-    if (exchange->tried_count < BACKEND_MAX_EXCLUDED)
-        exchange->tried[exchange->tried_count++] = backend;
-    else
-        backend_release(backend);
+    remember_tried(exchange, backend);
 }
 
 void exchange_log_end(const struct exchange *exchange, unsigned status, const char *reason,
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -5,6 +5,7 @@
 #ifndef SHUNTRUN_EXCHANGE_INTERNAL_H
 #define SHUNTRUN_EXCHANGE_INTERNAL_H
 
+#include "core/attempt_rule.h"
 #include "edge/edge_internal.h"
 
 #define MS_US ((uint64_t)1000)
@@ -29,20 +30,25 @@
     uint64_t wait_until; /* without a place by then it is refused */
     struct upstream *upstream;
     struct backend *backend;
-    struct backend *tried[BACKEND_MAX_EXCLUDED];
+    struct backend *tried[BACKEND_MAX_EXCLUDED]; /* the last ones */
     uint32_t tried_count;
-    uint32_t sends;    /* requests handed to a connection that came up */
-    bool counted;      /* the present attempt is among them */
-    bool no_backend;   /* none was fit when it was last looked for */
-    bool may_have_run; /* a send ended without a word on whether it ran */
+    uint32_t excluded_from; /* index of the first of them that is left out of the choice */
+    uint32_t sends;         /* requests handed to a connection that came up */
+    uint32_t refusals;      /* of these, refused after the stream had begun */
+    bool counted;           /* the present attempt is among them */
+    bool no_backend;        /* none was fit when it was last looked for */
+    bool may_have_run;      /* a send ended without a word on whether it ran */
     uint64_t sent_at;
     uint64_t first_byte_at; /* of the present back end, 0: none */
     uint64_t last_event_at;
-    bool streaming; /* the head went out to the client */
+    uint64_t bear_until; /* the present back end's silence is borne until then at least */
+    bool streaming;      /* the head went out to the client */
     struct event_stream events;
     uint64_t version; /* of the weights of the first back end */
     bool paused;
     bool resuming;          /* the next back end goes on with a stream that has begun */
+    bool owes_repeat;       /* the next send takes a repeat from the shared budget */
+    uint64_t not_before;    /* no back end is looked for earlier */
     char trail[TRAIL_SIZE]; /* attempts with what decided them, for the log */
     size_t trail_length;
     uv_timer_t timer;
@@ -53,6 +59,8 @@
 
 /* --- exchange.c ---- */
 
+/** \brief What decides on one more attempt, counting the present one if it was sent. */
+struct attempt_facts exchange_facts(const struct exchange *exchange, uint64_t now);
 /** \brief Set the timer to the next moment at which time alone changes something. */
 void exchange_arm(struct exchange *exchange);
 
@@ -88,7 +96,7 @@
 /** \brief Send to a back end, wait in line for one, or give up. */
 void exchange_dispatch(struct exchange *exchange);
 /** \return whether another back end has room and the shared budget a repeat for it */
-bool exchange_may_move(struct exchange *exchange);
+bool exchange_has_other(struct exchange *exchange);
 /** \brief Go to another back end, if attempts, time and the shared budget allow it. */
 void exchange_try_again(struct exchange *exchange, const char *reason);
 
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -9,8 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** No further back end is tried when less time than this is left. */
-#define RETRY_LEAST_US 60000
+/** After every back end that could go on with a stream was tried, they are tried again after this:
+ *  about two reports of load, which tell of places that came free. */
+#define RESUME_PAUSE_US 100000
 /** An unrepeatable request uses no connection that was idle for longer. */
 #define UNREPEATABLE_IDLE_US 1500000
 #define ANY_IDLE_US 3600000000ULL
@@ -59,7 +60,7 @@
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
     };
-    for (uint32_t i = 0; i < exchange->tried_count; i++)
+    for (uint32_t i = exchange->excluded_from; i < exchange->tried_count; i++)
         wish->excluded[wish->excluded_count++] = exchange->tried[i];
 }
 
@@ -98,6 +99,41 @@
               (backend->unlisted_until - now) / MS_US, backend->doubtful);
 }
 
+static bool goes_before(const struct exchange *left, const struct exchange *right)
+{
+    int left_urgency = urgency_of(left), right_urgency = urgency_of(right);
+    if (left_urgency != right_urgency)
+        return left_urgency < right_urgency;
+    return left->arrived < right->arrived;
+}
+
+static void join_line(struct exchange *exchange)
+{
+    struct exchange **place = &exchange->edge->waiting;
+    if (exchange->in_line)
+        return;
+    while (*place && !goes_before(exchange, *place))
+        place = &(*place)->next_waiting;
+    exchange->next_waiting = *place;
+    *place = exchange;
+    exchange->in_line = true;
+}
+
+static void wait_in_line(struct exchange *exchange)
+{
+    exchange->state = EXCHANGE_WAITING;
+    join_line(exchange);
+    exchange_arm(exchange);
+}
+
+/* All that could go on with a begun stream were tried: they may be again, after a while. */
+static void wait_for_others(struct exchange *exchange, uint64_t now)
+{
+    exchange->excluded_from = exchange->tried_count;
+    exchange->not_before = now + RESUME_PAUSE_US;
+    wait_in_line(exchange);
+}
+
 static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
 {
     if (now + LEAST_LEFT_US > exchange->final_at) { /* no back end could begin in time */
@@ -114,6 +150,7 @@
     exchange->counted = false;
     exchange->paused = false;
     exchange->last_event_at = now;
+    exchange->bear_until = 0;
     exchange_note_send(exchange, backend, now);
     if (backend->unlisted_until)
         log_unlisted(exchange, backend, now);
@@ -124,33 +161,52 @@
     exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
     if (!exchange->upstream) {
         exchange_end_attempt(exchange, BACKEND_UNREACHABLE);
-        exchange_give_up_truly(exchange, "no-connection");
+        if (exchange->streaming)
+            wait_for_others(exchange, now);
+        else
+            exchange_give_up_truly(exchange, "no-connection");
         return;
     }
     exchange_arm(exchange);
 }
 
-static bool goes_before(const struct exchange *left, const struct exchange *right)
+static void spend_repeat(struct exchange *exchange, uint64_t now)
 {
-    int left_urgency = urgency_of(left), right_urgency = urgency_of(right);
-    if (left_urgency != right_urgency)
-        return left_urgency < right_urgency;
-    return left->arrived < right->arrived;
+    if (!exchange->owes_repeat)
+        return;
+    exchange->owes_repeat = false;
+    repeat_budget_spend(&exchange->state_of_service->budget, now, exchange->edge->gateways_most);
 }
 
-static void join_line(struct exchange *exchange)
+/* A client reads this stream: it waits for whoever can go on with it, as long as somebody can. */
+static void dispatch_begun(struct exchange *exchange)
 {
-    struct exchange **place = &exchange->edge->waiting;
-    if (exchange->in_line)
+    struct edge *edge = exchange->edge;
+    uint64_t now = cluster_now();
+    struct backend_wish wish;
+    struct backend *backend;
+    bool allowed =
+        !exchange->owes_repeat ||
+        repeat_budget_allows(&exchange->state_of_service->budget, now, edge->gateways_most);
+    fill_wish(exchange, now, &wish);
+    if (!backend_pool_may_serve(edge->pool, &wish, now)) {
+        exchange_give_up_truly(exchange, "no-backend");
         return;
-    while (*place && !goes_before(exchange, *place))
-        place = &(*place)->next_waiting;
-    exchange->next_waiting = *place;
-    *place = exchange;
-    exchange->in_line = true;
+    }
+    if (!allowed || now < exchange->not_before) {
+        wait_in_line(exchange);
+        return;
+    }
+    if (backend_pool_choose(edge->pool, &wish, now, &backend) != BACKEND_FOUND) {
+        wait_for_others(exchange, now);
+        return;
+    }
+    exchange_leave_line(exchange);
+    spend_repeat(exchange, now);
+    send_to(exchange, backend, now);
 }
 
-void exchange_dispatch(struct exchange *exchange)
+static void dispatch_new(struct exchange *exchange)
 {
     uint64_t now = cluster_now();
     struct backend_wish wish;
@@ -170,9 +226,15 @@
         exchange_give_up_truly(exchange, absence == BACKEND_FULL ? "full" : "no-backend");
         return;
     }
-    exchange->state = EXCHANGE_WAITING;
-    join_line(exchange);
-    exchange_arm(exchange);
+    wait_in_line(exchange);
+}
+
+void exchange_dispatch(struct exchange *exchange)
+{
+    if (exchange->streaming)
+        dispatch_begun(exchange);
+    else
+        dispatch_new(exchange);
 }
 
 uint32_t exchange_waiting_count(const struct edge *edge)
@@ -184,57 +246,85 @@
     return count;
 }
 
+/* \return whether the request left the line */
+static bool offer_place(struct exchange *exchange)
+{
+    uint64_t now = cluster_now();
+    struct backend_wish wish;
+    struct backend *backend;
+    if (exchange->streaming) {
+        dispatch_begun(exchange);
+        return !exchange->in_line;
+    }
+    fill_wish(exchange, now, &wish);
+    if (backend_pool_choose(exchange->edge->pool, &wish, now, &backend) != BACKEND_FOUND)
+        return false;
+    exchange_leave_line(exchange);
+    send_to(exchange, backend, now);
+    return true;
+}
+
 void exchange_dispatch_waiting(struct edge *edge)
 {
     for (struct exchange *exchange = edge->waiting, *next; exchange; exchange = next) {
         next = exchange->next_waiting;
-        uint64_t now = cluster_now();
-        struct backend_wish wish;
-        struct backend *backend;
-        fill_wish(exchange, now, &wish);
-        if (backend_pool_choose(edge->pool, &wish, now, &backend) != BACKEND_FOUND)
-            continue;
-        exchange_leave_line(exchange);
-        send_to(exchange, backend, now);
-        next = edge->waiting; /* a send that fails may have changed the line */
+        if (offer_place(exchange))
+            next = edge->waiting; /* a send that fails may have changed the line */
     }
 }
 
-bool exchange_may_move(struct exchange *exchange)
+bool exchange_has_other(struct exchange *exchange)
 {
     struct edge *edge = exchange->edge;
     uint64_t now = cluster_now();
     struct backend_wish wish;
-    if (exchange->sends >= exchange->route->attempts || exchange->final_at < now + RETRY_LEAST_US ||
+    bool repeats = exchange->upstream && upstream_is_sent(exchange->upstream);
+    if (repeats &&
         !repeat_budget_allows(&exchange->state_of_service->budget, now, edge->gateways_most))
         return false;
     fill_wish(exchange, now, &wish);
     wish.exact_version = exchange->streaming ? exchange->version : 0;
-    wish.any_load = exchange->streaming;
+    wish.any_load = false;
     if (wish.excluded_count < BACKEND_MAX_EXCLUDED)
         wish.excluded[wish.excluded_count++] = exchange->backend;
     return backend_pool_has_room(edge->pool, &wish, now);
 }
 
-/* Go to another back end, if the rules and the budget allow it. */
-void exchange_try_again(struct exchange *exchange, const char *reason)
+static void log_retry(const struct exchange *exchange, const char *reason, uint64_t now)
+{
+    metric_add(METRIC_RETRIES, 1);
+    log_event(LOG_LEVEL_INFO, "request", "retry",
+              "request=%s reason=%s sends=%u refusals=%u events=%" PRIu64 " weights=%" PRIu64
+              " took_ms=%" PRIu64,
+              exchange->head.id, reason, exchange->sends, exchange->refusals,
+              exchange->events.events, exchange->version, (now - exchange->arrived) / MS_US);
+}
+
+static bool may_repeat(struct exchange *exchange, uint64_t now)
 {
     struct edge *edge = exchange->edge;
+    if (repeat_budget_spend(&exchange->state_of_service->budget, now, edge->gateways_most))
+        return true;
+    metric_add(METRIC_BUDGET_SPENT, 1);
+    log_event(LOG_LEVEL_WARN, "request", "budget-spent", "request=%s service=%s gateways=%u",
+              exchange->head.id, exchange->service->name, edge->gateways_most);
+    return false;
+}
+
+/* Go to another back end, if the rules and the budget allow it. A begun stream waits for the budget
+ * too: it is earned anew with each request. */
+void exchange_try_again(struct exchange *exchange, const char *reason)
+{
     uint64_t now = cluster_now();
-    if (exchange->sends >= exchange->route->attempts || exchange->final_at < now + RETRY_LEAST_US ||
-        (exchange->may_have_run && !exchange_is_repeatable(exchange))) {
+    struct attempt_facts facts = exchange_facts(exchange, now);
+    if (!attempt_may_follow(&facts) || (!exchange->streaming && !may_repeat(exchange, now))) {
         exchange_give_up_truly(exchange, reason);
         return;
     }
-    if (!repeat_budget_spend(&exchange->state_of_service->budget, now, edge->gateways_most)) {
-        metric_add(METRIC_BUDGET_SPENT, 1);
-        log_event(LOG_LEVEL_WARN, "request", "budget-spent", "request=%s service=%s gateways=%u",
-                  exchange->head.id, exchange->service->name, edge->gateways_most);
-        exchange_give_up_truly(exchange, reason);
-        return;
+    log_retry(exchange, reason, now);
+    if (exchange->streaming) {
+        exchange->owes_repeat = true;
+        exchange->wait_until = exchange->final_at;
     }
-    metric_add(METRIC_RETRIES, 1);
-    log_event(LOG_LEVEL_INFO, "request", "retry", "request=%s reason=%s sends=%u took_ms=%" PRIu64,
-              exchange->head.id, reason, exchange->sends, (now - exchange->arrived) / MS_US);
     exchange_dispatch(exchange);
 }
