Engines that take new weights finish what they run; gateways place long streams where no turn is near

Cause: a loader under pressure had its engine break streams off 0.8 s after its turn, as gateways go on with them at another engine of the version. Nobody knew whether one would be there: most streams that clients lost ended that way. Change: an engine is ordered at its turn to take nothing new, to finish what it runs and then to load. What that costs: places stay empty while long streams end. So loaders tell the time until their turn with the load; a gateway learns how long a stream lasts (core/stream_length, from the client's guess) and gives an engine near its turn only what ends before it, unless there is no other.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -185,6 +185,7 @@
         return NULL;
     backend->load = *load;
     backend->load_at = now;
+    backend->turn_at = load->turn_ms ? now + load->turn_ms * (uint64_t)1000 : 0;
     backend->sent_since = 0;
     backend->tokens_since = 0;
     backend->begun_since = 0;
@@ -454,16 +455,25 @@
     return better(pool, wish, candidates->pair[0], candidates->pair[1], now);
 }
 
+/* The engine is to take other weights, and would have to wait for the end of this request. */
+static bool outlasts_turn(const struct backend_wish *wish, const struct backend *backend,
+                          uint64_t now)
+{
+    return backend->turn_at && now + wish->expected_us > backend->turn_at;
+}
+
 /* What the back ends offer to one request. */
 struct offer {
     struct candidates near;
     struct candidates far;
     struct candidates unreported; /* nothing is known of their load */
+    struct candidates turning;    /* their turn for other weights comes before its end */
     struct backend *ejected;      /* the one that is left out for the shortest time */
     struct backend *probe;        /* its time is over: one request finds out */
     uint32_t probes;
     uint32_t fit;
-    bool reported; /* the load of some that are fit is known */
+    uint32_t lasting; /* of these, engines whose turn does not come before its end */
+    bool reported;    /* the load of some that are fit is known */
 };
 
 /* Its machine does not report, but it answered this gateway lately. */
@@ -476,7 +486,9 @@
                           struct backend *backend, uint64_t now, struct offer *offer)
 {
     bool reported = !wish->engine || has_fresh_load(pool, backend, now);
+    bool turning = wish->expected_us && outlasts_turn(wish, backend, now);
     offer->fit++;
+    offer->lasting += !turning;
     offer->reported |= reported;
     if (!wish->any_load && !has_room(pool, wish, backend, now))
         return;
@@ -486,6 +498,8 @@
     } else if (backend->ejected_until) {
         if (random_below(&pool->random, ++offer->probes) == 0)
             offer->probe = backend;
+    } else if (turning) {
+        add_candidate(pool, &offer->turning, backend);
     } else if (!reported && !answers_lately(backend, now)) {
         add_candidate(pool, &offer->unreported, backend);
     } else {
@@ -500,6 +514,8 @@
     struct backend *near = best_of(pool, wish, &offer->near, now);
     struct backend *far = best_of(pool, wish, &offer->far, now);
     struct backend *best = better(pool, wish, near, far, now);
+    if (!offer->lasting)
+        best = best_of(pool, wish, &offer->turning, now);
     if (!best && (!offer->reported || wish->any_load))
         best = best_of(pool, wish, &offer->unreported, now);
     return best ? best : offer->ejected;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -41,6 +41,7 @@
     uint32_t pace_permille; /**< above 1000: slower than it should be */
     uint32_t near_gateways; /**< gateways of the engine's region that hear of it */
     uint32_t far_gateways;  /**< gateways of other regions that do; both 0: not known */
+    uint32_t turn_ms;       /**< until it takes nothing new, as other weights come; 0: not known */
 };
 
 /** How one request at a back end ended, as far as its health is concerned. */
@@ -70,6 +71,7 @@
     uint64_t last_latency_us; /**< time to the first byte of the last answer, 0: not known */
     struct backend_load load;
     uint64_t load_at;       /**< time of the report, 0: none */
+    uint64_t turn_at;       /**< it takes nothing new from then on; 0: not known */
     int32_t sent_since;     /**< own requests begun less ended since the report */
     uint32_t begun_since;   /**< own requests begun since the report */
     double luck;            /**< drawn at the report: decides on a part of a place */
@@ -152,6 +154,9 @@
     uint32_t excluded_count;
     uint32_t gateways; /**< that send to the same back ends */
     bool any_load;     /**< also to one that is full */
+    /** Time that the request is expected to take; 0: not known. An engine that is to run empty
+     *  sooner gets it only if there is no other: its other places would stay empty meanwhile. */
+    uint64_t expected_us;
 };
 
 enum backend_absence {
--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -234,31 +234,6 @@
     return true;
 }
 
-static bool leads_to(const struct route *route, uint32_t service)
-{
-    for (uint32_t i = 0; i < route->target_count; i++)
-        if (route->targets[i].service == service)
-            return true;
-    return false;
-}
-
-static bool may_move(const struct route *route)
-{
-    bool may_run_again =
-        route->kind == ROUTE_REPEATABLE || (route->kind == ROUTE_STREAM && route->resumable);
-    return may_run_again && route->attempts > 1;
-}
-
-bool route_table_service_moves(const struct route_table *table, uint32_t service)
-{
-    for (uint32_t i = 0; i < route_table_route_count(table); i++) {
-        const struct route *route = route_table_route_at(table, i);
-        if (leads_to(route, service) && !may_move(route))
-            return false;
-    }
-    return true;
-}
-
 const struct route *route_table_match(const struct route_table *table, const char *host,
                                       const char *path, size_t path_length)
 {
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -106,11 +106,6 @@
 const struct service_entry *route_table_service(const struct route_table *table, uint32_t index);
 /** \return index, or ROUTE_NO_SERVICE */
 uint32_t route_table_find_service(const struct route_table *table, const char *name);
-/**
- * \return whether a request for the service that its back end breaks off can go on at another one,
- *         whatever its route: it may be repeated or resumed, and be sent to two back ends
- */
-bool route_table_service_moves(const struct route_table *table, uint32_t service);
 /** \brief The route of the host with the longest prefix that begins the path. \return or NULL */
 const struct route *route_table_match(const struct route_table *table, const char *host,
                                       const char *path, size_t path_length);
--- a/src/core/weight_install.c
+++ b/src/core/weight_install.c
@@ -27,14 +27,9 @@
            install->version > install->engine.version + 1;
 }
 
-static bool is_draining(const struct weight_install *install)
-{
-    return install->drain_began && !install->order_at;
-}
-
 static bool is_bound_by_order(const struct weight_install *install, uint64_t now)
 {
-    return install->order != ORDER_NONE || install->engine.loading || is_draining(install) ||
+    return install->order != ORDER_NONE || install->engine.loading ||
            order_in_doubt(install, now) || now < install->put_doubt_until;
 }
 
@@ -56,7 +51,6 @@
     install->order_at = 0;
     install->order_pause = 0;
     install->effect_until = 0;
-    install->drain_began = 0;
     if (piece_count)
         memset(pieces, 0, piece_count * sizeof *pieces);
     return true;
@@ -77,7 +71,6 @@
 {
     for (uint32_t i = 0; i < install->piece_count; i++)
         install->pieces[i].read_at = 0;
-    install->drain_began = 0;
 }
 
 static void settle_order(struct weight_install *install, uint64_t now)
@@ -191,15 +184,14 @@
 }
 
 /* An order is near, under way, or may still be taken. */
-static bool order_is_near(const struct weight_install *install, uint64_t now,
-                          const struct install_turn *turn)
+static bool order_is_near(const struct weight_install *install, uint64_t now, uint64_t turn)
 {
     return install->order != ORDER_NONE || order_in_doubt(install, now) ||
-           now + install->settings.reread_us >= turn->at;
+           now + install->settings.reread_us >= turn;
 }
 
-static bool find_stale(const struct weight_install *install, uint64_t now,
-                       const struct install_turn *turn, struct install_action *action)
+static bool find_stale(const struct weight_install *install, uint64_t now, uint64_t turn,
+                       struct install_action *action)
 {
     if (install->engine.loading || !all_staged(install))
         return false; /* what is being loaded was taken already */
@@ -220,38 +212,22 @@
     return install->version && install->engine.version >= install->version;
 }
 
-static bool may_order(const struct weight_install *install, uint64_t now,
-                      const struct install_turn *turn)
+static bool may_order(const struct weight_install *install, uint64_t now, uint64_t turn)
 {
-    bool begun = install->drain_began || install->order_at; /* its turn may have moved since */
+    bool begun = install->order_at != 0; /* its turn may have moved since */
     if (!install->reachable || install->order != ORDER_NONE || install->engine.loading ||
-        (!begun && now < turn->at) || now < install->order_pause)
+        (!begun && now < turn) || now < install->order_pause)
         return false;
     uint64_t read_at = weight_install_read_at(install);
     return read_at && now < read_at + install->settings.fresh_us;
 }
 
-/* \return whether the engine is empty enough; an order that is given again does not wait anew */
-static bool has_drained(struct weight_install *install, uint64_t now,
-                        const struct install_turn *turn)
-{
-    if (install->order_at)
-        return true;
-    if (!install->drain_began && turn->short_drain)
-        install->drain_began = now;
-    install->break_off = install->drain_began != 0;
-    return !install->drain_began || !install->engine.requests ||
-           now >= install->drain_began + install->settings.short_drain_us;
-}
-
-static bool find_order(struct weight_install *install, uint64_t now,
-                       const struct install_turn *turn, struct install_action *action)
+static bool find_order(struct weight_install *install, uint64_t now, uint64_t turn,
+                       struct install_action *action)
 {
-    if (!may_order(install, now, turn) || !has_drained(install, now, turn))
+    if (!may_order(install, now, turn))
         return false;
-    *action = (struct install_action){.kind = INSTALL_ORDER,
-                                      .sequence = install->engine.sequence,
-                                      .break_off = install->break_off};
+    *action = (struct install_action){.kind = INSTALL_ORDER, .sequence = install->engine.sequence};
     return true;
 }
 
@@ -271,7 +247,7 @@
 }
 
 struct install_action weight_install_next(struct weight_install *install, uint64_t now,
-                                          const struct install_turn *turn)
+                                          uint64_t turn)
 {
     struct install_action action = {.kind = INSTALL_WAIT};
     /* Pieces may turn bad also while an engine that may still take an order gives no report. */
@@ -307,13 +283,13 @@
         return true;
     if (!install->version || weight_install_is_done(install))
         return false;
-    return now < install->effect_until || is_draining(install);
+    return now < install->effect_until;
 }
 
 bool weight_install_is_busy(const struct weight_install *install, uint64_t now)
 {
     if (!install->version || !install->reachable || weight_install_is_done(install))
         return false;
-    return install->call != INSTALL_WAIT || install->order != ORDER_NONE || install->drain_began ||
+    return install->call != INSTALL_WAIT || install->order != ORDER_NONE ||
            order_in_doubt(install, now) || !weight_install_is_staged(install);
 }
--- a/src/core/weight_install.h
+++ b/src/core/weight_install.h
@@ -25,8 +25,7 @@
     uint64_t
         call_life_us; /**< a call that got no answer may act for so long after it is given up */
     uint64_t order_effect_us; /**< an order without effect is given again after this */
-    uint64_t refused_us;     /**< an order that was refused or not sent is not given again before */
-    uint64_t short_drain_us; /**< longest wait for running requests under pressure */
+    uint64_t refused_us; /**< an order that was refused or not sent is not given again before */
 };
 
 /** What is known of one piece of the version that is installed. */
@@ -45,12 +44,6 @@
     bool loading;      /**< an order is being carried out */
 };
 
-/** When the engine may take the version, and how. */
-struct install_turn {
-    uint64_t at;      /**< time from which the order may be given */
-    bool short_drain; /**< what still runs a while after that is broken off */
-};
-
 enum install_action_kind {
     INSTALL_WAIT,  /**< nothing to do before the next event */
     INSTALL_READ,  /**< read `piece` back and compare it */
@@ -62,7 +55,6 @@
     enum install_action_kind kind;
     uint32_t piece;
     uint64_t sequence; /**< orders that the engine must have taken before this one */
-    bool break_off;    /**< the engine breaks off what it runs */
 };
 
 /** How a call at the engine ended. */
@@ -101,8 +93,6 @@
     uint64_t order_at;     /**< time of the last order; 0: none since the version was begun */
     uint64_t order_pause;  /**< no order before this time */
     uint64_t effect_until; /**< until then the last order may show its effect */
-    uint64_t drain_began;  /**< 0: not begun */
-    bool break_off;        /**< of the last order */
 
     uint64_t order_doubt_sequence; /**< of orders that got no answer */
     uint64_t order_doubt_until;    /**< until then they may be taken; 0: none */
@@ -117,8 +107,8 @@
 void weight_install_init(struct weight_install *install,
                          const struct weight_install_settings *settings, uint64_t now);
 
-/** \return whether a drain, or calls that are under way or may still act, bind the engine to the
- * version that is being installed */
+/** \return whether calls that are under way or may still act bind the engine to the version that is
+ * being installed */
 bool weight_install_is_bound(const struct weight_install *install, uint64_t now);
 
 /**
@@ -140,9 +130,12 @@
 /** \brief The engine gave no report. */
 void weight_install_lost(struct weight_install *install);
 
-/** \return what to do now; the call it names counts as sent */
+/**
+ * \param turn time from which the order may be given
+ * \return what to do now; the call it names counts as sent
+ */
 struct install_action weight_install_next(struct weight_install *install, uint64_t now,
-                                          const struct install_turn *turn);
+                                          uint64_t turn);
 
 /** \brief The call at the stage ended. */
 void weight_install_stage_done(struct weight_install *install, enum install_result result,
@@ -162,7 +155,7 @@
 /** \return whether all of the version lies in the stage, read back */
 bool weight_install_is_staged(const struct weight_install *install);
 
-/** \return whether the engine takes nothing new: it drains, loads, or was just ordered to */
+/** \return whether the engine takes nothing new: it loads, or was just ordered to */
 bool weight_install_is_loading(const struct weight_install *install, uint64_t now);
 
 /** \return whether there is a next step to take soon */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -53,6 +53,7 @@
         .pace_permille = news->pace_permille,
         .near_gateways = news->near_gateways,
         .far_gateways = news->far_gateways,
+        .turn_ms = news->turn_ms,
     };
     if (backend_pool_report(edge->pool, news->address, &load, cluster_now()) && edge->waiting)
         exchange_dispatch_waiting(edge);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -11,6 +11,7 @@
 #include "core/event_stream.h"
 #include "core/repeat_budget.h"
 #include "core/route_table.h"
+#include "core/stream_length.h"
 #include "core/version_bounds.h"
 #include "net/http_message.h"
 #include "net/tcp_stream.h"
@@ -28,6 +29,7 @@
     char service[BACKEND_NAME_SIZE];
     struct repeat_budget budget;
     struct come_back come_back;
+    struct stream_length stream_length;
 };
 
 struct edge {
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -129,6 +129,9 @@
     }
     if (!exchange->streaming)
         begin_stream(exchange, message);
+    if (!exchange->resuming)
+        stream_length_learn(&exchange->state_of_service->stream_length, exchange->head.tokens_guess,
+                            cluster_now() - exchange->sent_at);
     exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
     count_done(exchange->edge);
     exchange_log_end(exchange, 200, "done", exchange->tried_count ? exchange->tried[0] : NULL);
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -45,6 +45,15 @@
     return model ? version_bounds_least(&exchange->edge->versions, model, at) : 0;
 }
 
+/* A begun stream goes wherever it can go on. */
+static uint64_t expected_us(const struct exchange *exchange)
+{
+    if (exchange->route->kind != ROUTE_STREAM || exchange->resuming)
+        return 0;
+    return stream_length_expect(&exchange->state_of_service->stream_length,
+                                exchange->head.tokens_guess);
+}
+
 static void fill_wish(const struct exchange *exchange, uint64_t now, struct backend_wish *wish)
 {
     *wish = (struct backend_wish){
@@ -59,6 +68,7 @@
         .exact_version = exchange->resuming ? exchange->version : 0,
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
+        .expected_us = expected_us(exchange),
     };
     for (uint32_t i = exchange->excluded_from; i < exchange->tried_count; i++)
         wish->excluded[wish->excluded_count++] = exchange->tried[i];
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -27,10 +27,6 @@
     .order_effect_us = 1500000,
     /** An engine's report is some 60 ms old; a refused order would meet the same state before. */
     .refused_us = 100000,
-    /** About the time that a request of usual length takes, so that only long ones are moved. Of
-     *  what requests are worth, 0.9 % more is earned than when engines always run empty, 0.5 % more
-     *  than with 300 ms and 0.3 % more than with 500 (mean of 15 simulated days with failures). */
-    .short_drain_us = 800000,
 };
 
 struct installer {
@@ -40,9 +36,9 @@
     char model[BACKEND_NAME_SIZE];
     struct piece_store *store;
     struct weight_install install;
-    struct install_piece *pieces;   /* of the store; NULL while its manifest is not known */
-    struct install_turn turn;       /* as of the last tick */
-    bool confirmed;                 /* the engine's report showed the store's version */
+    struct install_piece *pieces; /* of the store; NULL while its manifest is not known */
+    uint64_t turn;                /* time from which the order may be given, as of the last tick */
+    bool confirmed;               /* the engine's report showed the store's version */
     struct piece_store *recovering; /* gets what lies at the engine; NULL: none */
     uint32_t recover_piece;
     uint32_t recovered;
@@ -280,15 +276,13 @@
 {
     const struct weight_install *install = &installer->install;
     struct buffer body = {0};
-    platform_write_start_order(installer->model, install->version,
-                               action->break_off ? START_BREAKING_OFF : START_WHEN_EMPTY,
-                               action->sequence, 0, &body);
+    platform_write_start_order(installer->model, install->version, action->sequence, 0, &body);
     log_event(LOG_LEVEL_INFO, "install", "order",
               "version=%" PRIu64 " held=%" PRIu64 " sequence=%" PRIu64 " read_ms_ago=%" PRIu64
-              " unanswered=%d method=%s requests=%u",
+              " unanswered=%d requests=%u",
               install->version, install->engine.version, action->sequence,
               (now - weight_install_read_at(install)) / 1000, now < install->order_doubt_until,
-              action->break_off ? "break-off" : "run-empty", install->engine.requests);
+              install->engine.requests);
     metric_add(METRIC_ENGINE_LOADS, 1);
     struct caller_request request = {.method = "POST",
                                      .target = platform_order_target(),
@@ -335,11 +329,7 @@
 
 static void take_step(struct installer *installer, uint64_t now)
 {
-    uint64_t drained_from = installer->install.drain_began;
-    struct install_action action = weight_install_next(&installer->install, now, &installer->turn);
-    if (installer->install.drain_began && !drained_from)
-        log_event(LOG_LEVEL_INFO, "install", "drain", "version=%" PRIu64 " requests=%u",
-                  installer->install.version, installer->install.engine.requests);
+    struct install_action action = weight_install_next(&installer->install, now, installer->turn);
     size_t size = 0;
     const uint8_t *data = NULL;
     switch (action.kind) {
@@ -358,9 +348,9 @@
     }
 }
 
-void installer_tick(struct installer *installer, uint64_t now, const struct install_turn *turn)
+void installer_tick(struct installer *installer, uint64_t now, uint64_t turn)
 {
-    installer->turn = *turn;
+    installer->turn = turn;
     if (!installer->store)
         return;
     begin_version(installer, now);
--- a/src/loader/installer.h
+++ b/src/loader/installer.h
@@ -31,7 +31,8 @@
 /** \brief The engine's own report. \param reachable false: it gave none */
 void installer_on_report(struct installer *installer, const struct engine_report *report,
                          bool reachable, uint64_t now);
-void installer_tick(struct installer *installer, uint64_t now, const struct install_turn *turn);
+/** \param turn time from which the engine may be ordered to take the version */
+void installer_tick(struct installer *installer, uint64_t now, uint64_t turn);
 /** \return whether there is a next step to take soon */
 bool installer_is_busy(const struct installer *installer, uint64_t now);
 /** \return whether calls for the present version may still act at the engine */
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -5,7 +5,6 @@
 #include "base/metrics.h"
 #include "cluster/cluster.h"
 #include "cluster/process.h"
-#include "core/drain_wait.h"
 #include "core/hash.h"
 #include "core/start_turn.h"
 #include "loader/wanted_versions.h"
@@ -29,11 +28,6 @@
 #define LOAD_LOG_US 500000
 
 static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 6800000};
-/** Trials: below six tenths waiting cost nothing; in the last quarter broken streams found no
- *  engine of their version. */
-static const struct drain_wait_settings drain_settings = {.pressed_share = 0.6, .movers = 0.75};
-/** Weight of one report in the moving share of places taken: about a second of reports. */
-#define PLACES_WEIGHT 0.08
 
 struct loader {
     struct process process;
@@ -49,7 +43,6 @@
     struct sockaddr_in origin;
     bool has_origin;
     struct engine_report report;
-    double places_taken; /* moving mean share of the engine's places */
     bool reachable;
     bool asking;
     uint64_t next_report;
@@ -59,9 +52,51 @@
     uint64_t told_far_at; /* to gateways of other regions */
 };
 
+/* --- the engine's turn ---------------------------------------------------------------------------
+ */
+
+/* Place of this loader among those that live, and their number. */
+static uint32_t own_position(const struct loader *loader, uint32_t *count)
+{
+    const struct membership *members = loader->cluster.membership;
+    uint64_t own = hash_pair(loader->versions.installing,
+                             membership_self(loader->cluster.membership)->address);
+    uint32_t before = 0;
+    *count = 1;
+    for (uint32_t i = 0; i < membership_count(members); i++) {
+        const struct member_state *member = membership_at(members, i);
+        if (member->role != MEMBER_LOADER || !member_is_alive(member))
+            continue;
+        before += hash_pair(loader->versions.installing, member->address) < own;
+        (*count)++;
+    }
+    return before;
+}
+
+/* Time from which the engine may take the version. */
+static uint64_t own_turn(const struct loader *loader)
+{
+    uint32_t count;
+    if (!loader->report.load.version)
+        return 0; /* an empty engine does nothing else: at once */
+    uint32_t position = own_position(loader, &count);
+    return start_turn(&turn_settings,
+                      wanted_versions_named_at(&loader->versions, loader->report.load.version),
+                      position, count);
+}
+
 /* --- the engine's load ---------------------------------------------------------------------------
  */
 
+/* Time until the engine's turn to take the version that lies staged; 0: it has come, or is not
+ * known.
+ */
+static uint32_t turn_ms(const struct loader *loader, uint64_t now)
+{
+    uint64_t turn = own_turn(loader);
+    return turn > now ? (uint32_t)((turn - now) / 1000) : 0;
+}
+
 static void tell_load(struct loader *loader, uint64_t now)
 {
     struct backend_load load = loader->report.load;
@@ -79,6 +114,7 @@
     message.staged = load.staged;
     message.link_slow = load.link_slow;
     message.pace_permille = load.pace_permille;
+    message.turn_ms = load.staged ? turn_ms(loader, now) : 0;
     bool far = now >= loader->told_far_at + FAR_LOAD_US || load.loading != loader->told.loading ||
                load.staged != loader->told.staged || load.version != loader->told.version;
     if (far)
@@ -103,16 +139,6 @@
     return index == ROUTE_NO_SERVICE ? NULL : route_table_service(loader->table, index);
 }
 
-static void count_places(struct loader *loader)
-{
-    const struct service_entry *service = loader->table ? own_service(loader) : NULL;
-    if (!service || !service->engine.slots ||
-        installer_is_loading(loader->installer, cluster_now()))
-        return;
-    double taken = (double)loader->report.load.running / service->engine.slots;
-    loader->places_taken += PLACES_WEIGHT * (taken - loader->places_taken);
-}
-
 static void set_reachable(struct loader *loader, bool reachable)
 {
     if (reachable != loader->reachable)
@@ -140,8 +166,6 @@
     }
     if (loader->installer)
         installer_on_report(loader->installer, &loader->report, valid, now);
-    if (loader->installer && valid)
-        count_places(loader);
     if (valid)
         tell_load(loader, now);
 }
@@ -266,45 +290,6 @@
 /* --- process -------------------------------------------------------------------------------------
  */
 
-/* Place of this loader among those that live, and their number. */
-static uint32_t own_position(const struct loader *loader, uint32_t *count)
-{
-    const struct membership *members = loader->cluster.membership;
-    uint64_t own = hash_pair(loader->versions.installing,
-                             membership_self(loader->cluster.membership)->address);
-    uint32_t before = 0;
-    *count = 1;
-    for (uint32_t i = 0; i < membership_count(members); i++) {
-        const struct member_state *member = membership_at(members, i);
-        if (member->role != MEMBER_LOADER || !member_is_alive(member))
-            continue;
-        before += hash_pair(loader->versions.installing, member->address) < own;
-        (*count)++;
-    }
-    return before;
-}
-
-static bool requests_may_move(const struct loader *loader)
-{
-    uint32_t service =
-        route_table_find_service(loader->table, loader->cluster.settings->engine_service);
-    return service != ROUTE_NO_SERVICE && route_table_service_moves(loader->table, service);
-}
-
-static struct install_turn own_turn(const struct loader *loader)
-{
-    uint32_t count;
-    if (!loader->report.load.version)
-        return (struct install_turn){0}; /* an empty engine does nothing else: at once */
-    uint32_t position = own_position(loader, &count);
-    return (struct install_turn){
-        .at = start_turn(&turn_settings,
-                         wanted_versions_named_at(&loader->versions, loader->report.load.version),
-                         position, count),
-        .short_drain = drain_wait_is_short(&drain_settings, requests_may_move(loader),
-                                           loader->places_taken, position, count)};
-}
-
 static void on_tick(uv_timer_t *timer)
 {
     struct loader *loader = timer->data;
@@ -322,8 +307,7 @@
     bool fetching = wanted_versions_fetch(&loader->versions, &engine, now);
     if (loader->installer) {
         wanted_versions_install(&loader->versions, engine.version, now);
-        struct install_turn turn = own_turn(loader);
-        installer_tick(loader->installer, now, &turn);
+        installer_tick(loader->installer, now, own_turn(loader));
     }
     bool busy = fetching || (loader->installer && installer_is_busy(loader->installer, now));
     uv_timer_start(timer, on_tick, busy ? BUSY_TICK_MS : REPORT_INTERVAL_MS, 0);
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -258,6 +258,49 @@
     backend_pool_destroy(pool);
 }
 
+static void a_long_stream_goes_where_no_turn_comes_before_its_end(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend *turning = add(pool, 1, 1, 0);
+    struct backend *other = add(pool, 2, 1, 0);
+    report(pool, 1, (struct backend_load){.version = 1, .turn_ms = 800}, SECOND_US);
+    report(pool, 2, (struct backend_load){.version = 1, .running = 15}, SECOND_US);
+    wish.expected_us = 500000;
+    assert_ptr_equal(choose(pool, &wish, SECOND_US), turning);
+    wish.expected_us = 900000;
+    for (int i = 0; i < 20; i++)
+        assert_ptr_equal(choose(pool, &wish, SECOND_US), other);
+    backend_pool_destroy(pool);
+}
+
+static void a_long_stream_goes_to_an_engine_near_its_turn_when_there_is_no_other(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend *turning = add(pool, 1, 1, 0);
+    report(pool, 1, (struct backend_load){.version = 1, .turn_ms = 100}, SECOND_US);
+    wish.expected_us = 900000;
+    assert_ptr_equal(choose(pool, &wish, SECOND_US), turning);
+    backend_pool_destroy(pool);
+}
+
+static void a_begun_stream_has_somebody_while_an_engine_of_its_version_may_take_it(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    wish.exact_version = 1;
+    wish.excluded[wish.excluded_count++] = add(pool, 1, 1, 0);
+    add(pool, 2, 2, 0);
+    report(pool, 1, (struct backend_load){.version = 1, .running = 19}, SECOND_US);
+    report(pool, 2, (struct backend_load){.version = 2}, SECOND_US);
+    assert_null(choose(pool, &wish, SECOND_US));
+    assert_true(backend_pool_may_serve(pool, &wish, SECOND_US)); /* it was tried; it may be again */
+    report(pool, 1, (struct backend_load){.version = 1, .loading = true}, SECOND_US);
+    assert_false(backend_pool_may_serve(pool, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
 static void prompts_at_one_engine_are_bounded(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -483,6 +526,9 @@
         cmocka_unit_test(an_engine_that_stays_silent_gets_nothing_more),
         cmocka_unit_test(an_engine_that_loads_gets_nothing),
         cmocka_unit_test(streams_broken_off_for_new_weights_are_no_fault),
+        cmocka_unit_test(a_long_stream_goes_where_no_turn_comes_before_its_end),
+        cmocka_unit_test(a_long_stream_goes_to_an_engine_near_its_turn_when_there_is_no_other),
+        cmocka_unit_test(a_begun_stream_has_somebody_while_an_engine_of_its_version_may_take_it),
         cmocka_unit_test(prompts_at_one_engine_are_bounded),
         cmocka_unit_test(engines_near_go_first_until_they_hold_more),
         cmocka_unit_test(a_failing_back_end_is_ejected_and_probed),
