A start of a back end is its id and when it was born; entries of other writers name no back end

Cause: ids were taken for one start each. An engine that starts again under its id holds nothing, but looked like before: its pieces counted as staged, its load, health and places as known, and a late report of the earlier life as news. Decoders made a missing or mistyped field a zero, took any state but draining for ready, and one value that cannot be decoded made the whole answer of the store void. An entry that names no back end is logged, counted and taken like one that went; so is one whose service is not configured (it may stand at the address of another; a later configuration has it looked at again). A value that cannot be decoded is an item without a value, items without a key are left out, both without loss of the others. 'born' comes with listing, report and load: another one begins a back end anew in core/backend_pool, late reports of an earlier start are left out, a report may tell of a start before the list; where a clock went back the list's last word holds. Missing 'born' is 'not said', unless most of the service's entries say it. core/weight_install forgets readings; the loader also forgets them when its idle connection to the engine ends, as an engine may be back before the next report.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -62,6 +62,8 @@
       "requests sent to a back end that the list had dropped")                                     \
     X(METRIC_EJECTIONS, "shuntrun_ejections_total", "back ends that were left out for a while")    \
     X(METRIC_STORE_FAILURES, "shuntrun_store_failures_total", "calls to the store that failed")    \
+    X(METRIC_ENTRIES_REFUSED, "shuntrun_entries_refused_total",                                    \
+      "entries of the list that name no back end to use")                                          \
     X(METRIC_STATE_FROM_PEER, "shuntrun_state_from_peer_total", "changes taken from a peer")       \
     X(METRIC_LOG_LINES_LEFT_OUT, "shuntrun_log_lines_left_out_total",                              \
       "log lines left out by rate, or because nobody read them")                                   \
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -149,6 +149,9 @@
         on_failure(reader, STORE_AWAY, reason);
         return;
     }
+    if (answer.left_out)
+        log_event(LOG_LEVEL_ERROR, "store", "left-out", "items=%u of=%u revision=%" PRIu64,
+                  answer.left_out, answer.left_out + answer.count, answer.revision);
     take_answer(reader, &answer);
     store_answer_clear(&answer);
 }
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -103,15 +103,17 @@
                                   uint16_t distance)
 {
     struct backend *backend = backend_table_find_id(&pool->table, listing->id);
-    /* The table goes by these; an entry that changes them is of another back end. */
+    /* The table goes by these, and an id may be used again: then it is another start. */
     if (backend && (strcmp(backend->listing.address, listing->address) != 0 ||
-                    strcmp(backend->listing.service, listing->service) != 0)) {
+                    strcmp(backend->listing.service, listing->service) != 0 ||
+                    backend->listing.born != listing->born)) {
         drop_backend(pool, backend);
         backend = NULL;
     }
     if (!backend)
         backend = add(pool, listing);
     backend->listing = *listing;
+    backend->listed_born = listing->born;
     backend->distance = distance;
     backend->listed = true;
     backend->unlisted_until = 0;
@@ -177,12 +179,37 @@
         drop_backend(pool, backend);
 }
 
+/* What the list says holds, also when the back end's clock was set back between two starts. */
+static bool is_of_earlier_start(const struct backend *backend, const struct backend_load *load)
+{
+    return load->born && load->born < backend->listing.born && load->born != backend->listed_born;
+}
+
+static bool is_of_later_start(const struct backend *backend, const struct backend_load *load)
+{
+    return backend->listing.born && load->born > backend->listing.born;
+}
+
+/* The list does not know of this start yet: nothing that was learned of the earlier one holds. */
+static struct backend *begin_start(struct backend_pool *pool, struct backend *before, uint64_t born)
+{
+    struct backend_listing listing = before->listing;
+    uint16_t distance = before->distance;
+    uint64_t listed_born = before->listed_born;
+    listing.born = born;
+    struct backend *backend = backend_pool_list(pool, &listing, distance);
+    backend->listed_born = listed_born;
+    return backend;
+}
+
 struct backend *backend_pool_report(struct backend_pool *pool, const char *address,
                                     const struct backend_load *load, uint64_t now)
 {
     struct backend *backend = backend_table_find_address(&pool->table, address);
-    if (!backend)
+    if (!backend || is_of_earlier_start(backend, load))
         return NULL;
+    if (is_of_later_start(backend, load))
+        backend = begin_start(pool, backend, load->born);
     backend->load = *load;
     backend->load_at = now;
     backend->turn_at = load->turn_ms ? now + load->turn_ms * (uint64_t)1000 : 0;
@@ -272,10 +299,27 @@
     return version >= wish->next_version || staged;
 }
 
+/* Back ends tell their starts apart, all of a platform or none: an entry that does not, among
+ * others that do, was written by somebody else, and may stand for nobody. */
+static bool is_dubious(const struct backend_pool *pool, const struct backend *backend)
+{
+    if (backend->listing.born)
+        return false;
+    const struct backend_group *group = backend_table_group(&pool->table, backend->listing.service);
+    return group && 2 * group->dated > group->count;
+}
+
+static bool is_out_of_use(const struct backend_pool *pool, const struct backend *backend,
+                          uint64_t now)
+{
+    return backend->listing.draining || is_past_unlisting(backend, now) ||
+           is_dubious(pool, backend);
+}
+
 bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
                        const struct backend_wish *wish, uint64_t now)
 {
-    if (!backend->listed || backend->listing.draining || is_past_unlisting(backend, now))
+    if (!backend->listed || is_out_of_use(pool, backend, now))
         return false;
     return !wish->engine || has_version(pool, wish, backend, now);
 }
@@ -308,7 +352,7 @@
 static bool is_fit(const struct backend_pool *pool, const struct backend_wish *wish,
                    const struct backend *backend, uint64_t now)
 {
-    if (backend->listing.draining || is_past_unlisting(backend, now) || is_excluded(wish, backend))
+    if (is_out_of_use(pool, backend, now) || is_excluded(wish, backend))
         return false;
     if (!wish->engine)
         return true;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -18,7 +18,9 @@
 
 /** What the platform's list says of one back end. */
 struct backend_listing {
-    char id[BACKEND_ID_SIZE]; /**< of one start of the back end */
+    char id[BACKEND_ID_SIZE]; /**< may be used again by a later start */
+    uint64_t born; /**< tells starts under one id apart, by the back end's own clock: only
+                        equality and order count; 0: not said */
     char service[BACKEND_NAME_SIZE];
     char address[BACKEND_ADDRESS_SIZE]; /**< "IP:PORT" */
     char zone[BACKEND_NAME_SIZE];
@@ -34,6 +36,7 @@
     uint32_t waiting;
     uint64_t memory_used; /**< in units of `memory_total` */
     uint64_t memory_total;
+    uint64_t born;          /**< of the start that reports; 0: not said */
     uint64_t version;       /**< of the weights; 0: none */
     bool loading;           /**< it takes nothing new until it has other weights */
     bool staged;            /**< it has all of a newer version at hand */
@@ -56,9 +59,10 @@
 };
 
 struct backend {
-    struct backend_listing listing;
-    uint32_t references;      /**< of the pool, of requests and of connections */
-    bool listed;              /**< false: the list has dropped it */
+    struct backend_listing listing; /**< `born`: of the latest start that is known of */
+    uint64_t listed_born;           /**< as the list says */
+    uint32_t references;            /**< of the pool, of requests and of connections */
+    bool listed;                    /**< false: the list has dropped it */
     uint64_t unlisted_at;     /**< time at which this gateway heard that the list dropped it */
     uint64_t unlisted_until;  /**< dropped by the list, but usable until then; 0: listed */
     bool doubtful;            /**< dropped by an outage of the list's keeper, perhaps */
@@ -128,7 +132,11 @@
 void backend_pool_settle(struct backend_pool *pool, bool sound, uint64_t now);
 /** \brief The back end at an address is no longer the listed one. */
 void backend_pool_replaced(struct backend_pool *pool, struct backend *backend);
-/** \brief Take a report of load in. \return the back end, or NULL when none is listed there */
+/**
+ * \brief Take a report of load in. A report of a later start than the listed one begins that start
+ * anew; one of an earlier start is late, and left out.
+ * \return the back end, or NULL when none is listed there, or the report is late
+ */
 struct backend *backend_pool_report(struct backend_pool *pool, const char *address,
                                     const struct backend_load *load, uint64_t now);
 
--- a/src/core/backend_table.c
+++ b/src/core/backend_table.c
@@ -143,6 +143,7 @@
     table->items[table->count++] = backend;
     set_group_place(group, group->count, backend);
     group->count++;
+    group->dated += backend->listing.born != 0;
     enter(table, backend);
     trim_index(table);
 }
@@ -153,6 +154,7 @@
     backend_table_set_reported(table, backend, false);
     swap_in_group(group, backend->group_place, group->count - 1);
     group->count--;
+    group->dated -= backend->listing.born != 0;
     struct backend *last = table->items[--table->count];
     if (last == backend)
         return;
--- a/src/core/backend_table.h
+++ b/src/core/backend_table.h
@@ -15,6 +15,7 @@
     struct backend **items;
     uint32_t count;
     uint32_t reported; /**< the first ones, whose load was reported */
+    uint32_t dated;    /**< of all, those whose entry tells starts apart */
 };
 
 struct backend_table {
--- a/src/core/weight_install.c
+++ b/src/core/weight_install.c
@@ -91,7 +91,11 @@
                            uint64_t now)
 {
     bool emptied = install->engine.version && !engine->version && !engine->loading;
-    bool restarted = install->reported && (engine->sequence < install->engine.sequence || emptied);
+    /* One that starts again may look like before: no weights, no order taken, but an empty stage.
+     */
+    bool other = engine->born != install->engine.born;
+    bool restarted =
+        install->reported && (engine->sequence < install->engine.sequence || emptied || other);
     if (!install->reported)
         install->predecessor_sequence = engine->sequence;
     /* Another engine may stand at the address since the last report, with an empty stage. */
--- a/src/core/weight_install.h
+++ b/src/core/weight_install.h
@@ -38,6 +38,7 @@
 
 /** The engine's own report. */
 struct install_engine {
+    uint64_t born;     /**< tells its starts apart; 0: not said */
     uint64_t version;  /**< that it runs; 0: none */
     uint64_t sequence; /**< orders taken since it started */
     uint32_t requests; /**< running and waiting */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -45,6 +45,7 @@
     struct edge *edge = context;
     struct backend_load load = {
         .running = news->running,
+        .born = news->born,
         .waiting = news->waiting,
         .version = news->version,
         .loading = news->loading,
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -43,6 +43,7 @@
     struct version_bounds versions;
     struct service_state services[EDGE_SERVICES_MOST];
     uint32_t service_count;
+    bool unnamed_services; /**< some entry's service was not configured */
     struct random_stream random;
     uv_tcp_t listener;
     struct http_service *directory;
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -43,28 +43,6 @@
     }
 }
 
-static void take_configuration(struct edge *edge, const struct state_item *item)
-{
-    struct findings findings = {0};
-    struct route_table *table = platform_parse_configuration(item->value, item->size, &findings);
-    process_log_findings(&findings, item->revision);
-    findings_clear(&findings);
-    if (!table) {
-        metric_add(METRIC_CONFIG_REJECTED, 1);
-        return;
-    }
-    log_event(
-        LOG_LEVEL_INFO, "config", "accepted",
-        "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " routes=%u age_ms=%" PRIu64,
-        route_table_version(table), edge->table ? route_table_version(edge->table) : 0,
-        item->revision, route_table_route_count(table), (cluster_now() - item->learned) / 1000);
-    metric_add(METRIC_CONFIG_ACCEPTED, 1);
-    metric_gauge_set(METRIC_CONFIG_REVISION, route_table_version(table));
-    route_table_release(edge->table);
-    edge->table = table;
-    tell_origin(edge);
-}
-
 static void drop_listing(struct edge *edge, const char *id, const struct state_item *item)
 {
     uint64_t now = cluster_now();
@@ -77,6 +55,23 @@
               until > now ? (until - now) / 1000 : 0, item->from_outage);
 }
 
+/* An entry that names no back end to use is taken like one that went: it may have been good before,
+ * and whoever it stood for may have left. */
+static void refuse_backend(struct edge *edge, const char *id, const struct state_item *item,
+                           const char *problem)
+{
+    metric_add(METRIC_ENTRIES_REFUSED, 1);
+    log_event(LOG_LEVEL_ERROR, "backend", "refused",
+              "id=%s revision=%" PRIu64 " bytes=%zu problem=\"%s\"", id, item->revision, item->size,
+              problem);
+    drop_listing(edge, id, item);
+}
+
+static bool is_service_named(const struct edge *edge, const char *service)
+{
+    return !edge->table || route_table_find_service(edge->table, service) != ROUTE_NO_SERVICE;
+}
+
 static void take_backend(struct edge *edge, const char *id, const struct state_item *item)
 {
     struct backend_listing listing;
@@ -84,23 +79,72 @@
         drop_listing(edge, id, item);
         return;
     }
-    if (platform_parse_backend(id, item->value, item->size, &listing) != STATUS_OK) {
-        log_event(LOG_LEVEL_ERROR, "backend", "refused", "id=%s problem=\"%s\"", id,
-                  status_message());
+    if (platform_parse_backend(id, item->value ? item->value : "", item->size, &listing) !=
+        STATUS_OK) {
+        refuse_backend(edge, id, item, status_message());
+        return;
+    }
+    /* It may stand at the address of another one; a later configuration may name its service. */
+    if (!is_service_named(edge, listing.service)) {
+        edge->unnamed_services = true;
+        refuse_backend(edge, id, item, "its service is not configured");
         return;
     }
     log_event(LOG_LEVEL_INFO, "backend", "listed",
-              "id=%s service=%s address=%s zone=%s draining=%d weights=%" PRIu64
+              "id=%s born=%" PRIu64 " service=%s address=%s zone=%s draining=%d weights=%" PRIu64
               " revision=%" PRIu64 " age_ms=%" PRIu64,
-              id, listing.service, listing.address, listing.zone, listing.draining, listing.version,
-              item->revision, (cluster_now() - item->learned) / 1000);
+              id, listing.born, listing.service, listing.address, listing.zone, listing.draining,
+              listing.version, item->revision, (cluster_now() - item->learned) / 1000);
     backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
 }
 
+/* Entries whose service was not configured yet. */
+static void take_backends_again(struct edge *edge)
+{
+    const struct state_cache *state = edge->cluster.state;
+    edge->unnamed_services = false;
+    for (uint32_t i = 0; i < state_cache_count(state); i++) {
+        char id[PLATFORM_TEXT_SIZE];
+        const struct state_item *item = state_cache_at(state, i);
+        if (!item->gone && platform_item_kind(item->key, id, sizeof id) == ITEM_BACKEND)
+            take_backend(edge, id, item);
+    }
+}
+
+static void take_configuration(struct edge *edge, const struct state_item *item)
+{
+    struct findings findings = {0};
+    struct route_table *table = platform_parse_configuration(item->value, item->size, &findings);
+    process_log_findings(&findings, item->revision);
+    findings_clear(&findings);
+    if (!table) {
+        metric_add(METRIC_CONFIG_REJECTED, 1);
+        return;
+    }
+    log_event(
+        LOG_LEVEL_INFO, "config", "accepted",
+        "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " routes=%u age_ms=%" PRIu64,
+        route_table_version(table), edge->table ? route_table_version(edge->table) : 0,
+        item->revision, route_table_route_count(table), (cluster_now() - item->learned) / 1000);
+    metric_add(METRIC_CONFIG_ACCEPTED, 1);
+    metric_gauge_set(METRIC_CONFIG_REVISION, route_table_version(table));
+    route_table_release(edge->table);
+    edge->table = table;
+    tell_origin(edge);
+    if (edge->unnamed_services)
+        take_backends_again(edge);
+}
+
 static void take_version(struct edge *edge, const char *model, const struct state_item *item)
 {
     uint64_t now = cluster_now();
-    uint64_t version = platform_parse_version(item->value, item->size);
+    uint64_t version;
+    if (platform_parse_version(item->value ? item->value : "", item->size, &version) != STATUS_OK) {
+        log_event(LOG_LEVEL_ERROR, "weights", "refused",
+                  "model=%s revision=%" PRIu64 " problem=\"%s\"", model, item->revision,
+                  status_message());
+        return;
+    }
     uint64_t bound = edge->settings->version_bound_ms * 1000;
     uint64_t named = item->learned;
     if (now < edge->started + FIRST_NEWS_US && now - named < 100000)
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -304,13 +304,15 @@
         weight_install_lost(&installer->install);
         return;
     }
-    struct install_engine engine = {.version = report->load.version,
+    struct install_engine engine = {.born = report->load.born,
+                                    .version = report->load.version,
                                     .sequence = report->sequence,
                                     .requests = report->load.running + report->load.waiting,
                                     .loading = report->load.loading};
     if (weight_install_report(&installer->install, &engine, now))
-        log_event(LOG_LEVEL_INFO, "install", "engine-restarted", "version=%" PRIu64,
-                  engine.version);
+        log_event(LOG_LEVEL_INFO, "install", "engine-restarted",
+                  "version=%" PRIu64 " born=%" PRIu64 " sequence=%" PRIu64, engine.version,
+                  engine.born, engine.sequence);
 }
 
 /* --- steps ---------------------------------------------------------------------------------------
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -114,6 +114,7 @@
     message.staged = load.staged;
     message.link_slow = load.link_slow;
     message.pace_permille = load.pace_permille;
+    message.born = load.born;
     message.turn_ms = load.staged ? turn_ms(loader, now) : 0;
     bool far = now >= loader->told_far_at + FAR_LOAD_US || load.loading != loader->told.loading ||
                load.staged != loader->told.staged || load.version != loader->told.version;
@@ -170,6 +171,14 @@
         tell_load(loader, now);
 }
 
+/* The engine may have ended, and started again with an empty stage before the next report. */
+static void on_engine_lost(void *context)
+{
+    struct loader *loader = context;
+    if (loader->installer)
+        installer_on_report(loader->installer, &loader->report, false, cluster_now());
+}
+
 static void ask_report(struct loader *loader)
 {
     struct caller_request request = {.method = "GET",
@@ -229,7 +238,15 @@
         if (item->gone || platform_item_kind(item->key, name, sizeof name) != ITEM_VERSION ||
             strcmp(name, loader->model) != 0)
             continue;
-        version = platform_parse_version(item->value, item->size);
+        uint64_t named;
+        if (platform_parse_version(item->value ? item->value : "", item->size, &named) !=
+            STATUS_OK) {
+            log_event(LOG_LEVEL_ERROR, "weights", "refused",
+                      "model=%s revision=%" PRIu64 " problem=\"%s\"", name, item->revision,
+                      status_message());
+            continue;
+        }
+        version = named;
         named_at = item->learned;
     }
     want_version(loader, version, named_at);
@@ -332,6 +349,7 @@
     if (cluster_open(&loader->cluster, loop, settings, MEMBER_LOADER, &callbacks))
         return 1;
     loader->engine = http_caller_create(loop, &loader->engine_address);
+    http_caller_on_lost(loader->engine, on_engine_lost, loader);
     uv_timer_init(loop, &loader->timer);
     loader->timer.data = loader;
     uv_timer_start(&loader->timer, on_tick, 1, 0);
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -28,9 +28,11 @@
     struct pending_call *first;
     struct pending_call **last;
     uint32_t waiting;
-    uint64_t first_byte_at; /* of the answer under way or the last one, 0: none yet */
-    uint64_t transfer_us;   /* of the last answer */
-    uint64_t idle_since;    /* time of the end of the last call */
+    uint64_t first_byte_at;      /* of the answer under way or the last one, 0: none yet */
+    uint64_t transfer_us;        /* of the last answer */
+    uint64_t idle_since;         /* time of the end of the last call */
+    void (*lost)(void *context); /* NULL: nobody asks */
+    void *lost_context;
     uv_timer_t timer;
 };
 
@@ -156,6 +158,8 @@
     struct http_caller *caller = context;
     if (!caller->sent) {
         drop_stream(caller);
+        if (caller->lost)
+            caller->lost(caller->lost_context);
         return;
     }
     if (end == TCP_END_ORDERLY && http_message_end(&caller->message) == HTTP_PARSE_DONE)
@@ -255,6 +259,12 @@
         drop_stream(caller);
 }
 
+void http_caller_on_lost(struct http_caller *caller, void (*lost)(void *context), void *context)
+{
+    caller->lost = lost;
+    caller->lost_context = context;
+}
+
 uint32_t http_caller_waiting(const struct http_caller *caller)
 {
     return caller->waiting;
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -24,6 +24,8 @@
 typedef void call_done(void *context, enum call_result result, const struct http_message *message);
 
 struct http_caller *http_caller_create(uv_loop_t *loop, const struct sockaddr_in *address);
+/** \brief Have it told when the kept connection ends while no call is under way. */
+void http_caller_on_lost(struct http_caller *caller, void (*lost)(void *context), void *context);
 /** \brief Drop the connection; callbacks of calls that wait are not called. */
 void http_caller_destroy(struct http_caller *caller);
 
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -301,6 +301,94 @@
     backend_pool_destroy(pool);
 }
 
+static struct backend_listing start_of(uint64_t born)
+{
+    struct backend_listing listing = listing_of(1, 1);
+    listing.born = born;
+    return listing;
+}
+
+static void an_id_that_starts_again_begins_anew(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend_listing first = start_of(1000), second = start_of(2000);
+    struct backend *before = backend_pool_list(pool, &first, 0);
+    for (int i = 0; i < 4; i++) {
+        backend_begin(before, 1000, SECOND_US);
+        backend_end(pool, before, BACKEND_BROKEN, 0, SECOND_US);
+    }
+    first.draining = true;
+    backend_pool_list(pool, &first, 0);
+    assert_null(choose(pool, &wish, SECOND_US));
+    struct backend *after = backend_pool_list(pool, &second, 0);
+    assert_int_equal(after->failures, 0);
+    assert_int_equal(after->in_flight, 0);
+    assert_ptr_equal(choose(pool, &wish, SECOND_US), after);
+    backend_pool_destroy(pool);
+}
+
+static void a_report_of_an_earlier_start_is_left_out(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_listing listing = start_of(2000);
+    struct backend_load late = {.version = 1, .born = 1000};
+    struct backend_load present = {.born = 2000};
+    backend_pool_list(pool, &listing, 0);
+    assert_null(backend_pool_report(pool, listing.address, &late, SECOND_US));
+    assert_non_null(backend_pool_report(pool, listing.address, &present, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void a_report_may_tell_of_a_start_before_the_list_does(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend_listing listing = start_of(1000);
+    struct backend *before = backend_pool_list(pool, &listing, 0);
+    struct backend_load empty = {.born = 2000}, late = {.version = 1, .born = 1000};
+    backend_begin(before, 1000, SECOND_US);
+    struct backend *after = backend_pool_report(pool, listing.address, &empty, SECOND_US);
+    assert_int_equal(after->in_flight, 0);
+    assert_null(choose(pool, &wish, SECOND_US)); /* it holds no weights */
+    listing.born = 2000;
+    assert_ptr_equal(backend_pool_list(pool, &listing, 0), after);
+    assert_null(backend_pool_report(pool, listing.address, &late, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+/* Its clock was set back between two starts: the list's last word decides. */
+static void a_start_that_seems_older_is_believed_when_the_list_says_so(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_listing first = start_of(2000), second = start_of(1500);
+    struct backend_load late = {.version = 1, .born = 2000}, present = {.version = 1, .born = 1500};
+    backend_pool_list(pool, &first, 0);
+    backend_pool_list(pool, &second, 0);
+    assert_non_null(backend_pool_report(pool, first.address, &present, SECOND_US));
+    backend_pool_report(pool, first.address, &late, SECOND_US);
+    assert_non_null(backend_pool_report(pool, first.address, &present, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void an_entry_that_alone_does_not_date_its_start_is_not_used(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend_listing dated = start_of(1000);
+    struct backend *undated = add(pool, 2, 1, 0);
+    assert_ptr_equal(choose(pool, &wish, SECOND_US), undated); /* nobody does on this platform */
+    struct backend *first = backend_pool_list(pool, &dated, 0);
+    struct backend_listing other = listing_of(3, 1);
+    other.born = 1000;
+    backend_pool_list(pool, &other, 0);
+    for (int i = 0; i < 20; i++)
+        assert_ptr_not_equal(choose(pool, &wish, SECOND_US), undated);
+    assert_true(backend_may_begin(pool, first, &wish, SECOND_US));
+    assert_false(backend_may_begin(pool, undated, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
 static void prompts_at_one_engine_are_bounded(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -529,6 +617,11 @@
         cmocka_unit_test(a_long_stream_goes_where_no_turn_comes_before_its_end),
         cmocka_unit_test(a_long_stream_goes_to_an_engine_near_its_turn_when_there_is_no_other),
         cmocka_unit_test(a_begun_stream_has_somebody_while_an_engine_of_its_version_may_take_it),
+        cmocka_unit_test(an_id_that_starts_again_begins_anew),
+        cmocka_unit_test(a_report_of_an_earlier_start_is_left_out),
+        cmocka_unit_test(a_report_may_tell_of_a_start_before_the_list_does),
+        cmocka_unit_test(a_start_that_seems_older_is_believed_when_the_list_says_so),
+        cmocka_unit_test(an_entry_that_alone_does_not_date_its_start_is_not_used),
         cmocka_unit_test(prompts_at_one_engine_are_bounded),
         cmocka_unit_test(engines_near_go_first_until_they_hold_more),
         cmocka_unit_test(a_failing_back_end_is_ejected_and_probed),
--- a/tests/core/weight_install_test.c
+++ b/tests/core/weight_install_test.c
@@ -143,6 +143,8 @@
     .budget = {.ticks = 2, .names = 2, .late = 1, .engine_crashes = 1}};
 static const struct world_options replaced_engine = {
     .budget = {.ticks = 2, .names = 2, .late = 1, .engine_replacements = 1}};
+static const struct world_options engine_starts_again = {
+    .budget = {.ticks = 2, .names = 2, .late = 1, .new_starts = 2}};
 static const struct world_options lost_power = {
     .budget = {.ticks = 2, .names = 2, .late = 1, .power_losses = 1}};
 static const struct world_options bad_pieces = {
@@ -172,6 +174,11 @@
     assert_false(breaks("replaced engine", &replaced_engine));
 }
 
+static void an_engine_that_starts_again_under_its_id_gets_whole_weights(void **state)
+{
+    assert_false(breaks("engine starts again", &engine_starts_again));
+}
+
 static void a_loss_of_power_corrupts_nothing(void **state)
 {
     assert_false(breaks("lost power", &lost_power));
@@ -217,6 +224,8 @@
     assert_true(breaks_without("earlier processes left nothing", &restarted_loader,
                                WORLD_PREDECESSOR_LEFT_NOTHING));
     assert_true(breaks_without("pieces are read back once", &bad_pieces, WORLD_READ_ONCE));
+    assert_true(breaks_without("starts of an engine look alike", &engine_starts_again,
+                               WORLD_STARTS_LOOK_ALIKE));
     assert_true(breaks_without("readings outlive the engine", &replaced_engine,
                                WORLD_READINGS_OUTLIVE_ENGINES));
 }
@@ -236,6 +245,7 @@
                                                        .loader_restarts = 2,
                                                        .engine_crashes = 2,
                                                        .engine_replacements = 1,
+                                                       .new_starts = 2,
                                                        .power_losses = 1,
                                                        .bad_pieces = 2},
                                             .prompt = true,
@@ -288,6 +298,7 @@
         cmocka_unit_test(a_restarted_loader_corrupts_nothing),
         cmocka_unit_test(a_crashed_engine_gets_whole_weights),
         cmocka_unit_test(an_engine_in_place_of_another_gets_whole_weights),
+        cmocka_unit_test(an_engine_that_starts_again_under_its_id_gets_whole_weights),
         cmocka_unit_test(a_loss_of_power_corrupts_nothing),
         cmocka_unit_test(a_piece_that_turned_bad_is_not_taken),
         cmocka_unit_test(an_engine_with_requests_is_ordered_at_its_turn),
--- a/tests/core/weight_install_world.h
+++ b/tests/core/weight_install_world.h
@@ -38,6 +38,7 @@
     WORLD_PREDECESSOR_LEFT_NOTHING,
     WORLD_READ_ONCE,
     WORLD_READINGS_OUTLIVE_ENGINES,
+    WORLD_STARTS_LOOK_ALIKE,
 };
 
 /** How many of each event may still come. */
@@ -49,6 +50,7 @@
     uint8_t loader_restarts;
     uint8_t engine_crashes;
     uint8_t engine_replacements;
+    uint8_t new_starts;
     uint8_t power_losses;
     uint8_t bad_pieces;
 };
@@ -108,6 +110,7 @@
     WORLD_LOADER_RESTARTS_CALLS_LATE,
     WORLD_ENGINE_CRASHES,
     WORLD_ENGINE_REPLACED,
+    WORLD_ENGINE_STARTS_AGAIN,
     WORLD_POWER_LOST,
     WORLD_FIRST_PIECE_TURNS_BAD,
     WORLD_STEPS,
@@ -134,6 +137,7 @@
     [WORLD_LOADER_RESTARTS_CALLS_LATE] = "loader restarts, its calls are on their way",
     [WORLD_ENGINE_CRASHES] = "engine crashes and restarts",
     [WORLD_ENGINE_REPLACED] = "engine replaced by an empty one",
+    [WORLD_ENGINE_STARTS_AGAIN] = "engine starts again, empty, between two reports",
     [WORLD_POWER_LOST] = "power lost",
     [WORLD_FIRST_PIECE_TURNS_BAD] = "a piece turns bad",
 };
@@ -393,6 +397,21 @@
     return world_engine_crashes(world, options);
 }
 
+/* No connection was open that could show the end: only the next report does. */
+static bool world_engine_starts_again(struct world *world, const struct world_options *options)
+{
+    if (world->report_out || !world_spend(&world->left.new_starts))
+        return false;
+    uint64_t born = world->engine.born + 1;
+    uint8_t lost = world->left.lost;
+    world_empty_stage(world);
+    world_engine_ends(world);
+    world->left.lost = lost;
+    world->engine.born = options->mutation == WORLD_STARTS_LOOK_ALIKE ? 0 : born;
+    weight_install_report(&world->install, &world->engine, world->now);
+    return true;
+}
+
 static bool world_power_lost(struct world *world, const struct world_options *options)
 {
     if (!world_spend(&world->left.power_losses))
@@ -460,6 +479,8 @@
         return world_engine_crashes(world, options);
     case WORLD_ENGINE_REPLACED:
         return world_engine_replaced(world, options);
+    case WORLD_ENGINE_STARTS_AGAIN:
+        return world_engine_starts_again(world, options);
     case WORLD_POWER_LOST:
         return world_power_lost(world, options);
     case WORLD_FIRST_PIECE_TURNS_BAD:
--- a/tests/core/weight_install_world_hash.h
+++ b/tests/core/weight_install_world_hash.h
@@ -37,6 +37,7 @@
 static void world_engine_words(const struct install_engine *engine, uint64_t **word)
 {
     *(*word)++ = engine->version;
+    *(*word)++ = engine->born;
     *(*word)++ = engine->sequence << 2 | (uint64_t)(engine->requests > 0) << 1 | engine->loading;
 }
 
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -197,6 +197,147 @@
     assert_int_not_equal(platform_read_report("[", 1, "m", &report), STATUS_OK);
 }
 
+#define ENTRY                                                                                      \
+    "{\"service\":\"llm\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\","          \
+    "\"slots\":16,"                                                                                \
+    "\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":4"
+
+static bool is_entry(const char *text, size_t size)
+{
+    struct backend_listing listing;
+    return platform_parse_backend("i-1", text, size, &listing) == STATUS_OK;
+}
+
+static void an_entry_names_one_start_of_a_back_end(void **state)
+{
+    static const char text[] =
+        ENTRY ",\"born\":1780000000123,\"models\":[{\"name\":\"m\",\"version\":3}],\"more\":{}}";
+    struct backend_listing listing;
+    assert_int_equal(platform_parse_backend("i-1", text, strlen(text), &listing), STATUS_OK);
+    assert_string_equal(listing.id, "i-1");
+    assert_int_equal(listing.born, 1780000000123);
+    assert_int_equal(listing.slots, 16);
+    assert_int_equal(listing.version, 3);
+    assert_false(listing.draining);
+}
+
+static void an_entry_of_another_writer_names_none(void **state)
+{
+    static const char *const entries[] = {
+        "",
+        "x",
+        "[]",
+        "null",
+        "{}",
+        "{\"service\":\"llm\"",
+        ENTRY,
+        ENTRY "} trailing",
+        ENTRY ",\"born\":\"1780000000123\"}",
+        ENTRY ",\"born\":1.5}",
+        ENTRY ",\"born\":-1}",
+        ENTRY ",\"born\":null}",
+        ENTRY ",\"born\":99999999999999999999}",
+        ENTRY ",\"slots\":16}",
+        ENTRY ",\"models\":{}}",
+        ENTRY ",\"models\":[7]}",
+        ENTRY ",\"models\":[{\"name\":\"m\",\"version\":\"3\"}]}",
+        ENTRY ",\"models\":[{\"version\":3}]}",
+        ENTRY ",\"x\":\"\xff\"}",
+    };
+    for (size_t i = 0; i < sizeof entries / sizeof *entries; i++)
+        if (is_entry(entries[i], strlen(entries[i])))
+            fail_msg("taken for an entry: %s", entries[i]);
+    assert_true(is_entry(ENTRY "}", strlen(ENTRY "}")));
+}
+
+/* Each field in turn is left out, or of another type. */
+static void every_field_of_an_entry_is_checked(void **state)
+{
+    static const char *const fields[][2] = {
+        {"\"service\":", "\"llm\""},
+        {"\"address\":", "\"10.0.0.9:80\""},
+        {"\"zone\":", "\"z\""},
+        {"\"version\":", "\"v1\""},
+        {"\"slots\":", "16"},
+        {"\"state\":", "\"ready\""},
+        {"\"cold_remaining_ms\":", "0"},
+        {"\"sequence\":", "4"},
+    };
+    static const char *const wrong[] = {"null", "{}", "[1]", "-3", "true", "\"\"", "\"no such\""};
+    for (size_t field = 0; field < sizeof fields / sizeof *fields; field++)
+        for (size_t value = 0; value < sizeof wrong / sizeof *wrong; value++) {
+            char text[512] = "{\"x\":0";
+            bool free_text = field == 0 || field == 2 || field == 3;
+            if (free_text && value == 6)
+                continue; /* any text is one */
+            for (size_t i = 0; i < sizeof fields / sizeof *fields; i++)
+                snprintf(text + strlen(text), sizeof text - strlen(text), ",%s%s", fields[i][0],
+                         i == field ? wrong[value] : fields[i][1]);
+            strcat(text, "}");
+            if (is_entry(text, strlen(text)))
+                fail_msg("taken for an entry: %s", text);
+        }
+}
+
+static void an_entry_that_is_large_or_nested_deep_names_none(void **state)
+{
+    enum { LARGE = 1 << 20 };
+    char *text = calloc(1, LARGE + 1);
+    memset(text, '[', LARGE);
+    assert_false(is_entry(text, LARGE));
+    assert_false(is_entry(text, 10000));
+    memset(text, ' ', LARGE);
+    memcpy(text + LARGE - strlen(ENTRY "}"), ENTRY "}", strlen(ENTRY "}"));
+    assert_false(is_entry(text, LARGE));
+    free(text);
+}
+
+static void a_value_that_cannot_be_read_leaves_the_others(void **state)
+{
+    static const char body[] =
+        "{\"items\":[{\"private_key\":\"servers/a\",\"value\":\"!!!\",\"revision\":4},"
+        "{\"private_key\":\"servers/b\",\"value\":7,\"revision\":5},"
+        "{\"private_key\":\"servers/c\",\"revision\":\"x\"},7,"
+        "{\"private_key\":\"servers/d\",\"value\":\"aGVsbG8=\",\"revision\":6}],\"at\":9}";
+    struct store_answer answer;
+    assert_int_equal(platform_read_store_answer(body, strlen(body), &answer), STATUS_OK);
+    assert_int_equal(answer.count, 3);
+    assert_int_equal(answer.left_out, 2);
+    assert_null(answer.items[0].value);
+    assert_int_equal(answer.items[0].size, 0);
+    assert_null(answer.items[1].value);
+    assert_string_equal(answer.items[2].value, "hello");
+    store_answer_clear(&answer);
+}
+
+static void a_report_with_a_field_missing_is_none(void **state)
+{
+    static const char *const reports[] = {
+        "{}",
+        "{\"models\":[],\"utilization\":false,\"waiting_requests\":0,\"running_requests\":0}",
+        "{\"models\":[],\"utilization\":false,\"sequence\":0,\"running_requests\":0}",
+        "{\"models\":[],\"utilization\":0,\"sequence\":0,\"waiting_requests\":0,"
+        "\"running_requests\":0}",
+        "{\"utilization\":false,\"sequence\":0,\"waiting_requests\":0,\"running_requests\":0}",
+        "{\"models\":[],\"utilization\":false,\"sequence\":0,\"waiting_requests\":0,"
+        "\"running_requests\":0,\"born\":\"1\"}",
+    };
+    struct engine_report report;
+    for (size_t i = 0; i < sizeof reports / sizeof *reports; i++)
+        if (platform_read_report(reports[i], strlen(reports[i]), "m", &report) == STATUS_OK)
+            fail_msg("taken for a report: %s", reports[i]);
+}
+
+static void a_version_is_a_whole_number(void **state)
+{
+    uint64_t version;
+    assert_int_equal(platform_parse_version("{\"model\":\"m\",\"version\":3}", 25, &version),
+                     STATUS_OK);
+    assert_int_equal(version, 3);
+    assert_int_not_equal(platform_parse_version("{\"version\":\"3\"}", 15, &version), STATUS_OK);
+    assert_int_not_equal(platform_parse_version("", 0, &version), STATUS_OK);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -207,6 +348,13 @@
         cmocka_unit_test(a_resumed_stream_names_its_own_last_event),
         cmocka_unit_test(answers_of_back_ends_are_understood),
         cmocka_unit_test(an_engine_report_is_read),
+        cmocka_unit_test(an_entry_names_one_start_of_a_back_end),
+        cmocka_unit_test(an_entry_of_another_writer_names_none),
+        cmocka_unit_test(every_field_of_an_entry_is_checked),
+        cmocka_unit_test(an_entry_that_is_large_or_nested_deep_names_none),
+        cmocka_unit_test(a_value_that_cannot_be_read_leaves_the_others),
+        cmocka_unit_test(a_report_with_a_field_missing_is_none),
+        cmocka_unit_test(a_version_is_a_whole_number),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
