--- a/src/core/backend_pool_internal.h
+++ b/src/core/backend_pool_internal.h
@@ -1,7 +1,7 @@
 /**
- * What the modules of the pool share: its state, and what the reports of load still tell. The
- * choice of a back end is in backend_pool.c, what its answers show of its health in
- * backend_health.c.
+ * What the modules of the pool share: its state, and what the reports of load still tell. What is
+ * listed and reported is in backend_pool.c, the choice of a back end in backend_choice.c, what its
+ * answers show of its health in backend_health.c.
  */
 #ifndef SHUNTRUN_BACKEND_POOL_INTERNAL_H
 #define SHUNTRUN_BACKEND_POOL_INTERNAL_H
@@ -22,4 +22,10 @@
     return backend->load_at && now < backend->load_at + pool->settings.load_fresh_us;
 }
 
+/** \return whether the time is over for which a back end that the list dropped stays usable */
+static inline bool backend_is_past_unlisting(const struct backend *backend, uint64_t now)
+{
+    return backend->unlisted_until && backend->unlisted_until <= now;
+}
+
 #endif
