Why a request ended is a type; streams cut are counted by reason, and explained

Change: enum exchange_end with its words; shuntrun_streams_cut_total by reason; 'shuntrun explain' says how many events of a stream its client had.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -17,8 +17,12 @@
     X(METRIC_REQUESTS_SHED, "shuntrun_shed_requests_total", "requests refused by admission")       \
     X(METRIC_RETRIES, "shuntrun_retries_total", "requests tried again on another agent")           \
     X(METRIC_RESUMES, "shuntrun_stream_resumes_total", "streams resumed on another replica")       \
-    X(METRIC_STREAMS_CUT, "shuntrun_streams_cut_total",                                            \
+    X(METRIC_STREAMS_CUT_BROKEN, "shuntrun_streams_cut_total{reason=\"broken\"}",                  \
       "streams whose client got some events and then a reset")                                     \
+    X(METRIC_STREAMS_CUT_REFUSED, "shuntrun_streams_cut_total{reason=\"refused\"}", "")            \
+    X(METRIC_STREAMS_CUT_NO_BACKEND, "shuntrun_streams_cut_total{reason=\"no_backend\"}", "")      \
+    X(METRIC_STREAMS_CUT_SILENT, "shuntrun_streams_cut_total{reason=\"silent\"}", "")              \
+    X(METRIC_STREAMS_CUT_TIME, "shuntrun_streams_cut_total{reason=\"time\"}", "")                  \
     X(METRIC_TOKENS, "shuntrun_tokens_total", "tokens passed to callers")                          \
     X(METRIC_ANSWERS_DROPPED, "shuntrun_dropped_answers_total", "late or doubled answers dropped") \
     X(METRIC_KEYS_REPLAYED, "shuntrun_replayed_answers_total", "kept answers given to a repeat")   \
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -97,7 +97,7 @@
 {
     if (upstream_is_sent(exchange->upstream)) {
         exchange_count_send(exchange);
-        exchange_on_broken(exchange, BACKEND_SILENT, "silent");
+        exchange_on_broken(exchange, BACKEND_SILENT, END_SILENT);
         return;
     }
     exchange_end_attempt(exchange, BACKEND_UNREACHABLE);
@@ -128,7 +128,7 @@
         !exchange->may_have_run && (!exchange->upstream || !upstream_is_sent(exchange->upstream));
     if (exchange->backend && !exchange->first_byte_at)
         exchange_end_attempt(exchange, BACKEND_SILENT);
-    exchange_give_up(exchange, untouched ? 503 : 504, "time-out");
+    exchange_give_up(exchange, untouched ? 503 : 504, END_TIME_OUT);
 }
 
 static void on_timer(uv_timer_t *timer)
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -47,7 +47,8 @@
 }
 
 /* A whole answer of the back end goes to the client as it is. */
-static void pass_on(struct exchange *exchange, struct http_message *message, const char *reason)
+static void pass_on(struct exchange *exchange, struct http_message *message,
+                    enum exchange_end reason)
 {
     struct buffer head = {0};
     struct edge_client *client = exchange->client;
@@ -124,7 +125,7 @@
     pass_events(exchange, message);
     if (exchange->events.partial.size) {
         /* Complete by its framing, but torn: no whole answer. */
-        exchange_on_broken(exchange, BACKEND_BROKEN, "torn");
+        exchange_on_broken(exchange, BACKEND_BROKEN, END_TORN);
         return;
     }
     if (!exchange->streaming)
@@ -134,7 +135,7 @@
                             cluster_now() - exchange->sent_at);
     exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
     count_done(exchange->edge);
-    exchange_log_end(exchange, 200, "done", exchange->tried_count ? exchange->tried[0] : NULL);
+    exchange_log_end(exchange, 200, END_DONE, exchange->tried_count ? exchange->tried[0] : NULL);
     exchange_finish(exchange);
     edge_client_stream_end(client);
 }
@@ -149,7 +150,8 @@
     backend_pool_replaced(exchange->edge->pool, backend);
 }
 
-void exchange_on_broken(struct exchange *exchange, enum backend_result result, const char *reason)
+void exchange_on_broken(struct exchange *exchange, enum backend_result result,
+                        enum exchange_end reason)
 {
     bool stream = exchange->route->kind == ROUTE_STREAM;
     exchange_end_attempt(exchange, result);
@@ -185,11 +187,11 @@
             on_misdirected(exchange, &head);
         exchange_end_attempt(exchange, status == 421 ? BACKEND_CANCELLED : BACKEND_REFUSED);
         exchange->refusals += exchange->streaming;
-        exchange_try_again(exchange, status == 421 ? "misdirected" : "refused");
+        exchange_try_again(exchange, status == 421 ? END_MISDIRECTED : END_REFUSED);
         return;
     }
     if (!head.sealed || head.encoded) {
-        exchange_on_broken(exchange, BACKEND_BROKEN, "no-seal");
+        exchange_on_broken(exchange, BACKEND_BROKEN, END_NO_SEAL);
         return;
     }
     if (is_success(message, &head)) {
@@ -200,21 +202,21 @@
             return;
         }
         exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
-        pass_on(exchange, message, "done");
+        pass_on(exchange, message, END_DONE);
         return;
     }
     if (exchange->streaming) { /* a resumed stream cannot end in another answer */
-        exchange_on_broken(exchange, BACKEND_ERROR, "resume-refused");
+        exchange_on_broken(exchange, BACKEND_ERROR, END_RESUME_REFUSED);
         return;
     }
     if (goes_on_after_error(exchange, status)) {
         exchange_end_attempt(exchange, BACKEND_ERROR);
         exchange->may_have_run = true;
-        exchange_try_again(exchange, "backend-error");
+        exchange_try_again(exchange, END_BACKEND_ERROR);
         return;
     }
     exchange_end_attempt(exchange, BACKEND_ERROR);
-    pass_on(exchange, message, "backend-error");
+    pass_on(exchange, message, END_BACKEND_ERROR);
 }
 
 void exchange_count_send(struct exchange *exchange)
@@ -242,7 +244,7 @@
         on_done(exchange, message);
         break;
     case UPSTREAM_BROKEN:
-        exchange_on_broken(exchange, BACKEND_BROKEN, "broken");
+        exchange_on_broken(exchange, BACKEND_BROKEN, END_BROKEN);
         break;
     case UPSTREAM_NOT_SENT:
         exchange_end_attempt(exchange, BACKEND_UNREACHABLE);
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -45,6 +45,49 @@
                   backend->load.version);
 }
 
+static const char *const end_names[] = {
+    [END_DONE] = "done",
+    [END_TIME_OUT] = "time-out",
+    [END_FULL] = "full",
+    [END_NO_BACKEND] = "no-backend",
+    [END_NO_CONNECTION] = "no-connection",
+    [END_SILENT] = "silent",
+    [END_BROKEN] = "broken",
+    [END_TORN] = "torn",
+    [END_NO_SEAL] = "no-seal",
+    [END_REFUSED] = "refused",
+    [END_MISDIRECTED] = "misdirected",
+    [END_RESUME_REFUSED] = "resume-refused",
+    [END_BACKEND_ERROR] = "backend-error",
+};
+
+const char *exchange_end_name(enum exchange_end end)
+{
+    return end_names[end];
+}
+
+/* A client lost a stream that it was reading. */
+static void count_cut(enum exchange_end reason)
+{
+    switch (reason) {
+    case END_TIME_OUT:
+        metric_add(METRIC_STREAMS_CUT_TIME, 1);
+        break;
+    case END_NO_BACKEND:
+        metric_add(METRIC_STREAMS_CUT_NO_BACKEND, 1);
+        break;
+    case END_REFUSED:
+    case END_MISDIRECTED:
+        metric_add(METRIC_STREAMS_CUT_REFUSED, 1);
+        break;
+    case END_SILENT:
+        metric_add(METRIC_STREAMS_CUT_SILENT, 1);
+        break;
+    default:
+        metric_add(METRIC_STREAMS_CUT_BROKEN, 1);
+    }
+}
+
 /* --- end of an exchange --------------------------------------------------------------------------
  */
 
@@ -119,19 +162,19 @@
     remember_tried(exchange, backend);
 }
 
-void exchange_log_end(const struct exchange *exchange, unsigned status, const char *reason,
+void exchange_log_end(const struct exchange *exchange, unsigned status, enum exchange_end reason,
                       const struct backend *backend)
 {
     uint64_t now = cluster_now();
-    bool good = status >= 200 && status < 300 && strcmp(reason, "done") == 0;
+    bool good = status >= 200 && status < 300 && reason == END_DONE;
     log_event(
         good ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request", good ? "answered" : "failed",
         "request=%s route=%s service=%s status=%u reason=%s backend=%s sends=%u events=%" PRIu64
         " weights=%" PRIu64 " took_ms=%" PRIu64 " left_ms=%" PRId64 " config=%" PRIu64
         " waiting=%d trail=\"%s\"",
-        exchange->head.id, exchange->route->name, exchange->service->name, status, reason,
-        backend ? backend->listing.id : "-", exchange->sends, exchange->events.events,
-        exchange->version, (now - exchange->arrived) / MS_US,
+        exchange->head.id, exchange->route->name, exchange->service->name, status,
+        end_names[reason], backend ? backend->listing.id : "-", exchange->sends,
+        exchange->events.events, exchange->version, (now - exchange->arrived) / MS_US,
         ((int64_t)exchange->final_at - (int64_t)now) / (int64_t)MS_US,
         route_table_version(exchange->table), exchange->in_line, exchange->trail);
 }
@@ -176,14 +219,14 @@
 }
 
 /* The final answer is one of this system's own. */
-void exchange_give_up(struct exchange *exchange, unsigned status, const char *reason)
+void exchange_give_up(struct exchange *exchange, unsigned status, enum exchange_end reason)
 {
     struct edge_client *client = exchange->client;
     struct edge *edge = exchange->edge;
     exchange_log_end(exchange, status, reason, exchange->backend);
     metric_add(status == 503 ? METRIC_REQUESTS_NOT_RUN : METRIC_REQUESTS_UNKNOWN, 1);
     if (exchange->streaming) {
-        metric_add(METRIC_STREAMS_CUT, 1);
+        count_cut(reason);
         exchange_finish(exchange);
         edge_client_break(client);
         return;
@@ -196,7 +239,7 @@
 }
 
 /* Nothing has run: say so, or admit that it is not known. */
-void exchange_give_up_truly(struct exchange *exchange, const char *reason)
+void exchange_give_up_truly(struct exchange *exchange, enum exchange_end reason)
 {
     exchange_give_up(exchange, exchange->may_have_run ? 502 : 503, reason);
 }
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -13,6 +13,23 @@
 /** A client with so many bytes unread stops the back end from sending more. */
 #define CLIENT_PENDING_MOST 262144
 
+/** Why a request ended, or an attempt did. */
+enum exchange_end {
+    END_DONE,
+    END_TIME_OUT,       /**< its final answer was due */
+    END_FULL,           /**< no place came free in time */
+    END_NO_BACKEND,     /**< none can take it, or go on with its stream */
+    END_NO_CONNECTION,  /**< not even an attempt to connect could be made */
+    END_SILENT,         /**< the back end sent nothing for too long */
+    END_BROKEN,         /**< the connection broke, or the bytes were no answer */
+    END_TORN,           /**< the answer was complete by its framing, but ended within an event */
+    END_NO_SEAL,        /**< an answer that its back end did not sign */
+    END_REFUSED,        /**< the back end did not run it */
+    END_MISDIRECTED,    /**< another back end stands there, or it has other weights */
+    END_RESUME_REFUSED, /**< another answer than the rest of a stream */
+    END_BACKEND_ERROR,  /**< the back end reported a failure of its own */
+};
+
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
 
 struct exchange {
@@ -66,6 +83,8 @@
 
 /* --- exchange_end.c ---- */
 
+/** \return the word for logs */
+const char *exchange_end_name(enum exchange_end end);
 /** \brief Append to the trail that the log line of the request's end shows. */
 void exchange_note(struct exchange *exchange, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
@@ -73,7 +92,7 @@
 void exchange_note_send(struct exchange *exchange, const struct backend *backend, uint64_t now);
 /** \brief Let go of the present back end. */
 void exchange_end_attempt(struct exchange *exchange, enum backend_result result);
-void exchange_log_end(const struct exchange *exchange, unsigned status, const char *reason,
+void exchange_log_end(const struct exchange *exchange, unsigned status, enum exchange_end reason,
                       const struct backend *backend);
 /** \brief The request is over; the exchange is freed once its timer is closed. */
 void exchange_finish(struct exchange *exchange);
@@ -85,9 +104,9 @@
 /** \brief Note whether a request found a place, for the time to come back of others. */
 void exchange_count_place(struct exchange *exchange, bool found);
 /** \brief End with an answer of this system's own, at once; a begun stream is broken off. */
-void exchange_give_up(struct exchange *exchange, unsigned status, const char *reason);
+void exchange_give_up(struct exchange *exchange, unsigned status, enum exchange_end reason);
 /** \brief Give up with 503 when nothing has run, and 502 when that is not known. */
-void exchange_give_up_truly(struct exchange *exchange, const char *reason);
+void exchange_give_up_truly(struct exchange *exchange, enum exchange_end reason);
 
 /* --- exchange_send.c ---- */
 
@@ -98,12 +117,13 @@
 /** \return whether another back end has room and the shared budget a repeat for it */
 bool exchange_has_other(struct exchange *exchange);
 /** \brief Go to another back end, if attempts, time and the shared budget allow it. */
-void exchange_try_again(struct exchange *exchange, const char *reason);
+void exchange_try_again(struct exchange *exchange, enum exchange_end reason);
 
 /* --- exchange_answer.c ---- */
 
 /** \brief The attempt failed after the request was sent: it may have run. */
-void exchange_on_broken(struct exchange *exchange, enum backend_result result, const char *reason);
+void exchange_on_broken(struct exchange *exchange, enum backend_result result,
+                        enum exchange_end reason);
 /** \brief The request reached a connection that is up. */
 void exchange_count_send(struct exchange *exchange);
 
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -147,7 +147,7 @@
 static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
 {
     if (now + LEAST_LEFT_US > exchange->final_at) { /* no back end could begin in time */
-        exchange_give_up(exchange, exchange->may_have_run ? 504 : 503, "time-out");
+        exchange_give_up(exchange, exchange->may_have_run ? 504 : 503, END_TIME_OUT);
         return;
     }
     uint64_t most_idle =
@@ -174,7 +174,7 @@
         if (exchange->streaming)
             wait_for_others(exchange, now);
         else
-            exchange_give_up_truly(exchange, "no-connection");
+            exchange_give_up_truly(exchange, END_NO_CONNECTION);
         return;
     }
     exchange_arm(exchange);
@@ -200,7 +200,7 @@
         repeat_budget_allows(&exchange->state_of_service->budget, now, edge->gateways_most);
     fill_wish(exchange, now, &wish);
     if (!backend_pool_may_serve(edge->pool, &wish, now)) {
-        exchange_give_up_truly(exchange, "no-backend");
+        exchange_give_up_truly(exchange, END_NO_BACKEND);
         return;
     }
     if (!allowed || now < exchange->not_before) {
@@ -233,7 +233,7 @@
         exchange->tried_count == BACKEND_MAX_EXCLUDED) {
         if (absence == BACKEND_FULL)
             exchange_count_place(exchange, false);
-        exchange_give_up_truly(exchange, absence == BACKEND_FULL ? "full" : "no-backend");
+        exchange_give_up_truly(exchange, absence == BACKEND_FULL ? END_FULL : END_NO_BACKEND);
         return;
     }
     wait_in_line(exchange);
@@ -300,13 +300,13 @@
     return backend_pool_has_room(edge->pool, &wish, now);
 }
 
-static void log_retry(const struct exchange *exchange, const char *reason, uint64_t now)
+static void log_retry(const struct exchange *exchange, enum exchange_end reason, uint64_t now)
 {
     metric_add(METRIC_RETRIES, 1);
     log_event(LOG_LEVEL_INFO, "request", "retry",
               "request=%s reason=%s sends=%u refusals=%u events=%" PRIu64 " weights=%" PRIu64
               " took_ms=%" PRIu64,
-              exchange->head.id, reason, exchange->sends, exchange->refusals,
+              exchange->head.id, exchange_end_name(reason), exchange->sends, exchange->refusals,
               exchange->events.events, exchange->version, (now - exchange->arrived) / MS_US);
 }
 
@@ -323,7 +323,7 @@
 
 /* Go to another back end, if the rules and the budget allow it. A begun stream waits for the budget
  * too: it is earned anew with each request. */
-void exchange_try_again(struct exchange *exchange, const char *reason)
+void exchange_try_again(struct exchange *exchange, enum exchange_end reason)
 {
     uint64_t now = cluster_now();
     struct attempt_facts facts = exchange_facts(exchange, now);
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -242,6 +242,7 @@
     char *node = copy_field(end, "node"), *event = copy_field(end, "event");
     char *status = copy_field(end, "status"), *reason = copy_field(end, "reason");
     char *took = copy_field(end, "took_ms"), *trail = copy_field(end, "trail");
+    char *events = copy_field(end, "events");
     if (strcmp(event, "client-gone") == 0)
         buffer_append_format(&text, "The client left %s ms after its request reached %s.", took,
                              node);
@@ -249,6 +250,9 @@
         buffer_append_format(&text, "%s answered %s%s%s%s: %s (%s).", node, status,
                              took[0] ? " after " : "", took, took[0] ? " ms" : "",
                              meaning_of(reason), reason);
+    if (strcmp(event, "failed") == 0 && events[0] && strcmp(events, "0") != 0)
+        buffer_append_format(&text, " Its client had %s events of a stream, and lost the rest.",
+                             events);
     if (trail[0])
         buffer_append_format(&text, " Attempts: %s", trail);
     const struct log_line *stop = last_before(list, end, "process", "stop", node);
@@ -262,6 +266,7 @@
     free(reason);
     free(took);
     free(trail);
+    free(events);
     return text.data;
 }
 
--- a/tests/tool/explain_test.c
+++ b/tests/tool/explain_test.c
@@ -46,6 +46,20 @@
     explanation_clear(&explanation);
 }
 
+static void a_stream_that_was_cut_is_told_from_an_answer(void **state)
+{
+    static const char cut[] =
+        "time=2026-01-01T00:00:31.200Z node=front-1 subsystem=request event=failed request=cd34 "
+        "status=502 reason=no-backend sends=1 events=14 took_ms=900 trail=\"i-2@0ms,broken;\"\n";
+    struct explanation explanation;
+    assert_true(explain_request(cut, strlen(cut), "cd34", &explanation));
+    assert_non_null(strstr(explanation.sentence, "had 14 events of a stream, and lost the rest"));
+    explanation_clear(&explanation);
+    assert_true(explain_request(logs, strlen(logs), "ab12", &explanation));
+    assert_null(strstr(explanation.sentence, "of a stream"));
+    explanation_clear(&explanation);
+}
+
 static void an_unknown_request_is_not_explained(void **state)
 {
     struct explanation explanation;
@@ -57,6 +71,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(the_cause_is_named_with_the_beliefs_of_then),
+        cmocka_unit_test(a_stream_that_was_cut_is_told_from_an_answer),
         cmocka_unit_test(an_unknown_request_is_not_explained),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
