Soak: streams end whole, bad entries lead nowhere, back ends start again under their id

Two promises more: a stream that has begun ends whole unless an engine broke it off, its time was over or its gateway was killed or frozen; nothing is sent to what only bad entries name. Faults: starts under the same id, entries of other writers beside and in place of good ones, engines that pause.

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -132,6 +132,17 @@
             self.events.append(item)
             self.changed.notify_all()
 
+    def put_bytes(self, key, value):
+        """Another writer's value: any bytes, or None for one that is no text at all."""
+        with self.changed:
+            self.revision += 1
+            text = base64.b64encode(value).decode() if value is not None else 7
+            item = {"private_key": key, "value": text, "revision": self.revision,
+                    "made": self.revision, "lease": 0}
+            self.items[key] = item
+            self.events.append(item)
+            self.changed.notify_all()
+
     def remove(self, key):
         with self.changed:
             self.revision += 1
@@ -183,9 +194,10 @@
 class Backend:
     """An engine or plain service; `faults` is a list of words, used up one a request."""
 
-    def __init__(self, address, identity, store, service, version=None):
+    def __init__(self, address, identity, store, service, version=None, state="ready"):
         self.address = address
         self.identity = identity
+        self.born = int(time.time() * 1000)
         self.store = store
         self.service = service
         self.version = version
@@ -204,8 +216,8 @@
         self.event_gap_s = 0.0  # between the events of a stream
         self.load_s = None      # an order takes so long once nothing runs; None: at once, beside all
         self.running = set()    # connections of the streams that it works on
-        self.broken_off = []    # ids of the streams that an order broke off
-        self.state = "ready"
+        self.broken_off = []    # ids of the streams that it ended before they were whole
+        self.state = state
         self.lock = threading.Lock()
         self.server = Server(address, BackendHandler, self)
         self.list()
@@ -220,7 +232,7 @@
         self.store.put("servers/" + self.identity, {
             "service": self.service, "address": "%s:%d" % self.address, "zone": "zone-a",
             "version": "v1", "slots": self.slots, "state": self.state, "cold_remaining_ms": 0,
-            "stage": "both", "models": models, "sequence": 1})
+            "stage": "both", "models": models, "sequence": 1, "born": self.born})
 
     def leave(self):
         """Leave without a word: the entry goes, requests are served on."""
@@ -231,6 +243,8 @@
         """End at once: connections are reset, new ones refused."""
         self.server.shutdown()
         self.server.server_close()
+        with self.lock:
+            self.broken_off.extend(identity for _, identity in self.running)
         for connection in list(self.connections):
             reset_connection(connection)
 
@@ -322,7 +336,7 @@
         path, query = self.parts()
         owner = self.owner
         if path == "/api/report":
-            self.reply_json({"stage": "both", "models": [{"name": MODEL, "version": owner.version or 0,
+            self.reply_json({"stage": "both", "born": owner.born, "models": [{"name": MODEL, "version": owner.version or 0,
                                                           "adapters": []}],
                              "utilization": owner.loading, "sequence": owner.orders,
                              "waiting_requests": 0,
@@ -422,6 +436,7 @@
                 self.wfile.write(b"%x\r\n%s\r\n" % (len(event[:9]), event[:9]))
                 self.wfile.flush()
                 time.sleep(0.05)
+                self.owner.broken_off.append(echo[0][1])
                 self.reset()
                 return
             self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -9,6 +9,8 @@
   once       an unrepeatable request runs at most once
   not-run    what was answered 429 or 503 has not run and does not run later
   drain      nothing begins at a back end longer than DRAIN_S after the store said that it leaves
+  streams    a stream that has begun ends whole, unless an engine broke it off or its time was over
+  entries    nothing is sent to what a bad entry of the list names
   planned    a stopped edge ends by itself with status 0, and cuts no request that it has read
   alive      no process ends without being told to
   recovery   requests are served again within RECOVERY_S of the last fault
@@ -40,6 +42,8 @@
 GRACE_S = 8          # from SIGTERM to the end
 NEXT_WEIGHTS_S = 2.5  # between two versions; the first engine's turn is 2 s after one is named
 CLIENTS = 8
+DEADLINE_S = 2.0
+TRAP_PORT = 8106     # where bad entries lead, each to an address of its own
 FAULT_GAP_S = (0.3, 1.2)
 SPARE_S = 0.3        # beside the measured slack: a request on its way
 
@@ -105,7 +109,7 @@
             self.connect()
         body = identity.encode() if method != "GET" else None
         fields = {"Host": "a.example", "Shuntrun-Request-Id": identity,
-                  "Shuntrun-Deadline-Ms": "2000", "Authorization": "Bearer key-a"}
+                  "Shuntrun-Deadline-Ms": str(int(1000 * DEADLINE_S)), "Authorization": "Bearer key-a"}
         sent = time.monotonic()
         status, data, handed_over = None, b"", False
         try:
@@ -147,6 +151,7 @@
         self.away = []            # (edge, begin, end): killed, stopped or frozen, and 3 s after
         self.stops = []           # (edge, time of SIGTERM)
         self.timers = []          # ends of faults
+        self.bad_names = {}       # name of a bad entry -> address in it
         self.stopping = []        # threads that wait for a stop
         self.edges, self.loaders = {}, {}
         self.version = 1          # of the configuration
@@ -154,7 +159,7 @@
 
     # --- schedule
 
-    FAULTS = ("drain", "leave", "crash", "store_silent", "store_busy", "edge_kill", "edge_term",
+    FAULTS = ("drain", "leave", "crash", "start_again", "bad_entries", "pause", "store_silent", "store_busy", "edge_kill", "edge_term",
               "edge_freeze", "loader_kill", "loader_freeze", "answers", "config", "weights")
 
     def draw(self):
@@ -184,12 +189,17 @@
             self.begin_backend((ip, fleet.ENGINE), "llm", 1)
         for ip in fleet.PLAIN:
             self.begin_backend((ip, fleet.ENGINE), "records")
+        self.begin_trap()
         self.put_configuration()
         self.edges = {ip: fleet.edge(ip) for ip in fleet.EDGES}
         self.loaders = {ip: fleet.loader(ip) for ip in fleet.SIDES}
         fleet.wait_for(self.all_ready, "ready edges")
         fleet.wait_for(lambda: fleet.ask("POST", "/stream/1", b"x").status == 200, "a stream")
 
+    def begin_trap(self):
+        """A back end that the list never names in a valid entry."""
+        self.trap = standin.Backend(("0.0.0.0", TRAP_PORT), "trap", self.store, "records", state="gone")
+
     def put_configuration(self):
         """All routes allow two attempts: what keeps an unrepeatable request from the second is its kind."""
         configuration = fleet.configuration(self.version)
@@ -203,7 +213,7 @@
     def close(self):
         for node in list(self.edges.values()) + list(self.loaders.values()):
             node.stop()
-        for backend in self.live.values():
+        for backend in list(self.live.values()) + [self.trap]:
             backend.crash()
         for server in (self.store.server, self.origin.server):
             server.shutdown()
@@ -257,6 +267,37 @@
             self.later(SERVES_ON_S, backend.leave)
             self.replace(backend)
 
+    def fault_start_again(self, fault):
+        """It starts again under its id, at once, and holds nothing of before."""
+        backend = self.pick_backend(fault)
+        if backend:
+            backend.crash()
+            again = standin.Backend(backend.address, backend.identity, self.store, backend.service)
+            self.starts.append(again)
+            self.live[backend.address] = again
+
+    def fault_bad_entries(self, fault):
+        """Entries of other writers beside good ones, and one in place of a good one for a while."""
+        good = {"service": "records", "address": "", "zone": "zone-a", "version": "v1", "slots": 16,
+                "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1}
+        for name in good:
+            self.put_bad("less-" + name, {k: v for k, v in good.items() if k != name})
+            self.put_bad("odd-" + name, dict(good, **{name: [good[name]]}))
+        self.put_bad("state", dict(good, state="resting"))
+        self.put_bad("service", dict(good, service="unnamed"))
+        for number, value in enumerate((b"", b"\xff\xfe", b"{", b"[" * 5000, None)):
+            self.store.put_bytes("servers/bad-%d" % number, value)
+        backend = self.pick_backend(fault)
+        if backend:
+            self.store.put_bytes("servers/" + backend.identity, b"{}")
+            self.later(fault["for_s"], backend.list)
+
+    def put_bad(self, name, value):
+        self.bad_names.setdefault(name, "127.9.6.%d:%d" % (1 + len(self.bad_names), TRAP_PORT))
+        if value.get("address") == "":
+            value = dict(value, address=self.bad_names[name])
+        self.store.put("servers/bad-" + name, value)
+
     def end_backend(self, backend):
         backend.leave()
         self.replace(backend)
@@ -342,10 +383,15 @@
         self.freeze(self.loaders[fleet.SIDES[fault["which"] % len(fleet.SIDES)]], fault["for_s"])
 
     def fault_answers(self, fault):
-        words = ("reset", "error", "silent", "unsealed", "foreign", "shed", "torn", "slow")
+        words = ("reset", "error", "silent", "unsealed", "foreign", "shed", "torn", "slow", "pause")
         backend = list(self.live.values())[fault["which"] % len(self.live)]
         backend.faults.extend([words[fault["which"] % len(words)]] * 3)
 
+    def fault_pause(self, fault):
+        """The next streams of one engine say nothing for longer than a gateway bears gladly."""
+        engines = [b for b in self.live.values() if b.service == "llm"]
+        engines[fault["which"] % len(engines)].faults.extend(["pause"] * 4)
+
     def fault_config(self, fault):
         self.version += 1
         self.put_configuration()
@@ -431,6 +477,8 @@
         for backend in self.starts:
             self.check_weights(backend)
             self.check_drain(backend, {r.identity: r.edge for r in results})
+        for run in self.trap.runs:
+            self.find("entries", "%s was sent to what only bad entries name" % run[0])
         self.counts = (len(results), sum(r.whole for r in results))
 
     def check_result(self, result, runs):
@@ -442,6 +490,18 @@
             self.find("not-run", "%s was answered %d and ran" % (result.identity, result.status))
         if result.cut and runs:  # it was read
             self.check_cut(result)
+        if result.cut and result.status == 200 and result.kind == "stream":
+            self.check_stream(result, [backend for backend, _ in runs])
+
+    def check_stream(self, result, backends):
+        if any(result.identity in backend.broken_off for backend in backends):
+            return
+        if result.ended - result.sent >= DEADLINE_S - SPARE_S:
+            return
+        if any(ip == result.edge and begin <= result.ended <= end for ip, begin, end in self.away):
+            return
+        self.find("streams", "%s was cut by %s after %.2f s" %
+                  (result.identity, result.edge, result.ended - result.sent))
 
     def check_weights(self, backend):
         for version in backend.corrupt_starts:
