--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -114,7 +114,8 @@
 void exchange_leave_line(struct exchange *exchange);
 /** \brief Send to a back end, wait in line for one, or give up. */
 void exchange_dispatch(struct exchange *exchange);
-/** \return whether another back end has room and the shared budget a repeat for it */
+/** \return whether another back end has room, and the shared budget a repeat if the present one was
+ * sent the request */
 bool exchange_has_other(struct exchange *exchange);
 /** \brief Go to another back end, if attempts, time and the shared budget allow it. */
 void exchange_try_again(struct exchange *exchange, enum exchange_end reason);
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -279,6 +279,23 @@
         }
 }
 
+static void every_field_of_an_entry_is_needed(void **state)
+{
+    static const char *const fields[] = {"\"service\":\"llm\"", "\"address\":\"10.0.0.9:80\"",
+                                         "\"zone\":\"z\"",      "\"version\":\"v1\"",
+                                         "\"slots\":16",        "\"state\":\"ready\"",
+                                         "\"sequence\":4",      "\"cold_remaining_ms\":0"};
+    for (size_t left_out = 0; left_out < sizeof fields / sizeof *fields; left_out++) {
+        char text[512] = "{\"x\":0";
+        for (size_t i = 0; i < sizeof fields / sizeof *fields; i++)
+            if (i != left_out)
+                snprintf(text + strlen(text), sizeof text - strlen(text), ",%s", fields[i]);
+        strcat(text, "}");
+        if (is_entry(text, strlen(text)))
+            fail_msg("taken for an entry: %s", text);
+    }
+}
+
 static void an_entry_that_is_large_or_nested_deep_names_none(void **state)
 {
     enum { LARGE = 1 << 20 };
@@ -321,6 +338,8 @@
         "{\"utilization\":false,\"sequence\":0,\"waiting_requests\":0,\"running_requests\":0}",
         "{\"models\":[],\"utilization\":false,\"sequence\":0,\"waiting_requests\":0,"
         "\"running_requests\":0,\"born\":\"1\"}",
+        "{\"models\":[],\"utilization\":false,\"sequence\":0,\"waiting_requests\":0,"
+        "\"running_requests\":0,\"pace\":1e300}",
     };
     struct engine_report report;
     for (size_t i = 0; i < sizeof reports / sizeof *reports; i++)
@@ -351,6 +370,7 @@
         cmocka_unit_test(an_entry_names_one_start_of_a_back_end),
         cmocka_unit_test(an_entry_of_another_writer_names_none),
         cmocka_unit_test(every_field_of_an_entry_is_checked),
+        cmocka_unit_test(every_field_of_an_entry_is_needed),
         cmocka_unit_test(an_entry_that_is_large_or_nested_deep_names_none),
         cmocka_unit_test(a_value_that_cannot_be_read_leaves_the_others),
         cmocka_unit_test(a_report_with_a_field_missing_is_none),
