--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -203,6 +203,7 @@
         self.version = version
         self.faults = []
         self.runs = []          # (request id, headers, body, time)
+        self.turned_away = []   # ids of requests that were for another back end
         self.connections = set()
         self.gone = []          # ids whose connection closed while they were worked on
         self.ends = {}          # id of a request without an answer -> how its connection ended
@@ -375,6 +376,7 @@
         expected = self.headers.get("Shuntrun-Expected-Instance")
         version = self.headers.get("Shuntrun-Expected-Version")
         if expected not in (None, owner.identity) or version not in (None, str(owner.version)):
+            owner.turned_away.append(identity)
             self.reply(421, b"", [("Shuntrun-Request-Id", identity),
                                   ("Shuntrun-Instance-Id", owner.identity)])
             return
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -478,8 +478,8 @@
         for backend in self.starts:
             self.check_weights(backend)
             self.check_drain(backend, {r.identity: r.edge for r in results})
-        for run in self.trap.runs:
-            self.find("entries", "%s was sent to what only bad entries name" % run[0])
+        for identity in [run[0] for run in self.trap.runs] + self.trap.turned_away:
+            self.find("entries", "%s was sent to what only bad entries name" % identity)
         self.counts = (len(results), sum(r.whole for r in results))
 
     def check_result(self, result, runs):
