--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -165,7 +165,7 @@
         that was allowed: each answered that it had other weights, and the requests were refused."""
         begin = time.monotonic()
         self.name_version(2)
-        time.sleep(3)  # the engine's turn for version 2 is 2 s after it was named
+        platform.wait_for(lambda: self.engines[0].version == 2, "version 2")
         self.name_version(3)
         platform.wait_for(lambda: self.engines[0].version == 3, "version 3")
         time.sleep(max(0, begin + OLD_VERSIONS_END_S - time.monotonic()))
