--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -23,6 +23,8 @@
     X(METRIC_STREAMS_CUT_NO_BACKEND, "shuntrun_streams_cut_total{reason=\"no_backend\"}", "")      \
     X(METRIC_STREAMS_CUT_SILENT, "shuntrun_streams_cut_total{reason=\"silent\"}", "")              \
     X(METRIC_STREAMS_CUT_TIME, "shuntrun_streams_cut_total{reason=\"time\"}", "")                  \
+    X(METRIC_RUNS_LOST, "shuntrun_runs_lost_total",                                                \
+      "requests whose back end broke its connection before a whole answer")                        \
     X(METRIC_TOKENS, "shuntrun_tokens_total", "tokens passed to callers")                          \
     X(METRIC_ANSWERS_DROPPED, "shuntrun_dropped_answers_total", "late or doubled answers dropped") \
     X(METRIC_KEYS_REPLAYED, "shuntrun_replayed_answers_total", "kept answers given to a repeat")   \
--- /dev/null
+++ b/src/core/request_identity.c
@@ -0,0 +1,46 @@
+#include "core/request_identity.h"
+
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Each part goes in behind its length: no other split of the same bytes is the same request. */
+static void add_part(EVP_MD_CTX *context, const void *bytes, size_t size)
+{
+    uint64_t length = size;
+    if (!EVP_DigestUpdate(context, &length, sizeof length) ||
+        !EVP_DigestUpdate(context, bytes, size))
+        abort(); /* only when libcrypto is not usable at all */
+}
+
+struct request_identity request_identity_of(const struct request_content *content)
+{
+    struct request_identity identity;
+    uint8_t digest[EVP_MAX_MD_SIZE];
+    EVP_MD_CTX *context = EVP_MD_CTX_new();
+    if (!context || !EVP_DigestInit_ex(context, EVP_sha256(), NULL))
+        abort(); /* only when libcrypto cannot allocate */
+    add_part(context, content->caller, strlen(content->caller));
+    add_part(context, content->method, strlen(content->method));
+    add_part(context, content->target, content->target_length);
+    add_part(context, content->body, content->body_size);
+    if (!EVP_DigestFinal_ex(context, digest, NULL))
+        abort();
+    EVP_MD_CTX_free(context);
+    memcpy(identity.bytes, digest, sizeof identity.bytes);
+    return identity;
+}
+
+bool request_identity_equal(const struct request_identity *left,
+                            const struct request_identity *right)
+{
+    return memcmp(left->bytes, right->bytes, REQUEST_IDENTITY_SIZE) == 0;
+}
+
+void request_identity_to_hex(const struct request_identity *identity,
+                             char hex[REQUEST_IDENTITY_HEX_SIZE])
+{
+    for (size_t i = 0; i < REQUEST_IDENTITY_SIZE; i++)
+        snprintf(hex + 2 * i, 3, "%02x", identity->bytes[i]);
+}
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -184,6 +184,24 @@
     return query ? (size_t)(query - request->text.data) : request->target_length;
 }
 
+const struct request_identity *exchange_identity(struct exchange *exchange)
+{
+    if (exchange->identified)
+        return &exchange->identity;
+    const struct http_message *request = edge_client_request(exchange->client);
+    const struct request_content content = {
+        .caller = exchange->tenant ? exchange->tenant->name : "",
+        .method = http_message_method(request),
+        .target = request->text.data,
+        .target_length = request->target_length,
+        .body = request->body.data,
+        .body_size = request->body.size,
+    };
+    exchange->identity = request_identity_of(&content);
+    exchange->identified = true;
+    return &exchange->identity;
+}
+
 static void set_times(struct exchange *exchange)
 {
     uint64_t hold_ms = exchange->route->timeout_ms;
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -150,10 +150,27 @@
     backend_pool_replaced(exchange->edge->pool, backend);
 }
 
+/* The back end may have ended, and what it ran may be why. */
+static void log_run_lost(struct exchange *exchange)
+{
+    const struct backend *backend = exchange->backend;
+    char identity[REQUEST_IDENTITY_HEX_SIZE];
+    request_identity_to_hex(exchange_identity(exchange), identity);
+    metric_add(METRIC_RUNS_LOST, 1);
+    log_event(LOG_LEVEL_WARN, "request", "run-lost",
+              "request=%s identity=%s backend=%s born=%" PRIu64 " events=%" PRIu64
+              " sends=%u sent_ms_ago=%" PRIu64 " others_here=%u",
+              exchange->head.id, identity, backend->listing.id, backend->listing.born,
+              exchange->events.events, exchange->sends, (cluster_now() - exchange->sent_at) / MS_US,
+              backend->in_flight - 1);
+}
+
 void exchange_on_broken(struct exchange *exchange, enum backend_result result,
                         enum exchange_end reason)
 {
     bool stream = exchange->route->kind == ROUTE_STREAM;
+    if (reason == END_BROKEN)
+        log_run_lost(exchange);
     exchange_end_attempt(exchange, result);
     exchange->may_have_run = true;
     event_stream_drop_partial(&exchange->events);
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -6,6 +6,7 @@
 #define SHUNTRUN_EXCHANGE_INTERNAL_H
 
 #include "core/attempt_rule.h"
+#include "core/request_identity.h"
 #include "edge/edge_internal.h"
 
 #define MS_US ((uint64_t)1000)
@@ -72,6 +73,8 @@
     uint64_t timer_due; /* when the timer was set to fire */
     struct exchange *next_waiting;
     bool in_line;
+    bool identified; /* `identity` is worked out */
+    struct request_identity identity;
 };
 
 /* --- exchange.c ---- */
@@ -81,6 +84,9 @@
 /** \brief Set the timer to the next moment at which time alone changes something. */
 void exchange_arm(struct exchange *exchange);
 
+/** \brief What makes it the same request as others, worked out at the first use. */
+const struct request_identity *exchange_identity(struct exchange *exchange);
+
 /* --- exchange_end.c ---- */
 
 /** \return the word for logs */
--- /dev/null
+++ b/tests/core/request_identity_test.c
@@ -0,0 +1,73 @@
+/* Which requests are the same one. */
+#include "testing.h"
+
+#include "core/request_identity.h"
+
+#include <string.h>
+
+static struct request_content content_of(const char *caller, const char *target, const char *body)
+{
+    return (struct request_content){.caller = caller,
+                                    .method = "POST",
+                                    .target = target,
+                                    .target_length = strlen(target),
+                                    .body = body,
+                                    .body_size = strlen(body)};
+}
+
+static bool are_same(const struct request_content *left, const struct request_content *right)
+{
+    struct request_identity left_identity = request_identity_of(left);
+    struct request_identity right_identity = request_identity_of(right);
+    return request_identity_equal(&left_identity, &right_identity);
+}
+
+static void the_same_content_is_the_same_request(void **state)
+{
+    struct request_content first = content_of("studio", "/brief?x=1", "words");
+    struct request_content again = content_of("studio", "/brief?x=1", "words");
+    assert_true(are_same(&first, &again));
+}
+
+static void each_part_makes_a_difference(void **state)
+{
+    struct request_content first = content_of("studio", "/brief", "words");
+    struct request_content others[] = {
+        content_of("rival", "/brief", "words"), content_of("studio", "/brief2", "words"),
+        content_of("studio", "/brief", "word"), content_of("studio", "/brief", ""),
+        content_of("", "/brief", "words"),      content_of("studio", "/brief", "words")};
+    others[5].method = "PUT";
+    for (size_t i = 0; i < sizeof others / sizeof others[0]; i++)
+        assert_false(are_same(&first, &others[i]));
+}
+
+/* A caller chooses its target and body: neither may move into the caller's place. */
+static void bytes_do_not_move_between_parts(void **state)
+{
+    struct request_content first = content_of("studio", "/brief", "words");
+    struct request_content moved = content_of("studio/", "brief", "words");
+    struct request_content longer = content_of("studio", "/briefw", "ords");
+    assert_false(are_same(&first, &moved));
+    assert_false(are_same(&first, &longer));
+}
+
+static void hex_shows_all_bytes(void **state)
+{
+    struct request_identity identity = {{0}};
+    char hex[REQUEST_IDENTITY_HEX_SIZE];
+    identity.bytes[0] = 0xab;
+    identity.bytes[REQUEST_IDENTITY_SIZE - 1] = 0x01;
+    request_identity_to_hex(&identity, hex);
+    assert_string_equal(hex, "ab000000000000000000000000000001");
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(the_same_content_is_the_same_request),
+        cmocka_unit_test(each_part_makes_a_difference),
+        cmocka_unit_test(bytes_do_not_move_between_parts),
+        cmocka_unit_test(hex_shows_all_bytes),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
