--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -21,6 +21,8 @@
 STREAM_EVENTS = 10
 # For which the fault "pause" stops a stream that goes on afterwards; "late" holds its beginning.
 PAUSE_S = 1.5
+# A request that ends its engine does so this long after it began to run.
+CRASH_AFTER_S = 0.08
 
 
 def stream_event(number):
@@ -218,7 +220,11 @@
         self.load_s = None      # an order takes so long once nothing runs; None: at once, beside all
         self.running = set()    # connections of the streams that it works on
         self.broken_off = []    # ids of the streams that it ended before they were whole
+        self.crashing_bodies = set()  # of requests that end the engine soon after they begin
+        self.crashes = []       # (body, time) of the requests that ended it
+        self.back_after_s = 1.0  # it starts again so long after such an end, empty
         self.state = state
+        self.alive = True
         self.lock = threading.Lock()
         self.server = Server(address, BackendHandler, self)
         self.list()
@@ -249,6 +255,29 @@
         for connection in list(self.connections):
             reset_connection(connection)
 
+    def crash_under(self, body):
+        """A request ends the engine; it is back after a while, under the same id."""
+        with self.lock:
+            if not self.alive:
+                return  # another one was first
+            self.alive = False
+            self.crashes.append((body, time.monotonic()))
+        self.server.socket.shutdown(socket.SHUT_RDWR)  # refuses connections from now on
+        self.crash()
+        timer = threading.Timer(self.back_after_s, self.start_again)
+        timer.daemon = True
+        timer.start()
+
+    def start_again(self):
+        """A new start under the same id: it knows nothing of before."""
+        with self.lock:
+            self.born = max(self.born + 1, int(time.time() * 1000))
+            self.staged, self.orders, self.version, self.loading = {}, 0, None, False
+            self.running = set()
+            self.server = Server(self.address, BackendHandler, self)
+            self.alive = True
+        self.list()
+
     def next_fault(self):
         with self.lock:
             return self.faults.pop(0) if self.faults else None
@@ -394,7 +423,10 @@
     def work(self, identity, body, fault, echo):
         owner = self.owner
         owner.runs.append((identity, dict(self.headers), body, time.monotonic()))
-        if fault == "reset":
+        if body in owner.crashing_bodies:
+            time.sleep(CRASH_AFTER_S)
+            owner.crash_under(body)
+        elif fault == "reset":
             self.reset()
         elif fault == "error":
             self.reply(500, b"failed", echo + self.seal())
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -36,7 +36,7 @@
     def __init__(self, identity, events, address=platform.EDGES[0]):
         super().__init__(daemon=True)
         self.identity, self.events, self.address = identity, events, address
-        self.status, self.body, self.error = None, b"", None
+        self.status, self.headers, self.body, self.error = None, {}, b"", None
         self.start()
 
     def run(self):
@@ -47,6 +47,7 @@
                 "Shuntrun-Deadline-Ms": str(DEADLINE_MS), "Authorization": "Bearer key-a"})
             response = connection.getresponse()
             self.status = response.status
+            self.headers = dict(response.getheaders())
             self.body = response.read()
         except (OSError, http.client.HTTPException) as error:
             self.error = error
