A request that crashes back ends is stopped by the whole fleet, and no other with it

Cause: what is known of a request was forgotten with its exchange, and core/backend_health blames the back end alone; so the next gateway, or the next attempt, sent it to the next engine. Ruled out by the sight before: no common request (two identities are at 43 and 44 of the lost runs, all others at one or two); our repeats as the only cause (each arrival is a new id). Change: core/crash_table holds which requests were there when starts of back ends ended; it merges in any order. edge/crash_watch confirms an end (no connection left and a new one refused, or another start at the address). cluster/crash_sync tells gateways at once and carries a digest on membership messages, so that nodes that start or come back learn it; loaders keep it. Suspects are placed by rendezvous weight; three ended starts block a request, unless another one was at all of them. A blocked one gets 503 at once, without a time to come back, and is taken off engines it still waits at. The test's oracle counts the ends at which a request ran, not only those that it was first to cause: with two of them on one engine the stand-in had named one (2 ends where it was at 3).

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -25,6 +25,10 @@
     X(METRIC_STREAMS_CUT_TIME, "shuntrun_streams_cut_total{reason=\"time\"}", "")                  \
     X(METRIC_RUNS_LOST, "shuntrun_runs_lost_total",                                                \
       "requests whose back end broke its connection before a whole answer")                        \
+    X(METRIC_CRASHES, "shuntrun_backend_crashes_total",                                            \
+      "starts of back ends that ended with requests of this gateway")                              \
+    X(METRIC_REQUESTS_BLOCKED, "shuntrun_blocked_requests_total",                                  \
+      "requests not run, as they crash back ends")                                                 \
     X(METRIC_TOKENS, "shuntrun_tokens_total", "tokens passed to callers")                          \
     X(METRIC_ANSWERS_DROPPED, "shuntrun_dropped_answers_total", "late or doubled answers dropped") \
     X(METRIC_KEYS_REPLAYED, "shuntrun_replayed_answers_total", "kept answers given to a repeat")   \
@@ -83,6 +87,7 @@
     X(METRIC_READY_MODELS, "shuntrun_ready_models", "models confirmed by the engine")              \
     X(METRIC_STATE_REVISION, "shuntrun_state_revision", "revision of the platform's state held")   \
     X(METRIC_WAITING_REQUESTS, "shuntrun_waiting_requests", "requests that wait for a place")      \
+    X(METRIC_SUSPECTS, "shuntrun_crash_suspects", "requests that were there when back ends ended") \
     X(METRIC_BACKENDS, "shuntrun_backends", "back ends that are listed")                           \
     X(METRIC_ENGINE_RUNNING, "shuntrun_engine_running", "requests that the own engine runs")       \
     X(METRIC_ENGINE_WAITING, "shuntrun_engine_waiting", "requests that wait at the own engine")    \
--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "cluster/crash_sync.h"
 #include "cluster/message_count.h"
 #include "cluster/news_push.h"
 #include "cluster/state_sync.h"
@@ -122,7 +123,10 @@
 static void on_membership_send(void *context, uint32_t address,
                                const Shuntrun__MemberMessage *message)
 {
-    cluster_send(context, address, message);
+    struct cluster *cluster = context;
+    Shuntrun__MemberMessage with_digest = *message;
+    with_digest.suspects_digest = crash_sync_digest(cluster->crashes);
+    cluster_send(cluster, address, &with_digest);
 }
 
 void cluster_pass_on(struct cluster *cluster)
@@ -210,6 +214,7 @@
         cluster->next_round = now + ROUND_US;
         log_member_changes(cluster);
         state_cache_trim(cluster->state, now > TOMBSTONE_US ? now - TOMBSTONE_US : 0);
+        crash_sync_trim(cluster->crashes, now);
     }
     state_sync_tick(cluster->sync, now);
     watch_start(cluster, now);
@@ -265,6 +270,7 @@
         return;
     }
     note_contact(cluster, now);
+    crash_sync_take(cluster->crashes, message, sender, now);
     if (message->sender && message->sender->address == sender)
         take_sender(cluster, message, sender, now);
     else
@@ -371,6 +377,7 @@
     struct state_cache_listener listener = {cluster, on_item};
     cluster->state = state_cache_create(&listener);
     cluster->sync = state_sync_create(cluster);
+    cluster->crashes = crash_sync_create(cluster);
     if (open_sockets(cluster, self.address))
         return 1;
     cluster->holds_all = role == MEMBER_GATEWAY;
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -17,6 +17,7 @@
 #include <uv.h>
 
 struct cluster;
+struct crash_sync;
 struct store_reader;
 struct state_sync;
 
@@ -28,6 +29,8 @@
     void (*load_received)(void *context, const Shuntrun__EngineLoad *load);
     /** A call of another node that is not the cluster's own; may be NULL. */
     service_handler *call_received;
+    /** Another node told of requests that crash back ends; may be NULL. */
+    void (*suspects_changed)(void *context);
     /** The process stood still for so long. */
     void (*woke)(void *context, uint64_t pause_us);
 };
@@ -43,6 +46,7 @@
     struct store_reader *reader; /**< NULL on nodes that never read the store */
     struct reader_role role;
     struct state_sync *sync;
+    struct crash_sync *crashes; /**< requests that crash back ends */
     uv_udp_t socket;
     uv_timer_t timer;
     uint16_t port; /**< of datagrams and calls, the same on all nodes */
--- /dev/null
+++ b/src/cluster/crash_sync.c
@@ -0,0 +1,257 @@
+#include "cluster/crash_sync.h"
+
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/** Requests in one message: some 2.5 kB. */
+#define SUSPECTS_MOST 24
+/** Gateways that a node tells itself. In a fleet with more, each that learns something new tells as
+ *  many, taken by chance: with 16 each, news reach all of 300 in three steps. */
+#define TOLD_MOST 16
+/** Time between two answers to digests that differ: 24 requests, 4 times a second, are at most
+ *  10 kB/s. While the same digests go on to differ, each wait is twice the last one. */
+#define REPAIR_US ((uint64_t)250000)
+#define REPAIR_MOST_US ((uint64_t)8000000)
+
+struct crash_sync {
+    struct cluster *cluster;
+    struct crash_table *table;
+    uint64_t next_repair;
+    uint64_t repair_wait;
+    uint64_t repaired;     /* the difference of digests that was answered last */
+    uint32_t repair_place; /* in the table: the next answer goes on from there */
+};
+
+/** Entries in the form of a message. */
+struct suspects_message {
+    Shuntrun__MemberMessage message;
+    Shuntrun__CrashSuspect suspects[SUSPECTS_MOST];
+    Shuntrun__CrashSuspect *suspect_pointers[SUSPECTS_MOST];
+    Shuntrun__CrashStart starts[SUSPECTS_MOST][CRASH_STARTS_KEPT];
+    Shuntrun__CrashStart *start_pointers[SUSPECTS_MOST][CRASH_STARTS_KEPT];
+};
+
+struct crash_sync *crash_sync_create(struct cluster *cluster)
+{
+    struct crash_sync *sync = memory_zero(1, sizeof *sync);
+    sync->cluster = cluster;
+    sync->table = crash_table_create();
+    return sync;
+}
+
+struct crash_table *crash_sync_table(const struct crash_sync *sync)
+{
+    return sync->table;
+}
+
+uint64_t crash_sync_digest(const struct crash_sync *sync)
+{
+    return crash_table_digest(sync->table);
+}
+
+void crash_sync_trim(struct crash_sync *sync, uint64_t now)
+{
+    crash_table_trim(sync->table, now);
+    metric_gauge_set(METRIC_SUSPECTS, crash_table_count(sync->table));
+}
+
+/* --- out -----------------------------------------------------------------------------------------
+ */
+
+static uint64_t age_ms(uint64_t time, uint64_t now)
+{
+    return now > time ? (now - time) / 1000 : 0;
+}
+
+static void begin_message(struct suspects_message *out)
+{
+    shuntrun__member_message__init(&out->message);
+    out->message.suspects = out->suspect_pointers;
+}
+
+static void add_entry(struct suspects_message *out, struct crash_entry *entry, uint64_t now)
+{
+    size_t place = out->message.n_suspects++;
+    Shuntrun__CrashSuspect *suspect = &out->suspects[place];
+    shuntrun__crash_suspect__init(suspect);
+    suspect->identity.data = entry->identity.bytes;
+    suspect->identity.len = sizeof entry->identity.bytes;
+    suspect->cleared_age_ms = entry->cleared_at ? age_ms(entry->cleared_at, now) + 1 : 0;
+    suspect->starts = out->start_pointers[place];
+    suspect->n_starts = entry->start_count;
+    for (uint32_t i = 0; i < entry->start_count; i++) {
+        Shuntrun__CrashStart *start = &out->starts[place][i];
+        shuntrun__crash_start__init(start);
+        start->start = entry->starts[i].start;
+        start->age_ms = age_ms(entry->starts[i].ended_at, now);
+        out->start_pointers[place][i] = start;
+    }
+    out->suspect_pointers[place] = suspect;
+}
+
+static bool is_told(const struct member_state *member)
+{
+    return member->role == MEMBER_GATEWAY && member_is_alive(member);
+}
+
+static uint32_t count_told(const struct membership *membership)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < membership_count(membership); i++)
+        count += is_told(membership_at(membership, i));
+    return count;
+}
+
+/* All living gateways, or TOLD_MOST of them taken by chance, each equally likely. */
+static void send_to_gateways(struct crash_sync *sync, const Shuntrun__MemberMessage *message)
+{
+    const struct membership *membership = sync->cluster->membership;
+    uint32_t left = count_told(membership);
+    uint32_t wanted = left < TOLD_MOST ? left : TOLD_MOST;
+    for (uint32_t i = 0; i < membership_count(membership) && wanted; i++) {
+        const struct member_state *member = membership_at(membership, i);
+        if (!is_told(member))
+            continue;
+        if (random_below(&sync->cluster->random, left--) >= wanted)
+            continue;
+        wanted--;
+        cluster_send(sync->cluster, member->address, message);
+    }
+}
+
+void crash_sync_tell(struct crash_sync *sync)
+{
+    struct suspects_message out;
+    uint64_t now = cluster_now();
+    uint32_t count = crash_table_count(sync->table);
+    begin_message(&out);
+    for (uint32_t i = 0; i < count; i++) {
+        struct crash_entry *entry = crash_table_at(sync->table, i);
+        if (!entry->untold)
+            continue;
+        entry->untold = false;
+        add_entry(&out, entry, now);
+        if (out.message.n_suspects < SUSPECTS_MOST)
+            continue;
+        send_to_gateways(sync, &out.message);
+        begin_message(&out);
+    }
+    if (out.message.n_suspects)
+        send_to_gateways(sync, &out.message);
+}
+
+static bool is_kept_by_all(const struct crash_entry *entry)
+{
+    return crash_entry_is_serious(entry) || entry->cleared_at;
+}
+
+static void send_serious(struct crash_sync *sync, uint32_t address, uint64_t now)
+{
+    struct suspects_message out;
+    uint32_t count = crash_table_count(sync->table);
+    begin_message(&out);
+    for (uint32_t i = 0; i < count && out.message.n_suspects < SUSPECTS_MOST; i++) {
+        sync->repair_place = (sync->repair_place + 1) % count;
+        struct crash_entry *entry = crash_table_at(sync->table, sync->repair_place);
+        if (is_kept_by_all(entry))
+            add_entry(&out, entry, now);
+    }
+    if (out.message.n_suspects)
+        cluster_send(sync->cluster, address, &out.message);
+}
+
+/* Another node holds something else. What one answer has no room for goes into the next one. */
+static void repair(struct crash_sync *sync, uint32_t address, uint64_t digest, uint64_t now)
+{
+    uint64_t difference = digest ^ crash_table_digest(sync->table);
+    if (!difference || now < sync->next_repair)
+        return;
+    uint64_t wait = difference == sync->repaired ? 2 * sync->repair_wait : REPAIR_US;
+    sync->repaired = difference;
+    sync->repair_wait = wait < REPAIR_MOST_US ? wait : REPAIR_MOST_US;
+    sync->next_repair = now + sync->repair_wait;
+    send_serious(sync, address, now);
+}
+
+/* --- in ------------------------------------------------------------------------------------------
+ */
+
+static uint64_t time_of_age(uint64_t age, uint64_t now)
+{
+    return now / 1000 > age ? now - age * 1000 : 1;
+}
+
+/* \return whether it could be decoded */
+static bool read_suspect(const Shuntrun__CrashSuspect *suspect, uint64_t now,
+                         struct crash_entry *entry)
+{
+    *entry = (struct crash_entry){0};
+    if (suspect->identity.len != sizeof entry->identity.bytes)
+        return false;
+    memcpy(entry->identity.bytes, suspect->identity.data, sizeof entry->identity.bytes);
+    if (suspect->cleared_age_ms)
+        entry->cleared_at = time_of_age(suspect->cleared_age_ms - 1, now);
+    for (size_t i = 0; i < suspect->n_starts && i < CRASH_STARTS_KEPT; i++)
+        entry->starts[entry->start_count++] = (struct crash_start){
+            suspect->starts[i]->start, time_of_age(suspect->starts[i]->age_ms, now)};
+    return true;
+}
+
+static void log_learned(const struct crash_sync *sync, const struct crash_entry *told,
+                        uint32_t sender, uint64_t now)
+{
+    char identity[REQUEST_IDENTITY_HEX_SIZE];
+    const struct crash_entry *entry = crash_table_find(sync->table, &told->identity);
+    bool blocked = crash_table_judge(sync->table, &told->identity, now) == CRASH_BLOCKED;
+    request_identity_to_hex(&told->identity, identity);
+    log_event(LOG_LEVEL_INFO, "crash", "learned", "identity=%s starts=%u peer=%08x outcome=%s",
+              identity, entry->start_count, sender, blocked ? "blocked" : "suspect");
+}
+
+/* \return whether anything of it is new */
+static bool take_suspects(struct crash_sync *sync, const Shuntrun__MemberMessage *message,
+                          uint32_t sender, uint64_t now)
+{
+    bool changed = false;
+    for (size_t i = 0; i < message->n_suspects; i++) {
+        struct crash_entry entry;
+        if (!read_suspect(message->suspects[i], now, &entry)) {
+            log_event(LOG_LEVEL_WARN, "crash", "unreadable", "peer=%08x identity_bytes=%zu", sender,
+                      message->suspects[i]->identity.len);
+            continue;
+        }
+        if (!crash_table_merge(sync->table, &entry))
+            continue;
+        changed = true;
+        if (crash_entry_is_serious(&entry))
+            log_learned(sync, &entry, sender, now);
+    }
+    return changed;
+}
+
+/* In a fleet in which the first to know tells all gateways, nobody needs to pass it on. */
+static void pass_on(struct crash_sync *sync)
+{
+    if (count_told(sync->cluster->membership) > TOLD_MOST) {
+        crash_sync_tell(sync);
+        return;
+    }
+    for (uint32_t i = 0; i < crash_table_count(sync->table); i++)
+        crash_table_at(sync->table, i)->untold = false;
+}
+
+void crash_sync_take(struct crash_sync *sync, const Shuntrun__MemberMessage *message,
+                     uint32_t sender, uint64_t now)
+{
+    if (take_suspects(sync, message, sender, now)) {
+        pass_on(sync);
+        if (sync->cluster->callbacks.suspects_changed)
+            sync->cluster->callbacks.suspects_changed(sync->cluster->callbacks.context);
+    }
+    if (message->sender)
+        repair(sync, sender, message->suspects_digest, now);
+}
--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -1,5 +1,6 @@
 /* Which back end gets a request: what is fit, what has room, and which of these is the best. */
 #include "core/backend_pool_internal.h"
+#include "core/hash.h"
 
 /** Parts of the expected time to the first token at an engine, ms. */
 #define ENGINE_BASE_MS 80
@@ -370,9 +371,39 @@
     return best ? best : offer->ejected;
 }
 
+/* By a key alone, so that all gateways choose alike. */
+static enum backend_absence choose_by_rank(const struct backend_pool *pool,
+                                           const struct backend_wish *wish, uint64_t now,
+                                           struct backend **chosen)
+{
+    const struct backend_group *group = backend_table_group(&pool->table, wish->service);
+    uint64_t best_weight = 0;
+    bool fit = false;
+    *chosen = NULL;
+    for (uint32_t i = 0; group && i < group->count; i++) {
+        struct backend *backend = group->items[i];
+        if (!is_fit(pool, wish, backend, now))
+            continue;
+        fit = true;
+        if (is_ejected(backend, now) || (!wish->any_load && !has_room(pool, wish, backend, now)))
+            continue;
+        uint64_t weight = hash_pair(wish->rank_key, hash_name(backend->listing.id));
+        if (*chosen && weight <= best_weight)
+            continue;
+        best_weight = weight;
+        *chosen = backend;
+    }
+    if (!*chosen)
+        return fit ? BACKEND_FULL : BACKEND_NONE;
+    (*chosen)->probing = (*chosen)->ejected_until != 0;
+    return BACKEND_FOUND;
+}
+
 enum backend_absence backend_pool_choose(struct backend_pool *pool, const struct backend_wish *wish,
                                          uint64_t now, struct backend **chosen)
 {
+    if (wish->rank_key)
+        return choose_by_rank(pool, wish, now, chosen);
     struct offer offer = {0};
     const struct backend_group *group = backend_table_group(&pool->table, wish->service);
     for (uint32_t i = 0; group && i < group->count; i++) {
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -48,6 +48,11 @@
     return pool->table.count;
 }
 
+struct backend *backend_pool_find_address(const struct backend_pool *pool, const char *address)
+{
+    return backend_table_find_address(&pool->table, address);
+}
+
 struct backend *backend_pool_at(const struct backend_pool *pool, uint32_t index)
 {
     return pool->table.items[index];
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -140,6 +140,8 @@
 struct backend *backend_pool_report(struct backend_pool *pool, const char *address,
                                     const struct backend_load *load, uint64_t now);
 
+/** \return the back end that is listed at an address, or NULL */
+struct backend *backend_pool_find_address(const struct backend_pool *pool, const char *address);
 uint32_t backend_pool_count(const struct backend_pool *pool);
 struct backend *backend_pool_at(const struct backend_pool *pool, uint32_t index);
 struct backend *backend_retain(struct backend *backend);
@@ -165,6 +167,9 @@
     /** Time that the request is expected to take; 0: not known. An engine that is to run empty
      *  sooner gets it only if there is no other: its other places would stay empty meanwhile. */
     uint64_t expected_us;
+    /** Not 0: of the back ends with room the first by rendezvous weight for this key gets it. Same
+     *  requests meet at one back end then, and others rarely do. */
+    uint64_t rank_key;
 };
 
 enum backend_absence {
--- /dev/null
+++ b/src/core/crash_table.c
@@ -0,0 +1,265 @@
+#include "core/crash_table.h"
+
+#include "base/memory.h"
+#include "core/hash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct crash_table {
+    struct crash_entry *entries;
+    uint32_t count;
+};
+
+struct crash_table *crash_table_create(void)
+{
+    struct crash_table *table = memory_zero(1, sizeof *table);
+    table->entries = memory_zero(CRASH_ENTRIES_MOST, sizeof *table->entries);
+    return table;
+}
+
+void crash_table_destroy(struct crash_table *table)
+{
+    free(table->entries);
+    free(table);
+}
+
+uint64_t crash_start_key(const char *backend_id, uint64_t born)
+{
+    return hash_pair(hash_name(backend_id), born);
+}
+
+/* --- one entry -----------------------------------------------------------------------------------
+ */
+
+static uint64_t newest_end(const struct crash_entry *entry)
+{
+    return entry->start_count ? entry->starts[entry->start_count - 1].ended_at : 0;
+}
+
+uint32_t crash_entry_weight(const struct crash_entry *entry)
+{
+    uint32_t weight = 0;
+    uint64_t counted_at = 0;
+    for (uint32_t i = 0; i < entry->start_count; i++) {
+        uint64_t ended_at = entry->starts[i].ended_at;
+        if (weight && ended_at < counted_at + CRASH_SAME_MOMENT_US)
+            continue;
+        counted_at = ended_at;
+        weight++;
+    }
+    return weight;
+}
+
+bool crash_entry_is_serious(const struct crash_entry *entry)
+{
+    return entry->start_count > 1;
+}
+
+static void remove_start(struct crash_entry *entry, uint32_t place)
+{
+    entry->start_count--;
+    memmove(&entry->starts[place], &entry->starts[place + 1],
+            (entry->start_count - place) * sizeof entry->starts[0]);
+}
+
+static void insert_start(struct crash_entry *entry, const struct crash_start *start)
+{
+    if (entry->start_count == CRASH_STARTS_KEPT)
+        remove_start(entry, 0);
+    uint32_t place = entry->start_count++;
+    while (place && entry->starts[place - 1].ended_at > start->ended_at) {
+        entry->starts[place] = entry->starts[place - 1];
+        place--;
+    }
+    entry->starts[place] = *start;
+}
+
+/* \return place, or the number of starts */
+static uint32_t find_start(const struct crash_entry *entry, uint64_t start)
+{
+    uint32_t place = 0;
+    while (place < entry->start_count && entry->starts[place].start != start)
+        place++;
+    return place;
+}
+
+/* \return whether the start was not held. An earlier time of a known one is no news. */
+static bool add_start(struct crash_entry *entry, const struct crash_start *start)
+{
+    if (start->ended_at <= entry->cleared_at)
+        return false;
+    uint32_t place = find_start(entry, start->start);
+    bool known = place < entry->start_count;
+    if (known && entry->starts[place].ended_at <= start->ended_at)
+        return false;
+    bool full = entry->start_count == CRASH_STARTS_KEPT;
+    if (!known && full && start->ended_at <= entry->starts[0].ended_at)
+        return false;
+    if (known)
+        remove_start(entry, place);
+    insert_start(entry, start);
+    return !known;
+}
+
+/* \return whether anything changed */
+static bool clear_until(struct crash_entry *entry, uint64_t at)
+{
+    if (at <= entry->cleared_at)
+        return false;
+    entry->cleared_at = at;
+    while (entry->start_count && entry->starts[0].ended_at <= at)
+        remove_start(entry, 0);
+    return true;
+}
+
+/* \return whether the one request was there at the end of all the starts of the other */
+static bool was_at_all(const struct crash_entry *entry, const struct crash_entry *other)
+{
+    for (uint32_t i = 0; i < other->start_count; i++)
+        if (find_start(entry, other->starts[i].start) == entry->start_count)
+            return false;
+    return true;
+}
+
+/* --- the table -----------------------------------------------------------------------------------
+ */
+
+static struct crash_entry *lookup(const struct crash_table *table,
+                                  const struct request_identity *identity)
+{
+    for (uint32_t i = 0; i < table->count; i++)
+        if (request_identity_equal(&table->entries[i].identity, identity))
+            return &table->entries[i];
+    return NULL;
+}
+
+static bool has_less_evidence(const struct crash_entry *entry, const struct crash_entry *than)
+{
+    if (entry->start_count != than->start_count)
+        return entry->start_count < than->start_count;
+    return newest_end(entry) < newest_end(than);
+}
+
+static struct crash_entry *least_suspect(struct crash_table *table)
+{
+    struct crash_entry *least = &table->entries[0];
+    for (uint32_t i = 1; i < table->count; i++)
+        if (has_less_evidence(&table->entries[i], least))
+            least = &table->entries[i];
+    return least;
+}
+
+static struct crash_entry *find_or_add(struct crash_table *table,
+                                       const struct request_identity *identity)
+{
+    struct crash_entry *entry = lookup(table, identity);
+    if (entry)
+        return entry;
+    entry =
+        table->count < CRASH_ENTRIES_MOST ? &table->entries[table->count++] : least_suspect(table);
+    *entry = (struct crash_entry){.identity = *identity};
+    return entry;
+}
+
+bool crash_table_add(struct crash_table *table, const struct request_identity *identity,
+                     const struct crash_start *start)
+{
+    struct crash_entry *entry = find_or_add(table, identity);
+    bool is_new = add_start(entry, start);
+    entry->untold |= is_new;
+    return is_new;
+}
+
+bool crash_table_clear(struct crash_table *table, const struct request_identity *identity,
+                       uint64_t at)
+{
+    struct crash_entry *entry = lookup(table, identity);
+    if (!entry || !entry->start_count)
+        return false;
+    bool serious = crash_entry_is_serious(entry);
+    clear_until(entry, at);
+    entry->untold |= serious; /* nobody else keeps the others for long */
+    return true;
+}
+
+bool crash_table_merge(struct crash_table *table, const struct crash_entry *other)
+{
+    struct crash_entry *entry = find_or_add(table, &other->identity);
+    bool changed = clear_until(entry, other->cleared_at);
+    for (uint32_t i = 0; i < other->start_count; i++)
+        changed |= add_start(entry, &other->starts[i]);
+    entry->untold |= changed;
+    return changed;
+}
+
+static bool somebody_else_was_at_all(const struct crash_table *table,
+                                     const struct crash_entry *entry)
+{
+    for (uint32_t i = 0; i < table->count; i++)
+        if (&table->entries[i] != entry && was_at_all(&table->entries[i], entry))
+            return true;
+    return false;
+}
+
+enum crash_verdict crash_table_judge(const struct crash_table *table,
+                                     const struct request_identity *identity, uint64_t now)
+{
+    const struct crash_entry *entry = table->count ? lookup(table, identity) : NULL;
+    if (!entry || !entry->start_count)
+        return CRASH_NO_SUSPECT;
+    uint32_t weight = crash_entry_weight(entry);
+    bool lately = now < newest_end(entry) + CRASH_BLOCK_US;
+    if (weight < CRASH_STARTS_TO_BLOCK || !lately)
+        return CRASH_SUSPECT;
+    if (weight < CRASH_STARTS_TO_BLOCK_ANY && somebody_else_was_at_all(table, entry))
+        return CRASH_SUSPECT;
+    return CRASH_BLOCKED;
+}
+
+static bool is_over(const struct crash_entry *entry, uint64_t now)
+{
+    uint64_t newest = newest_end(entry) > entry->cleared_at ? newest_end(entry) : entry->cleared_at;
+    return now >= newest + (crash_entry_is_serious(entry) ? CRASH_REMEMBER_US : CRASH_SUSPECT_US);
+}
+
+void crash_table_trim(struct crash_table *table, uint64_t now)
+{
+    for (uint32_t i = table->count; i-- > 0;)
+        if (is_over(&table->entries[i], now))
+            table->entries[i] = table->entries[--table->count];
+}
+
+uint32_t crash_table_count(const struct crash_table *table)
+{
+    return table->count;
+}
+
+struct crash_entry *crash_table_at(struct crash_table *table, uint32_t index)
+{
+    return &table->entries[index];
+}
+
+const struct crash_entry *crash_table_find(const struct crash_table *table,
+                                           const struct request_identity *identity)
+{
+    return lookup(table, identity);
+}
+
+static uint64_t digest_of_entry(const struct crash_entry *entry)
+{
+    uint64_t digest = 0;
+    uint64_t identity = hash_bytes(entry->identity.bytes, sizeof entry->identity.bytes);
+    for (uint32_t i = 0; i < entry->start_count; i++)
+        digest ^= hash_pair(identity, entry->starts[i].start);
+    return digest;
+}
+
+uint64_t crash_table_digest(const struct crash_table *table)
+{
+    uint64_t digest = 0;
+    for (uint32_t i = 0; i < table->count; i++)
+        if (crash_entry_is_serious(&table->entries[i]))
+            digest ^= digest_of_entry(&table->entries[i]);
+    return digest;
+}
--- /dev/null
+++ b/src/edge/crash_watch.c
@@ -0,0 +1,240 @@
+#include "edge/crash_watch.h"
+
+#include "base/log.h"
+#include "base/memory.h"
+#include "base/metrics.h"
+#include "cluster/crash_sync.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** Requests of this gateway at one back end that are kept; engines run 12 to 16 of all gateways. */
+#define RUNS_MOST 64
+/** Time after the first broken connection in which the others of an ended back end break too. */
+#define GATHER_MS 10
+/** A new connection that is neither up nor refused by then proves nothing. */
+#define CONNECT_MS 700
+/** Time in which another start at the address shows that the last one ended. */
+#define RESTART_US ((uint64_t)5000000)
+
+enum crash_check_state {
+    CHECK_GATHERS,  /* further connections may break */
+    CHECK_CONNECTS, /* whether a new one is refused */
+    CHECK_WAITS,    /* for another start at the address */
+};
+
+/* A back end that may have ended, and the requests that broke off there. */
+struct crash_check {
+    struct edge *edge;
+    struct backend *backend;
+    uint64_t start; /* crash_start_key() */
+    uint64_t broken_at;
+    enum crash_check_state state;
+    struct request_identity runs[RUNS_MOST];
+    uint32_t run_count;
+    uv_timer_t timer;
+    uv_tcp_t connection;
+    uv_connect_t connect;
+    uint32_t open_handles;
+    struct crash_check *next;
+};
+
+/* --- end of a check ------------------------------------------------------------------------------
+ */
+
+static void on_closed(uv_handle_t *handle)
+{
+    struct crash_check *check = handle->data;
+    if (--check->open_handles)
+        return;
+    backend_release(check->backend);
+    free(check);
+}
+
+static void end_check(struct crash_check *check)
+{
+    struct crash_check **place = &check->edge->crash_checks;
+    while (*place != check)
+        place = &(*place)->next;
+    *place = check->next;
+    uv_close((uv_handle_t *)&check->timer, on_closed);
+    if (check->open_handles > 1 && !uv_is_closing((uv_handle_t *)&check->connection))
+        uv_close((uv_handle_t *)&check->connection, on_closed);
+}
+
+static const char *const verdict_names[] = {
+    [CRASH_NO_SUSPECT] = "none", [CRASH_SUSPECT] = "suspect", [CRASH_BLOCKED] = "blocked"};
+
+static void add_evidence(struct crash_check *check, const struct request_identity *identity)
+{
+    struct crash_table *table = crash_sync_table(check->edge->cluster.crashes);
+    struct crash_start start = {check->start, check->broken_at};
+    char hex[REQUEST_IDENTITY_HEX_SIZE];
+    if (!crash_table_add(table, identity, &start))
+        return;
+    const struct crash_entry *entry = crash_table_find(table, identity);
+    enum crash_verdict verdict = crash_table_judge(table, identity, cluster_now());
+    request_identity_to_hex(identity, hex);
+    log_event(LOG_LEVEL_WARN, "crash", "evidence",
+              "identity=%s backend=%s born=%" PRIu64 " starts=%u weight=%u outcome=%s", hex,
+              check->backend->listing.id, check->backend->listing.born, entry->start_count,
+              crash_entry_weight(entry), verdict_names[verdict]);
+}
+
+static void confirm(struct crash_check *check, const char *proof)
+{
+    struct edge *edge = check->edge;
+    metric_add(METRIC_CRASHES, 1);
+    log_event(LOG_LEVEL_WARN, "crash", "ended",
+              "backend=%s born=%" PRIu64 " proof=%s requests=%u ended_ms_ago=%" PRIu64,
+              check->backend->listing.id, check->backend->listing.born, proof, check->run_count,
+              (cluster_now() - check->broken_at) / 1000);
+    for (uint32_t i = 0; i < check->run_count; i++)
+        add_evidence(check, &check->runs[i]);
+    end_check(check);
+    crash_sync_tell(edge->cluster.crashes);
+    edge_client_end_blocked(edge);
+}
+
+static void dismiss(struct crash_check *check, const char *reason)
+{
+    log_event(LOG_LEVEL_INFO, "crash", "dismissed", "backend=%s requests=%u reason=%s",
+              check->backend->listing.id, check->run_count, reason);
+    end_check(check);
+}
+
+/* --- steps of a check ----------------------------------------------------------------------------
+ */
+
+static void wait_for_restart(struct crash_check *check)
+{
+    check->state = CHECK_WAITS;
+    uv_timer_stop(&check->timer);
+    if (!uv_is_closing((uv_handle_t *)&check->connection))
+        uv_close((uv_handle_t *)&check->connection, on_closed);
+}
+
+static void on_connected(uv_connect_t *request, int status)
+{
+    struct crash_check *check = request->data;
+    if (status == UV_ECANCELED) /* the check is over, or its time to connect is */
+        return;
+    if (status == UV_ECONNREFUSED)
+        confirm(check, "refused");
+    else
+        wait_for_restart(check);
+}
+
+static void on_connect_time(uv_timer_t *timer)
+{
+    wait_for_restart(timer->data);
+}
+
+static void connect_anew(struct crash_check *check)
+{
+    struct sockaddr_in address;
+    check->state = CHECK_CONNECTS;
+    if (!tcp_address_parse(check->backend->listing.address, &address)) {
+        dismiss(check, "bad-address");
+        return;
+    }
+    uv_tcp_init(check->edge->loop, &check->connection);
+    check->connection.data = check;
+    check->open_handles++;
+    check->connect.data = check;
+    uv_timer_start(&check->timer, on_connect_time, CONNECT_MS, 0);
+    int error = uv_tcp_connect(&check->connect, &check->connection,
+                               (const struct sockaddr *)&address, on_connected);
+    if (error == UV_ECONNREFUSED)
+        confirm(check, "refused");
+    else if (error)
+        wait_for_restart(check);
+}
+
+static void on_gathered(uv_timer_t *timer)
+{
+    struct crash_check *check = timer->data;
+    if (upstream_is_open(check->backend))
+        dismiss(check, "other-connections-live");
+    else
+        connect_anew(check);
+}
+
+/* --- begin ---------------------------------------------------------------------------------------
+ */
+
+static struct crash_check *find_check(const struct edge *edge, const struct backend *backend)
+{
+    for (struct crash_check *check = edge->crash_checks; check; check = check->next)
+        if (check->backend == backend)
+            return check;
+    return NULL;
+}
+
+static struct crash_check *begin_check(struct edge *edge, struct backend *backend)
+{
+    struct crash_check *check = memory_zero(1, sizeof *check);
+    check->edge = edge;
+    check->backend = backend_retain(backend);
+    check->start = crash_start_key(backend->listing.id, backend->listing.born);
+    check->broken_at = cluster_now();
+    uv_timer_init(edge->loop, &check->timer);
+    check->timer.data = check;
+    check->open_handles = 1;
+    uv_timer_start(&check->timer, on_gathered, GATHER_MS, 0);
+    check->next = edge->crash_checks;
+    edge->crash_checks = check;
+    return check;
+}
+
+static void add_run(struct crash_check *check, const struct request_identity *identity)
+{
+    for (uint32_t i = 0; i < check->run_count; i++)
+        if (request_identity_equal(&check->runs[i], identity))
+            return;
+    if (check->run_count == RUNS_MOST) {
+        log_event(LOG_LEVEL_WARN, "crash", "too-many", "backend=%s most=%d",
+                  check->backend->listing.id, RUNS_MOST);
+        return;
+    }
+    check->runs[check->run_count++] = *identity;
+}
+
+/* It ends because it was told to. */
+static bool leaves(const struct backend *backend)
+{
+    return backend->listing.draining || backend->unlisted_until;
+}
+
+void crash_watch_lost_run(struct edge *edge, struct backend *backend,
+                          const struct request_identity *identity, const char *request_id)
+{
+    if (leaves(backend)) {
+        log_event(LOG_LEVEL_INFO, "crash", "planned", "request=%s backend=%s draining=%d",
+                  request_id, backend->listing.id, backend->listing.draining);
+        return;
+    }
+    struct crash_check *check = find_check(edge, backend);
+    add_run(check ? check : begin_check(edge, backend), identity);
+}
+
+static bool has_restarted(const struct crash_check *check)
+{
+    const struct backend *there =
+        backend_pool_find_address(check->edge->pool, check->backend->listing.address);
+    return there && there != check->backend;
+}
+
+void crash_watch_tick(struct edge *edge, uint64_t now)
+{
+    for (struct crash_check *check = edge->crash_checks, *next; check; check = next) {
+        next = check->next;
+        if (check->state != CHECK_WAITS)
+            continue;
+        if (has_restarted(check))
+            confirm(check, "restarted");
+        else if (now > check->broken_at + RESTART_US)
+            dismiss(check, "it-lives");
+    }
+}
--- /dev/null
+++ b/src/edge/crash_watch.h
@@ -0,0 +1,22 @@
+/**
+ * Finds out whether a back end has ended when requests there broke off, and tells all nodes which
+ * requests it had.
+ *
+ * One broken connection proves nothing: connections are reset on their way, and an engine may break
+ * an answer off and live on. A back end counts as ended when none of this gateway's connections to
+ * it is left and a new one is refused, or when another start stands at its address soon after. One
+ * that said it leaves, or that the list dropped, ends as planned and proves nothing.
+ */
+#ifndef SHUNTRUN_CRASH_WATCH_H
+#define SHUNTRUN_CRASH_WATCH_H
+
+#include "core/crash_table.h"
+#include "edge/edge_internal.h"
+
+/** \brief A request broke off at a back end. */
+void crash_watch_lost_run(struct edge *edge, struct backend *backend,
+                          const struct request_identity *identity, const char *request_id);
+/** \brief Look for other starts at the addresses of back ends that are in doubt. */
+void crash_watch_tick(struct edge *edge, uint64_t now);
+
+#endif
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 #include "core/attempt_rule.h"
 #include "core/hash.h"
+#include "edge/crash_watch.h"
 #include "edge/edge_internal.h"
 #include "weights/weight_relay.h"
 
@@ -74,6 +75,11 @@
     upstream_close_idle(edge);
 }
 
+static void on_suspects_changed(void *context)
+{
+    edge_client_end_blocked(context);
+}
+
 /* --- readiness
  */
 
@@ -153,6 +159,7 @@
     uint64_t now = cluster_now();
     count_gateways(edge);
     weight_relay_tick(edge->relay, now);
+    crash_watch_tick(edge, now);
     backend_pool_settle(edge->pool, cluster_store_is_sound(&edge->cluster), now);
     sweep_connections(edge, now);
     exchange_dispatch_waiting(edge);
@@ -219,6 +226,7 @@
                                           .item_changed = on_item,
                                           .load_received = on_load,
                                           .call_received = on_call,
+                                          .suspects_changed = on_suspects_changed,
                                           .woke = on_woke};
     struct backend_pool_settings pool = {.queue_per_engine = (uint32_t)settings->engine_queue,
                                          .tokens_per_engine =
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -279,6 +279,15 @@
     }
 }
 
+void edge_client_end_blocked(struct edge *edge)
+{
+    for (struct edge_client *client = edge->clients, *next; client; client = next) {
+        next = client->next;
+        if (client->exchange)
+            exchange_end_if_blocked(client->exchange);
+    }
+}
+
 static bool is_overdue(const struct edge_client *client, uint64_t now, bool *in_head)
 {
     const struct route_table *table = client->edge->table;
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -19,6 +19,7 @@
 
 #define EDGE_SERVICES_MOST 64
 
+struct crash_check;
 struct edge_client;
 struct exchange;
 struct upstream;
@@ -51,10 +52,11 @@
     uv_timer_t timer;
     uint64_t last_tick;
     struct edge_client *clients;
-    struct exchange *waiting; /**< requests that wait for a place, most urgent first */
-    uint32_t active;          /**< requests that have no final answer yet */
-    uint32_t gateways;        /**< alive now, at least 1 */
-    uint32_t gateways_most;   /**< the most seen lately; shares the repeat budget */
+    struct crash_check *crash_checks; /**< broken connections whose back end may have ended */
+    struct exchange *waiting;         /**< requests that wait for a place, most urgent first */
+    uint32_t active;                  /**< requests that have no final answer yet */
+    uint32_t gateways;                /**< alive now, at least 1 */
+    uint32_t gateways_most;           /**< the most seen lately; shares the repeat budget */
     uint64_t started;
     bool answered;           /**< a client got a whole answer since the start */
     uint64_t stopping_since; /**< 0: not stopping */
@@ -78,6 +80,8 @@
 void edge_client_stream_end(struct edge_client *client);
 /** \brief Break the connection, so that what was sent cannot look complete. */
 void edge_client_break(struct edge_client *client);
+/** \brief End the requests that are known to crash back ends now, wherever they are. */
+void edge_client_end_blocked(struct edge *edge);
 size_t edge_client_pending(const struct edge_client *client);
 struct edge *edge_client_edge(const struct edge_client *client);
 const struct http_message *edge_client_request(const struct edge_client *client);
@@ -91,6 +95,8 @@
 void exchange_start(struct exchange *exchange);
 /** \brief The client is gone: stop the work. */
 void exchange_abandon(struct exchange *exchange);
+/** \brief End it if it is among those that crash back ends. */
+void exchange_end_if_blocked(struct exchange *exchange);
 /** \return requests that wait for a place */
 uint32_t exchange_waiting_count(const struct edge *edge);
 /** \brief Places may be free again: offer them to those that wait. */
@@ -128,6 +134,8 @@
 void upstream_cancel(struct upstream *upstream);
 /** \brief Whether the request was handed to a connection that is up. */
 bool upstream_is_sent(const struct upstream *upstream);
+/** \return whether a connection to the back end is up */
+bool upstream_is_open(const struct backend *backend);
 /** \brief Read no more for now, or go on. */
 void upstream_pause(struct upstream *upstream, bool pause);
 /** \brief Close idle connections whose time is over. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -175,7 +175,7 @@
               status, reason, edge->table ? route_table_version(edge->table) : 0);
     metric_add(METRIC_REQUESTS_BAD, 1);
     exchange_answer_own(edge, client, head->id, status,
-                        status == 503 ? exchange_absent_retry_ms(edge) : 0);
+                        status == 503 ? exchange_absent_retry_ms(edge) : 0, "");
 }
 
 static size_t path_length(const struct http_message *request)
@@ -184,24 +184,6 @@
     return query ? (size_t)(query - request->text.data) : request->target_length;
 }
 
-const struct request_identity *exchange_identity(struct exchange *exchange)
-{
-    if (exchange->identified)
-        return &exchange->identity;
-    const struct http_message *request = edge_client_request(exchange->client);
-    const struct request_content content = {
-        .caller = exchange->tenant ? exchange->tenant->name : "",
-        .method = http_message_method(request),
-        .target = request->text.data,
-        .target_length = request->target_length,
-        .body = request->body.data,
-        .body_size = request->body.size,
-    };
-    exchange->identity = request_identity_of(&content);
-    exchange->identified = true;
-    return &exchange->identity;
-}
-
 static void set_times(struct exchange *exchange)
 {
     uint64_t hold_ms = exchange->route->timeout_ms;
@@ -263,6 +245,10 @@
     }
     struct exchange *exchange = exchange_create(edge, client, &head, route, tenant);
     repeat_budget_earn(&exchange->state_of_service->budget, exchange->arrived);
+    if (exchange_is_blocked(exchange)) {
+        exchange_give_up_truly(exchange, END_BLOCKED);
+        return NULL;
+    }
     return exchange;
 }
 
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -134,6 +134,7 @@
         stream_length_learn(&exchange->state_of_service->stream_length, exchange->head.tokens_guess,
                             cluster_now() - exchange->sent_at);
     exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
+    exchange_ran_well(exchange);
     count_done(exchange->edge);
     exchange_log_end(exchange, 200, END_DONE, exchange->tried_count ? exchange->tried[0] : NULL);
     exchange_finish(exchange);
@@ -150,27 +151,12 @@
     backend_pool_replaced(exchange->edge->pool, backend);
 }
 
-/* The back end may have ended, and what it ran may be why. */
-static void log_run_lost(struct exchange *exchange)
-{
-    const struct backend *backend = exchange->backend;
-    char identity[REQUEST_IDENTITY_HEX_SIZE];
-    request_identity_to_hex(exchange_identity(exchange), identity);
-    metric_add(METRIC_RUNS_LOST, 1);
-    log_event(LOG_LEVEL_WARN, "request", "run-lost",
-              "request=%s identity=%s backend=%s born=%" PRIu64 " events=%" PRIu64
-              " sends=%u sent_ms_ago=%" PRIu64 " others_here=%u",
-              exchange->head.id, identity, backend->listing.id, backend->listing.born,
-              exchange->events.events, exchange->sends, (cluster_now() - exchange->sent_at) / MS_US,
-              backend->in_flight - 1);
-}
-
 void exchange_on_broken(struct exchange *exchange, enum backend_result result,
                         enum exchange_end reason)
 {
     bool stream = exchange->route->kind == ROUTE_STREAM;
     if (reason == END_BROKEN)
-        log_run_lost(exchange);
+        exchange_on_lost_run(exchange);
     exchange_end_attempt(exchange, result);
     exchange->may_have_run = true;
     event_stream_drop_partial(&exchange->events);
@@ -219,6 +205,7 @@
             return;
         }
         exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
+        exchange_ran_well(exchange);
         pass_on(exchange, message, END_DONE);
         return;
     }
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -19,6 +19,12 @@
 static const struct come_back_settings full_settings = {
     .weight = 0.05, .lasting_share = 0.2, .least_ms = 500, .most_ms = 1200, .spread_share = 65};
 
+/* What a caller reads whose request crashes back ends. There is no time to come back: it would
+ * crash the next one too. */
+#define BLOCKED_TEXT                                                                               \
+    "This request is not run: several back ends ended while they ran it. Do not send it again "    \
+    "unchanged.\n"
+
 /* --- the trail of an exchange, for its one log line
  * ----------------------------------------------- */
 
@@ -59,6 +65,7 @@
     [END_MISDIRECTED] = "misdirected",
     [END_RESUME_REFUSED] = "resume-refused",
     [END_BACKEND_ERROR] = "backend-error",
+    [END_BLOCKED] = "crashes-back-ends",
 };
 
 const char *exchange_end_name(enum exchange_end end)
@@ -208,13 +215,15 @@
 }
 
 void exchange_answer_own(struct edge *edge, struct edge_client *client, const char *request_id,
-                         unsigned status, uint32_t wait_ms)
+                         unsigned status, uint32_t wait_ms, const char *text)
 {
     struct buffer head = {0};
     buffer_append_format(&head, "HTTP/1.1 %u %s\r\n", status,
                          http_status_str((enum http_status)status));
     platform_write_own_answer(request_id, wait_ms, &head);
-    edge_client_answer(client, &head, NULL, 0);
+    if (text[0])
+        buffer_append_text(&head, "Content-Type: text/plain\r\n");
+    edge_client_answer(client, &head, text, strlen(text));
     buffer_clear(&head);
 }
 
@@ -225,6 +234,8 @@
     struct edge *edge = exchange->edge;
     exchange_log_end(exchange, status, reason, exchange->backend);
     metric_add(status == 503 ? METRIC_REQUESTS_NOT_RUN : METRIC_REQUESTS_UNKNOWN, 1);
+    if (reason == END_BLOCKED)
+        metric_add(METRIC_REQUESTS_BLOCKED, 1);
     if (exchange->streaming) {
         count_cut(reason);
         exchange_finish(exchange);
@@ -232,10 +243,11 @@
         return;
     }
     char id[PLATFORM_TEXT_SIZE];
-    uint32_t wait_ms = status == 503 ? retry_after_ms(exchange) : 0;
+    uint32_t wait_ms = status == 503 && reason != END_BLOCKED ? retry_after_ms(exchange) : 0;
     memcpy(id, exchange->head.id, sizeof id);
     exchange_finish(exchange);
-    exchange_answer_own(edge, client, id, status, wait_ms);
+    exchange_answer_own(edge, client, id, status, wait_ms,
+                        reason == END_BLOCKED ? BLOCKED_TEXT : "");
 }
 
 /* Nothing has run: say so, or admit that it is not known. */
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -29,6 +29,7 @@
     END_MISDIRECTED,    /**< another back end stands there, or it has other weights */
     END_RESUME_REFUSED, /**< another answer than the rest of a stream */
     END_BACKEND_ERROR,  /**< the back end reported a failure of its own */
+    END_BLOCKED,        /**< it crashes the back ends that run it */
 };
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
@@ -73,6 +74,7 @@
     uint64_t timer_due; /* when the timer was set to fire */
     struct exchange *next_waiting;
     bool in_line;
+    bool suspected;  /* a back end broke off while it was there */
     bool identified; /* `identity` is worked out */
     struct request_identity identity;
 };
@@ -84,8 +86,18 @@
 /** \brief Set the timer to the next moment at which time alone changes something. */
 void exchange_arm(struct exchange *exchange);
 
+/* --- exchange_suspicion.c ---- */
+
 /** \brief What makes it the same request as others, worked out at the first use. */
 const struct request_identity *exchange_identity(struct exchange *exchange);
+/** \return whether it crashes the back ends that run it, as far as is known now */
+bool exchange_is_blocked(struct exchange *exchange);
+/** \return a key by which a suspect is placed apart from others; 0: it is no suspect */
+uint64_t exchange_rank_key(struct exchange *exchange);
+/** \brief Its back end broke the connection, and may have ended. */
+void exchange_on_lost_run(struct exchange *exchange);
+/** \brief A back end ran it to a whole answer and lives. */
+void exchange_ran_well(struct exchange *exchange);
 
 /* --- exchange_end.c ---- */
 
@@ -102,9 +114,13 @@
                       const struct backend *backend);
 /** \brief The request is over; the exchange is freed once its timer is closed. */
 void exchange_finish(struct exchange *exchange);
-/** \brief Answer the client in this system's own name. \param wait_ms Retry-After, 0: none */
+/**
+ * \brief Answer the client in this system's own name.
+ * \param wait_ms Retry-After, 0: none
+ * \param text body that says why, "": none
+ */
 void exchange_answer_own(struct edge *edge, struct edge_client *client, const char *request_id,
-                         unsigned status, uint32_t wait_ms);
+                         unsigned status, uint32_t wait_ms, const char *text);
 /** \return time after which a client should come back when no back end serves at all, ms */
 uint32_t exchange_absent_retry_ms(struct edge *edge);
 /** \brief Note whether a request found a place, for the time to come back of others. */
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -54,7 +54,7 @@
                                 exchange->head.tokens_guess);
 }
 
-static void fill_wish(const struct exchange *exchange, uint64_t now, struct backend_wish *wish)
+static void fill_wish(struct exchange *exchange, uint64_t now, struct backend_wish *wish)
 {
     *wish = (struct backend_wish){
         .service = exchange->service->name,
@@ -69,6 +69,7 @@
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
         .expected_us = expected_us(exchange),
+        .rank_key = exchange_rank_key(exchange),
     };
     for (uint32_t i = exchange->excluded_from; i < exchange->tried_count; i++)
         wish->excluded[wish->excluded_count++] = exchange->tried[i];
@@ -334,6 +335,10 @@
         exchange_give_up_truly(exchange, reason);
         return;
     }
+    if (exchange_is_blocked(exchange)) {
+        exchange_give_up_truly(exchange, END_BLOCKED);
+        return;
+    }
     log_retry(exchange, reason, now);
     if (exchange->streaming) {
         exchange->owes_repeat = true;
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -257,6 +257,16 @@
     return upstream->state == UPSTREAM_BUSY;
 }
 
+bool upstream_is_open(const struct backend *backend)
+{
+    const struct upstream_list *list = backend->connections;
+    for (const struct upstream *upstream = list ? list->first : NULL; upstream;
+         upstream = upstream->next)
+        if (upstream->state != UPSTREAM_CONNECTING)
+            return true;
+    return false;
+}
+
 void upstream_pause(struct upstream *upstream, bool pause)
 {
     tcp_stream_pause(upstream->stream, pause);
--- a/tests/system/crash_test.py
+++ b/tests/system/crash_test.py
@@ -102,9 +102,9 @@
         return guilty
 
     def ends_under(self, body):
-        """Times at which an engine ended under the request."""
-        return sorted(when for engine in self.engines for what, when in engine.crashes
-                      if what == body)
+        """Times at which an engine ended while it ran the request."""
+        return sorted(when for engine in self.engines for bodies, when in engine.crashes
+                      if body in bodies)
 
     def sends_after(self, body, moment):
         return [run for engine in self.engines for run in engine.runs
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -221,7 +221,8 @@
         self.running = set()    # connections of the streams that it works on
         self.broken_off = []    # ids of the streams that it ended before they were whole
         self.crashing_bodies = set()  # of requests that end the engine soon after they begin
-        self.crashes = []       # (body, time) of the requests that ended it
+        self.crashing = []      # bodies of such requests that run here now
+        self.crashes = []       # (bodies of those that ran, time) of each such end
         self.back_after_s = 1.0  # it starts again so long after such an end, empty
         self.state = state
         self.alive = True
@@ -255,13 +256,19 @@
         for connection in list(self.connections):
             reset_connection(connection)
 
-    def crash_under(self, body):
-        """A request ends the engine; it is back after a while, under the same id."""
+    def run_crashing(self, body):
+        """A request ends the engine soon; it is back after a while, under the same id."""
+        self.crashing.append(body)
+        time.sleep(CRASH_AFTER_S)
+        self.crash_and_return()
+        self.crashing.remove(body)
+
+    def crash_and_return(self):
         with self.lock:
             if not self.alive:
                 return  # another one was first
             self.alive = False
-            self.crashes.append((body, time.monotonic()))
+            self.crashes.append((set(self.crashing), time.monotonic()))
         self.server.socket.shutdown(socket.SHUT_RDWR)  # refuses connections from now on
         self.crash()
         timer = threading.Timer(self.back_after_s, self.start_again)
@@ -424,8 +431,7 @@
         owner = self.owner
         owner.runs.append((identity, dict(self.headers), body, time.monotonic()))
         if body in owner.crashing_bodies:
-            time.sleep(CRASH_AFTER_S)
-            owner.crash_under(body)
+            owner.run_crashing(body)
         elif fault == "reset":
             self.reset()
         elif fault == "error":
