crash_watch: other connections that are still up are doubt, not proof; each break is checked anew

Cause: a loop that is late may fire the timer before it reads the other connections' ends, and a check that found its back end alive looked no more for 5 s.

--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -13,6 +13,8 @@
 #define RUNS_MOST 64
 /** Time after the first broken connection in which the others of an ended back end break too. */
 #define GATHER_MS 10
+/** Requests that broke off so long before the last one did not run when the back end ended. */
+#define SAME_END_US ((uint64_t)300000)
 /** A new connection that is neither up nor refused by then proves nothing. */
 #define CONNECT_MS 700
 /** Time in which another start at the address shows that the last one ended. */
@@ -20,23 +22,29 @@
 
 enum crash_check_state {
     CHECK_GATHERS,  /* further connections may break */
+    CHECK_DOUBTS,   /* some are still up: they may break yet */
     CHECK_CONNECTS, /* whether a new one is refused */
     CHECK_WAITS,    /* for another start at the address */
 };
 
+struct lost_run {
+    struct request_identity identity;
+    uint64_t broken_at;
+};
+
 /* A back end that may have ended, and the requests that broke off there. */
 struct crash_check {
     struct edge *edge;
     struct backend *backend;
-    uint64_t start; /* crash_start_key() */
-    uint64_t broken_at;
+    uint64_t start;     /* crash_start_key() */
+    uint64_t broken_at; /* when the last request broke off */
     enum crash_check_state state;
-    struct request_identity runs[RUNS_MOST];
+    struct lost_run runs[RUNS_MOST];
     uint32_t run_count;
     uv_timer_t timer;
     uv_tcp_t connection;
     uv_connect_t connect;
-    uint32_t open_handles;
+    uint32_t open_handles; /* the timer, and the connection while there is one */
     struct crash_check *next;
 };
 
@@ -91,7 +99,8 @@
               check->backend->listing.id, check->backend->listing.born, proof, check->run_count,
               (cluster_now() - check->broken_at) / 1000);
     for (uint32_t i = 0; i < check->run_count; i++)
-        add_evidence(check, &check->runs[i]);
+        if (check->runs[i].broken_at + SAME_END_US >= check->broken_at)
+            add_evidence(check, &check->runs[i].identity);
     end_check(check);
     crash_sync_tell(edge->cluster.crashes);
     edge_client_end_blocked(edge);
@@ -156,7 +165,7 @@
 {
     struct crash_check *check = timer->data;
     if (upstream_is_open(check->backend))
-        dismiss(check, "other-connections-live");
+        check->state = CHECK_DOUBTS;
     else
         connect_anew(check);
 }
@@ -172,33 +181,50 @@
     return NULL;
 }
 
+static void gather(struct crash_check *check)
+{
+    check->state = CHECK_GATHERS;
+    uv_timer_start(&check->timer, on_gathered, GATHER_MS, 0);
+}
+
 static struct crash_check *begin_check(struct edge *edge, struct backend *backend)
 {
     struct crash_check *check = memory_zero(1, sizeof *check);
     check->edge = edge;
     check->backend = backend_retain(backend);
     check->start = crash_start_key(backend->listing.id, backend->listing.born);
-    check->broken_at = cluster_now();
     uv_timer_init(edge->loop, &check->timer);
     check->timer.data = check;
     check->open_handles = 1;
-    uv_timer_start(&check->timer, on_gathered, GATHER_MS, 0);
+    gather(check);
     check->next = edge->crash_checks;
     edge->crash_checks = check;
     return check;
 }
 
-static void add_run(struct crash_check *check, const struct request_identity *identity)
+static struct lost_run *find_run(struct crash_check *check, const struct request_identity *identity)
 {
     for (uint32_t i = 0; i < check->run_count; i++)
-        if (request_identity_equal(&check->runs[i], identity))
-            return;
+        if (request_identity_equal(&check->runs[i].identity, identity))
+            return &check->runs[i];
+    return NULL;
+}
+
+static void add_run(struct crash_check *check, const struct request_identity *identity,
+                    uint64_t now)
+{
+    struct lost_run *known = find_run(check, identity);
+    check->broken_at = now;
+    if (known) {
+        known->broken_at = now;
+        return;
+    }
     if (check->run_count == RUNS_MOST) {
         log_event(LOG_LEVEL_WARN, "crash", "too-many", "backend=%s most=%d",
                   check->backend->listing.id, RUNS_MOST);
         return;
     }
-    check->runs[check->run_count++] = *identity;
+    check->runs[check->run_count++] = (struct lost_run){*identity, now};
 }
 
 /* It ends because it was told to. */
@@ -216,7 +242,11 @@
         return;
     }
     struct crash_check *check = find_check(edge, backend);
-    add_run(check ? check : begin_check(edge, backend), identity);
+    if (!check)
+        check = begin_check(edge, backend);
+    else if (check->state == CHECK_WAITS && check->open_handles == 1)
+        gather(check);
+    add_run(check, identity, cluster_now());
 }
 
 static bool has_restarted(const struct crash_check *check)
@@ -230,11 +260,13 @@
 {
     for (struct crash_check *check = edge->crash_checks, *next; check; check = next) {
         next = check->next;
-        if (check->state != CHECK_WAITS)
+        if (check->state == CHECK_GATHERS || check->state == CHECK_CONNECTS)
             continue;
         if (has_restarted(check))
             confirm(check, "restarted");
         else if (now > check->broken_at + RESTART_US)
             dismiss(check, "it-lives");
+        else if (check->state == CHECK_DOUBTS && !upstream_is_open(check->backend))
+            connect_anew(check);
     }
 }
