Engines that end without a word: nothing goes there until they show again; begun streams wait for them

Ruled out by tests that failed first: core.backend_pool, two cases, before the change. Change: a new start keeps what the list said last; crash_watch tells the pool of an end, and the back end gets nothing for 3 s unless it shows again; a begun stream waits for an engine that comes back, or is empty and about to get its version (core/version_bounds knows the newest one named).

--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -122,28 +122,49 @@
            is_dubious(pool, backend);
 }
 
+static bool has_ended(const struct backend *backend, uint64_t now)
+{
+    return now < backend->ended_until;
+}
+
 bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
                        const struct backend_wish *wish, uint64_t now)
 {
-    if (!backend->listed || is_out_of_use(pool, backend, now))
+    if (!backend->listed || is_out_of_use(pool, backend, now) || has_ended(backend, now))
         return false;
     return !wish->engine || has_version(pool, wish, backend, now);
 }
 
+/* It is empty, and is to get the version that the request needs. */
+static bool gets_version(const struct backend_pool *pool, const struct backend_wish *wish,
+                         const struct backend *backend, uint64_t now)
+{
+    return wish->exact_version && wish->exact_version == wish->coming_version &&
+           wish->exact_version >= wish->least_version && !weights_version(pool, backend, now);
+}
+
 static bool is_loading(const struct backend_pool *pool, const struct backend *backend, uint64_t now)
 {
     return backend_has_recent_load(pool, backend, now) && backend->load.loading;
 }
 
+static bool may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
+                      const struct backend *backend, uint64_t now)
+{
+    if (is_out_of_use(pool, backend, now))
+        return false;
+    if (!wish->engine || gets_version(pool, wish, backend, now))
+        return true;
+    return has_version(pool, wish, backend, now) && !is_loading(pool, backend, now);
+}
+
 bool backend_pool_may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
                             uint64_t now)
 {
     const struct backend_group *group = backend_table_group(&pool->table, wish->service);
-    for (uint32_t i = 0; group && i < group->count; i++) {
-        const struct backend *backend = group->items[i];
-        if (backend_may_begin(pool, backend, wish, now) && !is_loading(pool, backend, now))
+    for (uint32_t i = 0; group && i < group->count; i++)
+        if (may_serve(pool, wish, group->items[i], now))
             return true;
-    }
     return false;
 }
 
@@ -158,7 +179,7 @@
 static bool is_fit(const struct backend_pool *pool, const struct backend_wish *wish,
                    const struct backend *backend, uint64_t now)
 {
-    if (is_out_of_use(pool, backend, now) || is_excluded(wish, backend))
+    if (is_out_of_use(pool, backend, now) || has_ended(backend, now) || is_excluded(wish, backend))
         return false;
     if (!wish->engine)
         return true;
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -98,6 +98,7 @@
     backend->listed = true;
     backend->unlisted_until = 0;
     backend->doubtful = false;
+    backend->ended_until = 0;
     return backend;
 }
 
@@ -154,6 +155,12 @@
         drop_backend(pool, backend);
 }
 
+void backend_pool_ended(struct backend_pool *pool, struct backend *backend, uint64_t now)
+{
+    if (backend->listed)
+        backend->ended_until = now + BACKEND_ENDED_US;
+}
+
 /* What the list says holds, also when the back end's clock was set back between two starts. */
 static bool is_of_earlier_start(const struct backend *backend, const struct backend_load *load)
 {
@@ -165,15 +172,20 @@
     return backend->listing.born && load->born > backend->listing.born;
 }
 
-/* The list does not know of this start yet: nothing that was learned of the earlier one holds. */
+/* The list does not know of this start yet: nothing that was learned of the earlier one holds, but
+ * what the list itself said last. An engine that it had dropped was used 2.4 s after when it
+ * started again, 0.4 s past the bound (real processes). */
 static struct backend *begin_start(struct backend_pool *pool, struct backend *before, uint64_t born)
 {
     struct backend_listing listing = before->listing;
-    uint16_t distance = before->distance;
-    uint64_t listed_born = before->listed_born;
     listing.born = born;
-    struct backend *backend = backend_pool_list(pool, &listing, distance);
-    backend->listed_born = listed_born;
+    backend_retain(before);
+    struct backend *backend = backend_pool_list(pool, &listing, before->distance);
+    backend->listed_born = before->listed_born;
+    backend->unlisted_at = before->unlisted_at;
+    backend->unlisted_until = before->unlisted_until;
+    backend->doubtful = before->doubtful;
+    backend_release(before);
     return backend;
 }
 
@@ -187,6 +199,7 @@
         backend = begin_start(pool, backend, load->born);
     backend->load = *load;
     backend->load_at = now;
+    backend->ended_until = 0;
     backend->turn_at = load->turn_ms ? now + load->turn_ms * (uint64_t)1000 : 0;
     backend->sent_since = 0;
     backend->tokens_since = 0;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -66,6 +66,7 @@
     uint64_t unlisted_at;     /**< time at which this gateway heard that the list dropped it */
     uint64_t unlisted_until;  /**< dropped by the list, but usable until then; 0: listed */
     bool doubtful;            /**< dropped by an outage of the list's keeper, perhaps */
+    uint64_t ended_until;     /**< believed to have ended, until then; 0: not */
     uint16_t distance;        /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight;       /**< requests of this gateway */
     uint32_t unread;          /**< those of them that have no byte of an answer yet */
@@ -132,6 +133,12 @@
 void backend_pool_settle(struct backend_pool *pool, bool sound, uint64_t now);
 /** \brief The back end at an address is no longer the listed one. */
 void backend_pool_replaced(struct backend_pool *pool, struct backend *backend);
+/** A back end that is believed to have ended gets nothing for so long, unless it shows again: one
+ *  that crashed is back after some seconds, and one that only seemed to have ended loses no more.
+ */
+#define BACKEND_ENDED_US ((uint64_t)3000000)
+/** \brief The start that is listed has ended without a word. */
+void backend_pool_ended(struct backend_pool *pool, struct backend *backend, uint64_t now);
 /**
  * \brief Take a report of load in. A report of a later start than the listed one begins that start
  * anew; one of an earlier start is late, and left out.
@@ -158,8 +165,9 @@
     double read_tokens_per_ms; /**< rate at which an engine reads prompts */
     uint64_t least_version;    /**< of the weights; 0: any */
     uint64_t next_version;     /**< required soon: only engines that have it at hand may be older */
-    uint64_t later_version; /**< required in a while: engines on slow links must have it already */
-    uint64_t exact_version; /**< of the weights; 0: any */
+    uint64_t later_version;  /**< required in a while: engines on slow links must have it already */
+    uint64_t exact_version;  /**< of the weights; 0: any */
+    uint64_t coming_version; /**< that empty engines are about to get; 0: not known */
     const struct backend *excluded[BACKEND_MAX_EXCLUDED];
     uint32_t excluded_count;
     uint32_t gateways; /**< that send to the same back ends */
@@ -184,8 +192,9 @@
 /** \return whether a back end that is not ejected has room for the request */
 bool backend_pool_has_room(struct backend_pool *pool, const struct backend_wish *wish,
                            uint64_t now);
-/** \return whether some back end could run the request once it has a place, is no longer ejected or
- * answers again; those that the wish leaves out count too */
+/** \return whether some back end could run the request once it has a place, is no longer ejected,
+ * answers again, is back after an end or has got the weights that are on their way; those that the
+ * wish leaves out count too */
 bool backend_pool_may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
                             uint64_t now);
 /** \return whether a request may still begin there, with weights of at least this version */
--- a/src/core/version_bounds.c
+++ b/src/core/version_bounds.c
@@ -31,6 +31,12 @@
     versions->count = kept + 1;
 }
 
+uint64_t version_bounds_newest(const struct version_bounds *bounds, const char *model)
+{
+    const struct model_versions *versions = find(bounds, model);
+    return versions && versions->count ? versions->bounds[0].version : 0;
+}
+
 uint64_t version_bounds_least(const struct version_bounds *bounds, const char *model, uint64_t now)
 {
     const struct model_versions *versions = find(bounds, model);
--- a/src/core/version_bounds.h
+++ b/src/core/version_bounds.h
@@ -7,6 +7,8 @@
 
 #include <stdint.h>
 
+/** The version that a model has until the operator names one. */
+#define FIRST_VERSION 1
 #define VERSION_BOUNDS_MODELS 16
 #define VERSION_BOUNDS_VERSIONS 8
 #define VERSION_MODEL_SIZE 64
@@ -30,6 +32,8 @@
 /** \brief A version was named; older or known ones are ignored. */
 void version_bounds_name(struct version_bounds *bounds, const char *model, uint64_t version,
                          uint64_t enforced_at);
+/** \return the newest version that was named; 0: none was */
+uint64_t version_bounds_newest(const struct version_bounds *bounds, const char *model);
 /** \return the least version that may begin work now; 0: any */
 uint64_t version_bounds_least(const struct version_bounds *bounds, const char *model, uint64_t now);
 
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -94,6 +94,7 @@
 {
     struct edge *edge = check->edge;
     metric_add(METRIC_CRASHES, 1);
+    backend_pool_ended(edge->pool, check->backend, cluster_now());
     log_event(LOG_LEVEL_WARN, "crash", "ended",
               "backend=%s born=%" PRIu64 " proof=%s requests=%u ended_ms_ago=%" PRIu64,
               check->backend->listing.id, check->backend->listing.born, proof, check->run_count,
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -45,6 +45,14 @@
     return model ? version_bounds_least(&exchange->edge->versions, model, at) : 0;
 }
 
+/* Empty engines get the newest version that was named, the first one when none was. */
+static uint64_t coming_version(const struct exchange *exchange)
+{
+    const char *model = exchange->service->engine.model;
+    uint64_t newest = model ? version_bounds_newest(&exchange->edge->versions, model) : 0;
+    return newest ? newest : FIRST_VERSION;
+}
+
 /* A begun stream goes wherever it can go on. */
 static uint64_t expected_us(const struct exchange *exchange)
 {
@@ -66,6 +74,7 @@
         .next_version = least_version(exchange, now + VERSION_LEAD_US),
         .later_version = least_version(exchange, now + VERSION_SLOW_LEAD_US),
         .exact_version = exchange->resuming ? exchange->version : 0,
+        .coming_version = coming_version(exchange),
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
         .expected_us = expected_us(exchange),
--- a/src/loader/wanted_versions.h
+++ b/src/loader/wanted_versions.h
@@ -5,11 +5,10 @@
 #ifndef SHUNTRUN_WANTED_VERSIONS_H
 #define SHUNTRUN_WANTED_VERSIONS_H
 
+#include "core/version_bounds.h"
 #include "loader/installer.h"
 #include "loader/piece_store.h"
 
-/** The first version of a model; the operator names only later ones. */
-#define FIRST_VERSION 1
 /** Versions whose pieces are held: the one in use, one on its way and one named meanwhile. */
 #define VERSIONS_KEPT 3
 
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -358,6 +358,84 @@
 }
 
 /* Its clock was set back between two starts: the list's last word decides. */
+/* The list dropped it before; a start that only its loader knows of is not listed by that. */
+static void a_dropped_back_end_is_not_listed_by_a_report(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend_listing listing = start_of(1000);
+    struct backend_load load = {.version = 1, .born = 1000}, later = {.version = 1, .born = 2000};
+    backend_pool_list(pool, &listing, 0);
+    report(pool, 1, load, 1);
+    unlist(pool, false, SECOND_US);
+    report(pool, 1, later, 2 * SECOND_US);
+    assert_non_null(choose(pool, &wish, 2 * SECOND_US));
+    report(pool, 1, later, 4 * SECOND_US);
+    assert_null(choose(pool, &wish, 4 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void an_ended_back_end_gets_nothing_until_it_shows_again(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend_listing listing = start_of(1000);
+    struct backend_load load = {.version = 1, .born = 1000}, later = {.version = 1, .born = 2000};
+    struct backend *backend = backend_pool_list(pool, &listing, 0);
+    report(pool, 1, load, 1);
+    backend_pool_ended(pool, backend, 2);
+    struct backend *chosen;
+    assert_int_equal(backend_pool_choose(pool, &wish, 3, &chosen), BACKEND_NONE);
+    assert_true(backend_pool_may_serve(pool, &wish, 3)); /* it comes back */
+    report(pool, 1, later, SECOND_US);
+    assert_non_null(choose(pool, &wish, SECOND_US));
+    /* The end was believed by mistake: nothing new is heard. */
+    backend = choose(pool, &wish, SECOND_US);
+    backend_pool_ended(pool, backend, SECOND_US);
+    assert_null(choose(pool, &wish, SECOND_US));
+    assert_non_null(choose(pool, &wish, SECOND_US + BACKEND_ENDED_US));
+    backend_pool_destroy(pool);
+}
+
+/* A begun stream waits for an engine that started again, empty, and gets its version. */
+static void an_empty_engine_may_serve_what_it_is_to_hold(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    add(pool, 1, 0, 0);
+    wish.exact_version = 2;
+    assert_false(backend_pool_may_serve(pool, &wish, 1));
+    wish.coming_version = 3;
+    assert_false(backend_pool_may_serve(pool, &wish, 1));
+    wish.coming_version = 2;
+    assert_true(backend_pool_may_serve(pool, &wish, 1));
+    wish.least_version = 3; /* nobody may begin it any more */
+    assert_false(backend_pool_may_serve(pool, &wish, 1));
+    backend_pool_destroy(pool);
+}
+
+static void a_rank_key_takes_same_requests_to_one_back_end(void **state)
+{
+    struct backend_pool *pools[2];
+    struct backend_wish wish = wish_of();
+    uint32_t same = 0;
+    for (uint32_t i = 0; i < 2; i++) {
+        pools[i] = backend_pool_create(&settings, i + 1);
+        for (int number = 1; number <= 12; number++)
+            add(pools[i], i ? 13 - number : number, 1, 0);
+        for (int number = 1; number <= 12; number++)
+            report(pools[i], number, (struct backend_load){.version = 1}, 1);
+    }
+    for (wish.rank_key = 1; wish.rank_key <= 100; wish.rank_key++) {
+        struct backend *first = choose(pools[0], &wish, 2), *second = choose(pools[1], &wish, 2);
+        assert_string_equal(first->listing.id, second->listing.id);
+        same += strcmp(first->listing.id, "i-1") == 0;
+    }
+    assert_in_range(same, 2, 20);
+    for (uint32_t i = 0; i < 2; i++)
+        backend_pool_destroy(pools[i]);
+}
+
 static void a_start_that_seems_older_is_believed_when_the_list_says_so(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -620,6 +698,10 @@
         cmocka_unit_test(an_id_that_starts_again_begins_anew),
         cmocka_unit_test(a_report_of_an_earlier_start_is_left_out),
         cmocka_unit_test(a_report_may_tell_of_a_start_before_the_list_does),
+        cmocka_unit_test(a_dropped_back_end_is_not_listed_by_a_report),
+        cmocka_unit_test(an_ended_back_end_gets_nothing_until_it_shows_again),
+        cmocka_unit_test(an_empty_engine_may_serve_what_it_is_to_hold),
+        cmocka_unit_test(a_rank_key_takes_same_requests_to_one_back_end),
         cmocka_unit_test(a_start_that_seems_older_is_believed_when_the_list_says_so),
         cmocka_unit_test(an_entry_that_alone_does_not_date_its_start_is_not_used),
         cmocka_unit_test(prompts_at_one_engine_are_bounded),
--- a/tests/core/version_bounds_test.c
+++ b/tests/core/version_bounds_test.c
@@ -10,6 +10,8 @@
     version_bounds_name(&bounds, "m", 2, 1000);
     version_bounds_name(&bounds, "m", 4, 3000);
     version_bounds_name(&bounds, "m", 3, 500); /* older than what is known: no news */
+    assert_int_equal(version_bounds_newest(&bounds, "m"), 4);
+    assert_int_equal(version_bounds_newest(&bounds, "other"), 0);
     assert_int_equal(version_bounds_least(&bounds, "m", 999), 0);
     assert_int_equal(version_bounds_least(&bounds, "m", 1000), 2);
     assert_int_equal(version_bounds_least(&bounds, "m", 2999), 2);
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -226,6 +226,7 @@
         self.back_after_s = 1.0  # it starts again so long after such an end, empty
         self.state = state
         self.alive = True
+        self.returns = False    # it starts again soon
         self.lock = threading.Lock()
         self.server = Server(address, BackendHandler, self)
         self.list()
@@ -248,7 +249,11 @@
         self.store.remove("servers/" + self.identity)
 
     def crash(self):
-        """End at once: connections are reset, new ones refused."""
+        """End at once and for good: connections are reset, new ones refused."""
+        self.returns = False
+        self.end_now()
+
+    def end_now(self):
         self.server.shutdown()
         self.server.server_close()
         with self.lock:
@@ -268,9 +273,10 @@
             if not self.alive:
                 return  # another one was first
             self.alive = False
+            self.returns = True
             self.crashes.append((set(self.crashing), time.monotonic()))
         self.server.socket.shutdown(socket.SHUT_RDWR)  # refuses connections from now on
-        self.crash()
+        self.end_now()
         timer = threading.Timer(self.back_after_s, self.start_again)
         timer.daemon = True
         timer.start()
@@ -278,6 +284,8 @@
     def start_again(self):
         """A new start under the same id: it knows nothing of before."""
         with self.lock:
+            if not self.returns:
+                return  # it ended for good meanwhile
             self.born = max(self.born + 1, int(time.time() * 1000))
             self.staged, self.orders, self.version, self.loading = {}, 0, None, False
             self.running = set()
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -11,13 +11,18 @@
   drain      nothing begins at a back end longer than DRAIN_S after the store said that it leaves
   streams    a stream that has begun ends whole, unless an engine broke it off or its time was over
   entries    nothing is sent to what a bad entry of the list names
+  crashing   a request under which three engines ended reaches none later than CALM_S after the third
+  innocent   no other request is refused as one that crashes engines
   planned    a stopped edge ends by itself with status 0, and cuts no request that it has read
   alive      no process ends without being told to
   recovery   requests are served again within RECOVERY_S of the last fault
 
 Times get the slack of a busy machine, measured in the same run: how late this process wakes.
 
-usage: soak.py --build DIR --work DIR [--seeds A..B] [--seconds S] [--only N,N]
+With --crashing requests that end each engine which runs them come besides; the schedule of a seed is
+the same with and without.
+
+usage: soak.py --build DIR --work DIR [--seeds A..B] [--seconds S] [--only N,N] [--crashing]
 """
 import argparse
 import http.client
@@ -45,6 +50,11 @@
 DEADLINE_S = 2.0
 TRAP_PORT = 8106     # where bad entries lead, each to an address of its own
 FAULT_GAP_S = (0.3, 1.2)
+CRASHING_GAP_S = (2.0, 5.0)  # between the first coming of two requests that end engines
+CRASHING_REPEAT_S = 0.2
+CRASHING_FOR_S = 6.0
+CRASHES_TO_BLOCK = 3
+BLOCKED = b"several back ends ended"  # in the answer to such a request
 SPARE_S = 0.3        # beside the measured slack: a request on its way
 
 
@@ -73,6 +83,7 @@
     status: int | None   # None: no answer
     whole: bool          # the whole answer to this request
     cut: bool            # the connection broke after the request was handed over
+    blocked: bool        # refused as one that crashes engines
 
 
 class Client(threading.Thread):
@@ -123,7 +134,7 @@
             self.connection = None
         whole = data is not None and self.is_whole(kind, path, body, data)
         self.results.append(Result(identity, kind, self.edge, sent, time.monotonic(), status, whole,
-                                   handed_over and data is None))
+                                   handed_over and data is None, BLOCKED in (data or b"")))
 
     @staticmethod
     def is_whole(kind, path, body, data):
@@ -132,9 +143,44 @@
         return data == b"answer to " + path.encode() + b" " + (body or b"")
 
 
+class Crashing(threading.Thread):
+    """A caller whose request ends each engine that runs it, and comes again under new ids."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.body = b"crash-%d" % number
+        self.random = random.Random(soak.seed * 1000 + number)
+        self.edges = {}  # id of a request -> the edge that it was sent to
+        self.start()
+
+    def run(self):
+        end = time.monotonic() + CRASHING_FOR_S
+        while time.monotonic() < end and not self.soak.over.is_set():
+            identity = "%s-%03d" % (self.body.decode(), len(self.edges))
+            self.edges[identity] = self.random.choice(fleet.EDGES)
+            threading.Thread(target=self.send, args=(identity,), daemon=True).start()
+            time.sleep(CRASHING_REPEAT_S)
+
+    def send(self, identity):
+        connection = http.client.HTTPConnection(self.edges[identity], fleet.FRONT, timeout=4)
+        try:
+            connection.request("POST", "/stream/" + self.body.decode(), self.body, {
+                "Host": "a.example", "Shuntrun-Request-Id": identity,
+                "Shuntrun-Deadline-Ms": str(int(1000 * DEADLINE_S)), "Authorization": "Bearer key-a"})
+            connection.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            pass  # what engines ran is judged, not its answers
+        finally:
+            connection.close()
+
+
 class Soak:
-    def __init__(self, seed, seconds, only, work):
+    def __init__(self, seed, seconds, only, crashing, work):
         self.seed = seed
+        self.with_crashing = crashing
+        self.crashing = []        # callers whose requests end engines
+        self.crashing_bodies = set()
         self.random = random.Random(seed)
         self.seconds = seconds
         self.only = only
@@ -171,17 +217,33 @@
                              "which": self.random.randrange(1000),
                              "for_s": round(self.random.uniform(0.2, 3.0), 2)})
             at += self.random.uniform(*FAULT_GAP_S)
+        if self.with_crashing:
+            self.draw_crashing(schedule)
         with open(os.path.join(self.work, "schedule.json"), "w") as stream:
             json.dump(schedule, stream, indent=1)
         return [f for f in schedule if not self.only or f["number"] in self.only]
 
+    def draw_crashing(self, schedule):
+        """Beside the others, which stay as they are."""
+        chance = random.Random("crashing %d" % self.seed)
+        at = 1.5
+        while at < self.seconds:
+            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "crashing",
+                             "which": chance.randrange(1000), "for_s": CRASHING_FOR_S})
+            at += chance.uniform(*CRASHING_GAP_S)
+        schedule.sort(key=lambda fault: fault["at"])
+
     # --- the world
 
     def begin_backend(self, address, service, version=None):
         identity = "b%d-%s" % (len(self.starts), address[0])
         backend = standin.Backend(address, identity, self.store, service, version)
+        self.add_backend(backend)
+
+    def add_backend(self, backend):
+        backend.crashing_bodies = self.crashing_bodies
         self.starts.append(backend)
-        self.live[address] = backend
+        self.live[backend.address] = backend
 
     def open(self):
         self.store = standin.Store(fleet.STORE)
@@ -273,9 +335,8 @@
         backend = self.pick_backend(fault)
         if backend:
             backend.crash()
-            again = standin.Backend(backend.address, backend.identity, self.store, backend.service)
-            self.starts.append(again)
-            self.live[backend.address] = again
+            self.add_backend(standin.Backend(backend.address, backend.identity, self.store,
+                                             backend.service))
 
     def fault_bad_entries(self, fault):
         """Entries of other writers beside good ones, and one in place of a good one for a while."""
@@ -393,6 +454,11 @@
         engines = [b for b in self.live.values() if b.service == "llm"]
         engines[fault["which"] % len(engines)].faults.extend(["pause"] * 4)
 
+    def fault_crashing(self, fault):
+        caller = Crashing(self, len(self.crashing))
+        self.crashing_bodies.add(caller.body)
+        self.crashing.append(caller)
+
     def fault_config(self, fault):
         self.version += 1
         self.put_configuration()
@@ -478,6 +544,8 @@
         for backend in self.starts:
             self.check_weights(backend)
             self.check_drain(backend, {r.identity: r.edge for r in results})
+        for caller in self.crashing:
+            self.check_crashing(caller)
         for identity in [run[0] for run in self.trap.runs] + self.trap.turned_away:
             self.find("entries", "%s was sent to what only bad entries name" % identity)
         self.counts = (len(results), sum(r.whole for r in results))
@@ -485,6 +553,8 @@
     def check_result(self, result, runs):
         if result.status == 200 and not result.whole and not result.cut:
             self.find("whole", "%s from %s is not whole" % (result.identity, result.edge))
+        if result.blocked:
+            self.find("innocent", "%s was refused by %s" % (result.identity, result.edge))
         if result.kind == "put" and len(runs) > 1:
             self.find("once", "%s ran %d times" % (result.identity, len(runs)))
         if result.status in (429, 503) and runs:
@@ -514,6 +584,19 @@
             self.find("weights", "%s took version %d from a stage that was not whole" %
                       (backend.identity, version))
 
+    def check_crashing(self, caller):
+        ends = sorted(when for backend in self.starts for bodies, when in backend.crashes
+                      if caller.body in bodies)
+        if len(ends) < CRASHES_TO_BLOCK:
+            return
+        latest = ends[CRASHES_TO_BLOCK - 1] + CALM_S + 2 * self.slack.most
+        late = [run for backend in self.starts for run in backend.runs
+                if run[2] == caller.body and run[3] > latest
+                and self.is_in_touch(caller.edges[run[0]], run[3])]
+        if late:
+            self.find("crashing", "%s reached engines %d times later than %.1f s after the third end"
+                      % (caller.body.decode(), len(late), latest - ends[CRASHES_TO_BLOCK - 1]))
+
     def check_cut(self, result):
         """A request that was under way at a stop, or began soon after, is not cut by it; its own
         deadline may end it meanwhile."""
@@ -545,7 +628,7 @@
     fleet.OPTIONS = argparse.Namespace(build=options.build,
                                        work=os.path.join(options.work, "seed-%d" % seed))
     os.makedirs(fleet.OPTIONS.work, exist_ok=True)
-    soak = Soak(seed, options.seconds, options.only, fleet.OPTIONS.work)
+    soak = Soak(seed, options.seconds, options.only, options.crashing, fleet.OPTIONS.work)
     soak.play()
     print("seed %d: %d requests, %d served, slack %.0f ms, %d findings" %
           (seed, soak.counts[0], soak.counts[1], 1000 * soak.slack.most, len(soak.findings)),
@@ -563,6 +646,8 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--only", type=lambda text: {int(n) for n in text.split(",")}, default=None,
                         help="numbers of the faults to play")
+    parser.add_argument("--crashing", action="store_true",
+                        help="requests that end engines come besides")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))  # ends own children on the way
     first, last = (int(n) for n in options.seeds.split(".."))
