--- a/src/core/backend_table.c
+++ b/src/core/backend_table.c
@@ -144,6 +144,7 @@
     set_group_place(group, group->count, backend);
     group->count++;
     group->dated += backend->listing.born != 0;
+    table->dated += backend->listing.born != 0;
     enter(table, backend);
     trim_index(table);
 }
@@ -155,6 +156,7 @@
     swap_in_group(group, backend->group_place, group->count - 1);
     group->count--;
     group->dated -= backend->listing.born != 0;
+    table->dated -= backend->listing.born != 0;
     struct backend *last = table->items[--table->count];
     if (last == backend)
         return;
--- a/src/core/backend_table.h
+++ b/src/core/backend_table.h
@@ -21,6 +21,7 @@
 struct backend_table {
     struct backend **items;
     uint32_t count;
+    uint32_t dated; /**< of all, those whose entry tells starts apart */
     struct backend_group *groups;
     uint32_t group_count;
     struct address_index ids;       /**< places by the hash of the id */
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -467,6 +467,25 @@
     backend_pool_destroy(pool);
 }
 
+/* One of two back ends of the service is away: what those of other services say counts then. */
+static void an_undated_entry_is_not_used_beside_one_dated_of_a_small_service(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend_listing dated = start_of(1000);
+    for (int number = 5; number <= 7; number++) {
+        struct backend_listing other = listing_of(number, 1);
+        other.born = 1000;
+        strcpy(other.service, "records");
+        backend_pool_list(pool, &other, 0);
+    }
+    struct backend *undated = add(pool, 2, 1, 0);
+    assert_true(backend_may_begin(pool, undated, &wish, SECOND_US)); /* its service may not date */
+    backend_pool_list(pool, &dated, 0);
+    assert_false(backend_may_begin(pool, undated, &wish, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
 static void prompts_at_one_engine_are_bounded(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -704,6 +723,7 @@
         cmocka_unit_test(a_rank_key_takes_same_requests_to_one_back_end),
         cmocka_unit_test(a_start_that_seems_older_is_believed_when_the_list_says_so),
         cmocka_unit_test(an_entry_that_alone_does_not_date_its_start_is_not_used),
+        cmocka_unit_test(an_undated_entry_is_not_used_beside_one_dated_of_a_small_service),
         cmocka_unit_test(prompts_at_one_engine_are_bounded),
         cmocka_unit_test(engines_near_go_first_until_they_hold_more),
         cmocka_unit_test(a_failing_back_end_is_ejected_and_probed),
