An engine that ended under a begun stream is no attempt of the stream

Cause: a stream whose engines ended as often as its route has attempts was cut, though others could go on. Ruled out as a danger: a request that ends them itself is blocked by the fleet's evidence, not by the route. Change: attempts leave out back ends that have ended; while a last break may be an end (some 10 ms), the stream waits for the verdict. Tests first: system.crash EndsInTurn (failed: two of two attempts, cut after 14 of 40 events), core.attempt_rule.

--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -105,6 +105,7 @@
     end_check(check);
     crash_sync_tell(edge->cluster.crashes);
     edge_client_end_blocked(edge);
+    exchange_dispatch_waiting(edge);
 }
 
 static void dismiss(struct crash_check *check, const char *reason)
@@ -203,6 +204,12 @@
     return check;
 }
 
+bool crash_watch_is_checking(const struct edge *edge, const struct backend *backend)
+{
+    const struct crash_check *check = backend ? find_check(edge, backend) : NULL;
+    return check && (check->state == CHECK_GATHERS || check->state == CHECK_CONNECTS);
+}
+
 static struct lost_run *find_run(struct crash_check *check, const struct request_identity *identity)
 {
     for (uint32_t i = 0; i < check->run_count; i++)
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -16,6 +16,8 @@
 /** \brief A request broke off at a back end. */
 void crash_watch_lost_run(struct edge *edge, struct backend *backend,
                           const struct request_identity *identity, const char *request_id);
+/** \return whether it is to be known soon if the back end has ended */
+bool crash_watch_is_checking(const struct edge *edge, const struct backend *backend);
 /** \brief Look for other starts at the addresses of back ends that are in doubt. */
 void crash_watch_tick(struct edge *edge, uint64_t now);
 
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -22,6 +22,15 @@
 /* --- time ----------------------------------------------------------------------------------------
  */
 
+/* Those that were tried last; earlier ones count as attempts. */
+static uint32_t count_ended(const struct exchange *exchange)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < exchange->tried_count; i++)
+        count += exchange->tried[i].ran && exchange->tried[i].backend->ended_until;
+    return count;
+}
+
 struct attempt_facts exchange_facts(const struct exchange *exchange, uint64_t now)
 {
     bool sent = exchange->upstream && upstream_is_sent(exchange->upstream);
@@ -31,6 +40,7 @@
         .begun = exchange->streaming,
         .sends = exchange->sends + (sent && !exchange->counted),
         .refusals = exchange->refusals,
+        .ended = count_ended(exchange),
         .most = exchange->route->attempts,
         .time_left = exchange->final_at > now ? exchange->final_at - now : 0,
     };
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -55,8 +55,7 @@
     write_head(message, &head);
     count_done(exchange->edge);
     metric_observe(METRIC_WHOLE_ANSWER, cluster_now() - exchange->arrived);
-    exchange_log_end(exchange, http_message_status(message), reason,
-                     exchange->tried_count ? exchange->tried[exchange->tried_count - 1] : NULL);
+    exchange_log_end(exchange, http_message_status(message), reason, exchange_last_tried(exchange));
     exchange_finish(exchange);
     edge_client_answer(client, &head, message->body.data, message->body.size);
     buffer_clear(&head);
@@ -136,7 +135,7 @@
     exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
     exchange_ran_well(exchange);
     count_done(exchange->edge);
-    exchange_log_end(exchange, 200, END_DONE, exchange->tried_count ? exchange->tried[0] : NULL);
+    exchange_log_end(exchange, 200, END_DONE, exchange_first_tried(exchange));
     exchange_finish(exchange);
     edge_client_stream_end(client);
 }
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -102,7 +102,7 @@
 {
     struct exchange *exchange = handle->data;
     for (uint32_t i = 0; i < exchange->tried_count; i++)
-        backend_release(exchange->tried[i]);
+        backend_release(exchange->tried[i].backend);
     event_stream_clear(&exchange->events);
     route_table_release(exchange->table);
     free(exchange);
@@ -130,16 +130,26 @@
 };
 
 /* Takes over the reference to the back end. */
-static void remember_tried(struct exchange *exchange, struct backend *backend)
+static void remember_tried(struct exchange *exchange, struct backend *backend, bool ran)
 {
     if (exchange->tried_count == BACKEND_MAX_EXCLUDED) {
-        backend_release(exchange->tried[0]);
+        backend_release(exchange->tried[0].backend);
         memmove(exchange->tried, exchange->tried + 1,
                 (BACKEND_MAX_EXCLUDED - 1) * sizeof exchange->tried[0]);
         exchange->tried_count--;
         exchange->excluded_from -= exchange->excluded_from > 0;
     }
-    exchange->tried[exchange->tried_count++] = backend;
+    exchange->tried[exchange->tried_count++] = (struct tried_backend){backend, ran};
+}
+
+const struct backend *exchange_first_tried(const struct exchange *exchange)
+{
+    return exchange->tried_count ? exchange->tried[0].backend : NULL;
+}
+
+const struct backend *exchange_last_tried(const struct exchange *exchange)
+{
+    return exchange->tried_count ? exchange->tried[exchange->tried_count - 1].backend : NULL;
 }
 
 /* Let go of the back end. */
@@ -166,7 +176,7 @@
                   backend->failure_share, backend->ejection_us / MS_US);
     }
     exchange_note(exchange, ",%s;", result_names[result]);
-    remember_tried(exchange, backend);
+    remember_tried(exchange, backend, result == BACKEND_BROKEN);
 }
 
 void exchange_log_end(const struct exchange *exchange, unsigned status, enum exchange_end reason,
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -34,6 +34,12 @@
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
 
+/** A back end that the request was with. */
+struct tried_backend {
+    struct backend *backend;
+    bool ran; /* the request was handed over there, and was neither refused nor withdrawn */
+};
+
 struct exchange {
     struct edge *edge;
     struct edge_client *client;
@@ -49,7 +55,7 @@
     uint64_t wait_until; /* without a place by then it is refused */
     struct upstream *upstream;
     struct backend *backend;
-    struct backend *tried[BACKEND_MAX_EXCLUDED]; /* the last ones */
+    struct tried_backend tried[BACKEND_MAX_EXCLUDED]; /* the last ones */
     uint32_t tried_count;
     uint32_t excluded_from; /* index of the first of them that is left out of the choice */
     uint32_t sends;         /* requests handed to a connection that came up */
@@ -65,10 +71,12 @@
     struct event_stream events;
     uint64_t version; /* of the weights of the first back end */
     bool paused;
-    bool resuming;          /* the next back end goes on with a stream that has begun */
-    bool owes_repeat;       /* the next send takes a repeat from the shared budget */
-    uint64_t not_before;    /* no back end is looked for earlier */
-    char trail[TRAIL_SIZE]; /* attempts with what decided them, for the log */
+    bool in_doubt; /* whether its last back end ended decides on one more attempt */
+    enum exchange_end doubt_reason; /* of that attempt's end */
+    bool resuming;                  /* the next back end goes on with a stream that has begun */
+    bool owes_repeat;               /* the next send takes a repeat from the shared budget */
+    uint64_t not_before;            /* no back end is looked for earlier */
+    char trail[TRAIL_SIZE];         /* attempts with what decided them, for the log */
     size_t trail_length;
     uv_timer_t timer;
     uint64_t timer_due; /* when the timer was set to fire */
@@ -108,6 +116,10 @@
     __attribute__((format(printf, 2, 3)));
 /** \brief Note a back end with what decided for it. */
 void exchange_note_send(struct exchange *exchange, const struct backend *backend, uint64_t now);
+/** \return the first of the back ends that are remembered, or NULL */
+const struct backend *exchange_first_tried(const struct exchange *exchange);
+/** \return the last one, or NULL */
+const struct backend *exchange_last_tried(const struct exchange *exchange);
 /** \brief Let go of the present back end. */
 void exchange_end_attempt(struct exchange *exchange, enum backend_result result);
 void exchange_log_end(const struct exchange *exchange, unsigned status, enum exchange_end reason,
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -3,6 +3,7 @@
 #include "base/memory.h"
 #include "base/metrics.h"
 #include "core/place_wait.h"
+#include "edge/crash_watch.h"
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
 #include <stdarg.h>
@@ -81,7 +82,7 @@
         .rank_key = exchange_rank_key(exchange),
     };
     for (uint32_t i = exchange->excluded_from; i < exchange->tried_count; i++)
-        wish->excluded[wish->excluded_count++] = exchange->tried[i];
+        wish->excluded[wish->excluded_count++] = exchange->tried[i].backend;
 }
 
 bool exchange_write(struct exchange *exchange, struct buffer *bytes)
@@ -201,6 +202,23 @@
     repeat_budget_spend(&exchange->state_of_service->budget, now, exchange->edge->gateways_most);
 }
 
+/* Its attempts are used up, unless its last back end has ended. \return whether it may go on */
+static bool is_past_doubt(struct exchange *exchange, uint64_t now)
+{
+    if (!exchange->in_doubt)
+        return true;
+    if (crash_watch_is_checking(exchange->edge, exchange_last_tried(exchange))) {
+        wait_in_line(exchange);
+        return false;
+    }
+    exchange->in_doubt = false;
+    struct attempt_facts facts = exchange_facts(exchange, now);
+    if (attempt_may_follow(&facts))
+        return true;
+    exchange_give_up_truly(exchange, exchange->doubt_reason);
+    return false;
+}
+
 /* A client reads this stream: it waits for whoever can go on with it, as long as somebody can. */
 static void dispatch_begun(struct exchange *exchange)
 {
@@ -208,6 +226,8 @@
     uint64_t now = cluster_now();
     struct backend_wish wish;
     struct backend *backend;
+    if (!is_past_doubt(exchange, now))
+        return;
     bool allowed =
         !exchange->owes_repeat ||
         repeat_budget_allows(&exchange->state_of_service->budget, now, edge->gateways_most);
@@ -340,7 +360,11 @@
 {
     uint64_t now = cluster_now();
     struct attempt_facts facts = exchange_facts(exchange, now);
-    if (!attempt_may_follow(&facts) || (!exchange->streaming && !may_repeat(exchange, now))) {
+    exchange->in_doubt = exchange->streaming && !attempt_may_follow(&facts) &&
+                         crash_watch_is_checking(exchange->edge, exchange_last_tried(exchange));
+    exchange->doubt_reason = reason;
+    if ((!attempt_may_follow(&facts) && !exchange->in_doubt) ||
+        (!exchange->streaming && !may_repeat(exchange, now))) {
         exchange_give_up_truly(exchange, reason);
         return;
     }
--- a/tests/core/attempt_rule_test.c
+++ b/tests/core/attempt_rule_test.c
@@ -28,6 +28,19 @@
     assert_false(attempt_may_follow(&facts));
 }
 
+static void an_engine_that_ended_under_a_begun_stream_is_no_attempt(void **state)
+{
+    struct attempt_facts facts = stream;
+    facts.sends = 3;
+    facts.ended = 2;
+    assert_true(attempt_may_follow(&facts));
+    facts.ended = 1;
+    assert_false(attempt_may_follow(&facts));
+    facts.ended = 2;
+    facts.begun = false;
+    assert_false(attempt_may_follow(&facts));
+}
+
 static void what_may_have_run_is_repeated_only_if_it_may_be(void **state)
 {
     struct attempt_facts facts = stream;
@@ -68,6 +81,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(one_more_attempt_follows_up_to_the_bound),
         cmocka_unit_test(a_refusal_to_go_on_with_a_begun_stream_is_no_attempt),
+        cmocka_unit_test(an_engine_that_ended_under_a_begun_stream_is_no_attempt),
         cmocka_unit_test(what_may_have_run_is_repeated_only_if_it_may_be),
         cmocka_unit_test(nothing_follows_without_time),
         cmocka_unit_test(a_silent_back_end_is_left_for_one_that_can_go_on),
--- a/tests/system/crash_test.py
+++ b/tests/system/crash_test.py
@@ -124,5 +124,20 @@
         self.assertGreater(whole, 0.9 * len(self.read))
 
 
+class EndsInTurn(streams.Fleet):
+    ENGINES = 4
+    EVENT_GAP_S = 0.05
+
+    def test_a_stream_outlives_engines_that_end(self):
+        """Its route allows two attempts, but an engine that ended is not the stream's fault."""
+        reader, engine = self.read_from("outlives", 40)
+        for runs in (2, 3):
+            time.sleep(0.3)
+            engine.crash()
+            platform.wait_for(lambda: self.runs("outlives") == runs, "the next run")
+            engine = next(e for e in self.engines if e.running)
+        self.assert_whole(reader)
+
+
 if __name__ == "__main__":
     platform.main()
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -87,13 +87,19 @@
         for node in self.gateways + self.loaders:
             self.addCleanup(node.stop)
         for owner in [self.store, self.origin] + self.engines:
-            self.addCleanup(owner.server.server_close)
-            self.addCleanup(owner.server.shutdown)
+            self.addCleanup(self.close, owner)
         platform.wait_for(lambda: all(platform.get(self.gateway(n), platform.READY,
                                                    "/api/readiness")[0] == 200
                                       for n in range(self.GATEWAYS)), "ready gateways")
         platform.wait_for(self.is_served, "a stream")
 
+    @staticmethod
+    def close(owner):
+        """An engine may have started again, and be about to."""
+        owner.returns = False
+        owner.server.shutdown()
+        owner.server.server_close()
+
     @staticmethod
     def gateway(number):
         return "127.9.1.%d" % (number + 1)
