Test: time passes while a machine is suspended; known red

Real processes; a preloaded library for tests holds the steady clock back while the process is stopped.

--- /dev/null
+++ b/tests/system/held_clock.c
@@ -0,0 +1,43 @@
+/* Preloaded into a process by tests: its steady clock stands still while the test says that the
+ * machine is suspended. The file that SHUNTRUN_TEST_HELD_CLOCK names holds the nanoseconds, a
+ * uint64_t of the machine's byte order, by which the steady clock is behind. */
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/mman.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+#define NANOSECONDS 1000000000ULL
+
+static const volatile uint64_t *held_ns;
+
+__attribute__((constructor)) static void open_clock(void)
+{
+    const char *path = getenv("SHUNTRUN_TEST_HELD_CLOCK");
+    int file = path ? open(path, O_RDONLY | O_CLOEXEC) : -1;
+    if (file < 0)
+        return;
+    void *page = mmap(NULL, sizeof *held_ns, PROT_READ, MAP_SHARED, file, 0);
+    close(file);
+    if (page != MAP_FAILED)
+        held_ns = page;
+}
+
+static int is_steady(clockid_t clock)
+{
+    return clock == CLOCK_MONOTONIC || clock == CLOCK_MONOTONIC_COARSE ||
+           clock == CLOCK_MONOTONIC_RAW;
+}
+
+int clock_gettime(clockid_t clock, struct timespec *time)
+{
+    int result = (int)syscall(SYS_clock_gettime, clock, time);
+    if (result || !held_ns || !is_steady(clock))
+        return result;
+    uint64_t now = (uint64_t)time->tv_sec * NANOSECONDS + (uint64_t)time->tv_nsec - *held_ns;
+    time->tv_sec = (time_t)(now / NANOSECONDS);
+    time->tv_nsec = (long)(now % NANOSECONDS);
+    return 0;
+}
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -21,6 +21,8 @@
 STREAM_EVENTS = 10
 # For which the fault "pause" stops a stream that goes on afterwards; "late" holds its beginning.
 PAUSE_S = 1.5
+# The fault "mute" says nothing for longer than any client waits.
+MUTE_S = 20
 # A request that ends its engine does so this long after it began to run.
 CRASH_AFTER_S = 0.08
 
@@ -447,6 +449,9 @@
         elif fault == "silent":
             owner.ends[identity] = self.wait_for_end(3)
             self.reset()
+        elif fault == "mute":
+            owner.ends[identity] = self.wait_for_end(MUTE_S)
+            self.reset()
         elif fault == "unsealed":
             self.reply(200, b"not whole", echo)
         elif fault == "foreign":
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -64,8 +64,9 @@
 
 
 class Node:
-    def __init__(self, role, address, extra):
+    def __init__(self, role, address, extra, environment=None):
         self.address = address
+        self.environment = dict(os.environ, **(environment or {}))
         self.log_path = os.path.join(OPTIONS.work, "%s-%s.log" % (role, address))
         settings = {"name": "%s-%s" % (role, address), "zone": "zone-a", "region": "region-a",
                     "address": address, "zones": "zone-a=region-a", "peer-port": PEER_PORT,
@@ -79,7 +80,8 @@
 
     def start(self):
         self.log = open(self.log_path, "a")
-        self.process = subprocess.Popen(self.command, stdout=self.log, stderr=self.log)
+        self.process = subprocess.Popen(self.command, stdout=self.log, stderr=self.log,
+                                        env=self.environment)
 
     def stop(self, number=signal.SIGKILL):
         if self.process.poll() is None:
@@ -89,12 +91,12 @@
         return status
 
 
-def edge(address):
+def edge(address, environment=None):
     return Node("edge", address, {
         "store-address": "%s:%d" % STORE, "client-address": "%s:%d" % (address, FRONT),
         "ready-address": "%s:%d" % (address, READY), "least-gateways": 2,
         "directory-address": "%s:%d" % (address, DIRECTORY), "repeat-budget-ratio": "0.5",
-        "repeat-budget-allowance": 1000})
+        "repeat-budget-allowance": 1000}, environment)
 
 
 def loader(address):
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -82,7 +82,7 @@
         self.origin = standin.Origin(platform.ORIGIN)
         self.engines = [self.begin_engine(index) for index in range(self.ENGINES)]
         self.store.put("op/config", configuration(1, self.SLOTS))
-        self.gateways = [platform.edge(self.gateway(n)) for n in range(self.GATEWAYS)]
+        self.gateways = [self.begin_gateway(self.gateway(n)) for n in range(self.GATEWAYS)]
         self.loaders = [platform.loader(engine.address[0]) for engine in self.engines]
         for node in self.gateways + self.loaders:
             self.addCleanup(node.stop)
@@ -104,6 +104,9 @@
     def gateway(number):
         return "127.9.1.%d" % (number + 1)
 
+    def begin_gateway(self, address):
+        return platform.edge(address)
+
     def begin_engine(self, index):
         address = ("127.9.2.%d" % (index + 1), platform.ENGINE)
         engine = standin.Backend(address, "engine-%d" % index, self.store, "llm", 1)
