Time is what passed: ages and deadlines count a suspension, and waking is an event

Cause: the one clock of the daemons was CLOCK_MONOTONIC, which stands still while a machine is suspended: ages and deadlines were younger than they are. Ruled out: a wait for the store or a peer (nothing was under way but the request's timer). Change: CLOCK_BOOTTIME for all ages and deadlines; core/wake_watch tells a suspension by the difference to the timers' clock, and a process that stood still by the time between two turns of the loop; on waking each request looks at its time again, and its back end's silence is borne. Lint forbids other reads of clocks. event=woke has kind and length; shuntrun_wakes_total.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,6 +14,14 @@
   -i src/generated -D_GNU_SOURCE -I src -I . \
   -j "$(nproc)" src platform tests
 
+echo "clocks"
+# Ages and deadlines count all time that passes: one file reads the clocks, and log lines the date.
+if git grep -nE 'clock_gettime|gettimeofday|uv_now|uv_hrtime|[^_a-z]time\(NULL\)' -- 'src/*.c' 'src/*.h' 'platform/*' \
+  ':!src/base/clock.c' ':!src/base/log.c'; then
+  echo "clocks are read in src/base/clock.c only" >&2
+  exit 1
+fi
+
 echo "generated code"
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -68,6 +68,8 @@
     X(METRIC_BUDGET_SPENT, "shuntrun_repeat_budget_refusals_total",                                \
       "repeats that the shared budget did not allow")                                              \
     X(METRIC_CLIENTS_GONE, "shuntrun_clients_gone_total", "requests whose client left")            \
+    X(METRIC_WAKES, "shuntrun_wakes_total",                                                        \
+      "times that the process stood still, or its machine was suspended")                          \
     X(METRIC_SENDS_UNLISTED, "shuntrun_sends_unlisted_total",                                      \
       "requests sent to a back end that the list had dropped")                                     \
     X(METRIC_EJECTIONS, "shuntrun_ejections_total", "back ends that were left out for a while")    \
--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -23,8 +23,6 @@
 /** Time between looks at what is to be logged or dropped. */
 #define ROUND_US 500000
 #define CALL_BODY_LIMIT 65536
-/** A tick so late means that the process stood still. */
-#define PAUSE_US 1000000
 #define TOMBSTONE_US 60000000
 /** Loaders tell the gateways that hear of them each 0.4 s at least, nodes probe each other as
  * often: in this time some message comes through, also where one in ten is lost. */
@@ -194,19 +192,26 @@
               membership_count(cluster->membership) + 1, (unsigned long long)took_ms);
 }
 
+/* Once in each turn of the loop, before it waits: a pause is noticed before any timer is late. */
+static void on_look_at_clocks(uv_prepare_t *prepare)
+{
+    struct cluster *cluster = prepare->data;
+    struct wake wake =
+        wake_watch_look(&cluster->wake_watch, clock_monotonic_us(), clock_timer_us());
+    if (wake.kind == WAKE_NONE)
+        return;
+    metric_add(METRIC_WAKES, 1);
+    log_event(LOG_LEVEL_WARN, "cluster", "woke", "kind=%s pause_ms=%llu", wake_kind_name(wake.kind),
+              (unsigned long long)(wake.pause_us / 1000));
+    cluster->callbacks.woke(cluster->callbacks.context, &wake);
+    if (cluster->reader && wake.pause_us > WAKE_LONG_US)
+        store_reader_restart(cluster->reader);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
     struct cluster *cluster = timer->data;
     uint64_t now = cluster_now();
-    uint64_t late = now - cluster->last_tick;
-    cluster->last_tick = now;
-    if (late > PAUSE_US) {
-        log_event(LOG_LEVEL_WARN, "cluster", "woke", "pause_ms=%llu",
-                  (unsigned long long)(late / 1000));
-        cluster->callbacks.woke(cluster->callbacks.context, late);
-        if (cluster->reader)
-            store_reader_restart(cluster->reader);
-    }
     watch_store(cluster, now);
     write_revisions(cluster);
     membership_tick(cluster->membership, now);
@@ -383,8 +388,10 @@
     cluster->holds_all = role == MEMBER_GATEWAY;
     if (cluster->holds_all)
         cluster->reader = store_reader_create(cluster);
-    cluster->last_tick = cluster_now();
-    cluster->opened_at = cluster->last_tick;
+    cluster->opened_at = cluster_now();
+    uv_prepare_init(loop, &cluster->looks_at_clocks);
+    cluster->looks_at_clocks.data = cluster;
+    uv_prepare_start(&cluster->looks_at_clocks, on_look_at_clocks);
     uv_timer_init(loop, &cluster->timer);
     cluster->timer.data = cluster;
     uv_timer_start(&cluster->timer, on_tick, FIRST_TICK_MS, 0);
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -12,6 +12,7 @@
 #include "core/membership.h"
 #include "core/reader_role.h"
 #include "core/state_cache.h"
+#include "core/wake_watch.h"
 #include "net/http_service.h"
 
 #include <uv.h>
@@ -31,8 +32,8 @@
     service_handler *call_received;
     /** Another node told of requests that crash back ends; may be NULL. */
     void (*suspects_changed)(void *context);
-    /** The process stood still for so long. */
-    void (*woke)(void *context, uint64_t pause_us);
+    /** The process did not run for a while. */
+    void (*woke)(void *context, const struct wake *wake);
 };
 
 struct cluster {
@@ -54,7 +55,8 @@
     uint64_t operator_revision; /**< of the newest change by the operator that is known here */
     uint64_t pushed_operator_revision; /**< up to which others were told of such changes */
     uint64_t pushed_revision;          /**< up to which others were told of all changes */
-    uint64_t last_tick;
+    struct wake_watch wake_watch;
+    uv_prepare_t looks_at_clocks;
     uint64_t opened_at;
     bool state_known;        /**< the operator's part of the state came, for the first time */
     bool started;            /**< the state and most members are known, or were once */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -69,10 +69,13 @@
         service_reply(call, 404, NULL, NULL, 0);
 }
 
-static void on_woke(void *context, uint64_t pause_us)
+/* Timers of the event loop left a suspension out: each request looks at the time again. */
+static void on_woke(void *context, const struct wake *wake)
 {
     struct edge *edge = context;
-    upstream_close_idle(edge);
+    if (wake->pause_us > WAKE_LONG_US)
+        upstream_close_idle(edge);
+    edge_client_look_at_time(edge);
 }
 
 static void on_suspects_changed(void *context)
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -288,6 +288,15 @@
     }
 }
 
+void edge_client_look_at_time(struct edge *edge)
+{
+    for (struct edge_client *client = edge->clients, *next; client; client = next) {
+        next = client->next;
+        if (client->exchange)
+            exchange_look_at_time(client->exchange);
+    }
+}
+
 static bool is_overdue(const struct edge_client *client, uint64_t now, bool *in_head)
 {
     const struct route_table *table = client->edge->table;
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -82,6 +82,8 @@
 void edge_client_break(struct edge_client *client);
 /** \brief End the requests that are known to crash back ends now, wherever they are. */
 void edge_client_end_blocked(struct edge *edge);
+/** \brief Have each request look at the time that it has, after a pause of the process. */
+void edge_client_look_at_time(struct edge *edge);
 size_t edge_client_pending(const struct edge_client *client);
 struct edge *edge_client_edge(const struct edge_client *client);
 const struct http_message *edge_client_request(const struct edge_client *client);
@@ -93,6 +95,8 @@
 struct exchange *exchange_begin(struct edge *edge, struct edge_client *client);
 /** \brief Send it to a back end, or let it wait for one. */
 void exchange_start(struct exchange *exchange);
+/** \brief End it if its time is over; else set its timer anew. */
+void exchange_look_at_time(struct exchange *exchange);
 /** \brief The client is gone: stop the work. */
 void exchange_abandon(struct exchange *exchange);
 /** \brief End it if it is among those that crash back ends. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -141,6 +141,18 @@
     exchange_give_up(exchange, untouched ? 503 : 504, END_TIME_OUT);
 }
 
+/* The silence of its back end meanwhile was this process's own. */
+void exchange_look_at_time(struct exchange *exchange)
+{
+    uint64_t now = cluster_now();
+    if (now >= exchange->final_at) {
+        on_final_time(exchange);
+        return;
+    }
+    exchange->bear_until = now + silence_limit(exchange);
+    exchange_arm(exchange);
+}
+
 static void on_timer(uv_timer_t *timer)
 {
     struct exchange *exchange = timer->data;
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -298,10 +298,11 @@
     service_reply(call, 404, NULL, NULL, 0);
 }
 
-static void on_woke(void *context, uint64_t pause_us)
+static void on_woke(void *context, const struct wake *wake)
 {
     struct loader *loader = context;
-    http_caller_abort(loader->engine);
+    if (wake->pause_us > WAKE_LONG_US)
+        http_caller_abort(loader->engine);
 }
 
 /* --- process -------------------------------------------------------------------------------------
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -229,6 +229,7 @@
         self.state = state
         self.alive = True
         self.returns = False    # it starts again soon
+        self.pausing = False    # a stream was paused by the fault
         self.lock = threading.Lock()
         self.server = Server(address, BackendHandler, self)
         self.list()
@@ -484,6 +485,7 @@
         for number in range(first, int(query.get("events", STREAM_EVENTS)) + 1):
             event = stream_event(number)
             if fault == "pause" and number == first + 3:
+                self.owner.pausing = True
                 time.sleep(PAUSE_S)
             if fault == "torn" and number == first + 3:
                 self.wfile.write(b"%x\r\n%s\r\n" % (len(event[:9]), event[:9]))
--- a/tests/system/suspend_test.py
+++ b/tests/system/suspend_test.py
@@ -99,6 +99,16 @@
         self.assert_whole(reader)
         self.assertEqual(self.runs("short"), 1)
 
+    def test_an_engine_is_not_blamed_for_the_silence_of_a_suspension(self):
+        """Its machine's network stood still too: nothing has arrived when the process wakes."""
+        for engine in self.engines:
+            engine.faults = ["pause"]
+        reader, engine = self.read_from("silence", 10)
+        platform.wait_for(lambda: engine.pausing, "a pause")
+        self.machine.suspend(standin.PAUSE_S - 0.4)
+        self.assert_whole(reader)
+        self.assertEqual(self.runs("silence"), 1)
+
 
 if __name__ == "__main__":
     platform.main()
