Evidence goes to two gateways a request, only what was at more than one end to all; a good end is news once

Change: core/crash_spread; digests leave out the last 0.5 s; loaders keep what they are homes of and answer gateways that know nothing.

--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -3,15 +3,14 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "core/crash_spread.h"
 
 #include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 /** Requests in one message: some 2.5 kB. */
 #define SUSPECTS_MOST 24
-/** Gateways that a node tells itself. In a fleet with more, each that learns something new tells as
- *  many, taken by chance: with 16 each, news reach all of 300 in three steps. */
-#define TOLD_MOST 16
 /** Time between two answers to digests that differ: 24 requests, 4 times a second, are at most
  *  10 kB/s. While the same digests go on to differ, each wait is twice the last one. */
 #define REPAIR_US ((uint64_t)250000)
@@ -50,7 +49,7 @@
 
 uint64_t crash_sync_digest(const struct crash_sync *sync)
 {
-    return crash_table_digest(sync->table);
+    return crash_table_digest(sync->table, cluster_now());
 }
 
 void crash_sync_trim(struct crash_sync *sync, uint64_t now)
@@ -93,63 +92,67 @@
     out->suspect_pointers[place] = suspect;
 }
 
-static bool is_told(const struct member_state *member)
+/* Messages under way, one for each node that is told something. */
+struct outbox {
+    struct outgoing {
+        uint32_t address;
+        struct suspects_message message;
+    } * items;
+    uint32_t count;
+};
+
+static void send_outgoing(struct crash_sync *sync, struct outgoing *outgoing)
 {
-    return member->role == MEMBER_GATEWAY && member_is_alive(member);
+    cluster_send(sync->cluster, outgoing->address, &outgoing->message.message);
+    begin_message(&outgoing->message);
 }
 
-static uint32_t count_told(const struct membership *membership)
+static struct outgoing *outgoing_to(struct outbox *outbox, uint32_t address)
 {
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < membership_count(membership); i++)
-        count += is_told(membership_at(membership, i));
-    return count;
+    for (uint32_t i = 0; i < outbox->count; i++)
+        if (outbox->items[i].address == address)
+            return &outbox->items[i];
+    struct outgoing *outgoing = &outbox->items[outbox->count++];
+    outgoing->address = address;
+    begin_message(&outgoing->message);
+    return outgoing;
 }
 
-/* All living gateways, or TOLD_MOST of them taken by chance, each equally likely. */
-static void send_to_gateways(struct crash_sync *sync, const Shuntrun__MemberMessage *message)
+static void tell_entry(struct crash_sync *sync, struct crash_entry *entry, struct outbox *outbox,
+                       uint64_t now)
 {
-    const struct membership *membership = sync->cluster->membership;
-    uint32_t left = count_told(membership);
-    uint32_t wanted = left < TOLD_MOST ? left : TOLD_MOST;
-    for (uint32_t i = 0; i < membership_count(membership) && wanted; i++) {
-        const struct member_state *member = membership_at(membership, i);
-        if (!is_told(member))
-            continue;
-        if (random_below(&sync->cluster->random, left--) >= wanted)
-            continue;
-        wanted--;
-        cluster_send(sync->cluster, member->address, message);
+    struct crash_receivers receivers;
+    crash_spread_receivers(sync->cluster->membership, entry, &sync->cluster->random, &receivers);
+    entry->untold = false;
+    for (uint32_t i = 0; i < receivers.count; i++) {
+        struct outgoing *outgoing = outgoing_to(outbox, receivers.addresses[i]);
+        add_entry(&outgoing->message, entry, now);
+        if (outgoing->message.message.n_suspects == SUSPECTS_MOST)
+            send_outgoing(sync, outgoing);
     }
 }
 
 void crash_sync_tell(struct crash_sync *sync)
 {
-    struct suspects_message out;
     uint64_t now = cluster_now();
-    uint32_t count = crash_table_count(sync->table);
-    begin_message(&out);
-    for (uint32_t i = 0; i < count; i++) {
+    struct outbox outbox = {0};
+    for (uint32_t i = 0; i < crash_table_count(sync->table); i++) {
         struct crash_entry *entry = crash_table_at(sync->table, i);
         if (!entry->untold)
             continue;
-        entry->untold = false;
-        add_entry(&out, entry, now);
-        if (out.message.n_suspects < SUSPECTS_MOST)
-            continue;
-        send_to_gateways(sync, &out.message);
-        begin_message(&out);
+        if (!outbox.items)
+            outbox.items =
+                memory_zero(membership_count(sync->cluster->membership) + 1, sizeof *outbox.items);
+        tell_entry(sync, entry, &outbox, now);
     }
-    if (out.message.n_suspects)
-        send_to_gateways(sync, &out.message);
+    for (uint32_t i = 0; i < outbox.count; i++)
+        if (outbox.items[i].message.message.n_suspects)
+            send_outgoing(sync, &outbox.items[i]);
+    free(outbox.items);
 }
 
-static bool is_kept_by_all(const struct crash_entry *entry)
-{
-    return crash_entry_is_serious(entry) || entry->cleared_at;
-}
-
-static void send_serious(struct crash_sync *sync, uint32_t address, uint64_t now)
+/* What one message has no room for goes into the next one. */
+static void send_shared(struct crash_sync *sync, uint32_t address, uint64_t now)
 {
     struct suspects_message out;
     uint32_t count = crash_table_count(sync->table);
@@ -157,24 +160,28 @@
     for (uint32_t i = 0; i < count && out.message.n_suspects < SUSPECTS_MOST; i++) {
         sync->repair_place = (sync->repair_place + 1) % count;
         struct crash_entry *entry = crash_table_at(sync->table, sync->repair_place);
-        if (is_kept_by_all(entry))
+        if (entry->shared)
             add_entry(&out, entry, now);
     }
     if (out.message.n_suspects)
         cluster_send(sync->cluster, address, &out.message);
 }
 
-/* Another node holds something else. What one answer has no room for goes into the next one. */
-static void repair(struct crash_sync *sync, uint32_t address, uint64_t digest, uint64_t now)
+/* Another gateway holds something else. Loaders keep only what they are homes of: they answer a
+ * gateway that knows nothing at all, as after the loss of all of them. */
+static void repair(struct crash_sync *sync, const Shuntrun__MemberNews *sender, uint64_t digest,
+                   uint64_t now)
 {
-    uint64_t difference = digest ^ crash_table_digest(sync->table);
-    if (!difference || now < sync->next_repair)
+    uint64_t difference = digest ^ crash_table_digest(sync->table, now);
+    bool is_loader = membership_self(sync->cluster->membership)->role == MEMBER_LOADER;
+    if (!difference || sender->role != MEMBER_GATEWAY || (is_loader && digest) ||
+        now < sync->next_repair)
         return;
     uint64_t wait = difference == sync->repaired ? 2 * sync->repair_wait : REPAIR_US;
     sync->repaired = difference;
     sync->repair_wait = wait < REPAIR_MOST_US ? wait : REPAIR_MOST_US;
     sync->next_repair = now + sync->repair_wait;
-    send_serious(sync, address, now);
+    send_shared(sync, sender->address, now);
 }
 
 /* --- in ------------------------------------------------------------------------------------------
@@ -227,31 +234,20 @@
         if (!crash_table_merge(sync->table, &entry))
             continue;
         changed = true;
-        if (crash_entry_is_serious(&entry))
+        if (entry.start_count > 1)
             log_learned(sync, &entry, sender, now);
     }
     return changed;
 }
 
-/* In a fleet in which the first to know tells all gateways, nobody needs to pass it on. */
-static void pass_on(struct crash_sync *sync)
-{
-    if (count_told(sync->cluster->membership) > TOLD_MOST) {
-        crash_sync_tell(sync);
-        return;
-    }
-    for (uint32_t i = 0; i < crash_table_count(sync->table); i++)
-        crash_table_at(sync->table, i)->untold = false;
-}
-
 void crash_sync_take(struct crash_sync *sync, const Shuntrun__MemberMessage *message,
                      uint32_t sender, uint64_t now)
 {
     if (take_suspects(sync, message, sender, now)) {
-        pass_on(sync);
+        crash_sync_tell(sync);
         if (sync->cluster->callbacks.suspects_changed)
             sync->cluster->callbacks.suspects_changed(sync->cluster->callbacks.context);
     }
-    if (message->sender)
-        repair(sync, sender, message->suspects_digest, now);
+    if (message->sender && message->sender->address == sender)
+        repair(sync, message->sender, message->suspects_digest, now);
 }
--- a/src/cluster/crash_sync.h
+++ b/src/cluster/crash_sync.h
@@ -1,9 +1,9 @@
 /**
  * Shares among all nodes what is known of requests that crash back ends (core/crash_table).
  *
- * New evidence goes to gateways at once. Messages of membership carry a digest of what is serious;
- * who holds something else sends it, so that a node that starts, or was cut off, learns it with its
- * first messages. Loaders keep it too: it outlives all gateways.
+ * New evidence goes at once to whom core/crash_spread names. Messages of membership carry a digest
+ * of what all gateways keep; a gateway that holds something else sends it, so that one that starts,
+ * or was cut off, learns it with its first messages. Loaders keep a part: it outlives all gateways.
  */
 #ifndef SHUNTRUN_CRASH_SYNC_H
 #define SHUNTRUN_CRASH_SYNC_H
@@ -15,7 +15,7 @@
 
 struct crash_sync *crash_sync_create(struct cluster *cluster);
 struct crash_table *crash_sync_table(const struct crash_sync *sync);
-/** \brief Tell gateways what they were not told yet. */
+/** \brief Tell other nodes what they were not told yet. */
 void crash_sync_tell(struct crash_sync *sync);
 /** \brief Take what a message holds of it. */
 void crash_sync_take(struct crash_sync *sync, const Shuntrun__MemberMessage *message,
--- /dev/null
+++ b/src/core/crash_spread.h
@@ -0,0 +1,32 @@
+/**
+ * Whom a node tells of requests that were there when back ends ended.
+ *
+ * One ended start makes a request no more than a suspect among a dozen: it goes to two gateways
+ * that every node reckons alike from the request, where the next one meets it. What was there at
+ * more starts concerns everybody: it goes to a few gateways taken by chance, each of which passes
+ * it on once, and to two loaders, which outlive the gateways. Told to all at once, the end of 32
+ * engines at 42 gateways sent 0.46 GB over the borders of regions in 30 s, 0.02 GB without
+ * (simulated day).
+ */
+#ifndef SHUNTRUN_CRASH_SPREAD_H
+#define SHUNTRUN_CRASH_SPREAD_H
+
+#include "core/crash_table.h"
+#include "core/membership.h"
+
+/** Gateways, and loaders, at which evidence on one request meets. */
+#define CRASH_HOMES 2
+/** Gateways that each node tells of a request that was there at more than one end. A rumour that
+ *  each node passes on to 6 reaches 997 of 1,000; a digest finds the others. */
+#define CRASH_TOLD_MOST 6
+
+struct crash_receivers {
+    uint32_t addresses[CRASH_TOLD_MOST + 2 * CRASH_HOMES];
+    uint32_t count;
+};
+
+/** \brief The nodes to tell of an entry, this one not among them. */
+void crash_spread_receivers(struct membership *membership, const struct crash_entry *entry,
+                            struct random_stream *random, struct crash_receivers *receivers);
+
+#endif
--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -51,11 +51,6 @@
     return weight;
 }
 
-bool crash_entry_is_serious(const struct crash_entry *entry)
-{
-    return entry->start_count > 1;
-}
-
 static void remove_start(struct crash_entry *entry, uint32_t place)
 {
     entry->start_count--;
@@ -99,18 +94,22 @@
     if (known)
         remove_start(entry, place);
     insert_start(entry, start);
+    entry->shared |= entry->start_count > 1;
     return !known;
 }
 
-/* \return whether anything changed */
+/* A later time alone is no news: a time that travels as an age seems later after each hop.
+ * \return whether it takes anything back, or is the first */
 static bool clear_until(struct crash_entry *entry, uint64_t at)
 {
-    if (at <= entry->cleared_at)
-        return false;
-    entry->cleared_at = at;
-    while (entry->start_count && entry->starts[0].ended_at <= at)
+    bool is_news = at && !entry->cleared_at;
+    if (at > entry->cleared_at)
+        entry->cleared_at = at;
+    while (entry->start_count && entry->starts[0].ended_at <= at) {
         remove_start(entry, 0);
-    return true;
+        is_news = true;
+    }
+    return is_news;
 }
 
 /* \return whether the one request was there at the end of all the starts of the other */
@@ -177,9 +176,8 @@
     struct crash_entry *entry = lookup(table, identity);
     if (!entry || !entry->start_count)
         return false;
-    bool serious = crash_entry_is_serious(entry);
     clear_until(entry, at);
-    entry->untold |= serious; /* nobody else keeps the others for long */
+    entry->untold |= entry->shared; /* nobody else keeps the others for long */
     return true;
 }
 
@@ -189,7 +187,8 @@
     bool changed = clear_until(entry, other->cleared_at);
     for (uint32_t i = 0; i < other->start_count; i++)
         changed |= add_start(entry, &other->starts[i]);
-    entry->untold |= changed;
+    entry->shared |= !other->start_count; /* only of these one tells that they are cleared */
+    entry->untold |= changed && entry->shared;
     return changed;
 }
 
@@ -220,7 +219,7 @@
 static bool is_over(const struct crash_entry *entry, uint64_t now)
 {
     uint64_t newest = newest_end(entry) > entry->cleared_at ? newest_end(entry) : entry->cleared_at;
-    return now >= newest + (crash_entry_is_serious(entry) ? CRASH_REMEMBER_US : CRASH_SUSPECT_US);
+    return now >= newest + (entry->shared ? CRASH_REMEMBER_US : CRASH_SUSPECT_US);
 }
 
 void crash_table_trim(struct crash_table *table, uint64_t now)
@@ -246,20 +245,21 @@
     return lookup(table, identity);
 }
 
-static uint64_t digest_of_entry(const struct crash_entry *entry)
+static uint64_t digest_of_entry(const struct crash_entry *entry, uint64_t now)
 {
     uint64_t digest = 0;
     uint64_t identity = hash_bytes(entry->identity.bytes, sizeof entry->identity.bytes);
     for (uint32_t i = 0; i < entry->start_count; i++)
-        digest ^= hash_pair(identity, entry->starts[i].start);
+        if (now >= entry->starts[i].ended_at + CRASH_SETTLED_US)
+            digest ^= hash_pair(identity, entry->starts[i].start);
     return digest;
 }
 
-uint64_t crash_table_digest(const struct crash_table *table)
+uint64_t crash_table_digest(const struct crash_table *table, uint64_t now)
 {
     uint64_t digest = 0;
     for (uint32_t i = 0; i < table->count; i++)
-        if (crash_entry_is_serious(&table->entries[i]))
-            digest ^= digest_of_entry(&table->entries[i]);
+        if (table->entries[i].start_count > 1)
+            digest ^= digest_of_entry(&table->entries[i], now);
     return digest;
 }
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -56,6 +56,7 @@
     struct crash_start starts[CRASH_STARTS_KEPT]; /**< the earliest end first */
     uint32_t start_count;
     uint64_t cleared_at; /**< time of its last good end; 0: none is known */
+    bool shared;         /**< it was there at more than one end once: all gateways keep it */
     bool untold;         /**< others were not told of the last change */
 };
 
@@ -92,11 +93,14 @@
 /** \return or NULL */
 const struct crash_entry *crash_table_find(const struct crash_table *table,
                                            const struct request_identity *identity);
-/** \return whether the entry holds enough for all nodes to keep it */
-bool crash_entry_is_serious(const struct crash_entry *entry);
 /** \return starts that count, those that ended at the same moment once */
 uint32_t crash_entry_weight(const struct crash_entry *entry);
-/** \return a digest of the serious entries, the same on nodes that hold the same; 0: none */
-uint64_t crash_table_digest(const struct crash_table *table);
+/** News of an end reach all gateways within this time; only then a digest counts it. */
+#define CRASH_SETTLED_US ((uint64_t)500000)
+/**
+ * \return a digest of the entries with more than one start, the same on nodes that hold the same; 0: none.
+ * Ends of the last CRASH_SETTLED_US are left out: news of them are still on their way.
+ */
+uint64_t crash_table_digest(const struct crash_table *table, uint64_t now);
 
 #endif
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash_table_test.c
@@ -240,7 +240,8 @@
             nodes[i] = crash_table_create();
         scatter(&random, facts, nodes);
         for (uint32_t i = 1; i < NODES; i++) {
-            assert_int_equal(crash_table_digest(nodes[i]), crash_table_digest(nodes[0]));
+            assert_int_equal(crash_table_digest(nodes[i], BEGIN + 30 * SECOND),
+                             crash_table_digest(nodes[0], BEGIN + 30 * SECOND));
             for (uint32_t request = 0; request < REQUESTS; request++)
                 assert_int_equal(verdict(nodes[i], request, BEGIN + 30 * SECOND),
                                  verdict(nodes[0], request, BEGIN + 30 * SECOND));
