Where back ends end for several reasons, a request is blocked only if one of its ends is not another's

Cause, found in real processes: of three requests that crashed engines at once, an innocent stream was at three ends, each by another of them, and was blocked. Test first (core.crash_table: 46 others blocked in 1,000 worlds). Change: when back ends also end without the request, one that was at as many explains an end. Also six gateways meet the evidence of one end instead of two. Tried: explained by any that was at two ends: 11.3 ends a world instead of 8.4, not kept.

--- a/src/core/crash_spread.c
+++ b/src/core/crash_spread.c
@@ -23,11 +23,11 @@
 
 /* The first ones of a role by rendezvous weight, without this node. */
 static void add_homes(struct membership *membership, const struct crash_entry *entry,
-                      enum member_role role, struct crash_receivers *receivers)
+                      enum member_role role, uint32_t homes, struct crash_receivers *receivers)
 {
     uint64_t key = hash_bytes(entry->identity.bytes, sizeof entry->identity.bytes);
     uint64_t limit = UINT64_MAX;
-    for (uint32_t home = 0; home < CRASH_HOMES; home++) {
+    for (uint32_t home = 0; home < homes; home++) {
         uint64_t best_weight = 0;
         uint32_t best = 0;
         for (uint32_t i = 0; i < membership_count(membership); i++) {
@@ -66,9 +66,9 @@
                             struct random_stream *random, struct crash_receivers *receivers)
 {
     receivers->count = 0;
-    add_homes(membership, entry, MEMBER_GATEWAY, receivers);
+    add_homes(membership, entry, MEMBER_GATEWAY, CRASH_GATEWAY_HOMES, receivers);
     if (!entry->shared)
         return;
-    add_homes(membership, entry, MEMBER_LOADER, receivers);
+    add_homes(membership, entry, MEMBER_LOADER, CRASH_LOADER_HOMES, receivers);
     add_some_gateways(membership, random, receivers);
 }
--- a/src/core/crash_spread.h
+++ b/src/core/crash_spread.h
@@ -1,7 +1,7 @@
 /**
  * Whom a node tells of requests that were there when back ends ended.
  *
- * One ended start makes a request no more than a suspect among a dozen: it goes to two gateways
+ * One ended start makes a request no more than a suspect among a dozen: it goes to a few gateways
  * that every node reckons alike from the request, where the next one meets it. What was there at
  * more starts concerns everybody: it goes to a few gateways taken by chance, each of which passes
  * it on once, and to two loaders, which outlive the gateways. Told to all at once, the end of 32
@@ -14,14 +14,17 @@
 #include "core/crash_table.h"
 #include "core/membership.h"
 
-/** Gateways, and loaders, at which evidence on one request meets. */
-#define CRASH_HOMES 2
+/** Gateways at which evidence on one request meets. In a fleet of 7 these are all, so that same
+ *  requests meet at one back end, and others part, from the first end on. */
+#define CRASH_GATEWAY_HOMES 6
+/** Loaders that keep what all gateways keep: both have to be lost with all gateways. */
+#define CRASH_LOADER_HOMES 2
 /** Gateways that each node tells of a request that was there at more than one end. A rumour that
  *  each node passes on to 6 reaches 997 of 1,000; a digest finds the others. */
 #define CRASH_TOLD_MOST 6
 
 struct crash_receivers {
-    uint32_t addresses[CRASH_TOLD_MOST + 2 * CRASH_HOMES];
+    uint32_t addresses[CRASH_TOLD_MOST + CRASH_GATEWAY_HOMES + CRASH_LOADER_HOMES];
     uint32_t count;
 };
 
--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -201,6 +201,50 @@
     return false;
 }
 
+/* \return whether some start ended lately without the request: not all ends are of its making */
+static bool others_ended(const struct crash_table *table, const struct crash_entry *entry)
+{
+    uint64_t since =
+        newest_end(entry) > CRASH_SUSPECT_US ? newest_end(entry) - CRASH_SUSPECT_US : 0;
+    for (uint32_t i = 0; i < table->count; i++) {
+        const struct crash_entry *other = &table->entries[i];
+        for (uint32_t k = 0; k < other->start_count; k++)
+            if (other->starts[k].ended_at >= since &&
+                find_start(entry, other->starts[k].start) == entry->start_count)
+                return true;
+    }
+    return false;
+}
+
+/* \return whether another request was at this end that was at as many of them */
+static bool is_explained(const struct crash_table *table, const struct crash_entry *entry,
+                         uint64_t start)
+{
+    for (uint32_t i = 0; i < table->count; i++) {
+        const struct crash_entry *other = &table->entries[i];
+        if (other != entry && other->start_count >= entry->start_count &&
+            find_start(other, start) < other->start_count)
+            return true;
+    }
+    return false;
+}
+
+static bool are_all_explained(const struct crash_table *table, const struct crash_entry *entry)
+{
+    for (uint32_t i = 0; i < entry->start_count; i++)
+        if (!is_explained(table, entry, entry->starts[i].start))
+            return false;
+    return true;
+}
+
+/* Others may have ended all the starts: one that was at each of them, or, where back ends end
+ * without this request as well, several. */
+static bool may_be_innocent(const struct crash_table *table, const struct crash_entry *entry)
+{
+    return somebody_else_was_at_all(table, entry) ||
+           (others_ended(table, entry) && are_all_explained(table, entry));
+}
+
 enum crash_verdict crash_table_judge(const struct crash_table *table,
                                      const struct request_identity *identity, uint64_t now)
 {
@@ -211,7 +255,7 @@
     bool lately = now < newest_end(entry) + CRASH_BLOCK_US;
     if (weight < CRASH_STARTS_TO_BLOCK || !lately)
         return CRASH_SUSPECT;
-    if (weight < CRASH_STARTS_TO_BLOCK_ANY && somebody_else_was_at_all(table, entry))
+    if (weight < CRASH_STARTS_TO_BLOCK_ANY && may_be_innocent(table, entry))
         return CRASH_SUSPECT;
     return CRASH_BLOCKED;
 }
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -9,8 +9,11 @@
  * Being there is not being guilty. A request is
  * - a suspect once it was there at the end of one start, and
  * - blocked once it was there at CRASH_STARTS_TO_BLOCK of them, unless another request was there at
- *   all of these too. Whoever asks sends suspects to back ends of their own, so that the next end
- *   tells the two apart.
+ *   all of these too, or, where back ends end without it as well, each of its ends had another one
+ *   that was at as many. Whoever asks sends suspects to back ends of their own, so that the next
+ *   end tells them apart. Of 1,000 small worlds with 12 back ends and three requests that crash
+ *   them, 46 others were blocked without the second part, none with it; 8.3 and 8.4 back ends ended
+ *   in each (tests/core/crash_table_test.c).
  * A request that ran to its end is cleared of all that was before.
  *
  * No clock, socket or thread. Times are microseconds of a clock that does not step back.
@@ -26,8 +29,8 @@
 /** Ended starts that block a request. Two are met by chance: a stream whose engine ends goes on at
  *  another one, where a suspect may run. */
 #define CRASH_STARTS_TO_BLOCK 3
-/** Ended starts that block a request even if another one was there at all of them: two requests
- *  that each crash back ends, and always met. */
+/** Ended starts that block a request whoever else was there: two requests that each crash back ends
+ *  may always have met. */
 #define CRASH_STARTS_TO_BLOCK_ANY 5
 /** Starts that end within this time count as one: what ends many at the same moment is a loss of
  *  power or the like, and no request. Gateways see one end up to some 10 ms apart. */
@@ -98,8 +101,8 @@
 /** News of an end reach all gateways within this time; only then a digest counts it. */
 #define CRASH_SETTLED_US ((uint64_t)500000)
 /**
- * \return a digest of the entries with more than one start, the same on nodes that hold the same; 0: none.
- * Ends of the last CRASH_SETTLED_US are left out: news of them are still on their way.
+ * \return a digest of the entries with more than one start, the same on nodes that hold the same;
+ * 0: none. Ends of the last CRASH_SETTLED_US are left out: news of them are still on their way.
  */
 uint64_t crash_table_digest(const struct crash_table *table, uint64_t now);
 
--- a/tests/core/crash_spread_test.c
+++ b/tests/core/crash_spread_test.c
@@ -11,6 +11,10 @@
 #define SECOND ((uint64_t)1000000)
 #define TRANSIT_US 2500
 #define ROUNDS_MOST 40
+/* Each node tells its receivers once. */
+#define MESSAGES_MOST                                                                              \
+    ((FLEET_GATEWAYS + CRASH_LOADER_HOMES) *                                                       \
+     (CRASH_TOLD_MOST + CRASH_GATEWAY_HOMES + CRASH_LOADER_HOMES))
 
 /* A fleet whose nodes are told of things, one after the other. */
 struct fleet {
@@ -120,14 +124,14 @@
     assert_in_range(known, 50 * FLEET_GATEWAYS * 985 / 1000, 50 * FLEET_GATEWAYS);
 }
 
-static void one_end_goes_to_two_gateways_only(void **state)
+static void one_end_goes_to_a_few_gateways_only(void **state)
 {
     struct fleet fleet;
     open_fleet(&fleet, 1);
     for (uint32_t request = 0; request < 160; request++)
         see_end(&fleet, request % FLEET_GATEWAYS, request, 1);
     tell_all(&fleet);
-    assert_int_equal(fleet.messages, 160 * CRASH_HOMES);
+    assert_int_equal(fleet.messages, 160 * CRASH_GATEWAY_HOMES);
     close_fleet(&fleet);
 }
 
@@ -138,8 +142,7 @@
     see_end(&fleet, 3, 1, 1);
     see_end(&fleet, 3, 1, 2);
     tell_all(&fleet);
-    assert_in_range(fleet.messages, FLEET_GATEWAYS,
-                    (FLEET_GATEWAYS + CRASH_HOMES) * (CRASH_TOLD_MOST + 2 * CRASH_HOMES));
+    assert_in_range(fleet.messages, FLEET_GATEWAYS, MESSAGES_MOST);
     close_fleet(&fleet);
 }
 
@@ -155,8 +158,7 @@
     fleet.messages = 0;
     crash_table_clear(fleet.tables[20], &identity, NOW + 5 * SECOND);
     assert_in_range(tell_all(&fleet), 1, 9);
-    assert_in_range(fleet.messages, FLEET_GATEWAYS,
-                    (FLEET_GATEWAYS + CRASH_HOMES) * (CRASH_TOLD_MOST + 2 * CRASH_HOMES));
+    assert_in_range(fleet.messages, FLEET_GATEWAYS, MESSAGES_MOST);
     assert_int_equal(count_knowing(&fleet, 1, 1), 0);
     close_fleet(&fleet);
 }
@@ -171,7 +173,7 @@
     tell_all(&fleet);
     for (uint32_t i = FLEET_GATEWAYS; i < FLEET_MEMBERS; i++)
         loaders += crash_table_count(fleet.tables[i]) > 0;
-    assert_in_range(loaders, CRASH_HOMES, CRASH_HOMES + 1);
+    assert_in_range(loaders, CRASH_LOADER_HOMES, CRASH_LOADER_HOMES + 1);
     close_fleet(&fleet);
 }
 
@@ -179,7 +181,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(ends_seen_by_different_gateways_meet_and_reach_all),
-        cmocka_unit_test(one_end_goes_to_two_gateways_only),
+        cmocka_unit_test(one_end_goes_to_a_few_gateways_only),
         cmocka_unit_test(what_all_keep_costs_each_gateway_a_few_messages),
         cmocka_unit_test(a_good_end_is_news_once),
         cmocka_unit_test(two_loaders_keep_what_all_gateways_keep),
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash_table_test.c
@@ -256,7 +256,8 @@
 
 enum { ENGINES = 12, PLACES = 13, PLAYERS = 2000, ATTEMPTS = 3, STEPS = 12, ENDED_A_STEP = 6 };
 
-/* One request that crashes engines among others that run once and, when broken off, go on. */
+/* Some requests that crash engines, the first numbers, among others that run once and, when broken
+ * off, go on. */
 struct world {
     struct random_stream random;
     struct crash_table *table;
@@ -267,6 +268,8 @@
     uint32_t broken[PLAYERS]; /* times that the request was broken off */
     uint32_t ends;
     uint32_t next_player;
+    uint32_t guilty;
+    uint32_t refused; /* others that were refused as they went on */
 };
 
 static uint32_t by_rank(struct world *world, uint32_t request, uint32_t avoid)
@@ -282,8 +285,10 @@
 static void place(struct world *world, uint32_t request, uint32_t avoid, uint64_t now)
 {
     uint32_t engine;
-    if (verdict(world->table, request, now) == CRASH_BLOCKED)
+    if (verdict(world->table, request, now) == CRASH_BLOCKED) {
+        world->refused += request >= world->guilty;
         return;
+    }
     if (world->ranks && verdict(world->table, request, now) == CRASH_SUSPECT)
         engine = by_rank(world, request, avoid);
     else
@@ -303,14 +308,14 @@
               crash_start_key("engine", engine * 1000 + world->born[engine]), now);
     world->born[engine]++;
     for (uint32_t i = 0; i < count; i++)
-        if (there[i] && ++world->broken[there[i]] < ATTEMPTS)
+        if (there[i] >= world->guilty && ++world->broken[there[i]] < ATTEMPTS)
             place(world, there[i], engine, now);
 }
 
 static bool has_guilty(const struct world *world, uint32_t engine)
 {
     for (uint32_t i = 0; i < world->count[engine]; i++)
-        if (world->on[engine][i] == 0)
+        if (world->on[engine][i] < world->guilty)
             return true;
     return false;
 }
@@ -325,10 +330,11 @@
     memmove(world->on[engine], world->on[engine] + done,
             world->count[engine] * sizeof world->on[engine][0]);
     while (world->count[engine] < PLACES)
-        world->on[engine][world->count[engine]++] = 1 + world->next_player++ % (PLAYERS - 1);
+        world->on[engine][world->count[engine]++] =
+            world->guilty + world->next_player++ % (PLAYERS - world->guilty);
 }
 
-/* \return innocent requests that were blocked */
+/* \return innocent requests that were refused when they went on, or are blocked in the end */
 static uint32_t play(struct world *world)
 {
     uint32_t blocked = 0;
@@ -336,21 +342,23 @@
         uint64_t now = BEGIN + step * SECOND / 5;
         for (uint32_t engine = 0; engine < ENGINES; engine++)
             run_on(world, engine, now);
-        place(world, 0, (uint32_t)random_below(&world->random, ENGINES), now);
+        for (uint32_t guilty = 0; guilty < world->guilty; guilty++)
+            place(world, guilty, (uint32_t)random_below(&world->random, ENGINES), now);
         for (uint32_t engine = 0; engine < ENGINES; engine++)
             if (has_guilty(world, engine))
                 crash(world, engine, now + engine);
     }
-    for (uint32_t request = 1; request < PLAYERS; request++)
+    for (uint32_t request = world->guilty; request < PLAYERS; request++)
         blocked += verdict(world->table, request, BEGIN + STEPS * SECOND) == CRASH_BLOCKED;
-    return blocked;
+    return blocked + world->refused;
 }
 
-static void play_many(bool ranks, uint32_t worlds, uint32_t *ends, uint32_t *blocked)
+static void play_many(bool ranks, uint32_t guilty, uint32_t worlds, uint32_t *ends,
+                      uint32_t *blocked)
 {
     *ends = *blocked = 0;
     for (uint64_t seed = 1; seed <= worlds; seed++) {
-        struct world world = {.random = {.seed = seed}, .ranks = ranks};
+        struct world world = {.random = {.seed = seed}, .ranks = ranks, .guilty = guilty};
         world.table = crash_table_create();
         *blocked += play(&world);
         *ends += world.ends;
@@ -362,13 +370,22 @@
 static void an_innocent_request_is_not_blocked(void **state)
 {
     uint32_t ends, blocked;
-    play_many(true, 1000, &ends, &blocked);
-    print_message("with ranks: %u ends in 1,000 worlds, %u innocent requests blocked\n", ends,
-                  blocked);
+    play_many(true, 1, 1000, &ends, &blocked);
+    print_message("one, with ranks: %u ends in 1,000 worlds, %u others blocked\n", ends, blocked);
     assert_int_equal(blocked, 0);
     assert_in_range(ends, 3000, 3300);
-    play_many(false, 1000, &ends, &blocked);
-    print_message("without: %u ends, %u innocent requests blocked\n", ends, blocked);
+    play_many(false, 1, 1000, &ends, &blocked);
+    print_message("one, without: %u ends, %u others blocked\n", ends, blocked);
+}
+
+/* Three of them at once: others are met by chance at the ends of several. */
+static void nor_is_one_beside_three_that_crash_engines(void **state)
+{
+    uint32_t ends, blocked;
+    play_many(true, 3, 1000, &ends, &blocked);
+    print_message("three: %u ends in 1,000 worlds, %u others blocked\n", ends, blocked);
+    assert_in_range(blocked, 0, 10);
+    assert_in_range(ends, 6000, 12000);
 }
 
 int main(void)
@@ -386,6 +403,7 @@
         cmocka_unit_test(a_full_table_keeps_the_most_suspect),
         cmocka_unit_test(nodes_agree_whatever_the_order),
         cmocka_unit_test(an_innocent_request_is_not_blocked),
+        cmocka_unit_test(nor_is_one_beside_three_that_crash_engines),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
