--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -170,7 +170,7 @@
     static const char *const kinds[][2] = {
         {"config", "accepted"}, {"weights", "version-named"}, {"cluster", "members"},
         {"store", "lost"},      {"store", "regained"},        {"process", "start"},
-        {"process", "stop"},    {"cluster", "woke"},
+        {"process", "stop"},    {"cluster", "woke"},          {"crash", "ended"},
     };
     json_t *beliefs = json_array();
     char *node = copy_field(end, "node");
@@ -216,6 +216,8 @@
     {"torn", "the answer ended within an event"},
     {"no-seal", "the answer lacked the back end's signature or had an encoding"},
     {"resume-refused", "the stream could not go on at another back end"},
+    {"crashes-back-ends", "several back ends ended while they ran this request (same caller, path "
+                          "and body), so it is not run"},
     {"time-out", "the time of the client or the route was over"},
 };
 
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -253,7 +253,9 @@
 
     def crash(self):
         """End at once and for good: connections are reset, new ones refused."""
-        self.returns = False
+        with self.lock:
+            self.alive = False
+            self.returns = False
         self.end_now()
 
     def end_now(self):
--- a/tests/tool/explain_test.c
+++ b/tests/tool/explain_test.c
@@ -60,6 +60,20 @@
     explanation_clear(&explanation);
 }
 
+static void a_request_that_crashes_back_ends_is_told_so(void **state)
+{
+    static const char blocked[] =
+        "time=2026-01-01T00:00:30.100Z node=front-1 subsystem=crash event=ended backend=i-2 born=5 "
+        "proof=refused requests=3\n"
+        "time=2026-01-01T00:00:31.200Z node=front-1 subsystem=request event=failed request=ef56 "
+        "status=503 reason=crashes-back-ends sends=0 events=0 took_ms=0 trail=\"\"\n";
+    struct explanation explanation;
+    assert_true(explain_request(blocked, strlen(blocked), "ef56", &explanation));
+    assert_non_null(strstr(explanation.sentence, "several back ends ended while they ran this"));
+    assert_true(holds(explanation.beliefs, "proof=refused"));
+    explanation_clear(&explanation);
+}
+
 static void an_unknown_request_is_not_explained(void **state)
 {
     struct explanation explanation;
@@ -72,6 +86,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(the_cause_is_named_with_the_beliefs_of_then),
         cmocka_unit_test(a_stream_that_was_cut_is_told_from_an_answer),
+        cmocka_unit_test(a_request_that_crashes_back_ends_is_told_so),
         cmocka_unit_test(an_unknown_request_is_not_explained),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
