--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -192,7 +192,8 @@
               membership_count(cluster->membership) + 1, (unsigned long long)took_ms);
 }
 
-/* Once in each turn of the loop, before it waits: a pause is noticed before any timer is late. */
+/* Once in each turn of the loop, before it waits for events: a pause is noticed in the turn in
+ * which the process runs again. */
 static void on_look_at_clocks(uv_prepare_t *prepare)
 {
     struct cluster *cluster = prepare->data;
--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -1,4 +1,5 @@
-/* Which back end gets a request: what is fit, what has room, and which of these is the best. */
+/* Which of the back ends that are fit gets a request: what has room, and which of these is the
+ * best. */
 #include "core/backend_pool_internal.h"
 #include "core/hash.h"
 
@@ -12,12 +13,6 @@
 #define SERVICE_REGION_PENALTY_MS 15
 #define FAILURE_PENALTY 8.0
 #define REFUSAL_PENALTY 3.0
-/** Silence after which a model engine gets nothing more until it answers. */
-#define STALLED_US 700000
-/** A first byte after this time shows a back end, or a way to it, that is late. */
-#define LATE_US 450000
-/** Only an answer within this time shows that it is not. */
-#define PROMPT_US 1500000
 /** So much more than its part a gateway may take, as not all take theirs. */
 #define OVERCOMMIT 2.0
 /** Parts of an engine's free places for the gateways of its own region, and for all others: these
@@ -27,6 +22,7 @@
 #define FAR_PART 0.4
 /** A gateway that began so lately has heard no load yet: it waits for the first report. */
 #define FIRST_REPORTS_US 1000000
+
 /* Whether the last report still tells how full the engine is. */
 static bool has_fresh_load(const struct backend_pool *pool, const struct backend *backend,
                            uint64_t now)
@@ -70,128 +66,6 @@
     return known > (int64_t)backend->unread_tokens ? (uint64_t)known : backend->unread_tokens;
 }
 
-static uint64_t weights_version(const struct backend_pool *pool, const struct backend *backend,
-                                uint64_t now)
-{
-    return backend_has_recent_load(pool, backend, now) ? backend->load.version
-                                                       : backend->listing.version;
-}
-
-/* A request was sent a while ago and nothing came back. */
-static bool is_stalled(const struct backend *backend, uint64_t now)
-{
-    return backend->unread && now > backend->unread_since + STALLED_US;
-}
-
-/* What is sent there may begin much later, as far as this gateway's own traffic shows. */
-static bool is_late(const struct backend *backend, uint64_t now)
-{
-    return backend->load.link_slow || backend->last_latency_us > LATE_US ||
-           now > backend->last_answer_at + PROMPT_US || is_stalled(backend, now);
-}
-
-/* Whether the weights there are new enough, now and for the time that the request may wait. */
-static bool has_version(const struct backend_pool *pool, const struct backend_wish *wish,
-                        const struct backend *backend, uint64_t now)
-{
-    uint64_t version = weights_version(pool, backend, now);
-    if (!version || version < wish->least_version)
-        return false;
-    if (wish->exact_version && version != wish->exact_version)
-        return false;
-    if (is_late(backend, now) && version < wish->later_version)
-        return false;
-    bool staged = backend_has_recent_load(pool, backend, now) && backend->load.staged;
-    return version >= wish->next_version || staged;
-}
-
-/* Back ends tell their starts apart, all of a platform or none: an entry that does not, among
- * others that do, was written by somebody else, and may stand for nobody. Most of its service
- * decide; where that is small, most of all do, as long as one of the service is among them. */
-static bool is_dubious(const struct backend_pool *pool, const struct backend *backend)
-{
-    if (backend->listing.born)
-        return false;
-    const struct backend_table *table = &pool->table;
-    const struct backend_group *group = backend_table_group(table, backend->listing.service);
-    if (!group || !group->dated)
-        return false;
-    return 2 * group->dated > group->count || 2 * table->dated > table->count;
-}
-
-static bool is_out_of_use(const struct backend_pool *pool, const struct backend *backend,
-                          uint64_t now)
-{
-    return backend->listing.draining || backend_is_past_unlisting(backend, now) ||
-           is_dubious(pool, backend);
-}
-
-static bool has_ended(const struct backend *backend, uint64_t now)
-{
-    return now < backend->ended_until;
-}
-
-bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
-                       const struct backend_wish *wish, uint64_t now)
-{
-    if (!backend->listed || is_out_of_use(pool, backend, now) || has_ended(backend, now))
-        return false;
-    return !wish->engine || has_version(pool, wish, backend, now);
-}
-
-/* It is empty, and is to get the version that the request needs. */
-static bool gets_version(const struct backend_pool *pool, const struct backend_wish *wish,
-                         const struct backend *backend, uint64_t now)
-{
-    return wish->exact_version && wish->exact_version == wish->coming_version &&
-           wish->exact_version >= wish->least_version && !weights_version(pool, backend, now);
-}
-
-static bool is_loading(const struct backend_pool *pool, const struct backend *backend, uint64_t now)
-{
-    return backend_has_recent_load(pool, backend, now) && backend->load.loading;
-}
-
-static bool may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
-                      const struct backend *backend, uint64_t now)
-{
-    if (is_out_of_use(pool, backend, now))
-        return false;
-    if (!wish->engine || gets_version(pool, wish, backend, now))
-        return true;
-    return has_version(pool, wish, backend, now) && !is_loading(pool, backend, now);
-}
-
-bool backend_pool_may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
-                            uint64_t now)
-{
-    const struct backend_group *group = backend_table_group(&pool->table, wish->service);
-    for (uint32_t i = 0; group && i < group->count; i++)
-        if (may_serve(pool, wish, group->items[i], now))
-            return true;
-    return false;
-}
-
-static bool is_excluded(const struct backend_wish *wish, const struct backend *backend)
-{
-    for (uint32_t i = 0; i < wish->excluded_count; i++)
-        if (wish->excluded[i] == backend)
-            return true;
-    return false;
-}
-
-static bool is_fit(const struct backend_pool *pool, const struct backend_wish *wish,
-                   const struct backend *backend, uint64_t now)
-{
-    if (is_out_of_use(pool, backend, now) || has_ended(backend, now) || is_excluded(wish, backend))
-        return false;
-    if (!wish->engine)
-        return true;
-    if (!has_version(pool, wish, backend, now))
-        return false;
-    return !is_loading(pool, backend, now) && !is_stalled(backend, now);
-}
-
 static bool is_ejected(const struct backend *backend, uint64_t now)
 {
     return backend->ejected_until && (now < backend->ejected_until || backend->probing);
@@ -354,7 +228,7 @@
 /* Its machine does not report, but it answered this gateway lately. */
 static bool answers_lately(const struct backend *backend, uint64_t now)
 {
-    return backend->last_answer_at && now < backend->last_answer_at + PROMPT_US;
+    return backend->last_answer_at && now < backend->last_answer_at + BACKEND_PROMPT_US;
 }
 
 static void offer_backend(struct backend_pool *pool, const struct backend_wish *wish,
@@ -407,7 +281,7 @@
     *chosen = NULL;
     for (uint32_t i = 0; group && i < group->count; i++) {
         struct backend *backend = group->items[i];
-        if (!is_fit(pool, wish, backend, now))
+        if (!backend_is_fit(pool, wish, backend, now))
             continue;
         fit = true;
         if (is_ejected(backend, now) || (!wish->any_load && !has_room(pool, wish, backend, now)))
@@ -434,7 +308,7 @@
     for (uint32_t i = 0; group && i < group->count; i++) {
         if (i >= group->reported && offer.reported && wish->engine && !wish->any_load)
             break;
-        if (is_fit(pool, wish, group->items[i], now))
+        if (backend_is_fit(pool, wish, group->items[i], now))
             offer_backend(pool, wish, group->items[i], now, &offer);
     }
     if (offer.probe) {
@@ -453,7 +327,7 @@
     const struct backend_group *group = backend_table_group(&pool->table, wish->service);
     for (uint32_t i = 0; group && i < group->count; i++) {
         const struct backend *backend = group->items[i];
-        if (is_fit(pool, wish, backend, now) && !backend->ejected_until &&
+        if (backend_is_fit(pool, wish, backend, now) && !backend->ejected_until &&
             (wish->any_load || has_room(pool, wish, backend, now)))
             return true;
     }
--- /dev/null
+++ b/src/core/backend_fit.c
@@ -0,0 +1,129 @@
+/* Which back ends may get a request at all: in use, with weights that are allowed, and awake. */
+#include "core/backend_pool_internal.h"
+
+/** Silence after which a model engine gets nothing more until it answers. */
+#define STALLED_US 700000
+/** A first byte after this time shows a back end, or a way to it, that is late. */
+#define LATE_US 450000
+
+static uint64_t weights_version(const struct backend_pool *pool, const struct backend *backend,
+                                uint64_t now)
+{
+    return backend_has_recent_load(pool, backend, now) ? backend->load.version
+                                                       : backend->listing.version;
+}
+
+/* A request was sent a while ago and nothing came back. */
+static bool is_stalled(const struct backend *backend, uint64_t now)
+{
+    return backend->unread && now > backend->unread_since + STALLED_US;
+}
+
+/* What is sent there may begin much later, as far as this gateway's own traffic shows. */
+static bool is_late(const struct backend *backend, uint64_t now)
+{
+    return backend->load.link_slow || backend->last_latency_us > LATE_US ||
+           now > backend->last_answer_at + BACKEND_PROMPT_US || is_stalled(backend, now);
+}
+
+/* Whether the weights there are new enough, now and for the time that the request may wait. */
+static bool has_version(const struct backend_pool *pool, const struct backend_wish *wish,
+                        const struct backend *backend, uint64_t now)
+{
+    uint64_t version = weights_version(pool, backend, now);
+    if (!version || version < wish->least_version)
+        return false;
+    if (wish->exact_version && version != wish->exact_version)
+        return false;
+    if (is_late(backend, now) && version < wish->later_version)
+        return false;
+    bool staged = backend_has_recent_load(pool, backend, now) && backend->load.staged;
+    return version >= wish->next_version || staged;
+}
+
+/* Back ends tell their starts apart, all of a platform or none: an entry that does not, among
+ * others that do, was written by somebody else, and may stand for nobody. Most of its service
+ * decide; where that is small, most of all do, as long as one of the service is among them. */
+static bool is_dubious(const struct backend_pool *pool, const struct backend *backend)
+{
+    if (backend->listing.born)
+        return false;
+    const struct backend_table *table = &pool->table;
+    const struct backend_group *group = backend_table_group(table, backend->listing.service);
+    if (!group || !group->dated)
+        return false;
+    return 2 * group->dated > group->count || 2 * table->dated > table->count;
+}
+
+static bool is_out_of_use(const struct backend_pool *pool, const struct backend *backend,
+                          uint64_t now)
+{
+    return backend->listing.draining || backend_is_past_unlisting(backend, now) ||
+           is_dubious(pool, backend);
+}
+
+static bool has_ended(const struct backend *backend, uint64_t now)
+{
+    return now < backend->ended_until;
+}
+
+bool backend_may_begin(const struct backend_pool *pool, const struct backend *backend,
+                       const struct backend_wish *wish, uint64_t now)
+{
+    if (!backend->listed || is_out_of_use(pool, backend, now) || has_ended(backend, now))
+        return false;
+    return !wish->engine || has_version(pool, wish, backend, now);
+}
+
+/* It is empty, and is to get the version that the request needs. */
+static bool gets_version(const struct backend_pool *pool, const struct backend_wish *wish,
+                         const struct backend *backend, uint64_t now)
+{
+    return wish->exact_version && wish->exact_version == wish->coming_version &&
+           wish->exact_version >= wish->least_version && !weights_version(pool, backend, now);
+}
+
+static bool is_loading(const struct backend_pool *pool, const struct backend *backend, uint64_t now)
+{
+    return backend_has_recent_load(pool, backend, now) && backend->load.loading;
+}
+
+static bool may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
+                      const struct backend *backend, uint64_t now)
+{
+    if (is_out_of_use(pool, backend, now))
+        return false;
+    if (!wish->engine || gets_version(pool, wish, backend, now))
+        return true;
+    return has_version(pool, wish, backend, now) && !is_loading(pool, backend, now);
+}
+
+bool backend_pool_may_serve(const struct backend_pool *pool, const struct backend_wish *wish,
+                            uint64_t now)
+{
+    const struct backend_group *group = backend_table_group(&pool->table, wish->service);
+    for (uint32_t i = 0; group && i < group->count; i++)
+        if (may_serve(pool, wish, group->items[i], now))
+            return true;
+    return false;
+}
+
+static bool is_excluded(const struct backend_wish *wish, const struct backend *backend)
+{
+    for (uint32_t i = 0; i < wish->excluded_count; i++)
+        if (wish->excluded[i] == backend)
+            return true;
+    return false;
+}
+
+bool backend_is_fit(const struct backend_pool *pool, const struct backend_wish *wish,
+                    const struct backend *backend, uint64_t now)
+{
+    if (is_out_of_use(pool, backend, now) || has_ended(backend, now) || is_excluded(wish, backend))
+        return false;
+    if (!wish->engine)
+        return true;
+    if (!has_version(pool, wish, backend, now))
+        return false;
+    return !is_loading(pool, backend, now) && !is_stalled(backend, now);
+}
--- a/src/core/backend_pool_internal.h
+++ b/src/core/backend_pool_internal.h
@@ -1,7 +1,8 @@
 /**
  * What the modules of the pool share: its state, and what the reports of load still tell. What is
- * listed and reported is in backend_pool.c, the choice of a back end in backend_choice.c, what its
- * answers show of its health in backend_health.c.
+ * listed and reported is in backend_pool.c, which back ends are fit for a request in backend_fit.c,
+ * the choice among them in backend_choice.c, what their answers show of their health in
+ * backend_health.c.
  */
 #ifndef SHUNTRUN_BACKEND_POOL_INTERNAL_H
 #define SHUNTRUN_BACKEND_POOL_INTERNAL_H
@@ -15,6 +16,13 @@
     bool sound; /* the list's keeper works */
 };
 
+/** Only an answer within this time shows that a back end, or the way to it, is not late. */
+#define BACKEND_PROMPT_US 1500000
+
+/** \return whether the back end may get the request, if it has room */
+bool backend_is_fit(const struct backend_pool *pool, const struct backend_wish *wish,
+                    const struct backend *backend, uint64_t now);
+
 /** \return whether the last report still tells what weights the engine has */
 static inline bool backend_has_recent_load(const struct backend_pool *pool,
                                            const struct backend *backend, uint64_t now)
