--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -294,6 +294,7 @@
             self.born = max(self.born + 1, int(time.time() * 1000))
             self.staged, self.orders, self.version, self.loading = {}, 0, None, False
             self.running = set()
+            self.orders_to_hold, self.held_orders = 0, []  # calls end with the process
             self.server = Server(self.address, BackendHandler, self)
             self.alive = True
         self.list()
