--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -221,6 +221,7 @@
         self.event_gap_s = 0.0  # between the events of a stream
         self.load_s = None      # an order takes so long once nothing runs; None: at once, beside all
         self.running = set()    # connections of the streams that it works on
+        self.last_streams = {}  # open connection -> id of its last stream
         self.broken_off = []    # ids of the streams that it ended before they were whole
         self.crashing_bodies = set()  # of requests that end the engine soon after they begin
         self.crashing = []      # bodies of such requests that run here now
@@ -261,8 +262,8 @@
     def end_now(self):
         self.server.shutdown()
         self.server.server_close()
-        with self.lock:
-            self.broken_off.extend(identity for _, identity in self.running)
+        with self.lock:  # a reset takes along what was written and not yet sent
+            self.broken_off.extend(self.last_streams.values())
         for connection in list(self.connections):
             reset_connection(connection)
 
@@ -353,6 +354,7 @@
             if self.loading or len(self.running) >= self.slots:
                 return False
             self.running.add((connection, identity))
+            self.last_streams[connection] = identity
             return True
 
     def end_stream(self, connection, identity):
@@ -381,6 +383,7 @@
 
     def finish(self):
         self.owner.connections.discard(self.connection)
+        self.owner.last_streams.pop(self.connection, None)
         super().finish()
 
     def do_GET(self):
