system.crash: what a refused caller reads is checked; names of the field

Cause: the answers were collected and never looked at, so the status, the missing time to come back and the reason were claims without a check. Change: the last answer must be 503 without Retry-After, with its reason; the callers are called after what they do.

--- a/tests/system/crash_test.py
+++ b/tests/system/crash_test.py
@@ -23,13 +23,14 @@
 import streams_test as streams  # noqa: E402
 
 CONTACT_S = 3.0  # what others know is known everywhere after this
-EVIDENCE = 3     # ended engines that convict a request
+EVIDENCE = 3     # ended engines after which a request is not run any more
 ENDED_MOST = 6   # engines that one request may end: the evidence, and what was on its way
 REPEAT_S = 0.2
+REASON = b"several back ends ended"  # in the answer to such a request
 PLAY_S = 8.0
 
 
-class Guilty(threading.Thread):
+class CrashingCaller(threading.Thread):
     """A caller whose request crashes engines, and comes again at any gateway, under new ids."""
 
     def __init__(self, name, addresses, over):
@@ -56,7 +57,7 @@
                 "Host": "a.example", "Shuntrun-Request-Id": identity,
                 "Shuntrun-Deadline-Ms": "6000", "Authorization": "Bearer key-a"})
             response = connection.getresponse()
-            self.answers.append((time.monotonic(), response.status, response.getheader("Retry-After"),
+            self.answers.append((response.status, response.getheader("Retry-After"),
                                  response.read()))
         except (OSError, http.client.HTTPException):
             pass  # a stream that was broken off
@@ -69,7 +70,7 @@
     GATEWAYS = 7
     EVENT_GAP_S = 0.03
     CLIENTS = 40
-    GUILTY = 2
+    CRASHING = 2
 
     def read_streams(self, number):
         chance = random.Random(number)
@@ -83,23 +84,24 @@
             time.sleep(0.05 if reader.status == 200 else 0.3)
 
     def play(self, seconds):
-        """Clients read streams while the guilty requests come again and again."""
+        """Clients read streams while the requests that crash engines come again and again."""
         self.over = threading.Event()
         self.read = []
         clients = [threading.Thread(target=self.read_streams, args=(n,), daemon=True)
                    for n in range(self.CLIENTS)]
         addresses = [self.gateway(n) for n in range(self.GATEWAYS)]
-        guilty = [Guilty("guilty-%d" % n, addresses, self.over) for n in range(self.GUILTY)]
+        crashing = [CrashingCaller("crashing-%d" % n, addresses, self.over)
+                    for n in range(self.CRASHING)]
         for engine in self.engines:
             engine.back_after_s = 1.5
-            engine.crashing_bodies = {one.body for one in guilty}
-        for thread in clients + guilty:
+            engine.crashing_bodies = {caller.body for caller in crashing}
+        for thread in clients + crashing:
             thread.start()
         time.sleep(seconds)
         self.over.set()
-        for thread in clients + guilty:
+        for thread in clients + crashing:
             thread.join()
-        return guilty
+        return crashing
 
     def ends_under(self, body):
         """Times at which an engine ended while it ran the request."""
@@ -110,13 +112,19 @@
         return [run for engine in self.engines for run in engine.runs
                 if run[2] == body and run[3] > moment]
 
+    def assert_refused(self, answer):
+        """It has not run, there is no time to come back, and the caller can read why."""
+        status, retry_after, body = answer
+        self.assertEqual((status, retry_after), (503, None))
+        self.assertIn(REASON, body)
+
     def test_it_is_stopped_and_no_other_with_it(self):
-        guilty = self.play(PLAY_S)
-        for one in guilty:
-            ends = self.ends_under(one.body)
+        for caller in self.play(PLAY_S):
+            ends = self.ends_under(caller.body)
             self.assertGreaterEqual(len(ends), EVIDENCE, "the request did its harm")
             self.assertLessEqual(len(ends), ENDED_MOST, "engines ended under one request")
-            self.assertEqual(self.sends_after(one.body, ends[EVIDENCE - 1] + CONTACT_S), [])
+            self.assertEqual(self.sends_after(caller.body, ends[EVIDENCE - 1] + CONTACT_S), [])
+            self.assert_refused(caller.answers[-1])
         refused_for_good = [r.identity for r in self.read
                             if r.status == 503 and r.headers.get("Retry-After") is None]
         self.assertEqual(refused_for_good, [])
