Sight: what a back end says of itself in an answer is decoded and logged

Change: platform/ decodes Server-Leaving and Retry-After (seconds, decimals, dates; what is doubled or malformed says nothing and is logged); the pool notes both for the start that answered; event=leaving, event=backs-off, two counters. No choice looks at them yet. An answer's head is decoded once, at the connection, and core/backend_answer says what it means; before, each received part of an answer decoded it again up to three times.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -72,6 +72,10 @@
       "times that the process stood still, or its machine was suspended")                          \
     X(METRIC_SENDS_UNLISTED, "shuntrun_sends_unlisted_total",                                      \
       "requests sent to a back end that the list had dropped")                                     \
+    X(METRIC_BACKENDS_LEAVING, "shuntrun_backends_leaving_total",                                  \
+      "back ends that first said in an answer that they leave")                                    \
+    X(METRIC_BACKOFFS, "shuntrun_backend_backoffs_total",                                          \
+      "refusals that asked for a time without requests, or for a longer one")                      \
     X(METRIC_EJECTIONS, "shuntrun_ejections_total", "back ends that were left out for a while")    \
     X(METRIC_STORE_FAILURES, "shuntrun_store_failures_total", "calls to the store that failed")    \
     X(METRIC_ENTRIES_REFUSED, "shuntrun_entries_refused_total",                                    \
--- /dev/null
+++ b/src/core/backend_answer.c
@@ -0,0 +1,29 @@
+#include "core/backend_answer.h"
+
+#define STATUS_MISDIRECTED 421
+#define STATUS_TOO_MANY 429
+#define STATUS_UNAVAILABLE 503
+
+static bool is_success(const struct answer_facts *facts)
+{
+    return facts->status >= 200 && facts->status < 300;
+}
+
+enum answer_meaning answer_meaning(const struct answer_facts *facts)
+{
+    if (facts->status == STATUS_MISDIRECTED)
+        return ANSWER_ELSEWHERE;
+    if (facts->not_executed)
+        return ANSWER_NOT_RUN;
+    if (!facts->sealed || facts->encoded)
+        return ANSWER_UNPROVEN;
+    return is_success(facts) ? ANSWER_DELIVERED : ANSWER_FAILED;
+}
+
+/* With other statuses the field says when the request may come again, not that others may not. */
+uint64_t answer_backoff_us(const struct answer_facts *facts)
+{
+    if (facts->status != STATUS_UNAVAILABLE && facts->status != STATUS_TOO_MANY)
+        return 0;
+    return facts->retry_after_ms * 1000;
+}
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -67,6 +67,8 @@
     uint64_t unlisted_until;  /**< dropped by the list, but usable until then; 0: listed */
     bool doubtful;            /**< dropped by an outage of the list's keeper, perhaps */
     uint64_t ended_until;     /**< believed to have ended, until then; 0: not */
+    bool leaving;             /**< it said in an answer that it is about to end */
+    uint64_t backoff_until;   /**< it asked in an answer to get nothing until then; 0: it did not */
     uint16_t distance;        /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight;       /**< requests of this gateway */
     uint32_t unread;          /**< those of them that have no byte of an answer yet */
@@ -137,6 +139,28 @@
  *  that crashed is back after some seconds, and one that only seemed to have ended loses no more.
  */
 #define BACKEND_ENDED_US ((uint64_t)3000000)
+/** What a back end says of itself in an answer. */
+struct backend_statement {
+    bool leaving;        /**< it is about to end */
+    uint64_t backoff_us; /**< for which it wants nothing more from here; 0: not said */
+};
+
+/** What a statement changed. */
+enum backend_change {
+    BACKEND_UNCHANGED = 0,
+    BACKEND_NOW_LEAVING = 1,
+    BACKEND_NOW_BACKED_OFF = 2, /**< it is left alone for a first or a longer time */
+};
+
+/** Longer times than an hour are cut to it: whoever asks for more is asked again then. */
+#define BACKEND_BACKOFF_MOST_US ((uint64_t)3600000000)
+/**
+ * \brief Take in what a back end says of itself. Both facts are of its start: that it leaves holds
+ * until another start shows, the time off as long as it was asked for.
+ * \return BACKEND_ values of what is new, combined
+ */
+unsigned backend_pool_hear(struct backend *backend, const struct backend_statement *statement,
+                           uint64_t now);
 /** \brief The start that is listed has ended without a word. */
 void backend_pool_ended(struct backend_pool *pool, struct backend *backend, uint64_t now);
 /**
--- /dev/null
+++ b/src/edge/backend_states.c
@@ -0,0 +1,49 @@
+#include "edge/backend_states.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* Another back end stands at the address now: it speaks for itself alone. */
+static bool is_of_another(const struct backend *backend, const struct answer_head *head)
+{
+    return head->instance[0] && strcmp(head->instance, backend->listing.id) != 0;
+}
+
+static void log_leaving(const struct backend *backend, const struct answer_head *head)
+{
+    metric_add(METRIC_BACKENDS_LEAVING, 1);
+    log_event(LOG_LEVEL_INFO, "backend", "leaving",
+              "id=%s born=%" PRIu64 " source=answer request=%s status=%u listed_draining=%d",
+              backend->listing.id, backend->listing.born, head->request_id, head->facts.status,
+              backend->listing.draining);
+}
+
+static void log_backoff(const struct backend *backend, const struct answer_head *head, uint64_t now)
+{
+    metric_add(METRIC_BACKOFFS, 1);
+    log_event(LOG_LEVEL_INFO, "backend", "backs-off",
+              "id=%s born=%" PRIu64 " request=%s status=%u asked_ms=%" PRIu64 " for_ms=%" PRIu64
+              " in_flight=%u",
+              backend->listing.id, backend->listing.born, head->request_id, head->facts.status,
+              head->facts.retry_after_ms, (backend->backoff_until - now) / 1000,
+              backend->in_flight);
+}
+
+void backend_states(struct edge *edge, struct backend *backend, const struct answer_head *head)
+{
+    uint64_t now = cluster_now();
+    if (head->unreadable)
+        log_event(LOG_LEVEL_WARN, "backend", "unreadable-field", "id=%s request=%s field=%s",
+                  backend->listing.id, head->request_id, head->unreadable);
+    if (is_of_another(backend, head))
+        return;
+    struct backend_statement statement = {head->facts.leaving, answer_backoff_us(&head->facts)};
+    unsigned change = backend_pool_hear(backend, &statement, now);
+    if (change & BACKEND_NOW_LEAVING)
+        log_leaving(backend, head);
+    if (change & BACKEND_NOW_BACKED_OFF)
+        log_backoff(backend, head, now);
+}
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -113,17 +113,23 @@
     UPSTREAM_BROKEN,   /**< the connection broke or the bytes are no answer */
 };
 
+/** An answer as far as it has come, and its head once that is complete. */
+struct upstream_answer {
+    struct http_message message;
+    struct answer_head head;
+};
+
 /** \brief Told by the connection; on DONE, BROKEN and NOT_SENT it no longer belongs to the
  * exchange. */
 void exchange_on_upstream(struct exchange *exchange, enum upstream_event event,
-                          struct http_message *message);
+                          struct upstream_answer *answer);
 /**
  * \brief Write the request for the present back end, with the time that is left now.
  * \return false when it must not go there any more
  */
 bool exchange_write(struct exchange *exchange, struct buffer *bytes);
 /** \return whether this answer belongs to another request and is to be passed over */
-bool exchange_is_foreign(const struct exchange *exchange, const struct http_message *message);
+bool exchange_is_foreign(const struct exchange *exchange, const struct answer_head *head);
 
 /* --- connections to back ends: upstream.c
  * ---------------------------------------------------------- */
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -11,22 +11,9 @@
 /** Statuses from here on are failures of the back end, not of the request. */
 #define FIRST_SERVER_ERROR 500
 
-/* --- answers -------------------------------------------------------------------------------------
- */
-
-bool exchange_is_foreign(const struct exchange *exchange, const struct http_message *message)
+bool exchange_is_foreign(const struct exchange *exchange, const struct answer_head *head)
 {
-    struct answer_head head;
-    if (!exchange->head.id[0])
-        return false;
-    platform_read_answer(message, &head);
-    return strcmp(head.request_id, exchange->head.id) != 0;
-}
-
-static bool is_success(const struct http_message *message, const struct answer_head *head)
-{
-    unsigned status = http_message_status(message);
-    return status >= 200 && status < 300 && head->sealed && !head->encoded && !head->not_executed;
+    return exchange->head.id[0] && strcmp(head->request_id, exchange->head.id) != 0;
 }
 
 static void write_head(const struct http_message *message, struct buffer *head)
@@ -99,18 +86,15 @@
                     exchange->first_byte_at - exchange->sent_at, exchange->first_byte_at);
 }
 
-static void on_progress(struct exchange *exchange, struct http_message *message)
+static void on_progress(struct exchange *exchange, struct upstream_answer *answer)
 {
-    struct answer_head head;
     note_first_byte(exchange);
-    if (exchange->route->kind != ROUTE_STREAM || !message->head_complete)
-        return;
-    platform_read_answer(message, &head);
-    if (!is_success(message, &head))
+    if (exchange->route->kind != ROUTE_STREAM ||
+        answer_meaning(&answer->head.facts) != ANSWER_DELIVERED)
         return; /* kept until it is complete */
     if (!exchange->version)
-        exchange->version = head.version;
-    pass_events(exchange, message);
+        exchange->version = answer->head.version;
+    pass_events(exchange, &answer->message);
     if (exchange->upstream && edge_client_pending(exchange->client) > CLIENT_PENDING_MOST) {
         exchange->paused = true;
         upstream_pause(exchange->upstream, true);
@@ -179,47 +163,64 @@
            exchange_has_other(exchange);
 }
 
-static void on_done(struct exchange *exchange, struct http_message *message)
+/* The back end did not run it. */
+static void on_not_run(struct exchange *exchange, enum backend_result result,
+                       enum exchange_end reason)
 {
-    struct answer_head head;
-    unsigned status = http_message_status(message);
-    platform_read_answer(message, &head);
-    if (head.not_executed || status == 421) {
-        if (status == 421)
-            on_misdirected(exchange, &head);
-        exchange_end_attempt(exchange, status == 421 ? BACKEND_CANCELLED : BACKEND_REFUSED);
-        exchange->refusals += exchange->streaming;
-        exchange_try_again(exchange, status == 421 ? END_MISDIRECTED : END_REFUSED);
-        return;
-    }
-    if (!head.sealed || head.encoded) {
-        exchange_on_broken(exchange, BACKEND_BROKEN, END_NO_SEAL);
-        return;
-    }
-    if (is_success(message, &head)) {
-        if (exchange->route->kind == ROUTE_STREAM) {
-            if (!exchange->version)
-                exchange->version = head.version;
-            finish_stream(exchange, message);
-            return;
-        }
-        exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
-        exchange_ran_well(exchange);
-        pass_on(exchange, message, END_DONE);
+    exchange_end_attempt(exchange, result);
+    exchange->refusals += exchange->streaming;
+    exchange_try_again(exchange, reason);
+}
+
+static void on_delivered(struct exchange *exchange, struct upstream_answer *answer)
+{
+    if (exchange->route->kind == ROUTE_STREAM) {
+        if (!exchange->version)
+            exchange->version = answer->head.version;
+        finish_stream(exchange, &answer->message);
         return;
     }
+    exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
+    exchange_ran_well(exchange);
+    pass_on(exchange, &answer->message, END_DONE);
+}
+
+static void on_failed(struct exchange *exchange, struct upstream_answer *answer)
+{
     if (exchange->streaming) { /* a resumed stream cannot end in another answer */
         exchange_on_broken(exchange, BACKEND_ERROR, END_RESUME_REFUSED);
         return;
     }
-    if (goes_on_after_error(exchange, status)) {
+    if (goes_on_after_error(exchange, answer->head.facts.status)) {
         exchange_end_attempt(exchange, BACKEND_ERROR);
         exchange->may_have_run = true;
         exchange_try_again(exchange, END_BACKEND_ERROR);
         return;
     }
     exchange_end_attempt(exchange, BACKEND_ERROR);
-    pass_on(exchange, message, END_BACKEND_ERROR);
+    pass_on(exchange, &answer->message, END_BACKEND_ERROR);
+}
+
+static void on_done(struct exchange *exchange, struct upstream_answer *answer)
+{
+    switch (answer_meaning(&answer->head.facts)) {
+    case ANSWER_DELIVERED:
+        on_delivered(exchange, answer);
+        break;
+    case ANSWER_NOT_RUN:
+        on_not_run(exchange, BACKEND_REFUSED, END_REFUSED);
+        break;
+    case ANSWER_ELSEWHERE:
+        on_misdirected(exchange, &answer->head);
+        on_not_run(exchange, BACKEND_CANCELLED, END_MISDIRECTED);
+        break;
+    case ANSWER_UNPROVEN:
+        exchange_on_broken(exchange, BACKEND_BROKEN, END_NO_SEAL);
+        break;
+    case ANSWER_FAILED:
+        on_failed(exchange, answer);
+        break;
+    }
 }
 
 void exchange_count_send(struct exchange *exchange)
@@ -231,7 +232,7 @@
 }
 
 void exchange_on_upstream(struct exchange *exchange, enum upstream_event event,
-                          struct http_message *message)
+                          struct upstream_answer *answer)
 {
     if (event != UPSTREAM_PROGRESS)
         exchange->upstream = NULL;
@@ -240,11 +241,11 @@
     struct edge *edge = exchange->edge;
     switch (event) {
     case UPSTREAM_PROGRESS:
-        on_progress(exchange, message);
+        on_progress(exchange, answer);
         return;
     case UPSTREAM_DONE:
         note_first_byte(exchange);
-        on_done(exchange, message);
+        on_done(exchange, answer);
         break;
     case UPSTREAM_BROKEN:
         exchange_on_broken(exchange, BACKEND_BROKEN, END_BROKEN);
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -1,6 +1,7 @@
 /* Connections to back ends: one request at a time on each, kept for the next one. */
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "edge/backend_states.h"
 #include "edge/edge_internal.h"
 
 #include <stdlib.h>
@@ -10,6 +11,8 @@
 /** A connection is no longer used so long before the back end may close it. */
 #define KEEP_MARGIN_US 400000
 #define CONNECT_TIMEOUT_US 700000
+/** Answers with a lower status are followed by another one to the same request. */
+#define FINAL_STATUS 200
 
 enum upstream_state { UPSTREAM_CONNECTING, UPSTREAM_BUSY, UPSTREAM_IDLE };
 
@@ -17,7 +20,8 @@
     struct edge *edge;
     struct backend *backend;
     struct tcp_stream *stream;
-    struct http_message message;
+    struct upstream_answer answer;
+    bool head_read; /* `answer.head` is decoded */
     enum upstream_state state;
     struct exchange *exchange; /* NULL while idle */
     uint64_t started;
@@ -78,7 +82,7 @@
     if (upstream->stream)
         close_stream(upstream);
     backend_release(upstream->backend);
-    http_message_clear(&upstream->message);
+    http_message_clear(&upstream->answer.message);
     free(upstream);
 }
 
@@ -86,11 +90,11 @@
 static void finish(struct upstream *upstream, enum upstream_event event, bool reusable)
 {
     struct exchange *exchange = upstream->exchange;
-    struct http_message message = upstream->message;
+    struct upstream_answer answer = upstream->answer;
     if (event == UPSTREAM_DONE)
         upstream->state = UPSTREAM_IDLE;
     upstream->exchange = NULL;
-    upstream->message = (struct http_message){0};
+    upstream->answer.message = (struct http_message){0};
     /* The parser's position is part of the message that is handed over. */
     if (reusable) {
         upstream->idle_since = cluster_now();
@@ -99,23 +103,36 @@
     } else {
         destroy(upstream);
     }
-    exchange_on_upstream(exchange, event, &message);
-    http_message_clear(&message);
+    exchange_on_upstream(exchange, event, &answer);
+    http_message_clear(&answer.message);
 }
 
 static void begin_answer(struct upstream *upstream)
 {
-    http_message_begin(&upstream->message, HTTP_MESSAGE_RESPONSE);
+    upstream->head_read = false;
+    http_message_begin(&upstream->answer.message, HTTP_MESSAGE_RESPONSE);
+}
+
+/* What a back end says of itself holds from the head on, whichever request the answer is for: a
+ * stream may last for seconds, and a late answer is passed over. */
+static void read_head(struct upstream *upstream)
+{
+    struct upstream_answer *answer = &upstream->answer;
+    if (upstream->head_read || !answer->message.head_complete)
+        return;
+    upstream->head_read = true;
+    platform_read_answer(&answer->message, &answer->head);
+    backend_states(upstream->edge, upstream->backend, &answer->head);
 }
 
 static bool may_reuse(struct upstream *upstream, bool bytes_left)
 {
-    struct answer_head head;
-    if (!upstream->message.keep_alive || !upstream->message.framed || bytes_left ||
+    const struct http_message *message = &upstream->answer.message;
+    if (!message->keep_alive || !message->framed || bytes_left ||
         tcp_stream_pending(upstream->stream) || !upstream->backend->listed)
         return false;
-    platform_read_answer(&upstream->message, &head);
-    uint64_t keep = head.keep_alive_ms ? head.keep_alive_ms * 1000ULL : KEEP_DEFAULT_US;
+    uint32_t keep_ms = upstream->answer.head.keep_alive_ms;
+    uint64_t keep = keep_ms ? keep_ms * 1000ULL : KEEP_DEFAULT_US;
     if (keep <= KEEP_MARGIN_US)
         return false;
     upstream->keep_until = cluster_now() + keep - KEEP_MARGIN_US;
@@ -125,8 +142,8 @@
 /* A message is complete: pass over what is not the answer. \return whether it was the answer */
 static bool is_answer(struct upstream *upstream)
 {
-    unsigned status = http_message_status(&upstream->message);
-    return status >= 200 && !exchange_is_foreign(upstream->exchange, &upstream->message);
+    const struct answer_head *head = &upstream->answer.head;
+    return head->facts.status >= FINAL_STATUS && !exchange_is_foreign(upstream->exchange, head);
 }
 
 static void on_received(void *context, const char *bytes, size_t size)
@@ -138,9 +155,11 @@
     }
     while (size) {
         size_t used;
-        enum http_parse_result result = http_message_feed(&upstream->message, bytes, size, &used);
+        enum http_parse_result result =
+            http_message_feed(&upstream->answer.message, bytes, size, &used);
         bytes += used;
         size -= used;
+        read_head(upstream);
         if (result == HTTP_PARSE_DONE && !is_answer(upstream)) {
             begin_answer(upstream);
             continue;
@@ -154,8 +173,8 @@
             return;
         }
     }
-    if (upstream->message.head_complete && is_answer(upstream))
-        exchange_on_upstream(upstream->exchange, UPSTREAM_PROGRESS, &upstream->message);
+    if (upstream->head_read && is_answer(upstream))
+        exchange_on_upstream(upstream->exchange, UPSTREAM_PROGRESS, &upstream->answer);
 }
 
 static void on_ended(void *context, enum tcp_end end)
@@ -166,7 +185,8 @@
         return;
     }
     bool whole = end == TCP_END_ORDERLY &&
-                 http_message_end(&upstream->message) == HTTP_PARSE_DONE && is_answer(upstream);
+                 http_message_end(&upstream->answer.message) == HTTP_PARSE_DONE &&
+                 is_answer(upstream);
     finish(upstream, whole ? UPSTREAM_DONE : UPSTREAM_BROKEN, false);
 }
 
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -166,8 +166,8 @@
     http_message_begin(&message, HTTP_MESSAGE_RESPONSE);
     http_message_feed(&message, text, strlen(text), &used);
     platform_read_answer(&message, &head);
-    assert_true(head.not_executed);
-    assert_false(head.sealed);
+    assert_true(head.facts.not_executed);
+    assert_false(head.facts.sealed);
     assert_int_equal(head.version, 3);
     assert_int_equal(head.keep_alive_ms, 7000);
     assert_string_equal(head.instance, "i-2");
@@ -179,6 +179,73 @@
     http_message_clear(&message);
 }
 
+/* \return the head of an answer with this status line and these fields */
+static struct answer_head head_of(const char *status, const char *fields)
+{
+    char text[512];
+    struct http_message message = {0};
+    struct answer_head head;
+    size_t used;
+    snprintf(text, sizeof text, "HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n", status, fields);
+    http_message_begin(&message, HTTP_MESSAGE_RESPONSE);
+    assert_int_equal(http_message_feed(&message, text, strlen(text), &used), HTTP_PARSE_DONE);
+    platform_read_answer(&message, &head);
+    http_message_clear(&message);
+    return head;
+}
+
+static void an_answer_says_that_its_back_end_leaves(void **state)
+{
+    assert_false(head_of("200 OK", "").facts.leaving);
+    assert_true(head_of("200 OK", "Server-Leaving: 1\r\n").facts.leaving);
+    assert_true(head_of("503 Full", "server-leaving:1\r\n").facts.leaving);
+    assert_false(head_of("200 OK", "Server-Leaving: 0\r\n").facts.leaving);
+    static const char *const unreadable[] = {
+        "Server-Leaving: yes\r\n", "Server-Leaving: 11\r\n", "Server-Leaving:\r\n",
+        "Server-Leaving: 1\r\nServer-Leaving: 0\r\n"};
+    for (size_t i = 0; i < sizeof unreadable / sizeof unreadable[0]; i++) {
+        struct answer_head head = head_of("200 OK", unreadable[i]);
+        assert_false(head.facts.leaving);
+        assert_string_equal(head.unreadable, "Server-Leaving");
+    }
+}
+
+static void an_answer_asks_for_a_time_without_requests(void **state)
+{
+    static const struct {
+        const char *fields;
+        uint64_t milliseconds;
+    } readable[] = {
+        {"", 0},
+        {"Retry-After: 0\r\n", 0},
+        {"Retry-After: 3\r\n", 3000},
+        {"Retry-After: 0.7\r\n", 700},
+        {"Retry-After: 31536000\r\n", 31536000000},
+        {"Date: Thu, 03 Dec 2026 10:00:00 GMT\r\n"
+         "Retry-After: Thu, 03 Dec 2026 10:00:20 GMT\r\n",
+         20000},
+        {"Date: Thu, 03 Dec 2026 10:00:00 GMT\r\n"
+         "Retry-After: Thu, 03 Dec 2026 09:00:00 GMT\r\n",
+         0},
+    };
+    static const char *const unreadable[] = {
+        "Retry-After: -3\r\n",      "Retry-After: 3 s\r\n", "Retry-After: soon\r\n",
+        "Retry-After: 0x10\r\n",    "Retry-After: 1e3\r\n", "Retry-After: 1.2.3\r\n",
+        "Retry-After: 31536001\r\n", "Retry-After:\r\n",     "Retry-After: .\r\n",
+        "Retry-After: 1\r\nRetry-After: 2\r\n",
+        "Retry-After: Thu, 03 Dec 2026 10:00:20 GMT\r\n"};
+    for (size_t i = 0; i < sizeof readable / sizeof readable[0]; i++) {
+        struct answer_head head = head_of("503 Full", readable[i].fields);
+        assert_int_equal(head.facts.retry_after_ms, readable[i].milliseconds);
+        assert_null(head.unreadable);
+    }
+    for (size_t i = 0; i < sizeof unreadable / sizeof unreadable[0]; i++) {
+        struct answer_head head = head_of("503 Full", unreadable[i]);
+        assert_int_equal(head.facts.retry_after_ms, 0);
+        assert_string_equal(head.unreadable, "Retry-After");
+    }
+}
+
 static void an_engine_report_is_read(void **state)
 {
     static const char text[] =
@@ -366,6 +433,8 @@
         cmocka_unit_test(keys_and_forged_fields_do_not_reach_a_back_end),
         cmocka_unit_test(a_resumed_stream_names_its_own_last_event),
         cmocka_unit_test(answers_of_back_ends_are_understood),
+        cmocka_unit_test(an_answer_says_that_its_back_end_leaves),
+        cmocka_unit_test(an_answer_asks_for_a_time_without_requests),
         cmocka_unit_test(an_engine_report_is_read),
         cmocka_unit_test(an_entry_names_one_start_of_a_back_end),
         cmocka_unit_test(an_entry_of_another_writer_names_none),
