--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -9,6 +9,10 @@
   once       an unrepeatable request runs at most once
   not-run    what was answered 429 or 503 has not run and does not run later
   drain      nothing begins at a back end longer than DRAIN_S after the store said that it leaves
+  leaving    nothing comes from an edge to a back end longer than DRAIN_S after it told that edge, in an
+             answer, that it leaves
+  resting    a back end that asked an edge for rest gets at most REST_ARRIVALS requests from it in that
+             time, but for what was on its way
   streams    a stream that has begun ends whole, unless an engine broke it off or its time was over
   entries    nothing is sent to what a bad entry of the list names
   crashing   a request under which three engines ended reaches none later than CALM_S after the third
@@ -19,10 +23,12 @@
 
 Times get the slack of a busy machine, measured in the same run: how late this process wakes.
 
-With --crashing requests that end each engine which runs them come besides; the schedule of a seed is
-the same with and without.
+With --crashing requests that end each engine which runs them come besides, with --statements back ends
+that say in their answers that they leave, or ask for rest; the schedule of a seed is the same with and
+without.
 
 usage: soak.py --build DIR --work DIR [--seeds A..B] [--seconds S] [--only N,N] [--crashing]
+               [--statements]
 """
 import argparse
 import http.client
@@ -55,6 +61,10 @@
 CRASHING_FOR_S = 6.0
 CRASHES_TO_BLOCK = 3
 BLOCKED = b"several back ends ended"  # in the answer to such a request
+STATEMENT_GAP_S = (0.4, 1.5)  # between two faults of back ends that say something of themselves
+RESTS_S = (0.7, 1.5, 3.0, 6.0)
+REST_SETTLES_S = 0.5  # the platform's bound on what was on its way
+REST_ARRIVALS = 2    # the platform's bound within the rest of that time
 SPARE_S = 0.3        # beside the measured slack: a request on its way
 
 
@@ -176,14 +186,15 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, only, crashing, work):
+    def __init__(self, seed, options, work):
         self.seed = seed
-        self.with_crashing = crashing
+        self.with_crashing = options.crashing
+        self.with_statements = options.statements
         self.crashing = []        # callers whose requests end engines
         self.crashing_bodies = set()
         self.random = random.Random(seed)
-        self.seconds = seconds
-        self.only = only
+        self.seconds = options.seconds
+        self.only = options.only
         self.work = work
         self.over = threading.Event()
         self.slack = Slack()
@@ -219,6 +230,9 @@
             at += self.random.uniform(*FAULT_GAP_S)
         if self.with_crashing:
             self.draw_crashing(schedule)
+        if self.with_statements:
+            self.draw_statements(schedule)
+        schedule.sort(key=lambda fault: fault["at"])
         with open(os.path.join(self.work, "schedule.json"), "w") as stream:
             json.dump(schedule, stream, indent=1)
         return [f for f in schedule if not self.only or f["number"] in self.only]
@@ -231,7 +245,17 @@
             schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "crashing",
                              "which": chance.randrange(1000), "for_s": CRASHING_FOR_S})
             at += chance.uniform(*CRASHING_GAP_S)
-        schedule.sort(key=lambda fault: fault["at"])
+
+    def draw_statements(self, schedule):
+        """Beside the others, which stay as they are."""
+        chance = random.Random("statements %d" % self.seed)
+        at = 1.2
+        while at < self.seconds:
+            schedule.append({"number": len(schedule), "at": round(at, 2),
+                             "kind": chance.choice(("say_leaving", "say_leaving_and_start_again",
+                                                    "rest", "rest", "rest_all")),
+                             "which": chance.randrange(1000), "for_s": chance.choice(RESTS_S)})
+            at += chance.uniform(*STATEMENT_GAP_S)
 
     # --- the world
 
@@ -323,6 +347,38 @@
             self.note_leaving(backend)
             self.later(SERVES_ON_S, self.replace, backend)
 
+    def fault_say_leaving(self, fault):
+        """It says so in its answers alone, serves on for longer than the bound, and ends."""
+        backend = self.pick_backend(fault)
+        if backend:
+            backend.say_leaving()
+            self.left_at[backend.identity] = float("inf")  # the store says nothing
+            self.later(DRAIN_S + fault["for_s"], self.end_backend, backend)
+
+    def fault_say_leaving_and_start_again(self, fault):
+        """Its next start, under the same id, does not leave."""
+        backend = self.pick_backend(fault)
+        if backend:
+            backend.say_leaving()
+            self.left_at[backend.identity] = float("inf")
+            self.later(fault["for_s"], self.start_again, backend)
+
+    def start_again(self, backend):
+        backend.crash()
+        self.left_at.pop(backend.identity, None)
+        self.add_backend(standin.Backend(backend.address, backend.identity, self.store,
+                                         backend.service))
+
+    def fault_rest(self, fault):
+        list(self.live.values())[fault["which"] % len(self.live)].rest(fault["for_s"])
+
+    def fault_rest_all(self, fault):
+        """All of one service."""
+        service = ("llm", "records")[fault["which"] % 2]
+        for backend in self.live.values():
+            if backend.service == service:
+                backend.rest(fault["for_s"])
+
     def fault_crash(self, fault):
         backend = self.pick_backend(fault)
         if backend:
@@ -334,9 +390,7 @@
         """It starts again under its id, at once, and holds nothing of before."""
         backend = self.pick_backend(fault)
         if backend:
-            backend.crash()
-            self.add_backend(standin.Backend(backend.address, backend.identity, self.store,
-                                             backend.service))
+            self.start_again(backend)
 
     def fault_bad_entries(self, fault):
         """Entries of other writers beside good ones, and one in place of a good one for a while."""
@@ -541,9 +595,14 @@
                 runs.setdefault(run[0], []).append((backend, run[3]))
         for result in results:
             self.check_result(result, runs.get(result.identity, []))
+        edges = {r.identity: r.edge for r in results}
+        for caller in self.crashing:
+            edges.update(caller.edges)
         for backend in self.starts:
             self.check_weights(backend)
-            self.check_drain(backend, {r.identity: r.edge for r in results})
+            self.check_drain(backend, edges)
+            self.check_leaving(backend, edges)
+            self.check_resting(backend, edges)
         for caller in self.crashing:
             self.check_crashing(caller)
         for identity in [run[0] for run in self.trap.runs] + self.trap.turned_away:
@@ -617,6 +676,37 @@
             return False
         return not any(ip == edge and begin <= at <= end for ip, begin, end in self.away)
 
+    def was_away(self, edge, begin, end):
+        """Whether the edge was killed, stopped or frozen between two moments."""
+        return any(ip == edge and begin <= until and since <= end for ip, since, until in self.away)
+
+    def check_leaving(self, backend, edges):
+        """A restart or freeze of the edge since that answer excuses it."""
+        bound = DRAIN_S + SPARE_S + 2 * self.slack.most
+        told = {}
+        for identity, when in backend.answers_leaving:
+            if identity in edges:
+                told.setdefault(edges[identity], []).append(when)
+        for identity, at in backend.arrivals:
+            edge = edges.get(identity)
+            late = [when for when in told.get(edge, ())
+                    if at > when + bound and not self.was_away(edge, when, at)]
+            if late:
+                self.find("leaving", "%s reached %s %.2f s after an answer told %s that it leaves" %
+                          (identity, backend.identity, at - late[0], edge))
+
+    def check_resting(self, backend, edges):
+        for asked_by, asked_at, seconds in backend.rests:
+            edge = edges.get(asked_by)
+            begin, end = asked_at + REST_SETTLES_S + 2 * self.slack.most, asked_at + seconds
+            if not edge or self.was_away(edge, asked_at, end):
+                continue
+            count = sum(edges.get(identity) == edge and begin < at < end
+                        for identity, at in backend.arrivals)
+            if count > REST_ARRIVALS:
+                self.find("resting", "%s got %d requests of %s in %.2f s of rest" %
+                          (backend.identity, count, edge, seconds))
+
     def check_drain(self, backend, edges):
         left = self.left_at.get(backend.identity)
         if left is None or any(begin <= left <= end + CALM_S for begin, end in self.troubles):
@@ -632,7 +722,7 @@
     fleet.OPTIONS = argparse.Namespace(build=options.build,
                                        work=os.path.join(options.work, "seed-%d" % seed))
     os.makedirs(fleet.OPTIONS.work, exist_ok=True)
-    soak = Soak(seed, options.seconds, options.only, options.crashing, fleet.OPTIONS.work)
+    soak = Soak(seed, options, fleet.OPTIONS.work)
     soak.play()
     print("seed %d: %d requests, %d served, slack %.0f ms, %d findings" %
           (seed, soak.counts[0], soak.counts[1], 1000 * soak.slack.most, len(soak.findings)),
@@ -652,6 +742,8 @@
                         help="numbers of the faults to play")
     parser.add_argument("--crashing", action="store_true",
                         help="requests that end engines come besides")
+    parser.add_argument("--statements", action="store_true",
+                        help="back ends that leave or rest by their own word come besides")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))  # ends own children on the way
     first, last = (int(n) for n in options.seeds.split(".."))
