--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -60,6 +60,7 @@
     [END_TIME_OUT] = "time-out",
     [END_FULL] = "full",
     [END_NO_BACKEND] = "no-backend",
+    [END_BACKED_OFF] = "backed-off",
     [END_NO_CONNECTION] = "no-connection",
     [END_SILENT] = "silent",
     [END_BROKEN] = "broken",
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -20,6 +20,7 @@
     END_TIME_OUT,       /**< its final answer was due */
     END_FULL,           /**< no place came free in time */
     END_NO_BACKEND,     /**< none can take it, or go on with its stream */
+    END_BACKED_OFF,     /**< all that can take it want nothing for longer than it may wait */
     END_NO_CONNECTION,  /**< not even an attempt to connect could be made */
     END_SILENT,         /**< the back end sent nothing for too long */
     END_BROKEN,         /**< the connection broke, or the bytes were no answer */
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -256,6 +256,13 @@
     return backend_pool_backoff_end(exchange->edge->pool, &wish, now);
 }
 
+static enum exchange_end end_without_place(enum backend_absence absence, uint64_t backoff_end)
+{
+    if (absence == BACKEND_FULL)
+        return END_FULL;
+    return backoff_end ? END_BACKED_OFF : END_NO_BACKEND;
+}
+
 /* \return whether it ends here, as no back end can be had for it in time */
 static bool is_given_up(struct exchange *exchange, enum backend_absence absence, uint64_t now)
 {
@@ -266,7 +273,7 @@
     exchange->no_backend = absence == BACKEND_NONE && !exchange->tried_count;
     if (absence == BACKEND_FULL)
         exchange_count_place(exchange, false);
-    exchange_give_up_truly(exchange, absence == BACKEND_FULL ? END_FULL : END_NO_BACKEND);
+    exchange_give_up_truly(exchange, end_without_place(absence, backoff_end));
     return true;
 }
 
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -171,6 +171,7 @@
         {"config", "accepted"}, {"weights", "version-named"}, {"cluster", "members"},
         {"store", "lost"},      {"store", "regained"},        {"process", "start"},
         {"process", "stop"},    {"cluster", "woke"},          {"crash", "ended"},
+        {"backend", "leaving"}, {"backend", "backs-off"},
     };
     json_t *beliefs = json_array();
     char *node = copy_field(end, "node");
@@ -204,6 +205,8 @@
     {"backend-error", "the back end itself answered with a failure, which was passed on"},
     {"full", "every fit back end was full for as long as the request may wait"},
     {"no-backend", "no back end was fit: none listed, loading weights, or of a version too old"},
+    {"backed-off",
+     "every back end that could run it had asked in an answer to get nothing for a while"},
     {"no-connection", "no connection to a back end came up"},
     {"no-configuration", "this node knew no configuration yet"},
     {"no-route", "the configuration in force has no route for it"},
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -200,9 +200,9 @@
     assert_true(head_of("200 OK", "Server-Leaving: 1\r\n").facts.leaving);
     assert_true(head_of("503 Full", "server-leaving:1\r\n").facts.leaving);
     assert_false(head_of("200 OK", "Server-Leaving: 0\r\n").facts.leaving);
-    static const char *const unreadable[] = {
-        "Server-Leaving: yes\r\n", "Server-Leaving: 11\r\n", "Server-Leaving:\r\n",
-        "Server-Leaving: 1\r\nServer-Leaving: 0\r\n"};
+    static const char *const unreadable[] = {"Server-Leaving: yes\r\n", "Server-Leaving: 11\r\n",
+                                             "Server-Leaving:\r\n",
+                                             "Server-Leaving: 1\r\nServer-Leaving: 0\r\n"};
     for (size_t i = 0; i < sizeof unreadable / sizeof unreadable[0]; i++) {
         struct answer_head head = head_of("200 OK", unreadable[i]);
         assert_false(head.facts.leaving);
@@ -228,12 +228,17 @@
          "Retry-After: Thu, 03 Dec 2026 09:00:00 GMT\r\n",
          0},
     };
-    static const char *const unreadable[] = {
-        "Retry-After: -3\r\n",      "Retry-After: 3 s\r\n", "Retry-After: soon\r\n",
-        "Retry-After: 0x10\r\n",    "Retry-After: 1e3\r\n", "Retry-After: 1.2.3\r\n",
-        "Retry-After: 31536001\r\n", "Retry-After:\r\n",     "Retry-After: .\r\n",
-        "Retry-After: 1\r\nRetry-After: 2\r\n",
-        "Retry-After: Thu, 03 Dec 2026 10:00:20 GMT\r\n"};
+    static const char *const unreadable[] = {"Retry-After: -3\r\n",
+                                             "Retry-After: 3 s\r\n",
+                                             "Retry-After: soon\r\n",
+                                             "Retry-After: 0x10\r\n",
+                                             "Retry-After: 1e3\r\n",
+                                             "Retry-After: 1.2.3\r\n",
+                                             "Retry-After: 31536001\r\n",
+                                             "Retry-After:\r\n",
+                                             "Retry-After: .\r\n",
+                                             "Retry-After: 1\r\nRetry-After: 2\r\n",
+                                             "Retry-After: Thu, 03 Dec 2026 10:00:20 GMT\r\n"};
     for (size_t i = 0; i < sizeof readable / sizeof readable[0]; i++) {
         struct answer_head head = head_of("503 Full", readable[i].fields);
         assert_int_equal(head.facts.retry_after_ms, readable[i].milliseconds);
--- a/tests/tool/explain_test.c
+++ b/tests/tool/explain_test.c
@@ -81,10 +81,25 @@
     assert_false(explain_request("", 0, "ab12", &explanation));
 }
 
+static void back_ends_that_want_nothing_are_named(void **state)
+{
+    static const char lines[] =
+        "time=2026-01-01T00:00:01.000Z level=info node=edge-1 subsystem=backend event=backs-off "
+        "id=i-4 born=0 request=b1 status=503 asked_ms=3000 for_ms=3000 in_flight=0\n"
+        "time=2026-01-01T00:00:02.000Z level=warn node=edge-1 subsystem=request event=failed "
+        "request=b2 status=503 reason=backed-off backend=- sends=0 events=0 took_ms=0 trail=\"\"\n";
+    struct explanation explanation;
+    assert_true(explain_request(lines, strlen(lines), "b2", &explanation));
+    assert_non_null(strstr(explanation.sentence, "had asked in an answer to get nothing"));
+    assert_true(holds(explanation.beliefs, "asked_ms=3000"));
+    explanation_clear(&explanation);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(the_cause_is_named_with_the_beliefs_of_then),
+        cmocka_unit_test(back_ends_that_want_nothing_are_named),
         cmocka_unit_test(a_stream_that_was_cut_is_told_from_an_answer),
         cmocka_unit_test(a_request_that_crashes_back_ends_is_told_so),
         cmocka_unit_test(an_unknown_request_is_not_explained),
