--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -22,6 +22,7 @@
     X(METRIC_STREAMS_CUT_REFUSED, "shuntrun_streams_cut_total{reason=\"refused\"}", "")            \
     X(METRIC_STREAMS_CUT_NO_BACKEND, "shuntrun_streams_cut_total{reason=\"no_backend\"}", "")      \
     X(METRIC_STREAMS_CUT_SILENT, "shuntrun_streams_cut_total{reason=\"silent\"}", "")              \
+    X(METRIC_STREAMS_CUT_BLOCKED, "shuntrun_streams_cut_total{reason=\"blocked\"}", "")            \
     X(METRIC_STREAMS_CUT_TIME, "shuntrun_streams_cut_total{reason=\"time\"}", "")                  \
     X(METRIC_RUNS_LOST, "shuntrun_runs_lost_total",                                                \
       "requests whose back end broke its connection before a whole answer")                        \
--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -15,6 +15,8 @@
  *  10 kB/s. While the same digests go on to differ, each wait is twice the last one. */
 #define REPAIR_US ((uint64_t)250000)
 #define REPAIR_MOST_US ((uint64_t)8000000)
+/** Messages carry the same digest for so long: an end counts in it after 0.5 s only. */
+#define DIGEST_FOR_US ((uint64_t)100000)
 
 struct crash_sync {
     struct cluster *cluster;
@@ -23,6 +25,8 @@
     uint64_t repair_wait;
     uint64_t repaired;     /* the difference of digests that was answered last */
     uint32_t repair_place; /* in the table: the next answer goes on from there */
+    uint64_t digest;       /* of the table at `digest_at` */
+    uint64_t digest_at;
 };
 
 /** Entries in the form of a message. */
@@ -47,9 +51,14 @@
     return sync->table;
 }
 
-uint64_t crash_sync_digest(const struct crash_sync *sync)
+uint64_t crash_sync_digest(struct crash_sync *sync)
 {
-    return crash_table_digest(sync->table, cluster_now());
+    uint64_t now = cluster_now();
+    if (now >= sync->digest_at + DIGEST_FOR_US) {
+        sync->digest = crash_table_digest(sync->table, now);
+        sync->digest_at = now;
+    }
+    return sync->digest;
 }
 
 void crash_sync_trim(struct crash_sync *sync, uint64_t now)
--- a/src/cluster/crash_sync.h
+++ b/src/cluster/crash_sync.h
@@ -22,6 +22,7 @@
                      uint32_t sender, uint64_t now);
 /** \brief Forget what is too old. */
 void crash_sync_trim(struct crash_sync *sync, uint64_t now);
-uint64_t crash_sync_digest(const struct crash_sync *sync);
+/** \return a digest of what all gateways keep, up to 0.1 s old; 0: of nothing */
+uint64_t crash_sync_digest(struct crash_sync *sync);
 
 #endif
--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -252,7 +252,7 @@
 
 /* Others may have ended all the starts: one that was at each of them, or, where back ends end
  * without this request as well, several. */
-static bool may_be_innocent(const struct crash_table *table, const struct crash_entry *entry)
+static bool others_explain_it(const struct crash_table *table, const struct crash_entry *entry)
 {
     return somebody_else_was_at_all(table, entry) ||
            (others_ended(table, entry) && are_all_explained(table, entry));
@@ -270,7 +270,7 @@
         is_of_one_attempt(entry) ? CRASH_STARTS_TO_BLOCK_ONE_ATTEMPT : CRASH_STARTS_TO_BLOCK;
     if (weight < wanted || !lately)
         return CRASH_SUSPECT;
-    if (weight < CRASH_STARTS_TO_BLOCK_ANY && may_be_innocent(table, entry))
+    if (weight < CRASH_STARTS_TO_BLOCK_ANY && others_explain_it(table, entry))
         return CRASH_SUSPECT;
     return CRASH_BLOCKED;
 }
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -6,7 +6,7 @@
  * once, however many gateways report it, and all that a table holds merges in any order: of a start
  * the earliest time of its end is kept, of a request's good end the latest.
  *
- * Being there is not being guilty. A request is
+ * Being there is not being the cause. A request is
  * - a suspect once it was there at the end of one start, and
  * - blocked once it was there at CRASH_STARTS_TO_BLOCK of them, unless another request was there at
  *   all of these too, or, where back ends end without it as well, each of its ends had another one
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -37,6 +37,7 @@
 struct crash_check {
     struct edge *edge;
     struct backend *backend;
+    bool planned;       /* it had said that it leaves: its end is no evidence */
     uint64_t start;     /* crash_start_key() */
     uint64_t broken_at; /* when the last request broke off */
     enum crash_check_state state;
@@ -95,12 +96,12 @@
 static void confirm(struct crash_check *check, const char *proof)
 {
     struct edge *edge = check->edge;
-    metric_add(METRIC_CRASHES, 1);
+    metric_add(METRIC_CRASHES, !check->planned);
     backend_pool_ended(edge->pool, check->backend, cluster_now());
-    log_event(LOG_LEVEL_WARN, "crash", "ended",
-              "backend=%s born=%" PRIu64 " proof=%s requests=%u ended_ms_ago=%" PRIu64,
-              check->backend->listing.id, check->backend->listing.born, proof, check->run_count,
-              (cluster_now() - check->broken_at) / 1000);
+    log_event(check->planned ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "crash", "ended",
+              "backend=%s born=%" PRIu64 " proof=%s planned=%d requests=%u ended_ms_ago=%" PRIu64,
+              check->backend->listing.id, check->backend->listing.born, proof, check->planned,
+              check->run_count, (cluster_now() - check->broken_at) / 1000);
     for (uint32_t i = 0; i < check->run_count; i++)
         if (check->runs[i].broken_at + SAME_END_US >= check->broken_at)
             add_evidence(check, &check->runs[i]);
@@ -230,25 +231,29 @@
     check->runs[check->run_count++] = *run;
 }
 
-/* It ends because it was told to. */
+/* It ends because it was told to. What an outage of the list dropped may live. */
 static bool leaves(const struct backend *backend)
 {
-    return backend->listing.draining || backend->unlisted_until;
+    return backend->listing.draining || backend->leaving || backend->load.leaving ||
+           (backend->unlisted_until && !backend->doubtful);
 }
 
 void crash_watch_lost_run(struct edge *edge, struct backend *backend,
                           const struct request_identity *identity, const char *request_id)
 {
-    if (leaves(backend)) {
-        log_event(LOG_LEVEL_INFO, "crash", "planned", "request=%s backend=%s draining=%d",
-                  request_id, backend->listing.id, backend->listing.draining);
-        return;
-    }
     struct crash_check *check = find_check(edge, backend);
     if (!check)
         check = begin_check(edge, backend);
     else if (check->state == CHECK_WAITS && check->open_handles == 1)
         gather(check);
+    check->planned |= leaves(backend);
+    if (check->planned) {
+        check->broken_at = cluster_now();
+        log_event(LOG_LEVEL_INFO, "crash", "planned",
+                  "request=%s backend=%s draining=%d leaving=%d", request_id, backend->listing.id,
+                  backend->listing.draining, backend->leaving || backend->load.leaving);
+        return;
+    }
     struct lost_run run = {*identity, crash_attempt_key(request_id), cluster_now()};
     add_run(check, &run);
 }
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -5,7 +5,8 @@
  * One broken connection proves nothing: connections are reset on their way, and an engine may break
  * an answer off and live on. A back end counts as ended when none of this gateway's connections to
  * it is left and a new one is refused, or when another start stands at its address soon after. One
- * that said it leaves, or that the list dropped, ends as planned and proves nothing.
+ * that said it leaves, or that the list dropped while its keeper worked, ends as planned: that
+ * proves nothing against a request, and is no fault of the streams that it ran.
  */
 #ifndef SHUNTRUN_CRASH_WATCH_H
 #define SHUNTRUN_CRASH_WATCH_H
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -95,6 +95,9 @@
     case END_SILENT:
         metric_add(METRIC_STREAMS_CUT_SILENT, 1);
         break;
+    case END_BLOCKED:
+        metric_add(METRIC_STREAMS_CUT_BLOCKED, 1);
+        break;
     default:
         metric_add(METRIC_STREAMS_CUT_BROKEN, 1);
     }
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash_table_test.c
@@ -288,7 +288,7 @@
     uint32_t broken[PLAYERS]; /* times that the request was broken off */
     uint32_t ends;
     uint32_t next_player;
-    uint32_t guilty;
+    uint32_t crashing;
     uint32_t refused; /* others that were refused as they went on */
 };
 
@@ -306,7 +306,7 @@
 {
     uint32_t engine;
     if (verdict(world->table, request, now) == CRASH_BLOCKED) {
-        world->refused += request >= world->guilty;
+        world->refused += request >= world->crashing;
         return;
     }
     if (world->ranks && verdict(world->table, request, now) == CRASH_SUSPECT)
@@ -325,17 +325,17 @@
     world->ends++;
     uint64_t start = crash_start_key("engine", engine * 1000 + world->born[engine]);
     for (uint32_t i = 0; i < count; i++) /* those that crash engines come again, others go on */
-        ended_in(world->table, there[i], start, now, there[i] < world->guilty ? world->ends : 0);
+        ended_in(world->table, there[i], start, now, there[i] < world->crashing ? world->ends : 0);
     world->born[engine]++;
     for (uint32_t i = 0; i < count; i++)
-        if (there[i] >= world->guilty && ++world->broken[there[i]] < ATTEMPTS)
+        if (there[i] >= world->crashing && ++world->broken[there[i]] < ATTEMPTS)
             place(world, there[i], engine, now);
 }
 
-static bool has_guilty(const struct world *world, uint32_t engine)
+static bool has_crashing(const struct world *world, uint32_t engine)
 {
     for (uint32_t i = 0; i < world->count[engine]; i++)
-        if (world->on[engine][i] < world->guilty)
+        if (world->on[engine][i] < world->crashing)
             return true;
     return false;
 }
@@ -351,10 +351,10 @@
             world->count[engine] * sizeof world->on[engine][0]);
     while (world->count[engine] < PLACES)
         world->on[engine][world->count[engine]++] =
-            world->guilty + world->next_player++ % (PLAYERS - world->guilty);
+            world->crashing + world->next_player++ % (PLAYERS - world->crashing);
 }
 
-/* \return innocent requests that were refused when they went on, or are blocked in the end */
+/* \return other requests that were refused when they went on, or are blocked in the end */
 static uint32_t play(struct world *world)
 {
     uint32_t blocked = 0;
@@ -362,23 +362,23 @@
         uint64_t now = BEGIN + step * SECOND / 5;
         for (uint32_t engine = 0; engine < ENGINES; engine++)
             run_on(world, engine, now);
-        for (uint32_t guilty = 0; guilty < world->guilty; guilty++)
-            place(world, guilty, (uint32_t)random_below(&world->random, ENGINES), now);
+        for (uint32_t crashing = 0; crashing < world->crashing; crashing++)
+            place(world, crashing, (uint32_t)random_below(&world->random, ENGINES), now);
         for (uint32_t engine = 0; engine < ENGINES; engine++)
-            if (has_guilty(world, engine))
+            if (has_crashing(world, engine))
                 crash(world, engine, now + engine);
     }
-    for (uint32_t request = world->guilty; request < PLAYERS; request++)
+    for (uint32_t request = world->crashing; request < PLAYERS; request++)
         blocked += verdict(world->table, request, BEGIN + STEPS * SECOND) == CRASH_BLOCKED;
     return blocked + world->refused;
 }
 
-static void play_many(bool ranks, uint32_t guilty, uint32_t worlds, uint32_t *ends,
+static void play_many(bool ranks, uint32_t crashing, uint32_t worlds, uint32_t *ends,
                       uint32_t *blocked)
 {
     *ends = *blocked = 0;
     for (uint64_t seed = 1; seed <= worlds; seed++) {
-        struct world world = {.random = {.seed = seed}, .ranks = ranks, .guilty = guilty};
+        struct world world = {.random = {.seed = seed}, .ranks = ranks, .crashing = crashing};
         world.table = crash_table_create();
         *blocked += play(&world);
         *ends += world.ends;
@@ -387,7 +387,7 @@
 }
 
 /* 12 engines of 13 places; who is broken off goes on at once, with three attempts. */
-static void an_innocent_request_is_not_blocked(void **state)
+static void another_request_is_not_blocked(void **state)
 {
     uint32_t ends, blocked;
     play_many(true, 1, 1000, &ends, &blocked);
@@ -423,7 +423,7 @@
         cmocka_unit_test(one_end_is_forgotten_soon_and_more_are_not),
         cmocka_unit_test(a_full_table_keeps_the_most_suspect),
         cmocka_unit_test(nodes_agree_whatever_the_order),
-        cmocka_unit_test(an_innocent_request_is_not_blocked),
+        cmocka_unit_test(another_request_is_not_blocked),
         cmocka_unit_test(nor_is_one_beside_three_that_crash_engines),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/system/crash_test.py
+++ b/tests/system/crash_test.py
@@ -72,35 +72,27 @@
     CLIENTS = 40
     CRASHING = 2
 
-    def read_streams(self, number):
-        chance = random.Random(number)
-        count = 0
-        while not self.over.is_set():
-            count += 1
-            reader = streams.Reader("i%03d-%04d" % (number, count), chance.randint(5, 25),
-                                    self.gateway(chance.randrange(self.GATEWAYS)))
-            reader.join()
-            self.read.append(reader)
-            time.sleep(0.05 if reader.status == 200 else 0.3)
+    def read_stream(self, client, number, chance):
+        reader = streams.Reader("i%03d-%04d" % (client, number), chance.randint(5, 25),
+                                self.gateway(chance.randrange(self.GATEWAYS)))
+        reader.join()
+        return reader
 
     def play(self, seconds):
         """Clients read streams while the requests that crash engines come again and again."""
-        self.over = threading.Event()
-        self.read = []
-        clients = [threading.Thread(target=self.read_streams, args=(n,), daemon=True)
-                   for n in range(self.CLIENTS)]
+        self.begin_clients(self.CLIENTS, self.read_stream)
         addresses = [self.gateway(n) for n in range(self.GATEWAYS)]
         crashing = [CrashingCaller("crashing-%d" % n, addresses, self.over)
                     for n in range(self.CRASHING)]
         for engine in self.engines:
             engine.back_after_s = 1.5
             engine.crashing_bodies = {caller.body for caller in crashing}
-        for thread in clients + crashing:
-            thread.start()
+        for caller in crashing:
+            caller.start()
         time.sleep(seconds)
-        self.over.set()
-        for thread in clients + crashing:
-            thread.join()
+        self.end_clients()
+        for caller in crashing:
+            caller.join()
         return crashing
 
     def ends_under(self, body):
@@ -132,20 +124,57 @@
         self.assertGreater(whole, 0.9 * len(self.read))
 
 
+class PlannedEnds(streams.Fleet):
+    ENGINES = 4
+    EVENT_GAP_S = 0.05
+
+    def test_an_engine_that_said_that_it_leaves_ends_as_planned(self):
+        """What ran there is under no suspicion, though the list does not say yet that it leaves."""
+        readers = [streams.Reader("planned-%d" % n, 60) for n in range(8)]
+        platform.wait_for(lambda: all(self.runs(r.identity) for r in readers), "streams under way")
+        engine = self.engine_of(readers[0].identity)
+        engine.say_leaving()
+        others = [e for e in self.engines if e is not engine]
+        # An answer tells the gateway, or the engine's report to its loader does.
+        platform.wait_for(lambda: platform.metric("shuntrun_backends_leaving_total") == 1, "news")
+        engine.crash()
+        for reader in readers:
+            self.assert_whole(reader)
+        self.assertTrue(any(e.runs for e in others))
+        time.sleep(0.3)  # for a check of the end, which takes some 10 ms
+        self.assertEqual(platform.metric("shuntrun_backend_crashes_total"), 0)
+        self.assertEqual(platform.metric("shuntrun_crash_suspects"), 0)
+
+
 class EndsInTurn(streams.Fleet):
     ENGINES = 4
     EVENT_GAP_S = 0.05
 
-    def test_a_stream_outlives_engines_that_end(self):
+    def running_engine(self, ended):
+        """One that ended notices only at its next event that nobody reads its stream any more."""
+        return next(e for e in self.engines if e.running and e is not ended)
+
+    def end_in_turn(self, end):
         """Its route allows two attempts, but an engine that ended is not the stream's fault."""
         reader, engine = self.read_from("outlives", 40)
         for runs in (2, 3):
             time.sleep(0.3)
-            engine.crash()
+            end(engine)
             platform.wait_for(lambda: self.runs("outlives") == runs, "the next run")
-            engine = next(e for e in self.engines if e.running)
+            engine = self.running_engine(engine)
         self.assert_whole(reader)
 
+    def test_a_stream_outlives_engines_that_end(self):
+        self.end_in_turn(lambda engine: engine.crash())
+
+    def test_a_stream_outlives_engines_that_leave_and_end(self):
+        def leave_and_end(engine):
+            engine.say_leaving()
+            time.sleep(0.3)  # its report to its loader, each 60 ms, says so
+            engine.crash()
+        self.end_in_turn(leave_and_end)
+        self.assertEqual(platform.metric("shuntrun_backend_crashes_total"), 0)
+
     def test_a_stream_outlives_engines_that_start_again_at_once(self):
         """The next start accepts connections before anybody asks whether the last one ended: a stream
         was cut 18 ms after the second end, though the list had named the new start 15 ms before."""
@@ -155,7 +184,7 @@
             engine.crash()
             self.engines[self.engines.index(engine)] = self.start_again(engine)
             platform.wait_for(lambda: self.runs("restarts") == runs, "the next run")
-            engine = next(e for e in self.engines if e.running)
+            engine = self.running_engine(engine)
         self.assert_whole(reader)
 
     def start_again(self, engine):
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -16,7 +16,7 @@
   streams    a stream that has begun ends whole, unless an engine broke it off or its time was over
   entries    nothing is sent to what a bad entry of the list names
   crashing   a request under which three engines ended reaches none later than CALM_S after the third
-  innocent   no other request is refused as one that crashes engines
+  others     no other request is refused as one that crashes engines
   planned    a stopped edge ends by itself with status 0, and cuts no request that it has read
   alive      no process ends without being told to
   recovery   requests are served again within RECOVERY_S of the last fault
@@ -613,7 +613,7 @@
         if result.status == 200 and not result.whole and not result.cut:
             self.find("whole", "%s from %s is not whole" % (result.identity, result.edge))
         if result.blocked:
-            self.find("innocent", "%s was refused by %s" % (result.identity, result.edge))
+            self.find("others", "%s was refused by %s" % (result.identity, result.edge))
         if result.kind == "put" and len(runs) > 1:
             self.find("once", "%s ran %d times" % (result.identity, len(runs)))
         if result.status in (429, 503) and runs:
--- a/tests/system/statements_play.py
+++ b/tests/system/statements_play.py
@@ -92,7 +92,7 @@
             whole, count = sum(r.whole for r in self.read), len(self.read)
             self.rest_all()
             in_vain, times = self.measure_refusals()
-            self.end_load()
+            self.end_clients()
             late = sum(len(self.late_at(engine)) for engine in leaving)
             most = max(self.arrivals_in_rests(engine) for engine in resting)
             print("seed %d: %d of %d whole, %d sent too late to engines that leave, %d at most in a rest; "
--- a/tests/system/statements_test.py
+++ b/tests/system/statements_test.py
@@ -14,9 +14,7 @@
 """
 import collections
 import os
-import random
 import sys
-import threading
 import time
 import unittest
 
@@ -42,32 +40,17 @@
     EVENT_GAP_S = 0.03
     CLIENTS = 80
 
-    def read_streams(self, number):
-        chance = random.Random(number)
-        count = 0
-        while not self.over.is_set():
-            count += 1
-            gateway = chance.randrange(self.GATEWAYS)
-            reader = streams.Reader("g%d-c%03d-%04d" % (gateway, number, count),
-                                    chance.randint(5, 25), self.gateway(gateway))
-            reader.join()
-            self.read.append(reader)
-            time.sleep(0.02)
+    def read_stream(self, client, number, chance):
+        gateway = chance.randrange(self.GATEWAYS)
+        reader = streams.Reader("g%d-c%03d-%04d" % (gateway, client, number),
+                                chance.randint(5, 25), self.gateway(gateway))
+        reader.join()
+        return reader
 
     def begin_load(self):
-        self.over = threading.Event()
-        self.read = []
-        self.clients = [threading.Thread(target=self.read_streams, args=(n,), daemon=True)
-                        for n in range(self.CLIENTS)]
-        for client in self.clients:
-            client.start()
+        self.begin_clients(self.CLIENTS, self.read_stream)
         platform.wait_for(lambda: len(self.read) > self.CLIENTS, "streams read")
 
-    def end_load(self):
-        self.over.set()
-        for client in self.clients:
-            client.join()
-
     def silence_the_store(self):
         self.store.mode = "silent"
         self.addCleanup(setattr, self.store, "mode", "good")
@@ -106,7 +89,7 @@
         for engine in leaving:
             engine.say_leaving()
         time.sleep(DRAIN_S + 4)
-        self.end_load()
+        self.end_clients()
         self.assertTrue(all(engine.answers_leaving for engine in leaving))
         self.assertEqual([self.late_at(engine) for engine in leaving], [[]] * len(leaving))
         self.assert_callers_are_served()
@@ -118,7 +101,7 @@
             for engine in resting:
                 engine.rest(seconds)
             time.sleep(seconds + 1)
-        self.end_load()
+        self.end_clients()
         self.assertTrue(all(engine.rests for engine in resting))
         self.assertLessEqual(max(self.arrivals_in_rests(e) for e in resting), REST_ARRIVALS)
         self.assert_callers_are_served()
@@ -143,7 +126,7 @@
         self.assertEqual(sum(len(engine.arrivals) for engine in self.engines), arrivals,
                          "attempts in vain")
         platform.wait_for(self.is_served, "a stream after the rest")
-        self.end_load()
+        self.end_clients()
 
 
 if __name__ == "__main__":
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -26,6 +26,9 @@
 DEADLINE_MS = 6000
 STOOD_STILL_S = 1.5  # longer than a gateway bears the silence of an engine
 EVENT_GAP_S = 0.1
+# Between two streams of one client.
+SERVED_PAUSE_S = 0.02
+REFUSED_PAUSE_S = 0.3
 # After a version was named, the least one allowed is this: 8 s less 1.1 s, and some for the news.
 OLD_VERSIONS_END_S = 7.3
 
@@ -124,6 +127,31 @@
         self.origin.newest = version
         self.store.put("op/version/" + standin.MODEL, {"model": standin.MODEL, "version": version})
 
+    def begin_clients(self, count, read):
+        """Clients that each read streams one after the other, until end_clients(); `read` gets the
+        client's number, the stream's, and random numbers, and returns a Reader that has ended."""
+        self.over = threading.Event()
+        self.read = []
+
+        def read_streams(number):
+            chance = random.Random(number)
+            stream = 0
+            while not self.over.is_set():
+                stream += 1
+                reader = read(number, stream, chance)
+                self.read.append(reader)
+                time.sleep(REFUSED_PAUSE_S if reader.status != 200 else SERVED_PAUSE_S)
+
+        self.clients = [threading.Thread(target=read_streams, args=(n,), daemon=True)
+                        for n in range(count)]
+        for client in self.clients:
+            client.start()
+
+    def end_clients(self):
+        self.over.set()
+        for client in self.clients:
+            client.join()
+
     def runs(self, identity):
         return sum(run[0] == identity for engine in self.engines for run in engine.runs)
 
@@ -211,26 +239,14 @@
     VERSIONS = 3
     VERSION_GAP_S = 2.0
 
-    def read_streams(self, number):
-        """One client after the other; the random numbers are those of its seed."""
-        chance = random.Random(number)
-        count = 0
-        while not self.over.is_set():
-            count += 1
-            reader = Reader("v%03d-%04d" % (number, count),
-                            chance.randint(10, self.LONGEST_EVENTS),
-                            self.gateway(chance.randrange(self.GATEWAYS)))
-            reader.join()
-            self.read.append(reader)
-            time.sleep(0.02 if reader.status == 200 else 0.3)
+    def read_stream(self, client, number, chance):
+        reader = Reader("v%03d-%04d" % (client, number), chance.randint(10, self.LONGEST_EVENTS),
+                        self.gateway(chance.randrange(self.GATEWAYS)))
+        reader.join()
+        return reader
 
     def test_new_weights_cut_no_stream(self):
-        self.over = threading.Event()
-        self.read = []
-        clients = [threading.Thread(target=self.read_streams, args=(n,), daemon=True)
-                   for n in range(self.CLIENTS)]
-        for client in clients:
-            client.start()
+        self.begin_clients(self.CLIENTS, self.read_stream)
         places = 0.6 * self.ENGINES * self.SLOTS
         platform.wait_for(lambda: sum(len(e.running) for e in self.engines) > places, "full engines")
         for version in range(2, 2 + self.VERSIONS):
@@ -238,9 +254,7 @@
             time.sleep(self.VERSION_GAP_S)
         platform.wait_for(lambda: all(e.version == 1 + self.VERSIONS for e in self.engines),
                           "the last version at all engines")
-        self.over.set()
-        for client in clients:
-            client.join()
+        self.end_clients()
         self.assertGreater(sum(reader.whole for reader in self.read), 200)
         self.assertEqual([r.identity for r in self.read if r.cut], [])
 
