Operators list requests that crash back ends, and let one run again

Cause: a block could only be waited out for an hour, and nobody could see what is blocked but in the logs. Change: GET /suspects and POST /suspects/lift at the metrics address of gateways and loaders (cluster/crash_page); shuntrun suspects reads them. Measured: system.crash Lifted: listed at another gateway than the one asked first, lifted there, no longer blocked at the first, and run again (its engine ended once more); what nobody holds, or is no identity, is refused with a reason.

--- a/src/cluster/process.c
+++ b/src/cluster/process.c
@@ -70,6 +70,9 @@
                        const struct service_request *request)
 {
     size_t size;
+    const struct process *process = context;
+    if (process->page && process->page(process->page_context, call, request))
+        return;
     if (!service_path_is(request, "/metrics")) {
         service_reply(call, 404, NULL, NULL, 0);
         return;
--- a/src/cluster/process.h
+++ b/src/cluster/process.h
@@ -9,6 +9,13 @@
 
 #include <uv.h>
 
+struct service_call;
+struct service_request;
+
+/** More pages at the metrics address. \return whether the call was for one, and is answered */
+typedef bool process_page(void *context, struct service_call *call,
+                          const struct service_request *request);
+
 struct process {
     uv_signal_t terminate;
     uv_signal_t interrupt;
@@ -17,6 +24,8 @@
     const struct settings *settings;
     void (*stop)(struct process *process);
     void *context;
+    process_page *page; /**< or NULL; set before process_run() */
+    void *page_context;
 };
 
 /** \brief Read the settings and set the log up. \return 0, or 2 after the findings were printed */
--- a/src/core/request_identity.c
+++ b/src/core/request_identity.c
@@ -44,3 +44,25 @@
     for (size_t i = 0; i < REQUEST_IDENTITY_SIZE; i++)
         snprintf(hex + 2 * i, 3, "%02x", identity->bytes[i]);
 }
+
+/* \return the value of a digit, or -1 */
+static int digit_of(char digit)
+{
+    if (digit >= '0' && digit <= '9')
+        return digit - '0';
+    return digit >= 'a' && digit <= 'f' ? digit - 'a' + 10 : -1;
+}
+
+bool request_identity_from_hex(const char *hex, struct request_identity *identity)
+{
+    if (strlen(hex) != REQUEST_IDENTITY_HEX_SIZE - 1)
+        return false;
+    for (size_t i = 0; i < REQUEST_IDENTITY_SIZE; i++) {
+        int high = digit_of(hex[2 * i]);
+        int low = digit_of(hex[2 * i + 1]);
+        if (high < 0 || low < 0)
+            return false;
+        identity->bytes[i] = (uint8_t)(16 * high + low);
+    }
+    return true;
+}
--- a/src/core/request_identity.h
+++ b/src/core/request_identity.h
@@ -36,5 +36,7 @@
 /** \brief Lower-case hex with a closing zero. */
 void request_identity_to_hex(const struct request_identity *identity,
                              char hex[REQUEST_IDENTITY_HEX_SIZE]);
+/** \return false when the text is not the hex digits of an identity, and nothing else */
+bool request_identity_from_hex(const char *hex, struct request_identity *identity);
 
 #endif
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "cluster/crash_page.h"
 #include "core/attempt_rule.h"
 #include "core/hash.h"
 #include "edge/backend_states.h"
@@ -256,6 +257,8 @@
     uv_timer_init(edge->loop, &edge->timer);
     edge->timer.data = edge;
     uv_timer_start(&edge->timer, on_tick, TICK_MS, TICK_MS);
+    edge->process.page = crash_page_handle;
+    edge->process.page_context = edge->cluster.crashes;
     return process_run(&edge->process, edge->loop, on_stop, edge);
 }
 
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -4,6 +4,7 @@
 #include "base/memory.h"
 #include "base/metrics.h"
 #include "cluster/cluster.h"
+#include "cluster/crash_page.h"
 #include "cluster/process.h"
 #include "core/hash.h"
 #include "core/start_turn.h"
@@ -375,6 +376,8 @@
     uv_timer_init(loop, &loader->timer);
     loader->timer.data = loader;
     uv_timer_start(&loader->timer, on_tick, 1, 0);
+    loader->process.page = crash_page_handle;
+    loader->process.page_context = loader->cluster.crashes;
     return process_run(&loader->process, loop, on_stop, loader);
 }
 
--- a/src/main.c
+++ b/src/main.c
@@ -14,6 +14,7 @@
 #include "tool/plan.h"
 #include "tool/report.h"
 #include "tool/status.h"
+#include "tool/suspects.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -32,6 +33,7 @@
     {"check", check_main, "check policies, configurations, machine lists and settings"},
     {"plan", plan_main, "say what a new configuration would move, and why"},
     {"status", status_main, "watch a rollout"},
+    {"suspects", suspects_main, "list requests that crash back ends, or let one run again"},
     {"explain", explain_main, "say what became of a request, from the logs"},
     {"report", report_main, "report service-level burn"},
     {"simulate", simulate_main, "simulate a whole fleet on a virtual clock"},
--- /dev/null
+++ b/src/tool/suspects.c
@@ -0,0 +1,124 @@
+#include "tool/suspects.h"
+
+#include "tool/tool.h"
+
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define KEY_LIFT 'l'
+#define KEY_OUTPUT 1000
+#define TARGET_SIZE 128
+#define SECOND_MS 1000
+
+struct suspects_options {
+    const char *address;
+    const char *lift; /* identity, or NULL: list */
+    bool json;
+};
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+    struct suspects_options *options = state->input;
+    switch (key) {
+    case KEY_LIFT:
+        options->lift = argument;
+        break;
+    case KEY_OUTPUT:
+        options->json = tool_parse_output(argument, state);
+        break;
+    case ARGP_KEY_ARG:
+        if (options->address)
+            argp_error(state, "one ADDRESS only");
+        options->address = argument;
+        break;
+    case ARGP_KEY_END:
+        if (!options->address)
+            argp_error(state, "an ADDRESS is needed");
+        break;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+    return 0;
+}
+
+static json_int_t seconds_of(const json_t *suspect, const char *name)
+{
+    return json_integer_value(json_object_get(suspect, name)) / SECOND_MS;
+}
+
+static void print_suspect(const json_t *suspect)
+{
+    printf("%-34s %-8s %4d %12" JSON_INTEGER_FORMAT " %11" JSON_INTEGER_FORMAT
+           " %13" JSON_INTEGER_FORMAT "\n",
+           json_string_value(json_object_get(suspect, "identity")),
+           json_string_value(json_object_get(suspect, "verdict")),
+           (int)json_integer_value(json_object_get(suspect, "ends")),
+           seconds_of(suspect, "first_end_ms_ago"), seconds_of(suspect, "last_end_ms_ago"),
+           seconds_of(suspect, "blocked_for_ms"));
+}
+
+static void print_suspects(const json_t *list)
+{
+    size_t index;
+    json_t *suspect;
+    printf("%-34s %-8s %4s %12s %11s %13s\n", "IDENTITY", "VERDICT", "ENDS", "FIRST S AGO",
+           "LAST S AGO", "BLOCKED FOR S");
+    json_array_foreach(list, index, suspect)
+    {
+        print_suspect(suspect);
+    }
+}
+
+static int list_suspects(const struct suspects_options *options)
+{
+    json_t *list = tool_get_json(options->address, "/suspects");
+    if (!list) {
+        fprintf(stderr, "shuntrun suspects: %s\n", status_message());
+        return 1;
+    }
+    if (options->json) {
+        tool_print_json(list);
+        return 0;
+    }
+    print_suspects(list);
+    json_decref(list);
+    return 0;
+}
+
+static int lift(const struct suspects_options *options)
+{
+    char target[TARGET_SIZE];
+    snprintf(target, sizeof target, "/suspects/lift?identity=%s", options->lift);
+    char *answer = tool_post(options->address, target);
+    if (!answer) {
+        fprintf(stderr, "shuntrun suspects: %s\n", status_message());
+        return 1;
+    }
+    fputs(answer, stdout);
+    free(answer);
+    return 0;
+}
+
+int suspects_main(int argc, char **argv)
+{
+    static const struct argp_option list[] = {
+        {"lift", KEY_LIFT, "IDENTITY", 0, "let this request run again, at all gateways", 0},
+        {"output", KEY_OUTPUT, "FORMAT", 0, "json or text (text)", 0},
+        {0}};
+    static const char doc[] =
+        "List the requests that were there when back ends ended, as one node knows them: all that "
+        "were at more than one end at a gateway, a part of them at a loader.\vADDRESS is the "
+        "IP:PORT of a gateway's or loader's metrics. `event=run-lost identity=...` in the logs "
+        "names the request ids of an identity. Exit status 0, 1 when the node does not answer or "
+        "holds nothing against the identity, 2 for wrong usage.";
+    struct suspects_options options = {0};
+    struct argp argp = {list, parse_option, "ADDRESS", doc, NULL, NULL, NULL};
+    argp_err_exit_status = 2;
+    argp_parse(&argp, argc, argv, 0, NULL, &options);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    int exit_status = options.lift ? lift(&options) : list_suspects(&options);
+    curl_global_cleanup();
+    return exit_status;
+}
--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define GET_TIMEOUT_MS 3000L
+#define CALL_TIMEOUT_MS 3000L
 
 enum status tool_read_file(const char *path, char **text, size_t *size)
 {
@@ -44,7 +44,8 @@
     return unit * count;
 }
 
-char *tool_get_text(const char *address, const char *path)
+/* \param body sent with POST; NULL: GET */
+static char *call(const char *address, const char *path, const char *body)
 {
     char url[512];
     long status = 0;
@@ -54,22 +55,34 @@
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, GET_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &buffer);
+    if (body)
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
     CURLcode code = curl_easy_perform(easy);
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_cleanup(easy);
     if (code == CURLE_OK && status == 200)
         return buffer.data;
-    free(buffer.data);
     if (code != CURLE_OK)
         status_fail(STATUS_IO, "%s: %s", url, curl_easy_strerror(code));
     else
-        status_fail(STATUS_IO, "%s: status %ld", url, status);
+        status_fail(STATUS_IO, "%s: status %ld %s", url, status, buffer.data);
+    free(buffer.data);
     return NULL;
 }
 
+char *tool_get_text(const char *address, const char *path)
+{
+    return call(address, path, NULL);
+}
+
+char *tool_post(const char *address, const char *path)
+{
+    return call(address, path, "");
+}
+
 json_t *tool_get_json(const char *address, const char *path)
 {
     char *text = tool_get_text(address, path);
--- a/src/tool/tool.h
+++ b/src/tool/tool.h
@@ -20,6 +20,8 @@
 json_t *tool_get_json(const char *address, const char *path);
 /** \brief GET text. \return owned text, or NULL with a status message */
 char *tool_get_text(const char *address, const char *path);
+/** \brief POST without a body. \return owned text of the answer, or NULL with a status message */
+char *tool_post(const char *address, const char *path);
 
 /** \brief Value of `--output`: true for json, false for text; any other ends with a usage error. */
 bool tool_parse_output(const char *text, struct argp_state *state);
--- a/tests/core/request_identity_test.c
+++ b/tests/core/request_identity_test.c
@@ -59,6 +59,19 @@
     identity.bytes[REQUEST_IDENTITY_SIZE - 1] = 0x01;
     request_identity_to_hex(&identity, hex);
     assert_string_equal(hex, "ab000000000000000000000000000001");
+    struct request_identity read;
+    assert_true(request_identity_from_hex(hex, &read));
+    assert_true(request_identity_equal(&read, &identity));
+}
+
+static void what_is_no_identity_is_not_read(void **state)
+{
+    static const char *const texts[] = {"", "ab", "ab00000000000000000000000000000g",
+                                        "ab0000000000000000000000000000011",
+                                        "AB000000000000000000000000000001"};
+    struct request_identity read;
+    for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+        assert_false(request_identity_from_hex(texts[i], &read));
 }
 
 int main(void)
@@ -68,6 +81,7 @@
         cmocka_unit_test(each_part_makes_a_difference),
         cmocka_unit_test(bytes_do_not_move_between_parts),
         cmocka_unit_test(hex_shows_all_bytes),
+        cmocka_unit_test(what_is_no_identity_is_not_read),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/system/crash_test.py
+++ b/tests/system/crash_test.py
@@ -10,8 +10,10 @@
 at each end of an engine, while those of the others differ from end to end.
 """
 import http.client
+import json
 import os
 import random
+import subprocess
 import sys
 import threading
 import time
@@ -65,7 +67,9 @@
             connection.close()
 
 
-class Crashes(streams.Fleet):
+class CrashFleet(streams.Fleet):
+    """Clients that read streams, and callers whose requests end each engine that runs them."""
+
     ENGINES = 12
     GATEWAYS = 7
     EVENT_GAP_S = 0.03
@@ -104,6 +108,8 @@
         return [run for engine in self.engines for run in engine.runs
                 if run[2] == body and run[3] > moment]
 
+
+class Crashes(CrashFleet):
     def assert_refused(self, answer):
         """It has not run, there is no time to come back, and the caller can read why."""
         status, retry_after, body = answer
@@ -124,6 +130,39 @@
         self.assertGreater(whole, 0.9 * len(self.read))
 
 
+class Lifted(CrashFleet):
+    CLIENTS = 0
+    CRASHING = 1
+    OTHER = 3  # another gateway than the one that is asked first
+
+    def suspects(self, number, *arguments):
+        return subprocess.run([os.path.join(platform.OPTIONS.build, "shuntrun"), "suspects",
+                               "%s:%d" % (self.gateway(number), platform.METRICS)] + list(arguments),
+                              stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, timeout=10)
+
+    def blocked(self, number):
+        listed = json.loads(self.suspects(number, "--output", "json").stdout)
+        return [entry["identity"] for entry in listed if entry["verdict"] == "blocked"]
+
+    def test_an_operator_lists_it_and_lets_it_run_again(self):
+        caller = self.play(4.0)[0]
+        platform.wait_for(lambda: self.blocked(0) and self.blocked(self.OTHER), "known everywhere")
+        identity = self.blocked(0)[0]
+        ends = len(self.ends_under(caller.body))
+        self.assertIn(identity, self.suspects(self.OTHER).stdout)
+        lifted = self.suspects(self.OTHER, "--lift", identity)
+        self.assertEqual((lifted.returncode, lifted.stdout), (0, "lifted\n"))
+        platform.wait_for(lambda: not self.blocked(0), "the lift at another gateway")
+        caller.send("after-the-lift")
+        self.assertGreater(len(self.ends_under(caller.body)), ends, "it runs again")
+
+    def test_what_is_not_held_cannot_be_lifted(self):
+        unknown = self.suspects(0, "--lift", "00" * 16)
+        self.assertEqual(unknown.returncode, 1)
+        self.assertIn("nothing is held", unknown.stdout)
+        self.assertIn("32 digits", self.suspects(0, "--lift", "words").stdout)
+
+
 class PlannedEnds(streams.Fleet):
     ENGINES = 4
     EVENT_GAP_S = 0.05
