While overload lasts, callers who come back take what new callers leave

Ruled out by earlier trials: refusing them for good, and another order at any time (holes after a loss of power lose by it). Those who came back then look for a place every 20 ms instead of standing in line.

--- /dev/null
+++ b/src/core/caller_return.h
@@ -0,0 +1,40 @@
+/**
+ * Tells callers who come back after a refusal from new ones: they have less of their time left.
+ *
+ * Callers of one route give themselves the same time, and say how much of it is left. The longest
+ * time that was said lately is that of a new caller.
+ */
+#ifndef SHUNTRUN_CALLER_RETURN_H
+#define SHUNTRUN_CALLER_RETURN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** A caller with a smaller part of the longest time left has come back. New callers differ by the
+ *  milliseconds of their way here; the shortest time to come back, 0.5 s, is 0.08 of 6 s. */
+#define CALLER_RETURN_PART 0.93
+/** The longest time counts for one to two such spans, so that one odd caller is forgotten. */
+#define CALLER_RETURN_SPAN_US ((uint64_t)10000000)
+
+struct caller_times {
+    uint32_t longest_ms; /**< said in this span */
+    uint32_t before_ms;  /**< said in the last one */
+    uint64_t span_end;
+};
+
+/** \param left_ms time that the caller says to have left; 0: not said \return whether it came back
+ */
+static inline bool caller_returns(struct caller_times *times, uint32_t left_ms, uint64_t now)
+{
+    if (now >= times->span_end) {
+        times->before_ms = times->longest_ms;
+        times->longest_ms = 0;
+        times->span_end = now + CALLER_RETURN_SPAN_US;
+    }
+    if (left_ms > times->longest_ms)
+        times->longest_ms = left_ms;
+    uint32_t longest = times->longest_ms > times->before_ms ? times->longest_ms : times->before_ms;
+    return left_ms && left_ms < CALLER_RETURN_PART * longest;
+}
+
+#endif
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -7,8 +7,10 @@
 #include "cluster/cluster.h"
 #include "cluster/process.h"
 #include "core/backend_pool.h"
+#include "core/caller_return.h"
 #include "core/come_back.h"
 #include "core/event_stream.h"
+#include "core/overload.h"
 #include "core/repeat_budget.h"
 #include "core/route_table.h"
 #include "core/stream_length.h"
@@ -18,6 +20,8 @@
 #include "platform/platform.h"
 
 #define EDGE_SERVICES_MOST 64
+/** Routes whose callers' times are known; those of further ones count as new callers. */
+#define EDGE_ROUTES_MOST 256
 
 struct crash_check;
 struct edge_client;
@@ -30,9 +34,16 @@
     char service[BACKEND_NAME_SIZE];
     struct repeat_budget budget;
     struct come_back come_back;
+    struct overload overload;
     struct stream_length stream_length;
 };
 
+/** What callers of one route say of their time. */
+struct route_times {
+    uint64_t route; /**< hash of its name */
+    struct caller_times times;
+};
+
 struct edge {
     struct process process;
     struct cluster cluster;
@@ -44,6 +55,8 @@
     struct version_bounds versions;
     struct service_state services[EDGE_SERVICES_MOST];
     uint32_t service_count;
+    struct route_times routes[EDGE_ROUTES_MOST];
+    uint32_t route_count;
     bool unnamed_services; /**< some entry's service was not configured */
     struct random_stream random;
     uv_tcp_t listener;
@@ -158,6 +171,8 @@
 
 /** \brief State of a service, begun at its first use. */
 struct service_state *edge_service(struct edge *edge, const char *service);
+/** \return times of the route's callers, begun at its first use, or NULL when there are too many */
+struct caller_times *edge_route_times(struct edge *edge, const char *route);
 /** \brief An item of what the platform publishes is new, changed or gone. */
 void edge_take_item(struct edge *edge, const struct state_item *item);
 
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -2,6 +2,7 @@
  */
 #include "base/log.h"
 #include "base/metrics.h"
+#include "core/hash.h"
 #include "edge/edge_internal.h"
 #include "weights/weight_relay.h"
 
@@ -32,6 +33,22 @@
     return state;
 }
 
+struct caller_times *edge_route_times(struct edge *edge, const char *route)
+{
+    uint64_t name = hash_name(route);
+    for (uint32_t i = 0; i < edge->route_count; i++)
+        if (edge->routes[i].route == name)
+            return &edge->routes[i].times;
+    if (edge->route_count == EDGE_ROUTES_MOST)
+        return NULL;
+    struct route_times *times = &edge->routes[edge->route_count++];
+    times->route = name;
+    if (edge->route_count == EDGE_ROUTES_MOST)
+        log_event(LOG_LEVEL_WARN, "edge", "too-many-routes", "most=%d route=%s", EDGE_ROUTES_MOST,
+                  route);
+    return &times->times;
+}
+
 /* The relay reads weights from where the configuration says. */
 static void tell_origin(struct edge *edge)
 {
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -79,6 +79,8 @@
         moment = silence;
     if (exchange->state == EXCHANGE_WAITING && exchange->wait_until < moment)
         moment = exchange->wait_until;
+    if (exchange->state == EXCHANGE_WAITING && exchange->next_look && exchange->next_look < moment)
+        moment = exchange->next_look;
     return moment;
 }
 
@@ -163,7 +165,8 @@
         on_final_time(exchange);
         return;
     }
-    if (exchange->state == EXCHANGE_WAITING && now >= exchange->wait_until) {
+    bool looks = exchange->next_look && now >= exchange->next_look;
+    if (exchange->state == EXCHANGE_WAITING && (looks || now >= exchange->wait_until)) {
         exchange_dispatch(exchange);
         return;
     }
@@ -236,6 +239,8 @@
     exchange->head = *head;
     exchange->state_of_service = edge_service(edge, exchange->service->name);
     set_times(exchange);
+    struct caller_times *times = edge_route_times(edge, route->name);
+    exchange->returned = times && caller_returns(times, head->deadline_ms, exchange->arrived);
     uv_timer_init(edge->loop, &exchange->timer);
     exchange->timer.data = exchange;
     edge->active++;
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -221,6 +221,8 @@
 void exchange_count_place(struct exchange *exchange, bool found)
 {
     come_back_count(&exchange->state_of_service->come_back, &full_settings, !found);
+    if (!exchange->returned)
+        overload_count(&exchange->state_of_service->overload, !found, cluster_now());
 }
 
 static uint32_t retry_after_ms(struct exchange *exchange)
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -64,6 +64,8 @@
     uint32_t backoffs;      /* of these, refused by back ends that want nothing for a while */
     bool counted;           /* the present attempt is among them */
     bool no_backend;        /* none was fit when it was last looked for */
+    bool returned;          /* its caller was refused before */
+    uint64_t next_look;     /* for a place, while it stands in no line; 0: it does */
     bool may_have_run;      /* a send ended without a word on whether it ran */
     uint64_t sent_at;
     uint64_t first_byte_at; /* of the present back end, 0: none */
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -13,6 +13,9 @@
 /** After every back end that could go on with a stream was tried, they are tried again after this:
  *  about two reports of load, which tell of places that came free. */
 #define RESUME_PAUSE_US 100000
+/** Between two looks for a place by a caller who came back, while overload lasts: several new
+ * callers come to a gateway in that time. */
+#define RETURNED_LOOK_US 20000
 /** An unrepeatable request uses no connection that was idle for longer. */
 #define UNREPEATABLE_IDLE_US 1500000
 #define ANY_IDLE_US 3600000000ULL
@@ -143,9 +146,20 @@
     exchange->in_line = true;
 }
 
+/* While back ends stay full for longer than a caller stays away, one who came back is in time no
+ * more and would take the place of one who can be: he looks for what is left now and then. */
+static void wait_apart(struct exchange *exchange, uint64_t now)
+{
+    exchange->state = EXCHANGE_WAITING;
+    exchange->next_look = now + RETURNED_LOOK_US;
+    exchange_leave_line(exchange);
+    exchange_arm(exchange);
+}
+
 static void wait_in_line(struct exchange *exchange)
 {
     exchange->state = EXCHANGE_WAITING;
+    exchange->next_look = 0;
     join_line(exchange);
     exchange_arm(exchange);
 }
@@ -167,6 +181,7 @@
     uint64_t most_idle =
         exchange->route->kind == ROUTE_UNREPEATABLE ? UNREPEATABLE_IDLE_US : ANY_IDLE_US;
     exchange_count_place(exchange, true);
+    exchange->next_look = 0;
     exchange->state = EXCHANGE_SENT;
     exchange->backend = backend_retain(backend);
     exchange->sent_at = now;
@@ -273,6 +288,8 @@
     exchange->no_backend = absence == BACKEND_NONE && !exchange->tried_count;
     if (absence == BACKEND_FULL)
         exchange_count_place(exchange, false);
+    else
+        overload_absent(&exchange->state_of_service->overload);
     exchange_give_up_truly(exchange, end_without_place(absence, backoff_end));
     return true;
 }
@@ -289,7 +306,11 @@
         send_to(exchange, backend, now);
         return;
     }
-    if (!is_given_up(exchange, absence, now))
+    if (is_given_up(exchange, absence, now))
+        return;
+    if (exchange->returned && overload_lasts(&exchange->state_of_service->overload, now))
+        wait_apart(exchange, now);
+    else
         wait_in_line(exchange);
 }
 
