--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -31,41 +31,29 @@
                [--statements]
 """
 import argparse
-import http.client
 import json
 import os
 import random
 import signal
-import socket
 import sys
 import threading
 import time
-import typing
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import platform_standin as standin  # noqa: E402
 import platform_test as fleet  # noqa: E402
+import soak_checks as checks  # noqa: E402
+import soak_clients as clients  # noqa: E402
 
-DRAIN_S = 2.0        # the platform's bound on new work for a back end that leaves
 SERVES_ON_S = 3.0    # for which a back end that leaves still serves
 RECOVERY_S = 12.0    # the platform's bound
-CALM_S = 3.0         # without trouble of the store, after which its news bind
-GRACE_S = 8          # from SIGTERM to the end
 NEXT_WEIGHTS_S = 2.5  # between two versions; the first engine's turn is 2 s after one is named
 CLIENTS = 8
-DEADLINE_S = 2.0
 TRAP_PORT = 8106     # where bad entries lead, each to an address of its own
 FAULT_GAP_S = (0.3, 1.2)
 CRASHING_GAP_S = (2.0, 5.0)  # between the first coming of two requests that end engines
-CRASHING_REPEAT_S = 0.2
-CRASHING_FOR_S = 6.0
-CRASHES_TO_BLOCK = 3
-BLOCKED = b"several back ends ended"  # in the answer to such a request
 STATEMENT_GAP_S = (0.4, 1.5)  # between two faults of back ends that say something of themselves
 RESTS_S = (0.7, 1.5, 3.0, 6.0)
-REST_SETTLES_S = 0.5  # the platform's bound on what was on its way
-REST_ARRIVALS = 2    # the platform's bound within the rest of that time
-SPARE_S = 0.3        # beside the measured slack: a request on its way
 
 
 class Slack(threading.Thread):
@@ -83,109 +71,7 @@
             self.most = max(self.most, time.monotonic() - before - 0.02)
 
 
-class Result(typing.NamedTuple):
-    """One request as its client saw it; times on the monotonic clock, s."""
-    identity: str
-    kind: str
-    edge: str
-    sent: float
-    ended: float
-    status: int | None   # None: no answer
-    whole: bool          # the whole answer to this request
-    cut: bool            # the connection broke after the request was handed over
-    blocked: bool        # refused as one that crashes engines
-
-
-class Client(threading.Thread):
-    """Sends requests one after the other over kept connections; notes what came back."""
-
-    KINDS = (("get", "GET"), ("put", "POST"), ("stream", "POST"))  # kind of request, method
-
-    def __init__(self, soak, number):
-        super().__init__(daemon=True)
-        self.soak = soak
-        self.random = random.Random(soak.seed * 1000 + number)
-        self.number = number
-        self.connection = None
-        self.edge = None
-        self.results = []
-        self.start()
-
-    def run(self):
-        count = 0
-        while not self.soak.over.is_set():
-            count += 1
-            self.send("c%02d-%06d" % (self.number, count))
-            time.sleep(self.random.uniform(0.005, 0.03))
-
-    def connect(self):
-        edges = [ip for ip in fleet.EDGES if self.soak.is_open(ip)] or fleet.EDGES
-        self.edge = self.random.choice(edges)
-        self.connection = http.client.HTTPConnection(self.edge, fleet.FRONT, timeout=4)
-
-    def send(self, identity):
-        kind, method = self.random.choice(self.KINDS)
-        path = "/%s/%s" % (kind, identity)
-        if not self.connection:  # an open one is used until the process is gone
-            self.connect()
-        body = identity.encode() if method != "GET" else None
-        fields = {"Host": "a.example", "Shuntrun-Request-Id": identity,
-                  "Shuntrun-Deadline-Ms": str(int(1000 * DEADLINE_S)), "Authorization": "Bearer key-a"}
-        sent = time.monotonic()
-        status, data, handed_over = None, b"", False
-        try:
-            self.connection.request(method, path, body, fields)
-            handed_over = True
-            response = self.connection.getresponse()
-            status = response.status
-            data = response.read()
-        except (OSError, http.client.HTTPException):
-            data = None
-            self.connection = None
-        whole = data is not None and self.is_whole(kind, path, body, data)
-        self.results.append(Result(identity, kind, self.edge, sent, time.monotonic(), status, whole,
-                                   handed_over and data is None, BLOCKED in (data or b"")))
-
-    @staticmethod
-    def is_whole(kind, path, body, data):
-        if kind == "stream":
-            return data == fleet.whole_stream()
-        return data == b"answer to " + path.encode() + b" " + (body or b"")
-
-
-class Crashing(threading.Thread):
-    """A caller whose request ends each engine that runs it, and comes again under new ids."""
-
-    def __init__(self, soak, number):
-        super().__init__(daemon=True)
-        self.soak = soak
-        self.body = b"crash-%d" % number
-        self.random = random.Random(soak.seed * 1000 + number)
-        self.edges = {}  # id of a request -> the edge that it was sent to
-        self.start()
-
-    def run(self):
-        end = time.monotonic() + CRASHING_FOR_S
-        while time.monotonic() < end and not self.soak.over.is_set():
-            identity = "%s-%03d" % (self.body.decode(), len(self.edges))
-            self.edges[identity] = self.random.choice(fleet.EDGES)
-            threading.Thread(target=self.send, args=(identity,), daemon=True).start()
-            time.sleep(CRASHING_REPEAT_S)
-
-    def send(self, identity):
-        connection = http.client.HTTPConnection(self.edges[identity], fleet.FRONT, timeout=4)
-        try:
-            connection.request("POST", "/stream/" + self.body.decode(), self.body, {
-                "Host": "a.example", "Shuntrun-Request-Id": identity,
-                "Shuntrun-Deadline-Ms": str(int(1000 * DEADLINE_S)), "Authorization": "Bearer key-a"})
-            connection.getresponse().read()
-        except (OSError, http.client.HTTPException):
-            pass  # what engines ran is judged, not its answers
-        finally:
-            connection.close()
-
-
-class Soak:
+class Soak(checks.Checks):
     def __init__(self, seed, options, work):
         self.seed = seed
         self.with_crashing = options.crashing
@@ -243,7 +129,7 @@
         at = 1.5
         while at < self.seconds:
             schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "crashing",
-                             "which": chance.randrange(1000), "for_s": CRASHING_FOR_S})
+                             "which": chance.randrange(1000), "for_s": clients.CRASHING_FOR_S})
             at += chance.uniform(*CRASHING_GAP_S)
 
     def draw_statements(self, schedule):
@@ -353,7 +239,7 @@
         if backend:
             backend.say_leaving()
             self.left_at[backend.identity] = float("inf")  # the store says nothing
-            self.later(DRAIN_S + fault["for_s"], self.end_backend, backend)
+            self.later(checks.DRAIN_S + fault["for_s"], self.end_backend, backend)
 
     def fault_say_leaving_and_start_again(self, fault):
         """Its next start, under the same id, does not leave."""
@@ -447,7 +333,7 @@
         self.closed.discard(ip)
         for entry in self.away:
             if entry[0] == ip and entry[2] == float("inf"):
-                entry[2] = time.monotonic() + CALM_S
+                entry[2] = time.monotonic() + checks.CALM_S
 
     def restart(self, nodes, ip):
         nodes[ip].start()
@@ -474,7 +360,7 @@
             self.stopping.append(stop)
 
     def await_stop(self, ip):
-        status = self.edges[ip].process.wait(timeout=GRACE_S + self.slack.most + 5)
+        status = self.edges[ip].process.wait(timeout=checks.GRACE_S + self.slack.most + 5)
         if status:
             self.find("planned", "edge %s ended with %s after SIGTERM" % (ip, status))
         self.restart(self.edges, ip)
@@ -488,7 +374,7 @@
         ip = self.pick_edge(fault)
         if ip:
             self.freeze(self.edges[ip], fault["for_s"])
-            self.later(fault["for_s"] + CALM_S, self.reopen, ip)
+            self.later(fault["for_s"] + checks.CALM_S, self.reopen, ip)
 
     def fault_loader_kill(self, fault):
         ip = fleet.SIDES[fault["which"] % len(fleet.SIDES)]
@@ -509,7 +395,7 @@
         engines[fault["which"] % len(engines)].faults.extend(["pause"] * 4)
 
     def fault_crashing(self, fault):
-        caller = Crashing(self, len(self.crashing))
+        caller = clients.Crashing(self, len(self.crashing))
         self.crashing_bodies.add(caller.body)
         self.crashing.append(caller)
 
@@ -551,7 +437,7 @@
             self.close()
 
     def play_faults(self, schedule):
-        self.clients = [Client(self, number) for number in range(CLIENTS)]
+        self.clients = [clients.Client(self, number) for number in range(CLIENTS)]
         begin = time.monotonic()
         for fault in schedule:
             time.sleep(max(0, begin + fault["at"] - time.monotonic()))
@@ -582,141 +468,6 @@
             time.sleep(0.2)
         self.find("recovery", "not all requests are served %.1f s after the last fault" % RECOVERY_S)
 
-    def find(self, promise, text):
-        self.findings.append("%s: %s" % (promise, text))
-
-    # --- checks
-
-    def check(self):
-        results = [r for client in self.clients for r in client.results]
-        runs = {}
-        for backend in self.starts:
-            for run in backend.runs:
-                runs.setdefault(run[0], []).append((backend, run[3]))
-        for result in results:
-            self.check_result(result, runs.get(result.identity, []))
-        edges = {r.identity: r.edge for r in results}
-        for caller in self.crashing:
-            edges.update(caller.edges)
-        for backend in self.starts:
-            self.check_weights(backend)
-            self.check_drain(backend, edges)
-            self.check_leaving(backend, edges)
-            self.check_resting(backend, edges)
-        for caller in self.crashing:
-            self.check_crashing(caller)
-        for identity in [run[0] for run in self.trap.runs] + self.trap.turned_away:
-            self.find("entries", "%s was sent to what only bad entries name" % identity)
-        self.counts = (len(results), sum(r.whole for r in results))
-
-    def check_result(self, result, runs):
-        if result.status == 200 and not result.whole and not result.cut:
-            self.find("whole", "%s from %s is not whole" % (result.identity, result.edge))
-        if result.blocked:
-            self.find("others", "%s was refused by %s" % (result.identity, result.edge))
-        if result.kind == "put" and len(runs) > 1:
-            self.find("once", "%s ran %d times" % (result.identity, len(runs)))
-        if result.status in (429, 503) and runs:
-            self.find("not-run", "%s was answered %d and ran" % (result.identity, result.status))
-        if result.cut and runs:  # it was read
-            self.check_cut(result, [backend for backend, _ in runs])
-        if result.cut and result.status == 200 and result.kind == "stream":
-            self.check_stream(result, [backend for backend, _ in runs])
-
-    @staticmethod
-    def is_over(result):
-        """The time that its client gave it had passed."""
-        return result.ended - result.sent >= DEADLINE_S - SPARE_S
-
-    @staticmethod
-    def was_broken_off(result, backends):
-        return any(result.identity in backend.broken_off for backend in backends)
-
-    def check_stream(self, result, backends):
-        if self.was_broken_off(result, backends):
-            return
-        if self.is_over(result):
-            return
-        if any(ip == result.edge and begin <= result.ended <= end for ip, begin, end in self.away):
-            return
-        self.find("streams", "%s was cut by %s after %.2f s" %
-                  (result.identity, result.edge, result.ended - result.sent))
-
-    def check_weights(self, backend):
-        for version in backend.corrupt_starts:
-            self.find("weights", "%s took version %d from a stage that was not whole" %
-                      (backend.identity, version))
-
-    def check_crashing(self, caller):
-        ends = sorted(when for backend in self.starts for bodies, when in backend.crashes
-                      if caller.body in bodies)
-        if len(ends) < CRASHES_TO_BLOCK:
-            return
-        latest = ends[CRASHES_TO_BLOCK - 1] + CALM_S + 2 * self.slack.most
-        late = [run for backend in self.starts for run in backend.runs
-                if run[2] == caller.body and run[3] > latest
-                and self.is_in_touch(caller.edges[run[0]], run[3])]
-        if late:
-            self.find("crashing", "%s reached engines %d times later than %.1f s after the third end"
-                      % (caller.body.decode(), len(late), latest - ends[CRASHES_TO_BLOCK - 1]))
-
-    def check_cut(self, result, backends):
-        """A request that was under way at a stop, or began soon after, is not cut by it; its own
-        deadline may end it meanwhile, or the end of its engine when no other has its weights."""
-        if self.is_over(result) or self.was_broken_off(result, backends):
-            return
-        for edge, at in self.stops:
-            if (edge == result.edge and at - 2 < result.sent < at + 3
-                    and at < result.ended < at + GRACE_S - 1):
-                self.find("planned", "%s was cut by the stop of %s" % (result.identity, edge))
-
-    def is_in_touch(self, edge, at):
-        """Whether neither the store nor the edge had trouble in the last seconds."""
-        if any(begin <= at and at - CALM_S <= end for begin, end in self.troubles):
-            return False
-        return not any(ip == edge and begin <= at <= end for ip, begin, end in self.away)
-
-    def was_away(self, edge, begin, end):
-        """Whether the edge was killed, stopped or frozen between two moments."""
-        return any(ip == edge and begin <= until and since <= end for ip, since, until in self.away)
-
-    def check_leaving(self, backend, edges):
-        """A restart or freeze of the edge since that answer excuses it; what a start said does not bind
-        the next one."""
-        bound = DRAIN_S + SPARE_S + 2 * self.slack.most
-        told = {}
-        for identity, when, start in backend.answers_leaving:
-            if identity in edges:
-                told.setdefault((edges[identity], start), []).append(when)
-        for identity, at, start in backend.arrivals:
-            edge = edges.get(identity)
-            late = [when for when in told.get((edge, start), ())
-                    if at > when + bound and not self.was_away(edge, when, at)]
-            if late:
-                self.find("leaving", "%s reached %s %.2f s after an answer told %s that it leaves" %
-                          (identity, backend.identity, at - late[0], edge))
-
-    def check_resting(self, backend, edges):
-        for asked_by, asked_at, seconds, start in backend.rests:
-            edge = edges.get(asked_by)
-            begin, end = asked_at + REST_SETTLES_S + 2 * self.slack.most, asked_at + seconds
-            if not edge or self.was_away(edge, asked_at, end):
-                continue
-            count = sum(edges.get(identity) == edge and of == start and begin < at < end
-                        for identity, at, of in backend.arrivals)
-            if count > REST_ARRIVALS:
-                self.find("resting", "%s got %d requests of %s in %.2f s of rest" %
-                          (backend.identity, count, edge, seconds))
-
-    def check_drain(self, backend, edges):
-        left = self.left_at.get(backend.identity)
-        if left is None or any(begin <= left <= end + CALM_S for begin, end in self.troubles):
-            return  # what the store says in trouble, or just after it, binds nobody
-        latest = left + DRAIN_S + SPARE_S + 2 * self.slack.most
-        for identity, _, _, at in backend.runs:
-            if at > latest and self.is_in_touch(edges.get(identity), at):
-                self.find("drain", "%s began at %s %.2f s after it left" %
-                          (identity, backend.identity, at - left))
 
 
 def play_seed(options, seed):
--- /dev/null
+++ b/tests/system/soak_clients.py
@@ -0,0 +1,118 @@
+"""Callers of the soak: what they send, and what they saw of its answers."""
+import http.client
+import os
+import random
+import sys
+import threading
+import time
+import typing
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_test as fleet  # noqa: E402
+
+DEADLINE_S = 2.0
+CRASHING_REPEAT_S = 0.2
+CRASHING_FOR_S = 6.0
+BLOCKED = b"several back ends ended"  # in the answer to such a request
+
+
+class Result(typing.NamedTuple):
+    """One request as its client saw it; times on the monotonic clock, s."""
+    identity: str
+    kind: str
+    edge: str
+    sent: float
+    ended: float
+    status: int | None   # None: no answer
+    whole: bool          # the whole answer to this request
+    cut: bool            # the connection broke after the request was handed over
+    blocked: bool        # refused as one that crashes engines
+
+
+class Client(threading.Thread):
+    """Sends requests one after the other over kept connections; notes what came back."""
+
+    KINDS = (("get", "GET"), ("put", "POST"), ("stream", "POST"))  # kind of request, method
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.random = random.Random(soak.seed * 1000 + number)
+        self.number = number
+        self.connection = None
+        self.edge = None
+        self.results = []
+        self.start()
+
+    def run(self):
+        count = 0
+        while not self.soak.over.is_set():
+            count += 1
+            self.send("c%02d-%06d" % (self.number, count))
+            time.sleep(self.random.uniform(0.005, 0.03))
+
+    def connect(self):
+        edges = [ip for ip in fleet.EDGES if self.soak.is_open(ip)] or fleet.EDGES
+        self.edge = self.random.choice(edges)
+        self.connection = http.client.HTTPConnection(self.edge, fleet.FRONT, timeout=4)
+
+    def send(self, identity):
+        kind, method = self.random.choice(self.KINDS)
+        path = "/%s/%s" % (kind, identity)
+        if not self.connection:  # an open one is used until the process is gone
+            self.connect()
+        body = identity.encode() if method != "GET" else None
+        fields = {"Host": "a.example", "Shuntrun-Request-Id": identity,
+                  "Shuntrun-Deadline-Ms": str(int(1000 * DEADLINE_S)), "Authorization": "Bearer key-a"}
+        sent = time.monotonic()
+        status, data, handed_over = None, b"", False
+        try:
+            self.connection.request(method, path, body, fields)
+            handed_over = True
+            response = self.connection.getresponse()
+            status = response.status
+            data = response.read()
+        except (OSError, http.client.HTTPException):
+            data = None
+            self.connection = None
+        whole = data is not None and self.is_whole(kind, path, body, data)
+        self.results.append(Result(identity, kind, self.edge, sent, time.monotonic(), status, whole,
+                                   handed_over and data is None, BLOCKED in (data or b"")))
+
+    @staticmethod
+    def is_whole(kind, path, body, data):
+        if kind == "stream":
+            return data == fleet.whole_stream()
+        return data == b"answer to " + path.encode() + b" " + (body or b"")
+
+
+class Crashing(threading.Thread):
+    """A caller whose request ends each engine that runs it, and comes again under new ids."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.body = b"crash-%d" % number
+        self.random = random.Random(soak.seed * 1000 + number)
+        self.edges = {}  # id of a request -> the edge that it was sent to
+        self.start()
+
+    def run(self):
+        end = time.monotonic() + CRASHING_FOR_S
+        while time.monotonic() < end and not self.soak.over.is_set():
+            identity = "%s-%03d" % (self.body.decode(), len(self.edges))
+            self.edges[identity] = self.random.choice(fleet.EDGES)
+            threading.Thread(target=self.send, args=(identity,), daemon=True).start()
+            time.sleep(CRASHING_REPEAT_S)
+
+    def send(self, identity):
+        connection = http.client.HTTPConnection(self.edges[identity], fleet.FRONT, timeout=4)
+        try:
+            connection.request("POST", "/stream/" + self.body.decode(), self.body, {
+                "Host": "a.example", "Shuntrun-Request-Id": identity,
+                "Shuntrun-Deadline-Ms": str(int(1000 * DEADLINE_S)), "Authorization": "Bearer key-a"})
+            connection.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            pass  # what engines ran is judged, not its answers
+        finally:
+            connection.close()
