--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -228,10 +228,10 @@
         self.crashes = []       # (bodies of those that ran, time) of each such end
         self.back_after_s = 1.0  # it starts again so long after such an end, empty
         self.leaving = False    # each answer says that it leaves
-        self.resting_until = 0.0  # it refuses all until then, and asks for the time that is left
+        self.backoff_until = 0.0  # it refuses all until then, and asks for the time that is left
         self.arrivals = []      # (request id, time, start) of all requests, refused ones too
         self.answers_leaving = []  # (request id, time, start) of answers that said that it leaves
-        self.rests = []         # (request id, time, seconds asked for, start) of such refusals
+        self.backoffs = []         # (request id, time, seconds asked for, start) of such refusals
         self.state = state
         self.alive = True
         self.returns = False    # it starts again soon
@@ -261,8 +261,8 @@
         """It serves on, and says in each answer that it leaves; its entry stays as it is."""
         self.leaving = True
 
-    def rest(self, seconds):
-        self.resting_until = time.monotonic() + seconds
+    def back_off(self, seconds):
+        self.backoff_until = time.monotonic() + seconds
 
     def crash(self):
         """End at once and for good: connections are reset, new ones refused."""
@@ -306,7 +306,7 @@
                 return  # it ended for good meanwhile
             self.born = max(self.born + 1, int(time.time() * 1000))
             self.staged, self.orders, self.version, self.loading = {}, 0, None, False
-            self.leaving, self.resting_until = False, 0.0
+            self.leaving, self.backoff_until = False, 0.0
             self.running = set()
             self.orders_to_hold, self.held_orders = 0, []  # calls end with the process
             self.server = Server(self.address, BackendHandler, self)
@@ -407,13 +407,13 @@
                                                time.monotonic(), self.owner.born))
         super().end_headers()
 
-    def refuse_while_resting(self, identity):
-        """Whether it rests and has refused the request."""
+    def refuse_while_backed_off(self, identity):
+        """Whether it backs off and has refused the request."""
         now = time.monotonic()
-        left = self.owner.resting_until - now
+        left = self.owner.backoff_until - now
         if left <= 0:
             return False
-        self.owner.rests.append((identity, now, left, self.owner.born))
+        self.owner.backoffs.append((identity, now, left, self.owner.born))
         self.reply(503, b"", [("Shuntrun-Request-Id", identity), ("Shuntrun-Not-Executed", "1"),
                               ("Retry-After", "%.3f" % left)])
         return True
@@ -466,7 +466,7 @@
             self.reply(421, b"", [("Shuntrun-Request-Id", identity),
                                   ("Shuntrun-Instance-Id", owner.identity)])
             return
-        if self.refuse_while_resting(identity):
+        if self.refuse_while_backed_off(identity):
             return
         fault = owner.next_fault()
         echo = [("Shuntrun-Request-Id", identity)]
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -11,7 +11,7 @@
   drain      nothing begins at a back end longer than DRAIN_S after the store said that it leaves
   leaving    nothing comes from an edge to a back end longer than DRAIN_S after it told that edge, in an
              answer, that it leaves
-  resting    a back end that asked an edge for rest gets at most REST_ARRIVALS requests from it in that
+  backoff    a back end that asked an edge to back off gets at most BACKOFF_ARRIVALS requests from it in that
              time, but for what was on its way
   streams    a stream that has begun ends whole, unless an engine broke it off or its time was over
   entries    nothing is sent to what a bad entry of the list names
@@ -24,7 +24,7 @@
 Times get the slack of a busy machine, measured in the same run: how late this process wakes.
 
 With --crashing requests that end each engine which runs them come besides, with --statements back ends
-that say in their answers that they leave, or ask for rest; the schedule of a seed is the same with and
+that say in their answers that they leave, or ask to be left alone; the schedule of a seed is the same with and
 without.
 
 usage: soak.py --build DIR --work DIR [--seeds A..B] [--seconds S] [--only N,N] [--crashing]
@@ -53,7 +53,7 @@
 FAULT_GAP_S = (0.3, 1.2)
 CRASHING_GAP_S = (2.0, 5.0)  # between the first coming of two requests that end engines
 STATEMENT_GAP_S = (0.4, 1.5)  # between two faults of back ends that say something of themselves
-RESTS_S = (0.7, 1.5, 3.0, 6.0)
+BACKOFFS_S = (0.7, 1.5, 3.0, 6.0)
 
 
 class Slack(threading.Thread):
@@ -139,8 +139,8 @@
         while at < self.seconds:
             schedule.append({"number": len(schedule), "at": round(at, 2),
                              "kind": chance.choice(("say_leaving", "say_leaving_and_start_again",
-                                                    "rest", "rest", "rest_all")),
-                             "which": chance.randrange(1000), "for_s": chance.choice(RESTS_S)})
+                                                    "back_off", "back_off", "back_off_all")),
+                             "which": chance.randrange(1000), "for_s": chance.choice(BACKOFFS_S)})
             at += chance.uniform(*STATEMENT_GAP_S)
 
     # --- the world
@@ -255,15 +255,15 @@
         self.add_backend(standin.Backend(backend.address, backend.identity, self.store,
                                          backend.service))
 
-    def fault_rest(self, fault):
-        list(self.live.values())[fault["which"] % len(self.live)].rest(fault["for_s"])
+    def fault_back_off(self, fault):
+        list(self.live.values())[fault["which"] % len(self.live)].back_off(fault["for_s"])
 
-    def fault_rest_all(self, fault):
+    def fault_back_off_all(self, fault):
         """All of one service."""
         service = ("llm", "records")[fault["which"] % 2]
         for backend in self.live.values():
             if backend.service == service:
-                backend.rest(fault["for_s"])
+                backend.back_off(fault["for_s"])
 
     def fault_crash(self, fault):
         backend = self.pick_backend(fault)
@@ -495,7 +495,7 @@
     parser.add_argument("--crashing", action="store_true",
                         help="requests that end engines come besides")
     parser.add_argument("--statements", action="store_true",
-                        help="back ends that leave or rest by their own word come besides")
+                        help="back ends that leave or back off by their own word come besides")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))  # ends own children on the way
     first, last = (int(n) for n in options.seeds.split(".."))
--- a/tests/system/soak_checks.py
+++ b/tests/system/soak_checks.py
@@ -9,8 +9,8 @@
 CALM_S = 3.0         # without trouble of the store, after which its news bind
 GRACE_S = 8          # from SIGTERM to the end
 CRASHES_TO_BLOCK = 3
-REST_SETTLES_S = 0.5  # the platform's bound on what was on its way
-REST_ARRIVALS = 2    # the platform's bound within the rest of that time
+BACKOFF_SETTLES_S = 0.5  # the platform's bound on what was on its way
+BACKOFF_ARRIVALS = 2    # the platform's bound within what is left of that time
 SPARE_S = 0.3        # beside the measured slack: a request on its way
 
 
@@ -35,7 +35,7 @@
             self.check_weights(backend)
             self.check_drain(backend, edges)
             self.check_leaving(backend, edges)
-            self.check_resting(backend, edges)
+            self.check_backoff(backend, edges)
         for caller in self.crashing:
             self.check_crashing(caller)
         for identity in [run[0] for run in self.trap.runs] + self.trap.turned_away:
@@ -129,16 +129,16 @@
                 self.find("leaving", "%s reached %s %.2f s after an answer told %s that it leaves" %
                           (identity, backend.identity, at - late[0], edge))
 
-    def check_resting(self, backend, edges):
-        for asked_by, asked_at, seconds, start in backend.rests:
+    def check_backoff(self, backend, edges):
+        for asked_by, asked_at, seconds, start in backend.backoffs:
             edge = edges.get(asked_by)
-            begin, end = asked_at + REST_SETTLES_S + 2 * self.slack.most, asked_at + seconds
+            begin, end = asked_at + BACKOFF_SETTLES_S + 2 * self.slack.most, asked_at + seconds
             if not edge or self.was_away(edge, asked_at, end):
                 continue
             count = sum(edges.get(identity) == edge and of == start and begin < at < end
                         for identity, at, of in backend.arrivals)
-            if count > REST_ARRIVALS:
-                self.find("resting", "%s got %d requests of %s in %.2f s of rest" %
+            if count > BACKOFF_ARRIVALS:
+                self.find("backoff", "%s got %d requests of %s in a backoff of %.2f s" %
                           (backend.identity, count, edge, seconds))
 
     def check_drain(self, backend, edges):
--- a/tests/system/statements_play.py
+++ b/tests/system/statements_play.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
-"""For hand: back ends that leave or ask for rest at realistic occupancy, seed by seed, with figures.
+"""For hand: back ends that leave or ask to be left alone at realistic occupancy, seed by seed, with figures.
 
 The store is silent throughout. A third of the engines leave one after the other, another third asks for
-rests of 0.7, 3 and 20 s again and again. At the end all engines rest at once, so that each attempt after
+backoffs of 0.7, 3 and 20 s again and again. At the end all engines do so at once, so that each attempt after
 a gateway's first at an engine is in vain.
 
 usage: statements_play.py --build DIR --work DIR [--seeds A..B] [--seconds S]
@@ -18,12 +18,12 @@
 import platform_test as platform  # noqa: E402
 import statements_test as statements  # noqa: E402
 
-RESTS_S = (0.7, 3.0, 20.0)
-REST_GAP_S = (0.5, 2.0)
+BACKOFFS_S = (0.7, 3.0, 20.0)
+BACKOFF_GAP_S = (0.5, 2.0)
 LEAVE_GAP_S = (1.0, 4.0)
-ALL_REST_S = 12.0
+ALL_BACKOFF_S = 12.0
 KNOWN_AFTER_S = 1.5   # each gateway has had a refusal of each engine by then
-REFUSALS = 50         # timed, while all rest
+REFUSALS = 50         # timed, while all back off
 
 
 class Play(statements.Statements):
@@ -40,7 +40,7 @@
 
     def play_faults(self, chance, seconds):
         third = self.ENGINES // 3
-        leaving, resting = self.engines[:third], self.engines[third:2 * third]
+        leaving, backing_off = self.engines[:third], self.engines[third:2 * third]
         end = time.monotonic() + seconds
         to_leave = list(leaving)
         next_leave = time.monotonic() + 1
@@ -48,16 +48,16 @@
             if to_leave and time.monotonic() >= next_leave:
                 to_leave.pop().say_leaving()
                 next_leave = time.monotonic() + chance.uniform(*LEAVE_GAP_S)
-            engine = chance.choice(resting)
-            if time.monotonic() > engine.resting_until:
-                engine.rest(chance.choice(RESTS_S))
-            time.sleep(chance.uniform(*REST_GAP_S))
-        return leaving, resting
-
-    def rest_all(self):
-        """All rest, under load until each gateway has had its first refusals."""
+            engine = chance.choice(backing_off)
+            if time.monotonic() > engine.backoff_until:
+                engine.back_off(chance.choice(BACKOFFS_S))
+            time.sleep(chance.uniform(*BACKOFF_GAP_S))
+        return leaving, backing_off
+
+    def back_off_all(self):
+        """All back off, under load until each gateway has had its first refusals."""
         for engine in self.engines:
-            engine.rest(ALL_REST_S)
+            engine.back_off(ALL_BACKOFF_S)
         time.sleep(KNOWN_AFTER_S)
         self.over.set()
         time.sleep(1)  # streams under way end; callers that wait to come back stay away
@@ -88,15 +88,15 @@
         try:
             self.silence_the_store()
             self.begin_load()
-            leaving, resting = self.play_faults(random.Random(seed), seconds)
+            leaving, backing_off = self.play_faults(random.Random(seed), seconds)
             whole, count = sum(r.whole for r in self.read), len(self.read)
-            self.rest_all()
+            self.back_off_all()
             in_vain, times = self.measure_refusals()
             self.end_clients()
             late = sum(len(self.late_at(engine)) for engine in leaving)
-            most = max(self.arrivals_in_rests(engine) for engine in resting)
-            print("seed %d: %d of %d whole, %d sent too late to engines that leave, %d at most in a rest; "
-                  "all at rest: %d sends in vain, refusals in %.1f ms (median), %.1f ms (most)" %
+            most = max(self.arrivals_in_backoffs(engine) for engine in backing_off)
+            print("seed %d: %d of %d whole, %d sent too late to engines that leave, %d at most in a backoff; "
+                  "all backing off: %d sends in vain, refusals in %.1f ms (median), %.1f ms (most)" %
                   (seed, whole, count, late, most, in_vain, times[len(times) // 2], times[-1]),
                   flush=True)
         finally:
--- a/tests/system/statements_test.py
+++ b/tests/system/statements_test.py
@@ -4,9 +4,9 @@
 An engine that is about to leave says so in each of its answers, and one that refuses a request may ask
 for a time in which it gets nothing. Gateways read neither. That an engine leaves was known from the
 list alone, and the list's keeper was silent for twelve seconds: the engine got 3 to 5 requests a second
-until it ended. An engine that rested got 2 to 6 requests a second and refused all 59 of them with its
+until it ended. An engine that wanted nothing got 2 to 6 requests a second and refused all 59 of them with its
 three neighbours; it reported itself empty, so it was chosen first, and 15 requests used up both their
-attempts at engines that rested.
+attempts at such engines.
 What settled it: in runs of this test with the headers in the log, `event=leaving` or `event=backs-off` was
 followed by 2,325 sends of the same gateways to the same starts of engines; 1,911 of them were placed in
 the first millisecond of their request. Nothing else was known of the engines, and nothing held these
@@ -24,8 +24,8 @@
 import streams_test as streams  # noqa: E402
 
 DRAIN_S = 2.0        # after an answer that says so, requests of that gateway are too late
-REST_SETTLES_S = 0.5  # what was on its way when an engine asked for rest has arrived by then
-REST_ARRIVALS = 2    # requests of one gateway that an engine may get in the rest of its rest
+BACKOFF_SETTLES_S = 0.5  # what was on its way when an engine asked to be left alone has arrived by then
+BACKOFF_ARRIVALS = 2    # requests of one gateway that an engine may get in the rest of its backoff
 WHOLE_SHARE = 0.99   # of the callers, while other engines have places
 
 
@@ -72,13 +72,13 @@
                 when > told[gateway_of(identity)] + DRAIN_S]
 
     @staticmethod
-    def arrivals_in_rests(engine):
-        """The most requests that one gateway sent within a rest that the engine had asked it for."""
+    def arrivals_in_backoffs(engine):
+        """The most requests that one gateway sent within a backoff that the engine had asked it for."""
         most = 0
-        for asked_by, asked_at, seconds, _ in engine.rests:
+        for asked_by, asked_at, seconds, _ in engine.backoffs:
             gateway = gateway_of(asked_by)
             most = max(most, sum(gateway_of(identity) == gateway and
-                                 asked_at + REST_SETTLES_S < when < asked_at + seconds
+                                 asked_at + BACKOFF_SETTLES_S < when < asked_at + seconds
                                  for identity, when, _ in engine.arrivals))
         return most
 
@@ -94,25 +94,25 @@
         self.assertEqual([self.late_at(engine) for engine in leaving], [[]] * len(leaving))
         self.assert_callers_are_served()
 
-    def test_an_engine_that_rests_is_left_alone(self):
+    def test_an_engine_that_backs_off_is_left_alone(self):
         self.begin_load()
-        resting = self.engines[:4]
+        backing_off = self.engines[:4]
         for seconds in (3.0, 1.2):
-            for engine in resting:
-                engine.rest(seconds)
+            for engine in backing_off:
+                engine.back_off(seconds)
             time.sleep(seconds + 1)
         self.end_clients()
-        self.assertTrue(all(engine.rests for engine in resting))
-        self.assertLessEqual(max(self.arrivals_in_rests(e) for e in resting), REST_ARRIVALS)
+        self.assertTrue(all(engine.backoffs for engine in backing_off))
+        self.assertLessEqual(max(self.arrivals_in_backoffs(e) for e in backing_off), BACKOFF_ARRIVALS)
         self.assert_callers_are_served()
-        self.assertTrue(all(e.runs[-1][3] > e.resting_until for e in resting), "used again")
+        self.assertTrue(all(e.runs[-1][3] > e.backoff_until for e in backing_off), "used again")
 
-    def test_a_service_that_rests_refuses_at_once_and_says_until_when(self):
+    def test_a_service_that_backs_off_refuses_at_once_and_says_until_when(self):
         self.begin_load()
-        rest_s = 4.0
-        until = time.monotonic() + rest_s
+        backoff_s = 4.0
+        until = time.monotonic() + backoff_s
         for engine in self.engines:
-            engine.rest(rest_s)
+            engine.back_off(backoff_s)
         time.sleep(1)
         arrivals = sum(len(engine.arrivals) for engine in self.engines)
         began = time.monotonic()
@@ -121,11 +121,11 @@
         took = time.monotonic() - began
         self.assertEqual(reader.status, 503)
         self.assertGreaterEqual(began + float(reader.headers["Retry-After"]), until - 0.01)
-        self.assertLess(took, 1.0, "it did not wait for the end of the rest")
+        self.assertLess(took, 1.0, "it did not wait for the end of the backoff")
         time.sleep(until - time.monotonic() - 0.1)
         self.assertEqual(sum(len(engine.arrivals) for engine in self.engines), arrivals,
                          "attempts in vain")
-        platform.wait_for(self.is_served, "a stream after the rest")
+        platform.wait_for(self.is_served, "a stream after the backoff")
         self.end_clients()
 
 
