Stand-in engines note streams that come while they end

Trace: the stream was sent 1 ms before its engine ended under a request that crashes it; `event=run-lost` names it and another stream in the same millisecond, no engine had its version any more a second later, and both were cut as no-backend. The other one was no finding, as the engine had noted it. The stand-in noted the streams on its connections first, and reset the connections after that: a stream that came on a kept connection in between was cut without a note.

Ruled out: silence (no event=silent), a refusal, the gateway's own pause (timers in time).

Change: once an engine begins to end, it notes each further stream too. system.standin plays just that order; it failed before ('between' not found in ['before']) and passes now.

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -223,6 +223,7 @@
         self.running = set()    # connections of the streams that it works on
         self.last_streams = {}  # open connection -> id of its last stream
         self.broken_off = []    # ids of the streams that it ended before they were whole
+        self.ending = False     # it resets its connections, and what comes on them meanwhile is cut too
         self.crashing_bodies = set()  # of requests that end the engine soon after they begin
         self.crashing = []      # bodies of such requests that run here now
         self.crashes = []       # (bodies of those that ran, time) of each such end
@@ -275,6 +276,7 @@
         self.server.shutdown()
         self.server.server_close()
         with self.lock:  # a reset takes along what was written and not yet sent
+            self.ending = True
             self.broken_off.extend(self.last_streams.values())
         for connection in list(self.connections):
             reset_connection(connection)
@@ -309,6 +311,7 @@
             self.leaving, self.backoff_until = False, 0.0
             self.running = set()
             self.orders_to_hold, self.held_orders = 0, []  # calls end with the process
+            self.ending = False
             self.server = Server(self.address, BackendHandler, self)
             self.alive = True
         self.list()
@@ -368,6 +371,8 @@
                 return False
             self.running.add((connection, identity))
             self.last_streams[connection] = identity
+            if self.ending:
+                self.broken_off.append(identity)
             return True
 
     def end_stream(self, connection, identity):
