An engine that leaves gets no new weights; a late put into a stage that was filled in part is waited for

Cause: a loader whose engine had said that it leaves went on: it put each piece of a new version into the stage and ordered the engine to take them, which ends before anybody uses them.

Change: core/weight_install knows that the engine leaves. It begins no call there, but keeps the stage right as long as an order that was given may still be taken. The loader fetches on, so its next start finds the pieces at hand. `pieces event=complete` says when all of a version are there, for loaders too. Its turn is not given to others: nobody waits for it.

Found by the walks with the new event, seed 47161: a loader process restarted while it filled a stage in part; the next one found a gap, took that for "no order is left", put a newer version, and the first one's last put came after the pieces were read back. The seed is a test now.

--- a/src/core/weight_install.c
+++ b/src/core/weight_install.c
@@ -23,7 +23,7 @@
  * this one follows the engine's directly, there is no other, and its own pieces spoil nothing. */
 static bool predecessor_in_doubt(const struct weight_install *install, uint64_t now)
 {
-    return install->predecessor && now < install->predecessor_until &&
+    return (install->predecessor || install->predecessor_put) && now < install->predecessor_until &&
            install->version > install->engine.version + 1;
 }
 
@@ -127,6 +127,8 @@
         install->put_doubt_until = now + install->settings.call_life_us;
     if (!put && result == INSTALL_MISSING)
         install->predecessor = false; /* it orders only what lies there whole */
+    if (!put && result == INSTALL_REFUSED && now < install->predecessor_until)
+        install->predecessor_put = true;
     if (result == INSTALL_DONE) {
         piece->staged = true;
         piece->foreign = false;
@@ -220,7 +222,7 @@
 {
     bool begun = install->order_at != 0; /* its turn may have moved since */
     if (!install->reachable || install->order != ORDER_NONE || install->engine.loading ||
-        (!begun && now < turn) || now < install->order_pause)
+        install->engine.leaving || (!begun && now < turn) || now < install->order_pause)
         return false;
     uint64_t read_at = weight_install_read_at(install);
     return read_at && now < read_at + install->settings.fresh_us;
@@ -250,14 +252,19 @@
     settle_order(install, now);
 }
 
+/* What is put into an engine that is about to end is lost with it, and it runs nothing new. But as
+ * long as it may take an order that was given, its stage is kept right, report or not. */
+static bool is_over(const struct weight_install *install, uint64_t now)
+{
+    bool may_be_taken = install->order != ORDER_NONE || order_in_doubt(install, now);
+    return !may_be_taken && (!install->reachable || install->engine.leaving);
+}
+
 struct install_action weight_install_next(struct weight_install *install, uint64_t now,
                                           uint64_t turn)
 {
     struct install_action action = {.kind = INSTALL_WAIT};
-    /* Pieces may turn bad also while an engine that may still take an order gives no report. */
-    bool may_be_taken = install->order != ORDER_NONE || order_in_doubt(install, now);
-    if (!install->version || weight_install_is_done(install) ||
-        (!install->reachable && !may_be_taken))
+    if (!install->version || weight_install_is_done(install) || is_over(install, now))
         return action;
     settle_order(install, now);
     if (install->yielding) {
@@ -294,6 +301,8 @@
 {
     if (!install->version || !install->reachable || weight_install_is_done(install))
         return false;
+    if (is_over(install, now))
+        return false;
     return install->call != INSTALL_WAIT || install->order != ORDER_NONE ||
            order_in_doubt(install, now) || !weight_install_is_staged(install);
 }
--- a/src/core/weight_install.h
+++ b/src/core/weight_install.h
@@ -43,6 +43,7 @@
     uint64_t sequence; /**< orders taken since it started */
     uint32_t requests; /**< running and waiting */
     bool loading;      /**< an order is being carried out */
+    bool leaving;      /**< it is about to end */
 };
 
 enum install_action_kind {
@@ -102,6 +103,7 @@
     bool predecessor;              /**< an earlier process may have left an order */
     uint64_t predecessor_sequence; /**< orders taken as this process first heard of the engine */
     uint64_t predecessor_until;
+    bool predecessor_put; /**< it was filling the stage: its last put may still act until then */
 };
 
 /** \brief Begin without a version, right after this process started. */
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -308,7 +308,8 @@
                                     .version = report->load.version,
                                     .sequence = report->sequence,
                                     .requests = report->load.running + report->load.waiting,
-                                    .loading = report->load.loading};
+                                    .loading = report->load.loading,
+                                    .leaving = report->load.leaving};
     if (weight_install_report(&installer->install, &engine, now))
         log_event(LOG_LEVEL_INFO, "install", "engine-restarted",
                   "version=%" PRIu64 " born=%" PRIu64 " sequence=%" PRIu64, engine.version,
--- a/src/weights/piece_fetch.c
+++ b/src/weights/piece_fetch.c
@@ -135,6 +135,18 @@
 /* --- pieces --------------------------------------------------------------------------------------
  */
 
+static void log_complete(const struct piece_fetch *fetch, uint64_t now)
+{
+    if (!piece_set_complete(fetch->set))
+        return;
+    log_event(LOG_LEVEL_INFO, "pieces", "complete",
+              "model=%s version=%" PRIu64 " took_ms=%" PRIu64 " from_nodes=%" PRIu64
+              " from_origin=%" PRIu64 " failures=%" PRIu64,
+              piece_set_model(fetch->set), piece_set_version(fetch->set),
+              (now - fetch->began_at) / 1000, fetch->from_nodes, fetch->from_origin,
+              fetch->failures);
+}
+
 static void take_piece(struct piece_lane *lane, const struct http_message *message, uint64_t now)
 {
     struct piece_fetch *fetch = lane->owner;
@@ -159,6 +171,7 @@
     fetch->from_origin += from_origin;
     fetch->from_nodes += !from_origin;
     metric_add(from_origin ? METRIC_CHUNKS_FROM_ORIGIN : METRIC_CHUNKS_FROM_PEER, 1);
+    log_complete(fetch, now);
     fetch->callbacks.piece_held(fetch->callbacks.context, piece);
 }
 
--- a/src/weights/weight_relay.c
+++ b/src/weights/weight_relay.c
@@ -61,9 +61,6 @@
 {
     struct relayed_version *version = context;
     piece_server_advance(version->server, cluster_now());
-    if (piece_set_complete(version->set))
-        log_event(LOG_LEVEL_INFO, "relay", "complete", "model=%s version=%" PRIu64,
-                  piece_set_model(version->set), piece_set_version(version->set));
 }
 
 static void drop(struct weight_relay *relay, uint32_t index)
--- a/tests/core/weight_install_test.c
+++ b/tests/core/weight_install_test.c
@@ -10,6 +10,7 @@
 
 #include "base/memory.h"
 #include "core/random.h"
+#include "weight_install_walk.h"
 #include "weight_install_world_hash.h"
 
 #include <ck_ht.h>
@@ -145,6 +146,8 @@
     .budget = {.ticks = 2, .names = 2, .late = 1, .engine_replacements = 1}};
 static const struct world_options engine_starts_again = {
     .budget = {.ticks = 2, .names = 2, .late = 1, .new_starts = 2}};
+static const struct world_options leaving_engine = {
+    .budget = {.ticks = 2, .names = 2, .late = 1, .new_starts = 1, .leavings = 1}};
 static const struct world_options lost_power = {
     .budget = {.ticks = 2, .names = 2, .late = 1, .power_losses = 1}};
 static const struct world_options bad_pieces = {
@@ -179,6 +182,11 @@
     assert_false(breaks("engine starts again", &engine_starts_again));
 }
 
+static void an_engine_that_leaves_gets_no_order(void **state)
+{
+    assert_false(breaks("leaving engine", &leaving_engine));
+}
+
 static void a_loss_of_power_corrupts_nothing(void **state)
 {
     assert_false(breaks("lost power", &lost_power));
@@ -207,6 +215,34 @@
     assert_int_equal(world.order_call.kind, INSTALL_ORDER);
 }
 
+/* What is put there now is lost with its end. */
+static void an_engine_that_leaves_gets_no_new_weights(void **state)
+{
+    struct world world;
+    world_begin(&world, &leaving_engine);
+    world_step(&world, &leaving_engine, WORLD_ENGINE_LEAVES);
+    world_step(&world, &leaving_engine, WORLD_REPORT_DELIVERED);
+    world_step(&world, &leaving_engine, WORLD_VERSION_NAMED);
+    assert_int_equal(world.stage_call.kind, INSTALL_WAIT);
+    assert_false(weight_install_is_busy(&world.install, world.now));
+    world_step(&world, &leaving_engine, WORLD_ENGINE_STARTS_AGAIN);
+    assert_int_equal(world.stage_call.kind, INSTALL_PUT);
+}
+
+/* The engine may take an order that got no answer, and then takes what lies there. */
+static void an_engine_that_leaves_keeps_a_whole_stage_while_an_order_may_be_taken(void **state)
+{
+    struct world world;
+    world_begin(&world, &leaving_engine);
+    world_step(&world, &leaving_engine, WORLD_VERSION_NAMED);
+    answer_stage_calls(&world, &leaving_engine);
+    assert_true(world_step(&world, &leaving_engine, WORLD_ORDER_LATE));
+    world_step(&world, &leaving_engine, WORLD_ENGINE_LEAVES);
+    world_step(&world, &leaving_engine, WORLD_REPORT_DELIVERED);
+    world_step(&world, &leaving_engine, WORLD_TIME_PASSES);
+    assert_int_equal(world.stage_call.kind, INSTALL_READ);
+}
+
 static bool breaks_without(const char *what, const struct world_options *options,
                            enum world_mutation mutation)
 {
@@ -233,62 +269,36 @@
 /* --- random walks, beyond what can be visited whole ----------------------------------------------
  */
 
-#define WALK_STEPS 300
-/** Steps within which an engine without further failures has the newest version: all calls in doubt
- *  live for 6 units of time, and each unit takes some dozen steps. */
-#define CALM_ROUNDS 60
-
-static const struct world_options walked = {.budget = {.ticks = 60,
-                                                       .names = 6,
-                                                       .late = 6,
-                                                       .lost = 6,
-                                                       .loader_restarts = 2,
-                                                       .engine_crashes = 2,
-                                                       .engine_replacements = 1,
-                                                       .new_starts = 2,
-                                                       .power_losses = 1,
-                                                       .bad_pieces = 2},
-                                            .prompt = true,
-                                            .stale_reports = true};
-
-/* What is under way is answered, reports come, time passes. */
-static void stay_calm(struct world *world, const struct world_options *options)
+/* SHUNTRUN_WALKS sets another number of walks than the short one of a usual run. */
+static void walk_seeds(const struct world_options *options, uint64_t steps)
 {
-    static const enum world_step steps[] = {WORLD_STAGE_ANSWERED, WORLD_ORDER_ANSWERED,
-                                            WORLD_WEIGHTS_LOADED, WORLD_REPORT_READ,
-                                            WORLD_REPORT_DELIVERED};
-    for (int repeats = 0; repeats < 2 * WORLD_PIECES + 2; repeats++)
-        for (size_t i = 0; i < sizeof steps / sizeof *steps; i++)
-            world_step(world, options, steps[i]);
-    world->left.ticks = 1;
-    world_step(world, options, WORLD_TIME_PASSES);
+    const char *walks = getenv("SHUNTRUN_WALKS");
+    uint64_t count = walks ? strtoull(walks, NULL, 10) : 5000;
+    for (uint64_t seed = 1; seed <= count; seed++)
+        walk(options, steps, seed);
+    print_message("%llu walks\n", (unsigned long long)count);
 }
 
-static void walk(uint64_t seed)
+static void walks_end_with_the_newest_version_whole(void **state)
 {
-    struct world world;
-    struct random_stream random = {.seed = seed};
-    world_begin(&world, &walked);
-    for (int i = 0; i < WALK_STEPS && !world.broken; i++)
-        world_step(&world, &walked, (enum world_step)random_below(&random, WORLD_STEPS));
-    for (int i = 0; i < CALM_ROUNDS && world.engine.version < world.named && !world.broken; i++)
-        stay_calm(&world, &walked);
-    if (world.broken || world.engine.version != world.named)
-        print_message("seed %llu: %s, version %llu of %llu\n", (unsigned long long)seed,
-                      world.broken ? "not whole" : "whole",
-                      (unsigned long long)world.engine.version, (unsigned long long)world.named);
-    assert_false(world.broken);
-    assert_int_equal(world.engine.version, world.named);
+    walk_seeds(&walked, WORLD_ENGINE_LEAVES);
 }
 
-/* SHUNTRUN_WALKS sets another number of walks than the short one of a usual run. */
-static void walks_end_with_the_newest_version_whole(void **state)
+/* The next start of an engine that left gets the newest version, whole. */
+static void walks_with_engines_that_leave_end_so_too(void **state)
 {
-    const char *walks = getenv("SHUNTRUN_WALKS");
-    uint64_t count = walks ? strtoull(walks, NULL, 10) : 5000;
-    for (uint64_t seed = 1; seed <= count; seed++)
-        walk(seed);
-    print_message("%llu walks\n", (unsigned long long)count);
+    struct world_options leaving = walked;
+    leaving.budget.leavings = 1;
+    walk_seeds(&leaving, WORLD_STEPS);
+}
+
+/* A loader restarted while it filled a stage in part, and two newer versions were named: its last
+ * put came after the next process had read all pieces back. */
+static void a_put_of_an_earlier_process_that_comes_late_corrupts_nothing(void **state)
+{
+    struct world_options leaving = walked;
+    leaving.budget.leavings = 1;
+    walk(&leaving, WORLD_STEPS, 47161);
 }
 
 int main(void)
@@ -299,11 +309,16 @@
         cmocka_unit_test(a_crashed_engine_gets_whole_weights),
         cmocka_unit_test(an_engine_in_place_of_another_gets_whole_weights),
         cmocka_unit_test(an_engine_that_starts_again_under_its_id_gets_whole_weights),
+        cmocka_unit_test(an_engine_that_leaves_gets_no_order),
+        cmocka_unit_test(an_engine_that_leaves_gets_no_new_weights),
+        cmocka_unit_test(an_engine_that_leaves_keeps_a_whole_stage_while_an_order_may_be_taken),
         cmocka_unit_test(a_loss_of_power_corrupts_nothing),
         cmocka_unit_test(a_piece_that_turned_bad_is_not_taken),
         cmocka_unit_test(an_engine_with_requests_is_ordered_at_its_turn),
         cmocka_unit_test(each_rule_left_out_is_noticed),
         cmocka_unit_test(walks_end_with_the_newest_version_whole),
+        cmocka_unit_test(walks_with_engines_that_leave_end_so_too),
+        cmocka_unit_test(a_put_of_an_earlier_process_that_comes_late_corrupts_nothing),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/core/weight_install_world.h
+++ b/tests/core/weight_install_world.h
@@ -53,6 +53,7 @@
     uint8_t new_starts;
     uint8_t power_losses;
     uint8_t bad_pieces;
+    uint8_t leavings;
 };
 
 struct world_options {
@@ -86,7 +87,8 @@
     uint64_t stage[WORLD_PIECES]; /* version of what lies there; 0: nothing */
     uint64_t bad_since[WORLD_PIECES];
     struct world_budget left;
-    bool broken; /* the engine took weights that were not whole */
+    bool broken; /* the engine took weights that were not whole, or got an order though it was
+                    known to leave */
 };
 
 enum world_step {
@@ -113,6 +115,7 @@
     WORLD_ENGINE_STARTS_AGAIN,
     WORLD_POWER_LOST,
     WORLD_FIRST_PIECE_TURNS_BAD,
+    WORLD_ENGINE_LEAVES,
     WORLD_STEPS,
 };
 
@@ -140,6 +143,7 @@
     [WORLD_ENGINE_STARTS_AGAIN] = "engine starts again, empty, between two reports",
     [WORLD_POWER_LOST] = "power lost",
     [WORLD_FIRST_PIECE_TURNS_BAD] = "a piece turns bad",
+    [WORLD_ENGINE_LEAVES] = "engine says that it leaves",
 };
 
 /* --- the loader ----------------------------------------------------------------------------------
@@ -195,6 +199,7 @@
                                   action.sequence, world->now + WORLD_ORDER_TIMEOUT};
         if (action.kind == INSTALL_WAIT)
             return;
+        world->broken |= action.kind == INSTALL_ORDER && world->install.engine.leaving;
         if (action.kind == INSTALL_ORDER)
             world->order_call = call;
         else
@@ -431,6 +436,15 @@
     return true;
 }
 
+/* It goes on until another start. */
+static bool world_engine_leaves(struct world *world)
+{
+    if (world->engine.leaving || !world_spend(&world->left.leavings))
+        return false;
+    world->engine.leaving = true;
+    return true;
+}
+
 static bool world_step_happens(struct world *world, const struct world_options *options,
                                enum world_step step)
 {
@@ -485,6 +499,8 @@
         return world_power_lost(world, options);
     case WORLD_FIRST_PIECE_TURNS_BAD:
         return world_piece_turns_bad(world);
+    case WORLD_ENGINE_LEAVES:
+        return world_engine_leaves(world);
     case WORLD_STEPS:
         break;
     }
@@ -492,7 +508,7 @@
 }
 
 /* A copy of a world is another world: its machine has to use its own pieces. */
-static void world_adopt(struct world *world)
+static inline void world_adopt(struct world *world)
 {
     if (world->install.pieces)
         world->install.pieces = world->pieces;
--- a/tests/core/weight_install_world_hash.h
+++ b/tests/core/weight_install_world_hash.h
@@ -38,7 +38,8 @@
 {
     *(*word)++ = engine->version;
     *(*word)++ = engine->born;
-    *(*word)++ = engine->sequence << 2 | (uint64_t)(engine->requests > 0) << 1 | engine->loading;
+    *(*word)++ = engine->sequence << 3 | (uint64_t)engine->leaving << 2 |
+                 (uint64_t)(engine->requests > 0) << 1 | engine->loading;
 }
 
 /** \return the same for worlds in which the same can happen: times count from now */
--- a/tests/system/weights_test.py
+++ b/tests/system/weights_test.py
@@ -64,6 +64,30 @@
         self.loader.start()
         self.await_version(3)
 
+    def loader_lines(self, event):
+        with open(self.loader.log_path) as log:
+            return log.read().count("event=" + event)
+
+    def await_reports(self, count):
+        """The loader logs a report of the engine every half second, and acts on ten in that time."""
+        wanted = self.loader_lines("load ") + count
+        platform.wait_for(lambda: self.loader_lines("load ") >= wanted, "reports of the engine")
+
+    def test_an_engine_that_leaves_gets_no_new_weights(self):
+        """Its next start does, from the pieces that the loader took meanwhile."""
+        wait = platform.wait_for
+        self.await_reports(1)
+        self.engine.say_leaving()
+        wait(lambda: self.loader_lines("leaving "), "the engine's word at the loader")
+        self.name_version(2)
+        wait(lambda: self.loader_lines("complete model=%s version=2" % standin.MODEL), "all pieces")
+        self.await_reports(2)
+        new = [n for n in range(standin.PIECES)
+               if self.engine.staged.get(n) == standin.piece_bytes(2, n)]
+        self.assertEqual((new, self.engine.orders), ([], 0))
+        self.engine.crash_and_return()
+        self.await_version(2)
+
 
 if __name__ == "__main__":
     platform.main()
