What a new loader process staged itself and turned bad is put again at once

Change: only what lay there before this process put anything counts; the exploration tells worlds apart by it.

--- a/src/core/weight_install.c
+++ b/src/core/weight_install.c
@@ -127,8 +127,8 @@
         install->put_doubt_until = now + install->settings.call_life_us;
     if (!put && result == INSTALL_MISSING)
         install->predecessor = false; /* it orders only what lies there whole */
-    if (!put && result == INSTALL_REFUSED && now < install->predecessor_until)
-        install->predecessor_put = true;
+    if (!put && result == INSTALL_REFUSED && !piece->staged)
+        install->predecessor_put = true; /* what this process staged may have turned bad */
     if (result == INSTALL_DONE) {
         piece->staged = true;
         piece->foreign = false;
--- a/tests/core/weight_install_test.c
+++ b/tests/core/weight_install_test.c
@@ -243,6 +243,26 @@
     assert_int_equal(world.stage_call.kind, INSTALL_READ);
 }
 
+/* A loss of power empties stages, and all loaders are new: a piece that turns bad then is put again
+ * at once. */
+static void a_new_process_puts_a_piece_of_its_own_again_that_turned_bad(void **state)
+{
+    static const struct world_options options = {
+        .budget = {.names = 2, .power_losses = 1, .bad_pieces = 1}};
+    struct world world;
+    world_begin(&world, &options);
+    world_step(&world, &options, WORLD_VERSION_NAMED);
+    world_step(&world, &options, WORLD_VERSION_NAMED);
+    world_step(&world, &options, WORLD_POWER_LOST);
+    world_step(&world, &options, WORLD_REPORT_DELIVERED);
+    while (!world.stage[0])
+        assert_true(world_step(&world, &options, WORLD_STAGE_ANSWERED));
+    assert_true(world_step(&world, &options, WORLD_FIRST_PIECE_TURNS_BAD));
+    while (world.order_call.kind == INSTALL_WAIT)
+        assert_true(world_step(&world, &options, WORLD_STAGE_ANSWERED));
+    assert_false(world.bad_since[0]);
+}
+
 static bool breaks_without(const char *what, const struct world_options *options,
                            enum world_mutation mutation)
 {
@@ -315,6 +335,7 @@
         cmocka_unit_test(a_loss_of_power_corrupts_nothing),
         cmocka_unit_test(a_piece_that_turned_bad_is_not_taken),
         cmocka_unit_test(an_engine_with_requests_is_ordered_at_its_turn),
+        cmocka_unit_test(a_new_process_puts_a_piece_of_its_own_again_that_turned_bad),
         cmocka_unit_test(each_rule_left_out_is_noticed),
         cmocka_unit_test(walks_end_with_the_newest_version_whole),
         cmocka_unit_test(walks_with_engines_that_leave_end_so_too),
--- a/tests/core/weight_install_world_hash.h
+++ b/tests/core/weight_install_world_hash.h
@@ -52,8 +52,8 @@
     *word++ = install->held_count;
     *word++ = (uint64_t)install->reachable | (uint64_t)install->reported << 1 |
               (uint64_t)install->yielding << 2 | (uint64_t)install->predecessor << 4 |
-              (uint64_t)(install->order_at > 0) << 5 | (uint64_t)install->order << 8 |
-              (uint64_t)install->call << 16;
+              (uint64_t)(install->order_at > 0) << 5 | (uint64_t)install->predecessor_put << 6 |
+              (uint64_t)install->order << 8 | (uint64_t)install->call << 16;
     *word++ = install->call_piece;
     *word++ = world_age(world, install->call_began);
     *word++ = install->order_sequence;
