--- a/scripts/cut_streams.py
+++ b/scripts/cut_streams.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Counts the streams that clients lost, by reason, in the logs of edges.
 
-A stream is cut when its client got events and then a reset: `event=failed` with `events` above 0.
+A stream is cut when its client got events and then a reset: `event=cut`.
 
 usage: cut_streams.py [LOG...]     (standard input without LOG)
 """
@@ -24,7 +24,7 @@
         if "subsystem=request" not in line:
             continue
         fields = fields_of(line)
-        if fields.get("event") == "failed" and int(fields.get("events", 0)) > 0:
+        if fields.get("event") == "cut":
             attempts = ",".join(ATTEMPT_END.findall(fields.get("trail", "")))
             cut[(fields["reason"], attempts or "-")] += 1
         elif fields.get("event") == "retry":
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -187,13 +187,22 @@
     remember_tried(exchange, backend, result == BACKEND_BROKEN);
 }
 
+/* A cut stream is a kind of its own, since the lines of a kind are bounded: beside 40 refusals of
+ * the same second its line was left out. */
+static const char *end_event(const struct exchange *exchange, bool good)
+{
+    if (good)
+        return "answered";
+    return exchange->streaming ? "cut" : "failed";
+}
+
 void exchange_log_end(const struct exchange *exchange, unsigned status, enum exchange_end reason,
                       const struct backend *backend)
 {
     uint64_t now = cluster_now();
     bool good = status >= 200 && status < 300 && reason == END_DONE;
     log_event(
-        good ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request", good ? "answered" : "failed",
+        good ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request", end_event(exchange, good),
         "request=%s route=%s service=%s status=%u reason=%s backend=%s sends=%u events=%" PRIu64
         " weights=%" PRIu64 " took_ms=%" PRIu64 " left_ms=%" PRId64 " config=%" PRIu64
         " waiting=%d trail=\"%s\"",
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -251,13 +251,15 @@
     if (strcmp(event, "client-gone") == 0)
         buffer_append_format(&text, "The client left %s ms after its request reached %s.", took,
                              node);
+    else if (strcmp(event, "cut") == 0)
+        buffer_append_format(&text,
+                             "%s broke off a stream after %s ms: %s (%s). Its client had %s events "
+                             "of it, and lost the rest.",
+                             node, took, meaning_of(reason), reason, events);
     else
         buffer_append_format(&text, "%s answered %s%s%s%s: %s (%s).", node, status,
                              took[0] ? " after " : "", took, took[0] ? " ms" : "",
                              meaning_of(reason), reason);
-    if (strcmp(event, "failed") == 0 && events[0] && strcmp(events, "0") != 0)
-        buffer_append_format(&text, " Its client had %s events of a stream, and lost the rest.",
-                             events);
     if (trail[0])
         buffer_append_format(&text, " Attempts: %s", trail);
     const struct log_line *stop = last_before(list, end, "process", "stop", node);
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -197,6 +197,17 @@
         for reader in readers:
             self.assert_whole(reader)
 
+    def test_a_cut_stream_is_logged_while_many_requests_are_refused(self):
+        """A second in which 40 others were refused left the line of a cut stream out: both were of one
+        kind, and the rate of a kind is bounded."""
+        reader = Reader("too-long", 2 * DEADLINE_MS // int(1000 * EVENT_GAP_S))
+        while reader.is_alive():
+            self.assertEqual(platform.ask("GET", "/get/1").status, 503)  # no such back end
+        self.assertTrue(reader.cut)
+        with open(self.gateways[0].log_path) as log:
+            lines = [line for line in log if "request=too-long" in line and "event=cut" in line]
+        self.assertEqual(len(lines), 1, lines)
+        self.assertIn("reason=time-out", lines[0])
 
     def test_an_engine_that_is_ahead_of_the_least_version_is_not_turned_away(self):
         """158 times on one day a gateway asked engines of version 3 for exactly version 2, the least
