Connections to back ends that the list dropped are given up, and closed

A connection to one that was dropped had no time to come up and none to be idle. A request that may not be repeated waited at one until its deadline, beside a free back end, and was refused then; a kept connection stayed open as long as the other side left it so: for ever, where its machine had lost power.

A connection that is still coming up to a dropped back end is given up with the next tick, as the request must not go there (event=withheld).

Tests failed first (system.platform, 2 of 22): 503 after 6 s instead of 200 from the free back end; idle connections not closed within 20 s.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -65,6 +65,7 @@
     uv_timer_t timer;
     uint64_t last_tick;
     struct edge_client *clients;
+    struct upstream *upstreams;       /**< all connections to back ends, the newest first */
     struct crash_check *crash_checks; /**< broken connections whose back end may have ended */
     struct exchange *waiting;         /**< requests that wait for a place, most urgent first */
     uint32_t active;                  /**< requests that have no final answer yet */
@@ -161,7 +162,8 @@
 bool upstream_is_open(const struct backend *backend);
 /** \brief Read no more for now, or go on. */
 void upstream_pause(struct upstream *upstream, bool pause);
-/** \brief Close idle connections whose time is over. */
+/** \brief Close idle connections whose time is over, and give up those that do not come up; at once
+ * where the list has dropped the back end. */
 void upstream_sweep(struct edge *edge, uint64_t now);
 /** \brief Close all idle connections, after the process stood still. */
 void upstream_close_idle(struct edge *edge);
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -27,7 +27,9 @@
     uint64_t started;
     uint64_t idle_since;
     uint64_t keep_until;
-    struct upstream *next; /* of the back end's connections */
+    struct upstream *next;      /* of the back end's connections */
+    struct upstream *next_open; /* of all connections of the edge */
+    struct upstream **open_place;
 };
 
 /* All connections to one back end, newest use first. */
@@ -64,6 +66,23 @@
     list->first = upstream;
 }
 
+static void link_open(struct upstream *upstream)
+{
+    struct upstream **first = &upstream->edge->upstreams;
+    upstream->next_open = *first;
+    upstream->open_place = first;
+    if (*first)
+        (*first)->open_place = &upstream->next_open;
+    *first = upstream;
+}
+
+static void unlink_open(struct upstream *upstream)
+{
+    *upstream->open_place = upstream->next_open;
+    if (upstream->next_open)
+        upstream->next_open->open_place = upstream->open_place;
+}
+
 /*
  * A request that is given up must not arrive any more. After a close the kernel still delivers what
  * was written: through a link that was cut for 4 s, 6.2 s after the send.
@@ -79,6 +98,7 @@
 static void destroy(struct upstream *upstream)
 {
     unlink_upstream(upstream);
+    unlink_open(upstream);
     if (upstream->stream)
         close_stream(upstream);
     backend_release(upstream->backend);
@@ -238,6 +258,7 @@
     upstream->state = UPSTREAM_CONNECTING;
     upstream->stream = tcp_stream_connect(edge->loop, &address, &stream_callbacks, upstream);
     link_first(upstream);
+    link_open(upstream);
     if (!upstream->stream) {
         destroy(upstream);
         return NULL;
@@ -292,43 +313,46 @@
     tcp_stream_pause(upstream->stream, pause);
 }
 
-/* \return the first connection of the back end that is to be closed now */
-static struct upstream *find_expired(const struct upstream_list *list, uint64_t now)
+static bool is_expired(const struct upstream *upstream, uint64_t now)
 {
-    for (struct upstream *upstream = list ? list->first : NULL; upstream;
-         upstream = upstream->next) {
-        if (upstream->state == UPSTREAM_IDLE &&
-            (now >= upstream->keep_until || !upstream->backend->listed))
-            return upstream;
-        /* One that was opened in this sweep began after `now`. */
-        if (upstream->state == UPSTREAM_CONNECTING && now > upstream->started + CONNECT_TIMEOUT_US)
-            return upstream;
+    bool listed = upstream->backend->listed;
+    switch (upstream->state) {
+    case UPSTREAM_IDLE:
+        return !listed || now >= upstream->keep_until;
+    case UPSTREAM_CONNECTING: /* one that was opened in this sweep began after `now` */
+        return !listed || now > upstream->started + CONNECT_TIMEOUT_US;
+    case UPSTREAM_BUSY:
+        break;
     }
-    return NULL;
+    return false;
+}
+
+static struct upstream *find_expired(const struct edge *edge, uint64_t now)
+{
+    struct upstream *upstream = edge->upstreams;
+    while (upstream && !is_expired(upstream, now))
+        upstream = upstream->next_open;
+    return upstream;
 }
 
+/* All that are open, also to back ends that the list dropped: machines that lost power close
+ * nothing, and a request waited until its deadline, 6 s, for a connection to one to come up. */
 void upstream_sweep(struct edge *edge, uint64_t now)
 {
-    for (uint32_t i = 0; i < backend_pool_count(edge->pool); i++) {
-        struct backend *backend = backend_pool_at(edge->pool, i);
-        struct upstream *upstream;
-        while ((upstream = find_expired(backend->connections, now))) {
-            if (upstream->state == UPSTREAM_IDLE)
-                destroy(upstream);
-            else
-                finish(upstream, UPSTREAM_NOT_SENT, false);
-        }
+    struct upstream *upstream;
+    while ((upstream = find_expired(edge, now))) {
+        if (upstream->state == UPSTREAM_IDLE)
+            destroy(upstream);
+        else
+            finish(upstream, upstream->backend->listed ? UPSTREAM_NOT_SENT : UPSTREAM_WITHHELD,
+                   false);
     }
 }
 
 void upstream_close_idle(struct edge *edge)
 {
-    for (uint32_t i = 0; i < backend_pool_count(edge->pool); i++) {
-        struct upstream_list *list = backend_pool_at(edge->pool, i)->connections;
-        for (struct upstream *upstream = list ? list->first : NULL; upstream;
-             upstream = upstream->next)
-            if (upstream->state == UPSTREAM_IDLE)
-                upstream->keep_until = 0;
-    }
+    for (struct upstream *upstream = edge->upstreams; upstream; upstream = upstream->next_open)
+        if (upstream->state == UPSTREAM_IDLE)
+            upstream->keep_until = 0;
     upstream_sweep(edge, cluster_now());
 }
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -570,9 +570,13 @@
         for filler in self.fillers:
             filler.setblocking(False)
             filler.connect_ex(address)
-        store.put("servers/" + identity, {
-            "service": service, "address": "%s:%d" % address, "zone": "zone-a", "version": "v1",
-            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 1})
+        self.address, self.identity, self.store, self.service = address, identity, store, service
+        self.list("ready")
+
+    def list(self, state):
+        self.store.put("servers/" + self.identity, {
+            "service": self.service, "address": "%s:%d" % self.address, "zone": "zone-a",
+            "version": "v1", "slots": 16, "state": state, "cold_remaining_ms": 0, "sequence": 1})
 
     def close(self):
         for sock in self.fillers + [self.listener]:
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 import unittest
 
@@ -45,6 +46,7 @@
         "version": version,
         "routes": [route("stream", "/stream/", "streaming", "llm"),
                    route("hung", "/hung/", "idempotent", "hung", timeout_ms=6000),
+                   route("hung-put", "/hung-put/", "non_idempotent", "hung", timeout_ms=6000),
                    route("get", "/get/", "idempotent", "records"),
                    route("put", "/put/", "non_idempotent", "records", attempts=1)],
         "services": [
@@ -271,6 +273,36 @@
         self.assertEqual(ask("GET", "/hung/1", Shuntrun_Deadline_Ms="6000").status, 503)
         self.assertLess(metric("shuntrun_upstream_connections_total") - before, 50)
 
+    def test_connections_to_a_back_end_that_the_list_dropped_are_closed(self):
+        """They were kept for as long as the other side kept them: for ever, where its machine had lost
+        power. The sweep of idle connections went over the back ends of the list."""
+        leaver = standin.Backend((HUNG[0], ENGINE), "leaver", self.store, "hung")
+        self.addCleanup(leaver.crash)
+        wait_for(lambda: ask("GET", "/hung/1").status == 200, "a request at it")
+        self.assertTrue(leaver.connections)
+        leaver.leave()
+        wait_for(lambda: not leaver.connections, "closed connections")
+
+    def test_a_request_leaves_a_connection_that_does_not_come_up_to_a_dropped_back_end(self):
+        """It waited there until its deadline, 6 s, as only connections to back ends of the list had a
+        time to come up; then it was refused, beside a back end that was free."""
+        hung = standin.Unreachable((HUNG[1], ENGINE), "hung-dropped", self.store, "hung")
+        self.addCleanup(hung.close)
+        self.await_news()
+        before = metric("shuntrun_upstream_connections_total")
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(
+            ask("POST", "/hung-put/1", b"x", Shuntrun_Deadline_Ms="6000")))
+        caller.start()
+        wait_for(lambda: metric("shuntrun_upstream_connections_total") > before, "a connection")
+        free = standin.Backend((HUNG[2], ENGINE), "free", self.store, "hung")
+        self.addCleanup(free.crash)
+        hung.list("draining")
+        self.store.remove("servers/hung-dropped")
+        caller.join()
+        self.assertEqual((answers[0].status, answers[0].body), (200, b"answer to /hung-put/1 x"))
+        free.leave()
+
     def runs_that_fail(self):
         """Both back ends fail one request: its answer is whole. \return how many of them ran it"""
         for backend in self.plain:
