A request whose body stops coming is answered 408 after the idle time-out

Cause: only heads, and connections without a request, had a time to come. A client that sent a head and not all of its body kept its connection, and a descriptor of the gateway, until it closed: for ever, where its machine had lost power. Found by reading, as the same class as connections to dropped back ends.

Change: after the idle time-out without a byte of the body the answer is 408, which is true: nothing has run. A body that comes slowly is waited for. An accept that fails says so in the log.

--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -25,6 +25,7 @@
     bool continued;        /* "100 Continue" was sent */
     uint64_t idle_since;   /* time of the last answer, or of the accept */
     uint64_t head_started; /* time of the first byte of a request, 0: none */
+    uint64_t heard_at;     /* time of the last bytes */
     struct edge_client *next;
     struct edge_client **place;
 };
@@ -144,6 +145,7 @@
 static void on_received(void *context, const char *bytes, size_t size)
 {
     struct edge_client *client = context;
+    client->heard_at = cluster_now();
     buffer_append(&client->unread, bytes, size);
     if (!client->exchange)
         parse(client);
@@ -169,8 +171,10 @@
 void edge_client_accept(uv_stream_t *listener, int status)
 {
     struct edge *edge = listener->data;
-    if (status)
+    if (status) {
+        log_event(LOG_LEVEL_WARN, "client", "accept-failed", "error=\"%s\"", uv_strerror(status));
         return;
+    }
     struct edge_client *client = memory_zero(1, sizeof *client);
     client->edge = edge;
     client->next = edge->clients;
@@ -297,25 +301,25 @@
     }
 }
 
-static bool is_overdue(const struct edge_client *client, uint64_t now, bool *in_head)
+static bool is_overdue(const struct edge_client *client, uint64_t now)
 {
     const struct route_table *table = client->edge->table;
-    uint64_t head = table ? route_table_limits(table)->head_timeout_ms : DEFAULT_HEAD_TIMEOUT_MS;
-    uint64_t idle = table ? route_table_limits(table)->idle_timeout_ms : DEFAULT_IDLE_TIMEOUT_MS;
-    *in_head = client->head_started != 0;
-    if (*in_head)
-        return !client->request.head_complete && now > client->head_started + head * 1000;
-    return now > client->idle_since + idle * 1000;
+    uint64_t head_ms = table ? route_table_limits(table)->head_timeout_ms : DEFAULT_HEAD_TIMEOUT_MS;
+    uint64_t idle_ms = table ? route_table_limits(table)->idle_timeout_ms : DEFAULT_IDLE_TIMEOUT_MS;
+    if (!client->head_started)
+        return now > client->idle_since + idle_ms * 1000;
+    if (!client->request.head_complete)
+        return now > client->head_started + head_ms * 1000;
+    return now > client->heard_at + idle_ms * 1000; /* a long body may come slowly */
 }
 
 void edge_client_sweep(struct edge *edge, uint64_t now)
 {
     for (struct edge_client *client = edge->clients, *next; client; client = next) {
-        bool in_head;
         next = client->next;
-        if (client->exchange || !client->stream || !is_overdue(client, now, &in_head))
+        if (client->exchange || !client->stream || !is_overdue(client, now))
             continue;
-        if (in_head) {
+        if (client->head_started) {
             refuse_request(client, 408);
         } else {
             tcp_stream_close(client->stream);
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -25,6 +25,7 @@
 PEER_PORT = 7811
 FRONT, READY, DIRECTORY, ENGINE, METRICS = 8102, 8103, 8104, 8105, 9565
 PATIENCE_S = 20
+IDLE_TIMEOUT_MS = 5000  # of connections of clients
 
 
 def wait_for(condition, what):
@@ -58,7 +59,7 @@
             {"name": "hung", "connection_limit": 100},
             {"name": "origin", "origin": "%s:%d" % ORIGIN, "zone": "zone-a"}],
         "limits": {"header_bytes": 8192, "body_bytes": 100000, "header_timeout_ms": 1000,
-                   "idle_timeout_ms": 5000},
+                   "idle_timeout_ms": IDLE_TIMEOUT_MS},
         "tenants": [{"name": "tenant-a", "keys": ["key-a"], "priority": 0}],
     }
     value.update(changes)
@@ -228,6 +229,21 @@
             connection.sendall(b"GET /get/1 HTTP/1.1\r\nHost: a")
             self.assertIn(b" 408 ", connection.recv(1000))
 
+    def test_a_body_that_stops_coming_is_given_up(self):
+        """Only heads had a time to come: connections whose bodies never ended stayed open for ever, and
+        each one takes a descriptor. One that comes slowly is waited for."""
+        head = (b"POST /put/1 HTTP/1.1\r\nHost: a.example\r\nShuntrun-Request-Id: slow\r\n"
+                b"Authorization: Bearer key-a\r\nContent-Length: 10\r\n\r\n")
+        with socket.create_connection((EDGES[0], FRONT), timeout=PATIENCE_S) as stopped, \
+                socket.create_connection((EDGES[0], FRONT), timeout=PATIENCE_S) as slow:
+            stopped.sendall(head + b"abc")
+            slow.sendall(head)
+            for byte in b"0123456789":
+                slow.sendall(bytes([byte]))
+                time.sleep(1.5 * IDLE_TIMEOUT_MS / 1000 / 10)
+            self.assertIn(b" 200 ", slow.recv(1000))
+            self.assertIn(b" 408 ", stopped.recv(1000))
+
     def test_an_unrepeatable_request_runs_once(self):
         for fault in ("reset", "unsealed"):
             for backend in self.plain:
