Connections of nodes and pollers that fall silent are closed after a minute

Cause: the small service behind readiness, addresses, metrics and the calls of nodes to each other kept each connection until its peer closed it. A machine that loses power closes nothing, so each of its connections took a descriptor of every node it had asked, for as long as that node ran.

Change: a connection without bytes, and without a call that waits for its answer, is closed after 60 s; a failed accept is logged. Limits of the service are a type.

Test: net.http_service (a silent peer, a torn head, a peer whose call was answered, one that waits for its answer for longer).

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -346,9 +346,9 @@
 
 static int open_sockets(struct cluster *cluster, uint32_t own)
 {
+    static const struct http_service_limits limits = {CALL_BODY_LIMIT, HTTP_SERVICE_IDLE_MS};
     struct sockaddr_in address = cluster_address(cluster, own);
-    cluster->service =
-        http_service_start(cluster->loop, &address, CALL_BODY_LIMIT, on_call, cluster);
+    cluster->service = http_service_start(cluster->loop, &address, &limits, on_call, cluster);
     if (!cluster->service) {
         log_event(LOG_LEVEL_ERROR, "cluster", "listen-failed", "port=%u error=\"%s\"",
                   cluster->port, status_message());
--- a/src/cluster/process.c
+++ b/src/cluster/process.c
@@ -85,9 +85,10 @@
 
 static void open_metrics(struct process *process, uv_loop_t *loop)
 {
+    static const struct http_service_limits limits = {METRICS_BODY_LIMIT, HTTP_SERVICE_IDLE_MS};
     struct sockaddr_in address;
     uv_ip4_addr(process->settings->address, (int)process->settings->metrics_port, &address);
-    process->metrics = http_service_start(loop, &address, METRICS_BODY_LIMIT, on_metrics, process);
+    process->metrics = http_service_start(loop, &address, &limits, on_metrics, process);
     if (!process->metrics)
         log_event(LOG_LEVEL_WARN, "process", "metrics-failed", "port=%llu error=\"%s\"",
                   (unsigned long long)process->settings->metrics_port, status_message());
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -193,12 +193,13 @@
 static struct http_service *open_service(struct edge *edge, const char *text,
                                          service_handler *handler)
 {
+    static const struct http_service_limits limits = {SERVICE_BODY_LIMIT, HTTP_SERVICE_IDLE_MS};
     struct sockaddr_in address;
     if (!tcp_address_parse(text, &address)) {
         log_event(LOG_LEVEL_ERROR, "edge", "bad-address", "address=%s", text);
         return NULL;
     }
-    return http_service_start(edge->loop, &address, SERVICE_BODY_LIMIT, handler, edge);
+    return http_service_start(edge->loop, &address, &limits, handler, edge);
 }
 
 static int open_listeners(struct edge *edge)
--- a/src/net/http_service.c
+++ b/src/net/http_service.c
@@ -1,5 +1,7 @@
 #include "net/http_service.h"
 
+#include "base/clock.h"
+#include "base/log.h"
 #include "base/memory.h"
 #include "base/status.h"
 
@@ -7,12 +9,16 @@
 #include <string.h>
 
 #define HEAD_LIMIT 16384
+/** Connections are looked at so often in the time that they may be idle. */
+#define SWEEPS_PER_IDLE_TIME 4
 
 struct http_service {
     uv_tcp_t listener;
-    size_t body_limit;
+    uv_timer_t sweep;
+    struct http_service_limits limits;
     service_handler *handler;
     void *context;
+    struct service_call *calls;
 };
 
 /* A connection; `waiting` is set while a call has no answer. */
@@ -23,10 +29,16 @@
     struct buffer unread;
     bool waiting;
     bool parsing;
+    uint64_t heard_at; /* time of the last bytes, or of the last answer */
+    struct service_call *next;
+    struct service_call **place;
 };
 
 static void call_free(struct service_call *call)
 {
+    *call->place = call->next;
+    if (call->next)
+        call->next->place = call->place;
     http_message_clear(&call->message);
     buffer_clear(&call->unread);
     free(call);
@@ -96,6 +108,7 @@
 static void on_received(void *context, const char *bytes, size_t size)
 {
     struct service_call *call = context;
+    call->heard_at = clock_monotonic_us();
     buffer_append(&call->unread, bytes, size);
     parse(call);
 }
@@ -112,6 +125,7 @@
                    const void *body, size_t size)
 {
     call->waiting = false;
+    call->heard_at = clock_monotonic_us();
     if (call->stream) {
         bool keep = call->message.keep_alive;
         write_reply(call, status, content_type, body, size);
@@ -139,23 +153,47 @@
 
 static void on_accept(uv_stream_t *listener, int status)
 {
-    if (status)
+    struct http_service *service = listener->data;
+    if (status) {
+        log_event(LOG_LEVEL_WARN, "service", "accept-failed", "error=\"%s\"", uv_strerror(status));
         return;
+    }
     struct service_call *call = memory_zero(1, sizeof *call);
-    call->service = listener->data;
+    call->service = service;
+    call->heard_at = clock_monotonic_us();
+    call->next = service->calls;
+    call->place = &service->calls;
+    if (call->next)
+        call->next->place = &call->next;
+    service->calls = call;
     call->message.head_limit = HEAD_LIMIT;
-    call->message.body_limit = call->service->body_limit;
+    call->message.body_limit = service->limits.body_bytes;
     http_message_begin(&call->message, HTTP_MESSAGE_REQUEST);
     call->stream = tcp_stream_accept(listener, &stream_callbacks, call);
     if (!call->stream)
         call_free(call);
 }
 
+/* Machines that lost power close nothing: each of their connections would take a descriptor for as
+ * long as this process runs. */
+static void on_sweep(uv_timer_t *timer)
+{
+    struct http_service *service = timer->data;
+    uint64_t now = clock_monotonic_us();
+    uint64_t idle_us = service->limits.idle_ms * (uint64_t)1000;
+    for (struct service_call *call = service->calls, *next; call; call = next) {
+        next = call->next;
+        if (!call->waiting && call->stream && now > call->heard_at + idle_us)
+            call_end(call);
+    }
+}
+
 struct http_service *http_service_start(uv_loop_t *loop, const struct sockaddr_in *address,
-                                        size_t body_limit, service_handler *handler, void *context)
+                                        const struct http_service_limits *limits,
+                                        service_handler *handler, void *context)
 {
     struct http_service *service = memory_zero(1, sizeof *service);
-    service->body_limit = body_limit;
+    service->limits = *limits;
     service->handler = handler;
     service->context = context;
     int error = tcp_listen(loop, &service->listener, address, on_accept, service);
@@ -163,5 +201,10 @@
         status_fail(STATUS_IO, "cannot listen: %s", uv_strerror(error));
         return NULL;
     }
+    uv_timer_init(loop, &service->sweep);
+    service->sweep.data = service;
+    uint64_t period = limits->idle_ms / SWEEPS_PER_IDLE_TIME + 1;
+    uv_timer_start(&service->sweep, on_sweep, period, period);
+    uv_unref((uv_handle_t *)&service->sweep);
     return service;
 }
--- a/src/net/http_service.h
+++ b/src/net/http_service.h
@@ -22,12 +22,24 @@
     struct sockaddr_in peer;
 };
 
+/** What a peer may take up. */
+struct http_service_limits {
+    size_t body_bytes; /**< of one call */
+    uint32_t idle_ms;  /**< a connection is closed when its peer sends nothing, and waits for no
+                            answer, for so long */
+};
+
+/** Pollers come every few seconds, and nodes that ask each other connect again when they need to:
+ *  whoever is silent for a minute is most likely gone. */
+#define HTTP_SERVICE_IDLE_MS 60000
+
 typedef void service_handler(void *context, struct service_call *call,
                              const struct service_request *request);
 
 /** \return NULL with a status message when the address cannot be bound */
 struct http_service *http_service_start(uv_loop_t *loop, const struct sockaddr_in *address,
-                                        size_t body_limit, service_handler *handler, void *context);
+                                        const struct http_service_limits *limits,
+                                        service_handler *handler, void *context);
 /** \brief Answer a call, once; the call is gone afterwards. */
 void service_reply(struct service_call *call, unsigned status, const char *content_type,
                    const void *body, size_t size);
--- a/tests/net/http_caller_test.c
+++ b/tests/net/http_caller_test.c
@@ -79,10 +79,11 @@
 
 static void a_call_sent_while_others_are_given_up_goes_out(void **state)
 {
+    static const struct http_service_limits limits = {100, HTTP_SERVICE_IDLE_MS};
     struct fixture fixture = {.loop = uv_default_loop()};
     uv_timer_t wake;
     find_port(&fixture.address);
-    assert_non_null(http_service_start(fixture.loop, &fixture.address, 100, on_call, &fixture));
+    assert_non_null(http_service_start(fixture.loop, &fixture.address, &limits, on_call, &fixture));
     fixture.caller = http_caller_create(fixture.loop, &fixture.address);
     uv_timer_init(fixture.loop, &wake);
     uv_timer_start(&wake, on_nothing, 10, 10);
--- /dev/null
+++ b/tests/net/http_service_test.c
@@ -0,0 +1,103 @@
+/* Peers that are silent, or slow: whose connections the service closes, and whose it keeps. */
+#include "testing.h"
+
+#include "free_port.h"
+#include "net/http_service.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define IDLE_MS 40
+
+struct server {
+    uv_loop_t *loop;
+    struct sockaddr_in address;
+    struct http_service *service;
+    struct service_call *kept; /* a call whose answer is still due */
+};
+
+static void on_call(void *context, struct service_call *call, const struct service_request *request)
+{
+    struct server *server = context;
+    if (service_path_is(request, "/later"))
+        server->kept = call;
+    else
+        service_reply(call, 200, NULL, "now", 3);
+}
+
+static void server_open(struct server *server)
+{
+    static const struct http_service_limits limits = {.body_bytes = 100, .idle_ms = IDLE_MS};
+    memset(server, 0, sizeof *server);
+    server->loop = uv_default_loop();
+    find_port(&server->address);
+    server->service = http_service_start(server->loop, &server->address, &limits, on_call, server);
+    assert_non_null(server->service);
+}
+
+static int peer_connect(const struct server *server, const char *text)
+{
+    int peer = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(
+        connect(peer, (const struct sockaddr *)&server->address, sizeof server->address), 0);
+    assert_int_equal(write(peer, text, strlen(text)), strlen(text));
+    fcntl(peer, F_SETFL, O_NONBLOCK);
+    return peer;
+}
+
+/* Runs the service until the peer has read something. \return bytes, 0: its end */
+static ssize_t await_read(struct server *server, int peer, char *bytes, size_t size)
+{
+    ssize_t count;
+    while ((count = read(peer, bytes, size)) < 0)
+        uv_run(server->loop, UV_RUN_NOWAIT);
+    return count;
+}
+
+static void run_for(struct server *server, unsigned milliseconds)
+{
+    uint64_t end = uv_hrtime() + milliseconds * (uint64_t)1000000;
+    while (uv_hrtime() < end)
+        uv_run(server->loop, UV_RUN_NOWAIT);
+}
+
+static void a_silent_peer_is_closed(void **state)
+{
+    struct server server;
+    char bytes[200];
+    server_open(&server);
+    int silent = peer_connect(&server, "");
+    int torn = peer_connect(&server, "GET /now HTTP/1.1\r\nHost: ");
+    int answered = peer_connect(&server, "GET /now HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_true(await_read(&server, answered, bytes, sizeof bytes) > 0);
+    assert_int_equal(await_read(&server, silent, bytes, sizeof bytes), 0);
+    assert_int_equal(await_read(&server, torn, bytes, sizeof bytes), 0);
+    assert_int_equal(await_read(&server, answered, bytes, sizeof bytes), 0);
+}
+
+static void a_peer_that_waits_for_its_answer_gets_it(void **state)
+{
+    struct server server;
+    char bytes[200];
+    server_open(&server);
+    int peer = peer_connect(&server, "GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
+    while (!server.kept)
+        uv_run(server.loop, UV_RUN_NOWAIT);
+    run_for(&server, 4 * IDLE_MS);
+    service_reply(server.kept, 200, NULL, "later", 5);
+    ssize_t count = await_read(&server, peer, bytes, sizeof bytes);
+    assert_true(count > 5);
+    assert_memory_equal(bytes + count - 5, "later", 5);
+}
+
+int main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_silent_peer_is_closed),
+        cmocka_unit_test(a_peer_that_waits_for_its_answer_gets_it),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/weights/piece_server_test.c
+++ b/tests/weights/piece_server_test.c
@@ -135,12 +135,14 @@
 
 static void fixture_open(struct exchange_fixture *fixture, double bits_per_us, uint64_t wait_us)
 {
+    static const struct http_service_limits limits = {1024, HTTP_SERVICE_IDLE_MS};
     memset(fixture, 0, sizeof *fixture);
     fixture->loop = uv_default_loop();
     fixture->set = set_with_manifest();
     fixture->server = piece_server_create(fixture->loop, fixture->set, bits_per_us, wait_us);
     find_port(&fixture->address);
-    assert_non_null(http_service_start(fixture->loop, &fixture->address, 1024, on_call, fixture));
+    assert_non_null(
+        http_service_start(fixture->loop, &fixture->address, &limits, on_call, fixture));
 }
 
 static void ask(struct exchange_fixture *fixture, uint64_t pieces)
