Calls for pieces that were given up take nothing of the link

Cause: a node that gets no byte for 0.7 s closes its connection and asks again; the server of pieces kept the first call, answered it to nobody when its turn came, and counted it on the link's pace, so that the call that followed waited behind it. Found by reading.

Change: calls whose peer is gone are dropped before answers are given.

Test failed first (weights.piece_server: 20 calls that were given up, then one: 21 answers counted on the link, 1 now).

--- a/src/net/http_service.c
+++ b/src/net/http_service.c
@@ -144,6 +144,11 @@
         parse(call);
 }
 
+bool service_call_is_gone(const struct service_call *call)
+{
+    return !call->stream;
+}
+
 bool service_path_is(const struct service_request *request, const char *path)
 {
     size_t length = strlen(path);
--- a/src/net/http_service.h
+++ b/src/net/http_service.h
@@ -43,6 +43,8 @@
 /** \brief Answer a call, once; the call is gone afterwards. */
 void service_reply(struct service_call *call, unsigned status, const char *content_type,
                    const void *body, size_t size);
+/** \return whether the peer closed the connection: an answer would reach nobody */
+bool service_call_is_gone(const struct service_call *call);
 /** \return whether the path, without its query, is this one */
 bool service_path_is(const struct service_request *request, const char *path);
 
--- a/src/weights/piece_server.c
+++ b/src/weights/piece_server.c
@@ -103,8 +103,24 @@
     server->link_free_at += (uint64_t)((double)size * 8 / server->bits_per_us);
 }
 
+/* Peers give a call up after a while and ask again: answered to nobody, it would take the link's
+ * time from the call that follows it. */
+static void drop_gone(struct piece_server *server)
+{
+    for (uint32_t i = 0; i < server->count;) {
+        struct service_call *call = server->waiting[i].call;
+        if (!service_call_is_gone(call)) {
+            i++;
+            continue;
+        }
+        remove_call(server, i);
+        service_reply(call, STATUS_ABSENT, NULL, NULL, 0);
+    }
+}
+
 void piece_server_advance(struct piece_server *server, uint64_t now)
 {
+    drop_gone(server);
     for (uint32_t i = 0; i < server->count;) {
         size_t size;
         const void *bytes = find_answer(server, &server->waiting[i].wanted, &size);
--- a/tests/weights/piece_server_test.c
+++ b/tests/weights/piece_server_test.c
@@ -2,6 +2,7 @@
 #include "testing.h"
 
 #include "base/clock.h"
+#include "base/metrics.h"
 #include "core/bitmap.h"
 #include "net/free_port.h"
 #include "net/http_caller.h"
@@ -12,6 +13,7 @@
 
 #define PIECES 3
 #define WAIT_US 60000
+#define CALLERS_THAT_GIVE_UP 20
 #define RATE_BITS_PER_US 0.016 /* a piece of 20 bytes takes 10 ms */
 
 static const char *const contents[PIECES] = {"piece 0 ............", "piece 1 ............",
@@ -110,6 +112,7 @@
     struct piece_set *set;
     struct piece_server *server;
     struct sockaddr_in address;
+    uint32_t taken; /* calls that reached the server */
     uint32_t answers;
     unsigned statuses[PIECES];
     char last_body[32];
@@ -121,6 +124,7 @@
     struct piece_call wanted;
     piece_wire_read(request, &wanted);
     assert_int_equal(wanted.kind, PIECE_CALL_PIECE);
+    fixture->taken++;
     piece_server_take(fixture->server, call, &wanted, clock_monotonic_us());
 }
 
@@ -145,7 +149,8 @@
         http_service_start(fixture->loop, &fixture->address, &limits, on_call, fixture));
 }
 
-static void ask(struct exchange_fixture *fixture, uint64_t pieces)
+static struct http_caller *ask_then(struct exchange_fixture *fixture, uint64_t pieces,
+                                    call_done *done)
 {
     uint64_t wanted[PIECE_BITMAP_WORDS] = {pieces};
     struct buffer target = {0};
@@ -154,10 +159,17 @@
                                      .target = target.data,
                                      .timeout_ms = 5000,
                                      .body_limit = 1024,
-                                     .done = on_answer,
+                                     .done = done,
                                      .context = fixture};
-    http_caller_send(http_caller_create(fixture->loop, &fixture->address), &request);
+    struct http_caller *caller = http_caller_create(fixture->loop, &fixture->address);
+    http_caller_send(caller, &request);
     buffer_clear(&target);
+    return caller;
+}
+
+static void ask(struct exchange_fixture *fixture, uint64_t pieces)
+{
+    ask_then(fixture, pieces, on_answer);
 }
 
 static void on_nothing(uv_timer_t *timer)
@@ -220,6 +232,35 @@
         assert_int_equal(fixture.statuses[i], 200);
 }
 
+static void on_given_up(void *context, enum call_result result, const struct http_message *message)
+{
+    assert_int_equal(result, CALL_BROKEN);
+}
+
+/* Callers give up after 0.7 s without a byte. Answers to them took the link's time all the same, so
+ * that those who asked again waited behind them. */
+static void calls_that_were_given_up_take_nothing_of_the_link(void **state)
+{
+    struct exchange_fixture fixture;
+    struct http_caller *callers[CALLERS_THAT_GIVE_UP];
+    fixture_open(&fixture, RATE_BITS_PER_US, 60 * (uint64_t)1000000);
+    for (uint32_t i = 0; i < CALLERS_THAT_GIVE_UP; i++)
+        callers[i] = ask_then(&fixture, 0x1, on_given_up);
+    while (fixture.taken < CALLERS_THAT_GIVE_UP)
+        uv_run(fixture.loop, UV_RUN_NOWAIT);
+    for (uint32_t i = 0; i < CALLERS_THAT_GIVE_UP; i++)
+        http_caller_abort(callers[i]);
+    ask(&fixture, 0x1);
+    while (fixture.taken <= CALLERS_THAT_GIVE_UP)
+        uv_run(fixture.loop, UV_RUN_NOWAIT);
+    uint64_t before = metric_read(METRIC_CHUNKS_SERVED);
+    give(fixture.set, 0);
+    piece_server_advance(fixture.server, clock_monotonic_us());
+    run_until(&fixture, 1);
+    assert_int_equal(fixture.statuses[0], 200);
+    assert_int_equal(metric_read(METRIC_CHUNKS_SERVED) - before, 1);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -230,6 +271,7 @@
         cmocka_unit_test(a_call_waits_for_any_of_its_pieces),
         cmocka_unit_test(what_does_not_come_is_refused_in_time),
         cmocka_unit_test(answers_leave_at_the_pace_of_the_link),
+        cmocka_unit_test(calls_that_were_given_up_take_nothing_of_the_link),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
