--- a/src/cluster/crash_page.c
+++ b/src/cluster/crash_page.c
@@ -10,9 +10,6 @@
 #define PATH_LIST "/suspects"
 #define PATH_LIFT "/suspects/lift"
 
-static const char *const verdict_names[] = {
-    [CRASH_NO_SUSPECT] = "none", [CRASH_SUSPECT] = "suspect", [CRASH_BLOCKED] = "blocked"};
-
 static json_int_t age_ms(uint64_t time, uint64_t now)
 {
     return now > time ? (json_int_t)((now - time) / 1000) : 0;
@@ -28,9 +25,9 @@
     json_int_t blocked_ms = verdict == CRASH_BLOCKED ? age_ms(now, last + CRASH_BLOCK_US) : 0;
     request_identity_to_hex(&entry->identity, identity);
     return json_pack("{s:s, s:s, s:i, s:I, s:I, s:I}", "identity", identity, "verdict",
-                     verdict_names[verdict], "ends", (int)entry->start_count, "first_end_ms_ago",
-                     age_ms(first, now), "last_end_ms_ago", age_ms(last, now), "blocked_for_ms",
-                     blocked_ms);
+                     crash_verdict_name(verdict), "ends", (int)entry->start_count,
+                     "first_end_ms_ago", age_ms(first, now), "last_end_ms_ago", age_ms(last, now),
+                     "blocked_for_ms", blocked_ms);
 }
 
 static void reply_list(const struct crash_sync *sync, struct service_call *call)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -148,10 +148,9 @@
 };
 
 /** What a statement changed. */
-enum backend_change {
-    BACKEND_UNCHANGED = 0,
-    BACKEND_NOW_LEAVING = 1,
-    BACKEND_NOW_BACKED_OFF = 2, /**< it is left alone for a first or a longer time */
+struct backend_change {
+    bool now_leaving;    /**< it was not known that it leaves */
+    bool now_backed_off; /**< it is left alone for a first or a longer time */
 };
 
 /** Longer times than an hour are cut to it: whoever asks for more is asked again then. */
@@ -159,11 +158,10 @@
 /**
  * \brief Take in what a back end says of itself. Both facts are of its start, and no list takes
  * them back: that it leaves holds until another start shows, the time off as long as it was asked
- * for. Afterwards it gets one request at a time until it works. \return BACKEND_ values of what is
- * new, combined
+ * for. Afterwards it gets one request at a time until it works. \return what is new
  */
-unsigned backend_pool_hear(struct backend_pool *pool, struct backend *backend,
-                           const struct backend_statement *statement, uint64_t now);
+struct backend_change backend_pool_hear(struct backend_pool *pool, struct backend *backend,
+                                        const struct backend_statement *statement, uint64_t now);
 /** \brief This start has ended without a word; the list may name another one meanwhile. */
 void backend_pool_ended(struct backend_pool *pool, struct backend *backend, uint64_t now);
 /**
--- a/src/core/backend_statement.c
+++ b/src/core/backend_statement.c
@@ -30,18 +30,15 @@
         backend_statement_restore(pool, listed);
 }
 
-unsigned backend_pool_hear(struct backend_pool *pool, struct backend *backend,
-                           const struct backend_statement *statement, uint64_t now)
+struct backend_change backend_pool_hear(struct backend_pool *pool, struct backend *backend,
+                                        const struct backend_statement *statement, uint64_t now)
 {
-    unsigned change = BACKEND_UNCHANGED;
-    if (statement->leaving && !backend->leaving)
-        change |= BACKEND_NOW_LEAVING;
+    struct backend_change change = {.now_leaving = statement->leaving && !backend->leaving};
     backend->leaving |= statement->leaving;
     if (statement->works)
         note_work(backend, now);
-    if (extend_backoff(backend, statement->backoff_us, now))
-        change |= BACKEND_NOW_BACKED_OFF;
-    if (change && !backend->listed)
+    change.now_backed_off = extend_backoff(backend, statement->backoff_us, now);
+    if ((change.now_leaving || change.now_backed_off) && !backend->listed)
         tell_listed(pool, backend);
     return change;
 }
--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -34,6 +34,13 @@
     return (uint32_t)hash_name(request_id);
 }
 
+const char *crash_verdict_name(enum crash_verdict verdict)
+{
+    static const char *const names[] = {
+        [CRASH_NO_SUSPECT] = "none", [CRASH_SUSPECT] = "suspect", [CRASH_BLOCKED] = "blocked"};
+    return names[verdict];
+}
+
 /* --- one entry -----------------------------------------------------------------------------------
  */
 
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -74,6 +74,9 @@
     CRASH_BLOCKED, /**< must not run */
 };
 
+/** \return the word for logs and reports */
+const char *crash_verdict_name(enum crash_verdict verdict);
+
 struct crash_table;
 
 struct crash_table *crash_table_create(void);
--- a/src/edge/backend_states.c
+++ b/src/edge/backend_states.c
@@ -46,10 +46,10 @@
         .backoff_us = answer_backoff_us(&head->facts),
         .works = answer_meaning(&head->facts) == ANSWER_DELIVERED,
     };
-    unsigned change = backend_pool_hear(edge->pool, backend, &statement, now);
-    if ((change & BACKEND_NOW_LEAVING) && !backend->load.leaving)
+    struct backend_change change = backend_pool_hear(edge->pool, backend, &statement, now);
+    if (change.now_leaving && !backend->load.leaving)
         log_leaving(backend, "answer", head->request_id);
-    if (change & BACKEND_NOW_BACKED_OFF)
+    if (change.now_backed_off)
         log_backoff(backend, head, now);
 }
 
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -73,9 +73,6 @@
         uv_close((uv_handle_t *)&check->connection, on_closed);
 }
 
-static const char *const verdict_names[] = {
-    [CRASH_NO_SUSPECT] = "none", [CRASH_SUSPECT] = "suspect", [CRASH_BLOCKED] = "blocked"};
-
 static void add_evidence(struct crash_check *check, const struct lost_run *run)
 {
     const struct request_identity *identity = &run->identity;
@@ -90,7 +87,7 @@
     log_event(LOG_LEVEL_WARN, "crash", "evidence",
               "identity=%s backend=%s born=%" PRIu64 " starts=%u weight=%u outcome=%s", hex,
               check->backend->listing.id, check->backend->listing.born, entry->start_count,
-              crash_entry_weight(entry), verdict_names[verdict]);
+              crash_entry_weight(entry), crash_verdict_name(verdict));
 }
 
 static void confirm(struct crash_check *check, const char *proof)
