A request whose connection fails at once goes to another back end

Cause: where not even an attempt to connect could be made (no route to the address), a request was refused with 503 although nothing had run and other back ends were free; each probe of such an address after its ejection cost one more request. Found by reading.

Change: it goes to another back end, as after a connection that does not come up, at most four times (BACKEND_MAX_EXCLUDED). A begun stream waits for others, as before.

Test failed first (system.platform: 503 beside two free back ends), 200 now.

--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -172,6 +172,18 @@
     wait_in_line(exchange);
 }
 
+/* Not even an attempt to connect could be made, so nothing has run: others may have a way. */
+static void on_no_connection(struct exchange *exchange, uint64_t now)
+{
+    exchange_end_attempt(exchange, BACKEND_UNREACHABLE);
+    if (exchange->streaming)
+        wait_for_others(exchange, now);
+    else if (exchange->tried_count < BACKEND_MAX_EXCLUDED)
+        exchange_dispatch(exchange);
+    else
+        exchange_give_up_truly(exchange, END_NO_CONNECTION);
+}
+
 static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
 {
     if (now + LEAST_LEFT_US > exchange->final_at) { /* no back end could begin in time */
@@ -198,15 +210,10 @@
         metric_observe(METRIC_LOAD_AGE, now - backend->load_at);
     backend_begin(backend, exchange->head.tokens_in, now);
     exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
-    if (!exchange->upstream) {
-        exchange_end_attempt(exchange, BACKEND_UNREACHABLE);
-        if (exchange->streaming)
-            wait_for_others(exchange, now);
-        else
-            exchange_give_up_truly(exchange, END_NO_CONNECTION);
-        return;
-    }
-    exchange_arm(exchange);
+    if (exchange->upstream)
+        exchange_arm(exchange);
+    else
+        on_no_connection(exchange, now);
 }
 
 static void spend_repeat(struct exchange *exchange, uint64_t now)
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -319,6 +319,23 @@
         self.assertEqual((answers[0].status, answers[0].body), (200, b"answer to /hung-put/1 x"))
         free.leave()
 
+    def test_an_address_without_a_way_to_it_costs_no_request(self):
+        """A connection to it fails before it begins. The request that met it was refused, beside two
+        back ends that were free, and again with each probe of that address."""
+        before = metric("shuntrun_ejections_total")
+        self.store.put("servers/no-way", {
+            "service": "records", "address": "255.255.255.255:9", "zone": "zone-a", "version": "v1",
+            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1})
+        self.addCleanup(self.store.remove, "servers/no-way")
+        self.await_news()
+        answers = []
+
+        def is_met():
+            answers.append(ask("POST", "/put/1", b"x").status)
+            return metric("shuntrun_ejections_total") > before
+        wait_for(is_met, "a request that meets it")
+        self.assertEqual(set(answers), {200})
+
     def runs_that_fail(self):
         """Both back ends fail one request: its answer is whole. \return how many of them ran it"""
         for backend in self.plain:
