--- a/src/core/weight_install.c
+++ b/src/core/weight_install.c
@@ -254,7 +254,7 @@
 
 /* What is put into an engine that is about to end is lost with it, and it runs nothing new. But as
  * long as it may take an order that was given, its stage is kept right, report or not. */
-static bool is_over(const struct weight_install *install, uint64_t now)
+static bool needs_nothing(const struct weight_install *install, uint64_t now)
 {
     bool may_be_taken = install->order != ORDER_NONE || order_in_doubt(install, now);
     return !may_be_taken && (!install->reachable || install->engine.leaving);
@@ -264,7 +264,7 @@
                                           uint64_t turn)
 {
     struct install_action action = {.kind = INSTALL_WAIT};
-    if (!install->version || weight_install_is_done(install) || is_over(install, now))
+    if (!install->version || weight_install_is_done(install) || needs_nothing(install, now))
         return action;
     settle_order(install, now);
     if (install->yielding) {
@@ -301,7 +301,7 @@
 {
     if (!install->version || !install->reachable || weight_install_is_done(install))
         return false;
-    if (is_over(install, now))
+    if (needs_nothing(install, now))
         return false;
     return install->call != INSTALL_WAIT || install->order != ORDER_NONE ||
            order_in_doubt(install, now) || !weight_install_is_staged(install);
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -187,8 +187,9 @@
     remember_tried(exchange, backend, result == BACKEND_BROKEN);
 }
 
-/* A cut stream is a kind of its own, since the lines of a kind are bounded: beside 40 refusals of
- * the same second its line was left out. */
+/* A cut stream is a kind of its own, since the lines of a kind are bounded: of some 90 refusals
+ * within a second 43 lines were left out, and the one that said why a client had lost its stream.
+ */
 static const char *end_event(const struct exchange *exchange, bool good)
 {
     if (good)
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -198,8 +198,8 @@
             self.assert_whole(reader)
 
     def test_a_cut_stream_is_logged_while_many_requests_are_refused(self):
-        """A second in which 40 others were refused left the line of a cut stream out: both were of one
-        kind, and the rate of a kind is bounded."""
+        """In a second of some 90 refusals 43 lines were left out, and the one of a cut stream with them:
+        all were of one kind, and the rate of a kind is bounded."""
         reader = Reader("too-long", 2 * DEADLINE_MS // int(1000 * EVENT_GAP_S))
         while reader.is_alive():
             self.assertEqual(platform.ask("GET", "/get/1").status, 503)  # no such back end
