A deadline of no time is told from none; all Connection fields count; bad input says so in the log

Cause, found by reading: a request whose deadline was "0" had the whole time-out of its route, and a back end was told that it has so long; a malformed deadline became a zero, and so none, without a word. Of several Connection fields only the first one counted, and one of over 255 characters not at all, so fields that concern one connection reached back ends and clients. A seed that is no address was left out in silence.

Change: platform/ says whether there is a deadline, and names a field that cannot be read (event=unreadable-field, event=bad-seed). A request without time is refused at once and runs nowhere. The field of every Connection line is read where it stands.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -324,6 +324,8 @@
         struct sockaddr_in address;
         if (tcp_address_parse(seed, &address))
             membership_add_seed(cluster->membership, ntohl(address.sin_addr.s_addr));
+        else if (seed[0])
+            log_event(LOG_LEVEL_ERROR, "cluster", "bad-seed", "seed=\"%s\"", seed);
     }
     free(seeds);
 }
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -215,7 +215,7 @@
     uint64_t hold_ms = exchange->route->timeout_ms;
     if (!hold_ms)
         hold_ms = FALLBACK_TIMEOUT_MS;
-    if (exchange->head.deadline_ms && exchange->head.deadline_ms < hold_ms)
+    if (exchange->head.has_deadline && exchange->head.deadline_ms < hold_ms)
         hold_ms = exchange->head.deadline_ms;
     uint64_t wait =
         exchange->edge->settings->wait_percent * exchange->route->target_ms * MS_US / 100;
@@ -252,6 +252,9 @@
     struct request_head head;
     const struct http_message *request = edge_client_request(client);
     platform_read_request(request, &head);
+    if (head.unreadable)
+        log_event(LOG_LEVEL_WARN, "client", "unreadable-field", "request=%s field=%s", head.id,
+                  head.unreadable);
     if (!edge->table) {
         refuse_early(edge, client, &head, 503, "no-configuration");
         return NULL;
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -113,6 +113,7 @@
                             "Authorization: Bearer secret\r\nShuntrun-Tenant: forged\r\n"
                             "Shuntrun-Deadline-Ms: 900\r\nShuntrun-Expected-Version: 9\r\n"
                             "Connection: close, X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n"
+                            "Connection: X-Second\r\nX-Second: 1\r\n"
                             "Shuntrun-Token-Counts: 1460,80\r\nContent-Length: 2\r\n\r\nhi");
     platform_read_request(&message, &head);
     assert_string_equal(head.id, "9c");
@@ -134,10 +135,38 @@
     assert_false(contains(&bytes, "900"));
     assert_false(contains(&bytes, "Expected-Version"));
     assert_false(contains(&bytes, "X-Hop"));
+    assert_false(contains(&bytes, "X-Second"));
     buffer_clear(&bytes);
     http_message_clear(&message);
 }
 
+static struct request_head head_with_deadline(const char *value)
+{
+    struct http_message message = {0};
+    struct request_head head;
+    char text[200];
+    snprintf(text, sizeof text, "GET /a HTTP/1.1\r\nShuntrun-Deadline-Ms: %s\r\n\r\n", value);
+    parse_request(&message, text);
+    platform_read_request(&message, &head);
+    http_message_clear(&message);
+    return head;
+}
+
+/* A caller without any time left had the whole time-out of the route. */
+static void a_deadline_of_no_time_is_told_from_none(void **state)
+{
+    struct request_head none = head_with_deadline("0");
+    assert_true(none.has_deadline);
+    assert_int_equal(none.deadline_ms, 0);
+    assert_int_equal(head_with_deadline("12.7").deadline_ms, 12);
+    assert_null(none.unreadable);
+    static const char *const malformed[] = {"", "soon", "-5", "5e3", "9999999999999"};
+    for (size_t i = 0; i < sizeof malformed / sizeof *malformed; i++) {
+        assert_false(head_with_deadline(malformed[i]).has_deadline);
+        assert_non_null(head_with_deadline(malformed[i]).unreadable);
+    }
+}
+
 static void a_resumed_stream_names_its_own_last_event(void **state)
 {
     struct http_message message;
@@ -436,6 +465,7 @@
         cmocka_unit_test(all_problems_of_a_configuration_are_found_together),
         cmocka_unit_test(store_answers_are_decoded),
         cmocka_unit_test(keys_and_forged_fields_do_not_reach_a_back_end),
+        cmocka_unit_test(a_deadline_of_no_time_is_told_from_none),
         cmocka_unit_test(a_resumed_stream_names_its_own_last_event),
         cmocka_unit_test(answers_of_back_ends_are_understood),
         cmocka_unit_test(an_answer_says_that_its_back_end_leaves),
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -393,6 +393,7 @@
             backend.runs.clear()
         for _ in range(20):
             self.assertEqual(ask("GET", "/get/1", Shuntrun_Deadline_Ms="1").status, 503)
+            self.assertEqual(ask("GET", "/get/1", Shuntrun_Deadline_Ms="0").status, 503)
         self.assertEqual(sum(len(b.runs) for b in self.plain), 0)
         for _ in range(20):
             self.assertEqual(ask("GET", "/get/1").status, 200)
