--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -27,7 +27,7 @@
 that say in their answers that they leave, or ask to be left alone, with --links links to back ends that are
 silent or slow for a while, or reset all connections; the schedule of a seed is the same with and without.
 
-usage: soak.py --build DIR --work DIR [--seeds A..B] [--seconds S] [--only N,N] [--crashing]
+usage: soak.py --build DIR --work DIR [--seeds A..B|A,B] [--seconds S] [--only N,N] [--crashing]
                [--statements] [--links]
 """
 import argparse
@@ -525,11 +525,18 @@
     return not soak.findings
 
 
+def read_seeds(text):
+    """Ranges A..B and single seeds, by commas."""
+    for part in text.split(","):
+        first, _, last = part.partition("..")
+        yield from range(int(first), int(last or first) + 1)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--build", required=True)
     parser.add_argument("--work", required=True)
-    parser.add_argument("--seeds", default="1..1", help="A..B")
+    parser.add_argument("--seeds", default="1..1", help="A..B or A,B")
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--only", type=lambda text: {int(n) for n in text.split(",")}, default=None,
                         help="numbers of the faults to play")
@@ -541,8 +548,7 @@
                         help="faults of the links to back ends come besides")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))  # ends own children on the way
-    first, last = (int(n) for n in options.seeds.split(".."))
-    good = [play_seed(options, seed) for seed in range(first, last + 1)]
+    good = [play_seed(options, seed) for seed in read_seeds(options.seeds)]
     print("%d passed, %d failed" % (sum(good), len(good) - sum(good)))
     sys.exit(0 if all(good) else 1)
 
