--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -28,6 +28,7 @@
     bool draining;    /**< it leaves and takes no new work */
     bool has_weights; /**< the list names a model */
     uint64_t version; /**< of the weights; 0: none */
+    uint64_t sequence; /**< rises with each entry that one start writes; 0: not said */
 };
 
 /** Load as the machine of a model engine reports it. */
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -109,9 +109,10 @@
     }
     log_event(LOG_LEVEL_INFO, "backend", "listed",
               "id=%s born=%" PRIu64 " service=%s address=%s zone=%s draining=%d weights=%" PRIu64
-              " revision=%" PRIu64 " age_ms=%" PRIu64,
+              " revision=%" PRIu64 " sequence=%" PRIu64 " age_ms=%" PRIu64,
               id, listing.born, listing.service, listing.address, listing.zone, listing.draining,
-              listing.version, item->revision, (cluster_now() - item->learned) / 1000);
+              listing.version, item->revision, listing.sequence,
+              (cluster_now() - item->learned) / 1000);
     backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
 }
 
