Sight: which entry a belief rests on, and what was on its way when a back end left

Cause: logs could not tell the incident's hypotheses apart: no line said which entry of an engine was the newer one, whether state from a peer was the whole, or how many requests lay unanswered at an engine when the news came that it leaves. No decision changes.

--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -98,8 +98,9 @@
                   message->body.size);
         return;
     }
-    log_event(LOG_LEVEL_INFO, "state", "from-peer", "peer=%08x revision=%llu before=%llu items=%zu",
-              peer, (unsigned long long)changes->revision,
+    log_event(LOG_LEVEL_INFO, "state", "from-peer",
+              "peer=%08x whole=%d revision=%llu before=%llu items=%zu", peer, changes->whole,
+              (unsigned long long)changes->revision,
               (unsigned long long)state_cache_revision(sync->cluster->state), changes->n_items);
     metric_add(METRIC_STATE_FROM_PEER, 1);
     take_changes(sync, changes);
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -24,10 +24,10 @@
     char service[BACKEND_NAME_SIZE];
     char address[BACKEND_ADDRESS_SIZE]; /**< "IP:PORT" */
     char zone[BACKEND_NAME_SIZE];
-    uint32_t slots;   /**< requests that it works on at once */
-    bool draining;    /**< it leaves and takes no new work */
-    bool has_weights; /**< the list names a model */
-    uint64_t version; /**< of the weights; 0: none */
+    uint32_t slots;    /**< requests that it works on at once */
+    bool draining;     /**< it leaves and takes no new work */
+    bool has_weights;  /**< the list names a model */
+    uint64_t version;  /**< of the weights; 0: none */
     uint64_t sequence; /**< rises with each entry that one start writes; 0: not said */
 };
 
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -67,9 +67,11 @@
     const struct backend *backend = backend_pool_unlist(edge->pool, id, &drop, now);
     uint64_t until = backend ? backend->unlisted_until : 0;
     log_event(LOG_LEVEL_INFO, "backend", "gone",
-              "id=%s revision=%" PRIu64 " age_ms=%" PRIu64 " usable_ms=%" PRIu64 " from_outage=%d",
+              "id=%s revision=%" PRIu64 " age_ms=%" PRIu64 " usable_ms=%" PRIu64
+              " from_outage=%d unanswered=%d",
               id, item->revision, (now - item->learned) / 1000,
-              until > now ? (until - now) / 1000 : 0, item->from_outage);
+              until > now ? (until - now) / 1000 : 0, item->from_outage,
+              backend ? (int)backend->unread : -1);
 }
 
 /* An entry that names no back end to use is taken like one that went: it may have been good before,
@@ -107,13 +109,15 @@
         refuse_backend(edge, id, item, "its service is not configured");
         return;
     }
+    const struct backend *backend =
+        backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
     log_event(LOG_LEVEL_INFO, "backend", "listed",
               "id=%s born=%" PRIu64 " service=%s address=%s zone=%s draining=%d weights=%" PRIu64
-              " revision=%" PRIu64 " sequence=%" PRIu64 " age_ms=%" PRIu64,
+              " revision=%" PRIu64 " sequence=%" PRIu64 " age_ms=%" PRIu64
+              " in_flight=%u unanswered=%u",
               id, listing.born, listing.service, listing.address, listing.zone, listing.draining,
               listing.version, item->revision, listing.sequence,
-              (cluster_now() - item->learned) / 1000);
-    backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
+              (cluster_now() - item->learned) / 1000, backend->in_flight, backend->unread);
 }
 
 /* Entries whose service was not configured yet. */
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -317,6 +317,7 @@
     assert_int_equal(platform_parse_backend("i-1", text, strlen(text), &listing), STATUS_OK);
     assert_string_equal(listing.id, "i-1");
     assert_int_equal(listing.born, 1780000000123);
+    assert_int_equal(listing.sequence, 4);
     assert_int_equal(listing.slots, 16);
     assert_int_equal(listing.version, 3);
     assert_false(listing.draining);
