A gateway that took the whole list answers nobody with changes from before

Seen by callers: requests of a gateway that had stood still, or had begun a moment before others, went to an engine that had left, for as long as that one served on. Cause: a gateway that begins takes the whole state of the platform, which names what is there and not what has gone. Asked for the changes since an earlier revision it gave the items that are newer, without the removals in between, and with the revision up to which all is known. Who took that never heard of these removals. Change: a copy knows the gap that its last whole left. Who is inside it gets the whole; changes are pushed from after it only. The operator's items never go and are not bound by it. This holds for any order of starts, as the gap is a fact of the copy that answers, not of who asks.

--- a/src/cluster/news_push.c
+++ b/src/cluster/news_push.c
@@ -39,7 +39,8 @@
     pushed->changes.after = after;
     pushed->changes.revision = revision;
     pushed->changes.operator_only = operator_only;
-    pushed->fits = after && state_cache_covers(state, after);
+    pushed->fits = after && (operator_only ? state_cache_remembers(state, after)
+                                           : state_cache_continues(state, after));
     for (uint32_t i = 0; pushed->fits && i < state_cache_count(state); i++) {
         const struct state_item *item = state_cache_at(state, i);
         if (item->revision > after && (!operator_only || state_message_is_of_operator(item)))
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -187,6 +187,14 @@
     free(compressed);
 }
 
+/* The operator's items change and never go; of back ends, removals must be told too. */
+static bool can_tell_changes(const struct state_cache *state, uint64_t after, bool operator_only)
+{
+    if (!after)
+        return false;
+    return operator_only ? state_cache_remembers(state, after) : state_cache_covers(state, after);
+}
+
 static void serve_changes(struct state_sync *sync, struct service_call *call, uint64_t after,
                           bool operator_only)
 {
@@ -196,7 +204,7 @@
     Shuntrun__StateItem *items = memory_zero(most, sizeof *items);
     Shuntrun__StateItem **pointers = memory_zero(most, sizeof *pointers);
     Shuntrun__StateChanges changes = SHUNTRUN__STATE_CHANGES__INIT;
-    changes.whole = !after || !state_cache_covers(state, after);
+    changes.whole = !can_tell_changes(state, after, operator_only);
     changes.revision = state_cache_revision(state);
     changes.items = pointers;
     for (uint32_t i = 0; i < most; i++) {
--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -11,6 +11,9 @@
     uint32_t count;
     uint64_t revision;
     uint64_t forgotten; /* greatest revision of an item that was trimmed */
+    /* What went between these two is not known: a snapshot led from one to the other. */
+    uint64_t gap_begin;
+    uint64_t gap_end;
 };
 
 struct state_cache *state_cache_create(const struct state_cache_listener *listener)
@@ -133,6 +136,17 @@
             cache->items[i]->seen = false;
 }
 
+/* Of two gaps the older one is as good as forgotten. */
+static void note_gap(struct state_cache *cache, uint64_t revision)
+{
+    if (revision <= cache->revision)
+        return;
+    if (cache->gap_end > cache->forgotten)
+        cache->forgotten = cache->gap_end;
+    cache->gap_begin = cache->revision;
+    cache->gap_end = revision;
+}
+
 void state_cache_snapshot_end(struct state_cache *cache, const char *prefix, uint64_t revision,
                               const struct state_loss *loss)
 {
@@ -141,6 +155,7 @@
         if (has_prefix(item, prefix) && !item->seen && !item->gone && item->revision <= revision)
             set_gone(cache, item, revision, loss);
     }
+    note_gap(cache, revision);
 }
 
 uint64_t state_cache_revision(const struct state_cache *cache)
@@ -165,11 +180,22 @@
     return cache->items[index];
 }
 
-bool state_cache_covers(const struct state_cache *cache, uint64_t revision)
+bool state_cache_remembers(const struct state_cache *cache, uint64_t revision)
 {
     return revision >= cache->forgotten;
 }
 
+bool state_cache_covers(const struct state_cache *cache, uint64_t revision)
+{
+    bool in_gap = revision > cache->gap_begin && revision < cache->gap_end;
+    return state_cache_remembers(cache, revision) && !in_gap;
+}
+
+bool state_cache_continues(const struct state_cache *cache, uint64_t revision)
+{
+    return state_cache_remembers(cache, revision) && revision >= cache->gap_end;
+}
+
 void state_cache_trim(struct state_cache *cache, uint64_t before)
 {
     uint32_t kept = 0;
--- a/src/core/state_cache.h
+++ b/src/core/state_cache.h
@@ -61,8 +61,15 @@
 const struct state_item *state_cache_find(const struct state_cache *cache, const char *key);
 uint32_t state_cache_count(const struct state_cache *cache);
 const struct state_item *state_cache_at(const struct state_cache *cache, uint32_t index);
-/** \return whether changes since `revision` are all here; else only the whole can be given */
+/** \return whether changes since `revision` of items that never go are all here */
+bool state_cache_remembers(const struct state_cache *cache, uint64_t revision);
+/**
+ * \return whether changes since `revision` are all here, for a copy that is exactly that old; else
+ * only the whole can be given. A copy that began with the whole has no removals from before it.
+ */
 bool state_cache_covers(const struct state_cache *cache, uint64_t revision);
+/** \return whether changes since `revision` are all here, for copies that are that old or newer */
+bool state_cache_continues(const struct state_cache *cache, uint64_t revision);
 /** \brief Forget items that are gone since before `before`. */
 void state_cache_trim(struct state_cache *cache, uint64_t before);
 
--- a/tests/core/state_cache_test.c
+++ b/tests/core/state_cache_test.c
@@ -76,12 +76,62 @@
     state_cache_destroy(cache);
 }
 
+static void a_copy_that_began_with_the_whole_knows_no_removals_from_before(void **state)
+{
+    struct state_cache *cache = cache_create();
+    state_cache_snapshot_begin(cache, "");
+    state_cache_put(cache, "servers/1", "x", 1, 3, 0);
+    state_cache_snapshot_end(cache, "", 10, &no_loss);
+    state_cache_reach(cache, 10);
+    assert_false(state_cache_covers(cache, 5));
+    assert_true(state_cache_remembers(cache, 5));
+    assert_true(state_cache_covers(cache, 10));
+    assert_true(state_cache_continues(cache, 10));
+    state_cache_destroy(cache);
+}
+
+static void a_snapshot_leaves_a_gap_for_copies_from_in_between(void **state)
+{
+    struct state_cache *cache = cache_create();
+    state_cache_put(cache, "servers/1", "x", 1, 3, 0);
+    state_cache_reach(cache, 4);
+    state_cache_snapshot_begin(cache, "");
+    state_cache_snapshot_end(cache, "", 10, &no_loss);
+    state_cache_reach(cache, 10);
+    assert_true(state_cache_covers(cache, 4)); /* what was here then is known to have gone */
+    assert_false(state_cache_covers(cache, 5));
+    assert_true(state_cache_covers(cache, 10));
+    assert_false(state_cache_continues(cache, 4));
+    state_cache_snapshot_begin(cache, "");
+    state_cache_snapshot_end(cache, "", 20, &no_loss);
+    state_cache_reach(cache, 20);
+    assert_false(state_cache_covers(cache, 4));
+    assert_true(state_cache_covers(cache, 10));
+    assert_false(state_cache_covers(cache, 12));
+    state_cache_destroy(cache);
+}
+
+static void an_older_snapshot_leaves_no_gap(void **state)
+{
+    struct state_cache *cache = cache_create();
+    state_cache_put(cache, "servers/1", "x", 1, 3, 0);
+    state_cache_reach(cache, 12);
+    state_cache_snapshot_begin(cache, "");
+    state_cache_snapshot_end(cache, "", 10, &no_loss);
+    assert_true(state_cache_covers(cache, 5));
+    assert_true(state_cache_continues(cache, 5));
+    state_cache_destroy(cache);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(an_item_never_goes_back),
         cmocka_unit_test(a_snapshot_removes_what_it_lacks),
         cmocka_unit_test(changes_are_covered_until_removals_are_forgotten),
+        cmocka_unit_test(a_copy_that_began_with_the_whole_knows_no_removals_from_before),
+        cmocka_unit_test(a_snapshot_leaves_a_gap_for_copies_from_in_between),
+        cmocka_unit_test(an_older_snapshot_leaves_no_gap),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/system/leaving_test.py
+++ b/tests/system/leaving_test.py
@@ -74,7 +74,9 @@
         return any("subsystem=store" in line for line in self.log_lines(gateway))
 
     def test_who_was_away_hears_of_removals_from_others_that_began_anew(self):
-        """Who stood still does not read the list itself, and the others have it from after the removal."""
+        """Who stood still does not read the list itself. The others took the whole list after the removal;
+        they gave what had changed since, which does not name what had gone before they began:
+        11 and 18 of 40 streams reached the engine, for as long as it served on."""
         followers = [g for g in self.gateways if not self.reads_the_list(g)]
         self.assertEqual(len(followers), 1, "one gateway does not read the list itself")
         follower = followers[0]
