That a start leaves is final, and an entry that was written late changes nothing

Seen by callers: streams went to an engine that had said that it leaves, as long as an older entry stood in the list. Cause: each entry of an engine replaced the one before; the sequence that orders them was not looked at, and what a start had said in the list, other than what it says in an answer, was not kept when its entry went. Change: an entry with a lower sequence of the same start is no news. A start that the list called leaving stays so, also when its entry went and came back; the next start is free of it. Entries without a date go by their order alone, and by whether the last start is known to have ended, as ids may be used again there. Holds because the order is the engine's own, whoever writes late; a gateway that begins anew knows the last entry only, until the engine's next one.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -104,6 +104,30 @@
     return backend;
 }
 
+/* Some writes are done late, after later ones of the same start. Where starts have no date, the
+ * entry is of another one if the last is known to have ended. */
+static bool is_written_late(const struct backend *backend, const struct backend_listing *listing)
+{
+    if (!listing->born && backend->ended_until)
+        return false;
+    return listing->sequence < backend->listing.sequence;
+}
+
+/* That a start leaves is final: an entry of before, written late, said that it is ready. */
+static bool is_listed_as_leaving(const struct backend *backend, uint64_t born)
+{
+    return born && backend->listed_born == born && backend->listing.draining;
+}
+
+static void take_listing(struct backend *backend, const struct backend_listing *listing)
+{
+    bool leaves = is_listed_as_leaving(backend, listing->born);
+    if (is_written_late(backend, listing))
+        return;
+    backend->listing = *listing;
+    backend->listing.draining |= leaves;
+}
+
 struct backend *backend_pool_list(struct backend_pool *pool, const struct backend_listing *listing,
                                   uint16_t distance)
 {
@@ -112,7 +136,7 @@
         backend = add(pool, listing);
     else if (!is_same_start(backend, listing))
         backend = replace_start(pool, backend, listing);
-    backend->listing = *listing;
+    take_listing(backend, listing);
     backend->listed_born = listing->born;
     backend->distance = distance;
     backend->listed = true;
@@ -198,6 +222,7 @@
 {
     struct backend_listing listing = before->listing;
     listing.born = born;
+    listing.sequence = 0;
     backend_retain(before);
     struct backend *backend = backend_pool_list(pool, &listing, before->distance);
     backend->listed_born = before->listed_born;
--- a/src/core/backend_statement.c
+++ b/src/core/backend_statement.c
@@ -1,4 +1,6 @@
-/* What back ends say of themselves in their answers: facts of the start that answered. */
+/* What back ends say of themselves, in their answers and in the list: facts of the start that said
+ * it.
+ */
 #include "core/backend_pool_internal.h"
 
 #include <string.h>
@@ -56,9 +58,15 @@
     return NULL;
 }
 
+/* Entries without a date may be of another start under the same id. */
+static bool is_leaving_for_good(const struct backend *backend)
+{
+    return backend->leaving || (backend->listing.draining && backend->listing.born);
+}
+
 void backend_statement_keep(struct backend_pool *pool, const struct backend *backend)
 {
-    if (!backend->leaving && !backend->backoff_until)
+    if (!is_leaving_for_good(backend) && !backend->backoff_until)
         return;
     struct kept_statement *kept = find_kept(pool, backend);
     if (!kept) {
@@ -67,7 +75,7 @@
         *kept = (struct kept_statement){.born = backend->listing.born};
         memcpy(kept->id, backend->listing.id, sizeof kept->id);
     }
-    kept->leaving |= backend->leaving;
+    kept->leaving |= is_leaving_for_good(backend);
     if (backend->backoff_until > kept->backoff_until)
         kept->backoff_until = backend->backoff_until;
 }
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -114,10 +114,11 @@
     log_event(LOG_LEVEL_INFO, "backend", "listed",
               "id=%s born=%" PRIu64 " service=%s address=%s zone=%s draining=%d weights=%" PRIu64
               " revision=%" PRIu64 " sequence=%" PRIu64 " age_ms=%" PRIu64
-              " in_flight=%u unanswered=%u",
+              " leaves=%d in_flight=%u unanswered=%u",
               id, listing.born, listing.service, listing.address, listing.zone, listing.draining,
               listing.version, item->revision, listing.sequence,
-              (cluster_now() - item->learned) / 1000, backend->in_flight, backend->unread);
+              (cluster_now() - item->learned) / 1000, backend->listing.draining || backend->leaving,
+              backend->in_flight, backend->unread);
 }
 
 /* Entries whose service was not configured yet. */
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -165,6 +165,76 @@
     backend_pool_destroy(pool);
 }
 
+static bool is_used(struct backend_pool *pool)
+{
+    struct backend_wish wish = wish_of();
+    return choose(pool, &wish, SECOND_US) != NULL;
+}
+
+static void take_entry(struct backend_pool *pool, uint64_t born, uint64_t sequence, bool draining)
+{
+    struct backend_listing listing = listing_of(1, 1);
+    listing.born = born;
+    listing.sequence = sequence;
+    listing.draining = draining;
+    backend_pool_list(pool, &listing, 0);
+}
+
+static void an_entry_that_is_written_late_changes_nothing(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    take_entry(pool, 1000, 8, false);
+    assert_true(is_used(pool));
+    take_entry(pool, 1000, 9, true);
+    take_entry(pool, 1000, 7, false);
+    assert_false(is_used(pool));
+    assert_int_equal(backend_pool_at(pool, 0)->listing.sequence, 9);
+    backend_pool_destroy(pool);
+}
+
+static void that_a_start_leaves_is_final(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_drop drop = {SECOND_US, false};
+    take_entry(pool, 1000, 8, true);
+    take_entry(pool, 1000, 9, false);
+    assert_false(is_used(pool));
+    /* Also when its entry had gone meanwhile. */
+    backend_pool_unlist(pool, "i-1", &drop, SECOND_US);
+    take_entry(pool, 1000, 10, false);
+    assert_false(is_used(pool));
+    take_entry(pool, 2000, 1, false);
+    assert_true(is_used(pool));
+    backend_pool_destroy(pool);
+}
+
+static void a_later_start_is_not_bound_by_what_the_list_said_before(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_load load = {.born = 2000, .version = 1};
+    take_entry(pool, 1000, 8, true);
+    backend_pool_report(pool, "10.0.0.1:80", &load, SECOND_US);
+    take_entry(pool, 2000, 1, false);
+    assert_true(is_used(pool));
+    backend_pool_destroy(pool);
+}
+
+static void without_dates_the_order_of_entries_decides(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    take_entry(pool, 0, 8, true);
+    take_entry(pool, 0, 7, false);
+    assert_false(is_used(pool));
+    /* One that is known to have ended says nothing any more: this is the next start. */
+    backend_pool_ended(pool, backend_pool_at(pool, 0), SECOND_US);
+    take_entry(pool, 0, 1, false);
+    assert_true(is_used(pool));
+    take_entry(pool, 0, 2, true);
+    take_entry(pool, 0, 3, false);
+    assert_true(is_used(pool));
+    backend_pool_destroy(pool);
+}
+
 static void an_address_belongs_to_its_newest_start(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -711,6 +781,10 @@
         cmocka_unit_test(what_a_sound_list_dropped_stays_dropped_when_it_fails),
         cmocka_unit_test(a_keeper_not_heard_of_yet_has_not_failed),
         cmocka_unit_test(a_keeper_not_heard_of_for_long_has_failed),
+        cmocka_unit_test(an_entry_that_is_written_late_changes_nothing),
+        cmocka_unit_test(that_a_start_leaves_is_final),
+        cmocka_unit_test(a_later_start_is_not_bound_by_what_the_list_said_before),
+        cmocka_unit_test(without_dates_the_order_of_entries_decides),
         cmocka_unit_test(an_address_belongs_to_its_newest_start),
         cmocka_unit_test(old_versions_get_nothing_in_time),
         cmocka_unit_test(an_engine_on_a_slow_link_gets_no_old_version_late),
--- a/tests/system/leaving_test.py
+++ b/tests/system/leaving_test.py
@@ -2,7 +2,12 @@
 """A back end that leaves gets nothing later than DRAIN_S after the list said so.
 
 Requests reached engines that had left seconds before, around moments at which all gateways ended and
-began anew. No gateway had a line of these requests, and none of them ran.
+began anew. No gateway had a line of these requests, and none of them ran. Which of the faults below made
+them is not known: what is left of the runs shows neither the moment of the requests nor what
+their gateways believed.
+Three faults let requests through: what had gone was not handed on by gateways that had begun anew, an entry
+that was written late counted as the newest, and what a gateway had written was sent after it was killed. What
+settled each is told with its case. The third alone leaves no line, and runs nothing.
 """
 import os
 import signal
@@ -94,7 +99,8 @@
         self.assertGreater(self.arrivals_of(self.engines[1], "late"), 0)
 
     def test_an_entry_that_is_written_late_brings_no_engine_back(self):
-        """The engine's entry of a moment before it said that it leaves is written after that one."""
+        """The engine's entry of a moment before it said that it leaves is written after that one. Each entry
+        replaced the one before, whichever was newer: the engine got 8 and 6 of 40 streams."""
         left = self.engines[0]
         left.list("draining")
         time.sleep(0.5)
