A silent engine is not left for one that may be as silent

Seen by callers: streams were cut in a moment in which all engines were silent; each had been taken to another engine that was as silent, and a reset there took the last attempt of its route. Change: a begun stream goes to an engine that was heard of, by a report or an answer, within half of the silence that is borne. An engine that never reported here may do so elsewhere, and counts as before. Holds because who is as silent was not heard of either.

--- a/src/core/backend_fit.c
+++ b/src/core/backend_fit.c
@@ -135,9 +135,17 @@
     return !is_loading(pool, backend, now) && !is_stalled(backend, now);
 }
 
+/* One that never reported here may report to others. */
+static bool is_silent_since(const struct backend *backend, uint64_t moment)
+{
+    return backend->load_at && backend->load_at <= moment && backend->last_answer_at <= moment;
+}
+
 bool backend_is_fit(const struct backend_pool *pool, const struct backend_wish *wish,
                     const struct backend *backend, uint64_t now)
 {
+    if (wish->heard_after && is_silent_since(backend, wish->heard_after))
+        return false;
     return is_able(pool, wish, backend, now) && !backend_is_backed_off(backend, now) &&
            !is_excluded(wish, backend);
 }
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -202,6 +202,9 @@
     /** Time that the request is expected to take; 0: not known. An engine that is to run empty
      *  sooner gets it only if there is no other: its other places would stay empty meanwhile. */
     uint64_t expected_us;
+    /** Not 0: an engine whose last report or answer is not younger than this is as silent as the
+     * one that the request would leave for it. */
+    uint64_t heard_after;
     /** Not 0: of the back ends with room the first by rendezvous weight for this key gets it. Same
      *  requests meet at one back end then, and others rarely do. */
     uint64_t rank_key;
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -16,6 +16,8 @@
 #define SILENCE_LEAST_US 300000
 /** Silence between events after which a resumable stream goes elsewhere, if another can go on. */
 #define STREAM_SILENCE_US 1000000
+/** An engine that was not heard of for so long may be as silent as the one that a stream is at. */
+#define OTHER_HEARD_US (STREAM_SILENCE_US / 2)
 /** Between two looks for a back end that could take over from a silent one. */
 #define SILENCE_LOOK_US 100000
 
@@ -122,11 +124,13 @@
 {
     uint64_t late = now > exchange->timer_due ? now - exchange->timer_due : 0;
     struct attempt_facts facts = exchange_facts(exchange, now);
-    bool others = exchange_has_other(exchange);
+    uint64_t heard_after = exchange->streaming ? now - OTHER_HEARD_US : 0;
+    bool others = exchange_has_other(exchange, heard_after);
     enum silence_verdict verdict = silence_judge(&facts, late, others);
     if (verdict == SILENCE_LEAVES || !exchange->bear_until)
         log_silence(exchange, now, late, others, verdict);
     if (verdict == SILENCE_LEAVES) {
+        exchange->heard_after = heard_after;
         leave_silent(exchange);
         return;
     }
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -160,7 +160,7 @@
     struct attempt_facts facts = exchange_facts(exchange, cluster_now());
     facts.may_have_run = true;
     return status >= FIRST_SERVER_ERROR && attempt_may_follow(&facts) &&
-           exchange_has_other(exchange);
+           exchange_has_other(exchange, 0);
 }
 
 /* The back end did not run it. */
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -87,6 +87,7 @@
     bool resuming;                  /* the next back end goes on with a stream that has begun */
     bool owes_repeat;               /* the next send takes a repeat from the shared budget */
     uint64_t not_before;            /* no back end is looked for earlier */
+    uint64_t heard_after;           /* the next engine must have been heard of since, 0: not */
     char trail[TRAIL_SIZE];         /* attempts with what decided them, for the log */
     size_t trail_length;
     uv_timer_t timer;
@@ -162,9 +163,12 @@
 /** \return time at which a back end may be asked again, where all that could take the request want
  * nothing for a while; 0: it is not that */
 uint64_t exchange_backoff_end(struct exchange *exchange, uint64_t now);
-/** \return whether another back end has room, and the shared budget a repeat if the present one was
- * sent the request */
-bool exchange_has_other(struct exchange *exchange);
+/**
+ * \param heard_after engines that were not heard of since this time do not count, 0: they do
+ * \return whether another back end has room, and the shared budget a repeat if the present one was
+ * sent the request
+ */
+bool exchange_has_other(struct exchange *exchange, uint64_t heard_after);
 /** \brief Go to another back end, if attempts, time and the shared budget allow it. */
 void exchange_try_again(struct exchange *exchange, enum exchange_end reason);
 
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -82,6 +82,7 @@
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
         .expected_us = expected_us(exchange),
+        .heard_after = exchange->heard_after,
         .rank_key = exchange_rank_key(exchange),
     };
     for (uint32_t i = exchange->excluded_from; i < exchange->tried_count; i++)
@@ -169,6 +170,7 @@
 {
     exchange->excluded_from = exchange->tried_count;
     exchange->not_before = now + RESUME_PAUSE_US;
+    exchange->heard_after = 0;
     wait_in_line(exchange);
 }
 
@@ -202,6 +204,7 @@
     exchange->paused = false;
     exchange->last_event_at = now;
     exchange->bear_until = 0;
+    exchange->heard_after = 0;
     exchange_note_send(exchange, backend, now);
     if (backend->unlisted_until)
         log_unlisted(exchange, backend, now);
@@ -369,7 +372,7 @@
     }
 }
 
-bool exchange_has_other(struct exchange *exchange)
+bool exchange_has_other(struct exchange *exchange, uint64_t heard_after)
 {
     struct edge *edge = exchange->edge;
     uint64_t now = cluster_now();
@@ -381,6 +384,7 @@
     fill_wish(exchange, now, &wish);
     wish.exact_version = exchange->streaming ? exchange->version : 0;
     wish.any_load = false;
+    wish.heard_after = heard_after;
     if (wish.excluded_count < BACKEND_MAX_EXCLUDED)
         wish.excluded[wish.excluded_count++] = exchange->backend;
     return backend_pool_has_room(edge->pool, &wish, now);
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -165,6 +165,24 @@
     backend_pool_destroy(pool);
 }
 
+static void an_engine_that_is_as_silent_is_no_other(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_wish wish = wish_of();
+    struct backend_load load = {.version = 1};
+    struct backend *silent = add(pool, 1, 1, 0);
+    backend_pool_report(pool, "10.0.0.1:80", &load, SECOND_US);
+    wish.heard_after = SECOND_US;
+    assert_null(choose(pool, &wish, SECOND_US + 1));
+    assert_false(backend_pool_has_room(pool, &wish, SECOND_US + 1));
+    silent->last_answer_at = SECOND_US + 1;
+    assert_ptr_equal(choose(pool, &wish, SECOND_US + 2), silent);
+    backend_pool_report(pool, "10.0.0.1:80", &load, 2 * SECOND_US);
+    wish.heard_after = 2 * SECOND_US - 1;
+    assert_true(backend_pool_has_room(pool, &wish, 2 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
 static bool is_used(struct backend_pool *pool)
 {
     struct backend_wish wish = wish_of();
@@ -781,6 +799,7 @@
         cmocka_unit_test(what_a_sound_list_dropped_stays_dropped_when_it_fails),
         cmocka_unit_test(a_keeper_not_heard_of_yet_has_not_failed),
         cmocka_unit_test(a_keeper_not_heard_of_for_long_has_failed),
+        cmocka_unit_test(an_engine_that_is_as_silent_is_no_other),
         cmocka_unit_test(an_entry_that_is_written_late_changes_nothing),
         cmocka_unit_test(that_a_start_leaves_is_final),
         cmocka_unit_test(a_later_start_is_not_bound_by_what_the_list_said_before),
--- a/tests/system/leaving_test.py
+++ b/tests/system/leaving_test.py
@@ -28,24 +28,7 @@
 BODY_BYTES = 30000
 
 
-class LoggedFleet(streams.Fleet):
-    def begin_gateway(self, address):
-        gateway = super().begin_gateway(address)
-        with open(gateway.log_path) as log:
-            self.log_begins[address] = log.seek(0, os.SEEK_END)
-        return gateway
-
-    def setUp(self):
-        self.log_begins = {}  # logs go on from one case to the next
-        super().setUp()
-
-    def log_lines(self, gateway):
-        with open(gateway.log_path) as log:
-            log.seek(self.log_begins[gateway.address])
-            return log.readlines()
-
-
-class Leaving(LoggedFleet):
+class Leaving(streams.Fleet):
     ENGINES = 3
     GATEWAYS = 3
     SLOTS = 2
@@ -111,7 +94,7 @@
         self.assertGreater(self.arrivals_of(self.engines[1], "late"), 0)
 
 
-class Killed(LoggedFleet):
+class Killed(streams.Fleet):
     def test_a_request_of_a_gateway_that_was_killed_arrives_no_more(self):
         """The kernel goes on sending what a process wrote, also when that one is gone: the back end got all
         30,225 bytes of the request from a gateway that had been killed 0.2 s before."""
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -66,11 +66,15 @@
     return value
 
 
+def log_path(role, address):
+    return os.path.join(OPTIONS.work, "%s-%s.log" % (role, address))
+
+
 class Node:
     def __init__(self, role, address, extra, environment=None):
         self.address = address
         self.environment = dict(os.environ, **(environment or {}))
-        self.log_path = os.path.join(OPTIONS.work, "%s-%s.log" % (role, address))
+        self.log_path = log_path(role, address)
         settings = {"name": "%s-%s" % (role, address), "zone": "zone-a", "region": "region-a",
                     "address": address, "zones": "zone-a=region-a", "peer-port": PEER_PORT,
                     "metrics-port": METRICS, "seeds": "%s:1,127.9.9.9:1" % EDGES[0]}
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -26,6 +26,8 @@
 DEADLINE_MS = 6000
 STOOD_STILL_S = 1.5  # longer than a gateway bears the silence of an engine
 EVENT_GAP_S = 0.1
+# For which the links to all engines are silent: longer than a gateway bears if another engine is sound.
+ALL_SILENT_S = 2.0
 # Between two streams of one client.
 SERVED_PAUSE_S = 0.02
 REFUSED_PAUSE_S = 0.3
@@ -81,11 +83,12 @@
     EVENT_GAP_S = EVENT_GAP_S
 
     def setUp(self):
+        self.log_begins = {}  # logs go on from one case to the next
         self.store = standin.Store(platform.STORE)
         self.origin = standin.Origin(platform.ORIGIN)
         self.engines = [self.begin_engine(index) for index in range(self.ENGINES)]
         self.store.put("op/config", configuration(1, self.SLOTS))
-        self.gateways = [self.begin_gateway(self.gateway(n)) for n in range(self.GATEWAYS)]
+        self.gateways = [self.begin_logged_gateway(self.gateway(n)) for n in range(self.GATEWAYS)]
         self.loaders = [platform.loader(engine.address[0]) for engine in self.engines]
         for node in self.gateways + self.loaders:
             self.addCleanup(node.stop)
@@ -110,6 +113,17 @@
     def begin_gateway(self, address):
         return platform.edge(address)
 
+    def begin_logged_gateway(self, address):
+        path = platform.log_path("edge", address)
+        self.log_begins[address] = os.path.getsize(path) if os.path.exists(path) else 0
+        return self.begin_gateway(address)
+
+    def log_lines(self, gateway):
+        """What a gateway has written in this case."""
+        with open(gateway.log_path) as log:
+            log.seek(self.log_begins[gateway.address])
+            return log.readlines()
+
     def begin_engine(self, index):
         address = ("127.9.2.%d" % (index + 1), platform.ENGINE)
         engine = standin.Backend(address, "engine-%d" % index, self.store, "llm", 1)
@@ -204,8 +218,8 @@
         while reader.is_alive():
             self.assertEqual(platform.ask("GET", "/get/1").status, 503)  # no such back end
         self.assertTrue(reader.cut)
-        with open(self.gateways[0].log_path) as log:
-            lines = [line for line in log if "request=too-long" in line and "event=cut" in line]
+        lines = [line for line in self.log_lines(self.gateways[0])
+                 if "request=too-long" in line and "event=cut" in line]
         self.assertEqual(len(lines), 1, lines)
         self.assertIn("reason=time-out", lines[0])
 
@@ -241,6 +255,21 @@
         self.assert_whole(reader)
 
 
+class TwoEngines(Fleet):
+    ENGINES = 2
+
+    def test_a_silent_engine_is_not_left_for_one_that_is_as_silent(self):
+        """Three streams were cut in a moment in which all engines were silent: each went to another engine,
+        whose last report was 1.46 s old, and a reset there took the second and last attempt of its route."""
+        reader, first = self.read_from("all-silent", 30)
+        for engine in self.engines:
+            engine.disturb_link(ALL_SILENT_S, silent=True)
+        self.assert_whole(reader)
+        time.sleep(0.5)  # what was sent to the other engine crosses its link
+        self.assertEqual(sum(identity == "all-silent" for engine in self.engines
+                             for identity, _, _ in engine.arrivals), 1)
+
+
 class FourEngines(Fleet):
     ENGINES = 4
 
