Without dates, a lower sequence keeps only what a back end said of its leaving

Change: without dates a lower sequence keeps that the back end leaves, and nothing else; with dates it changes nothing, as before.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -6,8 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Back ends that live list themselves again within two seconds of the return of the list's keeper,
- *  as its operators say. The latest of 3,765 did after 1.08 s, in outages of 1 to 6 s. */
+/** Back ends that live list themselves again within this time of the return of the list's keeper,
+ * as its operators say. */
 #define RELIST_US 2000000
 
 /** An engine that reported nothing for so long is no longer among those that report. */
@@ -104,25 +104,28 @@
     return backend;
 }
 
-/* Some writes are done late, after later ones of the same start. Where starts have no date, the
- * entry is of another one if the last is known to have ended. */
+/* Some writes are done late, after later ones of the same start. */
 static bool is_written_late(const struct backend *backend, const struct backend_listing *listing)
 {
-    if (!listing->born && backend->ended_until)
-        return false;
     return listing->sequence < backend->listing.sequence;
 }
 
-/* That a start leaves is final: an entry of before, written late, said that it is ready. */
-static bool is_listed_as_leaving(const struct backend *backend, uint64_t born)
+/* That a start leaves is final. Where starts have no date, an entry that is no older than the one
+ * that said so takes it back, and one after a known end is of the next start under the same id. */
+static bool stays_leaving(const struct backend *backend, const struct backend_listing *listing)
 {
-    return born && backend->listed_born == born && backend->listing.draining;
+    if (!backend->listing.draining)
+        return false;
+    if (listing->born)
+        return backend->listed_born == listing->born;
+    return !backend->ended_until && is_written_late(backend, listing);
 }
 
 static void take_listing(struct backend *backend, const struct backend_listing *listing)
 {
-    bool leaves = is_listed_as_leaving(backend, listing->born);
-    if (is_written_late(backend, listing))
+    bool late = is_written_late(backend, listing);
+    bool leaves = stays_leaving(backend, listing);
+    if (late && (leaves || listing->born))
         return;
     backend->listing = *listing;
     backend->listing.draining |= leaves;
@@ -148,8 +151,7 @@
 
 /*
  * Whether the drop is doubted goes by when it can have happened, not by what is thought of the
- * keeper when the news come: gateways notice an outage up to 2.8 s late, and an engine that left in
- * that time got work until 2.5 s after, 0.5 s past the bound (core.store_outage).
+ * keeper when the news come: gateways notice an outage late, and what leaves in that time is gone.
  */
 const struct backend *backend_pool_unlist(struct backend_pool *pool, const char *id,
                                           const struct backend_drop *drop, uint64_t now)
@@ -216,8 +218,7 @@
 }
 
 /* The list does not know of this start yet: nothing that was learned of the earlier one holds, but
- * what the list itself said last. An engine that it had dropped was used 2.4 s after when it
- * started again, 0.4 s past the bound (real processes). */
+ * what the list itself said last: one that it had dropped is not listed by starting again. */
 static struct backend *begin_start(struct backend_pool *pool, struct backend *before, uint64_t born)
 {
     struct backend_listing listing = before->listing;
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -237,6 +237,19 @@
     backend_pool_destroy(pool);
 }
 
+static void without_dates_a_lower_sequence_may_be_of_the_next_start(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_listing empty = listing_of(1, 0);
+    take_entry(pool, 0, 8, false);
+    empty.has_weights = false;
+    empty.sequence = 1;
+    backend_pool_list(pool, &empty, 0);
+    assert_false(is_used(pool));
+    assert_int_equal(backend_pool_at(pool, 0)->listing.sequence, 1);
+    backend_pool_destroy(pool);
+}
+
 static void without_dates_the_order_of_entries_decides(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -803,6 +816,7 @@
         cmocka_unit_test(an_entry_that_is_written_late_changes_nothing),
         cmocka_unit_test(that_a_start_leaves_is_final),
         cmocka_unit_test(a_later_start_is_not_bound_by_what_the_list_said_before),
+        cmocka_unit_test(without_dates_a_lower_sequence_may_be_of_the_next_start),
         cmocka_unit_test(without_dates_the_order_of_entries_decides),
         cmocka_unit_test(an_address_belongs_to_its_newest_start),
         cmocka_unit_test(old_versions_get_nothing_in_time),
