--- a/src/core/attempt_rule.h
+++ b/src/core/attempt_rule.h
@@ -24,20 +24,17 @@
     uint64_t time_left; /**< until its final answer is due, microseconds */
 };
 
-/** No further back end is tried when less time than this is left: an engine reads a prompt of 1,290
- *  tokens, at 31.9 a millisecond, in 40 ms. */
+/** With less time left no further back end could read a usual prompt. */
 #define ATTEMPT_LEAST_LEFT_US ((uint64_t)60000)
 
 /**
  * \brief Whether one more back end may get the request.
  *
  * The number of attempts bounds how often a request runs. A back end that refuses to go on with a
- * begun stream has not run it; counted as an attempt, 64 of 144 cut streams ended at a second
- * engine that was only full (one simulated day with failures). Nor does a refusal count whose back
- * end wants nothing for a while: a region of which three engines of four did so had 15 requests
- * refused beside the free one, and none is asked twice. Nor is it the stream's fault that a
- * back end ended: with 4 engines of which two ended in turn, the stream at both was cut (real
- * processes). What bounds a request that ends them itself is core/crash_table.
+ * begun stream has not run it: counted as an attempt, it would cut the stream at a second engine
+ * that is only full. Nor does a refusal count whose back end wants nothing for a while: none of
+ * these is asked twice. Nor is it the stream's fault that a back end ended. What bounds a request
+ * that ends them itself is core/crash_table.
  */
 static inline bool attempt_may_follow(const struct attempt_facts *facts)
 {
@@ -54,8 +51,7 @@
 };
 
 /** A timer of this process that fires later than this shows that the process stood still, or was
- *  short of processor time: what has arrived meanwhile is not read yet. A gateway that was stopped
- *  for 1.5 s fired them 970 ms late. */
+ *  short of processor time: what has arrived meanwhile is not read yet. */
 #define OWN_PAUSE_US ((uint64_t)100000)
 
 /**
--- a/src/core/backend_fit.c
+++ b/src/core/backend_fit.c
@@ -56,9 +56,7 @@
     return 2 * group->dated > group->count || 2 * table->dated > table->count;
 }
 
-/* What it said itself counts before the list, which may lag: one that said in its answers that it
- * leaves got 3 to 5 requests a second for the 7 s to its end, while the list's keeper was silent.
- */
+/* What it said itself counts before the list, which may lag. */
 static bool is_out_of_use(const struct backend_pool *pool, const struct backend *backend,
                           uint64_t now)
 {
@@ -121,8 +119,8 @@
     return false;
 }
 
-/* Whether it could take the request, if it wants any now. Four engines that wanted none for 3 s
- * refused 59 requests in that time, as they also reported that they were empty. */
+/* Whether it could take the request, if it wants any now: one that wants none reports itself empty.
+ */
 static bool is_able(const struct backend_pool *pool, const struct backend_wish *wish,
                     const struct backend *backend, uint64_t now)
 {
--- a/src/core/backend_statement.c
+++ b/src/core/backend_statement.c
@@ -90,8 +90,7 @@
         backend->backoff_until = kept->backoff_until;
 }
 
-/* The entry of a start with a date, told again, is no sign of life: 40 requests within 0.3 s went
- * to an address that refused them. */
+/* The entry of a start with a date, told again, is no sign of life. */
 void backend_show_again(struct backend_pool *pool, struct backend *backend)
 {
     if (backend->listing.born || !backend->ended_until)
--- a/src/core/caller_return.h
+++ b/src/core/caller_return.h
@@ -10,8 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** A caller with a smaller part of the longest time left has come back. New callers differ by the
- *  milliseconds of their way here; the shortest time to come back, 0.5 s, is 0.08 of 6 s. */
+/** A caller with a smaller part of the longest time left has come back. New callers differ by their
+ *  way here alone, which is shorter than the shortest time to come back. */
 #define CALLER_RETURN_PART 0.93
 /** The longest time counts for one to two such spans, so that one odd caller is forgotten. */
 #define CALLER_RETURN_SPAN_US ((uint64_t)10000000)
--- a/src/core/crash_spread.h
+++ b/src/core/crash_spread.h
@@ -4,9 +4,8 @@
  * One ended start makes a request no more than a suspect among a dozen: it goes to a few gateways
  * that every node reckons alike from the request, where the next one meets it. What was there at
  * more starts concerns everybody: it goes to a few gateways taken by chance, each of which passes
- * it on once, and to two loaders, which outlive the gateways. Told to all at once, the end of 32
- * engines at 42 gateways sent 0.46 GB over the borders of regions in 30 s, 0.02 GB without
- * (simulated day).
+ * it on once, and to two loaders, which outlive the gateways. Told to all at once, the end of many
+ * engines would fill the links between regions.
  */
 #ifndef SHUNTRUN_CRASH_SPREAD_H
 #define SHUNTRUN_CRASH_SPREAD_H
@@ -20,7 +19,7 @@
 /** Loaders that keep what all gateways keep: both have to be lost with all gateways. */
 #define CRASH_LOADER_HOMES 2
 /** Gateways that each node tells of a request that was there at more than one end. A rumour that
- *  each node passes on to 6 reaches 997 of 1,000; a digest finds the others. */
+ *  each node passes on reaches nearly all; a digest finds the others. */
 #define CRASH_TOLD_MOST 6
 
 struct crash_receivers {
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -30,8 +30,7 @@
  *  another one, where a suspect may run. */
 #define CRASH_STARTS_TO_BLOCK 3
 /** Ended starts that block a request of which one attempt of its caller was at all of them: a begun
- *  stream goes on wherever it can, and meets others' ends by that. Of 22,000 streams beside three
- *  requests that crash engines 5 were at three ends (real processes, ten runs). */
+ *  stream goes on wherever it can, and meets others' ends by that. */
 #define CRASH_STARTS_TO_BLOCK_ONE_ATTEMPT 4
 /** Ended starts that block a request whoever else was there: two requests that each crash back ends
  *  may always have met. */
--- a/src/core/overload.h
+++ b/src/core/overload.h
@@ -4,10 +4,8 @@
  *
  * Then a place for one who came back is mostly late, and takes the place of a new caller who could
  * have been served in time: two are late or refused where one would be. So those who came back take
- * what new callers leave: of 148,157 callers on 20 simulated days with 1.3 times the usual load,
- * 88,364 instead of 77,258 were served in time, and 112,343 instead of 112,269 in all. Only
- * fullness counts: after a loss of power back ends are absent first, and those who come back find
- * places.
+ * what new callers leave. Only fullness counts: after a loss of power back ends are absent first,
+ * and those who come back find places.
  */
 #ifndef SHUNTRUN_OVERLOAD_H
 #define SHUNTRUN_OVERLOAD_H
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -17,9 +17,7 @@
  * that it works. */
 #define BACKOFF_SPREAD_MS 500
 /** When engines are full. The share moves with some second of requests; a fifth refused means that
- *  engines will be full for a while. Of what requests are worth, 0.8 % more is earned than with 0.5
- *  to 1.0 s always, and 0.3 % more than with 1.2 to 2.0 s (mean of 15 simulated days with
- * failures). */
+ *  engines will be full for a while. */
 static const struct come_back_settings full_settings = {
     .weight = 0.05, .lasting_share = 0.2, .least_ms = 500, .most_ms = 1200, .spread_share = 65};
 
@@ -137,9 +135,7 @@
     [BACKEND_CANCELLED] = "cancelled",
 };
 
-/* That it ended is kept in mind: seven streams were cut as refusals of others had pushed out the
- * ends of engines, which then counted as attempts (real processes, 11 of 12 engines ended in a
- * second). */
+/* That it ended is kept in mind: the end of an engine is not an attempt of its stream. */
 static void forget_first_tried(struct exchange *exchange)
 {
     exchange->ended_before += tried_has_ended(&exchange->tried[0]);
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -100,8 +100,7 @@
         return false;
     const struct http_message *request = edge_client_request(exchange->client);
     /* Only a begun stream names a version. Any other may run on a newer one, and an engine that is
-     * ahead refuses what asks for the least: 158 requests beside free engines on one simulated day.
-     */
+     * ahead refuses what asks for the least. */
     struct forward_head forward = {
         .deadline_ms = (uint32_t)((exchange->final_at - now) / MS_US),
         .instance = backend->listing.id,
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -83,10 +83,8 @@
         upstream->next_open->open_place = upstream->open_place;
 }
 
-/*
- * A request that is given up must not arrive any more. After a close the kernel still delivers what
- * was written: through a link that was cut for 4 s, 6.2 s after the send.
- */
+/* A request that is given up must not arrive any more: after a close the kernel still delivers what
+ * was written. */
 static void close_stream(struct upstream *upstream)
 {
     if (upstream->state == UPSTREAM_BUSY)
@@ -336,7 +334,7 @@
 }
 
 /* All that are open, also to back ends that the list dropped: machines that lost power close
- * nothing, and a request waited until its deadline, 6 s, for a connection to one to come up. */
+ * nothing, and a request would wait until its deadline for a connection to one to come up. */
 void upstream_sweep(struct edge *edge, uint64_t now)
 {
     struct upstream *upstream;
--- a/src/weights/piece_sources.c
+++ b/src/weights/piece_sources.c
@@ -22,8 +22,7 @@
  * sources, for so long at most. Else many more gateways become relays, and the origin gives more
  * copies. */
 #define SETTLE_US 300000
-/** Loaders take pieces from relays of their region, whose members they know before all others: of
- * 353 members 68 of the own region's 70 when half are known (tests/core/fleet_start_test.c). */
+/** Loaders take pieces from relays of their region, whose members they know before all others. */
 #define LOADER_SETTLED_SHARE 0.5
 
 struct piece_sources {
