Soak: ends of all gateways and late entries; the check of draining counts arrivals

Cause: the soak judged requests that ran at a back end that left; the promise is about those that reach it. It had no fault that ends all gateways at once, and no entry older than the last one.

--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -8,7 +8,7 @@
   weights    what an engine takes when it is ordered to is whole and of the ordered version
   once       an unrepeatable request runs at most once
   not-run    what was answered 429 or 503 has not run and does not run later
-  drain      nothing begins at a back end longer than DRAIN_S after the store said that it leaves
+  drain      nothing reaches a back end longer than DRAIN_S after the store said that it leaves, run or not
   leaving    nothing comes from an edge to a back end longer than DRAIN_S after it told that edge, in an
              answer, that it leaves
   backoff    a back end that asked an edge to back off gets at most BACKOFF_ARRIVALS requests from it in that
@@ -25,10 +25,12 @@
 
 With --crashing requests that end each engine which runs them come besides, with --statements back ends
 that say in their answers that they leave, or ask to be left alone, with --links links to back ends that are
-silent or slow for a while, or reset all connections; the schedule of a seed is the same with and without.
+silent or slow for a while, or reset all connections, with --leaving back ends whose entry of before they said that
+they leave is written after it, and moments at which all gateways are killed; the schedule of a seed is the same with and
+without.
 
 usage: soak.py --build DIR --work DIR [--seeds A..B|A,B] [--seconds S] [--only N,N] [--crashing]
-               [--statements] [--links]
+               [--statements] [--links] [--leaving]
 """
 import argparse
 import json
@@ -55,6 +57,8 @@
 CRASHING_GAP_S = (2.0, 5.0)  # between the first coming of two requests that end engines
 STATEMENT_GAP_S = (0.4, 1.5)  # between two faults of back ends that say something of themselves
 LINK_GAP_S = (0.8, 2.5)  # between two faults of links
+LEAVING_GAP_S = (0.8, 2.0)  # between two faults of entries and of all gateways
+LATE_ENTRY_S = 0.5     # after the entry that says it leaves, the older one is written
 BACKOFFS_S = (0.7, 1.5, 3.0, 6.0)
 
 
@@ -79,6 +83,7 @@
         self.with_crashing = options.crashing
         self.with_statements = options.statements
         self.with_links = options.links
+        self.with_leaving = options.leaving
         self.crashing = []        # callers whose requests end engines
         self.crashing_bodies = set()
         self.random = random.Random(seed)
@@ -123,6 +128,8 @@
             self.draw_statements(schedule)
         if self.with_links:
             self.draw_links(schedule)
+        if self.with_leaving:
+            self.draw_leaving(schedule)
         schedule.sort(key=lambda fault: fault["at"])
         with open(os.path.join(self.work, "schedule.json"), "w") as stream:
             json.dump(schedule, stream, indent=1)
@@ -160,6 +167,17 @@
                              "for_s": round(chance.uniform(0.2, 3.0), 2)})
             at += chance.uniform(*LINK_GAP_S)
 
+    def draw_leaving(self, schedule):
+        """Beside the others, which stay as they are."""
+        chance = random.Random("leaving %d" % self.seed)
+        at = 1.1
+        while at < self.seconds:
+            schedule.append({"number": len(schedule), "at": round(at, 2),
+                             "kind": chance.choice(("late_entry", "late_entry", "end_all")),
+                             "which": chance.randrange(1000),
+                             "for_s": round(chance.uniform(0.2, 2.0), 2)})
+            at += chance.uniform(*LEAVING_GAP_S)
+
     # --- the world
 
     def begin_backend(self, address, service, version=None):
@@ -252,6 +270,15 @@
             self.note_leaving(backend)
             self.later(SERVES_ON_S, self.replace, backend)
 
+    def fault_late_entry(self, fault):
+        """The entry of before it said that it leaves is written after the one that says so."""
+        backend = self.pick_backend(fault)
+        if backend:
+            backend.list("draining")
+            self.note_leaving(backend)
+            self.later(LATE_ENTRY_S, backend.write_entry, "ready", backend.sequence - 1)
+            self.later(checks.DRAIN_S + fault["for_s"], self.end_backend, backend)
+
     def fault_say_leaving(self, fault):
         """It says so in its answers alone, serves on for longer than the bound, and ends."""
         backend = self.pick_backend(fault)
@@ -384,6 +411,19 @@
             self.edges[ip].stop()
             self.later(fault["for_s"], self.restart, self.edges, ip)
 
+    def fault_end_all(self, fault):
+        """All gateways are killed at one moment, unless one is away."""
+        if self.closed:
+            return
+        for ip in fleet.EDGES:
+            self.closed.add(ip)
+            self.away.append([ip, time.monotonic(), float("inf")])
+        for ip in fleet.EDGES:
+            self.edges[ip].process.kill()
+        for ip in fleet.EDGES:
+            self.edges[ip].stop()
+            self.later(fault["for_s"], self.restart, self.edges, ip)
+
     def fault_edge_term(self, fault):
         if not self.closed:
             for backend in self.live.values():
@@ -546,6 +586,8 @@
                         help="back ends that leave or back off by their own word come besides")
     parser.add_argument("--links", action="store_true",
                         help="faults of the links to back ends come besides")
+    parser.add_argument("--leaving", action="store_true",
+                        help="late entries of back ends that leave and ends of all gateways come besides")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))  # ends own children on the way
     good = [play_seed(options, seed) for seed in read_seeds(options.seeds)]
--- a/tests/system/soak_checks.py
+++ b/tests/system/soak_checks.py
@@ -148,8 +148,9 @@
         if left is None or any(begin <= left <= end + CALM_S for begin, end in self.troubles):
             return  # what the store says in trouble, or just after it, binds nobody
         latest = left + DRAIN_S + SPARE_S + 2 * self.slack.most
-        for identity, _, _, at in backend.runs:
-            if at > latest and self.is_in_touch(edges.get(identity), at) and \
+        for identity, at, _ in backend.arrivals:
+            if at > latest and identity not in backend.turned_away and \
+                    self.is_in_touch(edges.get(identity), at) and \
                     not self.was_held_up(backend, at):
-                self.find("drain", "%s began at %s %.2f s after it left" %
+                self.find("drain", "%s reached %s %.2f s after it left" %
                           (identity, backend.identity, at - left))
