Test: a back end that left is used again at its next start, not by taking its word back

Change: the case begins the back end anew under its id, and asks that this start gets a request: stricter than before, when nothing was asked of its return.

--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -410,8 +410,18 @@
                 self.assertEqual(ask("GET", "/get/1").status, 200)
             self.assertEqual(self.plain[0].runs, [])
         finally:
-            self.plain[0].list("ready")
-            self.await_news()
+            self.begin_anew(self.plain[0])
+        self.plain[1].faults[:] = ["shed"]
+        self.assertEqual(ask("GET", "/get/1").status, 200)
+        self.assertEqual(len(self.plain[0].runs), 1, "the next start is used")
+
+    def begin_anew(self, backend):
+        """That a start leaves is final; the next one, under the same id, does not."""
+        backend.state = "ready"
+        backend.back_after_s = 0
+        backend.crash_and_return()
+        wait_for(lambda: backend.alive, "the next start")
+        self.await_news()
 
     def test_configuration_reaches_a_node_that_the_store_turns_away(self):
         self.store.put("op/config", configuration(2))
