An end of a start that nobody had named yet counts as one of its own

The gateway's lines count two ends where three had been.

Cause: an end is counted by the back end's start (id, born). A gateway that has not heard when the next start under the id was born (store busy, the engine's loader killed) takes its end for that of the last one, which counts once. Evidence: two lines event=ended of engine b0 with one born, 1.1 s apart, the run of the second one sent 1.0 s after the first end.

Change: a start that is known to have ended cannot end again. A run that began later than that was at another start; its key follows from the known one, alike on all nodes that know that end.

Test: core.crash_table, which could not be written before (the call is new). Ruled out: two gateways that saw one end (30 ms apart at most).

--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -181,6 +181,29 @@
     return entry;
 }
 
+/* \return time of the end of a start, 0: none is known */
+static uint64_t end_of_start(const struct crash_table *table, uint64_t start)
+{
+    for (uint32_t i = 0; i < table->count; i++) {
+        const struct crash_entry *entry = &table->entries[i];
+        uint32_t place = find_start(entry, start);
+        if (place < entry->start_count)
+            return entry->starts[place].ended_at;
+    }
+    return 0;
+}
+
+uint64_t crash_table_start_of_run(const struct crash_table *table, uint64_t start,
+                                  uint64_t began_at)
+{
+    uint64_t ended_at = end_of_start(table, start);
+    while (ended_at && ended_at + CRASH_SAME_MOMENT_US < began_at) {
+        start = hash_pair(start, 1);
+        ended_at = end_of_start(table, start);
+    }
+    return start;
+}
+
 bool crash_table_add(struct crash_table *table, const struct request_identity *identity,
                      const struct crash_start *start)
 {
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -84,6 +84,13 @@
 /** \brief What stands for one start of a back end on all nodes. \param born 0: not said */
 uint64_t crash_start_key(const char *backend_id, uint64_t born);
 
+/**
+ * \brief A start that is known to have ended cannot end again: a run that began later was at
+ * another start, of which nobody has said yet when it was born. \return what stands for the start
+ * at which the run was, the same on all nodes that know that end
+ */
+uint64_t crash_table_start_of_run(const struct crash_table *table, uint64_t start,
+                                  uint64_t began_at);
 /** \brief What stands for one attempt of a caller on all nodes, from the id that it sends. */
 uint32_t crash_attempt_key(const char *request_id);
 /** \brief A start ended with this request. \return whether that is new */
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -39,6 +39,7 @@
     struct backend *backend;
     bool planned;       /* it had said that it leaves: its end is no evidence */
     uint64_t start;     /* crash_start_key() */
+    uint64_t sent_at;   /* when the last of these requests was sent there */
     uint64_t broken_at; /* when the last request broke off */
     enum crash_check_state state;
     struct lost_run runs[RUNS_MOST];
@@ -99,6 +100,8 @@
               "backend=%s born=%" PRIu64 " proof=%s planned=%d requests=%u ended_ms_ago=%" PRIu64,
               check->backend->listing.id, check->backend->listing.born, proof, check->planned,
               check->run_count, (cluster_now() - check->broken_at) / 1000);
+    check->start = crash_table_start_of_run(crash_sync_table(edge->cluster.crashes), check->start,
+                                            check->sent_at);
     for (uint32_t i = 0; i < check->run_count; i++)
         if (check->runs[i].broken_at + SAME_END_US >= check->broken_at)
             add_evidence(check, &check->runs[i]);
@@ -236,13 +239,16 @@
 }
 
 void crash_watch_lost_run(struct edge *edge, struct backend *backend,
-                          const struct request_identity *identity, const char *request_id)
+                          const struct request_identity *identity, const char *request_id,
+                          uint64_t sent_at)
 {
     struct crash_check *check = find_check(edge, backend);
     if (!check)
         check = begin_check(edge, backend);
     else if (check->state == CHECK_WAITS && check->open_handles == 1)
         gather(check);
+    if (sent_at > check->sent_at)
+        check->sent_at = sent_at;
     check->planned |= leaves(backend);
     if (check->planned) {
         check->broken_at = cluster_now();
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -14,9 +14,10 @@
 #include "core/crash_table.h"
 #include "edge/edge_internal.h"
 
-/** \brief A request broke off at a back end. */
+/** \brief A request broke off at a back end. \param sent_at time at which it was sent there */
 void crash_watch_lost_run(struct edge *edge, struct backend *backend,
-                          const struct request_identity *identity, const char *request_id);
+                          const struct request_identity *identity, const char *request_id,
+                          uint64_t sent_at);
 /** \return whether it is to be known soon if the back end has ended */
 bool crash_watch_is_checking(const struct edge *edge, const struct backend *backend);
 /** \brief Look for other starts at the addresses of back ends that are in doubt. */
--- a/src/edge/exchange_suspicion.c
+++ b/src/edge/exchange_suspicion.c
@@ -66,7 +66,7 @@
               exchange->events.events, exchange->sends, (cluster_now() - exchange->sent_at) / MS_US,
               backend->in_flight - 1);
     exchange->suspected = true;
-    crash_watch_lost_run(exchange->edge, backend, identity, exchange->head.id);
+    crash_watch_lost_run(exchange->edge, backend, identity, exchange->head.id, exchange->sent_at);
 }
 
 void exchange_ran_well(struct exchange *exchange)
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash_table_test.c
@@ -184,6 +184,25 @@
     crash_table_destroy(table);
 }
 
+/* Guards against ends that were not counted: gateways that had not heard yet when the next start of
+ * a back end was born took its end for that of the last one. */
+static void a_run_that_began_after_the_end_of_a_start_was_at_another_one(void **state)
+{
+    struct crash_table *table = crash_table_create();
+    uint64_t first = 11;
+    assert_int_equal(crash_table_start_of_run(table, first, BEGIN), first);
+    ended(table, 1, first, BEGIN);
+    assert_int_equal(crash_table_start_of_run(table, first, BEGIN - SECOND), first);
+    uint64_t second = crash_table_start_of_run(table, first, BEGIN + SECOND);
+    assert_int_not_equal(second, first);
+    ended(table, 1, second, BEGIN + 2 * SECOND);
+    assert_int_equal(crash_table_start_of_run(table, first, BEGIN + SECOND), second);
+    uint64_t third = crash_table_start_of_run(table, first, BEGIN + 3 * SECOND);
+    ended(table, 1, third, BEGIN + 4 * SECOND);
+    assert_int_equal(verdict(table, 1, BEGIN + 4 * SECOND), CRASH_BLOCKED);
+    crash_table_destroy(table);
+}
+
 /* --- any order -----------------------------------------------------------------------------------
  */
 
@@ -422,6 +441,7 @@
         cmocka_unit_test(a_blocked_request_is_tried_again_some_day),
         cmocka_unit_test(one_end_is_forgotten_soon_and_more_are_not),
         cmocka_unit_test(a_full_table_keeps_the_most_suspect),
+        cmocka_unit_test(a_run_that_began_after_the_end_of_a_start_was_at_another_one),
         cmocka_unit_test(nodes_agree_whatever_the_order),
         cmocka_unit_test(another_request_is_not_blocked),
         cmocka_unit_test(nor_is_one_beside_three_that_crash_engines),
