A good end is told to all who were told of the end before it

Cause: one end of a request is told to its homes, a good end only where the entry was at two or more. A gateway that began anew learned the end from them, and nobody told it of the good one. Evidence: edge 1 logs event=cleared, was killed, and learned the same start again from edge 2, which had never heard.

Change: the good end goes where the end went. Cost: one entry more in a message for each suspect that runs well. Test: core.crash_table failed before (untold was false).

--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -220,7 +220,7 @@
     if (!entry || !entry->start_count)
         return false;
     clear_until(entry, at);
-    entry->untold |= entry->shared; /* nobody else keeps the others for long */
+    entry->untold = true; /* to whom the ends were told */
     return true;
 }
 
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash_table_test.c
@@ -203,6 +203,18 @@
     crash_table_destroy(table);
 }
 
+/* Guards against ends that came back: a good end was not told to those who had been told of the end
+ * before it, and a gateway that began anew learned that one from them. */
+static void a_good_end_is_told_even_of_a_request_with_one_end(void **state)
+{
+    struct crash_table *table = crash_table_create();
+    ended(table, 1, 11, BEGIN);
+    crash_table_at(table, 0)->untold = false;
+    ran_well(table, 1, BEGIN + SECOND);
+    assert_true(crash_table_at(table, 0)->untold);
+    crash_table_destroy(table);
+}
+
 /* --- any order -----------------------------------------------------------------------------------
  */
 
@@ -442,6 +454,7 @@
         cmocka_unit_test(one_end_is_forgotten_soon_and_more_are_not),
         cmocka_unit_test(a_full_table_keeps_the_most_suspect),
         cmocka_unit_test(a_run_that_began_after_the_end_of_a_start_was_at_another_one),
+        cmocka_unit_test(a_good_end_is_told_even_of_a_request_with_one_end),
         cmocka_unit_test(nodes_agree_whatever_the_order),
         cmocka_unit_test(another_request_is_not_blocked),
         cmocka_unit_test(nor_is_one_beside_three_that_crash_engines),
