A back end that ends before the time that its leaving promises has crashed

Cause: an end was taken as planned from the moment at which a back end said, or the list showed, that it leaves. The platform promises that it serves on for the bound on draining after that, and nothing in the code knew this time.

Change: since when it is known that a start leaves is a fact of the start (core/backend_statement); an end before the bound, less the time that news take, is one like any other. Where it is not known since when (taken over whole by a gateway that begins, or told while the list's keeper fails) it counts as planned as before.

Tests: core.backend_statement; system.crash: the two cases that ended an engine 0 and 0.3 s after it said that it leaves asked for something that the platform's pages do not allow: they wait for the promised time now, and ask for the same; a new case ends it at once, and asks for the crash.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -145,6 +145,7 @@
     backend->listed = true;
     backend->unlisted_until = 0;
     backend->doubtful = false;
+    backend->leaving_noted &= backend->listing.draining || backend->leaving;
     backend_show_again(pool, backend);
     return backend;
 }
@@ -167,6 +168,8 @@
         return backend;
     backend->unlisted_at = now;
     backend->doubtful = drop->from_outage;
+    if (!drop->from_outage)
+        backend_note_leaving(backend, drop->learned);
     backend->unlisted_until =
         drop->learned + (drop->from_outage ? RELIST_US : pool->settings.unlisted_us);
     return backend;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -70,6 +70,8 @@
     bool doubtful;            /**< dropped by an outage of the list's keeper, perhaps */
     uint64_t ended_until;     /**< believed to have ended, until then; 0: not */
     bool leaving;             /**< it said in an answer that it is about to end */
+    bool leaving_noted;       /**< `leaves_since` was set */
+    uint64_t leaves_since;    /**< it is known since then that it leaves; 0: not known since when */
     uint64_t backoff_until;   /**< it asked in an answer to get nothing until then; 0: it did not */
     uint16_t distance;        /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight;       /**< requests of this gateway */
@@ -105,6 +107,7 @@
     uint64_t load_fresh_us;     /**< older reports of load are not used */
     uint64_t near_fresh_us;     /**< the same for engines of the own region, which report oftener */
     uint64_t unlisted_us;       /**< for which a back end that the list drops stays usable */
+    uint64_t serves_on_us;      /**< for which a back end serves at least, once it leaves */
     uint64_t created;           /**< time at which this gateway began, 0: long ago */
 };
 
@@ -164,6 +167,11 @@
  */
 struct backend_change backend_pool_hear(struct backend_pool *pool, struct backend *backend,
                                         const struct backend_statement *statement, uint64_t now);
+/** \brief It is known that this start leaves. \param since 0: not known since when */
+void backend_note_leaving(struct backend *backend, uint64_t since);
+/** \return whether an end of this start now is the one that it, or the list, had announced */
+bool backend_end_is_planned(const struct backend_pool *pool, const struct backend *backend,
+                            uint64_t now);
 /** \brief This start has ended without a word; the list may name another one meanwhile. */
 void backend_pool_ended(struct backend_pool *pool, struct backend *backend, uint64_t now);
 /**
--- a/src/core/backend_statement.c
+++ b/src/core/backend_statement.c
@@ -45,6 +45,32 @@
     return change;
 }
 
+static bool is_leaving(const struct backend *backend)
+{
+    return backend->listing.draining || backend->leaving || backend->load.leaving;
+}
+
+/* What was dropped in an outage of the list may live. */
+static bool was_dropped(const struct backend *backend)
+{
+    return backend->unlisted_until && !backend->doubtful;
+}
+
+void backend_note_leaving(struct backend *backend, uint64_t since)
+{
+    if (!backend->leaving_noted)
+        backend->leaves_since = since;
+    backend->leaving_noted = true;
+}
+
+bool backend_end_is_planned(const struct backend_pool *pool, const struct backend *backend,
+                            uint64_t now)
+{
+    if (!is_leaving(backend) && !was_dropped(backend))
+        return false;
+    return !backend->leaves_since || now >= backend->leaves_since + pool->settings.serves_on_us;
+}
+
 static bool is_of_start(const struct kept_statement *kept, const struct backend *backend)
 {
     return strcmp(kept->id, backend->listing.id) == 0 && kept->born == backend->listing.born;
@@ -100,5 +126,7 @@
         *kept = (struct kept_statement){0};
     backend->ended_until = 0;
     backend->leaving = false;
+    backend->leaving_noted = false;
+    backend->leaves_since = 0;
     backend->backoff_until = 0;
 }
--- a/src/edge/backend_states.c
+++ b/src/edge/backend_states.c
@@ -47,6 +47,8 @@
         .works = answer_meaning(&head->facts) == ANSWER_DELIVERED,
     };
     struct backend_change change = backend_pool_hear(edge->pool, backend, &statement, now);
+    if (statement.leaving)
+        backend_note_leaving(backend, now);
     if (change.now_leaving && !backend->load.leaving)
         log_leaving(backend, "answer", head->request_id);
     if (change.now_backed_off)
@@ -57,7 +59,9 @@
 {
     const struct backend *before = backend_pool_find_address(edge->pool, address);
     bool known = before && (before->leaving || before->load.leaving);
-    const struct backend *backend = backend_pool_report(edge->pool, address, load, cluster_now());
+    struct backend *backend = backend_pool_report(edge->pool, address, load, cluster_now());
+    if (backend && load->leaving)
+        backend_note_leaving(backend, cluster_now());
     if (backend && load->leaving && !known)
         log_leaving(backend, "report", "-");
     return backend != NULL;
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -231,13 +231,6 @@
     check->runs[check->run_count++] = *run;
 }
 
-/* It ends because it was told to. What an outage of the list dropped may live. */
-static bool leaves(const struct backend *backend)
-{
-    return backend->listing.draining || backend->leaving || backend->load.leaving ||
-           (backend->unlisted_until && !backend->doubtful);
-}
-
 void crash_watch_lost_run(struct edge *edge, struct backend *backend,
                           const struct request_identity *identity, const char *request_id,
                           uint64_t sent_at)
@@ -249,12 +242,14 @@
         gather(check);
     if (sent_at > check->sent_at)
         check->sent_at = sent_at;
-    check->planned |= leaves(backend);
+    check->planned |= backend_end_is_planned(edge->pool, backend, cluster_now());
     if (check->planned) {
         check->broken_at = cluster_now();
         log_event(LOG_LEVEL_INFO, "crash", "planned",
-                  "request=%s backend=%s draining=%d leaving=%d", request_id, backend->listing.id,
-                  backend->listing.draining, backend->leaving || backend->load.leaving);
+                  "request=%s backend=%s draining=%d leaving=%d known_ms=%" PRIu64, request_id,
+                  backend->listing.id, backend->listing.draining,
+                  backend->leaving || backend->load.leaving,
+                  (cluster_now() - backend->leaves_since) / 1000);
         return;
     }
     struct lost_run run = {*identity, crash_attempt_key(request_id), cluster_now()};
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -5,8 +5,9 @@
  * One broken connection proves nothing: connections are reset on their way, and an engine may break
  * an answer off and live on. A back end counts as ended when none of this gateway's connections to
  * it is left and a new one is refused, or when another start stands at its address soon after. One
- * that said it leaves, or that the list dropped while its keeper worked, ends as planned: that
- * proves nothing against a request, and is no fault of the streams that it ran.
+ * that said it leaves, or that the list dropped while its keeper worked, serves on for a time that
+ * the platform promises; an end after that is planned, and proves nothing against a request. An end
+ * before it is one like any other.
  */
 #ifndef SHUNTRUN_CRASH_WATCH_H
 #define SHUNTRUN_CRASH_WATCH_H
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -221,9 +221,16 @@
     return 0;
 }
 
+/* What leaves serves on for the bound, from when its list knows: that is some time before this
+ * gateway does. */
+static uint64_t serves_on_us(const struct settings *settings)
+{
+    return settings->drain_bound_ms * 1000 - DRAIN_MARGIN_US;
+}
+
 static uint64_t unlisted_us(const struct settings *settings)
 {
-    uint64_t bound = settings->drain_bound_ms * 1000 - DRAIN_MARGIN_US;
+    uint64_t bound = serves_on_us(settings);
     return bound < UNLISTED_MOST_US ? bound : UNLISTED_MOST_US;
 }
 
@@ -241,6 +248,7 @@
                                          .load_fresh_us = LOAD_FRESH_US,
                                          .near_fresh_us = NEAR_LOAD_FRESH_US,
                                          .unlisted_us = unlisted_us(settings),
+                                         .serves_on_us = serves_on_us(settings),
                                          .created = cluster_now()};
     edge->settings = settings;
     edge->loop = uv_default_loop();
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -91,6 +91,14 @@
     return !edge->table || route_table_find_service(edge->table, service) != ROUTE_NO_SERVICE;
 }
 
+/* \return since when an entry says what it says; 0: that is not known, as it was taken over whole,
+ * or came while the list's keeper failed */
+static uint64_t time_of_news(const struct edge *edge, const struct state_item *item)
+{
+    bool at_start = cluster_now() < edge->started + FIRST_NEWS_US;
+    return at_start || !cluster_store_is_sound(&edge->cluster) ? 0 : item->learned;
+}
+
 static void take_backend(struct edge *edge, const char *id, const struct state_item *item)
 {
     struct backend_listing listing;
@@ -109,8 +117,10 @@
         refuse_backend(edge, id, item, "its service is not configured");
         return;
     }
-    const struct backend *backend =
+    struct backend *backend =
         backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
+    if (backend->listing.draining)
+        backend_note_leaving(backend, time_of_news(edge, item));
     log_event(LOG_LEVEL_INFO, "backend", "listed",
               "id=%s born=%" PRIu64 " service=%s address=%s zone=%s draining=%d weights=%" PRIu64
               " revision=%" PRIu64 " sequence=%" PRIu64 " age_ms=%" PRIu64
--- a/tests/core/backend_statement_test.c
+++ b/tests/core/backend_statement_test.c
@@ -13,7 +13,8 @@
                                                       .tokens_per_engine = 100000,
                                                       .load_fresh_us = SECOND_US,
                                                       .near_fresh_us = SECOND_US,
-                                                      .unlisted_us = 2 * SECOND_US};
+                                                      .unlisted_us = 2 * SECOND_US,
+                                                      .serves_on_us = 2 * SECOND_US};
 
 static const struct backend_statement leaves = {.leaving = true};
 static const struct backend_statement works = {.works = true};
@@ -377,6 +378,55 @@
     }
 }
 
+/* Guards against a request that ended leaving engines and was sent on: no such end counted. */
+static void an_end_is_planned_once_the_promised_time_is_over(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = list(pool, 1, 5);
+    assert_false(backend_end_is_planned(pool, backend, 100 * SECOND_US));
+    backend_pool_hear(pool, backend, &leaves, 100 * SECOND_US);
+    backend_note_leaving(backend, 100 * SECOND_US);
+    backend_note_leaving(backend, 101 * SECOND_US); /* the first word counts */
+    assert_false(backend_end_is_planned(pool, backend, 102 * SECOND_US - 1));
+    assert_true(backend_end_is_planned(pool, backend, 102 * SECOND_US));
+    backend = list(pool, 1, 6); /* the next start says nothing */
+    assert_false(backend_end_is_planned(pool, backend, 110 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void an_end_is_planned_where_it_is_not_known_since_when_it_leaves(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = list(pool, 1, 5);
+    backend_pool_hear(pool, backend, &leaves, 100 * SECOND_US);
+    backend_note_leaving(backend, 0);
+    assert_true(backend_end_is_planned(pool, backend, 100 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void what_the_list_dropped_serves_on_too_and_may_come_back(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = list(pool, 1, 5);
+    unlist(pool, false, 100 * SECOND_US);
+    assert_false(backend_end_is_planned(pool, backend, 101 * SECOND_US));
+    assert_true(backend_end_is_planned(pool, backend, 102 * SECOND_US));
+    backend = list(pool, 1, 5);
+    assert_false(backend_end_is_planned(pool, backend, 103 * SECOND_US));
+    unlist(pool, false, 104 * SECOND_US);
+    assert_false(backend_end_is_planned(pool, backend, 105 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void what_an_outage_dropped_may_live(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = list(pool, 1, 5);
+    unlist(pool, true, 100 * SECOND_US);
+    assert_false(backend_end_is_planned(pool, backend, 110 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -393,6 +443,10 @@
         cmocka_unit_test(others_are_used_while_one_is_left_alone),
         cmocka_unit_test(a_start_that_the_list_names_late_is_left_alone_as_it_asked),
         cmocka_unit_test(no_order_of_events_sends_to_who_does_not_want_it),
+        cmocka_unit_test(an_end_is_planned_once_the_promised_time_is_over),
+        cmocka_unit_test(an_end_is_planned_where_it_is_not_known_since_when_it_leaves),
+        cmocka_unit_test(what_the_list_dropped_serves_on_too_and_may_come_back),
+        cmocka_unit_test(what_an_outage_dropped_may_live),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/system/crash_test.py
+++ b/tests/system/crash_test.py
@@ -28,6 +28,7 @@
 EVIDENCE = 3     # ended engines after which a request is not run any more
 ENDED_MOST = 6   # engines that one request may end: the evidence, and what was on its way
 REPEAT_S = 0.2
+SERVES_ON_S = 2.0  # for which the platform promises that an engine serves after it said that it leaves
 REASON = b"several back ends ended"  # in the answer to such a request
 PLAY_S = 8.0
 
@@ -173,25 +174,37 @@
     ENGINES = 4
     EVENT_GAP_S = 0.05
 
-    def end_is_known(self):
-        return any("event=ended" in line and "planned=1" in line for line in gateway_lines(self))
+    def end_is_known(self, planned):
+        return any("event=ended" in line and "planned=%d" % planned in line
+                   for line in gateway_lines(self))
 
-    def test_an_engine_that_said_that_it_leaves_ends_as_planned(self):
-        """What ran there is under no suspicion, though the list does not say yet that it leaves."""
-        readers = [streams.Reader("planned-%d" % n, 60) for n in range(8)]
+    def end_a_leaving_engine(self, after_s):
+        """Its end breaks streams off, so long after the gateway knows that it leaves."""
+        readers = [streams.Reader("planned-%d" % n, 100) for n in range(8)]
         platform.wait_for(lambda: all(self.runs(r.identity) for r in readers), "streams under way")
         engine = self.engine_of(readers[0].identity)
         engine.say_leaving()
         # An answer tells the gateway, or the engine's report to its loader does.
         platform.wait_for(lambda: platform.metric("shuntrun_backends_leaving_total") == 1, "news")
+        time.sleep(after_s)
         engine.crash()
         for reader in readers:
             self.assert_whole(reader)
         self.assertEqual(self.runs(readers[0].identity), 2)
-        platform.wait_for(self.end_is_known, "the end, known as planned")
+
+    def test_an_engine_that_said_that_it_leaves_ends_as_planned(self):
+        """What ran there is under no suspicion, though the list does not say yet that it leaves."""
+        self.end_a_leaving_engine(SERVES_ON_S)
+        platform.wait_for(lambda: self.end_is_known(planned=True), "the end, known as planned")
         self.assertEqual(platform.metric("shuntrun_backend_crashes_total"), 0)
         self.assertEqual(platform.metric("shuntrun_crash_suspects"), 0)
 
+    def test_an_engine_that_leaves_and_ends_before_its_time_has_crashed(self):
+        """A request that ended such engines was sent on beyond the third end: none of them counted."""
+        self.end_a_leaving_engine(0.0)
+        platform.wait_for(lambda: self.end_is_known(planned=False), "the end, known as a crash")
+        self.assertEqual(platform.metric("shuntrun_backend_crashes_total"), 1)
+
 
 class EndsInTurn(streams.Fleet):
     ENGINES = 4
@@ -201,9 +214,9 @@
         """One that ended notices only at its next event that nobody reads its stream any more."""
         return next(e for e in self.engines if e.running and e is not ended)
 
-    def end_in_turn(self, end):
+    def end_in_turn(self, end, events=40):
         """Its route allows two attempts, but an engine that ended is not the stream's fault."""
-        reader, engine = self.read_from("outlives", 40)
+        reader, engine = self.read_from("outlives", events)
         for runs in (2, 3):
             time.sleep(0.3)
             end(engine)
@@ -217,9 +230,9 @@
     def test_a_stream_outlives_engines_that_leave_and_end(self):
         def leave_and_end(engine):
             engine.say_leaving()
-            time.sleep(0.3)  # its report to its loader, each 60 ms, says so
+            time.sleep(SERVES_ON_S + 0.1)  # its report to its loader, each 60 ms, says so
             engine.crash()
-        self.end_in_turn(leave_and_end)
+        self.end_in_turn(leave_and_end, events=108)
         self.assertEqual(platform.metric("shuntrun_backend_crashes_total"), 0)
 
     def test_a_stream_outlives_engines_that_start_again_at_once(self):
