Requests that may crash back ends run apart, and are blocked by proof alone

Cause: all that were at an end moved on together, to the one or two engines that were left, and met the next end together; then no rule over the table can tell them apart, and five shared ends blocked. Besides: a verdict was taken back by later ends of others, and acted on before all gateways knew who else had been there.

Change (group testing): who was at two unexplained ends runs at a back end without another such request. Gateways agree by leases that travel with the evidence (core/crash_lease): asked for, sent 30 ms later if nobody goes before it, of two that ask at once the more suspect first. Who was at an end before waits until it is known whether its back end has ended. core/crash_verdict: an end is proof where nobody else there had reason to be isolated; ends with a blocked request are explained for all others; who is blocked is judged by evidence up to its last end alone; a verdict counts once news of that end have reached all (0.2 s). Where back ends end without a likely cause, three proofs are wanted instead of one. Three unexplained ends without proof hold back, for 10 s and twice as long with each further end: refused as not run, with a time to come back. Ended starts of one moment count twice at most for that.

Why it works: an innocent request that runs apart runs to its end and is cleared, or its end is shared with no suspect; a crashing one is alone at its next end. Ruled out on the way, by soaks here: one proof everywhere (streams met first ends of other crashing requests), proofs counted over all time (verdicts were taken back), explaining ends before a verdict has settled.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -28,6 +28,8 @@
       "requests whose back end broke its connection before a whole answer")                        \
     X(METRIC_CRASHES, "shuntrun_backend_crashes_total",                                            \
       "starts of back ends that ended with requests of this gateway")                              \
+    X(METRIC_REQUESTS_HELD, "shuntrun_held_requests_total",                                        \
+      "requests that waited to run apart from others that may crash back ends")                    \
     X(METRIC_REQUESTS_BLOCKED, "shuntrun_blocked_requests_total",                                  \
       "requests not run, as they crash back ends")                                                 \
     X(METRIC_TOKENS, "shuntrun_tokens_total", "tokens passed to callers")                          \
--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -89,6 +89,8 @@
     suspect->identity.data = entry->identity.bytes;
     suspect->identity.len = sizeof entry->identity.bytes;
     suspect->cleared_age_ms = entry->cleared_at ? age_ms(entry->cleared_at, now) + 1 : 0;
+    suspect->lease_start = entry->lease.start;
+    suspect->lease_age_ms = entry->lease.start ? age_ms(entry->lease.since, now) : 0;
     suspect->starts = out->start_pointers[place];
     suspect->n_starts = entry->start_count;
     for (uint32_t i = 0; i < entry->start_count; i++) {
@@ -212,6 +214,9 @@
     memcpy(entry->identity.bytes, suspect->identity.data, sizeof entry->identity.bytes);
     if (suspect->cleared_age_ms)
         entry->cleared_at = time_of_age(suspect->cleared_age_ms - 1, now);
+    if (suspect->lease_start)
+        entry->lease =
+            (struct crash_lease){suspect->lease_start, time_of_age(suspect->lease_age_ms, now)};
     for (size_t i = 0; i < suspect->n_starts && i < CRASH_STARTS_KEPT; i++)
         entry->starts[entry->start_count++] = (struct crash_start){
             suspect->starts[i]->start, time_of_age(suspect->starts[i]->age_ms, now),
--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -1,6 +1,7 @@
 /* Which of the back ends that are fit gets a request: what has room, and which of these is the
  * best. */
 #include "core/backend_pool_internal.h"
+#include "core/crash_table.h"
 #include "core/hash.h"
 
 /** Parts of the expected time to the first token at an engine, ms. */
@@ -276,6 +277,31 @@
     return best ? best : offer->ejected;
 }
 
+static bool is_barred(const struct backend_wish *wish, uint64_t start)
+{
+    for (uint32_t i = 0; i < wish->barred_count; i++)
+        if (wish->barred_starts[i] == start)
+            return true;
+    return false;
+}
+
+/* Weights of back ends that are not barred lie above all others. */
+#define RANK_FREE ((uint64_t)1 << 63)
+
+/* Its weight for a rank key; 0: the request must not run there. */
+static uint64_t rank_weight(const struct backend_wish *wish, const struct backend *backend)
+{
+    uint64_t weight = (hash_pair(wish->rank_key, hash_name(backend->listing.id)) >> 1) | 1;
+    if (!wish->barred_count && !wish->leased_start)
+        return weight | RANK_FREE;
+    uint64_t start = crash_start_key(backend->listing.id, backend->listing.born);
+    if (start == wish->leased_start)
+        return is_barred(wish, start) ? 0 : UINT64_MAX;
+    if (!is_barred(wish, start))
+        return weight | RANK_FREE;
+    return wish->isolated ? 0 : weight;
+}
+
 /* By a key alone, so that all gateways choose alike. */
 static enum backend_absence choose_by_rank(const struct backend_pool *pool,
                                            const struct backend_wish *wish, uint64_t now,
@@ -293,8 +319,8 @@
         if (is_ejected(backend, now) || (needs_probe(backend, now) && backend->probing) ||
             (!wish->any_load && !has_room(pool, wish, backend, now)))
             continue;
-        uint64_t weight = hash_pair(wish->rank_key, hash_name(backend->listing.id));
-        if (*chosen && weight <= best_weight)
+        uint64_t weight = rank_weight(wish, backend);
+        if (weight <= best_weight)
             continue;
         best_weight = weight;
         *chosen = backend;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -216,6 +216,12 @@
     /** Not 0: of the back ends with room the first by rendezvous weight for this key gets it. Same
      *  requests meet at one back end then, and others rarely do. */
     uint64_t rank_key;
+    /** With a rank key: starts of back ends at which other requests run apart from those that may
+     *  crash back ends (crash_start_key()). */
+    const uint64_t *barred_starts;
+    uint32_t barred_count;
+    bool isolated; /**< it must not run there, they count as full; else it goes there last */
+    uint64_t leased_start; /**< that it goes to before all others; 0: none */
 };
 
 enum backend_absence {
--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -9,18 +9,24 @@
 struct crash_table {
     struct crash_entry *entries;
     uint32_t count;
+    struct crash_finding *findings; /* of each entry, as of the last judgement */
+    uint64_t *judged_until;         /* time from which that may be another; 0: it is */
 };
 
 struct crash_table *crash_table_create(void)
 {
     struct crash_table *table = memory_zero(1, sizeof *table);
     table->entries = memory_zero(CRASH_ENTRIES_MOST, sizeof *table->entries);
+    table->findings = memory_zero(CRASH_ENTRIES_MOST, sizeof *table->findings);
+    table->judged_until = memory_zero(1, sizeof *table->judged_until);
     return table;
 }
 
 void crash_table_destroy(struct crash_table *table)
 {
     free(table->entries);
+    free(table->findings);
+    free(table->judged_until);
     free(table);
 }
 
@@ -49,12 +55,15 @@
     return entry->start_count ? entry->starts[entry->start_count - 1].ended_at : 0;
 }
 
-uint32_t crash_entry_weight(const struct crash_entry *entry)
+uint32_t crash_entry_weight_without(const struct crash_entry *entry,
+                                    const bool without[CRASH_STARTS_KEPT])
 {
     uint32_t weight = 0;
     uint64_t counted_at = 0;
     for (uint32_t i = 0; i < entry->start_count; i++) {
         uint64_t ended_at = entry->starts[i].ended_at;
+        if (without[i])
+            continue;
         if (weight && ended_at < counted_at + CRASH_SAME_MOMENT_US)
             continue;
         counted_at = ended_at;
@@ -63,6 +72,17 @@
     return weight;
 }
 
+uint32_t crash_entry_weight(const struct crash_entry *entry)
+{
+    static const bool none[CRASH_STARTS_KEPT];
+    return crash_entry_weight_without(entry, none);
+}
+
+uint64_t crash_entry_settled_at(const struct crash_entry *entry)
+{
+    return newest_end(entry) + CRASH_NEWS_US;
+}
+
 static void remove_start(struct crash_entry *entry, uint32_t place)
 {
     entry->start_count--;
@@ -82,14 +102,6 @@
     entry->starts[place] = *start;
 }
 
-static bool is_of_one_attempt(const struct crash_entry *entry)
-{
-    for (uint32_t i = 1; i < entry->start_count; i++)
-        if (entry->starts[i].attempt != entry->starts[0].attempt)
-            return false;
-    return true;
-}
-
 /* \return place, or the number of starts */
 static uint32_t find_start(const struct crash_entry *entry, uint64_t start)
 {
@@ -132,15 +144,6 @@
     return is_news;
 }
 
-/* \return whether the one request was there at the end of all the starts of the other */
-static bool was_at_all(const struct crash_entry *entry, const struct crash_entry *other)
-{
-    for (uint32_t i = 0; i < other->start_count; i++)
-        if (find_start(entry, other->starts[i].start) == entry->start_count)
-            return false;
-    return true;
-}
-
 /* --- the table -----------------------------------------------------------------------------------
  */
 
@@ -209,6 +212,7 @@
 {
     struct crash_entry *entry = find_or_add(table, identity);
     bool is_new = add_start(entry, start);
+    *table->judged_until = 0;
     entry->untold |= is_new;
     return is_new;
 }
@@ -220,6 +224,7 @@
     if (!entry || !entry->start_count)
         return false;
     clear_until(entry, at);
+    *table->judged_until = 0;
     entry->untold = true; /* to whom the ends were told */
     return true;
 }
@@ -228,81 +233,112 @@
 {
     struct crash_entry *entry = find_or_add(table, &other->identity);
     bool changed = clear_until(entry, other->cleared_at);
+    *table->judged_until = 0;
     for (uint32_t i = 0; i < other->start_count; i++)
         changed |= add_start(entry, &other->starts[i]);
+    if (crash_lease_replaces(&other->lease, &entry->lease)) {
+        entry->lease = other->lease;
+        changed = true;
+    }
     entry->shared |= !other->start_count; /* only of these one tells that they are cleared */
     entry->untold |= changed && entry->shared;
     return changed;
 }
 
-static bool somebody_else_was_at_all(const struct crash_table *table,
-                                     const struct crash_entry *entry)
+/* --- verdicts ------------------------------------------------------------------------------------
+ */
+
+/* \return what follows for an entry, or NULL when there is none of the request */
+static const struct crash_finding *
+find_finding(const struct crash_table *table, const struct request_identity *identity, uint64_t now)
 {
-    for (uint32_t i = 0; i < table->count; i++)
-        if (&table->entries[i] != entry && was_at_all(&table->entries[i], entry))
-            return true;
-    return false;
+    const struct crash_entry *entry = table->count ? lookup(table, identity) : NULL;
+    if (!entry || !entry->start_count)
+        return NULL;
+    if (now >= *table->judged_until)
+        *table->judged_until =
+            crash_verdict_judge(table->entries, table->count, now, table->findings);
+    return &table->findings[entry - table->entries];
 }
 
-/* \return whether some start ended lately without the request: not all ends are of its making */
-static bool others_ended(const struct crash_table *table, const struct crash_entry *entry)
+enum crash_verdict crash_table_judge(const struct crash_table *table,
+                                     const struct request_identity *identity, uint64_t now)
 {
-    uint64_t since =
-        newest_end(entry) > CRASH_SUSPECT_US ? newest_end(entry) - CRASH_SUSPECT_US : 0;
-    for (uint32_t i = 0; i < table->count; i++) {
-        const struct crash_entry *other = &table->entries[i];
-        for (uint32_t k = 0; k < other->start_count; k++)
-            if (other->starts[k].ended_at >= since &&
-                find_start(entry, other->starts[k].start) == entry->start_count)
-                return true;
-    }
-    return false;
+    const struct crash_finding *finding = find_finding(table, identity, now);
+    if (!finding)
+        return CRASH_NO_SUSPECT;
+    bool lately = now < newest_end(lookup(table, identity)) + CRASH_BLOCK_US;
+    return finding->blocked && lately ? CRASH_BLOCKED : CRASH_SUSPECT;
 }
 
-/* \return whether another request was at this end that was at as many of them */
-static bool is_explained(const struct crash_table *table, const struct crash_entry *entry,
-                         uint64_t start)
+bool crash_table_isolates(const struct crash_table *table, const struct request_identity *identity,
+                          uint64_t now)
 {
-    for (uint32_t i = 0; i < table->count; i++) {
-        const struct crash_entry *other = &table->entries[i];
-        if (other != entry && other->start_count >= entry->start_count &&
-            find_start(other, start) < other->start_count)
-            return true;
-    }
-    return false;
+    return crash_table_finding(table, identity, now).isolated;
 }
 
-static bool are_all_explained(const struct crash_table *table, const struct crash_entry *entry)
+struct crash_finding crash_table_finding(const struct crash_table *table,
+                                         const struct request_identity *identity, uint64_t now)
 {
-    for (uint32_t i = 0; i < entry->start_count; i++)
-        if (!is_explained(table, entry, entry->starts[i].start))
-            return false;
-    return true;
+    const struct crash_finding *finding = find_finding(table, identity, now);
+    return finding ? *finding : (struct crash_finding){0};
 }
 
-/* Others may have ended all the starts: one that was at each of them, or, where back ends end
- * without this request as well, several. */
-static bool others_explain_it(const struct crash_table *table, const struct crash_entry *entry)
+uint64_t crash_table_held_until(const struct crash_table *table,
+                                const struct request_identity *identity, uint64_t now)
 {
-    return somebody_else_was_at_all(table, entry) ||
-           (others_ended(table, entry) && are_all_explained(table, entry));
+    const struct crash_finding *finding = find_finding(table, identity, now);
+    if (!finding || finding->settled)
+        return 0;
+    return crash_verdict_held_until(finding, newest_end(lookup(table, identity)), now);
 }
 
-enum crash_verdict crash_table_judge(const struct crash_table *table,
-                                     const struct request_identity *identity, uint64_t now)
+/* --- leases --------------------------------------------------------------------------------------
+ */
+
+/* Nodes that hold the same entries order two requests alike. */
+static bool is_more_suspect(const struct crash_table *table, const struct crash_entry *entry,
+                            const struct crash_entry *than)
 {
-    const struct crash_entry *entry = table->count ? lookup(table, identity) : NULL;
-    if (!entry || !entry->start_count)
-        return CRASH_NO_SUSPECT;
-    uint32_t weight = crash_entry_weight(entry);
-    bool lately = now < newest_end(entry) + CRASH_BLOCK_US;
-    uint32_t wanted =
-        is_of_one_attempt(entry) ? CRASH_STARTS_TO_BLOCK_ONE_ATTEMPT : CRASH_STARTS_TO_BLOCK;
-    if (weight < wanted || !lately)
-        return CRASH_SUSPECT;
-    if (weight < CRASH_STARTS_TO_BLOCK_ANY && others_explain_it(table, entry))
-        return CRASH_SUSPECT;
-    return CRASH_BLOCKED;
+    uint32_t unexplained = table->findings[entry - table->entries].unexplained;
+    uint32_t other = table->findings[than - table->entries].unexplained;
+    if (unexplained != other)
+        return unexplained > other;
+    return memcmp(&entry->identity, &than->identity, sizeof entry->identity) < 0;
+}
+
+struct crash_lease crash_table_lease(struct crash_table *table,
+                                     const struct request_identity *identity, uint64_t start,
+                                     uint64_t now)
+{
+    struct crash_entry *entry = lookup(table, identity);
+    if (!entry)
+        return (struct crash_lease){0};
+    if (crash_lease_is_valid(&entry->lease, now) && entry->lease.start == start)
+        return entry->lease;
+    entry->lease = (struct crash_lease){start, now};
+    entry->untold = true;
+    return entry->lease;
+}
+
+uint32_t crash_table_barred(const struct crash_table *table,
+                            const struct request_identity *identity, uint64_t now, uint64_t *starts)
+{
+    uint32_t count = 0;
+    const struct crash_finding *own_finding = find_finding(table, identity, now);
+    const struct crash_entry *own = own_finding ? lookup(table, identity) : NULL;
+    for (uint32_t i = 0; own && i < table->count && count < CRASH_BARRED_MOST; i++) {
+        const struct crash_entry *other = &table->entries[i];
+        if (other == own || !table->findings[i].isolated ||
+            !crash_lease_is_valid(&other->lease, now))
+            continue;
+        struct crash_lease lease = own->lease;
+        if (lease.start != other->lease.start)
+            lease = (struct crash_lease){other->lease.start, now};
+        if (!crash_lease_goes_before(&lease, &other->lease, is_more_suspect(table, own, other)))
+            starts[count++] = other->lease.start;
+    }
+    return count;
 }
 
 static bool is_over(const struct crash_entry *entry, uint64_t now)
@@ -316,6 +352,7 @@
     for (uint32_t i = table->count; i-- > 0;)
         if (is_over(&table->entries[i], now))
             table->entries[i] = table->entries[--table->count];
+    *table->judged_until = 0;
 }
 
 uint32_t crash_table_count(const struct crash_table *table)
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -6,35 +6,22 @@
  * once, however many gateways report it, and all that a table holds merges in any order: of a start
  * the earliest time of its end is kept, of a request's good end the latest.
  *
- * Being there is not being the cause. A request is
- * - a suspect once it was there at the end of one start, and
- * - blocked once it was there at CRASH_STARTS_TO_BLOCK of them, unless another request was there at
- *   all of these too, or, where back ends end without it as well, each of its ends had another one
- *   that was at as many. Whoever asks sends suspects to back ends of their own, so that the next
- *   end tells them apart. Of 1,000 small worlds with 12 back ends and three requests that crash
- *   them, 46 others were blocked without the second part, none with it; 8.3 and 8.4 back ends ended
- *   in each (tests/core/crash_table_test.c).
- * A request that ran to its end is cleared of all that was before.
+ * Being there is not being the cause: core/crash_verdict tells from all entries what follows for
+ * each of them. A request that ran to its end is cleared of all that was before. A request that is
+ * to run apart from others holds a lease on a start of a back end: see core/crash_lease.
  *
  * No clock, socket or thread. Times are microseconds of a clock that does not step back.
  */
 #ifndef SHUNTRUN_CRASH_TABLE_H
 #define SHUNTRUN_CRASH_TABLE_H
 
+#include "core/crash_lease.h"
+#include "core/crash_verdict.h"
 #include "core/request_identity.h"
 
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Ended starts that block a request. Two are met by chance: a stream whose engine ends goes on at
- *  another one, where a suspect may run. */
-#define CRASH_STARTS_TO_BLOCK 3
-/** Ended starts that block a request of which one attempt of its caller was at all of them: a begun
- *  stream goes on wherever it can, and meets others' ends by that. */
-#define CRASH_STARTS_TO_BLOCK_ONE_ATTEMPT 4
-/** Ended starts that block a request whoever else was there: two requests that each crash back ends
- *  may always have met. */
-#define CRASH_STARTS_TO_BLOCK_ANY 5
 /** Starts that end within this time count as one: what ends many at the same moment is a loss of
  *  power or the like, and no request. Gateways see one end up to some 10 ms apart. */
 #define CRASH_SAME_MOMENT_US ((uint64_t)30000)
@@ -62,9 +49,10 @@
     struct request_identity identity;
     struct crash_start starts[CRASH_STARTS_KEPT]; /**< the earliest end first */
     uint32_t start_count;
-    uint64_t cleared_at; /**< time of its last good end; 0: none is known */
-    bool shared;         /**< it was there at more than one end once: all gateways keep it */
-    bool untold;         /**< others were not told of the last change */
+    uint64_t cleared_at;      /**< time of its last good end; 0: none is known */
+    struct crash_lease lease; /**< of the back end at which it runs apart from others */
+    bool shared;              /**< it was there at more than one end once: all gateways keep it */
+    bool untold;              /**< others were not told of the last change */
 };
 
 enum crash_verdict {
@@ -103,6 +91,36 @@
 bool crash_table_merge(struct crash_table *table, const struct crash_entry *entry);
 enum crash_verdict crash_table_judge(const struct crash_table *table,
                                      const struct request_identity *identity, uint64_t now);
+/** News of an end reach all gateways within this time, as long as their links work: a verdict that
+ * rests on a later one may still change. */
+#define CRASH_NEWS_US ((uint64_t)200000)
+/** \return time from which the ends of a request are known everywhere */
+uint64_t crash_entry_settled_at(const struct crash_entry *entry);
+/** \return whether the request may run only where no other one of this kind does */
+bool crash_table_isolates(const struct crash_table *table, const struct request_identity *identity,
+                          uint64_t now);
+/** \return time up to which the request must not run, where it is not blocked; 0: it may */
+uint64_t crash_table_held_until(const struct crash_table *table,
+                                const struct request_identity *identity, uint64_t now);
+/** \return what follows from all entries for a request; nothing where none is held of it */
+struct crash_finding crash_table_finding(const struct crash_table *table,
+                                         const struct request_identity *identity, uint64_t now);
+/**
+ * \brief An isolated request asks for a back end, or is told to run there by this node.
+ * \param start see crash_start_key()
+ * \return the lease that it holds now: an older one that is valid stays
+ */
+struct crash_lease crash_table_lease(struct crash_table *table,
+                                     const struct request_identity *identity, uint64_t start,
+                                     uint64_t now);
+/**
+ * \brief The starts of back ends that other isolated requests hold.
+ * \param starts CRASH_BARRED_MOST of them at most, written
+ * \return their number
+ */
+uint32_t crash_table_barred(const struct crash_table *table,
+                            const struct request_identity *identity, uint64_t now,
+                            uint64_t *starts);
 /** \brief Forget what is too old. */
 void crash_table_trim(struct crash_table *table, uint64_t now);
 
@@ -114,6 +132,9 @@
                                            const struct request_identity *identity);
 /** \return starts that count, those that ended at the same moment once */
 uint32_t crash_entry_weight(const struct crash_entry *entry);
+/** \return the same without those whose place in `without` is true */
+uint32_t crash_entry_weight_without(const struct crash_entry *entry,
+                                    const bool without[CRASH_STARTS_KEPT]);
 /** News of an end reach all gateways within this time; only then a digest counts it. */
 #define CRASH_SETTLED_US ((uint64_t)500000)
 /**
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -74,21 +74,43 @@
         uv_close((uv_handle_t *)&check->connection, on_closed);
 }
 
-static void add_evidence(struct crash_check *check, const struct lost_run *run)
+static bool was_at_end(const struct crash_check *check, const struct lost_run *run)
 {
-    const struct request_identity *identity = &run->identity;
-    struct crash_table *table = crash_sync_table(check->edge->cluster.crashes);
-    struct crash_start start = {check->start, check->broken_at, run->attempt};
-    char hex[REQUEST_IDENTITY_HEX_SIZE];
-    if (!crash_table_add(table, identity, &start))
+    return run->broken_at + SAME_END_US >= check->broken_at;
+}
+
+static void log_evidence(const struct crash_check *check, const struct lost_run *run, uint64_t now)
+{
+    const struct crash_table *table = crash_sync_table(check->edge->cluster.crashes);
+    const struct crash_entry *entry = crash_table_find(table, &run->identity);
+    if (!entry)
         return;
-    const struct crash_entry *entry = crash_table_find(table, identity);
-    enum crash_verdict verdict = crash_table_judge(table, identity, cluster_now());
-    request_identity_to_hex(identity, hex);
+    struct crash_finding finding = crash_table_finding(table, &run->identity, now);
+    char hex[REQUEST_IDENTITY_HEX_SIZE];
+    request_identity_to_hex(&run->identity, hex);
     log_event(LOG_LEVEL_WARN, "crash", "evidence",
-              "identity=%s backend=%s born=%" PRIu64 " starts=%u weight=%u outcome=%s", hex,
-              check->backend->listing.id, check->backend->listing.born, entry->start_count,
-              crash_entry_weight(entry), crash_verdict_name(verdict));
+              "identity=%s backend=%s born=%" PRIu64 " start=%08" PRIx32
+              " starts=%u weight=%u unexplained=%u proofs=%u isolated=%d outcome=%s",
+              hex, check->backend->listing.id, check->backend->listing.born, (uint32_t)check->start,
+              entry->start_count, crash_entry_weight(entry), finding.unexplained, finding.proofs,
+              finding.isolated, crash_verdict_name(crash_table_judge(table, &run->identity, now)));
+}
+
+/* All that were there are known before any of them is judged. */
+static void add_evidence(struct crash_check *check)
+{
+    struct crash_table *table = crash_sync_table(check->edge->cluster.crashes);
+    uint64_t now = cluster_now();
+    check->start = crash_table_start_of_run(table, check->start, check->sent_at);
+    for (uint32_t i = 0; i < check->run_count; i++) {
+        const struct lost_run *run = &check->runs[i];
+        struct crash_start start = {check->start, check->broken_at, run->attempt};
+        if (was_at_end(check, run))
+            crash_table_add(table, &run->identity, &start);
+    }
+    for (uint32_t i = 0; i < check->run_count; i++)
+        if (was_at_end(check, &check->runs[i]))
+            log_evidence(check, &check->runs[i], now);
 }
 
 static void confirm(struct crash_check *check, const char *proof)
@@ -100,11 +122,7 @@
               "backend=%s born=%" PRIu64 " proof=%s planned=%d requests=%u ended_ms_ago=%" PRIu64,
               check->backend->listing.id, check->backend->listing.born, proof, check->planned,
               check->run_count, (cluster_now() - check->broken_at) / 1000);
-    check->start = crash_table_start_of_run(crash_sync_table(edge->cluster.crashes), check->start,
-                                            check->sent_at);
-    for (uint32_t i = 0; i < check->run_count; i++)
-        if (check->runs[i].broken_at + SAME_END_US >= check->broken_at)
-            add_evidence(check, &check->runs[i]);
+    add_evidence(check);
     end_check(check);
     crash_sync_tell(edge->cluster.crashes);
     edge_client_end_blocked(edge);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -84,6 +84,7 @@
 static void on_suspects_changed(void *context)
 {
     edge_client_end_blocked(context);
+    exchange_dispatch_waiting(context);
 }
 
 /* --- readiness
@@ -166,6 +167,7 @@
     count_gateways(edge);
     weight_relay_tick(edge->relay, now);
     crash_watch_tick(edge, now);
+    edge_client_end_blocked(edge);
     backend_pool_settle(edge->pool, cluster_store_is_sound(&edge->cluster), now);
     sweep_connections(edge, now);
     exchange_dispatch_waiting(edge);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -9,6 +9,7 @@
 #include "core/backend_pool.h"
 #include "core/caller_return.h"
 #include "core/come_back.h"
+#include "core/crash_lease.h"
 #include "core/event_stream.h"
 #include "core/overload.h"
 #include "core/repeat_budget.h"
@@ -67,10 +68,11 @@
     struct edge_client *clients;
     struct upstream *upstreams;       /**< all connections to back ends, the newest first */
     struct crash_check *crash_checks; /**< broken connections whose back end may have ended */
-    struct exchange *waiting;         /**< requests that wait for a place, most urgent first */
-    uint32_t active;                  /**< requests that have no final answer yet */
-    uint32_t gateways;                /**< alive now, at least 1 */
-    uint32_t gateways_most;           /**< the most seen lately; shares the repeat budget */
+    uint64_t barred_starts[CRASH_BARRED_MOST]; /**< to the request that is placed now */
+    struct exchange *waiting; /**< requests that wait for a place, most urgent first */
+    uint32_t active;          /**< requests that have no final answer yet */
+    uint32_t gateways;        /**< alive now, at least 1 */
+    uint32_t gateways_most;   /**< the most seen lately; shares the repeat budget */
     uint64_t started;
     bool answered;           /**< a client got a whole answer since the start */
     uint64_t stopping_since; /**< 0: not stopping */
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -69,6 +69,7 @@
     [END_RESUME_REFUSED] = "resume-refused",
     [END_BACKEND_ERROR] = "backend-error",
     [END_BLOCKED] = "crashes-back-ends",
+    [END_HELD] = "held",
 };
 
 const char *exchange_end_name(enum exchange_end end)
@@ -244,6 +245,9 @@
     struct edge *edge = exchange->edge;
     uint64_t now = cluster_now();
     uint64_t backoff_end = exchange_backoff_end(exchange, now);
+    uint64_t held_until = exchange_held_until(exchange, now);
+    if (held_until > backoff_end)
+        backoff_end = held_until;
     if (backoff_end)
         return (uint32_t)((backoff_end - now) / MS_US) + 1 +
                (uint32_t)random_below(&edge->random, BACKOFF_SPREAD_MS);
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -31,6 +31,7 @@
     END_RESUME_REFUSED, /**< another answer than the rest of a stream */
     END_BACKEND_ERROR,  /**< the back end reported a failure of its own */
     END_BLOCKED,        /**< it crashes the back ends that run it */
+    END_HELD,           /**< it may crash them, and its turn to run apart did not come in time */
 };
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
@@ -95,6 +96,7 @@
     struct exchange *next_waiting;
     bool in_line;
     bool suspected;  /* a back end broke off while it was there */
+    bool held;       /* it waits, or has waited, to run apart from others */
     bool identified; /* `identity` is worked out */
     struct request_identity identity;
 };
@@ -114,11 +116,31 @@
 bool exchange_is_blocked(struct exchange *exchange);
 /** \return a key by which a suspect is placed apart from others; 0: it is no suspect */
 uint64_t exchange_rank_key(struct exchange *exchange);
+/** \return what is known of it, or NULL */
+const struct crash_entry *exchange_crash_entry(struct exchange *exchange);
 /** \brief Its back end broke the connection, and may have ended. */
 void exchange_on_lost_run(struct exchange *exchange);
 /** \brief A back end ran it to a whole answer and lives. */
 void exchange_ran_well(struct exchange *exchange);
 
+/* --- exchange_isolation.c ---- */
+
+/** \return time up to which it must not go anywhere, as news that decide on it are on their way;
+ * 0: it need not wait */
+uint64_t exchange_suspicion_pause(struct exchange *exchange, uint64_t now);
+/** \return time up to which it is held back, as many back ends ended while it was there; 0: it is
+ * not */
+uint64_t exchange_held_until(struct exchange *exchange, uint64_t now);
+/** \return time at which one that is held back may have become free of suspicion */
+uint64_t exchange_next_held_look(uint64_t held_until, uint64_t now);
+/** \brief Fill in where a request goes that is under suspicion. */
+void exchange_fill_isolation(struct exchange *exchange, uint64_t now, struct backend_wish *wish);
+/**
+ * \brief Ask for a chosen back end, if the request has to run apart from others.
+ * \return time at which to look again; 0: it may be sent there now
+ */
+uint64_t exchange_ask_lease(struct exchange *exchange, const struct backend *backend, uint64_t now);
+
 /* --- exchange_end.c ---- */
 
 /** \return the word for logs */
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -83,8 +83,8 @@
         .any_load = exchange->resuming,
         .expected_us = expected_us(exchange),
         .heard_after = exchange->heard_after,
-        .rank_key = exchange_rank_key(exchange),
     };
+    exchange_fill_isolation(exchange, now, wish);
     for (uint32_t i = exchange->excluded_from; i < exchange->tried_count; i++)
         wish->excluded[wish->excluded_count++] = exchange->tried[i].backend;
 }
@@ -146,16 +146,22 @@
     exchange->in_line = true;
 }
 
-/* While back ends stay full for longer than a caller stays away, one who came back is in time no
- * more and would take the place of one who can be: he looks for what is left now and then. */
-static void wait_apart(struct exchange *exchange, uint64_t now)
+/* No news but time lets it go on. */
+static void wait_until(struct exchange *exchange, uint64_t moment)
 {
     exchange->state = EXCHANGE_WAITING;
-    exchange->next_look = now + RETURNED_LOOK_US;
+    exchange->next_look = moment;
     exchange_leave_line(exchange);
     exchange_arm(exchange);
 }
 
+/* While back ends stay full for longer than a caller stays away, one who came back is in time no
+ * more and would take the place of one who can be: he looks for what is left now and then. */
+static void wait_apart(struct exchange *exchange, uint64_t now)
+{
+    wait_until(exchange, now + RETURNED_LOOK_US);
+}
+
 static void wait_in_line(struct exchange *exchange)
 {
     exchange->state = EXCHANGE_WAITING;
@@ -218,6 +224,25 @@
         on_no_connection(exchange, now);
 }
 
+/* A begun stream is held for as long as it has; any other is refused at once where its turn to run
+ * apart does not come in the time that it may wait. */
+static void hold_until(struct exchange *exchange, uint64_t moment)
+{
+    if (exchange->streaming || moment < exchange->wait_until)
+        wait_until(exchange, exchange_next_held_look(moment, cluster_now()));
+    else
+        exchange_give_up_truly(exchange, END_HELD);
+}
+
+/* \return whether it is not to be sent now, but waits for a lease on the back end */
+static bool waits_for_lease(struct exchange *exchange, const struct backend *backend, uint64_t now)
+{
+    uint64_t moment = exchange_ask_lease(exchange, backend, now);
+    if (moment)
+        hold_until(exchange, moment);
+    return moment;
+}
+
 static void spend_repeat(struct exchange *exchange, uint64_t now)
 {
     if (!exchange->owes_repeat)
@@ -268,6 +293,8 @@
         wait_for_others(exchange, now);
         return;
     }
+    if (waits_for_lease(exchange, backend, now))
+        return;
     exchange_leave_line(exchange);
     spend_repeat(exchange, now);
     send_to(exchange, backend, now);
@@ -280,10 +307,11 @@
     return backend_pool_backoff_end(exchange->edge->pool, &wish, now);
 }
 
-static enum exchange_end end_without_place(enum backend_absence absence, uint64_t backoff_end)
+static enum exchange_end end_without_place(const struct exchange *exchange,
+                                           enum backend_absence absence, uint64_t backoff_end)
 {
     if (absence == BACKEND_FULL)
-        return END_FULL;
+        return exchange->held ? END_HELD : END_FULL;
     return backoff_end ? END_BACKED_OFF : END_NO_BACKEND;
 }
 
@@ -295,11 +323,11 @@
         exchange->tried_count < BACKEND_MAX_EXCLUDED)
         return false;
     exchange->no_backend = absence == BACKEND_NONE && !exchange->tried_count;
-    if (absence == BACKEND_FULL)
+    if (absence == BACKEND_FULL && !exchange->held)
         exchange_count_place(exchange, false);
-    else
+    else if (absence == BACKEND_NONE)
         overload_absent(&exchange->state_of_service->overload);
-    exchange_give_up_truly(exchange, end_without_place(absence, backoff_end));
+    exchange_give_up_truly(exchange, end_without_place(exchange, absence, backoff_end));
     return true;
 }
 
@@ -311,6 +339,8 @@
     fill_wish(exchange, now, &wish);
     enum backend_absence absence = backend_pool_choose(exchange->edge->pool, &wish, now, &backend);
     if (absence == BACKEND_FOUND) {
+        if (waits_for_lease(exchange, backend, now))
+            return;
         exchange_leave_line(exchange);
         send_to(exchange, backend, now);
         return;
@@ -325,7 +355,10 @@
 
 void exchange_dispatch(struct exchange *exchange)
 {
-    if (exchange->streaming)
+    uint64_t pause = exchange_suspicion_pause(exchange, cluster_now());
+    if (pause)
+        hold_until(exchange, pause);
+    else if (exchange->streaming)
         dispatch_begun(exchange);
     else
         dispatch_new(exchange);
@@ -347,6 +380,8 @@
     uint64_t now = cluster_now();
     struct backend_wish wish;
     struct backend *backend;
+    if (exchange_suspicion_pause(exchange, now))
+        return false;
     if (exchange->streaming) {
         dispatch_begun(exchange);
         return !exchange->in_line;
@@ -357,6 +392,8 @@
         return is_given_up(exchange, absence, now);
     if (absence == BACKEND_FULL)
         return false;
+    if (waits_for_lease(exchange, backend, now))
+        return true;
     exchange_leave_line(exchange);
     send_to(exchange, backend, now);
     return true;
--- a/src/edge/exchange_suspicion.c
+++ b/src/edge/exchange_suspicion.c
@@ -6,6 +6,10 @@
 #include "edge/crash_watch.h"
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
+#include <stdio.h>
+
+/** Up to eight ends with their ages. */
+#define ENDS_TEXT_SIZE 200
 
 static struct crash_table *table_of(const struct exchange *exchange)
 {
@@ -39,9 +43,41 @@
     return crash_table_judge(table, exchange_identity(exchange), cluster_now());
 }
 
+/* On which ends the verdict rests: their keys and ages. */
+static void log_blocked(const struct exchange *exchange, const struct crash_entry *entry,
+                        uint64_t now)
+{
+    struct crash_finding finding =
+        crash_table_finding(table_of(exchange), &exchange->identity, now);
+    char identity[REQUEST_IDENTITY_HEX_SIZE];
+    char ends[ENDS_TEXT_SIZE] = "";
+    size_t length = 0;
+    for (uint32_t i = 0; i < entry->start_count && length < sizeof ends; i++)
+        length += (size_t)snprintf(ends + length, sizeof ends - length, "%s%08" PRIx32 "@%" PRIu64,
+                                   i ? "," : "", (uint32_t)entry->starts[i].start,
+                                   (now - entry->starts[i].ended_at) / MS_US);
+    request_identity_to_hex(&exchange->identity, identity);
+    log_event(LOG_LEVEL_WARN, "crash", "blocked",
+              "request=%s identity=%s unexplained=%u proofs=%u ends_ms_ago=%s", exchange->head.id,
+              identity, finding.unexplained, finding.proofs, ends);
+}
+
 bool exchange_is_blocked(struct exchange *exchange)
 {
-    return judge(exchange) == CRASH_BLOCKED;
+    if (judge(exchange) != CRASH_BLOCKED)
+        return false;
+    const struct crash_entry *entry = crash_table_find(table_of(exchange), &exchange->identity);
+    uint64_t now = cluster_now();
+    if (now < crash_entry_settled_at(entry))
+        return false;
+    log_blocked(exchange, entry, now);
+    return true;
+}
+
+const struct crash_entry *exchange_crash_entry(struct exchange *exchange)
+{
+    const struct crash_table *table = table_of(exchange);
+    return crash_table_count(table) ? crash_table_find(table, exchange_identity(exchange)) : NULL;
 }
 
 uint64_t exchange_rank_key(struct exchange *exchange)
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -221,6 +221,9 @@
     {"resume-refused", "the stream could not go on at another back end"},
     {"crashes-back-ends", "several back ends ended while they ran this request (same caller, path "
                           "and body), so it is not run"},
+    {"held",
+     "back ends ended while they ran this request and others, and its turn to run apart from "
+     "those did not come in time"},
     {"time-out", "the time of the client or the route was over"},
 };
 
