A put of a loader's earlier process may come late: other nodes tell of it

Cause: a first put of a loader process that ended, into an empty stage, comes after the next process has read all its own pieces back and before its order. Nothing fences puts, and the new process knew of no earlier one. Waiting always would leave each engine empty for 12 s after a loss of power. Real processes now, too: system.weights, a stand-in engine that does a put late: the code before took version 3 from a stage that was not whole in 2 of 2 plays.

Change: a node says for 15 s how long its process runs. Whoever heard an earlier process of it answers at once when that was, and which start of the engine it had reported last. Until 12 s after that, no order is given that such a put could spoil, and pieces are read back after it. No wait: where nobody knows an earlier process (a loss of power of all); where the engine has started since, as its connections have ended; where the version follows the engine's directly, as before: there was no other to put.

Why it works: a put acts within 12 s of its process's end; the order's readings are all from later. Left: all processes of all nodes killed at one moment while an engine lives, and nobody knows; an engine that started within the last report (60 ms) of the loader that ended.

Tests: core.weight_install_late_put, the case unchanged, passes; without the news of others the walk breaks as before. 2,000,000 walks (1,000,000 of each kind) and all explorations: none broken. system.weights: 2 of 2 plays of 4 cases. core.membership. Cost: 3 bytes in messages of a node's first 15 s, some 12 in messages to it.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -16,6 +16,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/** For so long a node says that it has started, and others tell it what they know of its earlier
+ * process: longer than calls of that one can act. */
+#define STARTED_US ((uint64_t)15000000)
 #define TICK_MS 100
 /** Time between ticks while this node does not know the state, or most of the members. */
 #define FIRST_TICK_MS 25
@@ -70,10 +73,30 @@
     return member && strcmp(member->region, membership_self(cluster->membership)->region) != 0;
 }
 
+static uint64_t uptime_ms(const struct cluster *cluster, uint64_t now)
+{
+    return now < cluster->opened_at + STARTED_US ? (now - cluster->opened_at) / 1000 + 1 : 0;
+}
+
+/* What this node knows of an earlier process of the recipient. */
+static void write_earlier(const struct cluster *cluster, uint32_t address, uint64_t now,
+                          Shuntrun__MemberMessage *message)
+{
+    const struct member_state *member = membership_find(cluster->membership, address);
+    if (!member || !member->earlier_heard_at || now >= member->earlier_heard_at + STARTED_US)
+        return;
+    message->earlier_age_ms = (now - member->earlier_heard_at) / 1000 + 1;
+    message->earlier_born = member->earlier_born;
+}
+
 void cluster_send(struct cluster *cluster, uint32_t address, const Shuntrun__MemberMessage *message)
 {
     uint8_t bytes[DATAGRAM_SIZE];
-    size_t size = pack(message, bytes);
+    uint64_t now = cluster_now();
+    Shuntrun__MemberMessage with_starts = *message;
+    with_starts.uptime_ms = uptime_ms(cluster, now);
+    write_earlier(cluster, address, now, &with_starts);
+    size_t size = pack(&with_starts, bytes);
     if (!size)
         return;
     message_count(message, size, is_far(cluster, address));
@@ -89,6 +112,7 @@
     load->near_gateways = targets->near_count;
     load->far_gateways = targets->far_count;
     message.load = load;
+    message.uptime_ms = uptime_ms(cluster, cluster_now());
     size_t size = pack(&message, bytes);
     uint32_t count = targets->near_count + (far ? targets->far_count : 0);
     for (uint32_t i = 0; size && i < count; i++) {
@@ -261,6 +285,22 @@
     return still || cluster->isolated_until > since;
 }
 
+/* Whoever knows of an earlier process of a node that starts says so at once. */
+static void take_starts(struct cluster *cluster, const Shuntrun__MemberMessage *message,
+                        uint32_t sender, uint64_t now)
+{
+    uint64_t uptime_us = message->uptime_ms * 1000;
+    if (message->uptime_ms && now > uptime_us &&
+        membership_note_start(cluster->membership, sender, now - uptime_us))
+        membership_tell(cluster->membership, sender);
+    if (message->load)
+        membership_note_engine(cluster->membership, sender, message->load->born);
+    uint64_t age_us = message->earlier_age_ms * 1000;
+    if (message->earlier_age_ms && now > age_us && cluster->callbacks.predecessor_heard)
+        cluster->callbacks.predecessor_heard(cluster->callbacks.context, now - age_us + 1000,
+                                             message->earlier_born);
+}
+
 static void on_datagram(uv_udp_t *socket, ssize_t size, const uv_buf_t *buffer,
                         const struct sockaddr *from, unsigned flags)
 {
@@ -276,6 +316,7 @@
         return;
     }
     note_contact(cluster, now);
+    take_starts(cluster, message, sender, now);
     crash_sync_take(cluster->crashes, message, sender, now);
     if (message->sender && message->sender->address == sender)
         take_sender(cluster, message, sender, now);
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -32,6 +32,9 @@
     service_handler *call_received;
     /** Another node told of requests that crash back ends; may be NULL. */
     void (*suspects_changed)(void *context);
+    /** Another node heard an earlier process of this one, and which start of its engine that
+     *  reported last, 0: none; may be NULL. */
+    void (*predecessor_heard)(void *context, uint64_t heard_at, uint64_t engine_born);
     /** The process did not run for a while. */
     void (*woke)(void *context, const struct wake *wake);
 };
--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -8,6 +8,9 @@
 #include <string.h>
 
 /** Time between comparisons while they bring news: an answer, or some pages of it, comes in it. */
+/** A start is known by its age in a message, which took some time on its way. A process starts
+ * again later than this after its last message. */
+#define START_MARGIN_US 5000
 #define COMPARE_FIRST_US 50000
 /** One in so many comparisons is with another region: bytes on the way there are dear, but what one
  *  node of a region learns from there soon goes round in it. */
@@ -198,6 +201,25 @@
         membership_tell(membership, from);
 }
 
+bool membership_note_start(struct membership *membership, uint32_t from, uint64_t started_at)
+{
+    struct member_state *member = membership_lookup(membership, from);
+    if (!member || !member->heard_at || member->heard_at + START_MARGIN_US >= started_at ||
+        member->earlier_heard_at == member->heard_at)
+        return false;
+    member->earlier_heard_at = member->heard_at;
+    member->earlier_born = member->engine_born;
+    member->engine_born = 0;
+    return true;
+}
+
+void membership_note_engine(struct membership *membership, uint32_t from, uint64_t born)
+{
+    struct member_state *member = membership_lookup(membership, from);
+    if (member)
+        member->engine_born = born;
+}
+
 /* There may be more where that came from: compare again soon. */
 static void note_table_news(struct membership *membership, uint64_t now)
 {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -51,6 +51,9 @@
     uint64_t operator_revision; /**< of the newest change by the operator that it knows, likewise */
     bool store_sound;           /**< it reads the platform's store and gets answers, likewise */
     uint64_t heard_at;          /**< time of its last own message, 0: none */
+    uint64_t engine_born;       /**< of the engine that its process reported last, 0: none */
+    uint64_t earlier_heard_at;  /**< last message of its earlier process, 0: none is known */
+    uint64_t earlier_born;      /**< of the engine that this one reported last, 0: none */
     uint64_t changed_at;        /**< time at which health last changed here */
     uint32_t told;              /**< messages, sent or received, that carried the last change */
     uint64_t told_in;           /**< number of the last one of them */
@@ -94,6 +97,13 @@
                      const Shuntrun__MemberMessage *message, uint64_t now);
 /** \brief A member sent something else: it lives. */
 void membership_heard(struct membership *membership, uint32_t from, uint64_t now);
+/**
+ * \brief A member says when its process started: what was heard before came from an earlier one.
+ * Call it before the message counts as heard. \return whether that is new
+ */
+bool membership_note_start(struct membership *membership, uint32_t from, uint64_t started_at);
+/** \brief A member reported a start of its engine. */
+void membership_note_engine(struct membership *membership, uint32_t from, uint64_t born);
 /** \brief Send the own state and news to one node, outside of the periods. */
 void membership_tell(struct membership *membership, uint32_t address);
 /** \brief The same, with changes of what the platform publishes. */
--- a/src/core/weight_install.c
+++ b/src/core/weight_install.c
@@ -27,6 +27,25 @@
            install->version > install->engine.version + 1;
 }
 
+/* Only at the engine's start that the earlier process knew: its connections to others have ended.
+ * It can have put only versions above the engine's, and none above this one. */
+static bool knows_of_earlier_put(const struct weight_install *install)
+{
+    bool same_start = !install->earlier_born || !install->engine.born ||
+                      install->earlier_born == install->engine.born;
+    return install->earlier_until && same_start && install->version > install->engine.version + 1;
+}
+
+void weight_install_heard_of_predecessor(struct weight_install *install, uint64_t heard_at,
+                                         uint64_t born)
+{
+    uint64_t until = heard_at + install->settings.call_life_us;
+    if (until <= install->earlier_until)
+        return;
+    install->earlier_until = until;
+    install->earlier_born = born;
+}
+
 static bool is_bound_by_order(const struct weight_install *install, uint64_t now)
 {
     return install->order != ORDER_NONE || install->engine.loading ||
@@ -196,6 +215,12 @@
            now + install->settings.reread_us >= turn;
 }
 
+/* A put of an earlier process may come between a reading and the order. */
+static bool may_be_overwritten(const struct weight_install *install, uint64_t read_at)
+{
+    return knows_of_earlier_put(install) && read_at < install->earlier_until;
+}
+
 static bool find_stale(const struct weight_install *install, uint64_t now, uint64_t turn,
                        struct install_action *action)
 {
@@ -203,7 +228,8 @@
         return false; /* what is being loaded was taken already */
     uint32_t piece = oldest_reading(install);
     uint64_t read_at = install->pieces[piece].read_at;
-    bool stale = now >= read_at + install->settings.reread_us;
+    bool stale = now >= read_at + install->settings.reread_us ||
+                 (may_be_overwritten(install, read_at) && now >= install->earlier_until);
     if (read_at && !(stale && order_is_near(install, now, turn)))
         return false;
     *action = (struct install_action){.kind = INSTALL_READ, .piece = piece};
@@ -225,7 +251,8 @@
         install->engine.leaving || (!begun && now < turn) || now < install->order_pause)
         return false;
     uint64_t read_at = weight_install_read_at(install);
-    return read_at && now < read_at + install->settings.fresh_us;
+    return read_at && now < read_at + install->settings.fresh_us &&
+           !may_be_overwritten(install, read_at);
 }
 
 static bool find_order(struct weight_install *install, uint64_t now, uint64_t turn,
--- a/src/core/weight_install.h
+++ b/src/core/weight_install.h
@@ -10,7 +10,7 @@
  * count of orders has not moved on. Until it is known to be over, or has had the time that a call
  * can live, what lies in the stage stays of the ordered version, is read back again and again, and
  * no other version is begun. The same holds for calls of an earlier process of this loader, of
- * which nothing is known but what lies in the stage.
+ * which nothing is known but what lies in the stage, and what other nodes heard from it.
  */
 #ifndef SHUNTRUN_WEIGHT_INSTALL_H
 #define SHUNTRUN_WEIGHT_INSTALL_H
@@ -104,12 +104,24 @@
     uint64_t predecessor_sequence; /**< orders taken as this process first heard of the engine */
     uint64_t predecessor_until;
     bool predecessor_put; /**< it was filling the stage: its last put may still act until then */
+
+    uint64_t earlier_until; /**< until then a put of a process that others knew may act; 0: none */
+    uint64_t earlier_born;  /**< the engine's start that it reported last; 0: none */
 };
 
 /** \brief Begin without a version, right after this process started. */
 void weight_install_init(struct weight_install *install,
                          const struct weight_install_settings *settings, uint64_t now);
 
+/**
+ * \brief Other nodes heard of an earlier process of this loader. A put that it had under way may
+ * still act, also in a stage that was found empty, at the start of the engine that it knew.
+ * \param heard_at when it was last heard
+ * \param born of the engine that it reported last; 0: it reported none
+ */
+void weight_install_heard_of_predecessor(struct weight_install *install, uint64_t heard_at,
+                                         uint64_t born);
+
 /** \return whether calls that are under way or may still act bind the engine to the version that is
  * being installed */
 bool weight_install_is_bound(const struct weight_install *install, uint64_t now);
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -316,6 +316,21 @@
                   engine.born, engine.sequence);
 }
 
+void installer_heard_of_predecessor(struct installer *installer, uint64_t heard_at, uint64_t born)
+{
+    uint64_t before = installer->install.earlier_until;
+    weight_install_heard_of_predecessor(&installer->install, heard_at, born);
+    if (installer->install.earlier_until == before)
+        return;
+    uint64_t now = cluster_now();
+    uint64_t until = installer->install.earlier_until;
+    log_event(LOG_LEVEL_INFO, "install", "predecessor",
+              "heard_ms_ago=%" PRIu64 " born=%" PRIu64 " engine_born=%" PRIu64
+              " may_act_ms=%" PRIu64,
+              now > heard_at ? (now - heard_at) / 1000 : 0, born, installer->install.engine.born,
+              until > now ? (until - now) / 1000 : 0);
+}
+
 /* --- steps ---------------------------------------------------------------------------------------
  */
 
--- a/src/loader/installer.h
+++ b/src/loader/installer.h
@@ -31,6 +31,8 @@
 /** \brief The engine's own report. \param reachable false: it gave none */
 void installer_on_report(struct installer *installer, const struct engine_report *report,
                          bool reachable, uint64_t now);
+/** \brief Other nodes heard of an earlier process of this loader: see core/weight_install. */
+void installer_heard_of_predecessor(struct installer *installer, uint64_t heard_at, uint64_t born);
 /** \param turn time from which the engine may be ordered to take the version */
 void installer_tick(struct installer *installer, uint64_t now, uint64_t turn);
 /** \return whether there is a next step to take soon */
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -27,6 +27,8 @@
  *  it loads: a tenth of the time that loading takes. */
 #define BUSY_TICK_MS 25
 #define LOAD_LOG_US 500000
+/** Ages in messages leave so much open. */
+#define SAME_TIME_US 50000
 
 static const struct start_turn_settings turn_settings = {.first_us = 2000000, .last_us = 6800000};
 
@@ -40,6 +42,8 @@
     struct wanted_versions versions;
     bool reconsider; /* the operator's items changed */
     struct installer *installer;
+    uint64_t earlier_heard_at; /* of an earlier process of this loader, by other nodes; 0: none */
+    uint64_t earlier_born;     /* of the engine that it reported last; 0: none */
     char model[BACKEND_NAME_SIZE];
     struct sockaddr_in origin;
     bool has_origin;
@@ -292,6 +296,21 @@
     loader->installer =
         installer_create(loader->cluster.loop, &loader->engine_address, loader->model);
     loader->versions.installer = loader->installer;
+    if (loader->earlier_heard_at)
+        installer_heard_of_predecessor(loader->installer, loader->earlier_heard_at,
+                                       loader->earlier_born);
+}
+
+/* It may come before the engine's model is known, and comes from each node that knows. */
+static void on_predecessor(void *context, uint64_t heard_at, uint64_t engine_born)
+{
+    struct loader *loader = context;
+    if (heard_at <= loader->earlier_heard_at + SAME_TIME_US)
+        return;
+    loader->earlier_heard_at = heard_at;
+    loader->earlier_born = engine_born;
+    if (loader->installer)
+        installer_heard_of_predecessor(loader->installer, heard_at, engine_born);
 }
 
 static void on_item(void *context, const struct state_item *item)
@@ -362,8 +381,11 @@
 
 static int loader_run(struct loader *loader, const struct settings *settings)
 {
-    struct cluster_callbacks callbacks = {
-        .context = loader, .item_changed = on_item, .call_received = on_call, .woke = on_woke};
+    struct cluster_callbacks callbacks = {.context = loader,
+                                          .item_changed = on_item,
+                                          .call_received = on_call,
+                                          .predecessor_heard = on_predecessor,
+                                          .woke = on_woke};
     uv_loop_t *loop = uv_default_loop();
     if (!tcp_address_parse(settings->engine_address, &loader->engine_address)) {
         log_event(LOG_LEVEL_ERROR, "loader", "bad-address", "engine=%s", settings->engine_address);
--- a/tests/core/membership_test.c
+++ b/tests/core/membership_test.c
@@ -281,6 +281,32 @@
 }
 
 /* Whoever counts the dead as known would keep a node that joins later from ever being settled. */
+/* Guards against weights that were not whole: a put of an earlier process of a loader came late,
+ * and its next process did not know that there had been one. */
+static void an_earlier_process_of_a_member_is_remembered(void **state)
+{
+    struct world *world = world_create(3, 1, 0);
+    play(world, 3 * SECOND);
+    struct membership *membership = world->nodes[0].membership;
+    const struct member_state *member = membership_find(membership, 2);
+    uint64_t now = world->now;
+    membership_heard(membership, 2, now);
+    membership_note_engine(membership, 2, 77);
+    /* The same process says that it is young: nothing came before it. */
+    assert_false(membership_note_start(membership, 2, now - SECOND));
+    assert_int_equal(member->earlier_heard_at, 0);
+    uint64_t started_at = now + SECOND;
+    assert_true(membership_note_start(membership, 2, started_at));
+    assert_int_equal(member->earlier_heard_at, now);
+    assert_int_equal(member->earlier_born, 77);
+    assert_int_equal(member->engine_born, 0);
+    assert_false(membership_note_start(membership, 2, started_at));
+    membership_heard(membership, 2, started_at + 1000);
+    assert_false(membership_note_start(membership, 2, started_at));
+    assert_int_equal(member->earlier_heard_at, now);
+    world_destroy(world);
+}
+
 static void a_member_that_joins_after_many_died_is_settled(void **state)
 {
     struct world *world = world_create(SMALL, 10, 0);
@@ -310,6 +336,7 @@
         cmocka_unit_test(a_member_that_hears_nothing_accuses_nobody),
         cmocka_unit_test(parted_sides_find_each_other_again),
         cmocka_unit_test(a_change_of_a_member_reaches_all),
+        cmocka_unit_test(an_earlier_process_of_a_member_is_remembered),
         cmocka_unit_test(a_member_that_joins_after_many_died_is_settled),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/core/weight_install_walk.h
+++ b/tests/core/weight_install_walk.h
@@ -45,15 +45,21 @@
 }
 
 /* \param steps those that may come are the first ones of enum world_step */
+static void play_walk(struct world *world, const struct world_options *options, uint64_t steps,
+                      uint64_t seed)
+{
+    struct random_stream random = {.seed = seed};
+    world_begin(world, options);
+    for (int i = 0; i < WALK_STEPS && !world->broken; i++)
+        world_step(world, options, (enum world_step)random_below(&random, steps));
+    for (int i = 0; i < CALM_ROUNDS && world->engine.version < world->named && !world->broken; i++)
+        stay_calm(world, options);
+}
+
 static void walk(const struct world_options *options, uint64_t steps, uint64_t seed)
 {
     struct world world;
-    struct random_stream random = {.seed = seed};
-    world_begin(&world, options);
-    for (int i = 0; i < WALK_STEPS && !world.broken; i++)
-        world_step(&world, options, (enum world_step)random_below(&random, steps));
-    for (int i = 0; i < CALM_ROUNDS && world.engine.version < world.named && !world.broken; i++)
-        stay_calm(&world, options);
+    play_walk(&world, options, steps, seed);
     if (world.broken || world.engine.version != world.named)
         print_message("seed %llu: %s, version %llu of %llu\n", (unsigned long long)seed,
                       world.broken ? "not whole" : "whole",
--- a/tests/core/weight_install_world.h
+++ b/tests/core/weight_install_world.h
@@ -36,6 +36,7 @@
     WORLD_UNANSWERED_ORDER_IS_OVER,
     WORLD_UNANSWERED_PUT_IS_OVER,
     WORLD_PREDECESSOR_LEFT_NOTHING,
+    WORLD_NOBODY_KNEW_THE_PREDECESSOR,
     WORLD_READ_ONCE,
     WORLD_READINGS_OUTLIVE_ENGINES,
     WORLD_STARTS_LOOK_ALIKE,
@@ -86,6 +87,9 @@
     uint64_t loading_version;
     uint64_t stage[WORLD_PIECES]; /* version of what lies there; 0: nothing */
     uint64_t bad_since[WORLD_PIECES];
+    bool known_before;  /* other nodes heard of an earlier process of the loader, that ... */
+    uint64_t heard_at;  /* ... was last heard then, and ... */
+    uint64_t told_born; /* ... reported this start of the engine last; 0: none */
     struct world_budget left;
     bool broken; /* the engine took weights that were not whole, or got an order though it was
                     known to leave */
@@ -155,6 +159,8 @@
     if (options->mutation == WORLD_READ_ONCE)
         settings.reread_us = settings.fresh_us = UINT32_MAX;
     weight_install_init(&world->install, &settings, world->now);
+    if (world->known_before && options->mutation != WORLD_NOBODY_KNEW_THE_PREDECESSOR)
+        weight_install_heard_of_predecessor(&world->install, world->heard_at, world->told_born);
     memset(world->pieces, 0, sizeof world->pieces);
     world->stage_call = (struct world_call){0};
     world->order_call = (struct world_call){0};
@@ -349,6 +355,15 @@
     return true;
 }
 
+/* What other nodes know of the process that ends now: they hear it up to its end, and what it
+ * reports of its engine. */
+static void world_remember_loader(struct world *world)
+{
+    world->known_before = true;
+    world->heard_at = world->now;
+    world->told_born = world->install.reported ? world->install.engine.born : world->told_born;
+}
+
 static bool world_loader_restarts(struct world *world, const struct world_options *options,
                                   bool calls_late)
 {
@@ -358,6 +373,7 @@
         world_put_late(world, &world->order_call);
     if (calls_late && world->stage_call.kind == INSTALL_PUT)
         world_put_late(world, &world->stage_call);
+    world_remember_loader(world);
     world_start_loader(world, options);
     return true;
 }
@@ -424,6 +440,7 @@
     world_empty_stage(world);
     memset(world->late, 0, sizeof world->late);
     world->engine = (struct install_engine){0};
+    world->known_before = false; /* all nodes begin anew */
     world_start_loader(world, options);
     return true;
 }
--- a/tests/core/weight_install_world_hash.h
+++ b/tests/core/weight_install_world_hash.h
@@ -64,6 +64,11 @@
     *word++ = world_rest(world, install->put_doubt_until);
     *word++ = install->predecessor_sequence;
     *word++ = world_rest(world, install->predecessor_until);
+    *word++ = world_rest(world, install->earlier_until);
+    *word++ = install->earlier_until ? install->earlier_born : 0;
+    *word++ = (uint64_t)world->known_before << 1 | (install->earlier_until > 0);
+    *word++ = world->known_before ? world_age(world, world->heard_at) : 0;
+    *word++ = world->known_before ? world->told_born : 0;
     world_engine_words(&install->engine, &word);
     for (uint32_t i = 0; i < WORLD_PIECES; i++) {
         const struct install_piece *piece = &world->pieces[i];
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -27,6 +27,7 @@
 LINK_DELAY_S = 0.06
 # A request that ends its engine does so this long after it began to run.
 CRASH_AFTER_S = 0.08
+HELD_PUT_S = 8.0
 
 
 def stream_event(number):
@@ -252,6 +253,8 @@
         self.orders = 0
         self.orders_to_hold = 0  # that get no answer and are taken later
         self.held_orders = []
+        self.puts_to_hold = 0   # that get no answer and are done just before an order is taken, or later
+        self.held_puts = []     # (number, data)
         self.corrupt_starts = []  # versions taken from a stage that was not theirs
         self.loading = False
         self.slots = 16
@@ -372,7 +375,7 @@
             self.staged, self.orders, self.version, self.loading = {}, 0, None, False
             self.leaving, self.backoff_until = False, 0.0
             self.running = set()
-            self.orders_to_hold, self.held_orders = 0, []  # calls end with the process
+            self.orders_to_hold, self.held_orders, self.held_puts = 0, [], []  # calls end with the process
             self.ending = False
             self.server = Server(self.address, BackendHandler, self)
             self.alive = True
@@ -391,8 +394,23 @@
         if any(not self.holds_whole(order["version"]) for order in self.held_orders):
             self.take_held_orders()
 
+    def hold_put(self, number, data, seconds):
+        """Leave a put without an answer, and do it after some seconds at the latest."""
+        self.puts_to_hold -= 1
+        self.held_puts.append((number, data))
+        timer = threading.Timer(seconds, self.do_held_puts)
+        timer.daemon = True
+        timer.start()
+
+    def do_held_puts(self):
+        with self.lock:
+            puts, self.held_puts = self.held_puts, []
+        for number, data in puts:
+            self.stage(number, data)
+
     def take(self, order):
         """The status that an order gets; whoever takes weights has what lies in the stage then."""
+        self.do_held_puts()
         with self.lock:
             if order.get("expected_revision", self.orders) != self.orders:
                 return 409
@@ -508,7 +526,13 @@
 
     def do_PUT(self):
         _, query = self.parts()
-        self.owner.stage(int(query["sample_count"]), self.read_body())
+        number, data = int(query["sample_count"]), self.read_body()
+        if self.owner.puts_to_hold:
+            self.owner.hold_put(number, data, HELD_PUT_S)
+            self.wait_for_end(2 * HELD_PUT_S)
+            self.reset()
+            return
+        self.owner.stage(number, data)
         self.reply(200)
 
     def do_POST(self):
--- a/tests/system/weights_test.py
+++ b/tests/system/weights_test.py
@@ -33,12 +33,18 @@
         self.loader = platform.loader(platform.SIDES[0])
         for node in (self.edge, self.loader):
             self.addCleanup(node.stop)
-        for server in (self.store, self.origin, self.engine):
-            self.addCleanup(server.server.server_close)
-            self.addCleanup(server.server.shutdown)
+        for owner in (self.store, self.origin, self.engine):
+            self.addCleanup(self.close, owner)
         platform.wait_for(lambda: platform.get(platform.EDGES[0], platform.READY,
                                                "/api/readiness")[0] == 200, "a ready edge")
 
+    @staticmethod
+    def close(owner):
+        """An engine may have started again, with another server."""
+        owner.returns = False
+        owner.server.shutdown()
+        owner.server.server_close()
+
     def name_version(self, version):
         self.origin.newest = version
         self.store.put("op/version/" + standin.MODEL, {"model": standin.MODEL, "version": version})
@@ -64,6 +70,22 @@
         self.loader.start()
         self.await_version(3)
 
+    def test_a_first_put_of_a_predecessor_that_comes_late_corrupts_nothing(self):
+        """Into the empty stage of an engine that started again, while the next process of the loader
+        fills it with a newer version: the put came between its last reading and its order."""
+        self.name_version(2)
+        self.await_version(2)
+        self.engine.puts_to_hold = 1
+        self.engine.crash_and_return()
+        platform.wait_for(lambda: self.engine.held_puts, "the first put")
+        self.name_version(3)
+        platform.wait_for(lambda: self.loader_lines("version-wanted model=%s version=3" %
+                                                    standin.MODEL), "the newer version's name")
+        self.loader.stop()
+        self.loader.start()
+        self.await_version(3)
+        self.assertEqual(self.engine.held_puts, [])
+
     def loader_lines(self, event):
         with open(self.loader.log_path) as log:
             return log.read().count("event=" + event)
