--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -115,20 +115,6 @@
     free(exchange);
 }
 
-void exchange_leave_line(struct exchange *exchange)
-{
-    if (!exchange->in_line)
-        return;
-    exchange->in_line = false;
-    for (struct exchange **place = &exchange->edge->waiting; *place;
-         place = &(*place)->next_waiting) {
-        if (*place == exchange) {
-            *place = exchange->next_waiting;
-            return;
-        }
-    }
-}
-
 static const char *const result_names[] = {
     [BACKEND_SUCCEEDED] = "succeeded", [BACKEND_ERROR] = "error",
     [BACKEND_REFUSED] = "refused",     [BACKEND_BROKEN] = "broken",
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -125,21 +125,29 @@
 
 /* --- exchange_isolation.c ---- */
 
-/** \return time up to which it must not go anywhere, as news that decide on it are on their way;
- * 0: it need not wait */
+/** \return time up to which it must not go anywhere, as it is held back, or as news that decide on
+ * it are on their way; 0: it need not wait */
 uint64_t exchange_suspicion_pause(struct exchange *exchange, uint64_t now);
 /** \return time up to which it is held back, as many back ends ended while it was there; 0: it is
  * not */
 uint64_t exchange_held_until(struct exchange *exchange, uint64_t now);
-/** \return time at which one that is held back may have become free of suspicion */
-uint64_t exchange_next_held_look(uint64_t held_until, uint64_t now);
+/** \brief Wait for that time; a request that has not begun and cannot wait so long is refused. */
+void exchange_hold_until(struct exchange *exchange, uint64_t moment);
 /** \brief Fill in where a request goes that is under suspicion. */
 void exchange_fill_isolation(struct exchange *exchange, uint64_t now, struct backend_wish *wish);
-/**
- * \brief Ask for a chosen back end, if the request has to run apart from others.
- * \return time at which to look again; 0: it may be sent there now
- */
-uint64_t exchange_ask_lease(struct exchange *exchange, const struct backend *backend, uint64_t now);
+/** \return whether it is not to be sent to a chosen back end now, but waits for a lease on it */
+bool exchange_waits_for_lease(struct exchange *exchange, const struct backend *backend,
+                              uint64_t now);
+
+/* --- exchange_line.c ---- */
+
+/** \return 0 for the most urgent, as back ends are told */
+int exchange_urgency(const struct exchange *exchange);
+/** \brief Wait for a place, by urgency and arrival. */
+void exchange_wait_in_line(struct exchange *exchange);
+/** \brief Wait beside the line: no news but time lets it go on. */
+void exchange_wait_until(struct exchange *exchange, uint64_t moment);
+void exchange_leave_line(struct exchange *exchange);
 
 /* --- exchange_end.c ---- */
 
@@ -179,7 +187,6 @@
 /* --- exchange_send.c ---- */
 
 bool exchange_is_repeatable(const struct exchange *exchange);
-void exchange_leave_line(struct exchange *exchange);
 /** \brief Send to a back end, wait in line for one, or give up. */
 void exchange_dispatch(struct exchange *exchange);
 /** \return time at which a back end may be asked again, where all that could take the request want
--- a/src/edge/exchange_isolation.c
+++ b/src/edge/exchange_isolation.c
@@ -74,7 +74,7 @@
     return crash_table_held_until(table, exchange_identity(exchange), now);
 }
 
-uint64_t exchange_next_held_look(uint64_t held_until, uint64_t now)
+static uint64_t next_held_look(uint64_t held_until, uint64_t now)
 {
     return held_until < now + HELD_LOOK_US ? held_until : now + HELD_LOOK_US;
 }
@@ -107,7 +107,7 @@
               (now - lease->since) / MS_US, crash_lease_is_settled(lease, now) ? "run" : "ask");
 }
 
-uint64_t exchange_ask_lease(struct exchange *exchange, const struct backend *backend, uint64_t now)
+static uint64_t ask_lease(struct exchange *exchange, const struct backend *backend, uint64_t now)
 {
     if (!is_isolated(exchange))
         return 0;
@@ -118,3 +118,23 @@
     crash_sync_tell(exchange->edge->cluster.crashes);
     return crash_lease_is_settled(&lease, now) ? 0 : lease.since + CRASH_LEASE_SETTLES_US;
 }
+
+/* A begun stream is held for as long as it has; any other is refused at once where its turn to run
+ * apart does not come in the time that it may wait. */
+void exchange_hold_until(struct exchange *exchange, uint64_t moment)
+{
+    if (exchange->streaming || moment < exchange->wait_until)
+        exchange_wait_until(exchange, next_held_look(moment, cluster_now()));
+    else
+        exchange_give_up_truly(exchange, END_HELD);
+}
+
+/* \return whether it is not to be sent now, but waits for a lease on the back end */
+bool exchange_waits_for_lease(struct exchange *exchange, const struct backend *backend,
+                              uint64_t now)
+{
+    uint64_t moment = ask_lease(exchange, backend, now);
+    if (moment)
+        exchange_hold_until(exchange, moment);
+    return moment;
+}
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -19,7 +19,6 @@
 /** An unrepeatable request uses no connection that was idle for longer. */
 #define UNREPEATABLE_IDLE_US 1500000
 #define ANY_IDLE_US 3600000000ULL
-#define URGENCY_MOST 9
 /** With less time left a request is not sent any more. */
 #define LEAST_LEFT_US 2000
 /** So long before a version is required, engines that do not have it at hand get no new work: their
@@ -36,13 +35,6 @@
            (exchange->route->kind == ROUTE_STREAM && exchange->route->resumable);
 }
 
-static int urgency_of(const struct exchange *exchange)
-{
-    uint32_t tenant = exchange->tenant ? exchange->tenant->priority : 0;
-    uint32_t urgency = 2 * tenant + exchange->route->priority;
-    return urgency < URGENCY_MOST ? (int)urgency : URGENCY_MOST;
-}
-
 static uint64_t least_version(const struct exchange *exchange, uint64_t at)
 {
     const char *model = exchange->service->engine.model;
@@ -108,7 +100,7 @@
         .last_event_id =
             exchange->resuming && exchange->events.last_id[0] ? exchange->events.last_id : NULL,
         .version = exchange->resuming ? exchange->version : 0,
-        .urgency = exchange->service->engine.model ? urgency_of(exchange) : -1,
+        .urgency = exchange->service->engine.model ? exchange_urgency(exchange) : -1,
     };
     platform_write_request(request, &forward, bytes);
     buffer_append(bytes, request->body.data, request->body.size);
@@ -126,48 +118,11 @@
               (backend->unlisted_until - now) / MS_US, backend->doubtful);
 }
 
-static bool goes_before(const struct exchange *left, const struct exchange *right)
-{
-    int left_urgency = urgency_of(left), right_urgency = urgency_of(right);
-    if (left_urgency != right_urgency)
-        return left_urgency < right_urgency;
-    return left->arrived < right->arrived;
-}
-
-static void join_line(struct exchange *exchange)
-{
-    struct exchange **place = &exchange->edge->waiting;
-    if (exchange->in_line)
-        return;
-    while (*place && !goes_before(exchange, *place))
-        place = &(*place)->next_waiting;
-    exchange->next_waiting = *place;
-    *place = exchange;
-    exchange->in_line = true;
-}
-
-/* No news but time lets it go on. */
-static void wait_until(struct exchange *exchange, uint64_t moment)
-{
-    exchange->state = EXCHANGE_WAITING;
-    exchange->next_look = moment;
-    exchange_leave_line(exchange);
-    exchange_arm(exchange);
-}
-
 /* While back ends stay full for longer than a caller stays away, one who came back is in time no
  * more and would take the place of one who can be: he looks for what is left now and then. */
 static void wait_apart(struct exchange *exchange, uint64_t now)
 {
-    wait_until(exchange, now + RETURNED_LOOK_US);
-}
-
-static void wait_in_line(struct exchange *exchange)
-{
-    exchange->state = EXCHANGE_WAITING;
-    exchange->next_look = 0;
-    join_line(exchange);
-    exchange_arm(exchange);
+    exchange_wait_until(exchange, now + RETURNED_LOOK_US);
 }
 
 /* All that could go on with a begun stream were tried: they may be again, after a while. */
@@ -176,7 +131,7 @@
     exchange->excluded_from = exchange->tried_count;
     exchange->not_before = now + RESUME_PAUSE_US;
     exchange->heard_after = 0;
-    wait_in_line(exchange);
+    exchange_wait_in_line(exchange);
 }
 
 /* Not even an attempt to connect could be made, so nothing has run: others may have a way. */
@@ -224,25 +179,6 @@
         on_no_connection(exchange, now);
 }
 
-/* A begun stream is held for as long as it has; any other is refused at once where its turn to run
- * apart does not come in the time that it may wait. */
-static void hold_until(struct exchange *exchange, uint64_t moment)
-{
-    if (exchange->streaming || moment < exchange->wait_until)
-        wait_until(exchange, exchange_next_held_look(moment, cluster_now()));
-    else
-        exchange_give_up_truly(exchange, END_HELD);
-}
-
-/* \return whether it is not to be sent now, but waits for a lease on the back end */
-static bool waits_for_lease(struct exchange *exchange, const struct backend *backend, uint64_t now)
-{
-    uint64_t moment = exchange_ask_lease(exchange, backend, now);
-    if (moment)
-        hold_until(exchange, moment);
-    return moment;
-}
-
 static void spend_repeat(struct exchange *exchange, uint64_t now)
 {
     if (!exchange->owes_repeat)
@@ -257,7 +193,7 @@
     if (!exchange->in_doubt)
         return true;
     if (crash_watch_is_checking(exchange->edge, exchange_last_tried(exchange))) {
-        wait_in_line(exchange);
+        exchange_wait_in_line(exchange);
         return false;
     }
     exchange->in_doubt = false;
@@ -286,14 +222,14 @@
         return;
     }
     if (!allowed || now < exchange->not_before) {
-        wait_in_line(exchange);
+        exchange_wait_in_line(exchange);
         return;
     }
     if (backend_pool_choose(edge->pool, &wish, now, &backend) != BACKEND_FOUND) {
         wait_for_others(exchange, now);
         return;
     }
-    if (waits_for_lease(exchange, backend, now))
+    if (exchange_waits_for_lease(exchange, backend, now))
         return;
     exchange_leave_line(exchange);
     spend_repeat(exchange, now);
@@ -339,7 +275,7 @@
     fill_wish(exchange, now, &wish);
     enum backend_absence absence = backend_pool_choose(exchange->edge->pool, &wish, now, &backend);
     if (absence == BACKEND_FOUND) {
-        if (waits_for_lease(exchange, backend, now))
+        if (exchange_waits_for_lease(exchange, backend, now))
             return;
         exchange_leave_line(exchange);
         send_to(exchange, backend, now);
@@ -350,29 +286,20 @@
     if (exchange->returned && overload_lasts(&exchange->state_of_service->overload, now))
         wait_apart(exchange, now);
     else
-        wait_in_line(exchange);
+        exchange_wait_in_line(exchange);
 }
 
 void exchange_dispatch(struct exchange *exchange)
 {
     uint64_t pause = exchange_suspicion_pause(exchange, cluster_now());
     if (pause)
-        hold_until(exchange, pause);
+        exchange_hold_until(exchange, pause);
     else if (exchange->streaming)
         dispatch_begun(exchange);
     else
         dispatch_new(exchange);
 }
 
-uint32_t exchange_waiting_count(const struct edge *edge)
-{
-    uint32_t count = 0;
-    for (const struct exchange *exchange = edge->waiting; exchange;
-         exchange = exchange->next_waiting)
-        count++;
-    return count;
-}
-
 /* Places that are gone are news for those that wait, too. \return whether the request left the line
  */
 static bool offer_place(struct exchange *exchange)
@@ -392,7 +319,7 @@
         return is_given_up(exchange, absence, now);
     if (absence == BACKEND_FULL)
         return false;
-    if (waits_for_lease(exchange, backend, now))
+    if (exchange_waits_for_lease(exchange, backend, now))
         return true;
     exchange_leave_line(exchange);
     send_to(exchange, backend, now);
