Ends of two starts that gateways saw under one key are told apart when they meet

When both met, the same key counted once. Evidence: start= in lines event=evidence of both gateways, 1.2 s apart, the second run sent 1.0 s after the first end.

Change: an end travels with how long its last run had run. Of two ends under one key, one whose run began after the other end is of the next start; its key follows as it does where the end is known first. Test: core.crash_table, new case; two ends that are one (noticed later by another gateway) still count once.

--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -99,6 +99,9 @@
         start->start = entry->starts[i].start;
         start->attempt = entry->starts[i].attempt;
         start->age_ms = age_ms(entry->starts[i].ended_at, now);
+        start->ran_ms = entry->starts[i].began_at
+                            ? age_ms(entry->starts[i].began_at, entry->starts[i].ended_at)
+                            : 0;
         out->start_pointers[place][i] = start;
     }
     out->suspect_pointers[place] = suspect;
@@ -204,6 +207,16 @@
     return now / 1000 > age ? now - age * 1000 : 1;
 }
 
+static struct crash_start read_start(const Shuntrun__CrashStart *start, uint64_t now)
+{
+    uint64_t ended_at = time_of_age(start->age_ms, now);
+    return (struct crash_start){.start = start->start,
+                                .ended_at = ended_at,
+                                .attempt = start->attempt,
+                                .began_at =
+                                    start->ran_ms ? time_of_age(start->ran_ms, ended_at) : 0};
+}
+
 /* \return whether it could be decoded */
 static bool read_suspect(const Shuntrun__CrashSuspect *suspect, uint64_t now,
                          struct crash_entry *entry)
@@ -218,9 +231,7 @@
         entry->lease =
             (struct crash_lease){suspect->lease_start, time_of_age(suspect->lease_age_ms, now)};
     for (size_t i = 0; i < suspect->n_starts && i < CRASH_STARTS_KEPT; i++)
-        entry->starts[entry->start_count++] = (struct crash_start){
-            suspect->starts[i]->start, time_of_age(suspect->starts[i]->age_ms, now),
-            suspect->starts[i]->attempt};
+        entry->starts[entry->start_count++] = read_start(suspect->starts[i], now);
     return true;
 }
 
--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -111,21 +111,41 @@
     return place;
 }
 
+/* What stands for the start after one, of which nobody has said yet when it was born. */
+static uint64_t next_start(uint64_t start)
+{
+    return hash_pair(start, 1);
+}
+
+/* Nodes that had not heard of the one end may have seen the other one under the same key. */
+static bool is_of_next_start(const struct crash_start *start, const struct crash_start *before)
+{
+    return start->began_at > before->ended_at + CRASH_SAME_MOMENT_US;
+}
+
 /* \return whether the start was not held. An earlier time of a known one is no news. */
 static bool add_start(struct crash_entry *entry, const struct crash_start *start)
 {
     if (start->ended_at <= entry->cleared_at)
         return false;
-    uint32_t place = find_start(entry, start->start);
+    struct crash_start added = *start;
+    uint32_t place = find_start(entry, added.start);
+    while (place < entry->start_count && is_of_next_start(&added, &entry->starts[place])) {
+        added.start = next_start(added.start);
+        place = find_start(entry, added.start);
+    }
     bool known = place < entry->start_count;
-    if (known && entry->starts[place].ended_at <= start->ended_at)
+    if (known && entry->starts[place].ended_at <= added.ended_at)
         return false;
     bool full = entry->start_count == CRASH_STARTS_KEPT;
-    if (!known && full && start->ended_at <= entry->starts[0].ended_at)
+    if (!known && full && added.ended_at <= entry->starts[0].ended_at)
         return false;
+    struct crash_start other = known ? entry->starts[place] : added;
     if (known)
         remove_start(entry, place);
-    insert_start(entry, start);
+    insert_start(entry, &added);
+    if (known && is_of_next_start(&other, &added))
+        return add_start(entry, &other);
     entry->shared |= entry->start_count > 1;
     return !known;
 }
@@ -201,7 +221,7 @@
 {
     uint64_t ended_at = end_of_start(table, start);
     while (ended_at && ended_at + CRASH_SAME_MOMENT_US < began_at) {
-        start = hash_pair(start, 1);
+        start = next_start(start);
         ended_at = end_of_start(table, start);
     }
     return start;
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -42,6 +42,7 @@
     uint64_t start;    /**< see crash_start_key() */
     uint64_t ended_at; /**< as the first to notice saw it */
     uint32_t attempt;  /**< of the caller, that ran there: see crash_attempt_key() */
+    uint64_t began_at; /**< of the request's last run there; 0: not known */
 };
 
 /** What is known of one request. */
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -31,6 +31,7 @@
     struct request_identity identity;
     uint32_t attempt; /* crash_attempt_key() */
     uint64_t broken_at;
+    uint64_t sent_at;
 };
 
 /* A back end that may have ended, and the requests that broke off there. */
@@ -104,7 +105,7 @@
     check->start = crash_table_start_of_run(table, check->start, check->sent_at);
     for (uint32_t i = 0; i < check->run_count; i++) {
         const struct lost_run *run = &check->runs[i];
-        struct crash_start start = {check->start, check->broken_at, run->attempt};
+        struct crash_start start = {check->start, check->broken_at, run->attempt, run->sent_at};
         if (was_at_end(check, run))
             crash_table_add(table, &run->identity, &start);
     }
@@ -239,6 +240,7 @@
     check->broken_at = run->broken_at;
     if (known) {
         known->broken_at = run->broken_at;
+        known->sent_at = run->sent_at;
         return;
     }
     if (check->run_count == RUNS_MOST) {
@@ -270,7 +272,7 @@
                   (cluster_now() - backend->leaves_since) / 1000);
         return;
     }
-    struct lost_run run = {*identity, crash_attempt_key(request_id), cluster_now()};
+    struct lost_run run = {*identity, crash_attempt_key(request_id), cluster_now(), sent_at};
     add_run(check, &run);
 }
 
--- a/tests/core/crash_lease_test.c
+++ b/tests/core/crash_lease_test.c
@@ -19,7 +19,7 @@
 static void ended(struct crash_table *table, uint32_t request, uint64_t start, uint64_t at)
 {
     struct request_identity identity = identity_of(request);
-    struct crash_start end = {start, at, (uint32_t)start};
+    struct crash_start end = {start, at, (uint32_t)start, 0};
     crash_table_add(table, &identity, &end);
 }
 
--- a/tests/core/crash_spread_test.c
+++ b/tests/core/crash_spread_test.c
@@ -93,7 +93,7 @@
 static void see_end(struct fleet *fleet, uint32_t gateway, uint32_t request, uint64_t start)
 {
     struct request_identity identity = identity_of(request);
-    struct crash_start end = {start, NOW + start * SECOND, (uint32_t)start};
+    struct crash_start end = {start, NOW + start * SECOND, (uint32_t)start, 0};
     crash_table_add(fleet->tables[gateway], &identity, &end);
 }
 
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash_table_test.c
@@ -10,6 +10,7 @@
 
 #define SECOND ((uint64_t)1000000)
 #define BEGIN (1000 * SECOND)
+#define LATER (10 * SECOND) /* news of all ends have settled */
 
 static struct request_identity identity_of(uint32_t number)
 {
@@ -22,7 +23,7 @@
                      uint32_t attempt)
 {
     struct request_identity identity = identity_of(request);
-    struct crash_start end = {start, at, attempt};
+    struct crash_start end = {start, at, attempt, 0};
     crash_table_add(table, &identity, &end);
 }
 
@@ -203,6 +204,33 @@
     crash_table_destroy(table);
 }
 
+static void ran_until(struct crash_table *table, uint64_t start, uint64_t began_at, uint64_t at)
+{
+    struct request_identity identity = identity_of(1);
+    struct crash_start end = {start, at, (uint32_t)at, began_at};
+    crash_table_add(table, &identity, &end);
+}
+
+/* Guards against ends that were not counted: a gateway that had stood still had not heard of the
+ * end of a start, and saw the end of the next one under the same key. */
+static void two_ends_that_two_nodes_saw_under_one_key_are_told_apart_when_they_meet(void **state)
+{
+    struct crash_table *here = crash_table_create(), *there = crash_table_create();
+    ran_until(here, 11, BEGIN - SECOND, BEGIN);
+    ran_until(there, 11, BEGIN + SECOND, BEGIN + 2 * SECOND);
+    struct crash_entry told = *crash_table_at(here, 0);
+    assert_true(crash_table_merge(here, crash_table_at(there, 0)));
+    assert_true(crash_table_merge(there, &told));
+    assert_int_equal(crash_table_at(here, 0)->start_count, 2);
+    assert_int_equal(crash_table_digest(here, BEGIN + LATER),
+                     crash_table_digest(there, BEGIN + LATER));
+    /* What two gateways saw of one end is one end, though the one noticed it later. */
+    ran_until(here, 11, BEGIN - SECOND / 2, BEGIN + SECOND / 4);
+    assert_int_equal(crash_table_at(here, 0)->start_count, 2);
+    crash_table_destroy(here);
+    crash_table_destroy(there);
+}
+
 /* Guards against ends that came back: a good end was not told to those who had been told of the end
  * before it, and a gateway that began anew learned that one from them. */
 static void a_good_end_is_told_even_of_a_request_with_one_end(void **state)
@@ -454,6 +482,7 @@
         cmocka_unit_test(one_end_is_forgotten_soon_and_more_are_not),
         cmocka_unit_test(a_full_table_keeps_the_most_suspect),
         cmocka_unit_test(a_run_that_began_after_the_end_of_a_start_was_at_another_one),
+        cmocka_unit_test(two_ends_that_two_nodes_saw_under_one_key_are_told_apart_when_they_meet),
         cmocka_unit_test(a_good_end_is_told_even_of_a_request_with_one_end),
         cmocka_unit_test(nodes_agree_whatever_the_order),
         cmocka_unit_test(another_request_is_not_blocked),
