Soak: requests that end engines after a time of their own, amid their streams

--crash-times draws 0 to 2 s for each such request: the stand-in ended each engine 80 ms after the begin, always, and no rule may rest on that. Schedules of seeds stay as they were, with and without.

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -265,6 +265,7 @@
         self.broken_off = []    # ids of the streams that it ended before they were whole
         self.ending = False     # it resets its connections, and what comes on them meanwhile is cut too
         self.crashing_bodies = set()  # of requests that end the engine soon after they begin
+        self.crash_times = {}   # body of such a request -> seconds after which it does, beside its stream
         self.crashing = []      # bodies of such requests that run here now
         self.crashes = []       # (bodies of those that ran, time) of each such end
         self.back_after_s = 1.0  # it starts again so long after such an end, empty
@@ -352,6 +353,20 @@
         self.crash_and_return()
         self.crashing.remove(body)
 
+    def crash_later(self, body):
+        """The request ends this start after its own time, unless its stream is over by then."""
+        born = self.born
+        self.crashing.append(body)
+
+        def crash():
+            if body in self.crashing:
+                if self.born == born:
+                    self.crash_and_return()
+                self.crashing.remove(body)
+        timer = threading.Timer(self.crash_times[body], crash)
+        timer.daemon = True
+        timer.start()
+
     def crash_and_return(self):
         with self.lock:
             if not self.alive:
@@ -578,7 +593,10 @@
     def work(self, identity, body, fault, echo):
         owner = self.owner
         owner.runs.append((identity, dict(self.headers), body, time.monotonic()))
-        if body in owner.crashing_bodies:
+        if body in owner.crash_times:
+            owner.crash_later(body)
+            self.stream(echo, None)
+        elif body in owner.crashing_bodies:
             owner.run_crashing(body)
         elif fault == "reset":
             self.reset()
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -23,14 +23,15 @@
 
 Times get the slack of a busy machine, measured in the same run: how late this process wakes.
 
-With --crashing requests that end each engine which runs them come besides, with --statements back ends
+With --crashing requests that end each engine which runs them come besides, with --crash-times each of them after
+a time of its own, amid its stream, with --statements back ends
 that say in their answers that they leave, or ask to be left alone, with --links links to back ends that are
 silent or slow for a while, or reset all connections, with --leaving back ends whose entry of before they said that
 they leave is written after it, and moments at which all gateways are killed; the schedule of a seed is the same with and
 without.
 
 usage: soak.py --build DIR --work DIR [--seeds A..B|A,B] [--seconds S] [--only N,N] [--crashing]
-               [--statements] [--links] [--leaving]
+               [--crash-times] [--statements] [--links] [--leaving]
 """
 import argparse
 import json
@@ -59,6 +60,7 @@
 LINK_GAP_S = (0.8, 2.5)  # between two faults of links
 LEAVING_GAP_S = (0.8, 2.0)  # between two faults of entries and of all gateways
 LATE_ENTRY_S = 0.5     # after the entry that says it leaves, the older one is written
+CRASH_TIME_MOST_S = 2.0  # from the begin of a request to the end of its engine, where it is drawn
 BACKOFFS_S = (0.7, 1.5, 3.0, 6.0)
 
 
@@ -86,6 +88,8 @@
         self.with_leaving = options.leaving
         self.crashing = []        # callers whose requests end engines
         self.crashing_bodies = set()
+        self.crash_times = {}     # body -> seconds, where the time is drawn for each request
+        self.with_crash_times = options.crash_times
         self.random = random.Random(seed)
         self.seconds = options.seconds
         self.only = options.only
@@ -187,6 +191,7 @@
 
     def add_backend(self, backend):
         backend.crashing_bodies = self.crashing_bodies
+        backend.crash_times = self.crash_times
         self.starts.append(backend)
         self.live[backend.address] = backend
 
@@ -474,7 +479,11 @@
         engines[fault["which"] % len(engines)].faults.extend(["pause"] * 4)
 
     def fault_crashing(self, fault):
-        caller = clients.Crashing(self, len(self.crashing))
+        number = len(self.crashing)
+        if self.with_crash_times:
+            chance = random.Random("crash time %d %d" % (self.seed, number))
+            self.crash_times[clients.Crashing.body_of(number)] = chance.uniform(0.0, CRASH_TIME_MOST_S)
+        caller = clients.Crashing(self, number)
         self.crashing_bodies.add(caller.body)
         self.crashing.append(caller)
 
@@ -582,6 +591,8 @@
                         help="numbers of the faults to play")
     parser.add_argument("--crashing", action="store_true",
                         help="requests that end engines come besides")
+    parser.add_argument("--crash-times", action="store_true",
+                        help="each of these ends its engine after a time of its own, and streams until then")
     parser.add_argument("--statements", action="store_true",
                         help="back ends that leave or back off by their own word come besides")
     parser.add_argument("--links", action="store_true",
--- a/tests/system/soak_clients.py
+++ b/tests/system/soak_clients.py
@@ -117,14 +117,26 @@
 class Crashing(threading.Thread):
     """A caller whose request ends each engine that runs it, and comes again under new ids."""
 
+    @staticmethod
+    def body_of(number):
+        return b"crash-%d" % number
+
     def __init__(self, soak, number):
         super().__init__(daemon=True)
         self.soak = soak
-        self.body = b"crash-%d" % number
+        self.body = self.body_of(number)
         self.random = random.Random(soak.seed * 1000 + number)
         self.edges = {}  # id of a request -> the edge that it was sent to
+        self.query = self.outlasting(soak.crash_times.get(self.body))
         self.start()
 
+    @staticmethod
+    def outlasting(seconds):
+        """For a stream that goes on for longer than its engine; without a time the engine decides."""
+        if seconds is None:
+            return ""
+        return "?events=%d&gap_ms=%d" % (10 + 1000 * seconds / Patient.GAP_MS, Patient.GAP_MS)
+
     def run(self):
         end = time.monotonic() + CRASHING_FOR_S
         while time.monotonic() < end and not self.soak.over.is_set():
@@ -136,7 +148,7 @@
     def send(self, identity):
         connection = http.client.HTTPConnection(self.edges[identity], fleet.FRONT, timeout=4)
         try:
-            connection.request("POST", "/stream/" + self.body.decode(), self.body, {
+            connection.request("POST", "/stream/" + self.body.decode() + self.query, self.body, {
                 "Host": "a.example", "Shuntrun-Request-Id": identity,
                 "Shuntrun-Deadline-Ms": str(int(1000 * DEADLINE_S)), "Authorization": "Bearer key-a"})
             connection.getresponse().read()
