When a start was known to have ended decides whether a later run was at the next one

Causes, from the lines event=evidence and event=cleared: - The time of an end is when runs broke off. By a link that resets, that is before the back end ends: a run that began in between was taken for one at the next start, and one end counted twice. And a request that was sent into a dead connection had not begun. Now an end carries when it was known (a connection refused, another start there), and a run counts as begun when it lasted 20 ms. - A stream that ends each engine after a second goes on elsewhere for the rest, and that rest cleared it. Now the rest of a stream clears only ends of runs that were no longer; a whole run clears all.

Tests: core.crash_table, two new cases; they could not be written before, as the facts that they give did not exist.

--- a/src/cluster/crash_page.c
+++ b/src/cluster/crash_page.c
@@ -61,7 +61,7 @@
         reply_text(call, 400, "identity: 32 digits of hex are needed\n");
         return;
     }
-    if (!crash_table_clear(crash_sync_table(sync), &identity, cluster_now())) {
+    if (!crash_table_clear(crash_sync_table(sync), &identity, cluster_now(), CRASH_RAN_WHOLE)) {
         reply_text(call, 404, "identity: nothing is held against this request here\n");
         return;
     }
--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -102,6 +102,9 @@
         start->ran_ms = entry->starts[i].began_at
                             ? age_ms(entry->starts[i].began_at, entry->starts[i].ended_at)
                             : 0;
+        start->dead_ms = entry->starts[i].dead_at
+                             ? age_ms(entry->starts[i].ended_at, entry->starts[i].dead_at) + 1
+                             : 0;
         out->start_pointers[place][i] = start;
     }
     out->suspect_pointers[place] = suspect;
@@ -210,11 +213,13 @@
 static struct crash_start read_start(const Shuntrun__CrashStart *start, uint64_t now)
 {
     uint64_t ended_at = time_of_age(start->age_ms, now);
-    return (struct crash_start){.start = start->start,
-                                .ended_at = ended_at,
-                                .attempt = start->attempt,
-                                .began_at =
-                                    start->ran_ms ? time_of_age(start->ran_ms, ended_at) : 0};
+    return (struct crash_start){
+        .start = start->start,
+        .ended_at = ended_at,
+        .attempt = start->attempt,
+        .began_at = start->ran_ms ? time_of_age(start->ran_ms, ended_at) : 0,
+        .dead_at = start->dead_ms ? ended_at + start->dead_ms * 1000 : 0,
+    };
 }
 
 /* \return whether it could be decoded */
--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -117,10 +117,36 @@
     return hash_pair(start, 1);
 }
 
-/* Nodes that had not heard of the one end may have seen the other one under the same key. */
+/* Nodes that had not heard of the one end may have seen the other one under the same key. A start
+ * may live on for a while after a run there broke off: only what began when it was known to have
+ * ended was at another one. */
 static bool is_of_next_start(const struct crash_start *start, const struct crash_start *before)
 {
-    return start->began_at > before->ended_at + CRASH_SAME_MOMENT_US;
+    return before->dead_at && start->began_at > before->dead_at + CRASH_SAME_MOMENT_US;
+}
+
+static uint64_t earlier_known(uint64_t left, uint64_t right)
+{
+    if (!left || !right)
+        return left ? left : right;
+    return left < right ? left : right;
+}
+
+/* What two nodes saw of one end. */
+static void join_start(struct crash_start *known, const struct crash_start *other)
+{
+    known->dead_at = earlier_known(known->dead_at, other->dead_at);
+    known->began_at = earlier_known(known->began_at, other->began_at);
+}
+
+static bool add_new_start(struct crash_entry *entry, const struct crash_start *start)
+{
+    bool full = entry->start_count == CRASH_STARTS_KEPT;
+    if (full && start->ended_at <= entry->starts[0].ended_at)
+        return false;
+    insert_start(entry, start);
+    entry->shared |= entry->start_count > 1;
+    return true;
 }
 
 /* \return whether the start was not held. An earlier time of a known one is no news. */
@@ -134,20 +160,19 @@
         added.start = next_start(added.start);
         place = find_start(entry, added.start);
     }
-    bool known = place < entry->start_count;
-    if (known && entry->starts[place].ended_at <= added.ended_at)
-        return false;
-    bool full = entry->start_count == CRASH_STARTS_KEPT;
-    if (!known && full && added.ended_at <= entry->starts[0].ended_at)
-        return false;
-    struct crash_start other = known ? entry->starts[place] : added;
-    if (known)
-        remove_start(entry, place);
-    insert_start(entry, &added);
-    if (known && is_of_next_start(&other, &added))
-        return add_start(entry, &other);
-    entry->shared |= entry->start_count > 1;
-    return !known;
+    if (place == entry->start_count)
+        return add_new_start(entry, &added);
+    struct crash_start known = entry->starts[place];
+    remove_start(entry, place);
+    if (is_of_next_start(&known, &added)) {
+        insert_start(entry, &added);
+        return add_start(entry, &known);
+    }
+    if (added.ended_at < known.ended_at)
+        known.ended_at = added.ended_at;
+    join_start(&known, &added);
+    insert_start(entry, &known);
+    return false;
 }
 
 /* A later time alone is no news: a time that travels as an age seems later after each hop.
@@ -204,25 +229,26 @@
     return entry;
 }
 
-/* \return time of the end of a start, 0: none is known */
-static uint64_t end_of_start(const struct crash_table *table, uint64_t start)
+/* \return the first time at which a start was known to have ended, 0: it is not */
+static uint64_t dead_since(const struct crash_table *table, uint64_t start)
 {
+    uint64_t dead_at = 0;
     for (uint32_t i = 0; i < table->count; i++) {
         const struct crash_entry *entry = &table->entries[i];
         uint32_t place = find_start(entry, start);
         if (place < entry->start_count)
-            return entry->starts[place].ended_at;
+            dead_at = earlier_known(dead_at, entry->starts[place].dead_at);
     }
-    return 0;
+    return dead_at;
 }
 
 uint64_t crash_table_start_of_run(const struct crash_table *table, uint64_t start,
                                   uint64_t began_at)
 {
-    uint64_t ended_at = end_of_start(table, start);
-    while (ended_at && ended_at + CRASH_SAME_MOMENT_US < began_at) {
+    uint64_t dead_at = dead_since(table, start);
+    while (dead_at && dead_at + CRASH_SAME_MOMENT_US < began_at) {
         start = next_start(start);
-        ended_at = end_of_start(table, start);
+        dead_at = dead_since(table, start);
     }
     return start;
 }
@@ -237,11 +263,24 @@
     return is_new;
 }
 
+/* A stream that went on elsewhere did only the rest of its work there: that it ran well says
+ * nothing of ends that came after a longer run. */
+static bool outlasted_all(const struct crash_entry *entry, uint64_t ran_us)
+{
+    for (uint32_t i = 0; i < entry->start_count; i++) {
+        const struct crash_start *start = &entry->starts[i];
+        if (!start->began_at || start->ended_at - start->began_at > ran_us)
+            return false;
+    }
+    return true;
+}
+
 bool crash_table_clear(struct crash_table *table, const struct request_identity *identity,
-                       uint64_t at)
+                       uint64_t at, uint64_t ran_us)
 {
     struct crash_entry *entry = lookup(table, identity);
-    if (!entry || !entry->start_count)
+    if (!entry || !entry->start_count ||
+        (ran_us != CRASH_RAN_WHOLE && !outlasted_all(entry, ran_us)))
         return false;
     clear_until(entry, at);
     *table->judged_until = 0;
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -40,9 +40,10 @@
 /** A start of a back end that ended. */
 struct crash_start {
     uint64_t start;    /**< see crash_start_key() */
-    uint64_t ended_at; /**< as the first to notice saw it */
+    uint64_t ended_at; /**< when runs there broke off, as the first to notice saw it */
     uint32_t attempt;  /**< of the caller, that ran there: see crash_attempt_key() */
-    uint64_t began_at; /**< of the request's last run there; 0: not known */
+    uint64_t began_at; /**< of the request's first run there that broke off; 0: not known */
+    uint64_t dead_at;  /**< when somebody first knew that it had ended; 0: not known */
 };
 
 /** What is known of one request. */
@@ -85,9 +86,15 @@
 /** \brief A start ended with this request. \return whether that is new */
 bool crash_table_add(struct crash_table *table, const struct request_identity *identity,
                      const struct crash_start *start);
-/** \brief The request ran to a good end. \return whether it was under suspicion */
+/** All of a request's work was done in one run. */
+#define CRASH_RAN_WHOLE UINT64_MAX
+/**
+ * \brief The request ran to a good end.
+ * \param ran_us how long, where it went on with a stream; CRASH_RAN_WHOLE: all of it
+ * \return whether that takes ends back that were held against it
+ */
 bool crash_table_clear(struct crash_table *table, const struct request_identity *identity,
-                       uint64_t at);
+                       uint64_t at, uint64_t ran_us);
 /** \brief Take what another node holds of a request. \return whether any of it is new */
 bool crash_table_merge(struct crash_table *table, const struct crash_entry *entry);
 enum crash_verdict crash_table_judge(const struct crash_table *table,
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -15,6 +15,9 @@
 #define GATHER_MS 10
 /** Requests that broke off so long before the last one did not run when the back end ended. */
 #define SAME_END_US ((uint64_t)300000)
+/** A request that broke off sooner may have been sent into a connection whose other end was gone.
+ */
+#define RUN_LEAST_US ((uint64_t)20000)
 /** A new connection that is neither up nor refused by then proves nothing. */
 #define CONNECT_MS 700
 /** Time in which another start at the address shows that the last one ended. */
@@ -31,7 +34,7 @@
     struct request_identity identity;
     uint32_t attempt; /* crash_attempt_key() */
     uint64_t broken_at;
-    uint64_t sent_at;
+    uint64_t began_at; /* of the first of like ones; 0: it may not have begun */
 };
 
 /* A back end that may have ended, and the requests that broke off there. */
@@ -40,7 +43,7 @@
     struct backend *backend;
     bool planned;       /* it had said that it leaves: its end is no evidence */
     uint64_t start;     /* crash_start_key() */
-    uint64_t sent_at;   /* when the last of these requests was sent there */
+    uint64_t began_at;  /* when the last of these requests began there; 0: not known */
     uint64_t broken_at; /* when the last request broke off */
     enum crash_check_state state;
     struct lost_run runs[RUNS_MOST];
@@ -102,10 +105,14 @@
 {
     struct crash_table *table = crash_sync_table(check->edge->cluster.crashes);
     uint64_t now = cluster_now();
-    check->start = crash_table_start_of_run(table, check->start, check->sent_at);
+    check->start = crash_table_start_of_run(table, check->start, check->began_at);
     for (uint32_t i = 0; i < check->run_count; i++) {
         const struct lost_run *run = &check->runs[i];
-        struct crash_start start = {check->start, check->broken_at, run->attempt, run->sent_at};
+        struct crash_start start = {.start = check->start,
+                                    .ended_at = check->broken_at,
+                                    .attempt = run->attempt,
+                                    .began_at = run->began_at,
+                                    .dead_at = now};
         if (was_at_end(check, run))
             crash_table_add(table, &run->identity, &start);
     }
@@ -240,7 +247,8 @@
     check->broken_at = run->broken_at;
     if (known) {
         known->broken_at = run->broken_at;
-        known->sent_at = run->sent_at;
+        if (run->began_at && (!known->began_at || run->began_at < known->began_at))
+            known->began_at = run->began_at;
         return;
     }
     if (check->run_count == RUNS_MOST) {
@@ -260,8 +268,9 @@
         check = begin_check(edge, backend);
     else if (check->state == CHECK_WAITS && check->open_handles == 1)
         gather(check);
-    if (sent_at > check->sent_at)
-        check->sent_at = sent_at;
+    uint64_t began_at = cluster_now() >= sent_at + RUN_LEAST_US ? sent_at : 0;
+    if (began_at > check->began_at)
+        check->began_at = began_at;
     check->planned |= backend_end_is_planned(edge->pool, backend, cluster_now());
     if (check->planned) {
         check->broken_at = cluster_now();
@@ -272,7 +281,7 @@
                   (cluster_now() - backend->leaves_since) / 1000);
         return;
     }
-    struct lost_run run = {*identity, crash_attempt_key(request_id), cluster_now(), sent_at};
+    struct lost_run run = {*identity, crash_attempt_key(request_id), cluster_now(), began_at};
     add_run(check, &run);
 }
 
--- a/src/edge/exchange_suspicion.c
+++ b/src/edge/exchange_suspicion.c
@@ -105,12 +105,19 @@
     crash_watch_lost_run(exchange->edge, backend, identity, exchange->head.id, exchange->sent_at);
 }
 
+/* \return for how long its last back end worked on it, if that went on with a stream */
+static uint64_t ran_us(const struct exchange *exchange)
+{
+    bool rest = exchange->resuming || exchange->head.last_event_id[0];
+    return rest ? cluster_now() - exchange->sent_at : CRASH_RAN_WHOLE;
+}
+
 void exchange_ran_well(struct exchange *exchange)
 {
     struct crash_table *table = table_of(exchange);
     char hex[REQUEST_IDENTITY_HEX_SIZE];
     if (!crash_table_count(table) ||
-        !crash_table_clear(table, exchange_identity(exchange), cluster_now()))
+        !crash_table_clear(table, exchange_identity(exchange), cluster_now(), ran_us(exchange)))
         return;
     request_identity_to_hex(exchange_identity(exchange), hex);
     log_event(LOG_LEVEL_INFO, "crash", "cleared", "request=%s identity=%s", exchange->head.id, hex);
--- a/tests/core/crash_lease_test.c
+++ b/tests/core/crash_lease_test.c
@@ -19,7 +19,7 @@
 static void ended(struct crash_table *table, uint32_t request, uint64_t start, uint64_t at)
 {
     struct request_identity identity = identity_of(request);
-    struct crash_start end = {start, at, (uint32_t)start, 0};
+    struct crash_start end = {start, at, (uint32_t)start, 0, at};
     crash_table_add(table, &identity, &end);
 }
 
@@ -86,7 +86,7 @@
     struct request_identity identity = identity_of(1);
     uint64_t now = BEGIN + 310 * MS;
     lease(table, 1, 50, now);
-    crash_table_clear(table, &identity, now + 40 * MS);
+    crash_table_clear(table, &identity, now + 40 * MS, CRASH_RAN_WHOLE);
     assert_false(is_barred(table, 2, 50, now + 50 * MS));
     crash_table_destroy(table);
 }
--- a/tests/core/crash_spread_test.c
+++ b/tests/core/crash_spread_test.c
@@ -93,7 +93,7 @@
 static void see_end(struct fleet *fleet, uint32_t gateway, uint32_t request, uint64_t start)
 {
     struct request_identity identity = identity_of(request);
-    struct crash_start end = {start, NOW + start * SECOND, (uint32_t)start, 0};
+    struct crash_start end = {start, NOW + start * SECOND, (uint32_t)start, 0, 0};
     crash_table_add(fleet->tables[gateway], &identity, &end);
 }
 
@@ -156,7 +156,7 @@
     see_end(&fleet, 3, 1, 2);
     tell_all(&fleet);
     fleet.messages = 0;
-    crash_table_clear(fleet.tables[20], &identity, NOW + 5 * SECOND);
+    crash_table_clear(fleet.tables[20], &identity, NOW + 5 * SECOND, CRASH_RAN_WHOLE);
     assert_in_range(tell_all(&fleet), 1, 9);
     assert_in_range(fleet.messages, FLEET_GATEWAYS, MESSAGES_MOST);
     assert_int_equal(count_knowing(&fleet, 1, 1), 0);
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash_table_test.c
@@ -23,7 +23,7 @@
                      uint32_t attempt)
 {
     struct request_identity identity = identity_of(request);
-    struct crash_start end = {start, at, attempt, 0};
+    struct crash_start end = {.start = start, .ended_at = at, .attempt = attempt, .dead_at = at};
     crash_table_add(table, &identity, &end);
 }
 
@@ -42,7 +42,7 @@
 static void ran_well(struct crash_table *table, uint32_t request, uint64_t at)
 {
     struct request_identity identity = identity_of(request);
-    crash_table_clear(table, &identity, at);
+    crash_table_clear(table, &identity, at, CRASH_RAN_WHOLE);
 }
 
 static void three_ended_starts_block_a_request(void **state)
@@ -207,7 +207,7 @@
 static void ran_until(struct crash_table *table, uint64_t start, uint64_t began_at, uint64_t at)
 {
     struct request_identity identity = identity_of(1);
-    struct crash_start end = {start, at, (uint32_t)at, began_at};
+    struct crash_start end = {start, at, (uint32_t)at, began_at, at};
     crash_table_add(table, &identity, &end);
 }
 
@@ -231,6 +231,34 @@
     crash_table_destroy(there);
 }
 
+/* Guards against a request that was cleared by others' work: a stream that ends each back end after
+ * a second of it went on elsewhere for the rest, and that ended well. */
+static void the_rest_of_a_stream_clears_only_ends_of_shorter_runs(void **state)
+{
+    struct crash_table *table = crash_table_create();
+    struct request_identity identity = identity_of(1);
+    ran_until(table, 11, BEGIN - SECOND, BEGIN);
+    assert_false(crash_table_clear(table, &identity, BEGIN + SECOND, SECOND - 1));
+    assert_int_equal(verdict(table, 1, BEGIN + SECOND), CRASH_SUSPECT);
+    assert_true(crash_table_clear(table, &identity, BEGIN + SECOND, SECOND));
+    assert_int_equal(verdict(table, 1, BEGIN + SECOND), CRASH_NO_SUSPECT);
+    crash_table_destroy(table);
+}
+
+/* Guards against ends that counted twice: a run broke off, by its link, before its back end ended,
+ * and another gateway's run began in between. */
+static void a_run_that_broke_off_before_the_end_of_its_start_makes_no_second_one(void **state)
+{
+    struct crash_table *table = crash_table_create();
+    struct request_identity identity = identity_of(1);
+    struct crash_start early = {11, BEGIN, 1, BEGIN - SECOND, BEGIN + 3 * SECOND};
+    struct crash_start late = {11, BEGIN + 2 * SECOND, 2, BEGIN + SECOND, BEGIN + 2 * SECOND};
+    crash_table_add(table, &identity, &early);
+    crash_table_add(table, &identity, &late);
+    assert_int_equal(crash_table_at(table, 0)->start_count, 1);
+    crash_table_destroy(table);
+}
+
 /* Guards against ends that came back: a good end was not told to those who had been told of the end
  * before it, and a gateway that began anew learned that one from them. */
 static void a_good_end_is_told_even_of_a_request_with_one_end(void **state)
@@ -483,6 +511,8 @@
         cmocka_unit_test(a_full_table_keeps_the_most_suspect),
         cmocka_unit_test(a_run_that_began_after_the_end_of_a_start_was_at_another_one),
         cmocka_unit_test(two_ends_that_two_nodes_saw_under_one_key_are_told_apart_when_they_meet),
+        cmocka_unit_test(the_rest_of_a_stream_clears_only_ends_of_shorter_runs),
+        cmocka_unit_test(a_run_that_broke_off_before_the_end_of_its_start_makes_no_second_one),
         cmocka_unit_test(a_good_end_is_told_even_of_a_request_with_one_end),
         cmocka_unit_test(nodes_agree_whatever_the_order),
         cmocka_unit_test(another_request_is_not_blocked),
--- a/tests/core/crash_verdict_test.c
+++ b/tests/core/crash_verdict_test.c
@@ -26,7 +26,7 @@
     for (uint32_t i = 0; i < count; i++) {
         struct crash_entry *entry = &facts->entries[requests[i]];
         entry->starts[entry->start_count++] =
-            (struct crash_start){facts->ends, at, attempt ? attempt : facts->ends, 0};
+            (struct crash_start){facts->ends, at, attempt ? attempt : facts->ends, 0, at};
     }
 }
 
