Ends are told apart by who saw them, not by whom the news reached; explained ends hold back, too

A node that stood still takes messages that lay there for seconds, and all their times seem later to it: one end became two, and the new one went to all others. Evidence: keys of ends that no gateway had logged, 1.8 s after the real ones, learned from a loader that had been frozen (event=learned peer=...). Reverted: only the gateway that saw a run, and has itself heard that the start had ended before, counts it for the next one. What a gateway that was held for dead had not been told of (the reason for the reverted change) is told in answers to digests that differ now: ends of the last 10 s, also of requests with one.

--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -15,6 +15,8 @@
  *  10 kB/s. While the same digests go on to differ, each wait is twice the last one. */
 #define REPAIR_US ((uint64_t)250000)
 #define REPAIR_MOST_US ((uint64_t)8000000)
+/** Ends that are younger are told in such an answer, also those of requests with one end. */
+#define RECENT_US ((uint64_t)10000000)
 /** Messages carry the same digest for so long: an end counts in it after 0.5 s only. */
 #define DIGEST_FOR_US ((uint64_t)100000)
 
@@ -169,6 +171,12 @@
     free(outbox.items);
 }
 
+/* Whoever stood still, or was held for dead, was not told of it. */
+static bool is_recent(const struct crash_entry *entry, uint64_t now)
+{
+    return entry->start_count && now < entry->starts[entry->start_count - 1].ended_at + RECENT_US;
+}
+
 /* What one message has no room for goes into the next one. */
 static void send_shared(struct crash_sync *sync, uint32_t address, uint64_t now)
 {
@@ -178,7 +186,7 @@
     for (uint32_t i = 0; i < count && out.message.n_suspects < SUSPECTS_MOST; i++) {
         sync->repair_place = (sync->repair_place + 1) % count;
         struct crash_entry *entry = crash_table_at(sync->table, sync->repair_place);
-        if (entry->shared)
+        if (entry->shared || is_recent(entry, now))
             add_entry(&out, entry, now);
     }
     if (out.message.n_suspects)
--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -117,14 +117,6 @@
     return hash_pair(start, 1);
 }
 
-/* Nodes that had not heard of the one end may have seen the other one under the same key. A start
- * may live on for a while after a run there broke off: only what began when it was known to have
- * ended was at another one. */
-static bool is_of_next_start(const struct crash_start *start, const struct crash_start *before)
-{
-    return before->dead_at && start->began_at > before->dead_at + CRASH_SAME_MOMENT_US;
-}
-
 static uint64_t earlier_known(uint64_t left, uint64_t right)
 {
     if (!left || !right)
@@ -135,6 +127,8 @@
 /* What two nodes saw of one end. */
 static void join_start(struct crash_start *known, const struct crash_start *other)
 {
+    if (other->ended_at < known->ended_at)
+        known->ended_at = other->ended_at;
     known->dead_at = earlier_known(known->dead_at, other->dead_at);
     known->began_at = earlier_known(known->began_at, other->began_at);
 }
@@ -154,23 +148,12 @@
 {
     if (start->ended_at <= entry->cleared_at)
         return false;
-    struct crash_start added = *start;
-    uint32_t place = find_start(entry, added.start);
-    while (place < entry->start_count && is_of_next_start(&added, &entry->starts[place])) {
-        added.start = next_start(added.start);
-        place = find_start(entry, added.start);
-    }
+    uint32_t place = find_start(entry, start->start);
     if (place == entry->start_count)
-        return add_new_start(entry, &added);
+        return add_new_start(entry, start);
     struct crash_start known = entry->starts[place];
     remove_start(entry, place);
-    if (is_of_next_start(&known, &added)) {
-        insert_start(entry, &added);
-        return add_start(entry, &known);
-    }
-    if (added.ended_at < known.ended_at)
-        known.ended_at = added.ended_at;
-    join_start(&known, &added);
+    join_start(&known, start);
     insert_start(entry, &known);
     return false;
 }
--- a/src/core/crash_verdict.c
+++ b/src/core/crash_verdict.c
@@ -82,14 +82,11 @@
             blocked > judgement->findings[items[i].entry].settled;
 }
 
-static uint32_t count_starts(const struct crash_entry *entry,
-                             const bool explained[CRASH_STARTS_KEPT])
+static uint32_t count_starts(const struct crash_entry *entry)
 {
     uint32_t starts = 0, of_moment = 0;
     uint64_t moment = 0;
     for (uint32_t i = 0; i < entry->start_count; i++) {
-        if (explained[i])
-            continue;
         if (!moment || entry->starts[i].ended_at >= moment + CRASH_SAME_MOMENT_US) {
             moment = entry->starts[i].ended_at;
             of_moment = 0;
@@ -109,7 +106,7 @@
         const struct crash_entry *entry = &judgement->entries[i];
         struct crash_finding *finding = &judgement->findings[i];
         finding->unexplained = crash_entry_weight_without(entry, judgement->explained[i]);
-        finding->starts = count_starts(entry, judgement->explained[i]);
+        finding->starts = count_starts(entry);
     }
 }
 
--- a/src/core/crash_verdict.h
+++ b/src/core/crash_verdict.h
@@ -10,8 +10,8 @@
  * - blocked once it was there at enough ends, CRASH_PROOFS_TO_BLOCK of which are proof: it was the
  *   only one there that had, with this end, as many ends unexplained as isolate a request.
  * An end at which a blocked request was is explained for all others.
- * - held back from CRASH_STARTS_TO_HOLD unexplained ends on, for a time that doubles, if that is no
- *   proof: ends that were shared are no reason to refuse a request for good.
+ * - held back, if it is isolated, from CRASH_STARTS_TO_HOLD ends on, for a time that doubles, if
+ * that is no proof: ends that were shared are no reason to refuse a request for good.
  *
  * Pure functions of the entries: nodes that hold the same entries, in any order, judge alike.
  */
@@ -36,8 +36,8 @@
 /** The same where back ends end for reasons that are not known, too: such an end may come while a
  *  request runs apart. */
 #define CRASH_PROOFS_IN_NOISE 3
-/** Unexplained ended starts, of more than one moment, from which on a request that is not proven is
- * held back. */
+/** Ended starts from which on a request that is isolated and not proven is held back, explained
+ * ones too: two requests that crash back ends may have met at some of them. */
 #define CRASH_STARTS_TO_HOLD 3
 /** A loss of power ends many starts at one moment, repeats that come to several gateways at once
  * end a few: of one moment no more than these count. */
@@ -54,7 +54,7 @@
 /** What follows from all entries for one of them. */
 struct crash_finding {
     uint32_t unexplained; /**< ends at which no other request that is blocked was */
-    uint32_t starts;      /**< the same, those of one moment CRASH_STARTS_OF_MOMENT at most */
+    uint32_t starts;      /**< all ends, those of one moment CRASH_STARTS_OF_MOMENT at most */
     uint32_t proofs;
     bool isolated; /**< it must not run beside another one that is */
     bool blocked;  /**< unless its ends are so old that it may be tried again */
--- a/tests/core/crash_verdict_test.c
+++ b/tests/core/crash_verdict_test.c
@@ -151,6 +151,24 @@
     assert_int_equal(held_until(&facts, newest, newest), newest + 2 * CRASH_HOLD_US);
 }
 
+/* Guards against a request that reached back ends after its third end: it had met another one,
+ * which explains the first of them. */
+static void explained_ends_count_for_holding_back_who_is_isolated(void **state)
+{
+    struct facts facts = {0};
+    END(&facts, 0, GUILTY, STREAM);
+    END(&facts, SECOND, GUILTY);
+    END(&facts, 2 * SECOND, GUILTY);
+    END(&facts, 3 * SECOND, STREAM, OTHER);
+    judge(&facts, LATER);
+    assert_true(facts.findings[GUILTY].settled);
+    assert_int_equal(held_until(&facts, 3 * SECOND, 6 * SECOND), 0);
+    END(&facts, 4 * SECOND, STREAM, OTHER);
+    judge(&facts, LATER);
+    assert_int_equal(facts.findings[STREAM].unexplained, 2);
+    assert_int_equal(held_until(&facts, 4 * SECOND, 6 * SECOND), 4 * SECOND + CRASH_HOLD_US);
+}
+
 static void a_loss_of_power_holds_nobody_back(void **state)
 {
     struct facts facts = {0};
@@ -182,6 +200,7 @@
         cmocka_unit_test(where_others_end_one_proof_is_not_enough),
         cmocka_unit_test(ends_of_one_attempt_need_one_proof_more),
         cmocka_unit_test(who_is_not_proven_is_held_back_for_ever_longer_times),
+        cmocka_unit_test(explained_ends_count_for_holding_back_who_is_isolated),
         cmocka_unit_test(a_loss_of_power_holds_nobody_back),
         cmocka_unit_test(two_ends_of_one_moment_and_one_more_hold_back),
     };
