--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -9,14 +9,16 @@
 struct crash_table {
     struct crash_entry *entries;
     uint32_t count;
+    uint64_t *prefixes; /* the first bytes of each entry's identity: a look reads these alone */
     struct crash_finding *findings; /* of each entry, as of the last judgement */
-    uint64_t *judged_until;         /* time from which that may be another; 0: it is */
+    uint64_t *judged_until; /* time from which the next one may differ; 0: entries have changed */
 };
 
 struct crash_table *crash_table_create(void)
 {
     struct crash_table *table = memory_zero(1, sizeof *table);
     table->entries = memory_zero(CRASH_ENTRIES_MOST, sizeof *table->entries);
+    table->prefixes = memory_zero(CRASH_ENTRIES_MOST, sizeof *table->prefixes);
     table->findings = memory_zero(CRASH_ENTRIES_MOST, sizeof *table->findings);
     table->judged_until = memory_zero(1, sizeof *table->judged_until);
     return table;
@@ -25,6 +27,7 @@
 void crash_table_destroy(struct crash_table *table)
 {
     free(table->entries);
+    free(table->prefixes);
     free(table->findings);
     free(table->judged_until);
     free(table);
@@ -175,11 +178,20 @@
 /* --- the table -----------------------------------------------------------------------------------
  */
 
+static uint64_t prefix_of(const struct request_identity *identity)
+{
+    uint64_t prefix;
+    memcpy(&prefix, identity->bytes, sizeof prefix);
+    return prefix;
+}
+
 static struct crash_entry *lookup(const struct crash_table *table,
                                   const struct request_identity *identity)
 {
+    uint64_t prefix = prefix_of(identity);
     for (uint32_t i = 0; i < table->count; i++)
-        if (request_identity_equal(&table->entries[i].identity, identity))
+        if (table->prefixes[i] == prefix &&
+            request_identity_equal(&table->entries[i].identity, identity))
             return &table->entries[i];
     return NULL;
 }
@@ -209,6 +221,7 @@
     entry =
         table->count < CRASH_ENTRIES_MOST ? &table->entries[table->count++] : least_suspect(table);
     *entry = (struct crash_entry){.identity = *identity};
+    table->prefixes[entry - table->entries] = prefix_of(identity);
     return entry;
 }
 
@@ -389,11 +402,18 @@
     return now >= newest + (entry->shared ? CRASH_REMEMBER_US : CRASH_SUSPECT_US);
 }
 
+static void remove_entry(struct crash_table *table, uint32_t place)
+{
+    uint32_t last = --table->count;
+    table->entries[place] = table->entries[last];
+    table->prefixes[place] = table->prefixes[last];
+}
+
 void crash_table_trim(struct crash_table *table, uint64_t now)
 {
     for (uint32_t i = table->count; i-- > 0;)
         if (is_over(&table->entries[i], now))
-            table->entries[i] = table->entries[--table->count];
+            remove_entry(table, i);
     *table->judged_until = 0;
 }
 
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -32,7 +32,7 @@
 #define CRASH_SUSPECT_US ((uint64_t)60000000)
 /** The same for more than one. */
 #define CRASH_REMEMBER_US ((uint64_t)86400000000)
-/** Requests that a table holds; those with the least evidence go first. 170 bytes each. */
+/** Requests that a table holds; those with the least evidence go first. */
 #define CRASH_ENTRIES_MOST 1024
 /** Starts kept of one request, the latest. */
 #define CRASH_STARTS_KEPT 8
@@ -75,9 +75,10 @@
 uint64_t crash_start_key(const char *backend_id, uint64_t born);
 
 /**
- * \brief A start that is known to have ended cannot end again: a run that began later was at
- * another start, of which nobody has said yet when it was born. \return what stands for the start
- * at which the run was, the same on all nodes that know that end
+ * \brief At which start a run was. One that is known to have ended cannot end again: a run that
+ * began later was at the next one, of which nobody has said yet when it was born.
+ * \param start see crash_start_key()
+ * \return what stands for it, the same on all nodes that know that end
  */
 uint64_t crash_table_start_of_run(const struct crash_table *table, uint64_t start,
                                   uint64_t began_at);
@@ -114,7 +115,7 @@
 struct crash_finding crash_table_finding(const struct crash_table *table,
                                          const struct request_identity *identity, uint64_t now);
 /**
- * \brief An isolated request asks for a back end, or is told to run there by this node.
+ * \brief An isolated request asks for a back end.
  * \param start see crash_start_key()
  * \return the lease that it holds now: an older one that is valid stays
  */
@@ -122,7 +123,7 @@
                                      const struct request_identity *identity, uint64_t start,
                                      uint64_t now);
 /**
- * \brief The starts of back ends that other isolated requests hold.
+ * \brief The starts of back ends at which other isolated requests run, or go before this one.
  * \param starts CRASH_BARRED_MOST of them at most, written
  * \return their number
  */
--- a/src/core/crash_verdict.c
+++ b/src/core/crash_verdict.c
@@ -184,6 +184,9 @@
     return false;
 }
 
+/* \return whether an end of another request came lately, has no explanation, and was without this
+ * one
+ */
 static bool is_unexplained_without(const struct judgement *judgement, uint32_t own, uint32_t other,
                                    uint32_t place)
 {
@@ -198,8 +201,10 @@
 /* \return whether somebody against whom there is a proof was at the end of a start */
 static bool has_likely_cause(const struct judgement *judgement, uint64_t start)
 {
-    for (uint32_t i = 0; i < judgement->entry_count; i++)
-        if (judgement->findings[i].proofs && has_start(&judgement->entries[i], start))
+    const struct presences *presences = &judgement->presences;
+    for (uint32_t i = 0; i < presences->count; i++)
+        if (presences->items[i].start == start &&
+            judgement->findings[presences->items[i].entry].proofs)
             return true;
     return false;
 }
