A short hold counts against nobody's time to wait for a place

Found by reading: a request that has not begun, and whose like was at an end before, was given up with 502 at the end of its back end, though an attempt was left, if the time for which it may wait for a place was over by then: it waits 10 to 40 ms until it is known whether the back end has ended, and for its lease. Now such a hold extends that time. Not seen in a run; no test of its own.

--- a/src/edge/exchange_isolation.c
+++ b/src/edge/exchange_isolation.c
@@ -9,6 +9,8 @@
 
 /** Between two looks whether the back end has ended at which the request was. */
 #define CHECK_LOOK_US 10000
+/** A request that has not begun bears so much beyond the time for which it may wait for a place. */
+#define SHORT_HOLD_US 40000
 /** Between two looks whether what others did explains the ends at which the request was. */
 #define HELD_LOOK_US 100000
 
@@ -120,11 +122,15 @@
 }
 
 /* A begun stream is held for as long as it has; any other is refused at once where its turn to run
- * apart does not come in the time that it may wait. */
+ * apart does not come in the time that it may wait. A short hold does not count: its back end may
+ * have ended after that time. */
 void exchange_hold_until(struct exchange *exchange, uint64_t moment)
 {
-    if (exchange->streaming || moment < exchange->wait_until)
-        exchange_wait_until(exchange, next_held_look(moment, cluster_now()));
+    uint64_t now = cluster_now();
+    if (moment <= now + SHORT_HOLD_US && exchange->wait_until < moment)
+        exchange->wait_until = moment;
+    if (exchange->streaming || moment <= exchange->wait_until)
+        exchange_wait_until(exchange, next_held_look(moment, now));
     else
         exchange_give_up_truly(exchange, END_HELD);
 }
