The rest of a stream clears one attempt: its ends must not stay ambiguous for others

It had ended four engines and reached none after that, but no proof was left against it.

Cause: since the rest of a stream clears only ends of shorter runs. Streams that had moved on with the request to its third and fourth end ran their short rest well and were not cleared; they never come again, and those two ends stayed ambiguous. Evidence: event=evidence of starts, proofs=0.

Change: one attempt of a caller that is done is cleared of its ends. A request that comes in several attempts keeps the rule: it was made for those. Test: core.crash_table, new case, failed before (not cleared).

--- a/src/core/crash_table.c
+++ b/src/core/crash_table.c
@@ -259,8 +259,17 @@
     return is_new;
 }
 
+bool crash_entry_is_of_one_attempt(const struct crash_entry *entry)
+{
+    for (uint32_t i = 1; i < entry->start_count; i++)
+        if (entry->starts[i].attempt != entry->starts[0].attempt)
+            return false;
+    return true;
+}
+
 /* A stream that went on elsewhere did only the rest of its work there: that it ran well says
- * nothing of ends that came after a longer run. */
+ * nothing of ends that came after a longer run. One attempt that is done does not come again, and
+ * must not make others' ends ambiguous. */
 static bool outlasted_all(const struct crash_entry *entry, uint64_t ran_us)
 {
     for (uint32_t i = 0; i < entry->start_count; i++) {
@@ -276,7 +285,8 @@
 {
     struct crash_entry *entry = lookup(table, identity);
     if (!entry || !entry->start_count ||
-        (ran_us != CRASH_RAN_WHOLE && !outlasted_all(entry, ran_us)))
+        (ran_us != CRASH_RAN_WHOLE && !crash_entry_is_of_one_attempt(entry) &&
+         !outlasted_all(entry, ran_us)))
         return false;
     clear_until(entry, at);
     *table->judged_until = 0;
--- a/src/core/crash_table.h
+++ b/src/core/crash_table.h
@@ -144,6 +144,8 @@
 /** \return the same without those whose place in `without` is true */
 uint32_t crash_entry_weight_without(const struct crash_entry *entry,
                                     const bool without[CRASH_STARTS_KEPT]);
+/** \return whether one attempt of a caller was at all ends of a request */
+bool crash_entry_is_of_one_attempt(const struct crash_entry *entry);
 /** News of an end reach all gateways within this time; only then a digest counts it. */
 #define CRASH_SETTLED_US ((uint64_t)500000)
 /**
--- a/src/core/crash_verdict.c
+++ b/src/core/crash_verdict.c
@@ -168,14 +168,6 @@
 /* --- verdicts ------------------------------------------------------------------------------------
  */
 
-static bool is_of_one_attempt(const struct crash_entry *entry)
-{
-    for (uint32_t i = 1; i < entry->start_count; i++)
-        if (entry->starts[i].attempt != entry->starts[0].attempt)
-            return false;
-    return true;
-}
-
 static bool has_start(const struct crash_entry *entry, uint64_t start)
 {
     for (uint32_t i = 0; i < entry->start_count; i++)
@@ -227,7 +219,7 @@
 {
     const struct crash_entry *entry = &judgement->entries[index];
     const struct crash_finding *finding = &judgement->findings[index];
-    bool one_attempt = is_of_one_attempt(entry);
+    bool one_attempt = crash_entry_is_of_one_attempt(entry);
     uint32_t ends = one_attempt ? CRASH_STARTS_TO_BLOCK_ONE_ATTEMPT : CRASH_STARTS_TO_BLOCK;
     if (finding->unexplained < ends || !finding->proofs)
         return false;
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash_table_test.c
@@ -229,6 +229,7 @@
     struct crash_table *table = crash_table_create();
     struct request_identity identity = identity_of(1);
     ran_until(table, 11, BEGIN - SECOND, BEGIN);
+    ran_until(table, 12, BEGIN - SECOND / 2, BEGIN + SECOND / 2);
     assert_false(crash_table_clear(table, &identity, BEGIN + SECOND, SECOND - 1));
     assert_int_equal(verdict(table, 1, BEGIN + SECOND), CRASH_SUSPECT);
     assert_true(crash_table_clear(table, &identity, BEGIN + SECOND, SECOND));
@@ -236,6 +237,21 @@
     crash_table_destroy(table);
 }
 
+/* Guards against a request that crashes back ends and is never proven: a stream that was at two
+ * ends with it is done, and its ends would stay ambiguous. */
+static void the_rest_of_a_stream_clears_one_attempt(void **state)
+{
+    struct crash_table *table = crash_table_create();
+    struct request_identity identity = identity_of(1);
+    struct crash_start first = {11, BEGIN, 7, BEGIN - SECOND, BEGIN};
+    struct crash_start second = {12, BEGIN + SECOND, 7, BEGIN, BEGIN + SECOND};
+    crash_table_add(table, &identity, &first);
+    crash_table_add(table, &identity, &second);
+    assert_true(crash_table_clear(table, &identity, BEGIN + 2 * SECOND, SECOND / 10));
+    assert_int_equal(verdict(table, 1, BEGIN + 2 * SECOND), CRASH_NO_SUSPECT);
+    crash_table_destroy(table);
+}
+
 /* Guards against ends that counted twice: a run broke off, by its link, before its back end ended,
  * and another gateway's run began in between. */
 static void a_run_that_broke_off_before_the_end_of_its_start_makes_no_second_one(void **state)
@@ -503,6 +519,7 @@
         cmocka_unit_test(a_run_that_began_after_the_end_of_a_start_was_at_another_one),
         cmocka_unit_test(news_that_come_late_make_no_second_end),
         cmocka_unit_test(the_rest_of_a_stream_clears_only_ends_of_shorter_runs),
+        cmocka_unit_test(the_rest_of_a_stream_clears_one_attempt),
         cmocka_unit_test(a_run_that_broke_off_before_the_end_of_its_start_makes_no_second_one),
         cmocka_unit_test(a_good_end_is_told_even_of_a_request_with_one_end),
         cmocka_unit_test(nodes_agree_whatever_the_order),
