--- a/src/core/membership_news.c
+++ b/src/core/membership_news.c
@@ -10,9 +10,7 @@
 /** A change is told in so many messages for each doubling of the members. */
 #define TELL_FACTOR 2
 /** That a member joined is told in so many messages by each node: comparisons of tables bring it to
- *  whoever was missed. After a start of 1,000 the fleet else goes on for minutes to tell all of
- * all: 2.8 kB a second and node instead of 0.6 (virtual network of
- *  tests/core/fleet_start_test.c, 12 s after the start). */
+ * whoever was missed, and after a start of all a large fleet would go on telling for minutes. */
 #define JOINED_TOLD 4
 /** Members that a message for another purpose tells of, besides: the rest goes on the next ones. */
 #define CHANGES_MOST 12
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -178,9 +178,8 @@
     remember_tried(exchange, backend, result == BACKEND_BROKEN);
 }
 
-/* A cut stream is a kind of its own, since the lines of a kind are bounded: of some 90 refusals
- * within a second 43 lines were left out, and the one that said why a client had lost its stream.
- */
+/* A cut stream is a kind of its own: the lines of a kind are bounded, and many refusals must not
+ * crowd out the one that says why a client lost its stream. */
 static const char *end_event(const struct exchange *exchange, bool good)
 {
     if (good)
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -11,9 +11,7 @@
 #include <string.h>
 
 #define STAGE_TIMEOUT_MS 2000
-/** An order is answered within some 5 ms. One that is not is given again after this, and the
- * engine, which takes no requests meanwhile, waits 0.9 s less than with 1.5 s (a held order, real
- * processes). */
+/** An order without an answer is given again after this; the engine takes no requests meanwhile. */
 #define ORDER_TIMEOUT_MS 600
 #define STAGE_LIMIT (8U << 20)
 
@@ -22,7 +20,7 @@
     .fresh_us = 1500000,
     /** A third of `fresh_us`, so that a reading of all pieces may take the other two thirds. */
     .reread_us = 500000,
-    /** Orders without an answer were handled up to 11.8 s later, by their place among others. */
+    /** An engine may handle an order or a put so long after its caller gave it up. */
     .call_life_us = 12000000,
     .order_effect_us = 1500000,
     /** An engine's report is some 60 ms old; a refused order would meet the same state before. */
