Relays that read the manifest ask the readers of other regions for it, too

Change: a relay has up to three requests for the manifest in flight; a reader asks the origin and the readers of other regions, and only these while it does not know the origin's address.

--- a/src/core/relay_plan.c
+++ b/src/core/relay_plan.c
@@ -260,19 +260,31 @@
             add_source(sources, plan->loaders[i]);
 }
 
+static void add_origin_readers_of_other_regions(const struct relay_plan *plan,
+                                                struct relay_sources *sources)
+{
+    for (uint32_t i = 0; i < plan->count; i++)
+        if (plan->relays[i].reads_origin && strcmp(plan->relays[i].region, plan->region) != 0)
+            add_source(sources, plan->relays[i].address);
+}
+
 /*
  * Only the relays that read pieces from the origin request the manifest from it. The origin's link
- * is slow, and a response to any other relay queues behind all pieces: 0.8 s when 27 relays read
- * from the origin.
+ * is slow, and a response queues behind all pieces: 0.8 s when 27 relays read from the origin. So a
+ * reader also asks those of other regions, one of which may have it already.
  */
 void relay_plan_manifest_sources(const struct relay_plan *plan, struct relay_sources *sources)
 {
     uint64_t key = hash_pair(plan->rollout, MANIFEST_KEY);
     const struct relay *manifest_reader = top_ranked_relay(plan, key, plan->region, true);
-    sources->count = sources->same_region_count = 0;
-    add_source(sources, !manifest_reader || manifest_reader->address == plan->self
-                            ? RELAY_ORIGIN
-                            : manifest_reader->address);
+    sources->count = sources->same_region_count = sources->independent_count = 0;
+    if (manifest_reader && manifest_reader->address != plan->self) {
+        add_source(sources, manifest_reader->address);
+    } else {
+        add_source(sources, RELAY_ORIGIN);
+        add_origin_readers_of_other_regions(plan, sources);
+        sources->independent_count = sources->count;
+    }
     add_by_rendezvous_weight(plan, key, plan->region, false, sources);
     reserve_fallback_sources(sources);
     add_source(sources, RELAY_ORIGIN);
--- a/src/core/relay_plan.h
+++ b/src/core/relay_plan.h
@@ -51,6 +51,8 @@
     uint32_t count;
     uint32_t same_region_count; /**< leading entries that are relays of the own region and share the
                                    load; 0 for relays */
+    uint32_t independent_count; /**< leading entries that do not get the data from this node; 0: not
+                                   known; set for the manifest */
 };
 
 /**
@@ -78,8 +80,8 @@
 void relay_plan_relay_sources(const struct relay_plan *plan, uint32_t piece,
                               struct relay_sources *sources);
 /**
- * \brief Sources of the manifest for a relay: the origin first for one relay of each region, that
- *        relay first for the others.
+ * \brief Sources of the manifest for a relay: for one relay of each region the origin and its
+ *        counterparts in other regions, for the others that relay first.
  */
 void relay_plan_manifest_sources(const struct relay_plan *plan, struct relay_sources *sources);
 
--- a/src/weights/piece_fetch.c
+++ b/src/weights/piece_fetch.c
@@ -22,6 +22,9 @@
  * tried. */
 #define FETCH_STALL_US 700000
 #define PROGRESS_LOG_INTERVAL_US 400000
+/** Sources that a relay asks for the manifest at a time: the manifest is small, and pieces wait for
+ * it in a whole region. */
+#define RELAY_MANIFEST_REQUESTS 3
 
 struct piece_fetch {
     struct piece_set *set;
@@ -29,7 +32,8 @@
     struct piece_sources *sources;
     uint32_t connections; /* per source */
     bool paused;
-    bool manifest_requested;
+    uint32_t manifest_requests;     /* in flight */
+    uint32_t manifest_requests_max; /* in flight */
     uint64_t started_at;
     uint64_t progress_at; /* time of the last piece, 0: none yet */
     struct link_rate link;
@@ -78,8 +82,9 @@
     struct piece_fetch *fetch = connection->owner;
     uint64_t now = cluster_now();
     connection->busy = false;
-    fetch->manifest_requested = false;
+    fetch->manifest_requests--;
     unsigned status = result == CALL_COMPLETE ? http_message_status(message) : 0;
+    bool had_manifest = piece_set_manifest(fetch->set) != NULL;
     if (status != 200) {
         if (status == HTTP_STATUS_NOT_READY)
             on_not_ready(connection, now);
@@ -96,6 +101,10 @@
         return;
     }
     connection->source->failures = 0;
+    if (had_manifest) {
+        start_requests(fetch, now);
+        return;
+    }
     log_event(LOG_LEVEL_INFO, "pieces", "manifest",
               "model=%s version=%" PRIu64 " pieces=%u source=%08x took_ms=%" PRIu64,
               piece_set_model(fetch->set), piece_set_version(fetch->set),
@@ -106,15 +115,11 @@
     start_requests(fetch, now);
 }
 
-static void request_manifest(struct piece_fetch *fetch, uint64_t now)
+static void request_manifest_from(struct piece_fetch *fetch, struct piece_source *source,
+                                  uint64_t now)
 {
     struct buffer target = {0};
-    struct piece_source *source =
-        fetch->manifest_requested ? NULL : piece_sources_choose_manifest(fetch->sources, now);
-    struct piece_connection *connection =
-        source ? piece_sources_connect(fetch->sources, source, 0) : NULL;
-    if (!connection || connection->busy)
-        return;
+    struct piece_connection *connection = piece_sources_connect(fetch->sources, source, 0);
     if (source->address == RELAY_ORIGIN) {
         platform_write_manifest_target(piece_set_model(fetch->set), piece_set_version(fetch->set),
                                        &target);
@@ -131,11 +136,21 @@
                                           .context = connection};
     connection->busy = true;
     connection->requested_at = now;
-    fetch->manifest_requested = true;
+    fetch->manifest_requests++;
     http_caller_send(connection->caller, &request);
     buffer_clear(&target);
 }
 
+static void request_manifest(struct piece_fetch *fetch, uint64_t now)
+{
+    while (fetch->manifest_requests < fetch->manifest_requests_max) {
+        struct piece_source *source = piece_sources_choose_manifest(fetch->sources, now);
+        if (!source)
+            return;
+        request_manifest_from(fetch, source, now);
+    }
+}
+
 /* --- pieces ----------------------------------------------------------------------------------- */
 
 static void log_complete(const struct piece_fetch *fetch, uint64_t now)
@@ -283,6 +298,7 @@
     fetch->callbacks = *callbacks;
     fetch->sources = piece_sources_create(cluster, set, role, fetch);
     fetch->connections = 1;
+    fetch->manifest_requests_max = role == PIECE_ROLE_RELAY ? RELAY_MANIFEST_REQUESTS : 1;
     fetch->started_at = cluster_now();
     fetch->link.nominal = strtod(cluster->settings->link_mbit, NULL);
     return fetch;
--- a/src/weights/piece_sources.c
+++ b/src/weights/piece_sources.c
@@ -24,8 +24,8 @@
  * sources. With partial views many more gateways become relays, and the origin serves more copies.
  */
 #define MEMBERSHIP_WAIT_US 300000
-/** Maximum time that the relay which reads the manifest from the origin waits for the configuration,
- * which names the origin, before it asks other relays. */
+/** Maximum time that the relay which reads the manifest from the origin waits for the
+ * configuration, which names the origin, before it asks other relays. */
 #define ORIGIN_ADDRESS_WAIT_US 1000000
 /** Loaders fetch from relays of their region, whose members they learn of first. */
 #define LOADER_KNOWN_FRACTION_MIN 0.5
@@ -158,10 +158,16 @@
                                   &sources->candidates[0]);
 }
 
+static bool is_busy(const struct piece_source *source)
+{
+    return source->connections[0] && source->connections[0]->busy;
+}
+
 /* \return the first source of a list that is not backed off, NULL: none. `first` rotates the near
- * sources, those of the same region. */
+ * sources, those of the same region. With `idle`, sources with a request on the first connection
+ * are passed over. */
 static struct piece_source *choose_from(struct piece_sources *sources,
-                                        const struct relay_sources *list, uint32_t first,
+                                        const struct relay_sources *list, uint32_t first, bool idle,
                                         uint64_t now)
 {
     for (uint32_t i = 0; i < list->count; i++) {
@@ -170,7 +176,7 @@
         if (address == RELAY_ORIGIN && !sources->has_origin)
             continue;
         struct piece_source *source = find_or_add_source(sources, address);
-        if (now >= source->backoff_until)
+        if (now >= source->backoff_until && !(idle && is_busy(source)))
             return source;
     }
     return NULL;
@@ -186,15 +192,14 @@
     uint32_t sharing = list->same_region_count < sources->parallel_relays
                            ? list->same_region_count
                            : sources->parallel_relays;
-    return choose_from(sources, list, sharing ? piece % sharing : 0, now);
+    return choose_from(sources, list, sharing ? piece % sharing : 0, false, now);
 }
 
 /* The other relays of the region ask this one for the manifest, so if it asked one of them, both
  * would wait for each other until a call times out. */
 static bool awaits_origin_address(const struct piece_sources *sources, uint64_t now)
 {
-    return !sources->has_origin && sources->manifest.count &&
-           sources->manifest.addresses[0] == RELAY_ORIGIN &&
+    return !sources->has_origin && sources->manifest.independent_count &&
            now < sources->created_at + ORIGIN_ADDRESS_WAIT_US;
 }
 
@@ -207,10 +212,11 @@
     if (!sources->candidates_count)
         return NULL;
     if (sources->role != PIECE_ROLE_RELAY)
-        return choose_from(sources, &sources->candidates[0], 0, now);
+        return choose_from(sources, &sources->candidates[0], 0, true, now);
+    struct relay_sources list = sources->manifest;
     if (awaits_origin_address(sources, now))
-        return NULL;
-    return choose_from(sources, &sources->manifest, 0, now);
+        list.count = list.independent_count;
+    return choose_from(sources, &list, 0, true, now);
 }
 
 uint64_t piece_sources_weight(const struct piece_sources *sources, uint32_t piece)
--- a/src/weights/piece_sources.h
+++ b/src/weights/piece_sources.h
@@ -56,8 +56,8 @@
 /** \return the preferred source for a piece that is not backed off, NULL: none */
 struct piece_source *piece_sources_choose(struct piece_sources *sources, uint32_t piece,
                                           uint64_t now);
-/** \return the preferred source for the manifest that is not backed off, NULL: none, or the
- * origin's address is awaited */
+/** \return the preferred source for the manifest that is neither backed off nor asked already,
+ * NULL: none */
 struct piece_source *piece_sources_choose_manifest(struct piece_sources *sources, uint64_t now);
 /** \return a connection to a source, created on first use */
 struct piece_connection *piece_sources_connect(struct piece_sources *sources,
