Relays fetch one version of a model at a time, the newest first

No engine had version 3 when older ones got no more requests. Change: a relay decides by core/fetch_order as loaders do; the selection goes by version number, as a relay holds versions in the order of calls. Ways: both side by side (before), one at a time (kept).

--- a/src/core/fetch_order.h
+++ b/src/core/fetch_order.h
@@ -1,5 +1,7 @@
 /**
- * Selects the version of the weights that a loader fetches first, when more than one is missing.
+ * Selects the version of the weights that a loader or a relay fetches first, when more than one is
+ * missing: the origin's link carries one copy in about the time in which engines must have loaded
+ * it.
  *
  * The newest version is preferred, as it would replace an older one at once. There are two
  * exceptions: an older version of which half is fetched is completed first, and a version that
@@ -13,6 +15,9 @@
 
 /** No version is preferred: all are tried. */
 #define FETCH_ORDER_NONE UINT32_MAX
+/** A fetch without a new piece for this long is stalled: about ten times the transfer time of a
+ * piece on a loader's link. */
+#define FETCH_STALL_TIMEOUT_US 800000
 
 struct fetch_state {
     bool complete;
--- a/src/loader/wanted_versions.c
+++ b/src/loader/wanted_versions.c
@@ -6,9 +6,6 @@
 
 /** A version announced less than this ago cannot be in the engine's staging area yet. */
 #define RECOVERY_MIN_AGE_US 4000000
-/** A fetch without a new piece for this long is stalled: about ten times the transfer time of a
- * piece on a machine's link. */
-#define FETCH_STALL_TIMEOUT_US 800000
 /** An engine that gives no report for this long after a version became known counts as down. */
 #define FIRST_REPORT_TIMEOUT_US 1500000
 
--- a/src/weights/weight_relay.c
+++ b/src/weights/weight_relay.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/memory.h"
+#include "core/fetch_order.h"
 #include "weights/piece_fetch.h"
 #include "weights/piece_server.h"
 
@@ -25,7 +26,8 @@
     struct piece_set *set;
     struct piece_fetch *fetch;
     struct piece_server *server;
-    uint64_t requested_at; /* time of the last call for this version (us) */
+    uint64_t wanted_at;    /* time of the first call for this version (us) */
+    uint64_t requested_at; /* time of the last call (us) */
 };
 
 struct weight_relay {
@@ -94,6 +96,7 @@
     struct relayed_version *version = memory_calloc(1, sizeof *version);
     struct piece_fetch_callbacks callbacks = {version, on_manifest_received, on_piece_received};
     double link = strtod(relay->cluster->settings->link_mbit, NULL);
+    version->wanted_at = cluster_now();
     version->set = piece_set_create(model, number);
     version->server = piece_server_create(relay->cluster->loop, version->set,
                                           PIECE_LINK_FRACTION * link, PIECE_WAIT_US);
@@ -136,9 +139,54 @@
     return true;
 }
 
+static struct fetch_state fetch_state_of(const struct relayed_version *version)
+{
+    const struct piece_manifest *manifest = piece_set_manifest(version->set);
+    return (struct fetch_state){
+        .complete = piece_set_complete(version->set),
+        .half_fetched = manifest && 2 * piece_set_held(version->set) >= manifest->count,
+        .wanted_at = version->wanted_at,
+        .progress_at = piece_fetch_last_progress(version->fetch),
+    };
+}
+
+/* \param versions gets the versions of the model, oldest first \return their number */
+static uint32_t versions_of_model(const struct weight_relay *relay, const char *model,
+                                  const struct relayed_version *versions[RELAY_MAX_VERSIONS])
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < relay->count; i++) {
+        const struct relayed_version *version = relay->versions[i];
+        if (strcmp(piece_set_model(version->set), model) != 0)
+            continue;
+        uint32_t position = count++;
+        for (; position > 0 &&
+               piece_set_version(versions[position - 1]->set) > piece_set_version(version->set);
+             position--)
+            versions[position] = versions[position - 1];
+        versions[position] = version;
+    }
+    return count;
+}
+
+/* \return whether another version of its model is fetched first */
+static bool yields_to_another(const struct weight_relay *relay,
+                              const struct relayed_version *version, uint64_t now)
+{
+    const struct relayed_version *versions[RELAY_MAX_VERSIONS];
+    struct fetch_state states[RELAY_MAX_VERSIONS];
+    uint32_t count = versions_of_model(relay, piece_set_model(version->set), versions);
+    for (uint32_t i = 0; i < count; i++)
+        states[i] = fetch_state_of(versions[i]);
+    uint32_t first = fetch_order_select(states, count, FETCH_STALL_TIMEOUT_US, now);
+    return first != FETCH_ORDER_NONE && versions[first] != version;
+}
+
 void weight_relay_tick(struct weight_relay *relay, uint64_t now)
 {
     for (uint32_t i = 0; i < relay->count; i++) {
+        struct relayed_version *version = relay->versions[i];
+        piece_fetch_set_paused(version->fetch, yields_to_another(relay, version, now));
         piece_fetch_tick(relay->versions[i]->fetch, now);
         piece_server_tick(relay->versions[i]->server, now);
     }
