Loaders spread the switch to a new version over the whole time in which both may serve

Cause: the window in which engines switch ended 6.8 s after the naming whatever version-bound-ms is. Deployments with a bound of 8 s are untouched. version_bounds_test covers bounds of 0.1 to 30 s.

--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -31,9 +31,6 @@
 /** Times derived from the ages in messages are accurate to this. */
 #define PREDECESSOR_TIME_TOLERANCE_US 50000
 
-static const struct staggered_start_settings rollout_schedule = {.first_us = 2000000,
-                                                                 .last_us = 6800000};
-
 struct loader {
     struct process process;
     struct cluster cluster;
@@ -87,10 +84,11 @@
     if (!loader->report.load.version)
         return 0; /* an engine without weights serves no requests: at once */
     uint32_t position = rollout_position(loader, &count);
+    struct staggered_start_settings schedule =
+        staggered_start_within((uint64_t)(loader->cluster.settings->version_bound_ms * 1000));
     return staggered_start_at(
-        &rollout_schedule,
-        wanted_versions_announced_at(&loader->versions, loader->report.load.version), position,
-        count);
+        &schedule, wanted_versions_announced_at(&loader->versions, loader->report.load.version),
+        position, count);
 }
 
 /* --- engine load ------------------------------------------------------------------------------ */
--- a/tests/core/version_bounds_test.c
+++ b/tests/core/version_bounds_test.c
@@ -40,12 +40,35 @@
                          100);
 }
 
+/* Guards against engines that switch all at once although both versions may serve for longer: with
+ * a bound of 9.7 s the last switch was due 2.9 s before it. */
+static void switches_fill_the_time_in_which_both_versions_may_serve(void **state)
+{
+    struct staggered_start_settings usual = staggered_start_within(8000000);
+    struct staggered_start_settings longer = staggered_start_within(9700000);
+    struct staggered_start_settings shortest = staggered_start_within(400000);
+    struct staggered_start_settings unbounded = staggered_start_within(3600000000ULL);
+    assert_int_equal(usual.first_us, 2000000);
+    assert_int_equal(usual.last_us, 6800000);
+    assert_int_equal(longer.first_us, 2000000);
+    assert_int_equal(longer.last_us, 8500000);
+    assert_int_equal(shortest.first_us, 100000);
+    assert_int_equal(shortest.last_us, 100000);
+    assert_int_equal(unbounded.last_us, STAGGERED_START_MAX_US);
+    for (uint64_t bound = 100000; bound < 30000000; bound += 50000) {
+        struct staggered_start_settings window = staggered_start_within(bound);
+        assert_true(window.first_us <= window.last_us);
+        assert_true(window.last_us < bound);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(each_version_is_enforced_from_its_own_time),
         cmocka_unit_test(newest_versions_are_kept_when_table_is_full),
         cmocka_unit_test(start_turns_fill_the_window),
+        cmocka_unit_test(switches_fill_the_time_in_which_both_versions_may_serve),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
