Decisions on load get a folder of their own: core/load

Cause: who waits, who is refused and who may return was decided in four headers among a hundred files of src/core. Change: client_retry, overload, retry_after and slot_wait move to src/core/load, their tests to tests/core/load. No code changes. Result: the same tests under new names (core.load.overload, core.load.retry_after, core.load.slot_wait).

--- a/src/core/client_retry.h
+++ b/src/core/load/client_retry.h
@@ -5,8 +5,8 @@
  * Clients of one route use the same timeout and state how much of it is left. The longest time left
  * stated recently is that of a new client.
  */
-#ifndef SHUNTRUN_CLIENT_RETRY_H
-#define SHUNTRUN_CLIENT_RETRY_H
+#ifndef SHUNTRUN_LOAD_CLIENT_RETRY_H
+#define SHUNTRUN_LOAD_CLIENT_RETRY_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/core/overload.h
+++ b/src/core/load/overload.h
@@ -7,8 +7,8 @@
  * retrying clients get only the slots that new callers leave free. Only full backends count: after
  * a power loss the backends are absent at first, and retrying clients find free slots.
  */
-#ifndef SHUNTRUN_OVERLOAD_H
-#define SHUNTRUN_OVERLOAD_H
+#ifndef SHUNTRUN_LOAD_OVERLOAD_H
+#define SHUNTRUN_LOAD_OVERLOAD_H
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -20,7 +20,7 @@
 /** Share of new callers refused below which the backends no longer count as full. */
 #define OVERLOAD_EXIT_SHARE 0.1
 /** Time after which overload counts as sustained: longer than the retry delay of a refused caller,
- *  which is 2.0 s at most (core/retry_after). */
+ *  which is 2.0 s at most (core/load/retry_after). */
 #define OVERLOAD_SUSTAINED_US ((uint64_t)2500000)
 
 struct overload {
--- a/src/core/retry_after.h
+++ b/src/core/load/retry_after.h
@@ -5,8 +5,8 @@
  * is lost. So the delay grows with the share of requests refused recently: a brief saturation is
  * over soon, a sustained one is not.
  */
-#ifndef SHUNTRUN_RETRY_AFTER_H
-#define SHUNTRUN_RETRY_AFTER_H
+#ifndef SHUNTRUN_LOAD_RETRY_AFTER_H
+#define SHUNTRUN_LOAD_RETRY_AFTER_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/core/slot_wait.h
+++ b/src/core/load/slot_wait.h
@@ -6,8 +6,8 @@
  * usable backend at all, no completing request helps, and the client is better served by an
  * immediate refusal.
  */
-#ifndef SHUNTRUN_SLOT_WAIT_H
-#define SHUNTRUN_SLOT_WAIT_H
+#ifndef SHUNTRUN_LOAD_SLOT_WAIT_H
+#define SHUNTRUN_LOAD_SLOT_WAIT_H
 
 #include "core/backend_pool.h"
 
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -2,7 +2,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "core/slot_wait.h"
+#include "core/load/slot_wait.h"
 #include "edge/crash_watch.h"
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
--- a/tests/core/overload_test.c
+++ b/tests/core/load/overload_test.c
@@ -1,8 +1,8 @@
 /* Detection of sustained overload and of retrying clients. */
 #include "testing.h"
 
-#include "core/client_retry.h"
-#include "core/overload.h"
+#include "core/load/client_retry.h"
+#include "core/load/overload.h"
 
 #define MS_US ((uint64_t)1000)
 #define GAP_US (10 * MS_US)
--- a/tests/core/retry_after_test.c
+++ b/tests/core/load/retry_after_test.c
@@ -1,7 +1,7 @@
 /* The Retry-After delay of refused clients. */
 #include "testing.h"
 
-#include "core/retry_after.h"
+#include "core/load/retry_after.h"
 
 static const struct retry_after_settings settings = {
     .weight = 0.1, .saturation_share = 0.2, .min_ms = 500, .max_ms = 1200, .jitter_percent = 60};
--- a/tests/core/slot_wait_test.c
+++ b/tests/core/load/slot_wait_test.c
@@ -1,7 +1,7 @@
 /* Which requests wait for a free slot, and which are refused at once. */
 #include "testing.h"
 
-#include "core/slot_wait.h"
+#include "core/load/slot_wait.h"
 
 static void request_waits_while_backends_are_full(void **state)
 {
