Engines that all lack weights are absent, not full

Change: when no engine that reports has weights, and some report that they have none, those that did not report count as absent, too.

--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -241,8 +241,9 @@
     struct backend *probe;        /* its ejection or backoff is over */
     uint32_t probes;
     uint32_t eligible;
-    uint32_t lasting; /* of these, not stopping for other weights before the request ends */
-    bool reported;    /* the load of some eligible backend is known */
+    uint32_t lasting;     /* of these, not stopping for other weights before the request ends */
+    bool reported;        /* the load of some eligible backend is known */
+    bool without_weights; /* some engine reports that it has none yet */
 };
 
 /* Without load reports, a recent answer to this gateway shows that the engine works. */
@@ -345,6 +346,19 @@
     return BACKEND_FOUND;
 }
 
+static bool reports_no_weights(const struct backend_pool *pool, const struct backend *backend,
+                               uint64_t now)
+{
+    return backend_has_recent_load(pool, backend, now) && !backend->load.version;
+}
+
+/* All engines that report their load have no weights, as after a loss of power: the others, which
+ * did not report yet, have none either. */
+static bool is_outage(const struct backend_criteria *criteria, const struct candidate_set *set)
+{
+    return criteria->engine && !set->reported && set->without_weights;
+}
+
 enum backend_choice_result backend_pool_choose(struct backend_pool *pool,
                                                const struct backend_criteria *criteria,
                                                uint64_t now, struct backend **chosen)
@@ -358,6 +372,8 @@
             break;
         if (backend_is_eligible(pool, criteria, group->items[i], now))
             classify_candidate(pool, criteria, group->items[i], now, &set);
+        else
+            set.without_weights |= reports_no_weights(pool, group->items[i], now);
     }
     if (set.probe) {
         set.probe->probing = true;
@@ -367,7 +383,7 @@
     *chosen = choose_candidate(pool, criteria, &set, now);
     if (*chosen)
         return BACKEND_FOUND;
-    return set.eligible ? BACKEND_FULL : BACKEND_NONE;
+    return set.eligible && !is_outage(criteria, &set) ? BACKEND_FULL : BACKEND_NONE;
 }
 
 bool backend_pool_has_room(struct backend_pool *pool, const struct backend_criteria *criteria,
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -808,6 +808,28 @@
     backend_pool_destroy(pool);
 }
 
+/* Guards against an outage that is taken for overload: after a loss of power gateways answered
+ * "full" with a short Retry-After, after a wait in vain, while no engine had its weights. */
+static void engines_without_weights_are_absent_rather_than_full(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_criteria criteria = criteria_of();
+    struct backend *chosen;
+    criteria.gateways = 40;
+    for (int number = 1; number <= 4; number++)
+        add(pool, number, 2, 0);
+    for (uint32_t i = 0; i < 2; i++) /* each unreported engine takes the share of this gateway */
+        for (int number = 1; number <= 4; number++)
+            backend_request_started(backend_pool_at(pool, (uint32_t)number - 1), 1000, 2);
+    assert_int_equal(backend_pool_choose(pool, &criteria, 3, &chosen), BACKEND_FULL);
+    report(pool, 1, (struct backend_load){.version = 0}, 4);
+    report(pool, 2, (struct backend_load){.version = 0}, 4);
+    assert_int_equal(backend_pool_choose(pool, &criteria, 5, &chosen), BACKEND_NONE);
+    report(pool, 3, (struct backend_load){.version = 2, .running = 19}, 6);
+    assert_int_equal(backend_pool_choose(pool, &criteria, 7, &chosen), BACKEND_FULL);
+    backend_pool_destroy(pool);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -853,6 +875,7 @@
         cmocka_unit_test(near_engines_are_preferred_until_they_are_busier),
         cmocka_unit_test(a_failing_backend_is_ejected_and_probed),
         cmocka_unit_test(a_retained_backend_outlives_its_listing),
+        cmocka_unit_test(engines_without_weights_are_absent_rather_than_full),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
