An overload is told by what new clients need, and leaves them a reserve

Retries gave way only after 2.5 s of refusals, and only by polling; refusals alone look the same in the seconds after a loss of power, where a retry is its client's last attempt and engines are enough for new clients. Change: core/load/demand compares the rate of new clients at all gateways with the rate at which slots become free (observed time per stream, slots of all eligible engines). While a tenth of new clients is refused and the ratio is 1 or more, or after 2.5 s as before, retries leave a fifth of an engine's slots and of its unread prompts free.

--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -138,13 +138,24 @@
     return backend->in_flight + 1 <= share + backend->rounding_draw;
 }
 
+/* Whether the slots reserved for other requests stay free. */
+static bool spares_reserve(const struct backend_pool *pool, const struct backend_criteria *criteria,
+                           const struct backend *backend, uint64_t now)
+{
+    double usable = backend->listing.slots * (1 - criteria->reserved_share);
+    return criteria->reserved_share <= 0 || backend_occupancy(pool, backend, now) + 1 <= usable;
+}
+
 static bool has_room(const struct backend_pool *pool, const struct backend_criteria *criteria,
                      const struct backend *backend, uint64_t now)
 {
     if (!criteria->engine)
         return backend->in_flight < 2 * backend->listing.slots;
+    if (!spares_reserve(pool, criteria, backend, now))
+        return false;
     uint64_t tokens = pending_prompt_tokens(pool, criteria, backend, now);
-    if (tokens && tokens + criteria->tokens > pool->settings.tokens_per_engine)
+    double tokens_max = pool->settings.tokens_per_engine * (1 - criteria->reserved_share);
+    if (tokens && (double)(tokens + criteria->tokens) > tokens_max)
         return false;
     if (!has_fresh_load(pool, backend, now))
         return !awaits_first_report(pool, backend, now) && has_unreported_share(criteria, backend);
--- a/src/core/backend_eligibility.c
+++ b/src/core/backend_eligibility.c
@@ -168,3 +168,14 @@
     }
     return first;
 }
+
+uint32_t backend_pool_slots(const struct backend_pool *pool,
+                            const struct backend_criteria *criteria, uint64_t now)
+{
+    const struct backend_group *group = backend_table_group(&pool->table, criteria->service);
+    uint32_t slots = 0;
+    for (uint32_t i = 0; group && i < group->count; i++)
+        if (backend_is_eligible(pool, criteria, group->items[i], now))
+            slots += group->items[i]->listing.slots;
+    return slots;
+}
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -216,6 +216,9 @@
     uint32_t excluded_count;
     uint32_t gateways; /**< that send to the same backends */
     bool any_load;     /**< full backends are accepted, too */
+    /** Part of an engine's slots that this request must leave free, and of the prompt tokens that
+     * may be pending there; 0: none. */
+    double reserved_share;
     /** Expected duration of the request; 0: not known. An engine that stops before its end to load
      *  other weights gets it only if there is no other engine: its other slots would idle until the
      *  request ends. */
@@ -258,6 +261,9 @@
  * also one that `excluded` names */
 bool backend_pool_may_serve(const struct backend_pool *pool,
                             const struct backend_criteria *criteria, uint64_t now);
+/** \return slots of all backends that are eligible for the request */
+uint32_t backend_pool_slots(const struct backend_pool *pool,
+                            const struct backend_criteria *criteria, uint64_t now);
 /** \return whether a request may still be sent to this backend, with weights that it accepts */
 bool backend_may_start_request(const struct backend_pool *pool, const struct backend *backend,
                                const struct backend_criteria *criteria, uint64_t now);
--- a/src/core/load/overload.h
+++ b/src/core/load/overload.h
@@ -4,8 +4,9 @@
  *
  * A slot given to a retrying client is then mostly too late for it, and is taken from a new caller
  * that could have been served in time: two requests are late or refused instead of one. So
- * retrying clients get only the slots that new callers leave free. Only full backends count: after
- * a power loss the backends are absent at first, and retrying clients find free slots.
+ * retrying clients get only the slots that new callers leave free, and leave a reserve of them.
+ * Only full backends count: after a power loss the backends are absent at first, and retrying
+ * clients find free slots.
  */
 #ifndef SHUNTRUN_LOAD_OVERLOAD_H
 #define SHUNTRUN_LOAD_OVERLOAD_H
@@ -19,6 +20,9 @@
 #define OVERLOAD_ENTER_SHARE 0.2
 /** Share of new callers refused below which the backends no longer count as full. */
 #define OVERLOAD_EXIT_SHARE 0.1
+/** Part of an engine's slots, and of the prompt tokens that may be pending there, that retries
+ * leave free for new callers while an overload lasts. */
+#define OVERLOAD_RESERVED_SHARE 0.2
 /** Time after which overload counts as sustained: longer than the retry delay of a refused caller,
  *  which is 2.0 s at most (core/load/retry_after). */
 #define OVERLOAD_SUSTAINED_US ((uint64_t)2500000)
@@ -50,4 +54,17 @@
     return overload->since && now >= overload->since + OVERLOAD_SUSTAINED_US;
 }
 
+/**
+ * \param demand_ratio see demand_ratio()
+ * \return whether backends will still be full when a refused caller retries: they have been full
+ * for long, or are full and new callers alone need more slots than there are
+ */
+static inline bool overload_lasts(const struct overload *overload, double demand_ratio,
+                                  uint64_t now)
+{
+    if (overload_is_sustained(overload, now))
+        return true;
+    return overload->refused_share >= OVERLOAD_EXIT_SHARE && demand_ratio >= 1;
+}
+
 #endif
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -12,6 +12,7 @@
 #include "core/load/retry_after.h"
 #include "core/crash_lease.h"
 #include "core/event_stream.h"
+#include "core/load/demand.h"
 #include "core/load/overload.h"
 #include "core/repeat_budget.h"
 #include "core/route_table.h"
@@ -37,6 +38,9 @@
     struct repeat_budget budget;
     struct retry_after retry_after;
     struct overload overload;
+    struct demand demand; /**< of new clients */
+    uint32_t slots;       /**< of the engines that could serve new clients at the last look */
+    uint64_t slots_until; /**< time until which `slots` is used */
     struct stream_length stream_length;
 };
 
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -155,6 +155,12 @@
 /** \brief Removes the request from the queue, if it is there. */
 void exchange_dequeue(struct exchange *exchange);
 
+/* --- exchange_overload.c --- */
+
+/** \return whether it gets only slots that new clients leave: its client retries, and the overload
+ * lasts for longer than a retry waits */
+bool exchange_takes_leftovers(struct exchange *exchange, uint64_t now);
+
 /* --- exchange_end.c --- */
 
 /** \return name for logs */
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -77,6 +77,7 @@
         .any_load = exchange->resuming,
         .expected_us = expected_duration_us(exchange),
         .heard_after = exchange->heard_after,
+        .reserved_share = exchange_takes_leftovers(exchange, now) ? OVERLOAD_RESERVED_SHARE : 0,
     };
     exchange_fill_isolation(exchange, now, criteria);
     for (uint32_t i = exchange->excluded_from; i < exchange->tried_count; i++)
@@ -290,7 +291,7 @@
     }
     if (fail_if_wait_is_over(exchange, absence, now))
         return;
-    if (exchange->is_client_retry && overload_is_sustained(&exchange->service_state->overload, now))
+    if (criteria.reserved_share > 0)
         wait_outside_queue(exchange, now);
     else
         exchange_enqueue(exchange);
