--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,7 @@
 format:
 	git ls-files '*.c' '*.h' | grep -v src/generated/ | xargs clang-format -i
 
-generate: build
+# Does not build the project first: code that uses a new message or setting needs what this writes.
+generate: dependencies
+	cmake --preset release
 	cmake --build --preset release --target generate
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -41,6 +41,7 @@
     struct demand demand; /**< of new clients */
     uint32_t slots;       /**< of the engines that could serve new clients at the last look */
     uint64_t slots_until; /**< time until which `slots` is used */
+    bool overload_lasts;  /**< at the last look */
     struct stream_length stream_length;
 };
 
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -195,12 +195,13 @@
         succeeded ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request", end_event(exchange, succeeded),
         "request=%s route=%s service=%s status=%u reason=%s backend=%s sends=%u events=%" PRIu64
         " weights=%" PRIu64 " took_ms=%" PRIu64 " left_ms=%" PRId64 " config=%" PRIu64
-        " waiting=%d trail=\"%s\"",
+        " waiting=%d client_retry=%d trail=\"%s\"",
         exchange->head.id, exchange->route->name, exchange->service->name, status,
         end_names[reason], backend ? backend->listing.id : "-", exchange->sends,
         exchange->events.events, exchange->version, (now - exchange->arrived_at) / US_PER_MS,
         ((int64_t)exchange->deadline_at - (int64_t)now) / (int64_t)US_PER_MS,
-        route_table_version(exchange->table), exchange->is_queued, exchange->trail);
+        route_table_version(exchange->table), exchange->is_queued, exchange->is_client_retry,
+        exchange->trail);
 }
 
 void exchange_finish(struct exchange *exchange)
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -830,6 +830,30 @@
     backend_pool_destroy(pool);
 }
 
+/* In an overload a slot given to a retry is taken from a new client. */
+static void a_reserve_is_left_free(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_criteria criteria = criteria_of();
+    struct backend *chosen;
+    add(pool, 1, 1, 0);
+    for (uint32_t running = 0; running <= 16; running++) {
+        report(pool, 1, (struct backend_load){.version = 1, .running = running}, 10);
+        criteria.reserved_share = 0.25;
+        assert_int_equal(backend_pool_choose(pool, &criteria, 11, &chosen),
+                         running < 12 ? BACKEND_FOUND : BACKEND_FULL);
+        criteria.reserved_share = 0;
+        assert_int_equal(backend_pool_choose(pool, &criteria, 11, &chosen), BACKEND_FOUND);
+    }
+    report(pool, 1, (struct backend_load){.version = 1, .waiting = 2, .running = 1}, 12);
+    criteria.tokens = 1800; /* 2,000 are pending, of 4,500 that may be */
+    assert_int_equal(backend_pool_choose(pool, &criteria, 13, &chosen), BACKEND_FOUND);
+    criteria.reserved_share = 0.25;
+    assert_int_equal(backend_pool_choose(pool, &criteria, 13, &chosen), BACKEND_FULL);
+    assert_int_equal(backend_pool_slots(pool, &criteria, 13), 16);
+    backend_pool_destroy(pool);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -876,6 +900,7 @@
         cmocka_unit_test(a_failing_backend_is_ejected_and_probed),
         cmocka_unit_test(a_retained_backend_outlives_its_listing),
         cmocka_unit_test(engines_without_weights_are_absent_rather_than_full),
+        cmocka_unit_test(a_reserve_is_left_free),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
