--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -217,7 +217,7 @@
     uint32_t gateways; /**< that send to the same backends */
     bool any_load;     /**< full backends are accepted, too */
     /** Part of an engine's slots that this request must leave free, and of the prompt tokens that
-     * may be pending there; 0: none. */
+     *  may be pending there; 0: none. Other services than engines have no reserve. */
     double reserved_share;
     /** Expected duration of the request; 0: not known. An engine that stops before its end to load
      *  other weights gets it only if there is no other engine: its other slots would idle until the
--- a/src/core/fetch_order.h
+++ b/src/core/fetch_order.h
@@ -1,7 +1,6 @@
 /**
  * Selects the version of the weights that a loader or a relay fetches first, when more than one is
- * missing: the origin's link carries one copy in about the time in which engines must have loaded
- * it.
+ * missing. Fetched side by side, both would arrive late, as the origin's link is narrow.
  *
  * The newest version is preferred, as it would replace an older one at once. There are two
  * exceptions: an older version of which half is fetched is completed first, and a version that
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -157,8 +157,8 @@
 
 /* --- exchange_overload.c --- */
 
-/** \return whether it gets only slots that new clients leave: its client retries, and the overload
- * lasts for longer than a retry waits */
+/** \return whether it gets only slots that new clients leave: its client retries, and an overload
+ * of the service lasts */
 bool exchange_takes_leftovers(struct exchange *exchange, uint64_t now);
 
 /* --- exchange_end.c --- */
--- a/src/edge/exchange_overload.c
+++ b/src/edge/exchange_overload.c
@@ -11,7 +11,8 @@
     struct service_state *service = exchange->service_state;
     if (now < service->slots_until)
         return service->slots;
-    struct backend_criteria criteria = {.service = exchange->service->name, .engine = true};
+    struct backend_criteria criteria = {.service = exchange->service->name,
+                                        .engine = exchange->service->engine.model != NULL};
     service->slots_until = now + SLOTS_INTERVAL_US;
     service->slots = backend_pool_slots(exchange->edge->pool, &criteria, now);
     return service->slots;
@@ -49,5 +50,5 @@
 bool exchange_takes_leftovers(struct exchange *exchange, uint64_t now)
 {
     bool is_retry = exchange->is_client_retry && !exchange->streaming && !exchange->tried_count;
-    return is_retry && exchange->service->engine.model && overload_of_service_lasts(exchange, now);
+    return is_retry && overload_of_service_lasts(exchange, now);
 }
