--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -2,13 +2,14 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "core/load/slot_wait.h"
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
 
+/** Shortest time for which a request may wait for a slot. */
+#define MIN_QUEUE_WAIT_US 15000
 /** Deadline of a request without a client deadline on a route without a timeout. */
 #define DEFAULT_REQUEST_TIMEOUT_MS 10000
 /** Silence before the first byte after which a retryable request goes to another backend, as a
@@ -227,14 +228,12 @@
         timeout_ms = DEFAULT_REQUEST_TIMEOUT_MS;
     if (exchange->head.has_deadline && exchange->head.deadline_ms < timeout_ms)
         timeout_ms = exchange->head.deadline_ms;
+    uint64_t wait =
+        exchange->edge->settings->wait_percent * exchange->route->target_ms * US_PER_MS / 100;
     exchange->arrived_at = cluster_now();
     exchange->deadline_at = exchange->arrived_at + timeout_ms * US_PER_MS;
-    bool overload_lasts =
-        exchange->service->engine.model && exchange_overload_lasts(exchange, exchange->arrived_at);
     exchange->wait_until =
-        exchange->arrived_at + slot_wait_us(exchange->route->target_ms * US_PER_MS,
-                                            (uint32_t)exchange->edge->settings->wait_percent,
-                                            overload_lasts);
+        exchange->arrived_at + (wait > MIN_QUEUE_WAIT_US ? wait : MIN_QUEUE_WAIT_US);
 }
 
 static struct exchange *exchange_create(struct edge *edge, struct edge_client *client,
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -157,8 +157,6 @@
 
 /* --- exchange_overload.c --- */
 
-/** \return whether an overload of its service lasts */
-bool exchange_overload_lasts(struct exchange *exchange, uint64_t now);
 /** \return whether it gets only slots that new clients leave: its client retries, and an overload
  * of the service lasts */
 bool exchange_takes_leftovers(struct exchange *exchange, uint64_t now);
--- a/src/edge/exchange_overload.c
+++ b/src/edge/exchange_overload.c
@@ -31,7 +31,7 @@
         capacity->slot_time_us / US_PER_MS);
 }
 
-bool exchange_overload_lasts(struct exchange *exchange, uint64_t now)
+static bool overload_of_service_lasts(struct exchange *exchange, uint64_t now)
 {
     struct service_state *service = exchange->service_state;
     struct capacity capacity = {
@@ -50,5 +50,5 @@
 bool exchange_takes_leftovers(struct exchange *exchange, uint64_t now)
 {
     bool is_retry = exchange->is_client_retry && !exchange->streaming && !exchange->tried_count;
-    return is_retry && exchange_overload_lasts(exchange, now);
+    return is_retry && overload_of_service_lasts(exchange, now);
 }
