Home regions of routes and tenants bind every attempt of a request

Change: core/zone_map gives regions a bit, core/residency intersects the homes of route and tenant; the pool's eligibility and the last check before a request is written use it, so that first attempts, retries, resumptions and isolated runs are bound alike. Splits leave out services with nothing at home. A request that outlives a configuration is bound by the homes of the newer one, too. An empty intersection is refused at once.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -32,6 +32,8 @@
       "requests that waited to run apart from others that may crash back ends")                    \
     X(METRIC_REQUESTS_BLOCKED, "shuntrun_blocked_requests_total",                                  \
       "requests not run, as they crash back ends")                                                 \
+    X(METRIC_REQUESTS_NO_REGION, "shuntrun_no_region_requests_total",                              \
+      "requests refused, as their route and tenant allow no region in common")                     \
     X(METRIC_TOKENS, "shuntrun_tokens_total", "tokens passed to callers")                          \
     X(METRIC_ANSWERS_DROPPED, "shuntrun_dropped_answers_total", "late or doubled answers dropped") \
     X(METRIC_KEYS_REPLAYED, "shuntrun_replayed_answers_total", "kept answers given to a repeat")   \
--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -432,6 +432,7 @@
     cluster->settings = settings;
     cluster->callbacks = *callbacks;
     cluster->port = (uint16_t)settings->peer_port;
+    cluster->zones = zone_map_create(settings->zones);
     init_self(&self, settings, role);
     struct membership_driver driver = {cluster, on_membership_send};
     cluster->random.seed = hash_name(settings->name) ^ self.incarnation;
@@ -463,30 +464,9 @@
     return alive ? alive : 1;
 }
 
-static const char *region_of(const struct cluster *cluster, const char *zone, char *region,
-                             size_t size)
-{
-    const char *list = cluster->settings->zones;
-    size_t length = strlen(zone);
-    while (*list) {
-        size_t entry = strcspn(list, ",");
-        if (entry > length && strncmp(list, zone, length) == 0 && list[length] == '=') {
-            snprintf(region, size, "%.*s", (int)(entry - length - 1), list + length + 1);
-            return region;
-        }
-        list += entry;
-        list += *list == ',';
-    }
-    region[0] = 0;
-    return region;
-}
-
 uint16_t cluster_distance(const struct cluster *cluster, const char *zone)
 {
-    char region[MEMBER_NAME_SIZE];
     if (strcmp(zone, cluster->settings->zone) == 0)
         return 0;
-    return strcmp(region_of(cluster, zone, region, sizeof region), cluster->settings->region) == 0
-               ? 1
-               : 2;
+    return strcmp(zone_map_region(cluster->zones, zone), cluster->settings->region) == 0 ? 1 : 2;
 }
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -14,6 +14,7 @@
 #include "core/reader_role.h"
 #include "core/state_cache.h"
 #include "core/wake_watch.h"
+#include "core/zone_map.h"
 #include "net/http_service.h"
 
 #include <uv.h>
@@ -48,6 +49,7 @@
     const struct settings *settings;
     struct cluster_callbacks callbacks;
     struct membership *membership;
+    struct zone_map *zones; /**< lives as long as the process */
     struct state_cache *state;
     struct http_service *service;
     bool holds_full_state; /**< copies the whole platform state, not only the operator's items */
--- a/src/core/backend_eligibility.c
+++ b/src/core/backend_eligibility.c
@@ -65,6 +65,16 @@
            backend_unlisting_has_expired(backend, now) || is_untrusted_entry(pool, backend);
 }
 
+bool backend_pool_has_home(const struct backend_pool *pool, const char *service,
+                           const struct residency *residency)
+{
+    const struct backend_group *group = backend_table_group(&pool->table, service);
+    for (uint32_t i = 0; group && i < group->count; i++)
+        if (residency_allows(residency, group->items[i]->region))
+            return true;
+    return false;
+}
+
 static bool is_presumed_down(const struct backend *backend, uint64_t now)
 {
     return now < backend->presumed_down_until;
@@ -74,7 +84,8 @@
                                const struct backend_criteria *criteria, uint64_t now)
 {
     if (!backend->listed || is_out_of_use(pool, backend, now) || is_presumed_down(backend, now) ||
-        backend_is_backed_off(backend, now))
+        backend_is_backed_off(backend, now) ||
+        !residency_allows(&criteria->residency, backend->region))
         return false;
     return !criteria->engine || has_version(pool, criteria, backend, now);
 }
@@ -97,7 +108,8 @@
 static bool may_serve(const struct backend_pool *pool, const struct backend_criteria *criteria,
                       const struct backend *backend, uint64_t now)
 {
-    if (is_out_of_use(pool, backend, now))
+    if (is_out_of_use(pool, backend, now) ||
+        !residency_allows(&criteria->residency, backend->region))
         return false;
     if (!criteria->engine || awaits_required_version(pool, criteria, backend, now))
         return true;
@@ -128,7 +140,8 @@
                              const struct backend_criteria *criteria, const struct backend *backend,
                              uint64_t now)
 {
-    if (is_out_of_use(pool, backend, now) || is_presumed_down(backend, now))
+    if (is_out_of_use(pool, backend, now) || is_presumed_down(backend, now) ||
+        !residency_allows(&criteria->residency, backend->region))
         return false;
     if (!criteria->engine)
         return true;
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -144,6 +144,8 @@
     update_listing(backend, listing);
     backend->listed_born = listing->born;
     backend->distance = distance;
+    backend->region =
+        pool->settings.zones ? zone_map_zone_bit(pool->settings.zones, backend->listing.zone) : 0;
     backend->listed = true;
     backend->unlisted_until = 0;
     backend->unlisted_in_outage = false;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -11,6 +11,7 @@
 #define SHUNTRUN_BACKEND_POOL_H
 
 #include "core/random.h"
+#include "core/residency.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -76,6 +77,7 @@
     bool leaving_recorded;          /**< `leaving_known_since` was set */
     uint64_t leaving_known_since;   /**< first time it was known to be leaving; 0: not known */
     uint64_t backoff_until;         /**< end of the backoff that it asked for; 0: none */
+    uint64_t region;                /**< bit of its region in the zone map; 0: not known */
     uint16_t distance;              /**< 0 same zone, 1 same region, 2 other region */
     uint32_t in_flight;             /**< requests of this gateway */
     uint32_t awaiting_first_byte;   /**< those of them without a first byte of an answer */
@@ -112,6 +114,7 @@
     uint64_t unlisted_grace_us;    /**< time for which an unlisted backend stays usable */
     uint64_t min_drain_us;         /**< a leaving backend serves for at least this time */
     uint64_t created;              /**< time at which this gateway started; 0: long ago */
+    const struct zone_map *zones;  /**< NULL: the regions of backends are not known */
 };
 
 struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
@@ -214,8 +217,9 @@
     uint64_t coming_version;      /**< that empty engines are about to load; 0: not known */
     const struct backend *excluded[BACKEND_MAX_EXCLUDED];
     uint32_t excluded_count;
-    uint32_t gateways; /**< that send to the same backends */
-    bool any_load;     /**< full backends are accepted, too */
+    uint32_t gateways;          /**< that send to the same backends */
+    bool any_load;              /**< full backends are accepted, too */
+    struct residency residency; /**< regions in which the request may be processed */
     /** Part of an engine's slots that this request must leave free, and of the prompt tokens that
      *  may be pending there; 0: none. Other services than engines have no reserve. */
     double reserved_share;
@@ -247,6 +251,9 @@
 enum backend_choice_result backend_pool_choose(struct backend_pool *pool,
                                                const struct backend_criteria *criteria,
                                                uint64_t now, struct backend **chosen);
+/** \return whether the list names a backend of the service in an allowed region */
+bool backend_pool_has_home(const struct backend_pool *pool, const char *service,
+                           const struct residency *residency);
 /** \return whether an eligible backend that needs no probe has room for the request */
 bool backend_pool_has_room(struct backend_pool *pool, const struct backend_criteria *criteria,
                            uint64_t now);
--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -64,6 +64,7 @@
         free(table->routes[i].name);
         free(table->routes[i].host);
         free(table->routes[i].prefix);
+        home_regions_clear(&table->routes[i].homes);
     }
     for (uint32_t i = 0; i < table->service_count; i++) {
         free(table->services[i].name);
@@ -71,8 +72,10 @@
         free(table->services[i].origin);
         free(table->services[i].zone);
     }
-    for (uint32_t i = 0; i < table->tenant_count; i++)
+    for (uint32_t i = 0; i < table->tenant_count; i++) {
         free(table->tenants[i].name);
+        home_regions_clear(&table->tenants[i].homes);
+    }
     for (uint32_t i = 0; i < table->key_count; i++)
         free(table->keys[i].key);
     free(table->routes);
@@ -105,10 +108,32 @@
 {
     uint32_t index = table->tenant_count++;
     table->tenants = memory_realloc(table->tenants, table->tenant_count * sizeof *table->tenants);
-    table->tenants[index] = (struct tenant_entry){memory_strdup(name), priority};
+    table->tenants[index] =
+        (struct tenant_entry){.name = memory_strdup(name), .priority = priority};
     return index;
 }
 
+void route_table_set_tenant_homes(struct route_table *table, uint32_t tenant,
+                                  const struct home_regions *homes)
+{
+    home_regions_clear(&table->tenants[tenant].homes);
+    table->tenants[tenant].homes = *homes;
+}
+
+void home_regions_add(struct home_regions *homes, const char *name)
+{
+    homes->names = memory_realloc(homes->names, (homes->count + 1) * sizeof *homes->names);
+    homes->names[homes->count++] = memory_strdup(name);
+}
+
+void home_regions_clear(struct home_regions *homes)
+{
+    for (uint32_t i = 0; i < homes->count; i++)
+        free(homes->names[i]);
+    free(homes->names);
+    *homes = (struct home_regions){0};
+}
+
 void route_table_add_key(struct route_table *table, uint32_t tenant, const char *key)
 {
     uint32_t index = table->key_count++;
@@ -269,15 +294,29 @@
     return &table->tenants[index];
 }
 
-uint32_t route_choose_service(const struct route *route, uint64_t draw)
+/* \return sum of the weights of the eligible targets */
+static uint64_t sum_weights(const struct route *route, uint32_t eligible)
 {
     uint64_t sum = 0;
     for (uint32_t i = 0; i < route->target_count; i++)
-        sum += route->targets[i].weight;
+        if (eligible & (1U << i))
+            sum += route->targets[i].weight;
+    return sum;
+}
+
+uint32_t route_choose_service(const struct route *route, uint32_t eligible, uint64_t draw)
+{
+    uint64_t sum = sum_weights(route, eligible);
+    if (!sum) {
+        eligible = ROUTE_ALL_TARGETS;
+        sum = sum_weights(route, eligible);
+    }
     if (!sum)
         return route->target_count ? route->targets[0].service : ROUTE_NO_SERVICE;
     uint64_t remaining = draw % sum;
     for (uint32_t i = 0; i < route->target_count; i++) {
+        if (!(eligible & (1U << i)))
+            continue;
         if (remaining < route->targets[i].weight)
             return route->targets[i].service;
         remaining -= route->targets[i].weight;
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -28,6 +28,12 @@
     uint32_t weight;
 };
 
+/** Regions in which requests may be processed; empty: any. */
+struct home_regions {
+    char **names; /**< owned, as is each name */
+    uint32_t count;
+};
+
 struct route {
     char *name;
     char *host;   /**< lower case */
@@ -42,6 +48,7 @@
     bool resumable;      /**< an interrupted stream may continue at another backend */
     struct route_target targets[ROUTE_MAX_TARGETS];
     uint32_t target_count;
+    struct home_regions homes;
 };
 
 /** Engines of a model service as configured; zero for a service without a model. */
@@ -70,6 +77,7 @@
 struct tenant_entry {
     char *name;
     uint32_t priority; /**< 0 is the highest */
+    struct home_regions homes;
 };
 
 /** Limits on client connections and requests. */
@@ -92,6 +100,11 @@
 /** \return a service whose fields are still to be filled in */
 struct service_entry *route_table_mutable_service(struct route_table *table, uint32_t index);
 uint32_t route_table_add_tenant(struct route_table *table, const char *name, uint32_t priority);
+/** \brief Set the home regions of a tenant; takes ownership. */
+void route_table_set_tenant_homes(struct route_table *table, uint32_t tenant,
+                                  const struct home_regions *homes);
+void home_regions_add(struct home_regions *homes, const char *name);
+void home_regions_clear(struct home_regions *homes);
 void route_table_add_key(struct route_table *table, uint32_t tenant, const char *key);
 /** \brief Add a route; takes ownership of its strings. */
 void route_table_add_route(struct route_table *table, const struct route *route);
@@ -114,8 +127,14 @@
 /** \return index of the tenant that owns a client key, or ROUTE_NO_TENANT */
 uint32_t route_table_key_owner(const struct route_table *table, const char *key);
 const struct tenant_entry *route_table_tenant(const struct route_table *table, uint32_t index);
-/** \brief Choose a service by the weights of a route's targets. \param draw uniform random number
- *  \return index of the service, or ROUTE_NO_SERVICE if the route has no targets */
-uint32_t route_choose_service(const struct route *route, uint64_t draw);
+/** All targets of a route, as a bit mask of their indexes. */
+#define ROUTE_ALL_TARGETS UINT32_MAX
+/**
+ * \brief Choose a service by the weights of a route's targets.
+ * \param eligible bit i: target i may be chosen; if none may, all may
+ * \param draw uniform random number
+ * \return index of the service, or ROUTE_NO_SERVICE if the route has no targets
+ */
+uint32_t route_choose_service(const struct route *route, uint32_t eligible, uint64_t draw);
 
 #endif
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -257,7 +257,6 @@
     edge->loop = uv_default_loop();
     edge->started_at = cluster_now();
     edge->random.seed = hash_name(settings->name) ^ edge->started_at;
-    edge->pool = backend_pool_create(&pool, edge->random.seed + 1);
     edge->relay = weight_relay_create(&edge->cluster);
     edge->gateways = 1;
     edge->max_gateways = (uint32_t)settings->least_gateways;
@@ -266,6 +265,8 @@
         return result;
     if (cluster_open(&edge->cluster, edge->loop, settings, MEMBER_GATEWAY, &callbacks))
         return 1;
+    pool.zones = edge->cluster.zones;
+    edge->pool = backend_pool_create(&pool, edge->random.seed + 1);
     uv_timer_init(edge->loop, &edge->timer);
     edge->timer.data = edge;
     uv_timer_start(&edge->timer, on_tick, TICK_MS, TICK_MS);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -215,12 +215,6 @@
                                  status == 503 ? exchange_no_backend_retry_ms(edge) : 0, "");
 }
 
-static size_t path_length(const struct http_message *request)
-{
-    const char *query = memchr(request->text.data, '?', request->target_length);
-    return query ? (size_t)(query - request->text.data) : request->target_length;
-}
-
 static void set_times(struct exchange *exchange)
 {
     uint64_t timeout_ms = exchange->route->timeout_ms;
@@ -241,14 +235,14 @@
                                         uint32_t tenant)
 {
     struct exchange *exchange = memory_calloc(1, sizeof *exchange);
-    uint32_t service = route_choose_service(route, random_next(&edge->random));
     exchange->edge = edge;
     exchange->client = client;
     exchange->table = route_table_retain(edge->table);
     exchange->route = route;
-    exchange->service = route_table_service(edge->table, service);
     exchange->tenant = tenant == ROUTE_NO_TENANT ? NULL : route_table_tenant(edge->table, tenant);
     exchange->head = *head;
+    exchange_update_residency(exchange);
+    exchange->service = route_table_service(edge->table, exchange_choose_service(exchange));
     exchange->service_state = edge_service(edge, exchange->service->name);
     set_times(exchange);
     struct client_retry_times *times = edge_route_times(edge, route->name);
@@ -278,8 +272,8 @@
         reject_early(edge, client, &head, 400, "no-request-id");
         return NULL;
     }
-    const struct route *route =
-        route_table_match(edge->table, head.host, request->text.data, path_length(request));
+    const struct route *route = route_table_match(edge->table, head.host, request->text.data,
+                                                  http_message_path_length(request));
     if (!route || !route->target_count) {
         reject_early(edge, client, &head, 404, "no-route");
         return NULL;
@@ -295,6 +289,10 @@
         exchange_fail_by_run_state(exchange, END_BLOCKED);
         return NULL;
     }
+    if (residency_is_empty(&exchange->residency)) {
+        exchange_fail_by_run_state(exchange, END_NO_REGION);
+        return NULL;
+    }
     return exchange;
 }
 
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -70,6 +70,7 @@
     [END_BACKEND_ERROR] = "backend-error",
     [END_BLOCKED] = "crashes-back-ends",
     [END_HELD] = "held",
+    [END_NO_REGION] = "no-region",
 };
 
 const char *end_reason_name(enum end_reason end)
@@ -195,13 +196,13 @@
         succeeded ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "request", end_event(exchange, succeeded),
         "request=%s route=%s service=%s status=%u reason=%s backend=%s sends=%u events=%" PRIu64
         " weights=%" PRIu64 " took_ms=%" PRIu64 " left_ms=%" PRId64 " config=%" PRIu64
-        " waiting=%d client_retry=%d trail=\"%s\"",
+        " waiting=%d client_retry=%d restricted=%d regions=%" PRIx64 " trail=\"%s\"",
         exchange->head.id, exchange->route->name, exchange->service->name, status,
         end_names[reason], backend ? backend->listing.id : "-", exchange->sends,
         exchange->events.events, exchange->version, (now - exchange->arrived_at) / US_PER_MS,
         ((int64_t)exchange->deadline_at - (int64_t)now) / (int64_t)US_PER_MS,
         route_table_version(exchange->table), exchange->is_queued, exchange->is_client_retry,
-        exchange->trail);
+        exchange->residency.restricted, exchange->residency.regions, exchange->trail);
 }
 
 void exchange_finish(struct exchange *exchange)
@@ -256,6 +257,12 @@
     buffer_clear(&head);
 }
 
+/* Otherwise a retry of the same request fails in the same way. */
+static bool may_succeed_later(enum end_reason reason)
+{
+    return reason != END_BLOCKED && reason != END_NO_REGION;
+}
+
 void exchange_fail(struct exchange *exchange, unsigned status, enum end_reason reason)
 {
     struct edge_client *client = exchange->client;
@@ -264,6 +271,8 @@
     metric_add(status == 503 ? METRIC_REQUESTS_NOT_RUN : METRIC_REQUESTS_UNKNOWN, 1);
     if (reason == END_BLOCKED)
         metric_add(METRIC_REQUESTS_BLOCKED, 1);
+    if (reason == END_NO_REGION)
+        metric_add(METRIC_REQUESTS_NO_REGION, 1);
     if (exchange->streaming) {
         count_cut_stream(reason);
         exchange_finish(exchange);
@@ -271,7 +280,7 @@
         return;
     }
     char id[PLATFORM_TEXT_SIZE];
-    uint32_t wait_ms = status == 503 && reason != END_BLOCKED ? retry_after_ms(exchange) : 0;
+    uint32_t wait_ms = status == 503 && may_succeed_later(reason) ? retry_after_ms(exchange) : 0;
     memcpy(id, exchange->head.id, sizeof id);
     exchange_finish(exchange);
     exchange_send_local_response(edge, client, id, status, wait_ms,
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -33,6 +33,7 @@
     END_BACKEND_ERROR,     /**< the backend reported a failure of its own */
     END_BLOCKED,           /**< it crashes the backends that run it */
     END_HELD,              /**< it may crash backends, and could not run isolated in time */
+    END_NO_REGION,         /**< its route and its tenant allow no region in common */
 };
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
@@ -57,6 +58,8 @@
     const struct route *route;
     const struct service_entry *service;
     const struct tenant_entry *tenant; /* NULL: none */
+    struct residency residency;        /* regions in which it may be processed */
+    uint64_t residency_config; /* configuration version that `residency` takes into account */
     struct service_state *service_state;
     struct request_head head;
     enum exchange_state state;
@@ -110,6 +113,15 @@
 /** \brief Sets the timer to the next deadline or recheck. */
 void exchange_arm_timer(struct exchange *exchange);
 
+/* --- exchange_residency.c --- */
+
+/** \brief Takes the home regions of the current configuration into account; those of earlier ones
+ * still bind the request. */
+void exchange_update_residency(struct exchange *exchange);
+/** \return the service that the request goes to: one that has backends in the allowed regions, if
+ * any has */
+uint32_t exchange_choose_service(const struct exchange *exchange);
+
 /* --- exchange_suspicion.c --- */
 
 /** \return what identical requests have in common, computed at first use */
--- /dev/null
+++ b/src/edge/exchange_residency.c
@@ -0,0 +1,46 @@
+/* Regions in which a request may be processed: the home regions of its route and of its tenant. */
+#include "edge/exchange_internal.h"
+
+#include <string.h>
+
+static void restrict_by_route(struct exchange *exchange, const struct route *route)
+{
+    residency_restrict(&exchange->residency, exchange->edge->cluster.zones, &route->homes);
+}
+
+static void restrict_by_tenant(struct exchange *exchange, const struct tenant_entry *tenant)
+{
+    residency_restrict(&exchange->residency, exchange->edge->cluster.zones, &tenant->homes);
+}
+
+/* A request that waits or is retried outlives configurations. A route or key that the current one
+ * lacks restricts nothing further. */
+void exchange_update_residency(struct exchange *exchange)
+{
+    const struct route_table *table = exchange->edge->table;
+    if (exchange->residency_config == route_table_version(table))
+        return;
+    exchange->residency_config = route_table_version(table);
+    const struct http_message *request = edge_client_request(exchange->client);
+    const struct route *route = route_table_match(table, exchange->head.host, request->text.data,
+                                                  http_message_path_length(request));
+    uint32_t tenant = route_table_key_owner(table, exchange->head.key);
+    if (route)
+        restrict_by_route(exchange, route);
+    if (tenant != ROUTE_NO_TENANT)
+        restrict_by_tenant(exchange, route_table_tenant(table, tenant));
+}
+
+uint32_t exchange_choose_service(const struct exchange *exchange)
+{
+    const struct route *route = exchange->route;
+    uint32_t eligible = 0;
+    for (uint32_t i = 0; i < route->target_count; i++) {
+        const char *service = route_table_service(exchange->table, route->targets[i].service)->name;
+        if (backend_pool_has_home(exchange->edge->pool, service, &exchange->residency))
+            eligible |= 1U << i;
+    }
+    uint64_t draw = random_next(&exchange->edge->random);
+    return route_choose_service(
+        route, exchange->residency.restricted ? eligible : ROUTE_ALL_TARGETS, draw);
+}
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -62,6 +62,7 @@
 static void fill_criteria(struct exchange *exchange, uint64_t now,
                           struct backend_criteria *criteria)
 {
+    exchange_update_residency(exchange);
     *criteria = (struct backend_criteria){
         .service = exchange->service->name,
         .engine = exchange->service->engine.model != NULL,
@@ -75,6 +76,7 @@
         .coming_version = newest_version(exchange),
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
+        .residency = exchange->residency,
         .expected_us = expected_duration_us(exchange),
         .heard_after = exchange->heard_after,
         .reserved_share = exchange_takes_leftovers(exchange, now) ? OVERLOAD_RESERVED_SHARE : 0,
@@ -254,6 +256,8 @@
 {
     if (absence == BACKEND_FULL)
         return exchange->held ? END_HELD : END_BACKENDS_FULL;
+    if (residency_is_empty(&exchange->residency))
+        return END_NO_REGION;
     return backoff_end ? END_BACKED_OFF : END_NO_BACKEND;
 }
 
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -164,6 +164,13 @@
     return http_method_str((enum http_method)message->parser.method);
 }
 
+size_t http_message_path_length(const struct http_message *message)
+{
+    const char *target = message->text.data;
+    const char *query = memchr(target, '?', message->target_length);
+    return query ? (size_t)(query - target) : message->target_length;
+}
+
 unsigned http_message_status(const struct http_message *message)
 {
     return message->parser.status_code;
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -204,6 +204,7 @@
     {"no-backend",
      "no backend was eligible: none listed, still loading weights, or version too old"},
     {"backed-off", "every backend that could run it had asked in a response for a backoff"},
+    {"no-region", "the home regions of its route and of its tenant have no region in common"},
     {"no-connection", "no connection to a backend could be established"},
     {"no-configuration", "the node had no configuration yet"},
     {"no-route", "the current configuration has no route for the request"},
--- a/tests/core/route_table_test.c
+++ b/tests/core/route_table_test.c
@@ -69,10 +69,23 @@
     struct route route = {.target_count = 2, .targets = {{4, 90}, {5, 10}}};
     uint32_t second = 0;
     for (uint64_t draw = 0; draw < 1000; draw++)
-        second += route_choose_service(&route, draw) == 5;
+        second += route_choose_service(&route, ROUTE_ALL_TARGETS, draw) == 5;
     assert_int_equal(second, 100);
     route.targets[1].weight = 0;
-    assert_int_equal(route_choose_service(&route, 89), 4);
+    assert_int_equal(route_choose_service(&route, ROUTE_ALL_TARGETS, 89), 4);
+}
+
+static void a_split_leaves_out_targets_that_are_not_eligible(void **state)
+{
+    struct route route = {.target_count = 2, .targets = {{4, 90}, {5, 10}}};
+    for (uint64_t draw = 0; draw < 1000; draw++) {
+        assert_int_equal(route_choose_service(&route, 1U << 0, draw), 4);
+        assert_int_equal(route_choose_service(&route, 1U << 1, draw), 5);
+    }
+    uint32_t second = 0;
+    for (uint64_t draw = 0; draw < 1000; draw++)
+        second += route_choose_service(&route, 0, draw) == 5;
+    assert_int_equal(second, 100);
 }
 
 int main(void)
@@ -81,6 +94,7 @@
         cmocka_unit_test(the_longest_prefix_of_the_host_wins),
         cmocka_unit_test(a_key_belongs_to_one_tenant),
         cmocka_unit_test(a_split_follows_its_weights),
+        cmocka_unit_test(a_split_leaves_out_targets_that_are_not_eligible),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -9,8 +9,9 @@
 static const char configuration[] =
     "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"A.example\",\"path_prefix\":\"/x/\","
     "\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":400,\"priority\":1,"
-    "\"service\":\"llm\",\"attempts\":2,\"resumable\":true,\"target_gap_ms\":300},"
-    "{\"name\":\"s\",\"host\":\"b.example\",\"path_prefix\":\"/\",\"kind\":\"non_idempotent\","
+    "\"service\":\"llm\",\"attempts\":2,\"resumable\":true,\"target_gap_ms\":300,"
+    "\"home_regions\":[\"r2\"]},{\"name\":\"s\",\"host\":\"b.example\",\"path_prefix\":\"/"
+    "\",\"kind\":\"non_idempotent\","
     "\"traffic_split\":[{\"service\":\"llm\",\"weight\":90},{\"service\":\"rec\",\"weight\":10}],"
     "\"timeout_ms\":800,\"attempts\":1}],"
     "\"services\":[{\"name\":\"llm\",\"connection_limit\":424,\"engine\":{\"slots\":16,"
@@ -18,7 +19,8 @@
     "{\"name\":\"orig\",\"origin\":\"172.20.0.3:8006\",\"zone\":\"z\"}],"
     "\"limits\":{\"header_bytes\":1000,\"body_bytes\":2000,\"header_timeout_ms\":3000,"
     "\"idle_timeout_ms\":15000},"
-    "\"tenants\":[{\"name\":\"t\",\"keys\":[\"k1\",\"k2\"],\"priority\":1}]}";
+    "\"tenants\":[{\"name\":\"t\",\"keys\":[\"k1\",\"k2\"],\"priority\":1,"
+    "\"home_regions\":[\"r1\",\"r2\"]}]}";
 
 static void configuration_is_parsed_completely(void **state)
 {
@@ -35,6 +37,9 @@
     const struct route *split = route_table_match(table, "b.example", "/x", 2);
     assert_int_equal(split->kind, ROUTE_NON_IDEMPOTENT);
     assert_int_equal(split->target_count, 2);
+    assert_int_equal(split->homes.count, 0);
+    assert_int_equal(stream->homes.count, 1);
+    assert_string_equal(stream->homes.names[0], "r2");
     const struct service_entry *llm =
         route_table_service(table, route_table_find_service(table, "llm"));
     assert_string_equal(llm->engine.model, "m");
@@ -43,7 +48,9 @@
         route_table_service(table, route_table_find_service(table, "orig"));
     assert_string_equal(origin->origin, "172.20.0.3:8006");
     assert_int_equal(route_table_limits(table)->head_bytes, 1000);
-    assert_int_not_equal(route_table_key_owner(table, "k2"), ROUTE_NO_TENANT);
+    uint32_t tenant = route_table_key_owner(table, "k2");
+    assert_int_not_equal(tenant, ROUTE_NO_TENANT);
+    assert_int_equal(route_table_tenant(table, tenant)->homes.count, 2);
     route_table_release(table);
 }
 
@@ -67,6 +74,13 @@
             "\"path_prefix\":\"/x\",\"kind\":\"streaming\",\"service\":\"s\"},"
             "{\"name\":\"b\",\"host\":\"h\",\"path_prefix\":\"/x/\",\"kind\":\"odd\"}]}"),
         2);
+    /* Home regions that cannot be read must not turn into none. */
+    assert_int_equal(
+        count_findings("{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+                       "\"path_prefix\":\"/x/\",\"kind\":\"streaming\",\"service\":\"s\","
+                       "\"home_regions\":\"r\"},{\"name\":\"b\",\"host\":\"h\",\"service\":\"s\","
+                       "\"path_prefix\":\"/y/\",\"kind\":\"streaming\",\"home_regions\":[1]}]}"),
+        2);
 }
 
 static void store_responses_are_decoded(void **state)
