Backends in evacuated zones get no requests

Change: evacuations are operator items like versions: read, pushed, gossiped and kept by gateways that start in an outage. The pool marks the backends of the zone, listed now or later, and its eligibility and the last check before a send leave them out. Running streams go on, and weights are loaded there as before.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -102,6 +102,7 @@
     X(METRIC_WAITING_REQUESTS, "shuntrun_waiting_requests", "requests that wait for a place")      \
     X(METRIC_SUSPECTS, "shuntrun_crash_suspects", "requests that were there when back ends ended") \
     X(METRIC_BACKENDS, "shuntrun_backends", "back ends that are listed")                           \
+    X(METRIC_EVACUATED_ZONES, "shuntrun_evacuated_zones", "zones that the operator evacuates")     \
     X(METRIC_ENGINE_RUNNING, "shuntrun_engine_running", "requests that the own engine runs")       \
     X(METRIC_ENGINE_WAITING, "shuntrun_engine_waiting", "requests that wait at the own engine")    \
     X(METRIC_ENGINE_VERSION, "shuntrun_engine_weights_version", "weights of the own engine")       \
--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -365,8 +365,7 @@
     if (cluster->started)
         metric_observe(METRIC_STATE_AGE, cluster_now() - item->learned);
     enum item_kind kind = platform_item_kind(item->key, name, sizeof name);
-    if ((kind == ITEM_CONFIGURATION || kind == ITEM_VERSION) &&
-        item->revision > cluster->operator_revision)
+    if (kind != ITEM_BACKEND && kind != ITEM_OTHER && item->revision > cluster->operator_revision)
         cluster->operator_revision = item->revision;
     cluster->callbacks.item_changed(cluster->callbacks.context, item);
 }
--- a/src/core/backend_eligibility.c
+++ b/src/core/backend_eligibility.c
@@ -61,8 +61,9 @@
 static bool is_out_of_use(const struct backend_pool *pool, const struct backend *backend,
                           uint64_t now)
 {
-    return backend->listing.draining || backend->leaving || backend->load.leaving ||
-           backend_unlisting_has_expired(backend, now) || is_untrusted_entry(pool, backend);
+    return backend->evacuated || backend->listing.draining || backend->leaving ||
+           backend->load.leaving || backend_unlisting_has_expired(backend, now) ||
+           is_untrusted_entry(pool, backend);
 }
 
 bool backend_pool_has_home(const struct backend_pool *pool, const char *service,
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -28,6 +28,7 @@
     for (uint32_t i = 0; i < pool->table.count; i++)
         backend_release(pool->table.items[i]);
     backend_table_clear(&pool->table);
+    zone_set_clear(&pool->evacuated);
     free(pool);
 }
 
@@ -146,6 +147,7 @@
     backend->distance = distance;
     backend->region =
         pool->settings.zones ? zone_map_zone_bit(pool->settings.zones, backend->listing.zone) : 0;
+    backend->evacuated = zone_set_contains(&pool->evacuated, backend->listing.zone);
     backend->listed = true;
     backend->unlisted_until = 0;
     backend->unlisted_in_outage = false;
@@ -203,6 +205,26 @@
     }
 }
 
+uint32_t backend_pool_set_evacuated(struct backend_pool *pool, const char *zone, bool evacuated)
+{
+    uint32_t changed = 0;
+    if (!(evacuated ? zone_set_add : zone_set_remove)(&pool->evacuated, zone))
+        return 0;
+    for (uint32_t i = 0; i < pool->table.count; i++) {
+        struct backend *backend = pool->table.items[i];
+        if (strcmp(backend->listing.zone, zone) != 0)
+            continue;
+        backend->evacuated = evacuated;
+        changed++;
+    }
+    return changed;
+}
+
+uint32_t backend_pool_evacuated_zones(const struct backend_pool *pool)
+{
+    return pool->evacuated.count;
+}
+
 void backend_pool_remove(struct backend_pool *pool, struct backend *backend)
 {
     if (backend->listed)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -68,6 +68,7 @@
     struct backend_listing listing; /**< `born` is that of the latest known incarnation */
     uint64_t listed_born;           /**< `born` as the list gives it */
     uint32_t references;            /**< held by the pool, requests and connections */
+    bool evacuated;                 /**< the operator evacuates its zone */
     bool listed;                    /**< false once the pool has removed it */
     uint64_t unlisted_at;           /**< time at which this gateway learned of the unlisting */
     uint64_t unlisted_until;        /**< end of the grace period after an unlisting; 0: listed */
@@ -144,6 +145,14 @@
  * cannot list themselves again
  */
 void backend_pool_expire(struct backend_pool *pool, bool sound, uint64_t now);
+/**
+ * \brief Begin or end the evacuation of a zone. Its backends, also those that are listed later, get
+ * no requests; those that they run go on.
+ * \return number of backends whose evacuation began or ended
+ */
+uint32_t backend_pool_set_evacuated(struct backend_pool *pool, const char *zone, bool evacuated);
+/** \return number of zones that are evacuated */
+uint32_t backend_pool_evacuated_zones(const struct backend_pool *pool);
 /** \brief Remove a backend: another process has its address. */
 void backend_pool_remove(struct backend_pool *pool, struct backend *backend);
 /** A backend that is presumed down gets no requests for this long unless there is evidence
--- a/src/core/backend_pool_internal.h
+++ b/src/core/backend_pool_internal.h
@@ -8,6 +8,7 @@
 #define SHUNTRUN_BACKEND_POOL_INTERNAL_H
 
 #include "core/backend_table.h"
+#include "core/zone_set.h"
 
 /** Number of incarnations whose statements are saved after their removal. A list that is lost in
  * an outage names its backends again afterwards; a tenth of 1,000 may leave in the meantime. */
@@ -25,6 +26,7 @@
     struct backend_pool_settings settings;
     struct random_stream random;
     struct backend_table table;
+    struct zone_set evacuated;
     bool sound; /* the store works */
     struct saved_statement kept[SAVED_STATEMENTS];
     uint32_t saved_next; /* index of the oldest, which is replaced next */
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -1,4 +1,4 @@
-/* Applies published platform state: configuration, backends and versions of weights. */
+/* Applies published platform state: configuration, backends, versions of weights, evacuations. */
 #include "base/log.h"
 #include "base/metrics.h"
 #include "core/hash.h"
@@ -189,6 +189,15 @@
     version_bounds_add(&edge->versions, model, version, named_at + bound_us - VERSION_MARGIN_US);
 }
 
+static void apply_evacuation(struct edge *edge, const char *zone, const struct state_item *item)
+{
+    uint32_t changed = backend_pool_set_evacuated(edge->pool, zone, !item->gone);
+    metric_gauge_set(METRIC_EVACUATED_ZONES, backend_pool_evacuated_zones(edge->pool));
+    log_event(LOG_LEVEL_INFO, "zone", item->gone ? "restored" : "evacuated",
+              "zone=%s revision=%" PRIu64 " age_ms=%" PRIu64 " backends=%u", zone, item->revision,
+              (cluster_now() - item->learned) / 1000, changed);
+}
+
 void edge_apply_item(struct edge *edge, const struct state_item *item)
 {
     char name[PLATFORM_TEXT_SIZE];
@@ -204,6 +213,9 @@
         if (!item->gone)
             apply_version(edge, name, item);
         break;
+    case ITEM_EVACUATION:
+        apply_evacuation(edge, name, item);
+        break;
     case ITEM_OTHER:
         break;
     }
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -169,7 +169,8 @@
         {"config", "accepted"}, {"weights", "version-named"}, {"cluster", "members"},
         {"store", "lost"},      {"store", "regained"},        {"process", "start"},
         {"process", "stop"},    {"cluster", "woke"},          {"crash", "ended"},
-        {"backend", "leaving"}, {"backend", "backs-off"},
+        {"backend", "leaving"}, {"backend", "backs-off"},     {"zone", "evacuated"},
+        {"zone", "restored"},
     };
     json_t *node_state = json_array();
     char *node = copy_field(end_line, "node");
@@ -202,7 +203,8 @@
     {"backend-error", "the backend reported a failure of its own, which was forwarded"},
     {"full", "every eligible backend was full for as long as the request may wait"},
     {"no-backend",
-     "no backend was eligible: none listed, still loading weights, or version too old"},
+     "no backend was eligible: none listed in an allowed region, all in evacuated zones, still "
+     "loading weights, or version too old"},
     {"backed-off", "every backend that could run it had asked in a response for a backoff"},
     {"no-region", "the home regions of its route and of its tenant have no region in common"},
     {"no-connection", "no connection to a backend could be established"},
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -83,6 +83,21 @@
         2);
 }
 
+static void keys_tell_the_kind_of_an_item(void **state)
+{
+    char name[PLATFORM_TEXT_SIZE];
+    assert_int_equal(platform_item_kind("op/config", name, sizeof name), ITEM_CONFIGURATION);
+    assert_string_equal(name, "");
+    assert_int_equal(platform_item_kind("op/version/m", name, sizeof name), ITEM_VERSION);
+    assert_string_equal(name, "m");
+    assert_int_equal(platform_item_kind("op/evacuate/zone-a", name, sizeof name), ITEM_EVACUATION);
+    assert_string_equal(name, "zone-a");
+    assert_int_equal(platform_item_kind("servers/i", name, sizeof name), ITEM_BACKEND);
+    assert_string_equal(name, "i");
+    assert_int_equal(platform_item_kind("op/other", name, sizeof name), ITEM_OTHER);
+    assert_string_equal(name, "");
+}
+
 static void store_responses_are_decoded(void **state)
 {
     static const char body[] =
@@ -480,6 +495,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(configuration_is_parsed_completely),
         cmocka_unit_test(all_configuration_errors_are_reported_together),
+        cmocka_unit_test(keys_tell_the_kind_of_an_item),
         cmocka_unit_test(store_responses_are_decoded),
         cmocka_unit_test(client_keys_and_forged_fields_are_not_forwarded),
         cmocka_unit_test(zero_deadline_differs_from_absent_deadline),
--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -235,9 +235,10 @@
 class Backend:
     """An engine or plain service. `faults` lists the faults of the next requests, one each; see execute()."""
 
-    def __init__(self, address, identity, store, service, version=None, state="ready"):
+    def __init__(self, address, identity, store, service, version=None, state="ready", zone="zone-a"):
         self.address = address
         self.identity = identity
+        self.zone = zone
         self.started_ms = int(time.time() * 1000)
         self.store = store
         self.service = service
@@ -297,7 +298,7 @@
         models = [] if self.version is None else [{"name": MODEL, "version": self.version,
                                                    "adapters": []}]
         self.store.put("servers/" + self.identity, {
-            "service": self.service, "address": "%s:%d" % self.address, "zone": "zone-a",
+            "service": self.service, "address": "%s:%d" % self.address, "zone": self.zone,
             "version": "v1", "slots": self.slots, "state": state, "cold_remaining_ms": 0,
             "stage": "both", "models": models, "sequence": sequence, "born": self.started_ms})
 
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -76,7 +76,7 @@
         self.environment = dict(os.environ, **(environment or {}))
         self.log_path = log_path(role, address)
         settings = {"name": "%s-%s" % (role, address), "zone": "zone-a", "region": "region-a",
-                    "address": address, "zones": "zone-a=region-a", "peer-port": PEER_PORT,
+                    "address": address, "zones": "zone-a=region-a,zone-b=region-b", "peer-port": PEER_PORT,
                     "metrics-port": METRICS_PORT, "seeds": "%s:1,127.9.9.9:1" % EDGE_IPS[0]}
         settings.update(extra)
         path = os.path.join(OPTIONS.work, "%s-%s.settings" % (role, address))
