Cold backends get a bounded rate of requests from all gateways together

Change: core/cold_limit gives each gateway a quota in a sliding second, from its rank among the gateways that send to the backend. Quotas of one ranking add up to half of the bound, integer shares go by rank instead of to 0. The loader beside an engine ranks the gateways that it reports to, and keeps a ranking for 2.5 s, so that at most two are in use (core/cold_ranking); backends without a loader are ranked by members. A gateway without a fresh rank sends nothing. The last check before a send counts as well. Cold backends come last among equals.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -109,7 +109,21 @@
     send_datagram(cluster, address, bytes, size);
 }
 
-void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far)
+/* Sets the rank of a recipient. A node that does not know most members yet ranks none: it might
+ * rank few of them, and soon afterwards all. */
+static void set_cold_rank(struct cluster *cluster, uint32_t recipient, Shuntrun__EngineLoad *load)
+{
+    struct cold_ranking *ranking = &cluster->cold_ranking;
+    uint32_t own = membership_self(cluster->membership)->address;
+    if (!cluster->started)
+        return;
+    cold_ranking_refresh(ranking, &cluster->load_targets, own, cluster_now());
+    struct cold_rank rank = cold_ranking_find(ranking, recipient);
+    load->cold_rank = rank.rank;
+    load->cold_gateways = rank.gateways;
+}
+
+void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far, bool rank)
 {
     uint8_t bytes[MAX_DATAGRAM_BYTES];
     Shuntrun__MemberMessage message = SHUNTRUN__MEMBER_MESSAGE__INIT;
@@ -119,9 +133,15 @@
     load->far_gateways = targets->far_count;
     message.load = load;
     message.uptime_ms = uptime_ms(cluster, cluster_now());
-    size_t size = pack_message(&message, bytes);
+    size_t size = rank ? 0 : pack_message(&message, bytes);
     uint32_t count = targets->near_count + (far ? targets->far_count : 0);
-    for (uint32_t i = 0; size && i < count; i++) {
+    for (uint32_t i = 0; i < count; i++) {
+        if (rank) {
+            set_cold_rank(cluster, targets->addresses[i], load);
+            size = pack_message(&message, bytes);
+        }
+        if (!size)
+            return;
         message_count_sent(&message, size, i >= targets->near_count);
         send_datagram(cluster, targets->addresses[i], bytes, size);
     }
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -9,6 +9,7 @@
 #define SHUNTRUN_CLUSTER_H
 
 #include "base/settings.h"
+#include "core/cold_ranking.h"
 #include "core/load_targets.h"
 #include "core/membership.h"
 #include "core/reader_role.h"
@@ -73,6 +74,7 @@
     uint64_t isolated_until; /**< end of the last isolation, see cluster_was_isolated(); 0: none */
     struct random_stream random;
     struct load_targets load_targets;
+    struct cold_ranking cold_ranking;
     uint32_t last_alive_count; /**< live members when they were last logged */
 };
 
@@ -89,8 +91,9 @@
 /**
  * \brief Send a load report of the engine to the gateways selected by core/load_targets.
  * \param far send it also to those in other regions
+ * \param rank tell each gateway its rank for the time in which the engine is cold
  */
-void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far);
+void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far, bool rank);
 /** \brief Push state changes that this node has learned since the last call to other nodes. */
 void cluster_propagate_changes(struct cluster *cluster);
 /** \return whether this node reads the platform's store at present */
--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -13,6 +13,9 @@
 #define ZONE_PENALTY_MS 5
 #define REGION_PENALTY_MS 45
 #define SERVICE_REGION_PENALTY_MS 15
+/** Added to the expected time of a cold backend, ms: its quota serves what finds no room at warm
+ * ones. */
+#define COLD_PENALTY_MS 60
 /** Weights of the failure and refusal rates, as parts of the expected time. */
 #define FAILURE_PENALTY 8.0
 #define REFUSAL_PENALTY 3.0
@@ -181,6 +184,14 @@
     return cost;
 }
 
+/* Whether a request may be sent there now. A stream that has begun goes to full engines, too. */
+static bool accepts(const struct backend_pool *pool, const struct backend_criteria *criteria,
+                    const struct backend *backend, uint64_t now)
+{
+    return backend_is_within_cold_quota(pool, criteria, backend, now) &&
+           (criteria->any_load || has_room(pool, criteria, backend, now));
+}
+
 /* Expected time of one more request at a service without engines, ms. */
 static double service_cost(const struct backend *backend)
 {
@@ -196,6 +207,8 @@
 {
     double cost =
         criteria->engine ? engine_cost(pool, criteria, backend, now) : service_cost(backend);
+    if (backend_is_cold(backend, &criteria->cold, now))
+        cost += COLD_PENALTY_MS;
     return cost *
            (1 + FAILURE_PENALTY * backend->failure_rate + REFUSAL_PENALTY * backend->refusal_rate);
 }
@@ -271,7 +284,7 @@
     set->eligible++;
     set->lasting += !turning;
     set->reported |= reported;
-    if (!criteria->any_load && !has_room(pool, criteria, backend, now))
+    if (!accepts(pool, criteria, backend, now))
         return;
     if (is_ejected(backend, now)) {
         if (!set->ejected || backend->ejected_until < set->ejected->ejected_until)
@@ -343,7 +356,7 @@
             continue;
         has_eligible = true;
         if (is_ejected(backend, now) || (needs_probe(backend, now) && backend->probing) ||
-            (!criteria->any_load && !has_room(pool, criteria, backend, now)))
+            !accepts(pool, criteria, backend, now))
             continue;
         uint64_t weight = rank_weight(criteria, backend);
         if (weight <= best_weight)
@@ -404,7 +417,7 @@
     for (uint32_t i = 0; group && i < group->count; i++) {
         const struct backend *backend = group->items[i];
         if (backend_is_eligible(pool, criteria, backend, now) && !needs_probe(backend, now) &&
-            (criteria->any_load || has_room(pool, criteria, backend, now)))
+            accepts(pool, criteria, backend, now))
             return true;
     }
     return false;
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -248,6 +248,23 @@
     return backend->listing.born && load->born > backend->listing.born;
 }
 
+void backend_record_cold(struct backend *backend, uint64_t until)
+{
+    if (until > backend->cold_until)
+        backend->cold_until = until;
+}
+
+void backend_record_cold_rank(struct backend *backend, const struct cold_rank *rank, uint64_t now)
+{
+    backend->cold_rank = *rank;
+    backend->cold_rank_at = now;
+}
+
+void backend_record_send(struct backend *backend, uint64_t now)
+{
+    cold_window_record(&backend->sends, now);
+}
+
 /* The list does not name this incarnation yet. State learned from the earlier one is discarded,
  * except the listing: a backend that was unlisted does not become listed by a restart. */
 static struct backend *begin_reported_incarnation(struct backend_pool *pool, struct backend *before,
@@ -272,10 +289,14 @@
     struct backend *backend = backend_table_find_address(&pool->table, address);
     if (!backend || is_of_earlier_incarnation(backend, load))
         return NULL;
-    if (is_of_later_incarnation(backend, load))
+    bool has_restarted = is_of_later_incarnation(backend, load);
+    if (has_restarted)
         backend = begin_reported_incarnation(pool, backend, load->born);
+    if (has_restarted || (backend->presumed_down_until && !backend->listing.born))
+        backend->restarted_at = now;
     backend_clear_undated_incarnation(pool, backend);
     backend->presumed_down_until = 0;
+    backend_record_cold_rank(backend, &load->cold_rank, now);
     backend->load = *load;
     backend->load_at = now;
     backend->turn_at = load->turn_ms ? now + load->turn_ms * (uint64_t)1000 : 0;
--- a/src/core/backend_pool_internal.h
+++ b/src/core/backend_pool_internal.h
@@ -56,6 +56,11 @@
 /** Only an answer within this time shows that a backend, and the network to it, are not slow. */
 #define BACKEND_RECENT_ANSWER_US 1500000
 
+/** \return whether this gateway may send one more request there: the backend is warm, or it is cold
+ * and the gateway's quota is not used up */
+bool backend_is_within_cold_quota(const struct backend_pool *pool,
+                                  const struct backend_criteria *criteria,
+                                  const struct backend *backend, uint64_t now);
 /** \return whether the backend may get the request if it has room */
 bool backend_is_eligible(const struct backend_pool *pool, const struct backend_criteria *criteria,
                          const struct backend *backend, uint64_t now);
--- /dev/null
+++ b/src/core/cold_ranking.c
@@ -0,0 +1,50 @@
+#include "core/cold_ranking.h"
+
+#include "base/memory.h"
+#include "core/hash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Insertion sort by hash, the greatest first: the number of targets is bounded. */
+static void sort_by_hash(uint32_t *addresses, uint32_t count, uint32_t loader)
+{
+    for (uint32_t i = 1; i < count; i++) {
+        uint32_t address = addresses[i];
+        uint64_t weight = hash_pair(loader, address);
+        uint32_t place = i;
+        for (; place > 0 && hash_pair(loader, addresses[place - 1]) < weight; place--)
+            addresses[place] = addresses[place - 1];
+        addresses[place] = address;
+    }
+}
+
+void cold_ranking_refresh(struct cold_ranking *ranking, const struct load_targets *targets,
+                          uint32_t loader, uint64_t now)
+{
+    uint32_t count = targets->near_count + targets->far_count;
+    bool is_recent = ranking->ranked_at && now < ranking->ranked_at + COLD_RANKING_MIN_US;
+    if (is_recent || ranking->generation == targets->generation || !count)
+        return;
+    ranking->addresses = memory_realloc(ranking->addresses, count * sizeof *ranking->addresses);
+    memcpy(ranking->addresses, targets->addresses, count * sizeof *ranking->addresses);
+    sort_by_hash(ranking->addresses, targets->near_count, loader);
+    sort_by_hash(ranking->addresses + targets->near_count, targets->far_count, loader);
+    ranking->count = count;
+    ranking->ranked_at = now;
+    ranking->generation = targets->generation;
+}
+
+struct cold_rank cold_ranking_find(const struct cold_ranking *ranking, uint32_t address)
+{
+    for (uint32_t i = 0; i < ranking->count; i++)
+        if (ranking->addresses[i] == address)
+            return (struct cold_rank){i + 1, ranking->count};
+    return (struct cold_rank){0};
+}
+
+void cold_ranking_clear(struct cold_ranking *ranking)
+{
+    free(ranking->addresses);
+    *ranking = (struct cold_ranking){0};
+}
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -69,6 +69,8 @@
 struct service_entry {
     char *name;
     uint32_t connection_limit;
+    uint32_t cold_start_ms; /**< time for which a backend is cold after its start; 0: it is not */
+    double cold_per_s; /**< requests a second that a cold backend bears; 0: as many as a warm one */
     struct engine_profile engine;
     char *origin; /**< "IP:PORT" if the service is an origin of weights, otherwise NULL */
     char *zone;   /**< of an origin */
--- a/src/edge/backend_feedback.c
+++ b/src/edge/backend_feedback.c
@@ -50,6 +50,8 @@
     };
     struct backend_statement_effect change =
         backend_pool_apply_statement(edge->pool, backend, &statement, now);
+    if (head->cold_ms)
+        backend_record_cold(backend, now + (uint64_t)head->cold_ms * 1000);
     if (statement.leaving)
         backend_record_leaving(backend, now);
     if (change.now_leaving && !backend->load.leaving)
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -60,6 +60,7 @@
         .far_gateways = report->far_gateways,
         .turn_ms = report->turn_ms,
         .leaving = report->leaving,
+        .cold_rank = {report->cold_rank, report->cold_gateways},
     };
     if (backend_feedback_from_load(edge, report->address, &load) && edge->queue)
         exchange_dispatch_queued(edge);
@@ -170,6 +171,7 @@
     crash_watch_tick(edge, now);
     edge_client_fail_blocked(edge);
     backend_pool_expire(edge->pool, cluster_store_is_healthy(&edge->cluster), now);
+    edge_rank_cold_backends(edge, now);
     close_expired_connections(edge, now);
     exchange_dispatch_queued(edge);
     metric_gauge_set(METRIC_ACTIVE_REQUESTS, edge->active);
@@ -254,6 +256,8 @@
                                          .min_drain_us = drain_usable_us(settings),
                                          .created = cluster_now()};
     edge->settings = settings;
+    edge->cold_bound = (struct cold_limit){.over = strtod(settings->cold_over, NULL),
+                                           .slack = strtod(settings->cold_slack, NULL)};
     edge->loop = uv_default_loop();
     edge->started_at = cluster_now();
     edge->random.seed = hash_name(settings->name) ^ edge->started_at;
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -60,6 +60,7 @@
     struct backend_pool *pool;
     struct weight_relay *relay; /**< forwards model weights to loaders */
     struct version_bounds versions;
+    struct cold_limit cold_bound; /**< `over` and `slack` of the settings */
     struct service_state services[EDGE_MAX_SERVICES];
     uint32_t service_count;
     struct route_times routes[EDGE_MAX_ROUTES];
@@ -195,6 +196,11 @@
 /** \brief Applies a published item that was added, changed or removed. */
 void edge_apply_item(struct edge *edge, const struct state_item *item);
 
+/* --- Cold backends: edge_cold_ranks.c --- */
+
+/** \brief Ranks this gateway for the cold backends that have no loader; called on each tick. */
+void edge_rank_cold_backends(struct edge *edge, uint64_t now);
+
 /* --- Gateway addresses: edge_addresses.c --- */
 
 /** \brief Responds to a client that asks which gateway addresses to use. */
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -120,14 +120,16 @@
     }
     struct backend *backend =
         backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
+    if (listing.cold_ms)
+        backend_record_cold(backend, item->learned + (uint64_t)listing.cold_ms * 1000);
     if (backend->listing.draining)
         backend_record_leaving(backend, item_changed_at(edge, item));
     log_event(LOG_LEVEL_INFO, "backend", "listed",
               "id=%s born=%" PRIu64 " service=%s address=%s zone=%s draining=%d weights=%" PRIu64
-              " revision=%" PRIu64 " sequence=%" PRIu64 " age_ms=%" PRIu64
+              " revision=%" PRIu64 " sequence=%" PRIu64 " cold_ms=%u age_ms=%" PRIu64
               " leaves=%d in_flight=%u unanswered=%u",
               id, listing.born, listing.service, listing.address, listing.zone, listing.draining,
-              listing.version, item->revision, listing.sequence,
+              listing.version, item->revision, listing.sequence, listing.cold_ms,
               (cluster_now() - item->learned) / 1000, backend->listing.draining || backend->leaving,
               backend->in_flight, backend->awaiting_first_byte);
 }
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -59,6 +59,14 @@
                                      exchange->head.expected_output_tokens);
 }
 
+static struct cold_limit cold_limit_of(const struct exchange *exchange)
+{
+    struct cold_limit limit = exchange->edge->cold_bound;
+    limit.per_s = exchange->service->cold_per_s;
+    limit.start_us = exchange->service->cold_start_ms * US_PER_MS;
+    return limit;
+}
+
 static void fill_criteria(struct exchange *exchange, uint64_t now,
                           struct backend_criteria *criteria)
 {
@@ -76,6 +84,7 @@
         .coming_version = newest_version(exchange),
         .gateways = exchange->edge->gateways,
         .any_load = exchange->resuming,
+        .cold = cold_limit_of(exchange),
         .residency = exchange->residency,
         .expected_us = expected_duration_us(exchange),
         .heard_after = exchange->heard_after,
@@ -109,6 +118,7 @@
     };
     platform_write_request(request, &forward, bytes);
     buffer_append(bytes, request->body.data, request->body.size);
+    backend_record_send(backend, now);
     return true;
 }
 
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -101,6 +101,13 @@
     return scheduled_at > now ? (uint32_t)((scheduled_at - now) / 1000) : 0;
 }
 
+static const struct service_entry *own_service(const struct loader *loader)
+{
+    uint32_t index =
+        route_table_find_service(loader->table, loader->cluster.settings->engine_service);
+    return index == ROUTE_NO_SERVICE ? NULL : route_table_service(loader->table, index);
+}
+
 static void send_load(struct loader *loader, uint64_t now)
 {
     struct backend_load load = loader->report.load;
@@ -128,7 +135,9 @@
         load.version != loader->sent_load.version || load.leaving != loader->sent_load.leaving;
     if (cross_region)
         loader->cross_region_load_sent_at = now;
-    cluster_send_load(&loader->cluster, &message, cross_region);
+    const struct service_entry *service = own_service(loader);
+    bool has_cold_limit = service && service->cold_per_s > 0;
+    cluster_send_load(&loader->cluster, &message, cross_region, has_cold_limit);
     if (now >= loader->next_load_log_at) {
         loader->next_load_log_at = now + LOAD_LOG_INTERVAL_US;
         log_event(LOG_LEVEL_INFO, "engine", "load",
@@ -141,13 +150,6 @@
     loader->load_sent_at = now;
 }
 
-static const struct service_entry *own_service(const struct loader *loader)
-{
-    uint32_t index =
-        route_table_find_service(loader->table, loader->cluster.settings->engine_service);
-    return index == ROUTE_NO_SERVICE ? NULL : route_table_service(loader->table, index);
-}
-
 static void set_reachable(struct loader *loader, bool reachable)
 {
     if (reachable != loader->reachable)
