Buffers, and the memory of engines, are bounded

Cause: a gateway copied each whole response for its client, however slowly the client read; a stream paused at a fixed 256 KiB for each connection; a kept connection kept its largest message. Enough slow clients exceed any machine. A backend that closes an unread connection counted as broken, with a retry and a suspicion of a crash. Nothing kept requests from an engine whose KV cache is full. An unread stream that its backend closes ends as the client's own. Load reports carry the part of the KV cache in use; an engine above 85 %, or without room for the request's context, has no room.

--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 #define BUFFER_MIN_CAPACITY 256
+/** A reset buffer keeps no more: connections that were idle would hold their largest message. */
+#define BUFFER_MAX_KEPT 16384
 
 static void reserve(struct buffer *buffer, size_t more)
 {
@@ -18,6 +20,7 @@
     while (capacity < needed)
         capacity *= 2;
     buffer->data = memory_realloc(buffer->data, capacity);
+    memory_hold_buffer(capacity - buffer->capacity);
     buffer->capacity = capacity;
 }
 
@@ -63,11 +66,14 @@
 
 void buffer_reset(struct buffer *buffer)
 {
+    if (buffer->capacity > BUFFER_MAX_KEPT)
+        buffer_clear(buffer);
     buffer->size = 0;
 }
 
 void buffer_clear(struct buffer *buffer)
 {
+    memory_release_buffer(buffer->capacity);
     free(buffer->data);
     *buffer = (struct buffer){0};
 }
--- a/src/base/buffer.h
+++ b/src/base/buffer.h
@@ -23,7 +23,7 @@
     __attribute__((format(printf, 2, 3)));
 /** \brief Remove the first `size` bytes. */
 void buffer_consume(struct buffer *buffer, size_t size);
-/** \brief Make the buffer empty but keep its memory. */
+/** \brief Make the buffer empty but keep its memory, unless it is large. */
 void buffer_reset(struct buffer *buffer);
 /** \brief Free the memory and make the buffer empty. */
 void buffer_clear(struct buffer *buffer);
--- a/src/base/memory.c
+++ b/src/base/memory.c
@@ -1,9 +1,13 @@
 #include "base/memory.h"
 
+#include <ck_pr.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+static uint64_t buffer_bytes;
+
 static void *checked(void *block)
 {
     if (!block) {
@@ -35,3 +39,18 @@
         memcpy(copy, bytes, size);
     return copy;
 }
+
+void memory_hold_buffer(size_t size)
+{
+    ck_pr_add_64(&buffer_bytes, size);
+}
+
+void memory_release_buffer(size_t size)
+{
+    ck_pr_sub_64(&buffer_bytes, size);
+}
+
+size_t memory_held_by_buffers(void)
+{
+    return ck_pr_load_64(&buffer_bytes);
+}
--- a/src/base/memory.h
+++ b/src/base/memory.h
@@ -15,5 +15,11 @@
 char *memory_strdup(const char *text);
 /** \brief Copy `size` bytes into a new block. */
 void *memory_duplicate(const void *bytes, size_t size);
+/** \brief Account for bytes of buffers that were allocated; callable from any thread. */
+void memory_hold_buffer(size_t size);
+/** \brief Account for bytes of buffers that were freed; callable from any thread. */
+void memory_release_buffer(size_t size);
+/** \return bytes of all buffers of this process that are accounted for */
+size_t memory_held_by_buffers(void);
 
 #endif
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -23,6 +23,7 @@
     X(METRIC_STREAMS_CUT_NO_BACKEND, "shuntrun_streams_cut_total{reason=\"no_backend\"}", "")      \
     X(METRIC_STREAMS_CUT_SILENT, "shuntrun_streams_cut_total{reason=\"silent\"}", "")              \
     X(METRIC_STREAMS_CUT_BLOCKED, "shuntrun_streams_cut_total{reason=\"blocked\"}", "")            \
+    X(METRIC_STREAMS_CUT_CLIENT_SLOW, "shuntrun_streams_cut_total{reason=\"client_slow\"}", "")    \
     X(METRIC_STREAMS_CUT_TIME, "shuntrun_streams_cut_total{reason=\"time\"}", "")                  \
     X(METRIC_RUNS_LOST, "shuntrun_runs_lost_total",                                                \
       "requests whose back end broke its connection before a whole answer")                        \
@@ -34,6 +35,10 @@
       "requests not run, as they crash back ends")                                                 \
     X(METRIC_REQUESTS_NO_REGION, "shuntrun_no_region_requests_total",                              \
       "requests refused, as their route and tenant allow no region in common")                     \
+    X(METRIC_REQUESTS_NO_MEMORY, "shuntrun_no_memory_requests_total",                              \
+      "requests refused, as the buffers of this node are nearly full")                             \
+    X(METRIC_CLIENTS_DROPPED, "shuntrun_clients_dropped_total",                                    \
+      "connections reset while buffers were nearly full, as the client took nothing for too long") \
     X(METRIC_TOKENS, "shuntrun_tokens_total", "tokens passed to callers")                          \
     X(METRIC_ANSWERS_DROPPED, "shuntrun_dropped_answers_total", "late or doubled answers dropped") \
     X(METRIC_KEYS_REPLAYED, "shuntrun_replayed_answers_total", "kept answers given to a repeat")   \
@@ -103,6 +108,7 @@
     X(METRIC_SUSPECTS, "shuntrun_crash_suspects", "requests that were there when back ends ended") \
     X(METRIC_BACKENDS, "shuntrun_backends", "back ends that are listed")                           \
     X(METRIC_EVACUATED_ZONES, "shuntrun_evacuated_zones", "zones that the operator evacuates")     \
+    X(METRIC_BUFFER_MEMORY, "shuntrun_buffer_memory_bytes", "bytes held in buffers")               \
     X(METRIC_ENGINE_RUNNING, "shuntrun_engine_running", "requests that the own engine runs")       \
     X(METRIC_ENGINE_WAITING, "shuntrun_engine_waiting", "requests that wait at the own engine")    \
     X(METRIC_ENGINE_VERSION, "shuntrun_engine_weights_version", "weights of the own engine")       \
--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -26,6 +26,9 @@
  * sum of the shares may exceed 1. */
 #define NEAR_GATEWAYS_SHARE 0.75
 #define FAR_GATEWAYS_SHARE 0.4
+/** An engine whose KV cache is fuller gets no requests: the rest is for those that other gateways
+ * send before a report shows them, and for contexts that grow. */
+#define MAX_MEMORY_PERMILLE 850
 /** A gateway that started more recently than this waits for an engine's first load report. */
 #define FIRST_REPORT_WAIT_US 1000000
 
@@ -149,6 +152,18 @@
     return criteria->reserved_share <= 0 || backend_occupancy(pool, backend, now) + 1 <= usable;
 }
 
+/* Engines fail when the requests that they hold outgrow their memory. */
+static bool fits_memory(const struct backend_criteria *criteria, const struct backend *backend)
+{
+    const struct backend_load *load = &backend->load;
+    if (!load->memory_total)
+        return true;
+    uint64_t permille = load->memory_used * 1000 / load->memory_total;
+    uint64_t left = permille < 1000 ? criteria->kv_cache_tokens * (1000 - permille) / 1000 : 0;
+    return permille <= MAX_MEMORY_PERMILLE &&
+           (!criteria->kv_cache_tokens || criteria->context_tokens <= left);
+}
+
 static bool has_room(const struct backend_pool *pool, const struct backend_criteria *criteria,
                      const struct backend *backend, uint64_t now)
 {
@@ -163,7 +178,7 @@
     if (!has_fresh_load(pool, backend, now))
         return !awaits_first_report(pool, backend, now) && has_unreported_share(criteria, backend);
     uint32_t capacity = backend->listing.slots + pool->settings.queue_per_engine;
-    return backend_occupancy(pool, backend, now) < capacity &&
+    return fits_memory(criteria, backend) && backend_occupancy(pool, backend, now) < capacity &&
            has_free_share(pool, criteria, backend);
 }
 
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -41,7 +41,7 @@
 struct backend_load {
     uint32_t running;
     uint32_t waiting;
-    uint64_t memory_used; /**< in units of `memory_total` */
+    uint64_t memory_used; /**< of the KV cache, in units of `memory_total` */
     uint64_t memory_total;
     uint64_t born;          /**< start time of the reporting incarnation; 0: not given */
     uint64_t version;       /**< of the weights; 0: none */
@@ -235,6 +235,8 @@
     bool engine;                  /**< the service runs model engines, which report their load */
     uint32_t tokens;              /**< prompt tokens of this request */
     uint32_t mean_prompt_tokens;  /**< prompt tokens of the service's average request */
+    uint32_t context_tokens;      /**< tokens that this request may need in the KV cache */
+    uint64_t kv_cache_tokens;     /**< tokens that fit into an engine's KV cache; 0: not known */
     double prefill_tokens_per_ms; /**< rate at which an engine processes prompts */
     uint64_t min_version;         /**< of the weights; 0: any */
     uint64_t next_min_version;    /**< minimum soon: older engines need it downloaded already */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -36,6 +36,9 @@
 /** New requests are accepted for this long after a planned stop began, as clients keep an address
  * for up to three times ADDRESS_MAX_AGE_S. Requests in progress then still have time to finish. */
 #define STOP_ACCEPT_PERIOD_US 3200000
+/** Part of the machine's memory that buffers may hold; sockets of the kernel, connections, weights
+ * and the state need the rest. */
+#define BUFFER_MEMORY_PERCENT 40
 /** The process exits this long before the end of the grace period, whatever is in progress. */
 #define STOP_MARGIN_US 500000
 
@@ -51,6 +54,8 @@
         .running = report->running,
         .born = report->born,
         .waiting = report->waiting,
+        .memory_used = report->memory_permille,
+        .memory_total = 1000,
         .version = report->version,
         .loading = report->loading,
         .staged = report->staged,
@@ -160,6 +165,7 @@
         return;
     upstream_close_expired(edge, now);
     edge_client_close_expired(edge, now);
+    edge_client_drop_slow(edge, now);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -256,6 +262,7 @@
                                          .min_drain_us = drain_usable_us(settings),
                                          .created = cluster_now()};
     edge->settings = settings;
+    edge->buffer_limit = (size_t)(settings->memory_mb * 1000000 / 100 * BUFFER_MEMORY_PERCENT);
     edge->cold_bound = (struct cold_limit){.over = strtod(settings->cold_over, NULL),
                                            .slack = strtod(settings->cold_slack, NULL)};
     edge->loop = uv_default_loop();
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -7,8 +7,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Bytes of pipelined requests buffered behind the current one before reading pauses. */
-#define PIPELINE_MAX_BYTES 262144
+/** A client that takes no byte for this long is dropped first when buffers are nearly full. */
+#define SLOW_CLIENT_US 2000000
+/** Retry-After of requests that are refused for want of memory: slow clients are dropped by then.
+ */
+#define NO_MEMORY_RETRY_MS 2500
 /* Limits and timeouts until the first configuration is known. */
 #define DEFAULT_HEAD_BYTES 16384
 #define DEFAULT_BODY_BYTES 4194304
@@ -27,6 +30,8 @@
     uint64_t idle_since;       /* time of the last response, or of the accept */
     uint64_t head_started;     /* time of the first byte of the current request; 0: none */
     uint64_t last_received_at; /* time at which bytes last arrived */
+    size_t unsent_bytes;       /* of responses, when last checked */
+    uint64_t last_taken_at;    /* time at which `unsent_bytes` last decreased, or was 0 */
     struct edge_client *next;
     struct edge_client **link;
 };
@@ -78,14 +83,17 @@
         client_free(client);
 }
 
-static void reject_request(struct edge_client *client, unsigned status)
+/* \param retry_ms Retry-After; 0: none */
+static void reject_request(struct edge_client *client, unsigned status, uint32_t retry_ms)
 {
     struct buffer reply = {0};
     metric_add(METRIC_REQUESTS_BAD, 1);
     log_event(LOG_LEVEL_WARN, "client", "bad-request", "status=%u head_bytes=%zu body_bytes=%zu",
               status, client->request.head_bytes, client->request.body_bytes);
-    buffer_append_format(&reply, "HTTP/1.1 %u %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-                         status, http_status_str((enum http_status)status));
+    buffer_append_format(&reply, "HTTP/1.1 %u %s\r\n", status,
+                         http_status_str((enum http_status)status));
+    platform_write_own_response("", retry_ms, &reply);
+    buffer_append_text(&reply, "Content-Length: 0\r\nConnection: close\r\n\r\n");
     tcp_stream_write(client->stream, reply.data, reply.size);
     buffer_clear(&reply);
     tcp_stream_finish(client->stream);
@@ -103,6 +111,17 @@
     tcp_stream_write(client->stream, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
 
+/* The rest of a body is refused before it arrives; nothing of the request has run. */
+static bool has_room_for_body(const struct edge_client *client)
+{
+    struct memory_use use = edge_memory_use(client->edge);
+    size_t expected = http_message_remaining_body(&client->request);
+    if (!client->request.head_complete || memory_share_accepts(&use, expected))
+        return true;
+    metric_add(METRIC_REQUESTS_NO_MEMORY, 1);
+    return false;
+}
+
 static void parse_request(struct edge_client *client)
 {
     size_t used;
@@ -112,7 +131,10 @@
     switch (result) {
     case HTTP_PARSE_MORE:
         buffer_reset(&client->unread);
-        send_continue(client);
+        if (has_room_for_body(client))
+            send_continue(client);
+        else
+            reject_request(client, 503, NO_MEMORY_RETRY_MS);
         break;
     case HTTP_PARSE_DONE:
         client->exchange = exchange_begin(client->edge, client);
@@ -120,13 +142,13 @@
             exchange_start(client->exchange);
         break;
     case HTTP_PARSE_MALFORMED:
-        reject_request(client, 400);
+        reject_request(client, 400, 0);
         break;
     case HTTP_PARSE_HEAD_TOO_LARGE:
-        reject_request(client, 431);
+        reject_request(client, 431, 0);
         break;
     case HTTP_PARSE_BODY_TOO_LARGE:
-        reject_request(client, 413);
+        reject_request(client, 413, 0);
         break;
     }
 }
@@ -146,11 +168,12 @@
 static void on_received(void *context, const char *bytes, size_t size)
 {
     struct edge_client *client = context;
+    struct memory_use memory = edge_memory_use(client->edge);
     client->last_received_at = cluster_now();
     buffer_append(&client->unread, bytes, size);
     if (!client->exchange)
         parse_unread(client);
-    else if (client->unread.size > PIPELINE_MAX_BYTES)
+    else if (memory_share_must_pause(&memory, client->unread.size))
         tcp_stream_pause(client->stream, true);
 }
 
@@ -314,6 +337,37 @@
     return now > client->last_received_at + idle_ms * 1000; /* a long body may arrive slowly */
 }
 
+static void drop_client(struct edge_client *client)
+{
+    struct exchange *exchange = client->exchange;
+    metric_add(METRIC_CLIENTS_DROPPED, 1);
+    log_event(LOG_LEVEL_WARN, "client", "dropped", "reason=memory unsent_bytes=%zu held_bytes=%zu",
+              client->unsent_bytes, memory_held_by_buffers());
+    tcp_stream_reset(client->stream);
+    client->stream = NULL;
+    client->exchange = NULL;
+    if (exchange)
+        exchange_cancel(exchange);
+    free_if_unused(client);
+}
+
+void edge_client_drop_slow(struct edge *edge, uint64_t now)
+{
+    struct memory_use use = edge_memory_use(edge);
+    bool is_full = !memory_share_accepts(&use, 0);
+    size_t share = memory_share_of_connection(&use);
+    metric_gauge_set(METRIC_BUFFER_MEMORY, use.held);
+    for (struct edge_client *client = edge->clients, *next; client; client = next) {
+        next = client->next;
+        size_t unsent = edge_client_unsent_bytes(client);
+        if (!unsent || unsent < client->unsent_bytes)
+            client->last_taken_at = now;
+        client->unsent_bytes = unsent;
+        if (is_full && unsent > share && now > client->last_taken_at + SLOW_CLIENT_US)
+            drop_client(client);
+    }
+}
+
 void edge_client_close_expired(struct edge *edge, uint64_t now)
 {
     for (struct edge_client *client = edge->clients, *next; client; client = next) {
@@ -321,7 +375,7 @@
         if (client->exchange || !client->stream || !is_overdue(client, now))
             continue;
         if (client->head_started) {
-            reject_request(client, 408);
+            reject_request(client, 408, 0);
         } else {
             tcp_stream_close(client->stream);
             client->stream = NULL;
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -5,6 +5,7 @@
 #ifndef SHUNTRUN_EDGE_INTERNAL_H
 #define SHUNTRUN_EDGE_INTERNAL_H
 
+#include "base/memory.h"
 #include "cluster/cluster.h"
 #include "cluster/process.h"
 #include "core/backend_pool.h"
@@ -13,6 +14,7 @@
 #include "core/crash_lease.h"
 #include "core/event_stream.h"
 #include "core/load/demand.h"
+#include "core/load/memory_share.h"
 #include "core/load/overload.h"
 #include "core/repeat_budget.h"
 #include "core/route_table.h"
@@ -60,6 +62,7 @@
     struct backend_pool *pool;
     struct weight_relay *relay; /**< forwards model weights to loaders */
     struct version_bounds versions;
+    size_t buffer_limit;          /**< bytes that buffers may hold; 0: no limit */
     struct cold_limit cold_bound; /**< `over` and `slack` of the settings */
     struct service_state services[EDGE_MAX_SERVICES];
     uint32_t service_count;
@@ -87,12 +90,20 @@
     bool listener_closed;    /**< no more connections are accepted */
 };
 
+/** \return memory of the buffers of this process */
+static inline struct memory_use edge_memory_use(const struct edge *edge)
+{
+    return (struct memory_use){edge->buffer_limit, memory_held_by_buffers()};
+}
+
 /* --- Client connections: edge_client.c --- */
 
 /** \brief Connection callback of the listener, whose data is the edge. */
 void edge_client_accept(uv_stream_t *listener, int status);
 /** \brief Closes connections that exceeded the idle timeout or the timeout for request headers. */
 void edge_client_close_expired(struct edge *edge, uint64_t now);
+/** \brief Resets connections whose clients take nothing, while buffers are nearly full. */
+void edge_client_drop_slow(struct edge *edge, uint64_t now);
 /** \brief Closes all connections without a request in progress. */
 void edge_client_close_idle(struct edge *edge);
 /** \brief Sends a complete response; the exchange ends with it. `head` is the status line and
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -93,8 +93,9 @@
 
 static void resume_upstream_when_drained(struct exchange *exchange)
 {
+    struct memory_use memory = edge_memory_use(exchange->edge);
     if (!exchange->paused ||
-        edge_client_unsent_bytes(exchange->client) > CLIENT_UNSENT_MAX_BYTES / 2)
+        !memory_share_may_resume(&memory, edge_client_unsent_bytes(exchange->client)))
         return;
     exchange->paused = false;
     exchange->last_event_at = cluster_now();
@@ -268,6 +269,12 @@
         reject_early(edge, client, &head, 503, "no-configuration");
         return NULL;
     }
+    struct memory_use memory = edge_memory_use(edge);
+    if (!memory_share_accepts(&memory, 0)) {
+        metric_add(METRIC_REQUESTS_NO_MEMORY, 1);
+        reject_early(edge, client, &head, 503, "no-memory");
+        return NULL;
+    }
     if (!head.id[0]) {
         reject_early(edge, client, &head, 400, "no-request-id");
         return NULL;
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -70,6 +70,7 @@
     [END_BACKEND_ERROR] = "backend-error",
     [END_BLOCKED] = "crashes-back-ends",
     [END_HELD] = "held",
+    [END_CLIENT_SLOW] = "client-slow",
     [END_NO_REGION] = "no-region",
 };
 
@@ -95,6 +96,9 @@
     case END_BACKEND_SILENT:
         metric_add(METRIC_STREAMS_CUT_SILENT, 1);
         break;
+    case END_CLIENT_SLOW:
+        metric_add(METRIC_STREAMS_CUT_CLIENT_SLOW, 1);
+        break;
     case END_BLOCKED:
         metric_add(METRIC_STREAMS_CUT_BLOCKED, 1);
         break;
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -12,8 +12,6 @@
 #define US_PER_MS ((uint64_t)1000)
 /** Bytes of the attempts that the log line at a request's end shows. */
 #define TRAIL_SIZE 320
-/** With more response bytes than this unsent to the client, reading from the backend pauses. */
-#define CLIENT_UNSENT_MAX_BYTES 262144
 
 /** Why a request or an attempt ended. */
 enum end_reason {
@@ -33,6 +31,8 @@
     END_BACKEND_ERROR,     /**< the backend reported a failure of its own */
     END_BLOCKED,           /**< it crashes the backends that run it */
     END_HELD,              /**< it may crash backends, and could not run isolated in time */
+    END_CLIENT_SLOW,       /**< the backend closed its connection, as the client took the stream too
+                              slowly */
     END_NO_REGION,         /**< its route and its tenant allow no region in common */
 };
 
@@ -86,8 +86,9 @@
     uint64_t silence_tolerated_until; /* the backend is not left for its silence before then */
     bool streaming;                   /* the response headers were sent to the client */
     struct event_stream events;
-    uint64_t version;             /* weights that the first backend used */
-    bool paused;                  /* no reading from the backend until the client has taken more */
+    uint64_t version; /* weights that the first backend used */
+    bool paused;      /* no reading from the backend until the client has taken more */
+    uint64_t paused_since;
     bool awaiting_crash_check;    /* whether it has ended decides on a retry */
     enum end_reason retry_reason; /* why the last attempt ended */
     bool resuming;                /* the next backend continues a stream that has begun */
--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -10,6 +10,8 @@
 
 /** Statuses from here on are failures of the backend, not of the request. */
 #define FIRST_SERVER_ERROR 500
+/** Backends wait longer than this before they close a connection whose bytes are not read. */
+#define UNREAD_MIN_US 1000000
 
 bool exchange_is_mismatched_response(const struct exchange *exchange,
                                      const struct response_head *head)
@@ -97,9 +99,11 @@
     if (!exchange->version)
         exchange->version = response->head.version;
     forward_events(exchange, &response->message);
+    struct memory_use memory = edge_memory_use(exchange->edge);
     if (exchange->upstream &&
-        edge_client_unsent_bytes(exchange->client) > CLIENT_UNSENT_MAX_BYTES) {
+        memory_share_must_pause(&memory, edge_client_unsent_bytes(exchange->client))) {
         exchange->paused = true;
+        exchange->paused_since = cluster_now();
         upstream_pause(exchange->upstream, true);
         exchange_arm_timer(exchange);
     }
@@ -236,6 +240,19 @@
     exchange->sends++;
 }
 
+static bool was_unread_for_long(const struct exchange *exchange)
+{
+    return exchange->paused && cluster_now() > exchange->paused_since + UNREAD_MIN_US;
+}
+
+/* Backends close connections whose bytes nobody reads. The client caused that, so it counts neither
+ * against the backend nor as a crash, and another backend would fare the same. */
+static void on_unread_stream_ended(struct exchange *exchange)
+{
+    exchange_end_attempt(exchange, BACKEND_CANCELLED);
+    exchange_fail(exchange, 502, END_CLIENT_SLOW);
+}
+
 /* An update on the backend arrived while the connection was being established. */
 static void log_withheld(const struct exchange *exchange)
 {
@@ -270,7 +287,10 @@
         on_complete(exchange, response);
         break;
     case UPSTREAM_BROKEN:
-        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_CONNECTION_BROKEN);
+        if (was_unread_for_long(exchange))
+            on_unread_stream_ended(exchange);
+        else
+            exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_CONNECTION_BROKEN);
         break;
     case UPSTREAM_WITHHELD:
         log_withheld(exchange);
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -127,6 +127,8 @@
     message.link_slow = load.link_slow;
     message.pace_permille = load.pace_permille;
     message.born = load.born;
+    if (load.memory_total)
+        message.memory_permille = (uint32_t)(load.memory_used * 1000 / load.memory_total);
     message.turn_ms = load.staged ? ms_until_scheduled(loader, now) : 0;
     message.leaving = load.leaving;
     bool cross_region =
--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -171,6 +171,13 @@
     return query ? (size_t)(query - target) : message->target_length;
 }
 
+size_t http_message_remaining_body(const struct http_message *message)
+{
+    bool is_known = message->head_complete && !message->complete &&
+                    message->parser.content_length != ULLONG_MAX;
+    return is_known ? (size_t)message->parser.content_length : 0;
+}
+
 unsigned http_message_status(const struct http_message *message)
 {
     return message->parser.status_code;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -71,6 +71,8 @@
 const char *http_message_method(const struct http_message *message);
 /** \return length of the target's path, which its query may follow */
 size_t http_message_path_length(const struct http_message *message);
+/** \return bytes of the body that are still to come, as far as a Content-Length tells */
+size_t http_message_remaining_body(const struct http_message *message);
 /** \brief Status code of a response. */
 unsigned http_message_status(const struct http_message *message);
 /** \brief Find a header field by name, ignoring case. \return its index, or -1 */
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -34,6 +34,7 @@
 struct queued_write {
     uv_write_t request;
     struct tcp_stream *stream;
+    size_t size;
     char bytes[];
 };
 
@@ -198,6 +199,7 @@
 {
     struct queued_write *write = (struct queued_write *)request;
     struct tcp_stream *stream = write->stream;
+    memory_release_buffer(write->size);
     free(write);
     stream->queued_writes--;
     if (stream->released || stream->queued_writes || status)
@@ -223,11 +225,14 @@
     }
     struct queued_write *write = memory_calloc(1, sizeof *write + size);
     write->stream = stream;
+    write->size = size;
+    memory_hold_buffer(size);
     memcpy(write->bytes, rest, size);
     uv_buf_t buffer = uv_buf_init(write->bytes, (unsigned)size);
     stream->queued_writes++;
     if (uv_write(&write->request, (uv_stream_t *)&stream->handle, &buffer, 1, on_written)) {
         stream->queued_writes--;
+        memory_release_buffer(size);
         free(write);
     }
 }
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -207,6 +207,8 @@
      "loading weights, or version too old"},
     {"backed-off", "every backend that could run it had asked in a response for a backoff"},
     {"no-region", "the home regions of its route and of its tenant have no region in common"},
+    {"no-memory", "the buffers of the node were nearly full"},
+    {"client-slow", "the backend closed the connection, as the client took the stream too slowly"},
     {"no-connection", "no connection to a backend could be established"},
     {"no-configuration", "the node had no configuration yet"},
     {"no-route", "the current configuration has no route for the request"},
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend_pool_test.c
@@ -831,6 +831,28 @@
 }
 
 /* In an overload a slot given to a retry is taken from a new client. */
+static void an_engine_whose_memory_is_full_gets_no_requests(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_criteria criteria = criteria_of();
+    criteria.context_tokens = 2000;
+    criteria.kv_cache_tokens = 10000;
+    add(pool, 1, 1, 0);
+    struct backend_load load = {.version = 1, .memory_total = 1000, .memory_used = 700};
+    report(pool, 1, load, SECOND_US);
+    assert_non_null(choose(pool, &criteria, SECOND_US));
+    criteria.context_tokens = 3001; /* more than is left */
+    assert_null(choose(pool, &criteria, SECOND_US));
+    criteria.context_tokens = 100;
+    load.memory_used = 851; /* the rest is for the requests of other gateways */
+    report(pool, 1, load, SECOND_US);
+    assert_null(choose(pool, &criteria, SECOND_US));
+    load.memory_total = load.memory_used = 0; /* not known */
+    report(pool, 1, load, SECOND_US);
+    assert_non_null(choose(pool, &criteria, SECOND_US));
+    backend_pool_destroy(pool);
+}
+
 static void a_reserve_is_left_free(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -900,6 +922,7 @@
         cmocka_unit_test(a_failing_backend_is_ejected_and_probed),
         cmocka_unit_test(a_retained_backend_outlives_its_listing),
         cmocka_unit_test(engines_without_weights_are_absent_rather_than_full),
+        cmocka_unit_test(an_engine_whose_memory_is_full_gets_no_requests),
         cmocka_unit_test(a_reserve_is_left_free),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
