--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -48,8 +48,9 @@
         if (item->gone)
             state_cache_remove(state, item->key, item->revision, &removal);
         else
-            state_cache_put(state, item->key, (const char *)item->value.data, item->value.len,
-                            item->revision, learned);
+            (item->undated ? state_cache_put_undated
+                           : state_cache_put)(state, item->key, (const char *)item->value.data,
+                                              item->value.len, item->revision, learned);
     }
 }
 
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -50,7 +50,8 @@
     return store_watch_removal(&reader->watch, was_isolated, cluster_now());
 }
 
-static void apply_items(struct store_reader *reader, const struct store_response *answer)
+static void apply_items(struct store_reader *reader, const struct store_response *answer,
+                        bool is_snapshot)
 {
     struct state_cache *state = reader->cluster->state;
     struct state_removal removal = make_removal(reader);
@@ -60,7 +61,8 @@
         if (item->gone)
             state_cache_remove(state, item->key, item->revision, &removal);
         else
-            state_cache_put(state, item->key, item->value, item->size, item->revision, now);
+            (is_snapshot ? state_cache_put_undated : state_cache_put)(
+                state, item->key, item->value, item->size, item->revision, now);
     }
 }
 
@@ -72,7 +74,7 @@
         reader->snapshot_revision = answer->revision;
         state_cache_snapshot_begin(state, PLATFORM_ALL_KEYS);
     }
-    apply_items(reader, answer);
+    apply_items(reader, answer, true);
     if (answer->more && answer->count) {
         snprintf(reader->last_page_key, sizeof reader->last_page_key, "%s",
                  answer->items[answer->count - 1].key);
@@ -87,7 +89,7 @@
 
 static uint64_t apply_changes(struct store_reader *reader, const struct store_response *answer)
 {
-    apply_items(reader, answer);
+    apply_items(reader, answer, false);
     return answer->revision;
 }
 
--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -74,8 +74,8 @@
     return item;
 }
 
-bool state_cache_put(struct state_cache *cache, const char *key, const char *value, size_t size,
-                     uint64_t revision, uint64_t learned)
+static bool put(struct state_cache *cache, const char *key, const char *value, size_t size,
+                uint64_t revision, uint64_t learned, bool undated)
 {
     struct state_item *item = find_or_add_item(cache, key);
     item->seen = true;
@@ -90,11 +90,24 @@
     item->revision = revision;
     item->gone = false;
     item->learned = learned;
+    item->undated = undated;
     item->from_outage = false;
     cache->listener.changed(cache->listener.context, item);
     return true;
 }
 
+bool state_cache_put(struct state_cache *cache, const char *key, const char *value, size_t size,
+                     uint64_t revision, uint64_t learned)
+{
+    return put(cache, key, value, size, revision, learned, false);
+}
+
+bool state_cache_put_undated(struct state_cache *cache, const char *key, const char *value,
+                             size_t size, uint64_t revision, uint64_t learned)
+{
+    return put(cache, key, value, size, revision, learned, true);
+}
+
 static void mark_gone(struct state_cache *cache, struct state_item *item, uint64_t revision,
                       const struct state_removal *loss)
 {
--- a/src/core/state_cache.h
+++ b/src/core/state_cache.h
@@ -22,6 +22,7 @@
     uint64_t revision; /**< of its last change */
     bool gone;         /**< removed: this is a tombstone */
     uint64_t learned;  /**< time at which the first node knew of the last change */
+    bool undated; /**< it was read from a snapshot: the last change may be older than `learned` */
     bool
         from_outage; /**< the store may have lost the item in an outage, see struct state_removal */
     bool seen;       /**< contained in the snapshot that is being applied */
@@ -50,6 +51,10 @@
 /** \brief Apply one item. \return whether it was newer than the held one */
 bool state_cache_put(struct state_cache *cache, const char *key, const char *value, size_t size,
                      uint64_t revision, uint64_t learned);
+/** \brief Apply one item of unknown age, from a snapshot. \return whether it was newer than the
+ * held one */
+bool state_cache_put_undated(struct state_cache *cache, const char *key, const char *value,
+                             size_t size, uint64_t revision, uint64_t learned);
 /** \brief Remove one item. \return whether `revision` was newer than the held item */
 bool state_cache_remove(struct state_cache *cache, const char *key, uint64_t revision,
                         const struct state_removal *loss);
--- a/src/core/version_bounds.h
+++ b/src/core/version_bounds.h
@@ -34,6 +34,17 @@
     uint32_t count;
 };
 
+/**
+ * \brief Time for which older versions may serve when it is not known how long ago a version was
+ * named, as after a start of all nodes.
+ * \param bound_us time from the naming until no request may start on an older version
+ * \param contact_us time after its start from which a node must keep this bound
+ */
+static inline uint64_t version_bounds_undated_us(uint64_t bound_us, uint64_t contact_us)
+{
+    return bound_us / 2 < contact_us ? bound_us / 2 : contact_us;
+}
+
 /** \brief Add a named version; one that is not newer than all known ones is ignored.
  * \param enforced_at time from which it is the minimum */
 void version_bounds_add(struct version_bounds *bounds, const char *model, uint64_t version,
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -13,8 +13,6 @@
 #define VERSION_MARGIN_US 1100000
 /** Updates in this time after startup do not show when their content became true. */
 #define STARTUP_STATE_US 1500000
-/** In that time, a version learned more recently than this may have been named long before. */
-#define RECENTLY_LEARNED_US 100000
 
 struct service_state *edge_service(struct edge *edge, const char *service)
 {
@@ -181,14 +179,17 @@
                   status_message());
         return;
     }
-    uint64_t bound_us = edge->settings->version_bound_ms * 1000;
-    uint64_t named_at = item->learned;
-    if (now < edge->started_at + STARTUP_STATE_US && now - named_at < RECENTLY_LEARNED_US)
-        named_at = now > bound_us ? now - bound_us / 2 : 0;
+    const struct settings *settings = edge->settings;
+    uint64_t usable_us = settings->version_bound_ms * 1000;
+    if (item->undated)
+        usable_us = version_bounds_undated_us(usable_us, settings->contact_ms * 1000);
+    uint64_t enforced_at = item->learned + usable_us;
+    enforced_at = enforced_at > VERSION_MARGIN_US ? enforced_at - VERSION_MARGIN_US : 0;
     log_event(LOG_LEVEL_INFO, "weights", "version-named",
-              "model=%s version=%" PRIu64 " age_ms=%" PRIu64, model, version,
-              (now - named_at) / 1000);
-    version_bounds_add(&edge->versions, model, version, named_at + bound_us - VERSION_MARGIN_US);
+              "model=%s version=%" PRIu64 " age_ms=%" PRIu64 " undated=%d older_usable_ms=%" PRIu64,
+              model, version, (now - item->learned) / 1000, item->undated,
+              enforced_at > now ? (enforced_at - now) / 1000 : 0);
+    version_bounds_add(&edge->versions, model, version, enforced_at);
 }
 
 static void apply_evacuation(struct edge *edge, const char *zone, const struct state_item *item)
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -81,14 +81,13 @@
 static uint64_t scheduled_load_time(const struct loader *loader)
 {
     uint32_t count;
-    if (!loader->report.load.version)
+    uint64_t engine_version = loader->report.load.version;
+    const struct wanted_version *next = wanted_versions_next(&loader->versions, engine_version);
+    if (!engine_version || !next)
         return 0; /* an engine without weights serves no requests: at once */
     uint32_t position = rollout_position(loader, &count);
-    struct staggered_start_settings schedule =
-        staggered_start_within((uint64_t)(loader->cluster.settings->version_bound_ms * 1000));
-    return staggered_start_at(
-        &schedule, wanted_versions_announced_at(&loader->versions, loader->report.load.version),
-        position, count);
+    struct staggered_start_settings schedule = staggered_start_within(next->switch_us);
+    return staggered_start_at(&schedule, next->announced_at, position, count);
 }
 
 /* --- engine load ------------------------------------------------------------------------------ */
@@ -240,19 +239,48 @@
     wanted_versions_on_piece(&loader->versions, store, piece);
 }
 
-static void add_wanted_version(struct loader *loader, uint64_t version, uint64_t announced_at)
+/* \param item that announced the version; NULL: the first version, which nobody announced */
+static void add_wanted_version(struct loader *loader, uint64_t version,
+                               const struct state_item *item)
 {
+    const struct settings *settings = loader->cluster.settings;
     uint64_t now = cluster_now();
     uint64_t newest = wanted_versions_newest(&loader->versions);
     if (version <= newest)
         return;
-    log_event(LOG_LEVEL_INFO, "weights", "version-wanted",
-              "model=%s version=%" PRIu64 " before=%" PRIu64 " named_ms_ago=%" PRIu64,
-              loader->model, version, newest, (now - announced_at) / 1000);
     struct piece_store_callbacks callbacks = {loader, on_piece_held};
-    struct piece_store *store =
-        piece_store_create(&loader->cluster, loader->model, &loader->origin, version, &callbacks);
-    wanted_versions_add(&loader->versions, store, announced_at, now);
+    struct wanted_version wanted = {
+        .version = version,
+        .announced_at = item ? item->learned : now,
+        .switch_us = settings->version_bound_ms * 1000,
+        .undated = item && item->undated,
+        .wanted_at = now,
+        .store = piece_store_create(&loader->cluster, loader->model, &loader->origin, version,
+                                    &callbacks),
+    };
+    if (wanted.undated)
+        wanted.switch_us = version_bounds_undated_us(wanted.switch_us, settings->contact_ms * 1000);
+    log_event(LOG_LEVEL_INFO, "weights", "version-wanted",
+              "model=%s version=%" PRIu64 " before=%" PRIu64 " named_ms_ago=%" PRIu64
+              " undated=%d switch_ms=%" PRIu64,
+              loader->model, version, newest, (now - wanted.announced_at) / 1000, wanted.undated,
+              wanted.switch_us / 1000);
+    wanted_versions_add(&loader->versions, &wanted);
+}
+
+/* \return the version that an item names for the model of this loader; 0: none */
+static uint64_t named_version(const struct loader *loader, const struct state_item *item)
+{
+    char name[PLATFORM_TEXT_SIZE];
+    uint64_t version;
+    if (item->gone || platform_item_kind(item->key, name, sizeof name) != ITEM_VERSION ||
+        strcmp(name, loader->model) != 0)
+        return 0;
+    if (platform_parse_version(item->value ? item->value : "", item->size, &version) == STATUS_OK)
+        return version;
+    log_event(LOG_LEVEL_ERROR, "weights", "refused", "model=%s revision=%" PRIu64 " problem=\"%s\"",
+              name, item->revision, status_message());
+    return 0;
 }
 
 /* Finds the version that the engine is to run, once the configuration, origin and model are known.
@@ -261,27 +289,16 @@
 {
     if (!loader->table || !loader->has_origin || !loader->installer)
         return;
-    uint64_t version = INITIAL_VERSION;
-    uint64_t announced_at = cluster_now();
     const struct state_cache *state = loader->cluster.state;
     for (uint32_t i = 0; i < state_cache_count(state); i++) {
-        char name[PLATFORM_TEXT_SIZE];
         const struct state_item *item = state_cache_at(state, i);
-        if (item->gone || platform_item_kind(item->key, name, sizeof name) != ITEM_VERSION ||
-            strcmp(name, loader->model) != 0)
+        uint64_t version = named_version(loader, item);
+        if (!version)
             continue;
-        uint64_t parsed_version;
-        if (platform_parse_version(item->value ? item->value : "", item->size, &parsed_version) !=
-            STATUS_OK) {
-            log_event(LOG_LEVEL_ERROR, "weights", "refused",
-                      "model=%s revision=%" PRIu64 " problem=\"%s\"", name, item->revision,
-                      status_message());
-            continue;
-        }
-        version = parsed_version;
-        announced_at = item->learned;
+        add_wanted_version(loader, version, item);
+        return;
     }
-    add_wanted_version(loader, version, announced_at);
+    add_wanted_version(loader, INITIAL_VERSION, NULL);
 }
 
 static void apply_configuration(struct loader *loader, const struct state_item *item)
--- a/src/loader/wanted_versions.c
+++ b/src/loader/wanted_versions.c
@@ -52,19 +52,14 @@
 }
 
 /* Older versions stay: the newer one may not be available yet. */
-void wanted_versions_add(struct wanted_versions *versions, struct piece_store *store,
-                         uint64_t announced_at, uint64_t now)
+void wanted_versions_add(struct wanted_versions *versions, const struct wanted_version *wanted)
 {
-    uint64_t version = piece_store_version(store);
     if (versions->count == WANTED_VERSIONS_MAX)
-        remove_oldest(versions, now);
-    versions->list[versions->count++] = (struct wanted_version){
-        .version = version,
-        .announced_at = announced_at,
-        .wanted_at = now,
-        .store = store,
-        .recovery_done = version > INITIAL_VERSION && now - announced_at < RECOVERY_MIN_AGE_US,
-    };
+        remove_oldest(versions, wanted->wanted_at);
+    struct wanted_version *added = &versions->list[versions->count++];
+    *added = *wanted;
+    added->recovery_done = wanted->version > INITIAL_VERSION && !wanted->undated &&
+                           wanted->wanted_at - wanted->announced_at < RECOVERY_MIN_AGE_US;
 }
 
 void wanted_versions_on_piece(struct wanted_versions *versions, const struct piece_store *store,
@@ -93,13 +88,13 @@
 
 /* The schedule counts from the oldest version that the engine lacks, even if a newer one is to be
  * installed. */
-uint64_t wanted_versions_announced_at(const struct wanted_versions *versions,
-                                      uint64_t engine_version)
+const struct wanted_version *wanted_versions_next(const struct wanted_versions *versions,
+                                                  uint64_t engine_version)
 {
     for (uint32_t i = 0; i < versions->count; i++)
         if (versions->list[i].version > engine_version)
-            return versions->list[i].announced_at;
-    return 0;
+            return &versions->list[i];
+    return NULL;
 }
 
 /* --- which version is fetched ----------------------------------------------------------------- */
--- a/src/loader/wanted_versions.h
+++ b/src/loader/wanted_versions.h
@@ -14,7 +14,9 @@
 
 struct wanted_version {
     uint64_t version;
-    uint64_t announced_at; /**< time at which the operator announced it */
+    uint64_t announced_at; /**< time at which the operator announced it, as far as known */
+    uint64_t switch_us;    /**< time from then in which all engines must switch to it */
+    bool undated;          /**< it may have been announced long before */
     uint64_t wanted_at;    /**< time at which this process learned of it */
     struct piece_store *store;
     bool recovery_done; /**< the engine's staging area was read, or need not be */
@@ -36,10 +38,9 @@
 
 /** \return the newest version in the list, 0: none */
 uint64_t wanted_versions_newest(const struct wanted_versions *versions);
-/** \brief Add a version newer than all others. \param store of its pieces; the list takes ownership
- */
-void wanted_versions_add(struct wanted_versions *versions, struct piece_store *store,
-                         uint64_t announced_at, uint64_t now);
+/** \brief Add a version newer than all others. \param wanted with its times and the store of its
+ * pieces, of which the list takes ownership */
+void wanted_versions_add(struct wanted_versions *versions, const struct wanted_version *wanted);
 /** \brief A piece was fetched into the store of a version. */
 void wanted_versions_on_piece(struct wanted_versions *versions, const struct piece_store *store,
                               uint32_t piece);
@@ -49,9 +50,9 @@
                            const struct piece_call *wanted);
 /** \return whether transfers show much less bandwidth than the link's nominal rate */
 bool wanted_versions_link_is_slow(const struct wanted_versions *versions);
-/** \return time at which the oldest version newer than the engine's was announced, 0: none */
-uint64_t wanted_versions_announced_at(const struct wanted_versions *versions,
-                                      uint64_t engine_version);
+/** \return the oldest version newer than the engine's, NULL: none */
+const struct wanted_version *wanted_versions_next(const struct wanted_versions *versions,
+                                                  uint64_t engine_version);
 /** \brief Fetch missing pieces. \return whether a version is being fetched */
 bool wanted_versions_fetch(struct wanted_versions *versions, const struct engine_state *engine,
                            uint64_t now);
--- a/tests/core/state_cache_test.c
+++ b/tests/core/state_cache_test.c
@@ -42,6 +42,18 @@
     state_cache_destroy(cache);
 }
 
+static void an_item_of_a_snapshot_is_undated_until_it_changes(void **state)
+{
+    struct state_cache *cache = cache_create();
+    state_cache_put_undated(cache, "op/a", "old", 3, 4, 100);
+    assert_true(state_cache_find(cache, "op/a")->undated);
+    assert_false(state_cache_put(cache, "op/a", "old", 3, 4, 90)); /* the same change */
+    assert_true(state_cache_find(cache, "op/a")->undated);
+    assert_true(state_cache_put(cache, "op/a", "new", 3, 5, 200));
+    assert_false(state_cache_find(cache, "op/a")->undated);
+    state_cache_destroy(cache);
+}
+
 static void snapshot_removes_missing_items(void **state)
 {
     struct state_cache *cache = cache_create();
@@ -127,6 +139,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(item_never_reverts_to_older_revision),
+        cmocka_unit_test(an_item_of_a_snapshot_is_undated_until_it_changes),
         cmocka_unit_test(snapshot_removes_missing_items),
         cmocka_unit_test(delta_is_available_until_tombstones_are_trimmed),
         cmocka_unit_test(copy_from_snapshot_has_no_earlier_tombstones),
--- a/tests/core/version_bounds_test.c
+++ b/tests/core/version_bounds_test.c
@@ -19,6 +19,14 @@
     assert_int_equal(version_bounds_minimum(&bounds, "other", 3000), 0);
 }
 
+/* A node is not held to the bound before `contact_us` after its start, but from then on it is. */
+static void a_version_of_unknown_age_is_enforced_when_the_bound_binds(void **state)
+{
+    assert_int_equal(version_bounds_undated_us(8000, 3000), 3000);
+    assert_int_equal(version_bounds_undated_us(13400, 4000), 4000);
+    assert_int_equal(version_bounds_undated_us(8000, 6000), 4000);
+}
+
 static void newest_versions_are_kept_when_table_is_full(void **state)
 {
     struct version_bounds bounds = {0};
@@ -66,6 +74,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(each_version_is_enforced_from_its_own_time),
+        cmocka_unit_test(a_version_of_unknown_age_is_enforced_when_the_bound_binds),
         cmocka_unit_test(newest_versions_are_kept_when_table_is_full),
         cmocka_unit_test(start_turns_fill_the_window),
         cmocka_unit_test(switches_fill_the_time_in_which_both_versions_may_serve),
