SIGHUP applies changed settings

Cause: SIGHUP was logged and nothing else; a changed bound was used after the next restart only. Change: edge and loader read their settings again from the same sources. Bounds, budgets and limits that the schema marks change at once; others are logged by name and wait for a restart; with any error all stay as they are. Result: unit test of the three cases, and one with a real process.

--- a/schema/generate_settings.py
+++ b/schema/generate_settings.py
@@ -54,6 +54,7 @@
             f"offsetof(struct settings, {field_name(setting)})", c_string(default_text(setting)),
             str(setting.get("min", 0)), str(setting.get("max", 0)), c_string(setting.get("unit")),
             c_string(choices), roles, "true" if setting.get("required") else "false",
+            "true" if setting.get("reload") else "false",
             c_string(setting["help"])]) + "},")
     lines.append("};")
     return "\n".join(lines) + "\n"
@@ -68,15 +69,18 @@
              "each with its source, and the process exits with status 2 before it starts anything.", "",
              "Types: `most` is an upper and `least` a lower bound. Both may be fractions and are rounded to",
              "whole units so that the bound still holds: `most` down, `least` up.", "",
-             "| setting | roles | type | unit | default | range | meaning |",
-             "| --- | --- | --- | --- | --- | --- | --- |"]
+             "On SIGHUP an edge or a loader reads its settings again. Those marked with `yes` below change at",
+             "once; changes of others are logged by name and wait for a restart. Invalid settings change nothing.", "",
+             "| setting | roles | type | unit | default | range | SIGHUP | meaning |",
+             "| --- | --- | --- | --- | --- | --- | --- | --- |"]
     for setting in settings:
         value_range = f"{setting['min']} to {setting['max']}" if "max" in setting else ""
         if "choices" in setting:
             value_range = ", ".join(setting["choices"])
         default = "required" if setting.get("required") else (default_text(setting) or "none")
         lines.append(f"| `{setting['name']}` | {', '.join(setting['roles'])} | {setting['type']} | "
-                     f"{setting.get('unit', '')} | {default} | {value_range} | {setting['help']} |")
+                     f"{setting.get('unit', '')} | {default} | {value_range} | "
+                     f"{'yes' if setting.get('reload') else ''} | {setting['help']} |")
     return "\n".join(lines) + "\n"
 
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -371,3 +371,49 @@
             free(*(char **)((char *)settings + setting_descriptors[i].offset));
     *settings = (struct settings){0};
 }
+
+static bool are_equal(const struct setting_descriptor *descriptor, const void *left,
+                      const void *right)
+{
+    if (is_string_type(descriptor)) {
+        const char *a = *(const char *const *)left, *b = *(const char *const *)right;
+        return a == b || (a && b && strcmp(a, b) == 0);
+    }
+    if (descriptor->type == SETTING_BOOL)
+        return *(const bool *)left == *(const bool *)right;
+    return *(const uint64_t *)left == *(const uint64_t *)right;
+}
+
+/* The present value is released with the settings that were read. */
+static void exchange_values(const struct setting_descriptor *descriptor, void *left, void *right)
+{
+    char saved[sizeof(uint64_t)];
+    size_t size = descriptor->type == SETTING_BOOL ? sizeof(bool) : sizeof(uint64_t);
+    memcpy(saved, left, size);
+    memcpy(left, right, size);
+    memcpy(right, saved, size);
+}
+
+enum status settings_reload(enum setting_role role, int argc, char **argv,
+                            struct settings *settings, struct settings_changes *changes,
+                            struct findings *findings)
+{
+    struct settings read;
+    enum status status = settings_read(role, argc, argv, &read, findings);
+    *changes = (struct settings_changes){0};
+    for (int i = 0; status == STATUS_OK && i < SETTING_COUNT; i++) {
+        const struct setting_descriptor *descriptor = &setting_descriptors[i];
+        void *present = (char *)settings + descriptor->offset;
+        void *next = (char *)&read + descriptor->offset;
+        if (are_equal(descriptor, present, next))
+            continue;
+        if (descriptor->reloadable) {
+            exchange_values(descriptor, present, next);
+            changes->applied[changes->applied_count++] = descriptor->name;
+        } else {
+            changes->kept[changes->kept_count++] = descriptor->name;
+        }
+    }
+    settings_clear(&read);
+    return status;
+}
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -41,6 +41,7 @@
     const char *choices; /**< separated by '|' */
     unsigned roles;
     bool required;
+    bool reloadable; /**< settings_reload() applies a change */
     const char *help;
 };
 
@@ -57,6 +58,23 @@
 enum status settings_read(enum setting_role role, int argc, char **argv, struct settings *settings,
                           struct findings *findings);
 
+/** Settings whose values differ from those in use, by name. */
+struct settings_changes {
+    const char *applied[SETTING_COUNT];
+    uint32_t applied_count;
+    const char *kept[SETTING_COUNT]; /**< these need a restart */
+    uint32_t kept_count;
+};
+
+/**
+ * \brief Read the settings again, from the same sources, and apply changes of reloadable ones.
+ * \param changes filled
+ * \return STATUS_INVALID if there are errors: nothing was changed
+ */
+enum status settings_reload(enum setting_role role, int argc, char **argv,
+                            struct settings *settings, struct settings_changes *changes,
+                            struct findings *findings);
+
 /** \brief Free the strings and zero all settings. */
 void settings_clear(struct settings *settings);
 
--- a/src/cluster/process.c
+++ b/src/cluster/process.c
@@ -23,6 +23,9 @@
     if (status != STATUS_OK)
         return 2;
     process->settings = settings;
+    process->role = role;
+    process->argc = argc;
+    process->argv = argv;
     log_init(settings->name, log_level_from_name(settings->log_level));
     return 0;
 }
@@ -53,9 +56,36 @@
     process->stop(process);
 }
 
+static void log_refused_settings(const struct findings *findings)
+{
+    for (size_t i = 0; i < findings->count && i < MAX_LOGGED_FINDINGS; i++)
+        log_event(LOG_LEVEL_ERROR, "process", "settings-refused", "place=\"%s\" problem=\"%s\"",
+                  findings->items[i].place, findings->items[i].text);
+}
+
+static void log_changes(const struct settings_changes *changes)
+{
+    for (uint32_t i = 0; i < changes->applied_count; i++)
+        log_event(LOG_LEVEL_INFO, "process", "setting-changed", "name=%s", changes->applied[i]);
+    for (uint32_t i = 0; i < changes->kept_count; i++)
+        log_event(LOG_LEVEL_WARN, "process", "setting-kept", "name=%s reason=needs-restart",
+                  changes->kept[i]);
+}
+
 static void on_reload_signal(uv_signal_t *signal, int number)
 {
-    log_event(LOG_LEVEL_INFO, "process", "reload", "signal=%d", number);
+    struct process *process = signal->data;
+    struct settings_changes changes;
+    struct findings findings = {0};
+    enum status status = settings_reload(process->role, process->argc, process->argv,
+                                         process->settings, &changes, &findings);
+    log_event(LOG_LEVEL_INFO, "process", "reload", "signal=%d valid=%d changed=%u kept=%u", number,
+              status == STATUS_OK, changes.applied_count, changes.kept_count);
+    log_refused_settings(&findings);
+    log_changes(&changes);
+    findings_clear(&findings);
+    if (changes.applied_count && process->reloaded)
+        process->reloaded(process);
 }
 
 static void watch_signal(uv_loop_t *loop, uv_signal_t *handle, int number, uv_signal_cb callback,
--- a/src/cluster/process.h
+++ b/src/cluster/process.h
@@ -23,8 +23,13 @@
     uv_signal_t interrupt;
     uv_signal_t reload;
     struct http_service *metrics;
-    const struct settings *settings;
+    struct settings *settings;
+    enum setting_role role;
+    int argc; /**< of the command line that the settings were read from */
+    char **argv;
     void (*stop)(struct process *process);
+    /** Settings have changed; NULL: nothing is derived from them; set before process_run(). */
+    void (*reloaded)(struct process *process);
     void *context;
     process_page_handler *page; /**< NULL: none; set before process_run() */
     void *page_context;
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -23,6 +23,11 @@
     return pool;
 }
 
+void backend_pool_configure(struct backend_pool *pool, const struct backend_pool_settings *settings)
+{
+    pool->settings = *settings;
+}
+
 void backend_pool_destroy(struct backend_pool *pool)
 {
     for (uint32_t i = 0; i < pool->table.count; i++)
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -129,6 +129,9 @@
 struct backend_pool *backend_pool_create(const struct backend_pool_settings *settings,
                                          uint64_t seed);
 void backend_pool_destroy(struct backend_pool *pool);
+/** \brief Replace the settings. */
+void backend_pool_configure(struct backend_pool *pool,
+                            const struct backend_pool_settings *settings);
 
 /** \brief Add a backend, or update it from its new listing. \return the backend */
 struct backend *backend_pool_list(struct backend_pool *pool, const struct backend_listing *listing,
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -245,6 +245,38 @@
     return bound < UNLISTED_MAX_US ? bound : UNLISTED_MAX_US;
 }
 
+static struct backend_pool_settings pool_settings(const struct edge *edge)
+{
+    const struct settings *settings = edge->settings;
+    return (struct backend_pool_settings){
+        .queue_per_engine = (uint32_t)settings->engine_queue,
+        .tokens_per_engine = (uint32_t)settings->engine_unread_tokens,
+        .max_load_age_us = LOAD_MAX_AGE_US,
+        .max_near_load_age_us = NEAR_LOAD_MAX_AGE_US,
+        .unlisted_grace_us = unlisted_usable_us(settings),
+        .min_drain_us = drain_usable_us(settings),
+        .created = edge->started_at,
+        .zones = edge->cluster.zones,
+    };
+}
+
+static void derive_limits(struct edge *edge)
+{
+    const struct settings *settings = edge->settings;
+    edge->cold_bound = (struct cold_limit){.over = strtod(settings->cold_over, NULL),
+                                           .slack = strtod(settings->cold_slack, NULL)};
+    edge->buffer_limit = (size_t)(settings->memory_mb * 1000000 / 100 * BUFFER_MEMORY_PERCENT);
+}
+
+static void on_reloaded(struct process *process)
+{
+    struct edge *edge = process->context;
+    struct backend_pool_settings pool = pool_settings(edge);
+    derive_limits(edge);
+    backend_pool_configure(edge->pool, &pool);
+    edge_update_budgets(edge);
+}
+
 static int edge_run(struct edge *edge, const struct settings *settings)
 {
     struct cluster_callbacks callbacks = {.context = edge,
@@ -253,36 +285,27 @@
                                           .call_received = on_call,
                                           .suspects_changed = on_suspects_changed,
                                           .resumed_after_pause = on_resumed_after_pause};
-    struct backend_pool_settings pool = {.queue_per_engine = (uint32_t)settings->engine_queue,
-                                         .tokens_per_engine =
-                                             (uint32_t)settings->engine_unread_tokens,
-                                         .max_load_age_us = LOAD_MAX_AGE_US,
-                                         .max_near_load_age_us = NEAR_LOAD_MAX_AGE_US,
-                                         .unlisted_grace_us = unlisted_usable_us(settings),
-                                         .min_drain_us = drain_usable_us(settings),
-                                         .created = cluster_now()};
     edge->settings = settings;
-    edge->buffer_limit = (size_t)(settings->memory_mb * 1000000 / 100 * BUFFER_MEMORY_PERCENT);
-    edge->cold_bound = (struct cold_limit){.over = strtod(settings->cold_over, NULL),
-                                           .slack = strtod(settings->cold_slack, NULL)};
     edge->loop = uv_default_loop();
     edge->started_at = cluster_now();
     edge->random.seed = hash_name(settings->name) ^ edge->started_at;
     edge->relay = weight_relay_create(&edge->cluster);
     edge->gateways = 1;
     edge->max_gateways = (uint32_t)settings->least_gateways;
+    derive_limits(edge);
     int result = open_listeners(edge);
     if (result)
         return result;
     if (cluster_open(&edge->cluster, edge->loop, settings, MEMBER_GATEWAY, &callbacks))
         return 1;
-    pool.zones = edge->cluster.zones;
+    struct backend_pool_settings pool = pool_settings(edge);
     edge->pool = backend_pool_create(&pool, edge->random.seed + 1);
     uv_timer_init(edge->loop, &edge->timer);
     edge->timer.data = edge;
     uv_timer_start(&edge->timer, on_tick, TICK_MS, TICK_MS);
     edge->process.page = crash_page_handle;
     edge->process.page_context = edge->cluster.crashes;
+    edge->process.reloaded = on_reloaded;
     return process_run(&edge->process, edge->loop, on_stop, edge);
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -202,6 +202,8 @@
 /** \return state of the service, created at first use; services beyond EDGE_MAX_SERVICES share the
  * first one's */
 struct service_state *edge_service(struct edge *edge, const char *service);
+/** \brief Applies changed settings to the repeat budgets of all services. */
+void edge_update_budgets(struct edge *edge);
 /** \return deadlines of the route's clients, created at first use; NULL beyond EDGE_MAX_ROUTES */
 struct client_retry_times *edge_route_times(struct edge *edge, const char *route);
 /** \brief Applies a published item that was added, changed or removed. */
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -14,6 +14,27 @@
 /** Updates in this time after startup do not show when their content became true. */
 #define STARTUP_STATE_US 1500000
 
+static struct repeat_budget_settings budget_settings(const struct edge *edge)
+{
+    return (struct repeat_budget_settings){
+        .ratio = strtod(edge->settings->repeat_budget_ratio, NULL),
+        .allowance = (uint32_t)edge->settings->repeat_budget_allowance,
+        .window_us = edge->settings->repeat_budget_window_s * 1000000,
+    };
+}
+
+/* A window of another length begins anew: nothing is known of its repeats. */
+void edge_update_budgets(struct edge *edge)
+{
+    struct repeat_budget_settings settings = budget_settings(edge);
+    for (uint32_t i = 0; i < edge->service_count; i++) {
+        struct repeat_budget *budget = &edge->services[i].budget;
+        if (budget->settings.window_us != settings.window_us)
+            repeat_budget_init(budget, &settings, cluster_now());
+        budget->settings = settings;
+    }
+}
+
 struct service_state *edge_service(struct edge *edge, const char *service)
 {
     for (uint32_t i = 0; i < edge->service_count; i++)
@@ -22,11 +43,7 @@
     if (edge->service_count == EDGE_MAX_SERVICES)
         return &edge->services[0];
     struct service_state *state = &edge->services[edge->service_count++];
-    struct repeat_budget_settings settings = {
-        .ratio = strtod(edge->settings->repeat_budget_ratio, NULL),
-        .allowance = (uint32_t)edge->settings->repeat_budget_allowance,
-        .window_us = edge->settings->repeat_budget_window_s * 1000000,
-    };
+    struct repeat_budget_settings settings = budget_settings(edge);
     snprintf(state->service, sizeof state->service, "%s", service);
     repeat_budget_init(&state->budget, &settings, cluster_now());
     return state;
--- a/tests/base/settings_test.c
+++ b/tests/base/settings_test.c
@@ -45,6 +45,50 @@
     settings_clear(&settings);
 }
 
+static void write_file(const char *file, const char *text)
+{
+    FILE *stream = fopen(file, "w");
+    assert_true(fputs(text, stream) >= 0);
+    fclose(stream);
+}
+
+#define LOADER_SETTINGS                                                                            \
+    "name = l\nzone = z\nregion = r\naddress = 10.0.0.1\nengine-address = 10.0.0.1:80\n"           \
+    "engine-service = s\n"
+
+static void a_reload_applies_what_can_change_and_names_the_rest(void **state)
+{
+    char file[] = "/tmp/settings_test_XXXXXX";
+    close(mkstemp(file));
+    char *arguments[] = {"loader", "--settings", file, NULL};
+    struct settings settings;
+    struct settings_changes changes;
+    struct findings findings = {0};
+    write_file(file, LOADER_SETTINGS "version-bound-ms = 8000\npeer-port = 7000\n");
+    assert_int_equal(settings_read(SETTING_ROLE_LOADER, 3, arguments, &settings, &findings),
+                     STATUS_OK);
+    write_file(file, LOADER_SETTINGS "version-bound-ms = 9000\npeer-port = 7001\n");
+    assert_int_equal(
+        settings_reload(SETTING_ROLE_LOADER, 3, arguments, &settings, &changes, &findings),
+        STATUS_OK);
+    assert_int_equal(settings.version_bound_ms, 9000);
+    assert_int_equal(settings.peer_port, 7000);
+    assert_int_equal(changes.applied_count, 1);
+    assert_string_equal(changes.applied[0], "version-bound-ms");
+    assert_int_equal(changes.kept_count, 1);
+    assert_string_equal(changes.kept[0], "peer-port");
+    /* An error anywhere leaves all settings as they are. */
+    write_file(file, LOADER_SETTINGS "version-bound-ms = 9500\npeer-port = many\n");
+    assert_int_equal(
+        settings_reload(SETTING_ROLE_LOADER, 3, arguments, &settings, &changes, &findings),
+        STATUS_INVALID);
+    assert_int_equal(settings.version_bound_ms, 9000);
+    assert_int_equal(changes.applied_count + changes.kept_count, 0);
+    unlink(file);
+    findings_clear(&findings);
+    settings_clear(&settings);
+}
+
 static void flag_overrides_variable_overrides_default(void **state)
 {
     setenv("SHUNTRUN_NEIGHBOURS", "3", 1);
@@ -127,6 +171,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(every_finding_names_its_place),
+        cmocka_unit_test(a_reload_applies_what_can_change_and_names_the_rest),
         cmocka_unit_test(flag_overrides_variable_overrides_default),
         cmocka_unit_test(malformed_address_or_number_is_reported_with_its_setting),
         cmocka_unit_test(only_missing_settings_are_reported),
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -90,6 +90,10 @@
         self.process = subprocess.Popen(self.command, stdout=self.log, stderr=self.log,
                                         env=self.environment)
 
+    def log_text(self):
+        with open(self.log_path) as stream:
+            return stream.read()
+
     def stop(self, number=signal.SIGKILL):
         if self.process.poll() is None:
             self.process.send_signal(number)
@@ -443,6 +447,29 @@
             self.assertIn("subsystem=config event=refused", log.read())
         self.store.put("op/config", configuration(4))
 
+    def test_a_reload_applies_changed_settings(self):
+        node = self.edges[1]
+        path = node.command[-1]
+        with open(path) as stream:
+            before = stream.read()
+        try:
+            self.reload(node, path, before + "wait-percent = 33\npeer-port = 7999\n")
+            self.assertIn("event=setting-changed name=wait-percent", node.log_text())
+            self.assertIn("event=setting-kept name=peer-port reason=needs-restart", node.log_text())
+            self.reload(node, path, before + "wait-percent = many\n")
+            self.assertIn("event=settings-refused", node.log_text())
+            self.assertEqual(send_request("GET", "/get/1", address=EDGE_IPS[1]).status, 200)
+        finally:
+            self.reload(node, path, before)
+
+    def reload(self, node, path, text):
+        with open(path, "w") as stream:
+            stream.write(text)
+        reloads = node.log_text().count("event=reload")
+        node.process.send_signal(signal.SIGHUP)
+        wait_for(lambda: node.log_text().count("event=reload") > reloads, "the reload")
+        time.sleep(0.1)
+
     def test_a_planned_stop_cuts_nothing(self):
         for engine in self.engines:
             engine.faults[:] = ["slow"] * 2
