--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -16,10 +16,22 @@
 #define MAX_RESPONSE_BYTES (32U << 20)
 /** zstd level. */
 #define COMPRESSION_LEVEL 1
+/** After a start of all nodes, all gateways and loaders of a region ask for a snapshot within a
+ * moment. One that was written less than this ago is sent again; ages in it are older by as much.
+ */
+#define SNAPSHOT_REUSE_US 50000
 /** Delay before a request to a peer that need not be made at once: a node that reads the store
  *  itself receives the change within this time. */
 #define STORE_READER_GRACE_US 250000
 
+/* A snapshot as it was last sent. */
+struct saved_snapshot {
+    uint8_t *bytes; /* compressed; NULL: none */
+    size_t size;
+    uint64_t revision;
+    uint64_t written_at;
+};
+
 struct state_sync {
     struct cluster *cluster;
     uint32_t peer; /* a peer with a newer revision, 0: none */
@@ -27,6 +39,7 @@
     uint64_t behind_since; /* time since which a peer is known to be ahead; 0: none is */
     struct http_caller *caller;
     bool request_pending;
+    struct saved_snapshot snapshots[2]; /* of all items, and of the operator's only */
 };
 
 struct state_sync *state_sync_create(struct cluster *cluster)
@@ -182,19 +195,30 @@
     }
 }
 
-static void reply_compressed(struct service_call *call, const uint8_t *bytes, size_t size)
+/* \return the compressed bytes, owned by the caller; NULL after an error */
+static uint8_t *compress(const uint8_t *bytes, size_t size, size_t *compressed_size)
 {
     size_t bound = ZSTD_compressBound(size);
     uint8_t *compressed = memory_calloc(bound, 1);
-    size_t length = ZSTD_compress(compressed, bound, bytes, size, COMPRESSION_LEVEL);
-    if (ZSTD_isError(length))
-        service_reply(call, 500, NULL, NULL, 0);
-    else
-        service_reply(call, 200, "application/zstd", compressed, length);
+    *compressed_size = ZSTD_compress(compressed, bound, bytes, size, COMPRESSION_LEVEL);
+    if (!ZSTD_isError(*compressed_size))
+        return compressed;
+    log_event(LOG_LEVEL_ERROR, "state", "not-compressed", "bytes=%zu error=\"%s\"", size,
+              ZSTD_getErrorName(*compressed_size));
     free(compressed);
+    return NULL;
 }
 
-/* The operator's items are never removed. A delta of backends must contain their removals, too. */
+static void reply_with(struct service_call *call, const uint8_t *compressed, size_t size)
+{
+    if (compressed)
+        service_reply(call, 200, "application/zstd", compressed, size);
+    else
+        service_reply(call, 500, NULL, NULL, 0);
+}
+
+/* Loaders copy the operator's items only, and use none that is ever removed. A delta for gateways
+ * must contain all removals. */
 static bool can_send_delta(const struct state_cache *state, uint64_t after, bool operator_only)
 {
     if (!after)
@@ -203,21 +227,21 @@
                          : state_cache_has_delta_for(state, after);
 }
 
-static void serve_changes(struct state_sync *sync, struct service_call *call, uint64_t after,
-                          bool operator_only)
+/* \return the changes, compressed, owned by the caller; NULL after an error */
+static uint8_t *write_changes(const struct state_cache *state, uint64_t after, bool whole,
+                              bool operator_only, size_t *compressed_size)
 {
-    const struct state_cache *state = sync->cluster->state;
     uint64_t now = cluster_now();
     uint32_t capacity = state_cache_count(state);
     Shuntrun__StateItem *items = memory_calloc(capacity, sizeof *items);
     Shuntrun__StateItem **pointers = memory_calloc(capacity, sizeof *pointers);
     Shuntrun__StateChanges changes = SHUNTRUN__STATE_CHANGES__INIT;
-    changes.whole = !can_send_delta(state, after, operator_only);
+    changes.whole = whole;
     changes.revision = state_cache_revision(state);
     changes.items = pointers;
     for (uint32_t i = 0; i < capacity; i++) {
         const struct state_item *item = state_cache_at(state, i);
-        if (changes.whole ? item->gone : item->revision <= after)
+        if (whole ? item->gone : item->revision <= after)
             continue;
         if (operator_only && !state_message_is_operator_item(item))
             continue;
@@ -228,10 +252,35 @@
     size_t size = shuntrun__state_changes__get_packed_size(&changes);
     uint8_t *bytes = memory_calloc(size, 1);
     shuntrun__state_changes__pack(&changes, bytes);
-    reply_compressed(call, bytes, size);
+    uint8_t *compressed = compress(bytes, size, compressed_size);
     free(bytes);
     free(items);
     free(pointers);
+    return compressed;
+}
+
+static void serve_snapshot(struct state_sync *sync, struct service_call *call, bool operator_only)
+{
+    const struct state_cache *state = sync->cluster->state;
+    struct saved_snapshot *saved = &sync->snapshots[operator_only];
+    uint64_t now = cluster_now();
+    if (!saved->bytes || saved->revision != state_cache_revision(state) ||
+        now > saved->written_at + SNAPSHOT_REUSE_US) {
+        free(saved->bytes);
+        saved->bytes = write_changes(state, 0, true, operator_only, &saved->size);
+        saved->revision = state_cache_revision(state);
+        saved->written_at = now;
+    }
+    reply_with(call, saved->bytes, saved->size);
+}
+
+static void serve_delta(struct state_sync *sync, struct service_call *call, uint64_t after,
+                        bool operator_only)
+{
+    size_t size;
+    uint8_t *compressed = write_changes(sync->cluster->state, after, false, operator_only, &size);
+    reply_with(call, compressed, size);
+    free(compressed);
 }
 
 bool state_sync_serve(struct state_sync *sync, struct service_call *call,
@@ -243,6 +292,11 @@
     http_query_value(request->target, request->target_length, "after", after, sizeof after);
     http_query_value(request->target, request->target_length, "operator", operator_only,
                      sizeof operator_only);
-    serve_changes(sync, call, strtoull(after, NULL, 10), operator_only[0] == '1');
+    uint64_t revision = strtoull(after, NULL, 10);
+    bool is_operator_only = operator_only[0] == '1';
+    if (can_send_delta(sync->cluster->state, revision, is_operator_only))
+        serve_delta(sync, call, revision, is_operator_only);
+    else
+        serve_snapshot(sync, call, is_operator_only);
     return true;
 }
