Services and routes that a gateway learns about have no fixed number

Cause: beyond 64 services a gateway's requests shared the first service's retry budget and overload state, so the bound on the repeats of a service was not kept; beyond 256 routes every client counted as new. Change: both grow; routes are found by an index, and those that a new configuration lacks are forgotten.

--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -8,6 +8,7 @@
 #include "base/memory.h"
 #include "cluster/cluster.h"
 #include "cluster/process.h"
+#include "core/address_index.h"
 #include "core/backend_pool.h"
 #include "core/load/client_retry.h"
 #include "core/load/retry_after.h"
@@ -24,10 +25,6 @@
 #include "net/tcp_stream.h"
 #include "platform/platform.h"
 
-#define EDGE_MAX_SERVICES 64
-/** Routes whose client deadlines are tracked; on further routes every client counts as new. */
-#define EDGE_MAX_ROUTES 256
-
 struct crash_check;
 struct edge_client;
 struct exchange;
@@ -49,7 +46,7 @@
 
 /** Deadlines that the clients of one route have sent. */
 struct route_times {
-    uint64_t route; /**< hash of the route's name */
+    uint32_t key; /**< hash of the route's name */
     struct client_retry_times times;
 };
 
@@ -64,11 +61,12 @@
     struct version_bounds versions;
     size_t buffer_limit;          /**< bytes that buffers may hold; 0: no limit */
     struct cold_limit cold_bound; /**< `over` and `slack` of the settings */
-    struct service_state services[EDGE_MAX_SERVICES];
+    struct service_state **services;
     uint32_t service_count;
-    struct route_times routes[EDGE_MAX_ROUTES];
+    struct route_times *routes;
     uint32_t route_count;
-    bool has_unconfigured_services; /**< a listed backend's service was not configured */
+    struct address_index route_index; /**< positions in `routes` by their keys */
+    bool has_unconfigured_services;   /**< a listed backend's service was not configured */
     struct random_stream random;
     uv_tcp_t listener;
     struct http_service *directory;
@@ -199,15 +197,19 @@
 
 /* --- Published state: edge_state.c --- */
 
-/** \return state of the service, created at first use; services beyond EDGE_MAX_SERVICES share the
- * first one's */
+/** \brief Applies a published item that was added, changed or removed. */
+void edge_apply_item(struct edge *edge, const struct state_item *item);
+
+/* --- What was learned from own requests: edge_learned.c --- */
+
+/** \return state of the service, created at first use; it stays where it is */
 struct service_state *edge_service(struct edge *edge, const char *service);
 /** \brief Applies changed settings to the repeat budgets of all services. */
 void edge_update_budgets(struct edge *edge);
-/** \return deadlines of the route's clients, created at first use; NULL beyond EDGE_MAX_ROUTES */
+/** \return deadlines of the route's clients, created at first use; valid until the next call */
 struct client_retry_times *edge_route_times(struct edge *edge, const char *route);
-/** \brief Applies a published item that was added, changed or removed. */
-void edge_apply_item(struct edge *edge, const struct state_item *item);
+/** \brief Forgets routes that the current configuration does not have. */
+void edge_forget_routes(struct edge *edge);
 
 /* --- Cold backends: edge_cold_ranks.c --- */
 
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -14,57 +14,6 @@
 /** Updates in this time after startup do not show when their content became true. */
 #define STARTUP_STATE_US 1500000
 
-static struct repeat_budget_settings budget_settings(const struct edge *edge)
-{
-    return (struct repeat_budget_settings){
-        .ratio = strtod(edge->settings->repeat_budget_ratio, NULL),
-        .allowance = (uint32_t)edge->settings->repeat_budget_allowance,
-        .window_us = edge->settings->repeat_budget_window_s * 1000000,
-    };
-}
-
-/* A window of another length begins anew: nothing is known of its repeats. */
-void edge_update_budgets(struct edge *edge)
-{
-    struct repeat_budget_settings settings = budget_settings(edge);
-    for (uint32_t i = 0; i < edge->service_count; i++) {
-        struct repeat_budget *budget = &edge->services[i].budget;
-        if (budget->settings.window_us != settings.window_us)
-            repeat_budget_init(budget, &settings, cluster_now());
-        budget->settings = settings;
-    }
-}
-
-struct service_state *edge_service(struct edge *edge, const char *service)
-{
-    for (uint32_t i = 0; i < edge->service_count; i++)
-        if (strcmp(edge->services[i].service, service) == 0)
-            return &edge->services[i];
-    if (edge->service_count == EDGE_MAX_SERVICES)
-        return &edge->services[0];
-    struct service_state *state = &edge->services[edge->service_count++];
-    struct repeat_budget_settings settings = budget_settings(edge);
-    snprintf(state->service, sizeof state->service, "%s", service);
-    repeat_budget_init(&state->budget, &settings, cluster_now());
-    return state;
-}
-
-struct client_retry_times *edge_route_times(struct edge *edge, const char *route)
-{
-    uint64_t name = hash_name(route);
-    for (uint32_t i = 0; i < edge->route_count; i++)
-        if (edge->routes[i].route == name)
-            return &edge->routes[i].times;
-    if (edge->route_count == EDGE_MAX_ROUTES)
-        return NULL;
-    struct route_times *times = &edge->routes[edge->route_count++];
-    times->route = name;
-    if (edge->route_count == EDGE_MAX_ROUTES)
-        log_event(LOG_LEVEL_WARN, "edge", "too-many-routes", "most=%d route=%s", EDGE_MAX_ROUTES,
-                  route);
-    return &times->times;
-}
-
 /* Sets the origin from which the relay reads weights to the configured one. */
 static void update_relay_origin(struct edge *edge)
 {
@@ -181,6 +130,7 @@
     metric_gauge_set(METRIC_CONFIG_REVISION, route_table_version(table));
     route_table_release(edge->table);
     edge->table = table;
+    edge_forget_routes(edge);
     update_relay_origin(edge);
     if (edge->has_unconfigured_services)
         reapply_backends(edge);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -247,8 +247,7 @@
     exchange->service_state = edge_service(edge, exchange->service->name);
     set_times(exchange);
     struct client_retry_times *times = edge_route_times(edge, route->name);
-    exchange->is_client_retry =
-        times && client_retry_detect(times, head->deadline_ms, exchange->arrived_at);
+    exchange->is_client_retry = client_retry_detect(times, head->deadline_ms, exchange->arrived_at);
     if (!exchange->is_client_retry)
         demand_record(&exchange->service_state->demand, exchange->arrived_at);
     uv_timer_init(edge->loop, &exchange->timer);
