Early readers of the store do not wait for a complete member table

Cause: after a start of all nodes one gateway in 16 reads the state at once, so that some node has it when the others find each other, but only if it knew no other gateway. Change: early readers read after 0.1 s unless they know a node that has the state.

--- a/src/core/reader_role.c
+++ b/src/core/reader_role.c
@@ -18,8 +18,9 @@
 /** Seeds may start 0.3 s later than other nodes and take some time to answer hundreds of them;
  * until then no node finds another one. */
 #define SEED_START_WAIT_US 500000
-/** One in this many gateways does not wait for late seeds, so that some node knows the state when
- * the seeds answer. Each of them loads the full snapshot over a link between regions. */
+/** One in this many gateways waits neither for late seeds nor for a complete member table, so that
+ * some node knows the state when the others find each other. Each of them loads the full snapshot
+ * over a link between regions. */
 #define EARLY_READER_ONE_IN 16
 /** A node whose member table has not converged ranks itself anyway after this time: the members
  * that others reported may be dead. */
@@ -116,6 +117,15 @@
     return false;
 }
 
+/* Whether another node can send the state. */
+static bool knows_state_holder(const struct membership *membership)
+{
+    for (uint32_t i = 0; i < membership_count(membership); i++)
+        if (membership_at(membership, i)->state_revision)
+            return true;
+    return false;
+}
+
 static bool is_early_reader(struct membership *membership)
 {
     return hash_pair(READER_HASH_KEY, membership_self(membership)->address) % EARLY_READER_ONE_IN ==
@@ -133,7 +143,7 @@
 {
     uint64_t elapsed = now - role->first_update_at;
     if (!knows_a_gateway(membership))
-        return elapsed >= (is_early_reader(membership) ? DISCOVERY_MIN_US : SEED_START_WAIT_US);
+        return elapsed >= SEED_START_WAIT_US;
     if (!role->first_contact_at)
         role->first_contact_at = now;
     if (!membership_is_converged(membership) && elapsed < CONVERGENCE_WAIT_US)
@@ -143,6 +153,14 @@
     return elapsed >= DISCOVERY_MIN_US && now >= role->first_contact_at + wait_us;
 }
 
+/* An early reader reads without a rank, which it cannot know yet. */
+static bool reads_early(const struct reader_role *role, struct membership *membership, uint64_t now)
+{
+    return is_early_reader(membership) && now >= role->first_update_at + DISCOVERY_MIN_US &&
+           !(knows_a_gateway(membership) && membership_is_converged(membership)) &&
+           !knows_state_holder(membership);
+}
+
 bool reader_role_must_announce(struct reader_role *role, bool healthy)
 {
     bool changed = healthy != role->announced_healthy;
@@ -157,6 +175,10 @@
         role->first_update_at = now;
     bool knows_nothing = membership_self(membership)->state_revision == 0;
     bool reads = role->duty != READER_INACTIVE;
+    if (knows_nothing && !reads && reads_early(role, membership, now)) {
+        role->duty = READER_LEADER;
+        return role->duty;
+    }
     if (knows_nothing && !reads && !may_read_snapshot(role, membership, now))
         return READER_INACTIVE;
     enum reader_duty needed = needed_duty(role, membership, now);
