Requests at a start wait for the configuration and the first load reports

Change: for 1.2 s from its start a gateway holds requests until it knows the configuration, and lets them wait for a slot; deadlines count from their arrival. After that it refuses as before.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -177,6 +177,8 @@
     crash_watch_tick(edge, now);
     edge_client_fail_blocked(edge);
     backend_pool_expire(edge->pool, cluster_store_is_healthy(&edge->cluster), now);
+    if (!edge_awaits_configuration(edge))
+        edge_client_release_held(edge);
     edge_rank_cold_backends(edge, now);
     close_expired_connections(edge, now);
     exchange_dispatch_queued(edge);
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -24,6 +24,8 @@
     struct http_message request;
     struct buffer unread;
     struct exchange *exchange;
+    bool awaits_configuration; /* the request is complete, and held */
+    uint64_t arrived_at;       /* time at which the request was complete */
     bool parsing;
     bool streaming;
     bool continue_sent;        /* "100 Continue" was sent */
@@ -46,6 +48,11 @@
     return &client->request;
 }
 
+uint64_t edge_client_arrived_at(const struct edge_client *client)
+{
+    return client->arrived_at;
+}
+
 size_t edge_client_unsent_bytes(const struct edge_client *client)
 {
     return client->stream ? tcp_stream_unsent_bytes(client->stream) : 0;
@@ -122,6 +129,13 @@
     return false;
 }
 
+static void start_exchange(struct edge_client *client)
+{
+    client->exchange = exchange_begin(client->edge, client);
+    if (client->exchange)
+        exchange_start(client->exchange);
+}
+
 static void parse_request(struct edge_client *client)
 {
     size_t used;
@@ -137,9 +151,10 @@
             reject_request(client, 503, NO_MEMORY_RETRY_MS);
         break;
     case HTTP_PARSE_DONE:
-        client->exchange = exchange_begin(client->edge, client);
-        if (client->exchange)
-            exchange_start(client->exchange);
+        client->arrived_at = cluster_now();
+        client->awaits_configuration = edge_awaits_configuration(client->edge);
+        if (!client->awaits_configuration)
+            start_exchange(client);
         break;
     case HTTP_PARSE_MALFORMED:
         reject_request(client, 400, 0);
@@ -153,10 +168,16 @@
     }
 }
 
+/* Whether a request is in progress. */
+static bool is_busy(const struct edge_client *client)
+{
+    return client->exchange || client->awaits_configuration;
+}
+
 static void parse_unread(struct edge_client *client)
 {
     client->parsing = true;
-    while (client->stream && !client->exchange && client->unread.size) {
+    while (client->stream && !is_busy(client) && client->unread.size) {
         if (!client->head_started)
             client->head_started = cluster_now();
         parse_request(client);
@@ -171,7 +192,7 @@
     struct memory_use memory = edge_memory_use(client->edge);
     client->last_received_at = cluster_now();
     buffer_append(&client->unread, bytes, size);
-    if (!client->exchange)
+    if (!is_busy(client))
         parse_unread(client);
     else if (memory_share_must_pause(&memory, client->unread.size))
         tcp_stream_pause(client->stream, true);
@@ -295,11 +316,24 @@
     free_if_unused(client);
 }
 
+void edge_client_release_held(struct edge *edge)
+{
+    for (struct edge_client *client = edge->clients, *next; client; client = next) {
+        next = client->next;
+        if (!client->awaits_configuration)
+            continue;
+        client->awaits_configuration = false;
+        client->parsing = true; /* it must not be freed here */
+        start_exchange(client);
+        parse_unread(client);
+    }
+}
+
 void edge_client_close_idle(struct edge *edge)
 {
     for (struct edge_client *client = edge->clients, *next; client; client = next) {
         next = client->next;
-        if (client->exchange || !client->stream)
+        if (is_busy(client) || !client->stream)
             continue;
         tcp_stream_finish(client->stream);
         client->stream = NULL;
@@ -372,7 +406,7 @@
 {
     for (struct edge_client *client = edge->clients, *next; client; client = next) {
         next = client->next;
-        if (client->exchange || !client->stream || !is_overdue(client, now))
+        if (is_busy(client) || !client->stream || !is_overdue(client, now))
             continue;
         if (client->head_started) {
             reject_request(client, 408, 0);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -16,6 +16,7 @@
 #include "core/event_stream.h"
 #include "core/load/demand.h"
 #include "core/load/memory_share.h"
+#include "core/load/start_hold.h"
 #include "core/load/overload.h"
 #include "core/repeat_budget.h"
 #include "core/route_table.h"
@@ -94,12 +95,20 @@
     return (struct memory_use){edge->buffer_limit, memory_held_by_buffers()};
 }
 
+/** \return whether requests are held until the configuration is known */
+static inline bool edge_awaits_configuration(const struct edge *edge)
+{
+    return start_hold_awaits_configuration(edge->started_at, edge->table != NULL, cluster_now());
+}
+
 /* --- Client connections: edge_client.c --- */
 
 /** \brief Connection callback of the listener, whose data is the edge. */
 void edge_client_accept(uv_stream_t *listener, int status);
 /** \brief Closes connections that exceeded the idle timeout or the timeout for request headers. */
 void edge_client_close_expired(struct edge *edge, uint64_t now);
+/** \brief Starts the requests that were held until the configuration is known. */
+void edge_client_release_held(struct edge *edge);
 /** \brief Resets connections whose clients take nothing, while buffers are nearly full. */
 void edge_client_drop_slow(struct edge *edge, uint64_t now);
 /** \brief Closes all connections without a request in progress. */
@@ -123,6 +132,8 @@
 void edge_client_recheck_deadlines(struct edge *edge);
 /** \return response bytes that the client has not taken yet */
 size_t edge_client_unsent_bytes(const struct edge_client *client);
+/** \return time at which the current request was complete */
+uint64_t edge_client_arrived_at(const struct edge_client *client);
 struct edge *edge_client_edge(const struct edge_client *client);
 const struct http_message *edge_client_request(const struct edge_client *client);
 
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -225,10 +225,12 @@
         timeout_ms = exchange->head.deadline_ms;
     uint64_t wait =
         exchange->edge->settings->wait_percent * exchange->route->target_ms * US_PER_MS / 100;
-    exchange->arrived_at = cluster_now();
+    exchange->arrived_at = edge_client_arrived_at(exchange->client);
     exchange->deadline_at = exchange->arrived_at + timeout_ms * US_PER_MS;
     exchange->wait_until =
         exchange->arrived_at + (wait > MIN_QUEUE_WAIT_US ? wait : MIN_QUEUE_WAIT_US);
+    exchange->wait_until = start_hold_slot_wait(exchange->edge->started_at, exchange->wait_until,
+                                                exchange->arrived_at);
 }
 
 static struct exchange *exchange_create(struct edge *edge, struct edge_client *client,
