Retry budget: parts below one repeat are used, and none while the fleet is unknown

Cause: each gateway rounded its part of the allowance down. With 327 gateways it is 1.9 of 654 in a window, with 700 and idle gateways 0.7, that is 0: no retry at all. And a gateway that had just started divided by least-gateways, 4: until it knew the others, 327 of them might have spent 65 each. Change: a gateway rounds by its rank among all, so that the sum is rounded once; it has no part of the allowance before it knows most members.

--- a/src/core/repeat_budget.c
+++ b/src/core/repeat_budget.c
@@ -49,21 +49,31 @@
     budget->requests[budget->bucket % (REPEAT_BUDGET_BUCKETS + 1)]++;
 }
 
-bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now, uint32_t gateways)
+/* What this gateway adds before it rounds down, evenly spread over all gateways: their sum is then
+ * rounded once, not the part of each. */
+static double rounding(const struct budget_share *share)
+{
+    return (share->rank + 0.5) / share->gateways;
+}
+
+bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now,
+                          const struct budget_share *share)
 {
     advance(budget, now);
-    double share = 1.0;
-    if (now < budget->started + budget->settings.window_us)
+    double bound = USED_SHARE * budget->settings.ratio * sum(budget->requests);
+    if (share->gateways) {
         /* Repeats spent by a previous run of this process are unknown: start with half. */
-        share = 0.5;
-    double allowance = share * budget->settings.allowance / (gateways ? gateways : 1);
-    double bound = USED_SHARE * (budget->settings.ratio * sum(budget->requests) + allowance);
+        bool is_first_window = now < budget->started + budget->settings.window_us;
+        double part = (is_first_window ? 0.5 : 1.0) / share->gateways;
+        bound += USED_SHARE * part * budget->settings.allowance + rounding(share);
+    }
     return sum(budget->repeats) + 1 <= bound;
 }
 
-bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now, uint32_t gateways)
+bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now,
+                         const struct budget_share *share)
 {
-    if (!repeat_budget_allows(budget, now, gateways))
+    if (!repeat_budget_allows(budget, now, share))
         return false;
     budget->repeats[budget->bucket % (REPEAT_BUDGET_BUCKETS + 1)]++;
     return true;
--- a/src/core/repeat_budget.h
+++ b/src/core/repeat_budget.h
@@ -3,7 +3,11 @@
  * spends at most a share of its own requests plus its part of a fixed allowance.
  *
  * The sum over all gateways then stays within the global bound, even when they disagree on which
- * gateways are alive: the allowance is divided by the highest number of gateways seen.
+ * gateways are alive: the allowance is divided by the highest number of gateways seen, and a
+ * gateway that does not know their number yet has no part of it.
+ *
+ * A part may be less than one repeat. A gateway rounds up or down by its rank among all gateways,
+ * so that in a large fleet the sum is used instead of rounded to 0.
  */
 #ifndef SHUNTRUN_REPEAT_BUDGET_H
 #define SHUNTRUN_REPEAT_BUDGET_H
@@ -28,17 +32,24 @@
     uint64_t started; /**< time of creation, us; half the allowance holds for the first window */
 };
 
+/** The place of a gateway among those that share the budget. */
+struct budget_share {
+    uint32_t gateways; /**< 0: not known */
+    uint32_t rank;     /**< from 0, in an order that all agree on */
+};
+
 void repeat_budget_init(struct repeat_budget *budget, const struct repeat_budget_settings *settings,
                         uint64_t now);
 /** \brief Count a client request, which earns budget. */
 void repeat_budget_earn(struct repeat_budget *budget, uint64_t now);
 /** \return whether the budget has room for a repeat now */
-bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now, uint32_t gateways);
+bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now,
+                          const struct budget_share *share);
 /**
  * \brief Spend one repeat.
- * \param gateways number of gateways that share the allowance
  * \return false if the budget is exhausted: the request must not be repeated
  */
-bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now, uint32_t gateways);
+bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now,
+                         const struct budget_share *share);
 
 #endif
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -39,6 +39,8 @@
 /** Part of the machine's memory that buffers may hold; sockets of the kernel, connections, weights
  * and the state need the rest. */
 #define BUFFER_MEMORY_PERCENT 40
+/** Orders gateways independently of their places. */
+#define GATEWAY_RANK_KEY 0x6761746577617973ULL
 /** The process exits this long before the end of the grace period, whatever is in progress. */
 #define STOP_MARGIN_US 500000
 
@@ -119,14 +121,24 @@
 
 /* --- Tick and shutdown --- */
 
+/* Gateways that are not alive count, too: others may not know yet that they ended. */
 static void count_gateways(struct edge *edge)
 {
+    struct membership *members = edge->cluster.membership;
+    uint64_t own = hash_pair(GATEWAY_RANK_KEY, membership_self(members)->address);
+    uint32_t known = 1, rank = 0;
+    for (uint32_t i = 0; i < membership_count(members); i++) {
+        const struct member_state *member = membership_at(members, i);
+        if (member->role != MEMBER_GATEWAY)
+            continue;
+        known++;
+        rank += hash_pair(GATEWAY_RANK_KEY, member->address) < own;
+    }
     edge->gateways = cluster_gateway_count(&edge->cluster);
-    uint32_t known = 1;
-    for (uint32_t i = 0; i < membership_count(edge->cluster.membership); i++)
-        known += membership_at(edge->cluster.membership, i)->role == MEMBER_GATEWAY;
     if (known > edge->max_gateways)
         edge->max_gateways = known;
+    edge->budget_share.gateways = edge->cluster.started ? edge->max_gateways : 0;
+    edge->budget_share.rank = rank;
 }
 
 /* Closes the listener: a request that arrives now might not finish in time. */
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -79,10 +79,11 @@
     struct crash_check *crash_checks; /**< checks of backends that may have crashed */
     /** Barred to the request being dispatched. */
     uint64_t barred_incarnations[CRASH_MAX_LEASED_INCARNATIONS];
-    struct exchange *queue; /**< requests that wait for a slot, most urgent first */
-    uint32_t active;        /**< requests without a final response */
-    uint32_t gateways;      /**< alive now, at least 1 */
-    uint32_t max_gateways;  /**< greatest number seen; divides the retry budget */
+    struct exchange *queue;           /**< requests that wait for a slot, most urgent first */
+    uint32_t active;                  /**< requests without a final response */
+    uint32_t gateways;                /**< alive now, at least 1 */
+    uint32_t max_gateways;            /**< greatest number seen */
+    struct budget_share budget_share; /**< of the retry budget */
     uint64_t started_at;
     bool has_responded;      /**< a complete response was sent since the start */
     uint64_t stopping_since; /**< 0: not stopping */
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -203,7 +203,7 @@
     if (!exchange->owes_retry_charge)
         return;
     exchange->owes_retry_charge = false;
-    repeat_budget_spend(&exchange->service_state->budget, now, exchange->edge->max_gateways);
+    repeat_budget_spend(&exchange->service_state->budget, now, &exchange->edge->budget_share);
 }
 
 /* If the attempts are used up unless the last backend has ended, waits for that check, and fails
@@ -235,7 +235,7 @@
         return;
     bool is_within_budget =
         !exchange->owes_retry_charge ||
-        repeat_budget_allows(&exchange->service_state->budget, now, edge->max_gateways);
+        repeat_budget_allows(&exchange->service_state->budget, now, &edge->budget_share);
     fill_criteria(exchange, now, &criteria);
     if (!backend_pool_may_serve(edge->pool, &criteria, now)) {
         exchange_fail_by_run_state(exchange, END_NO_BACKEND);
@@ -367,7 +367,7 @@
     struct backend_criteria criteria;
     bool is_retry = exchange->upstream && upstream_is_sent(exchange->upstream);
     if (is_retry &&
-        !repeat_budget_allows(&exchange->service_state->budget, now, edge->max_gateways))
+        !repeat_budget_allows(&exchange->service_state->budget, now, &edge->budget_share))
         return false;
     fill_criteria(exchange, now, &criteria);
     criteria.required_version = exchange->streaming ? exchange->version : 0;
@@ -391,11 +391,12 @@
 static bool take_from_retry_budget(struct exchange *exchange, uint64_t now)
 {
     struct edge *edge = exchange->edge;
-    if (repeat_budget_spend(&exchange->service_state->budget, now, edge->max_gateways))
+    if (repeat_budget_spend(&exchange->service_state->budget, now, &edge->budget_share))
         return true;
     metric_add(METRIC_BUDGET_SPENT, 1);
-    log_event(LOG_LEVEL_WARN, "request", "budget-spent", "request=%s service=%s gateways=%u",
-              exchange->head.id, exchange->service->name, edge->max_gateways);
+    log_event(LOG_LEVEL_WARN, "request", "budget-spent",
+              "request=%s service=%s gateways=%u rank=%u", exchange->head.id,
+              exchange->service->name, edge->budget_share.gateways, edge->budget_share.rank);
     return false;
 }
 
