A gateway that hears no other node names itself only

Cause: a gateway that is cut off from all other nodes, but not from its clients, suspects members one by one, one in 0.4 s, and named those that had ended until then: after a cut of 30 s still most of 327 (reckoned). Change: after contact-ms without a message it names only itself. Result: a case with real processes. It passes in the end with the code before, too: eight gateways are too few to show the time.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -477,6 +477,11 @@
     return 0;
 }
 
+uint64_t cluster_silence_us(const struct cluster *cluster)
+{
+    return cluster->heard_at ? cluster_now() - cluster->heard_at : 0;
+}
+
 uint32_t cluster_gateway_count(const struct cluster *cluster)
 {
     uint32_t alive = membership_alive_count(cluster->membership, MEMBER_GATEWAY);
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -107,6 +107,8 @@
 bool cluster_was_isolated(const struct cluster *cluster, uint64_t since);
 /** \return socket address of a node's datagrams and HTTP service for other nodes */
 struct sockaddr_in cluster_address(const struct cluster *cluster, uint32_t address);
+/** \return time since the last message from any other node, us; 0: there was none yet */
+uint64_t cluster_silence_us(const struct cluster *cluster);
 /** \return number of live gateways, at least 1 */
 uint32_t cluster_gateway_count(const struct cluster *cluster);
 /** \return distance of a zone: 0 the own zone, 1 the own region, 2 another region */
--- a/src/edge/edge_addresses.c
+++ b/src/edge/edge_addresses.c
@@ -55,6 +55,13 @@
     return residency;
 }
 
+/* Whether this node learns which gateways end. Without messages from others it would suspect them
+ * one by one, which takes the longer the larger the fleet is. */
+static bool is_informed(const struct edge *edge)
+{
+    return cluster_silence_us(&edge->cluster) < edge->settings->contact_ms * 1000;
+}
+
 static bool accepts_clients(const struct member_state *member)
 {
     return member->role == MEMBER_GATEWAY && !member->draining && member_is_healthy(member);
@@ -69,7 +76,7 @@
     const struct member_state *self = membership_self(members);
     if (!edge->stopping_since && distance_of(edge, self, query, residency) == distance)
         add_address(list, self);
-    for (uint32_t i = 0; i < membership_count(members); i++) {
+    for (uint32_t i = 0; is_informed(edge) && i < membership_count(members); i++) {
         const struct member_state *member = membership_at(members, i);
         if (accepts_clients(member) && distance_of(edge, member, query, residency) == distance)
             add_address(list, member);
--- a/tests/system/residency_test.py
+++ b/tests/system/residency_test.py
@@ -4,6 +4,7 @@
 Failure: gateways sent requests of routes with home regions to any region when the nearest backends were
 full, and to zones that the operator had evacuated, as neither was read.
 """
+import json
 import os
 import sys
 import time
@@ -134,5 +135,29 @@
         self.assertEqual(self.send(), ({200}, {"far"}))
 
 
+class IsolatedGatewayTest(unittest.TestCase):
+    """Failure: a gateway without contact to other nodes named gateways that had ended until it had suspected each of
+    them, one in 0.4 s."""
+
+    def test_a_gateway_that_hears_nobody_names_itself_only(self):
+        store = standin.Store(platform.STORE)
+        store.put("op/config", configuration(1, []))
+        addresses = ["127.9.1.%d" % number for number in range(1, 9)]
+        gateways = [platform.edge(address) for address in addresses]
+        for gateway in gateways:
+            self.addCleanup(gateway.stop)
+        self.addCleanup(ResidencyTest.close, store)
+        platform.wait_for(lambda: len(self.named(addresses[0])) == len(addresses), "all gateways named")
+        for gateway in gateways[1:]:
+            gateway.stop()
+        platform.wait_for(lambda: self.named(addresses[0]) == ["%s:%d" % (addresses[0], platform.CLIENT_PORT)],
+                          "no ended gateway named")
+
+    @staticmethod
+    def named(address):
+        status, body = platform.get(address, platform.DIRECTORY_PORT, "/api/resolve?name=a&zone=zone-a")
+        return json.loads(body)["addresses"] if status == 200 else []
+
+
 if __name__ == "__main__":
     platform.main()
