A dropped slow client may end other requests: the walk over clients begins anew

Found by reading: the slot that a cancelled request frees is offered to others, whose refusal may free the next client of the walk. No failure was seen.

--- a/src/edge/edge_addresses.c
+++ b/src/edge/edge_addresses.c
@@ -29,7 +29,13 @@
 }
 
 /* Where a gateway is, as seen by the client. Nearer places have smaller values. */
-enum client_distance { IN_CLIENT_ZONE, IN_CLIENT_REGION, IN_HOME_REGION, ELSEWHERE, PLACE_COUNT };
+enum client_distance {
+    IN_CLIENT_ZONE,
+    IN_CLIENT_REGION,
+    IN_HOME_REGION,
+    ELSEWHERE,
+    CLIENT_DISTANCE_COUNT
+};
 
 static enum client_distance distance_of(const struct edge *edge, const struct member_state *gateway,
                                         const struct address_query *query,
@@ -87,7 +93,8 @@
                              struct address_list *list)
 {
     struct residency residency = {0};
-    for (int distance = IN_CLIENT_ZONE; distance < PLACE_COUNT && !list->count; distance++) {
+    for (int distance = IN_CLIENT_ZONE; distance < CLIENT_DISTANCE_COUNT && !list->count;
+         distance++) {
         if (distance == IN_HOME_REGION)
             residency = residency_of_host(edge, query->host);
         collect_addresses(edge, query, &residency, (enum client_distance)distance, list);
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -397,8 +397,10 @@
         if (!unsent || unsent < client->unsent_bytes)
             client->last_taken_at = now;
         client->unsent_bytes = unsent;
-        if (is_full && unsent > share && now > client->last_taken_at + SLOW_CLIENT_US)
+        if (is_full && unsent > share && now > client->last_taken_at + SLOW_CLIENT_US) {
             drop_client(client);
+            next = edge->clients; /* the slot that became free may have ended other requests */
+        }
     }
 }
 
