--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -250,6 +250,7 @@
         return compressed;
     log_event(LOG_LEVEL_ERROR, "state", "not-compressed", "bytes=%zu error=\"%s\"", size,
               ZSTD_getErrorName(*compressed_size));
+    *compressed_size = 0;
     free(compressed);
     return NULL;
 }
