--- a/src/core/reader_role.c
+++ b/src/core/reader_role.c
@@ -136,8 +136,7 @@
  * After a power failure no gateway has any state. If many of them read the full snapshot at once,
  * they saturate the links between regions. So one gateway of a region reads it, and the others get
  * it from there, compressed; gateways of lower rank follow in case that one fails. A node whose
- * member table has not converged ranks itself too high: without waiting for that, 83 of 149
- * gateways read the snapshot, and the last one had the state 0.95 s after the start.
+ * member table has not converged would rank itself too high, and waits.
  */
 static bool may_read_snapshot(struct reader_role *role, struct membership *membership, uint64_t now)
 {
