Rate limits that back ends state are decoded and logged

An answer's limit is decoded at the platform's edge into a typed statement, kept with the back end, and logged when it begins, changes or ends, by gateways (with the request's id) and by loaders (from reports). Nothing depends on it yet.

platform.platform, core.backend_* pass.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -84,6 +84,8 @@
       "requests sent to a back end that the list had dropped")                                     \
     X(METRIC_BACKENDS_LEAVING, "shuntrun_backends_leaving_total",                                  \
       "back ends that first said in an answer that they leave")                                    \
+    X(METRIC_RATE_LIMITS, "shuntrun_backend_rate_limits_total",                                    \
+      "rate limits that backends stated in their answers, changed, or ended")                      \
     X(METRIC_BACKOFFS, "shuntrun_backend_backoffs_total",                                          \
       "refusals that asked for a time without requests, or for a longer one")                      \
     X(METRIC_SENDS_WITHHELD, "shuntrun_sends_withheld_total",                                      \
--- a/src/core/backend_answer.c
+++ b/src/core/backend_answer.c
@@ -19,6 +19,13 @@
     return is_success(answer) ? ANSWER_SUCCEEDED : ANSWER_FAILED;
 }
 
+enum rate_statement answer_rate_statement(const struct answer_properties *answer)
+{
+    if (answer->rate == RATE_UNLIMITED && classify_answer(answer) != ANSWER_SUCCEEDED)
+        return RATE_UNKNOWN;
+    return answer->rate;
+}
+
 /* With any other status, Retry-After applies to the request and not to the backend: a 429 limits
  * one caller, and a backoff would withhold the requests of all other callers, too. */
 uint64_t answer_backoff_us(const struct answer_properties *answer)
--- a/src/core/backend_answer.h
+++ b/src/core/backend_answer.h
@@ -8,7 +8,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** The parts of an answer's status and headers that decide its class. */
+/** What an answer says of the rate of requests that its backend accepts. */
+enum rate_statement {
+    RATE_UNLIMITED, /**< names no limit */
+    RATE_LIMITED,
+    RATE_UNKNOWN, /**< says nothing: its limit cannot be parsed, or it is not proven to come from
+                     the backend */
+};
+
+/** The parts of an answer's status and headers that decide its class, and what they state about the
+ * backend. */
 struct answer_properties {
     unsigned status;         /**< HTTP status code */
     bool sealed;             /**< carries the backend's signature (response seal) */
@@ -16,6 +25,8 @@
     bool encoded;            /**< has a content encoding that the request did not accept */
     bool leaving;            /**< the backend is about to shut down */
     uint64_t retry_after_ms; /**< Retry-After; 0: not given */
+    enum rate_statement rate;
+    double rate_limit_per_s; /**< with RATE_LIMITED: requests that it accepts from all gateways */
 };
 
 /** What an answer means for its request. */
@@ -29,6 +40,9 @@
 
 /** \brief Classify an answer by its status and headers. */
 enum answer_class classify_answer(const struct answer_properties *answer);
+/** \return what the answer states about its backend's rate. Only a proven answer of the backend
+ * shows by the absence of a limit that there is none. */
+enum rate_statement answer_rate_statement(const struct answer_properties *answer);
 /** \return the backoff that the backend asks for, microseconds; 0: none */
 uint64_t answer_backoff_us(const struct answer_properties *answer);
 
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -10,6 +10,7 @@
 #ifndef SHUNTRUN_BACKEND_POOL_H
 #define SHUNTRUN_BACKEND_POOL_H
 
+#include "core/backend_answer.h"
 #include "core/cold_limit.h"
 #include "core/random.h"
 #include "core/residency.h"
@@ -67,6 +68,14 @@
     BACKEND_CANCELLED,   /**< cancelled by this gateway; says nothing about the backend */
 };
 
+/** Rate of requests that a backend accepts from all gateways together, as it last stated. All 0: it
+ * stated no limit. */
+struct stated_rate {
+    bool limited;
+    double per_s;       /**< if `limited` */
+    uint64_t stated_at; /**< time of the first answer that stated this */
+};
+
 struct backend {
     struct backend_listing listing; /**< `born` is that of the latest known incarnation */
     uint64_t listed_born;           /**< `born` as the list gives it */
@@ -95,6 +104,7 @@
     uint64_t restarted_at;         /**< time at which a load report showed its start; 0: none did */
     struct cold_rank cold_rank;    /**< of this gateway; used while the backend is cold */
     uint64_t cold_rank_at;         /**< time at which the rank was learned */
+    struct stated_rate rate;       /**< limit that it states in its answers */
     struct cold_window sends;      /**< requests that this gateway sent there lately */
     uint64_t turn_at;              /**< it accepts no requests from then on; 0: not known */
     int32_t sent_since_report;     /**< own requests started minus ended since the report */
@@ -184,12 +194,15 @@
     bool leaving;        /**< it is about to shut down */
     uint64_t backoff_us; /**< time for which it asks for no requests from here; 0: none */
     bool works;          /**< it has completed a request successfully, or begun to answer one */
+    enum rate_statement rate;
+    double rate_limit_per_s; /**< with RATE_LIMITED */
 };
 
 /** What a statement changed. */
 struct backend_statement_effect {
     bool now_leaving;    /**< it was not known to be leaving */
     bool now_backed_off; /**< a backoff has begun or was extended */
+    bool rate_changed;   /**< a rate limit began, changed or ended */
 };
 
 /** Longer backoffs are cut to an hour; the backend can ask again then. */
--- a/src/core/backend_statement.c
+++ b/src/core/backend_statement.c
@@ -22,6 +22,18 @@
     backend->probing = false;
 }
 
+static bool record_rate(struct stated_rate *rate, const struct backend_statement *statement,
+                        uint64_t now)
+{
+    bool limited = statement->rate == RATE_LIMITED;
+    bool is_same =
+        limited == rate->limited && (!limited || statement->rate_limit_per_s == rate->per_s);
+    if (statement->rate == RATE_UNKNOWN || is_same)
+        return false;
+    *rate = (struct stated_rate){limited, limited ? statement->rate_limit_per_s : 0, now};
+    return true;
+}
+
 /* The same incarnation may have been listed again since its removal. */
 static void update_relisted(struct backend_pool *pool, const struct backend *dropped)
 {
@@ -41,6 +53,7 @@
     if (statement->works)
         record_success(backend, now);
     change.now_backed_off = extend_backoff(backend, statement->backoff_us, now);
+    change.rate_changed = record_rate(&backend->rate, statement, now);
     if ((change.now_leaving || change.now_backed_off) && !backend->listed)
         update_relisted(pool, backend);
     return change;
--- a/src/edge/backend_feedback.c
+++ b/src/edge/backend_feedback.c
@@ -34,6 +34,17 @@
               backend->in_flight);
 }
 
+static void log_rate(const struct backend *backend, const struct stated_rate *before,
+                     const struct response_head *head)
+{
+    metric_add(METRIC_RATE_LIMITS, 1);
+    log_event(LOG_LEVEL_INFO, "backend", backend->rate.limited ? "rate-limited" : "rate-unlimited",
+              "id=%s born=%" PRIu64 " request=%s per_s=%.3f before_per_s=%.3f was_limited=%d "
+              "in_flight=%u",
+              backend->listing.id, backend->listing.born, head->request_id, backend->rate.per_s,
+              before->per_s, before->limited, backend->in_flight);
+}
+
 void backend_feedback_from_response(struct edge *edge, struct backend *backend,
                                     const struct response_head *head)
 {
@@ -47,7 +58,10 @@
         .leaving = head->properties.leaving,
         .backoff_us = answer_backoff_us(&head->properties),
         .works = classify_answer(&head->properties) == ANSWER_SUCCEEDED,
+        .rate = answer_rate_statement(&head->properties),
+        .rate_limit_per_s = head->properties.rate_limit_per_s,
     };
+    struct stated_rate rate_before = backend->rate;
     struct backend_statement_effect change =
         backend_pool_apply_statement(edge->pool, backend, &statement, now);
     if (head->cold_ms)
@@ -58,6 +72,8 @@
         log_leaving(backend, "answer", head->request_id);
     if (change.now_backed_off)
         log_backoff(backend, head, now);
+    if (change.rate_changed)
+        log_rate(backend, &rate_before, head);
 }
 
 bool backend_feedback_from_load(struct edge *edge, const char *address,
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -47,6 +47,8 @@
     struct sockaddr_in origin;
     bool has_origin;
     struct engine_report report;
+    bool report_limits_rate; /* the last report's head stated a rate limit */
+    double reported_per_s;
     bool reachable;
     bool report_pending;
     uint64_t next_report_at;
@@ -160,12 +162,26 @@
     loader->reachable = reachable;
 }
 
-/* The engine says in the head of each response whether it is shutting down. */
-static bool announces_shutdown(const struct http_message *message)
+/* The engine says in the head of each response whether it is shutting down, and which rate of
+ * requests it accepts. */
+static struct answer_properties read_statements(const struct http_message *message)
 {
     struct response_head head;
     platform_read_response(message, &head);
-    return head.properties.leaving;
+    return head.properties;
+}
+
+static void log_rate_change(struct loader *loader, const struct answer_properties *answer)
+{
+    bool limited = answer->rate == RATE_LIMITED;
+    if (limited == loader->report_limits_rate && answer->rate_limit_per_s == loader->reported_per_s)
+        return;
+    log_event(LOG_LEVEL_INFO, "engine", limited ? "rate-limited" : "rate-unlimited",
+              "address=%s born=%" PRIu64 " per_s=%.3f before_per_s=%.3f readable=%d",
+              loader->cluster.settings->engine_address, loader->report.load.born,
+              answer->rate_limit_per_s, loader->reported_per_s, answer->rate != RATE_UNKNOWN);
+    loader->report_limits_rate = limited;
+    loader->reported_per_s = answer->rate_limit_per_s;
 }
 
 static void log_shutdown_change(const struct loader *loader, bool leaving)
@@ -189,9 +205,11 @@
                                       &report) == STATUS_OK;
     set_reachable(loader, valid);
     if (valid) {
-        report.load.leaving = announces_shutdown(message);
+        struct answer_properties statements = read_statements(message);
+        report.load.leaving = statements.leaving;
         log_shutdown_change(loader, report.load.leaving);
         loader->report = report;
+        log_rate_change(loader, &statements);
         metric_gauge_set(METRIC_ENGINE_RUNNING, report.load.running);
         metric_gauge_set(METRIC_ENGINE_WAITING, report.load.waiting);
         metric_gauge_set(METRIC_ENGINE_VERSION, report.load.version);
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -270,6 +270,36 @@
     }
 }
 
+static void server_limit_field_is_parsed(void **state)
+{
+    static const struct {
+        const char *fields;
+        double per_s;
+    } readable[] = {{"Server-Limit: 1\r\n", 1},
+                    {"server-limit:2.5\r\n", 2.5},
+                    {"Server-Limit: 0\r\n", 0},
+                    {"Server-Limit: 100000\r\n", 100000}};
+    static const char *const malformed_field[] = {"Server-Limit:\r\n",
+                                                  "Server-Limit: -1\r\n",
+                                                  "Server-Limit: inf\r\n",
+                                                  "Server-Limit: nan\r\n",
+                                                  "Server-Limit: 1e3\r\n",
+                                                  "Server-Limit: 1 a second\r\n",
+                                                  "Server-Limit: 1\r\nServer-Limit: 2\r\n"};
+    assert_int_equal(parse_response_head("200 OK", "").properties.rate, RATE_UNLIMITED);
+    for (size_t i = 0; i < sizeof readable / sizeof readable[0]; i++) {
+        struct response_head head = parse_response_head("503 Full", readable[i].fields);
+        assert_int_equal(head.properties.rate, RATE_LIMITED);
+        assert_float_equal(head.properties.rate_limit_per_s, readable[i].per_s, 1e-9);
+        assert_null(head.malformed_field);
+    }
+    for (size_t i = 0; i < sizeof malformed_field / sizeof malformed_field[0]; i++) {
+        struct response_head head = parse_response_head("200 OK", malformed_field[i]);
+        assert_int_equal(head.properties.rate, RATE_UNKNOWN);
+        assert_string_equal(head.malformed_field, "Server-Limit");
+    }
+}
+
 static void retry_after_field_is_parsed(void **state)
 {
     static const struct {
@@ -502,6 +532,7 @@
         cmocka_unit_test(resumed_stream_overrides_last_event_id),
         cmocka_unit_test(backend_response_fields_are_parsed),
         cmocka_unit_test(server_leaving_field_is_parsed),
+        cmocka_unit_test(server_limit_field_is_parsed),
         cmocka_unit_test(retry_after_field_is_parsed),
         cmocka_unit_test(engine_report_is_parsed),
         cmocka_unit_test(backend_entry_identifies_one_incarnation),
