--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -232,6 +232,15 @@
         self.reset()
 
 
+class RateLimit:
+    """A limit that a back end states in its answers, from its begin to its end or to the end of the process."""
+
+    def __init__(self, per_s, started_ms):
+        self.per_s, self.started_ms = per_s, started_ms
+        self.ended = None  # time
+        self.answers = []  # (request id, time) of the answers that stated it
+
+
 class Backend:
     """An engine or plain service. `faults` lists the faults of the next requests, one each; see execute()."""
 
@@ -277,6 +286,8 @@
         self.arrivals = []  # (request id, time, started_ms) of all requests, also refused ones
         self.leaving_answers = []  # (request id, time, started_ms) of answers that announced leaving
         self.backoffs = []  # (request id, time, Retry-After in s, started_ms) of refusals
+        self.rate_limits = []  # RateLimit, the newest last
+        self.limits_in_reports = True  # whether reports state the limit, too
         self.state = state
         self.alive = True
         self.will_restart = False  # will restart after a crash
@@ -311,6 +322,24 @@
         """Announces in each answer that it leaves; it still serves, and its entry is unchanged."""
         self.leaving = True
 
+    def limit_rate(self, per_s):
+        """States in each answer that it accepts `per_s` requests a second; it serves more."""
+        self.end_rate_limit()
+        self.rate_limits.append(RateLimit(per_s, self.started_ms))
+
+    def end_rate_limit(self):
+        if self.rate_limits and self.rate_limits[-1].ended is None:
+            self.rate_limits[-1].ended = time.monotonic()
+
+    @property
+    def rate_limit(self):
+        """The RateLimit in force, or None."""
+        return self.rate_limits[-1] if self.rate_limits and self.rate_limits[-1].ended is None else None
+
+    @property
+    def limited_answers(self):
+        return [answer for limit in self.rate_limits for answer in limit.answers]
+
     def start_backoff(self, seconds):
         self.backoff_until = time.monotonic() + seconds
 
@@ -392,6 +421,7 @@
             self.sequence = 0
             self.staged, self.orders, self.version, self.loading = {}, 0, None, False
             self.leaving, self.backoff_until = False, 0.0
+            self.end_rate_limit()
             self.running = set()
             self.orders_to_hold, self.held_orders, self.held_puts = 0, [], []  # calls in progress end with the process
             self.shutting_down = False
@@ -508,7 +538,11 @@
         super().finish()
 
     def end_headers(self):
-        """Announces leaving in all answers, also reports and refusals."""
+        """Announces leaving, and a rate limit, in all answers, also reports and refusals."""
+        limit = self.owner.rate_limit
+        if limit and (self.owner.limits_in_reports or not self.path.startswith("/api/")):
+            self.send_header("Server-Limit", "%g" % limit.per_s)
+            limit.answers.append((self.headers.get("Shuntrun-Request-Id"), time.monotonic()))
         if self.owner.leaving:
             self.send_header("Server-Leaving", "1")
             self.owner.leaving_answers.append((self.headers.get("Shuntrun-Request-Id"),
