The bounded rate of a cold back end is named for what it is: a rate limit, ranks, a window of sends

Renamed: core/cold_limit -> core/rate_limit, core/cold_ranking -> core/rate_ranking, edge_cold_ranks -> edge_rates, with their types, and the fields of EngineLoad (same numbers).

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -111,16 +111,16 @@
 
 /* Sets the rank of a recipient. A node that does not know most members yet ranks none: it might
  * rank few of them, and soon afterwards all. */
-static void set_cold_rank(struct cluster *cluster, uint32_t recipient, Shuntrun__EngineLoad *load)
+static void set_rate_rank(struct cluster *cluster, uint32_t recipient, Shuntrun__EngineLoad *load)
 {
-    struct cold_ranking *ranking = &cluster->cold_ranking;
+    struct rate_ranking *ranking = &cluster->rate_ranking;
     uint32_t own = membership_self(cluster->membership)->address;
     if (!cluster->started)
         return;
-    cold_ranking_refresh(ranking, &cluster->load_targets, own, cluster_now());
-    struct cold_rank rank = cold_ranking_find(ranking, recipient);
-    load->cold_rank = rank.rank;
-    load->cold_gateways = rank.gateways;
+    rate_ranking_refresh(ranking, &cluster->load_targets, own, cluster_now());
+    struct rate_rank rank = rate_ranking_find(ranking, recipient);
+    load->rate_rank = rank.rank;
+    load->ranked_gateways = rank.gateways;
 }
 
 void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far, bool rank)
@@ -137,7 +137,7 @@
     uint32_t count = targets->near_count + (far ? targets->far_count : 0);
     for (uint32_t i = 0; i < count; i++) {
         if (rank) {
-            set_cold_rank(cluster, targets->addresses[i], load);
+            set_rate_rank(cluster, targets->addresses[i], load);
             size = pack_message(&message, bytes);
         }
         if (!size)
--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -9,7 +9,7 @@
 #define SHUNTRUN_CLUSTER_H
 
 #include "base/settings.h"
-#include "core/cold_ranking.h"
+#include "core/rate_ranking.h"
 #include "core/load_targets.h"
 #include "core/membership.h"
 #include "core/reader_role.h"
@@ -74,7 +74,7 @@
     uint64_t isolated_until; /**< end of the last isolation, see cluster_was_isolated(); 0: none */
     struct random_stream random;
     struct load_targets load_targets;
-    struct cold_ranking cold_ranking;
+    struct rate_ranking rate_ranking;
     uint32_t last_alive_count; /**< live members when they were last logged */
 };
 
--- a/src/core/backend_choice.c
+++ b/src/core/backend_choice.c
@@ -203,7 +203,7 @@
 static bool accepts(const struct backend_pool *pool, const struct backend_criteria *criteria,
                     const struct backend *backend, uint64_t now)
 {
-    return backend_is_within_cold_quota(pool, criteria, backend, now) &&
+    return backend_is_within_quota(pool, criteria, backend, now) &&
            (criteria->any_load || has_room(pool, criteria, backend, now));
 }
 
--- a/src/core/backend_eligibility.c
+++ b/src/core/backend_eligibility.c
@@ -81,22 +81,22 @@
     return now < backend->presumed_down_until;
 }
 
-bool backend_is_cold(const struct backend *backend, const struct cold_limit *limit, uint64_t now)
+bool backend_is_cold(const struct backend *backend, const struct rate_limit *limit, uint64_t now)
 {
     bool has_started = backend->restarted_at && now < backend->restarted_at + limit->start_us;
     return limit->per_s > 0 && (now < backend->cold_until || has_started);
 }
 
-bool backend_is_within_cold_quota(const struct backend_pool *pool,
-                                  const struct backend_criteria *criteria,
-                                  const struct backend *backend, uint64_t now)
+bool backend_is_within_quota(const struct backend_pool *pool,
+                             const struct backend_criteria *criteria, const struct backend *backend,
+                             uint64_t now)
 {
     if (!backend_is_cold(backend, &criteria->cold, now))
         return true;
     bool is_rank_known =
-        backend->cold_rank_at && now < backend->cold_rank_at + pool->settings.max_near_load_age_us;
-    return is_rank_known && cold_window_count(&backend->sends, now) <
-                                cold_quota(&criteria->cold, &backend->cold_rank);
+        backend->rate_rank_at && now < backend->rate_rank_at + pool->settings.max_near_load_age_us;
+    return is_rank_known && send_window_count(&backend->sends, now) <
+                                rate_quota(&criteria->cold, &backend->rate_rank);
 }
 
 bool backend_may_start_request(const struct backend_pool *pool, const struct backend *backend,
@@ -105,7 +105,7 @@
     if (!backend->listed || is_out_of_use(pool, backend, now) || is_presumed_down(backend, now) ||
         backend_is_backed_off(backend, now) ||
         !residency_allows(&criteria->residency, backend->region) ||
-        !backend_is_within_cold_quota(pool, criteria, backend, now))
+        !backend_is_within_quota(pool, criteria, backend, now))
         return false;
     return !criteria->engine || has_version(pool, criteria, backend, now);
 }
--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -259,15 +259,15 @@
         backend->cold_until = until;
 }
 
-void backend_record_cold_rank(struct backend *backend, const struct cold_rank *rank, uint64_t now)
+void backend_record_rate_rank(struct backend *backend, const struct rate_rank *rank, uint64_t now)
 {
-    backend->cold_rank = *rank;
-    backend->cold_rank_at = now;
+    backend->rate_rank = *rank;
+    backend->rate_rank_at = now;
 }
 
 void backend_record_send(struct backend *backend, uint64_t now)
 {
-    cold_window_record(&backend->sends, now);
+    send_window_record(&backend->sends, now);
 }
 
 /* The list does not name this incarnation yet. State learned from the earlier one is discarded,
@@ -301,7 +301,7 @@
         backend->restarted_at = now;
     backend_clear_undated_incarnation(pool, backend);
     backend->presumed_down_until = 0;
-    backend_record_cold_rank(backend, &load->cold_rank, now);
+    backend_record_rate_rank(backend, &load->rate_rank, now);
     backend->load = *load;
     backend->load_at = now;
     backend->turn_at = load->turn_ms ? now + load->turn_ms * (uint64_t)1000 : 0;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -11,7 +11,7 @@
 #define SHUNTRUN_BACKEND_POOL_H
 
 #include "core/backend_answer.h"
-#include "core/cold_limit.h"
+#include "core/rate_limit.h"
 #include "core/random.h"
 #include "core/residency.h"
 
@@ -54,7 +54,7 @@
     uint32_t far_gateways;  /**< the same in other regions; both 0: not known */
     uint32_t turn_ms; /**< until it stops accepting requests to load other weights; 0: not known */
     bool leaving;     /**< the engine told its machine that it is about to shut down */
-    struct cold_rank cold_rank; /**< of this gateway among those that get these reports */
+    struct rate_rank rate_rank; /**< of this gateway among those that get these reports */
 };
 
 /** How one request to a backend ended, as far as the backend's health is concerned. */
@@ -102,10 +102,10 @@
     uint64_t load_at;              /**< time of the load report; 0: none */
     uint64_t cold_until;           /**< it is cold until then, as it stated; 0: it is not */
     uint64_t restarted_at;         /**< time at which a load report showed its start; 0: none did */
-    struct cold_rank cold_rank;    /**< of this gateway; used while the backend is cold */
-    uint64_t cold_rank_at;         /**< time at which the rank was learned */
+    struct rate_rank rate_rank;    /**< of this gateway; used while the backend is cold */
+    uint64_t rate_rank_at;         /**< time at which the rank was learned */
     struct stated_rate rate;       /**< limit that it states in its answers */
-    struct cold_window sends;      /**< requests that this gateway sent there lately */
+    struct send_window sends;      /**< requests that this gateway sent there lately */
     uint64_t turn_at;              /**< it accepts no requests from then on; 0: not known */
     int32_t sent_since_report;     /**< own requests started minus ended since the report */
     uint32_t started_since_report; /**< own requests started since the report */
@@ -178,11 +178,11 @@
  */
 void backend_record_cold(struct backend *backend, uint64_t until);
 /** \brief Record the rank of this gateway among those that send to a backend. */
-void backend_record_cold_rank(struct backend *backend, const struct cold_rank *rank, uint64_t now);
+void backend_record_rate_rank(struct backend *backend, const struct rate_rank *rank, uint64_t now);
 /** \brief Record that a request was written to the backend. */
 void backend_record_send(struct backend *backend, uint64_t now);
 /** \return whether the backend is cold, as far as known */
-bool backend_is_cold(const struct backend *backend, const struct cold_limit *limit, uint64_t now);
+bool backend_is_cold(const struct backend *backend, const struct rate_limit *limit, uint64_t now);
 /** \brief Remove a backend: another process has its address. */
 void backend_pool_remove(struct backend_pool *pool, struct backend *backend);
 /** A backend that is presumed down gets no requests for this long unless there is evidence
@@ -263,7 +263,7 @@
     uint32_t excluded_count;
     uint32_t gateways;          /**< that send to the same backends */
     bool any_load;              /**< full backends are accepted, too */
-    struct cold_limit cold;     /**< what a cold backend of the service bears */
+    struct rate_limit cold;     /**< what a cold backend of the service bears */
     struct residency residency; /**< regions in which the request may be processed */
     /** Part of an engine's slots that this request must leave free, and of the prompt tokens that
      *  may be pending there; 0: none. Other services than engines have no reserve. */
--- a/src/core/backend_pool_internal.h
+++ b/src/core/backend_pool_internal.h
@@ -58,9 +58,9 @@
 
 /** \return whether this gateway may send one more request there: the backend is warm, or it is cold
  * and the gateway's quota is not used up */
-bool backend_is_within_cold_quota(const struct backend_pool *pool,
-                                  const struct backend_criteria *criteria,
-                                  const struct backend *backend, uint64_t now);
+bool backend_is_within_quota(const struct backend_pool *pool,
+                             const struct backend_criteria *criteria, const struct backend *backend,
+                             uint64_t now);
 /** \return whether the backend may get the request if it has room */
 bool backend_is_eligible(const struct backend_pool *pool, const struct backend_criteria *criteria,
                          const struct backend *backend, uint64_t now);
--- a/src/core/cold_limit.c
+++ b/src/core/rate_limit.c
@@ -1,17 +1,17 @@
-#include "core/cold_limit.h"
+#include "core/rate_limit.h"
 
-#define PART_US (COLD_WINDOW_US / COLD_WINDOW_PARTS)
-#define KEPT_PARTS (COLD_WINDOW_PARTS + 1)
+#define PART_US (SEND_WINDOW_US / SEND_WINDOW_PARTS)
+#define KEPT_PARTS (SEND_WINDOW_PARTS + 1)
 
-uint32_t cold_quota(const struct cold_limit *limit, const struct cold_rank *rank)
+uint32_t rate_quota(const struct rate_limit *limit, const struct rate_rank *rank)
 {
-    uint32_t shared = (uint32_t)((limit->per_s * limit->over + limit->slack) / COLD_RANKINGS);
+    uint32_t shared = (uint32_t)((limit->per_s * limit->over + limit->slack) / RATE_RANKINGS);
     if (!rank->rank || rank->rank > rank->gateways)
         return 0;
     return shared / rank->gateways + (rank->rank <= shared % rank->gateways);
 }
 
-void cold_window_record(struct cold_window *window, uint64_t now)
+void send_window_record(struct send_window *window, uint64_t now)
 {
     uint64_t part = now / PART_US;
     uint64_t passed = part > window->part ? part - window->part : 0;
@@ -23,7 +23,7 @@
     *sends += *sends < UINT16_MAX;
 }
 
-uint32_t cold_window_count(const struct cold_window *window, uint64_t now)
+uint32_t send_window_count(const struct send_window *window, uint64_t now)
 {
     uint64_t part = now / PART_US;
     uint32_t count = 0;
--- a/src/core/cold_ranking.c
+++ b/src/core/rate_ranking.c
@@ -1,4 +1,4 @@
-#include "core/cold_ranking.h"
+#include "core/rate_ranking.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
@@ -19,11 +19,11 @@
     }
 }
 
-void cold_ranking_refresh(struct cold_ranking *ranking, const struct load_targets *targets,
+void rate_ranking_refresh(struct rate_ranking *ranking, const struct load_targets *targets,
                           uint32_t loader, uint64_t now)
 {
     uint32_t count = targets->near_count + targets->far_count;
-    bool is_recent = ranking->ranked_at && now < ranking->ranked_at + COLD_RANKING_MIN_US;
+    bool is_recent = ranking->ranked_at && now < ranking->ranked_at + RATE_RANKING_MIN_US;
     if (is_recent || ranking->generation == targets->generation || !count)
         return;
     ranking->addresses = memory_realloc(ranking->addresses, count * sizeof *ranking->addresses);
@@ -35,16 +35,16 @@
     ranking->generation = targets->generation;
 }
 
-struct cold_rank cold_ranking_find(const struct cold_ranking *ranking, uint32_t address)
+struct rate_rank rate_ranking_find(const struct rate_ranking *ranking, uint32_t address)
 {
     for (uint32_t i = 0; i < ranking->count; i++)
         if (ranking->addresses[i] == address)
-            return (struct cold_rank){i + 1, ranking->count};
-    return (struct cold_rank){0};
+            return (struct rate_rank){i + 1, ranking->count};
+    return (struct rate_rank){0};
 }
 
-void cold_ranking_clear(struct cold_ranking *ranking)
+void rate_ranking_clear(struct rate_ranking *ranking)
 {
     free(ranking->addresses);
-    *ranking = (struct cold_ranking){0};
+    *ranking = (struct rate_ranking){0};
 }
--- a/src/core/cold_ranking.h
+++ b/src/core/rate_ranking.h
@@ -1,23 +1,23 @@
 /**
  * Ranks the gateways that a loader reports to, for the time in which its engine is cold
- * (core/cold_limit). Gateways of the engine's region come first; within a region, the order is by
+ * (core/rate_limit). Gateways of the engine's region come first; within a region, the order is by
  * hash, so that the quotas of a gateway differ from engine to engine.
  *
  * A ranking is kept until reports with the one before it are no longer in use, so that never more
- * than COLD_RANKINGS of them are.
+ * than RATE_RANKINGS of them are.
  */
-#ifndef SHUNTRUN_COLD_RANKING_H
-#define SHUNTRUN_COLD_RANKING_H
+#ifndef SHUNTRUN_RATE_RANKING_H
+#define SHUNTRUN_RATE_RANKING_H
 
-#include "core/cold_limit.h"
+#include "core/rate_limit.h"
 #include "core/load_targets.h"
 
 /** Time for which a ranking is kept: for the window of the bound, the time for which a gateway uses
  * a report, and the delay of a report. */
-#define COLD_RANKING_MIN_US ((uint64_t)2500000)
+#define RATE_RANKING_MIN_US ((uint64_t)2500000)
 
 /** All 0 at first: no gateway is ranked. */
-struct cold_ranking {
+struct rate_ranking {
     uint32_t *addresses; /**< by rank */
     uint32_t count;
     uint64_t ranked_at;
@@ -25,10 +25,10 @@
 };
 
 /** \brief Rank the targets, if they changed and the present ranking is old enough. */
-void cold_ranking_refresh(struct cold_ranking *ranking, const struct load_targets *targets,
+void rate_ranking_refresh(struct rate_ranking *ranking, const struct load_targets *targets,
                           uint32_t loader, uint64_t now);
 /** \return the rank of a gateway; none if it is not ranked */
-struct cold_rank cold_ranking_find(const struct cold_ranking *ranking, uint32_t address);
-void cold_ranking_clear(struct cold_ranking *ranking);
+struct rate_rank rate_ranking_find(const struct rate_ranking *ranking, uint32_t address);
+void rate_ranking_clear(struct rate_ranking *ranking);
 
 #endif
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -67,7 +67,7 @@
         .far_gateways = report->far_gateways,
         .turn_ms = report->turn_ms,
         .leaving = report->leaving,
-        .cold_rank = {report->cold_rank, report->cold_gateways},
+        .rate_rank = {report->rate_rank, report->ranked_gateways},
     };
     if (backend_feedback_from_load(edge, report->address, &load) && edge->queue)
         exchange_dispatch_queued(edge);
@@ -191,7 +191,7 @@
     backend_pool_expire(edge->pool, cluster_store_is_healthy(&edge->cluster), now);
     if (!edge_awaits_configuration(edge))
         edge_client_release_held(edge);
-    edge_rank_cold_backends(edge, now);
+    edge_rank_backends(edge, now);
     close_expired_connections(edge, now);
     exchange_dispatch_queued(edge);
     metric_gauge_set(METRIC_ACTIVE_REQUESTS, edge->active);
@@ -277,7 +277,7 @@
 static void derive_limits(struct edge *edge)
 {
     const struct settings *settings = edge->settings;
-    edge->cold_bound = (struct cold_limit){.over = strtod(settings->cold_over, NULL),
+    edge->cold_bound = (struct rate_limit){.over = strtod(settings->cold_over, NULL),
                                            .slack = strtod(settings->cold_slack, NULL)};
     edge->buffer_limit = (size_t)(settings->memory_mb * 1000000 / 100 * BUFFER_MEMORY_PERCENT);
 }
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -61,7 +61,7 @@
     struct weight_relay *relay; /**< forwards model weights to loaders */
     struct version_bounds versions;
     size_t buffer_limit;          /**< bytes that buffers may hold; 0: no limit */
-    struct cold_limit cold_bound; /**< `over` and `slack` of the settings */
+    struct rate_limit cold_bound; /**< `over` and `slack` of the settings */
     struct service_state **services;
     uint32_t service_count;
     struct route_times *routes;
@@ -223,10 +223,10 @@
 /** \brief Forgets routes that the current configuration does not have. */
 void edge_forget_routes(struct edge *edge);
 
-/* --- Cold backends: edge_cold_ranks.c --- */
+/* --- Cold backends: edge_rates.c --- */
 
 /** \brief Ranks this gateway for the cold backends that have no loader; called on each tick. */
-void edge_rank_cold_backends(struct edge *edge, uint64_t now);
+void edge_rank_backends(struct edge *edge, uint64_t now);
 
 /* --- Gateway addresses: edge_addresses.c --- */
 
--- a/src/edge/edge_cold_ranks.c
+++ b/src/edge/edge_rates.c
@@ -1,16 +1,16 @@
 /* Ranks this gateway among those that send to a cold backend without a loader, by what it knows of
- * the members. Loaders rank for engines, as their view of the gateways is one (core/cold_ranking).
+ * the members. Loaders rank for engines, as their view of the gateways is one (core/rate_ranking).
  */
 #include "core/hash.h"
 #include "edge/edge_internal.h"
 
 /* Gateways that are not alive count, too: others may not know yet that they ended. */
-static struct cold_rank rank_by_members(const struct edge *edge, const struct backend *backend)
+static struct rate_rank rank_by_members(const struct edge *edge, const struct backend *backend)
 {
     struct membership *members = edge->cluster.membership;
     uint64_t key = hash_name(backend->listing.id);
     uint64_t own = hash_pair(key, membership_self(members)->address);
-    struct cold_rank rank = {1, 1};
+    struct rate_rank rank = {1, 1};
     for (uint32_t i = 0; i < membership_count(members); i++) {
         const struct member_state *member = membership_at(members, i);
         if (member->role != MEMBER_GATEWAY)
@@ -27,7 +27,7 @@
     return service == ROUTE_NO_SERVICE || route_table_service(edge->table, service)->engine.model;
 }
 
-void edge_rank_cold_backends(struct edge *edge, uint64_t now)
+void edge_rank_backends(struct edge *edge, uint64_t now)
 {
     if (!edge->table || !edge->cluster.started)
         return;
@@ -35,7 +35,7 @@
         struct backend *backend = backend_pool_at(edge->pool, i);
         if (now >= backend->cold_until || has_loader(edge, backend))
             continue;
-        struct cold_rank rank = rank_by_members(edge, backend);
-        backend_record_cold_rank(backend, &rank, now);
+        struct rate_rank rank = rank_by_members(edge, backend);
+        backend_record_rate_rank(backend, &rank, now);
     }
 }
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -59,9 +59,9 @@
                                      exchange->head.expected_output_tokens);
 }
 
-static struct cold_limit cold_limit_of(const struct exchange *exchange)
+static struct rate_limit cold_limit_of(const struct exchange *exchange)
 {
-    struct cold_limit limit = exchange->edge->cold_bound;
+    struct rate_limit limit = exchange->edge->cold_bound;
     limit.per_s = exchange->service->cold_per_s;
     limit.start_us = exchange->service->cold_start_ms * US_PER_MS;
     return limit;
--- a/tests/core/cold_limit_test.c
+++ b/tests/core/rate_limit_test.c
@@ -6,8 +6,8 @@
 #include "testing.h"
 
 #include "core/backend_pool.h"
-#include "core/cold_limit.h"
-#include "core/cold_ranking.h"
+#include "core/rate_limit.h"
+#include "core/rate_ranking.h"
 #include "core/membership.h"
 
 #include <stdlib.h>
@@ -31,7 +31,7 @@
 #define LOADER_ADDRESS 1
 #define FIRST_GATEWAY_ADDRESS 100
 
-static const struct cold_limit limit = {.per_s = 17, .over = 1.5, .slack = 5};
+static const struct rate_limit limit = {.per_s = 17, .over = 1.5, .slack = 5};
 #define BOUND 30
 
 struct gateway {
@@ -42,7 +42,7 @@
 struct report {
     uint32_t gateway;
     uint32_t arrives; /* step */
-    struct cold_rank rank;
+    struct rate_rank rank;
 };
 
 struct world {
@@ -51,7 +51,7 @@
     bool known[GATEWAYS]; /* to the loader */
     struct membership *membership;
     struct load_targets targets;
-    struct cold_ranking ranking;
+    struct rate_ranking ranking;
     struct report reports[MAX_REPORTS];
     uint32_t report_count;
     uint32_t sends[STEPS];
@@ -76,7 +76,7 @@
         .address = LOADER_ADDRESS, .incarnation = 1, .role = MEMBER_LOADER, .region = "r"};
     world->membership = membership_create(&settings, &self, 1, &driver);
     load_targets_clear(&world->targets);
-    cold_ranking_clear(&world->ranking);
+    rate_ranking_clear(&world->ranking);
     memset(world->known, 0, sizeof world->known);
 }
 
@@ -107,7 +107,7 @@
 static void send_reports(struct world *world, uint32_t step)
 {
     load_targets_refresh(&world->targets, world->membership);
-    cold_ranking_refresh(&world->ranking, &world->targets, LOADER_ADDRESS, time_of(step));
+    rate_ranking_refresh(&world->ranking, &world->targets, LOADER_ADDRESS, time_of(step));
     for (uint32_t i = 0; i < world->targets.near_count + world->targets.far_count; i++) {
         uint32_t address = world->targets.addresses[i];
         if (random_below(&world->random, 10) == 0 || world->report_count == MAX_REPORTS)
@@ -115,7 +115,7 @@
         world->reports[world->report_count++] =
             (struct report){address - FIRST_GATEWAY_ADDRESS,
                             step + (uint32_t)random_below(&world->random, MAX_DELAY_STEPS),
-                            cold_ranking_find(&world->ranking, address)};
+                            rate_ranking_find(&world->ranking, address)};
     }
 }
 
@@ -144,7 +144,7 @@
     for (uint32_t i = 0; i < world->report_count; i++) {
         struct report *report = &world->reports[i];
         struct backend_pool *pool = world->gateways[report->gateway].pool;
-        struct backend_load load = {.version = 1, .cold_rank = report->rank};
+        struct backend_load load = {.version = 1, .rate_rank = report->rank};
         if (report->arrives > step)
             world->reports[kept++] = *report;
         else if (pool)
@@ -227,7 +227,7 @@
             end_gateway(&world->gateways[i]);
     membership_destroy(world->membership);
     load_targets_clear(&world->targets);
-    cold_ranking_clear(&world->ranking);
+    rate_ranking_clear(&world->ranking);
     free(world);
 }
 
@@ -236,7 +236,7 @@
     uint32_t most = 0;
     for (uint64_t seed = 1; seed <= SEEDS; seed++)
         play(seed, &most);
-    assert_true(most >= BOUND / COLD_RANKINGS); /* the allowed rate is used */
+    assert_true(most >= BOUND / RATE_RANKINGS); /* the allowed rate is used */
 }
 
 /* --- single parts --- */
@@ -246,20 +246,20 @@
     for (uint32_t gateways = 1; gateways < 700; gateways++) {
         uint32_t sum = 0;
         for (uint32_t rank = 1; rank <= gateways; rank++) {
-            struct cold_rank place = {rank, gateways};
-            sum += cold_quota(&limit, &place);
+            struct rate_rank place = {rank, gateways};
+            sum += rate_quota(&limit, &place);
         }
-        assert_int_equal(sum, BOUND / COLD_RANKINGS);
+        assert_int_equal(sum, BOUND / RATE_RANKINGS);
     }
-    struct cold_rank none = {0}, beyond = {8, 7};
-    assert_int_equal(cold_quota(&limit, &none), 0);
-    assert_int_equal(cold_quota(&limit, &beyond), 0);
+    struct rate_rank none = {0}, beyond = {8, 7};
+    assert_int_equal(rate_quota(&limit, &none), 0);
+    assert_int_equal(rate_quota(&limit, &beyond), 0);
 }
 
 static void the_window_forgets_nothing_within_a_second(void **state)
 {
     struct random_stream random = {3, 0};
-    struct cold_window window = {0};
+    struct send_window window = {0};
     uint32_t sends[2000] = {0};
     for (uint32_t step = 0; step < 2000; step++) {
         uint64_t now = time_of(step);
@@ -268,10 +268,10 @@
             exact += i < 100 ? sends[step - i] : 0;
             longer += sends[step - i];
         }
-        uint32_t counted = cold_window_count(&window, now);
+        uint32_t counted = send_window_count(&window, now);
         assert_true(counted >= exact && counted <= longer);
         if (random_below(&random, step / 300 % 2 ? 200 : 3) == 0) {
-            cold_window_record(&window, now);
+            send_window_record(&window, now);
             sends[step]++;
         }
     }
@@ -289,7 +289,7 @@
     struct backend_pool_settings settings = {.max_load_age_us = SECOND_US,
                                              .max_near_load_age_us = SECOND_US};
     struct backend_pool *pool = backend_pool_create(&settings, 1);
-    struct cold_limit starting = {.per_s = 10, .over = 1, .start_us = 3 * SECOND_US};
+    struct rate_limit starting = {.per_s = 10, .over = 1, .start_us = 3 * SECOND_US};
     struct backend_load load = {.born = 5, .version = 1};
     list_backend(pool, 5);
     struct backend *backend = backend_pool_report(pool, ENGINE, &load, 10 * SECOND_US);
@@ -298,7 +298,7 @@
     backend = backend_pool_report(pool, ENGINE, &load, 20 * SECOND_US);
     assert_true(backend_is_cold(backend, &starting, 22 * SECOND_US));
     assert_false(backend_is_cold(backend, &starting, 23 * SECOND_US));
-    struct cold_limit none = {.start_us = 3 * SECOND_US};
+    struct rate_limit none = {.start_us = 3 * SECOND_US};
     assert_false(backend_is_cold(backend, &none, 22 * SECOND_US));
     backend_record_cold(backend, 25 * SECOND_US);
     backend_record_cold(backend, 24 * SECOND_US); /* an older statement */
@@ -316,14 +316,14 @@
     struct backend *backend = list_backend(pool, 0), *chosen;
     backend_record_cold(backend, 100 * SECOND_US);
     assert_int_equal(backend_pool_choose(pool, &criteria, 10 * SECOND_US, &chosen), BACKEND_FULL);
-    struct cold_rank first = {1, 40};
-    backend_record_cold_rank(backend, &first, 10 * SECOND_US);
+    struct rate_rank first = {1, 40};
+    backend_record_rate_rank(backend, &first, 10 * SECOND_US);
     assert_int_equal(backend_pool_choose(pool, &criteria, 10 * SECOND_US, &chosen), BACKEND_FOUND);
     backend_record_send(backend, 10 * SECOND_US);
     assert_int_equal(backend_pool_choose(pool, &criteria, 10 * SECOND_US, &chosen), BACKEND_FULL);
     assert_false(backend_may_start_request(pool, backend, &criteria, 10 * SECOND_US));
     assert_int_equal(backend_pool_choose(pool, &criteria, 12 * SECOND_US, &chosen), BACKEND_FULL);
-    backend_record_cold_rank(backend, &first, 12 * SECOND_US);
+    backend_record_rate_rank(backend, &first, 12 * SECOND_US);
     assert_int_equal(backend_pool_choose(pool, &criteria, 12 * SECOND_US, &chosen), BACKEND_FOUND);
     assert_int_equal(backend_pool_choose(pool, &criteria, 100 * SECOND_US, &chosen),
                      BACKEND_FOUND); /* warm */
