--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -22,6 +22,7 @@
     struct http_caller *caller;
     uv_timer_t timer; /* delay before the next call */
     struct store_watch watch;
+    uint64_t epoch;               /* of the last answer that named one */
     uint64_t snapshot_revision;   /* of the snapshot that is being read */
     char last_page_key[KEY_SIZE]; /* last key of the previous page; empty: none */
     enum reader_duty duty;
@@ -83,7 +84,8 @@
     reader->last_page_key[0] = 0;
     struct state_removal removal = make_removal(reader);
     state_cache_snapshot_end(state, PLATFORM_ALL_KEYS, reader->snapshot_revision, &removal);
-    log_event(LOG_LEVEL_INFO, "store", "read", "revision=%" PRIu64, reader->snapshot_revision);
+    log_event(LOG_LEVEL_INFO, "store", "read", "epoch=%" PRIu64 " revision=%" PRIu64, reader->epoch,
+              reader->snapshot_revision);
     return reader->snapshot_revision;
 }
 
@@ -128,6 +130,27 @@
     }
 }
 
+/* Logs when the store has come back from an older copy. */
+static void note_epoch(struct store_reader *reader, const struct http_message *message)
+{
+    uint64_t epoch;
+    switch (platform_read_store_epoch(message, &epoch)) {
+    case EPOCH_ABSENT:
+        return;
+    case EPOCH_MALFORMED:
+        log_event(LOG_LEVEL_WARN, "store", "unreadable-epoch", "status=%u epoch=%" PRIu64,
+                  http_message_status(message), reader->epoch);
+        return;
+    case EPOCH_GIVEN:
+        break;
+    }
+    if (epoch != reader->epoch)
+        log_event(LOG_LEVEL_INFO, "store", "epoch",
+                  "epoch=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " status=%u", epoch,
+                  reader->epoch, reader->watch.revision, http_message_status(message));
+    reader->epoch = epoch;
+}
+
 static void on_response(void *context, enum http_call_result result,
                         const struct http_message *message)
 {
@@ -141,9 +164,10 @@
         return;
     }
     unsigned status = http_message_status(message);
+    note_epoch(reader, message);
     if (status == 410) {
-        log_event(LOG_LEVEL_INFO, "store", "history-lost", "revision=%" PRIu64,
-                  reader->watch.revision);
+        log_event(LOG_LEVEL_INFO, "store", "history-lost", "epoch=%" PRIu64 " revision=%" PRIu64,
+                  reader->epoch, reader->watch.revision);
         store_watch_history_lost(&reader->watch);
         call_store(reader);
         return;
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -239,16 +239,22 @@
     http_message_clear(&message);
 }
 
-/* \return the parsed head of a response with this status line and these fields */
-static struct response_head parse_response_head(const char *status, const char *fields)
+static void parse_response(const char *status, const char *fields, struct http_message *message)
 {
     char text[512];
-    struct http_message message = {0};
-    struct response_head head;
     size_t used;
+    memset(message, 0, sizeof *message);
     snprintf(text, sizeof text, "HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n", status, fields);
-    http_message_begin(&message, HTTP_MESSAGE_RESPONSE);
-    assert_int_equal(http_message_parse(&message, text, strlen(text), &used), HTTP_PARSE_DONE);
+    http_message_begin(message, HTTP_MESSAGE_RESPONSE);
+    assert_int_equal(http_message_parse(message, text, strlen(text), &used), HTTP_PARSE_DONE);
+}
+
+/* \return the parsed head of a response with this status line and these fields */
+static struct response_head parse_response_head(const char *status, const char *fields)
+{
+    struct http_message message;
+    struct response_head head;
+    parse_response(status, fields, &message);
     platform_read_response(&message, &head);
     http_message_clear(&message);
     return head;
@@ -300,6 +306,29 @@
     }
 }
 
+static void store_era_field_is_parsed(void **state)
+{
+    static const struct {
+        const char *fields;
+        enum epoch_field result;
+        uint64_t epoch;
+    } cases[] = {{"", EPOCH_ABSENT, 0},
+                 {"Store-Era: 3\r\n", EPOCH_GIVEN, 3},
+                 {"store-era:0\r\n", EPOCH_GIVEN, 0},
+                 {"Store-Era: -1\r\n", EPOCH_MALFORMED, 0},
+                 {"Store-Era: 1.5\r\n", EPOCH_MALFORMED, 0},
+                 {"Store-Era:\r\n", EPOCH_MALFORMED, 0},
+                 {"Store-Era: 99999999999999999999\r\n", EPOCH_MALFORMED, 0}};
+    for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+        struct http_message message;
+        uint64_t epoch = 0;
+        parse_response("410 Gone", cases[i].fields, &message);
+        assert_int_equal(platform_read_store_epoch(&message, &epoch), cases[i].result);
+        assert_int_equal(epoch, cases[i].epoch);
+        http_message_clear(&message);
+    }
+}
+
 static void retry_after_field_is_parsed(void **state)
 {
     static const struct {
@@ -533,6 +562,7 @@
         cmocka_unit_test(backend_response_fields_are_parsed),
         cmocka_unit_test(server_leaving_field_is_parsed),
         cmocka_unit_test(server_limit_field_is_parsed),
+        cmocka_unit_test(store_era_field_is_parsed),
         cmocka_unit_test(retry_after_field_is_parsed),
         cmocka_unit_test(engine_report_is_parsed),
         cmocka_unit_test(backend_entry_identifies_one_incarnation),
