The store's history is ordered by epoch and revision

Cause: one counter was taken for the order of all history.

The fix: revisions are positions, epoch before revision, wherever they are kept, compared or sent. Since a copy is older, configurations never go back by it (nor do versions, which had an order of their own), an evacuation that it lacks is kept for 15 s, and what else it lacks counts as lost in an outage.

--- a/src/cluster/state_message.c
+++ b/src/cluster/state_message.c
@@ -13,6 +13,7 @@
     out->age_ms = (now - item->learned) / 1000;
     out->from_outage = item->from_outage;
     out->undated = item->undated;
+    out->lost_in_copy = item->lost_in_copy;
 }
 
 bool state_message_is_operator_item(const struct state_item *item)
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 #include "cluster/state_message.h"
 #include "core/copy_queue.h"
+#include "core/store_position.h"
 #include "net/http_caller.h"
 
 #include <stdlib.h>
@@ -61,7 +62,7 @@
         const Shuntrun__StateItem *item = changes->items[i];
         uint64_t age = item->age_ms * 1000;
         uint64_t learned = now > age ? now - age : 0;
-        struct state_removal removal = {learned, item->from_outage};
+        struct state_removal removal = {learned, item->from_outage, item->lost_in_copy};
         if (item->gone)
             state_cache_remove(state, item->key, item->revision, &removal);
         else
@@ -74,12 +75,15 @@
 static void apply_changes(struct state_sync *sync, const Shuntrun__StateChanges *changes)
 {
     struct state_cache *state = sync->cluster->state;
+    uint64_t before = state_cache_revision(state);
     if (changes->whole)
         state_cache_snapshot_begin(state, "");
     apply_items(sync, changes);
     /* This node was too far behind for a delta, and a snapshot has no removal times: items missing
-     * from it count as removed long ago. */
+     * from it count as removed long ago. In another epoch the store may have lost them. */
     struct state_removal removal = {.learned = 1};
+    if (before && store_position_epoch(before) != store_position_epoch(changes->revision))
+        removal = (struct state_removal){.learned = cluster_now(), .from_outage = true};
     if (changes->whole)
         state_cache_snapshot_end(state, "", changes->revision, &removal);
     state_cache_advance(state, changes->revision);
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "core/store_position.h"
 #include "core/store_watch.h"
 #include "net/http_caller.h"
 #include "platform/platform.h"
@@ -13,6 +14,9 @@
 
 /** Longest body of a response of the store. */
 #define MAX_RESPONSE_BYTES (32U << 20)
+/* HTTP statuses of the store. */
+#define STATUS_OK_200 200
+#define STATUS_GONE 410
 /** Size of the longest key, bytes, with the terminating zero. */
 #define KEY_SIZE 256
 
@@ -59,11 +63,12 @@
     uint64_t now = cluster_now();
     for (uint32_t i = 0; i < answer->count; i++) {
         const struct store_item *item = &answer->items[i];
+        uint64_t revision = store_position(reader->watch.epoch, item->revision);
         if (item->gone)
-            state_cache_remove(state, item->key, item->revision, &removal);
+            state_cache_remove(state, item->key, revision, &removal);
         else
-            (is_snapshot ? state_cache_put_undated : state_cache_put)(
-                state, item->key, item->value, item->size, item->revision, now);
+            (is_snapshot ? state_cache_put_undated : state_cache_put)(state, item->key, item->value,
+                                                                      item->size, revision, now);
     }
 }
 
@@ -72,7 +77,7 @@
 {
     struct state_cache *state = reader->cluster->state;
     if (!reader->last_page_key[0]) {
-        reader->snapshot_revision = answer->revision;
+        reader->snapshot_revision = store_position(reader->watch.epoch, answer->revision);
         state_cache_snapshot_begin(state, PLATFORM_ALL_KEYS);
     }
     apply_items(reader, answer, true);
@@ -92,7 +97,7 @@
 static uint64_t apply_changes(struct store_reader *reader, const struct store_response *answer)
 {
     apply_items(reader, answer, false);
-    return answer->revision;
+    return store_position(reader->watch.epoch, answer->revision);
 }
 
 static void delay_next_call(struct store_reader *reader)
@@ -130,25 +135,40 @@
     }
 }
 
-/* Logs when the store has come back from an older copy. */
-static void note_epoch(struct store_reader *reader, const struct http_message *message)
+/* An answer that names no epoch is of the one that is read. */
+static enum epoch_order check_epoch(struct store_reader *reader, const struct http_message *message)
 {
-    uint64_t epoch;
-    switch (platform_read_store_epoch(message, &epoch)) {
-    case EPOCH_ABSENT:
-        return;
-    case EPOCH_MALFORMED:
+    uint64_t epoch = reader->watch.epoch, before = epoch, revision = reader->watch.revision;
+    if (platform_read_store_epoch(message, &epoch) == EPOCH_MALFORMED)
         log_event(LOG_LEVEL_WARN, "store", "unreadable-epoch", "status=%u epoch=%" PRIu64,
-                  http_message_status(message), reader->epoch);
-        return;
-    case EPOCH_GIVEN:
+                  http_message_status(message), before);
+    enum epoch_order order = store_watch_check_epoch(&reader->watch, epoch);
+    if (order != EPOCH_CURRENT)
+        log_event(LOG_LEVEL_INFO, "store", order == EPOCH_NEXT ? "epoch-begins" : "epoch-is-over",
+                  "epoch=%" PRIu64 " read=%" PRIu64 " revision=%" PRIu64 " status=%u", epoch,
+                  before, revision, http_message_status(message));
+    return order;
+}
+
+/* Whether the answer to the last call can be used: it is of the epoch that is read, or the first
+ * page of a snapshot of the next one. Otherwise another call is made. */
+static bool is_of_usable_epoch(struct store_reader *reader, const struct http_message *message)
+{
+    bool is_first_page = !reader->watch.revision && !reader->last_page_key[0];
+    switch (check_epoch(reader, message)) {
+    case EPOCH_CURRENT:
+        return true;
+    case EPOCH_EARLIER:
+        on_failure(reader, STORE_UNAVAILABLE, "answer of an earlier epoch");
+        return false;
+    case EPOCH_NEXT:
         break;
     }
-    if (epoch != reader->epoch)
-        log_event(LOG_LEVEL_INFO, "store", "epoch",
-                  "epoch=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " status=%u", epoch,
-                  reader->epoch, reader->watch.revision, http_message_status(message));
-    reader->epoch = epoch;
+    reader->last_page_key[0] = 0;
+    if (is_first_page || http_message_status(message) != STATUS_OK_200)
+        return true;
+    call_store(reader);
+    return false;
 }
 
 static void on_response(void *context, enum http_call_result result,
@@ -164,16 +184,18 @@
         return;
     }
     unsigned status = http_message_status(message);
-    note_epoch(reader, message);
-    if (status == 410) {
+    if (!is_of_usable_epoch(reader, message))
+        return;
+    if (status == STATUS_GONE) {
         log_event(LOG_LEVEL_INFO, "store", "history-lost", "epoch=%" PRIu64 " revision=%" PRIu64,
-                  reader->epoch, reader->watch.revision);
+                  reader->watch.epoch, reader->watch.revision);
         store_watch_history_lost(&reader->watch);
         call_store(reader);
         return;
     }
-    if (status != 200 || platform_read_store_response(message->body.data, message->body.size,
-                                                      &answer) != STATUS_OK) {
+    if (status != STATUS_OK_200 ||
+        platform_read_store_response(message->body.data, message->body.size, &answer) !=
+            STATUS_OK) {
         snprintf(reason, sizeof reason, "status %u", status);
         on_failure(reader, STORE_UNAVAILABLE, reason);
         return;
@@ -196,7 +218,8 @@
                                           .done = on_response,
                                           .context = reader};
     if (call.watches)
-        platform_write_watch_target(PLATFORM_ALL_KEYS, reader->watch.revision, call.wait_ms,
+        platform_write_watch_target(PLATFORM_ALL_KEYS,
+                                    store_position_revision(reader->watch.revision), call.wait_ms,
                                     &target);
     else
         platform_write_range_target(
--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -1,6 +1,7 @@
 #include "core/state_cache.h"
 
 #include "base/memory.h"
+#include "core/store_position.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -74,6 +75,19 @@
     return item;
 }
 
+static bool is_in_same_epoch(uint64_t left, uint64_t right)
+{
+    return store_position_epoch(left) == store_position_epoch(right);
+}
+
+/* The next epoch begins with a copy that has the item as it is held. */
+static bool is_same_in_copy(const struct state_item *item, const char *value, size_t size,
+                            uint64_t revision)
+{
+    return item->value && !is_in_same_epoch(item->revision, revision) && item->size == size &&
+           memcmp(item->value, value, size) == 0;
+}
+
 static bool put(struct state_cache *cache, const char *key, const char *value, size_t size,
                 uint64_t revision, uint64_t learned, bool undated)
 {
@@ -81,6 +95,10 @@
     item->seen = true;
     if (revision <= item->revision)
         return false;
+    if (is_same_in_copy(item, value, size, revision)) {
+        learned = item->learned;
+        undated = item->undated;
+    }
     free(item->value);
     item->value = memory_realloc(NULL, size + 1);
     if (size)
@@ -92,6 +110,7 @@
     item->learned = learned;
     item->undated = undated;
     item->from_outage = false;
+    item->lost_in_copy = false;
     cache->listener.changed(cache->listener.context, item);
     return true;
 }
@@ -118,6 +137,7 @@
     item->gone = true;
     item->learned = loss->learned;
     item->from_outage = loss->from_outage;
+    item->lost_in_copy = loss->lost_in_copy;
     cache->listener.changed(cache->listener.context, item);
 }
 
@@ -165,8 +185,10 @@
 {
     for (uint32_t i = 0; i < cache->count; i++) {
         struct state_item *item = cache->items[i];
+        struct state_removal removal = *loss;
+        removal.lost_in_copy = !is_in_same_epoch(item->revision, revision);
         if (has_prefix(item, prefix) && !item->seen && !item->gone && item->revision <= revision)
-            mark_gone(cache, item, revision, loss);
+            mark_gone(cache, item, revision, &removal);
     }
     record_gap(cache, revision);
 }
@@ -195,7 +217,7 @@
 
 bool state_cache_retains_since(const struct state_cache *cache, uint64_t revision)
 {
-    return revision >= cache->trimmed_revision;
+    return is_in_same_epoch(revision, cache->revision) && revision >= cache->trimmed_revision;
 }
 
 bool state_cache_has_delta_for(const struct state_cache *cache, uint64_t revision)
--- a/src/core/state_cache.h
+++ b/src/core/state_cache.h
@@ -2,9 +2,11 @@
  * A local copy of the state that the platform publishes, as items that each have the revision of
  * their last change.
  *
- * A single revision counter orders all changes, so copies of several nodes merge by taking the
- * greater revision of each item, in any order: no item reverts to an older revision. Another node
- * can get the delta since a revision; a copy that is too old for a delta gets a full snapshot.
+ * Revisions are positions in the store's history (core/store_position), which order all changes, so
+ * copies of several nodes merge by taking the greater revision of each item, in any order: no item
+ * reverts to an older revision. Another node can get the delta since a revision of the same epoch;
+ * a copy that is too old for a delta, or of an earlier epoch, gets a full snapshot. An epoch begins
+ * with an older copy of the store, so a newer item may hold an older value.
  * Removed items stay as tombstones (`gone`) until they are trimmed.
  */
 #ifndef SHUNTRUN_STATE_CACHE_H
@@ -25,7 +27,9 @@
     bool undated; /**< it was read from a snapshot: the last change may be older than `learned` */
     bool
         from_outage; /**< the store may have lost the item in an outage, see struct state_removal */
-    bool seen;       /**< contained in the snapshot that is being applied */
+    bool
+        lost_in_copy; /**< gone: the older copy of the store with which its epoch began lacked it */
+    bool seen;        /**< contained in the snapshot that is being applied */
 };
 
 /** What is known of the time and cause of an item's removal. */
@@ -33,6 +37,7 @@
     uint64_t learned; /**< time at which the first node knew of it: the item was removed no later */
     bool from_outage; /**< the store may have lost the item in an outage: what it stands for may
                          still run, and list itself again */
+    bool lost_in_copy; /**< see struct state_item; state_cache_snapshot_end() finds out itself */
 };
 
 struct state_cache;
--- a/src/core/store_watch.c
+++ b/src/core/store_watch.c
@@ -1,5 +1,7 @@
 #include "core/store_watch.h"
 
+#include "core/store_position.h"
+
 /** Timeout for a page of a snapshot, which the store sends at once. */
 #define SNAPSHOT_PAGE_TIMEOUT_MS 1500
 /** Longest wait of a watch. If an outage of the store swallows a watch, it must have timed out, and
@@ -19,13 +21,28 @@
 
 void store_watch_init(struct store_watch *watch, uint64_t known, uint64_t now)
 {
-    *watch = (struct store_watch){.revision = known, .answered_at = now};
+    *watch = (struct store_watch){
+        .revision = known, .epoch = store_position_epoch(known), .answered_at = now};
 }
 
 void store_watch_advance(struct store_watch *watch, uint64_t known)
 {
-    if (watch->revision && known > watch->revision)
-        watch->revision = known;
+    if (!watch->revision || known <= watch->revision)
+        return;
+    watch->revision = known;
+    watch->epoch = store_position_epoch(known);
+}
+
+enum epoch_order store_watch_check_epoch(struct store_watch *watch, uint64_t epoch)
+{
+    if (epoch == watch->epoch)
+        return EPOCH_CURRENT;
+    if (epoch < watch->epoch)
+        return EPOCH_EARLIER;
+    watch->epoch = epoch;
+    watch->revision = 0;
+    watch->restored = true;
+    return EPOCH_NEXT;
 }
 
 struct store_call store_watch_next_call(const struct store_watch *watch)
@@ -69,12 +86,15 @@
         watch->answered_at = now;
         watch->outage = false;
         watch->history_lost = false;
+        watch->restored = false;
     }
 }
 
 struct state_removal store_watch_removal(const struct store_watch *watch, bool own_pause,
                                          uint64_t now)
 {
+    if (watch->restored) /* the copy may lack what still runs */
+        return (struct state_removal){.learned = now, .from_outage = true};
     if (own_pause)
         return (struct state_removal){.learned = watch->answered_at};
     if (watch->outage)
--- a/src/core/store_watch.h
+++ b/src/core/store_watch.h
@@ -14,7 +14,10 @@
 
 /** State of a reader. Times are microseconds. */
 struct store_watch {
-    uint64_t revision;    /**< all changes up to here are known; 0: a snapshot must be read */
+    uint64_t
+        revision;   /**< position up to which all changes are known; 0: a snapshot must be read */
+    uint64_t epoch; /**< of the store's history that is read */
+    bool restored;  /**< it began since the last answer: the store came back from an older copy */
     uint32_t failures;    /**< consecutive calls without an answer */
     bool outage;          /**< since the last answer calls failed, other than by one disconnect */
     bool history_lost;    /**< a snapshot replaces dropped history: its changes may be old */
@@ -44,6 +47,16 @@
 struct store_call store_watch_next_call(const struct store_watch *watch);
 /** \brief Record a call without an answer. \return delay before the next call, ms */
 uint32_t store_watch_failed(struct store_watch *watch, enum store_failure failure);
+/** How the epoch that an answer names relates to the one that is read. */
+enum epoch_order {
+    EPOCH_CURRENT,
+    EPOCH_NEXT,   /**< it is read from now on, from a snapshot: the answer to any other call is void
+                   */
+    EPOCH_EARLIER /**< the answer is late, and void */
+};
+
+/** \brief Compare the epoch that an answer names, before anything else of the answer is used. */
+enum epoch_order store_watch_check_epoch(struct store_watch *watch, uint64_t epoch);
 /** \brief The store dropped changes after the known revision: a snapshot must be read again. */
 void store_watch_history_lost(struct store_watch *watch);
 /**
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -6,6 +6,7 @@
 #include "cluster/crash_page.h"
 #include "core/attempt_rule.h"
 #include "core/hash.h"
+#include "core/store_position.h"
 #include "edge/backend_feedback.h"
 #include "edge/crash_watch.h"
 #include "edge/edge_internal.h"
@@ -198,13 +199,15 @@
     backend_pool_expire(edge->pool, cluster_store_is_healthy(&edge->cluster), now);
     if (!edge_awaits_configuration(edge))
         edge_client_release_held(edge);
+    edge_end_kept_evacuations(edge, now);
     edge_rank_backends(edge, now);
     edge_announce_rates(edge, now);
     close_expired_connections(edge, now);
     exchange_dispatch_queued(edge);
     metric_gauge_set(METRIC_ACTIVE_REQUESTS, edge->active);
     metric_gauge_set(METRIC_BACKENDS, backend_pool_count(edge->pool));
-    metric_gauge_set(METRIC_STATE_REVISION, state_cache_revision(edge->cluster.state));
+    metric_gauge_set(METRIC_STATE_REVISION,
+                     store_position_revision(state_cache_revision(edge->cluster.state)));
     metric_gauge_set(METRIC_WAITING_REQUESTS, exchange_queue_length(edge));
     if (edge->stopping_since)
         stop_if_drained(edge, now);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -68,6 +68,7 @@
     uint32_t route_count;
     struct address_index route_index; /**< positions in `routes` by their keys */
     bool has_unconfigured_services;   /**< a listed backend's service was not configured */
+    bool has_kept_evacuations;        /**< evacuations that the store lost are still in force */
     struct random_stream random;
     uv_tcp_t listener;
     struct http_service *directory;
@@ -211,6 +212,9 @@
 
 /** \brief Applies a published item that was added, changed or removed. */
 void edge_apply_item(struct edge *edge, const struct state_item *item);
+/** \brief Ends evacuations that the store lost and the operator did not write again; called on each
+ * tick. */
+void edge_end_kept_evacuations(struct edge *edge, uint64_t now);
 
 /* --- What was learned from own requests: edge_learned.c --- */
 
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -11,6 +11,8 @@
 
 /** Outdated versions get no new requests from this long before their bound. */
 #define VERSION_MARGIN_US 1100000
+/** What the store lost when it came back from an older copy is written again within this time. */
+#define REWRITE_PERIOD_US 15000000
 /** Updates in this time after startup do not show when their content became true. */
 #define STARTUP_STATE_US 1500000
 
@@ -121,6 +123,13 @@
         metric_add(METRIC_CONFIG_REJECTED, 1);
         return;
     }
+    if (edge->table && route_table_version(table) < route_table_version(edge->table)) {
+        log_event(LOG_LEVEL_WARN, "config", "older",
+                  "version=%" PRIu64 " held=%" PRIu64 " revision=%" PRIu64,
+                  route_table_version(table), route_table_version(edge->table), item->revision);
+        route_table_release(table);
+        return;
+    }
     log_event(
         LOG_LEVEL_INFO, "config", "accepted",
         "version=%" PRIu64 " before=%" PRIu64 " revision=%" PRIu64 " routes=%u age_ms=%" PRIu64,
@@ -159,7 +168,7 @@
     version_bounds_add(&edge->versions, model, version, enforced_at);
 }
 
-static void apply_evacuation(struct edge *edge, const char *zone, const struct state_item *item)
+static void set_evacuated(struct edge *edge, const char *zone, const struct state_item *item)
 {
     uint32_t changed = backend_pool_set_evacuated(edge->pool, zone, !item->gone);
     metric_gauge_set(METRIC_EVACUATED_ZONES, backend_pool_evacuated_zones(edge->pool));
@@ -168,6 +177,41 @@
               (cluster_now() - item->learned) / 1000, changed);
 }
 
+/* The store may have lost the evacuation, and the operator may write it again soon. */
+static bool may_be_written_again(const struct state_item *item, uint64_t now)
+{
+    return item->gone && item->lost_in_copy && now < item->learned + REWRITE_PERIOD_US;
+}
+
+static void apply_evacuation(struct edge *edge, const char *zone, const struct state_item *item)
+{
+    if (!may_be_written_again(item, cluster_now())) {
+        set_evacuated(edge, zone, item);
+        return;
+    }
+    edge->has_kept_evacuations = true;
+    log_event(LOG_LEVEL_INFO, "zone", "kept-evacuated", "zone=%s revision=%" PRIu64, zone,
+              item->revision);
+}
+
+void edge_end_kept_evacuations(struct edge *edge, uint64_t now)
+{
+    const struct state_cache *state = edge->cluster.state;
+    if (!edge->has_kept_evacuations)
+        return;
+    edge->has_kept_evacuations = false;
+    for (uint32_t i = 0; i < state_cache_count(state); i++) {
+        char zone[PLATFORM_TEXT_SIZE];
+        const struct state_item *item = state_cache_at(state, i);
+        if (!item->gone || platform_item_kind(item->key, zone, sizeof zone) != ITEM_EVACUATION)
+            continue;
+        if (may_be_written_again(item, now))
+            edge->has_kept_evacuations = true;
+        else
+            set_evacuated(edge, zone, item);
+    }
+}
+
 void edge_apply_item(struct edge *edge, const struct state_item *item)
 {
     char name[PLATFORM_TEXT_SIZE];
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -389,6 +389,13 @@
     findings_clear(&findings);
     if (!table)
         return;
+    if (loader->table && route_table_version(table) < route_table_version(loader->table)) {
+        log_event(LOG_LEVEL_WARN, "config", "older",
+                  "version=%" PRIu64 " held=%" PRIu64 " revision=%" PRIu64,
+                  route_table_version(table), route_table_version(loader->table), item->revision);
+        route_table_release(table);
+        return;
+    }
     route_table_release(loader->table);
     loader->table = table;
     find_origin(loader);
--- a/tests/system/store_restored_test.py
+++ b/tests/system/store_restored_test.py
@@ -89,6 +89,20 @@
                           "the leaving engine at all gateways")
         self.assertLess(time.monotonic() - written, BOUND_S)
 
+    def test_an_evacuation_that_the_store_lost_is_kept(self):
+        time.sleep(2.5)
+        self.store.put("op/evacuate/zone-b", {"zone": "zone-b"})
+        evacuated = " subsystem=zone event=evacuated zone=zone-b "
+        platform.wait_for(lambda: all(any(evacuated in line for line in self.log_lines(g))
+                                      for g in self.gateways), "the evacuation at all gateways")
+        self.store.restore(1.5, AWAY_S)
+        platform.wait_for(lambda: all(any("event=kept-evacuated zone=zone-b" in line for line in self.log_lines(g))
+                                      for g in self.gateways), "the restore at all gateways")
+        self.store.put("op/evacuate/zone-b", {"zone": "zone-b"})
+        time.sleep(1)
+        self.assertFalse(any("subsystem=zone event=restored" in line
+                             for g in self.gateways for line in self.log_lines(g)))
+
     def test_two_restores_in_a_row(self):
         time.sleep(2.5)
         self.lose_configurations()
