--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -14,6 +14,9 @@
              edge, in an answer, that it leaves
   backoff    a back end that asked an edge to back off gets at most MAX_BACKOFF_ARRIVALS requests from it
              in that period, apart from those in transit
+  limits     a back end that states a rate limit gets no more requests in any 4 s than the limit's bound from
+             edges that it told
+  config     a request that only a configuration of the last DRAIN_S or older allows is not refused
   streams    a stream that has started ends complete, unless an engine aborted it or its deadline passed
   entries    no request is sent to an address from an invalid entry of the list
   crashing   a request that crashed three engines reaches none later than STORE_SETTLE_S after the third
@@ -30,12 +33,15 @@
   --crashing     requests that crash each engine which runs them
   --crash-times  each of those crashes its engine after a time of its own, in the middle of its stream
   --statements   back ends that announce in their answers that they leave, or ask for a backoff
+  --limits       back ends that state a rate limit in their answers for a while
+  --restores     a store that comes back from an older copy; what it lost is written again soon
+  --large        more edges and engines
   --links        links to back ends that stall or are slow for a while, or reset all connections
   --leaving      back ends whose previous entry is written after the one that announces that they leave,
                  and moments at which all gateways are killed
 
 usage: soak.py --build DIR --work DIR [--seeds A..B|A,B] [--seconds S] [--only N,N] [--crashing]
-               [--crash-times] [--statements] [--links] [--leaving]
+               [--crash-times] [--statements] [--links] [--leaving] [--limits] [--restores] [--large]
 """
 import argparse
 import json
@@ -66,6 +72,16 @@
 LATE_ENTRY_DELAY_S = 0.5  # from the entry that announces leaving to the write of the older one
 MAX_CRASH_TIME_S = 2.0  # upper bound of the drawn time from the start of a request to the crash of its engine
 BACKOFFS_S = (0.7, 1.5, 3.0, 6.0)
+LIMIT_GAP_S = (1.0, 3.0)  # between two rate limits that begin
+LIMITS_PER_S = (0, 0.1, 1, 2.2, 5, 20)
+LIMIT_FOR_S = (2.0, 9.0)
+RESTORE_GAP_S = (4.0, 8.0)  # between two restores of the store
+COPY_AGE_S = (0.5, 4.0)
+AWAY_S = (0.2, 1.0)
+REWRITE_AFTER_S = (0.5, 2.5)  # from a restore until what it lost is written again
+PROBED_VERSIONS = 6  # configurations whose probe routes the newest one still has
+LARGE_EDGES = 12
+LARGE_ENGINES = 24
 
 
 class SlackMeter(threading.Thread):
@@ -90,6 +106,8 @@
         self.with_statements = options.statements
         self.with_links = options.links
         self.with_leaving = options.leaving
+        self.with_limits = options.limits
+        self.with_restores = options.restores
         self.crashing = []  # clients whose requests crash engines
         self.crashing_bodies = set()
         self.crash_times = {}  # body -> s from start to crash, with --crash-times
@@ -138,6 +156,10 @@
             self.draw_links(schedule)
         if self.with_leaving:
             self.draw_leaving(schedule)
+        if self.with_limits:
+            self.draw_limits(schedule)
+        if self.with_restores:
+            self.draw_restores(schedule)
         schedule.sort(key=lambda fault: fault["at"])
         with open(os.path.join(self.work, "schedule.json"), "w") as stream:
             json.dump(schedule, stream, indent=1)
@@ -186,6 +208,31 @@
                              "for_s": round(rng.uniform(0.2, 2.0), 2)})
             at += rng.uniform(*LEAVING_GAP_S)
 
+    def draw_limits(self, schedule):
+        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
+        rng = random.Random("limits %d" % self.seed)
+        at = 1.3
+        while at < self.seconds:
+            schedule.append({"number": len(schedule), "at": round(at, 2),
+                             "kind": rng.choice(("limit", "limit", "limit_all")),
+                             "which": rng.randrange(1000), "per_s": rng.choice(LIMITS_PER_S),
+                             "for_s": round(rng.uniform(*LIMIT_FOR_S), 2)})
+            at += rng.uniform(*LIMIT_GAP_S)
+
+    def draw_restores(self, schedule):
+        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
+        rng = random.Random("restores %d" % self.seed)
+        at = rng.uniform(2.0, 4.0)
+        while at < self.seconds:
+            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "restore",
+                             "which": rng.randrange(1000),
+                             "age_s": round(rng.uniform(*COPY_AGE_S), 2),
+                             "away_s": round(rng.uniform(*AWAY_S), 2),
+                             "for_s": round(rng.uniform(*REWRITE_AFTER_S), 2)})
+            schedule.append({"number": len(schedule), "at": round(at + 5, 2), "kind": "config",
+                             "which": rng.randrange(1000), "for_s": 0})
+            at += rng.uniform(*RESTORE_GAP_S)
+
     # --- cluster
 
     def start_backend(self, address, service, version=None):
@@ -224,7 +271,19 @@
             route["attempts"] = 2
             if self.with_links:
                 route["timeout_ms"] = int(1000 * clients.LongStreamClient.DEADLINE_S)
+        if self.with_restores:
+            self.add_probe_routes(configuration)
         self.store.put("op/config", configuration)
+        if self.with_restores and self.version > 1:
+            self.run_after(checks.CONFIGURATION_BOUND_S + 2 * self.slack.max_s, self.check_configuration,
+                           self.version, time.monotonic())
+
+    def add_probe_routes(self, configuration):
+        """Routes that tell apart whether an edge knows this configuration, and those of the last ones."""
+        template = next(r for r in configuration["routes"] if r["name"] == "get")
+        first = max(2, self.version - PROBED_VERSIONS)
+        configuration["routes"] += [dict(template, name="probe-%d" % n, path_prefix="/probe-%d/" % n)
+                                    for n in range(first, self.version + 1)]
 
     def all_ready(self):
         return all(platform.get(ip, platform.READY_PORT, "/api/readiness")[0] == 200 for ip in platform.EDGE_IPS)
@@ -310,6 +369,48 @@
         self.add_backend(standin.Backend(backend.address, backend.identity, self.store,
                                          backend.service))
 
+    def fault_limit(self, fault):
+        self.limit(self.pick_any_backend(fault), fault)
+
+    def fault_limit_all(self, fault):
+        for backend in self.backends_of_one_service(fault):
+            self.limit(backend, fault)
+
+    def limit(self, backend, fault):
+        backend.limits_in_reports = fault["which"] % 3 > 0
+        backend.limit_rate(fault["per_s"])
+        self.run_after(fault["for_s"], self.end_limit, backend, backend.rate_limit)
+
+    @staticmethod
+    def end_limit(backend, limit):
+        if backend.rate_limit is limit:
+            backend.end_rate_limit()
+
+    def fault_restore(self, fault):
+        """What the store lost is written again after `for_s`."""
+        begin = time.monotonic()
+        if begin < self.store_fault_until:
+            return  # it does not answer now
+        self.store_fault_until = begin + fault["away_s"]
+        lost = self.store.restore(fault["age_s"], fault["away_s"])
+        self.store_faults.append((begin, time.monotonic() + fault["for_s"]))
+        self.run_after(fault["for_s"], self.write_again, lost)
+
+    def write_again(self, lost):
+        if "op/config" in lost:
+            self.put_configuration()
+        if "op/version/" + standin.MODEL in lost:
+            self.put_weights()
+        for backend in self.backend_starts:
+            if "servers/" + backend.identity not in lost:
+                continue
+            if self.live.get(backend.address) is backend and backend.state != "gone":
+                backend.publish_entry()
+            else:
+                self.store.remove("servers/" + backend.identity)
+            if self.leaving_since.get(backend.identity, float("inf")) != float("inf"):
+                self.record_leaving(backend)
+
     def fault_back_off(self, fault):
         self.pick_any_backend(fault).start_backoff(fault["for_s"])
 
@@ -507,6 +608,9 @@
     def publish_next_weights(self):
         self.weights += 1
         self.origin.newest = self.weights
+        self.put_weights()
+
+    def put_weights(self):
         self.store.put("op/version/" + standin.MODEL,
                        {"model": standin.MODEL, "version": self.weights})
 
@@ -603,7 +707,15 @@
                         help="add faults of the links to back ends")
     parser.add_argument("--leaving", action="store_true",
                         help="add late entries of back ends that leave, and kills of all gateways")
+    parser.add_argument("--limits", action="store_true",
+                        help="add back ends that state a rate limit")
+    parser.add_argument("--restores", action="store_true",
+                        help="add restores of the store from an older copy")
+    parser.add_argument("--large", action="store_true", help="more edges and engines")
     options = parser.parse_args()
+    if options.large:
+        platform.EDGE_IPS += ["127.9.1.%d" % n for n in range(3, LARGE_EDGES + 1)]
+        platform.ENGINE_IPS += ["127.9.2.%d" % n for n in range(4, LARGE_ENGINES + 1)]
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))  # runs the cleanup that stops the child processes
     good = [run_seed(options, seed) for seed in read_seeds(options.seeds)]
     print("%d passed, %d failed" % (sum(good), len(good) - sum(good)))
--- a/tests/system/soak_checks.py
+++ b/tests/system/soak_checks.py
@@ -1,4 +1,12 @@
 """Checks the soak test's invariants by what clients and back ends observed; soak.py lists them."""
+import http.client
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_test as platform  # noqa: E402
+import rate_limit_check  # noqa: E402
 
 DRAIN_S = 2.0  # platform's bound on requests to a back end after it announced that it leaves
 STORE_SETTLE_S = 3.0  # from the end of a store fault until its updates bind edges
@@ -7,6 +15,7 @@
 BACKOFF_SETTLE_S = 0.5  # platform's bound on the arrival of requests in transit
 MAX_BACKOFF_ARRIVALS = 2  # platform's bound on requests in the rest of the period
 TRANSIT_MARGIN_S = 0.3  # for a request in transit, in addition to the measured scheduling delay
+CONFIGURATION_BOUND_S = 2.3  # platform's bound on the use of an older configuration, and transit
 
 
 class Checks:
@@ -31,6 +40,7 @@
             self.check_drain(backend, edges)
             self.check_leaving(backend, edges)
             self.check_backoff(backend, edges)
+            self.check_limits(backend, edges)
         for caller in self.crashing:
             self.check_crashing(caller)
         for identity in [run[0] for run in self.trap.runs] + self.trap.misdirected:
@@ -144,6 +154,37 @@
                 self.add_finding("backoff", "%s got %d requests of %s in a backoff of %.2f s" %
                                  (backend.identity, count, edge, seconds))
 
+    def check_limits(self, backend, edges):
+        """Requests of an edge that was unavailable, or delayed by a disturbed link, do not count."""
+        def counts(identity, at):
+            edge = edges.get(identity)
+            return not (self.was_unavailable(edge, at - rate_limit_check.WINDOW_S, at) or
+                        self.was_link_disturbed(backend, at))
+        excess = rate_limit_check.excess(backend, edges.get, counts, 2 * self.slack.max_s)
+        if excess:
+            self.add_finding("limits", "%s got %d requests in %.0f s, allowed %.1f, at a limit of %g a second" %
+                             ((backend.identity, excess[1], rate_limit_check.WINDOW_S) + excess[2:]))
+
+    def check_configuration(self, version, written):
+        """Asks each edge for a route that only this configuration and later ones have."""
+        end = time.monotonic()
+        if any(since <= end and written - STORE_SETTLE_S <= until for since, until in self.store_faults):
+            return
+        for edge in platform.EDGE_IPS:
+            if self.was_unavailable(edge, written - STORE_SETTLE_S, end):
+                continue
+            status = self.status_of("/probe-%d/x" % version, edge)
+            if status == 404 and not self.was_unavailable(edge, written - STORE_SETTLE_S, time.monotonic()):
+                self.add_finding("config", "%s does not know configuration %d %.2f s after it was written" %
+                                 (edge, version, end - written))
+
+    @staticmethod
+    def status_of(path, edge):
+        try:
+            return platform.send_request("GET", path, address=edge).status
+        except (OSError, http.client.HTTPException):
+            return None
+
     def check_drain(self, backend, edges):
         left = self.leaving_since.get(backend.identity)
         if left is None or any(begin <= left <= end + STORE_SETTLE_S for begin, end in self.store_faults):
