Stated rates: one translation to messages, a module of the loader; the reader of the store logs its epoch

What loader and gateway did alike is in cluster/rate_message, what the loader knows of its engine in loader/engine_rate. Tests share the reader that goes through any gateway.

--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -15,8 +15,8 @@
 /** Longest body of a response of the store. */
 #define MAX_RESPONSE_BYTES (32U << 20)
 /* HTTP statuses of the store. */
-#define STATUS_OK_200 200
-#define STATUS_GONE 410
+#define HTTP_OK 200
+#define HTTP_GONE 410
 /** Size of the longest key, bytes, with the terminating zero. */
 #define KEY_SIZE 256
 
@@ -26,7 +26,6 @@
     struct http_caller *caller;
     uv_timer_t timer; /* delay before the next call */
     struct store_watch watch;
-    uint64_t epoch;               /* of the last answer that named one */
     uint64_t snapshot_revision;   /* of the snapshot that is being read */
     char last_page_key[KEY_SIZE]; /* last key of the previous page; empty: none */
     enum reader_duty duty;
@@ -89,8 +88,8 @@
     reader->last_page_key[0] = 0;
     struct state_removal removal = make_removal(reader);
     state_cache_snapshot_end(state, PLATFORM_ALL_KEYS, reader->snapshot_revision, &removal);
-    log_event(LOG_LEVEL_INFO, "store", "read", "epoch=%" PRIu64 " revision=%" PRIu64, reader->epoch,
-              reader->snapshot_revision);
+    log_event(LOG_LEVEL_INFO, "store", "read", "epoch=%" PRIu64 " revision=%" PRIu64,
+              reader->watch.epoch, reader->snapshot_revision);
     return reader->snapshot_revision;
 }
 
@@ -150,9 +149,9 @@
     return order;
 }
 
-/* Whether the answer to the last call can be used: it is of the epoch that is read, or the first
- * page of a snapshot of the next one. Otherwise another call is made. */
-static bool is_of_usable_epoch(struct store_reader *reader, const struct http_message *message)
+/* Makes another call unless the answer to the last one can be used: it is of the epoch that is
+ * read, or the first page of a snapshot of the next one. \return whether it can be used */
+static bool accept_epoch(struct store_reader *reader, const struct http_message *message)
 {
     bool is_first_page = !reader->watch.revision && !reader->last_page_key[0];
     switch (check_epoch(reader, message)) {
@@ -165,7 +164,7 @@
         break;
     }
     reader->last_page_key[0] = 0;
-    if (is_first_page || http_message_status(message) != STATUS_OK_200)
+    if (is_first_page || http_message_status(message) != HTTP_OK)
         return true;
     call_store(reader);
     return false;
@@ -184,18 +183,17 @@
         return;
     }
     unsigned status = http_message_status(message);
-    if (!is_of_usable_epoch(reader, message))
+    if (!accept_epoch(reader, message))
         return;
-    if (status == STATUS_GONE) {
+    if (status == HTTP_GONE) {
         log_event(LOG_LEVEL_INFO, "store", "history-lost", "epoch=%" PRIu64 " revision=%" PRIu64,
                   reader->watch.epoch, reader->watch.revision);
         store_watch_history_lost(&reader->watch);
         call_store(reader);
         return;
     }
-    if (status != STATUS_OK_200 ||
-        platform_read_store_response(message->body.data, message->body.size, &answer) !=
-            STATUS_OK) {
+    if (status != HTTP_OK || platform_read_store_response(message->body.data, message->body.size,
+                                                          &answer) != STATUS_OK) {
         snprintf(reason, sizeof reason, "status %u", status);
         on_failure(reader, STORE_UNAVAILABLE, reason);
         return;
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -100,7 +100,7 @@
     uint64_t load_at;              /**< time of the load report; 0: none */
     uint64_t cold_until;           /**< it is cold until then, as it stated; 0: it is not */
     uint64_t restarted_at;         /**< time at which a load report showed its start; 0: none did */
-    struct rate_rank rate_rank;    /**< of this gateway; used while the backend is cold */
+    struct rate_rank rate_rank;    /**< of this gateway; used while the rate is limited */
     uint64_t rate_rank_at;         /**< time at which the rank was learned */
     struct stated_rate rate;       /**< limit that it states in its answers */
     uint64_t rate_changed_at;      /**< an answer to this gateway changed `rate`; 0: none did */
--- a/src/edge/backend_feedback.c
+++ b/src/edge/backend_feedback.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "cluster/rate_message.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -80,17 +81,11 @@
     }
 }
 
-static struct stated_rate read_rate(const Shuntrun__RateStatement *rate, uint64_t now)
-{
-    uint64_t age_us = rate->age_ms * 1000;
-    return (struct stated_rate){rate->limited, rate->per_s, now > age_us ? now - age_us : 1};
-}
-
 static void merge_rate(struct backend *backend, const Shuntrun__RateStatement *rate,
                        const char *source)
 {
     struct stated_rate before = backend->rate;
-    struct stated_rate told = read_rate(rate, cluster_now());
+    struct stated_rate told = rate_message_read(rate, cluster_now());
     if (rate->born == backend->listing.born && stated_rate_merge(&backend->rate, &told))
         log_rate(backend, &before, source);
 }
--- a/src/edge/edge_rates.c
+++ b/src/edge/edge_rates.c
@@ -2,6 +2,7 @@
  * announcements of the limits that backends state. Loaders rank for engines, as their view of the
  * gateways is one (core/rate_ranking); for backends without a loader, each gateway ranks itself by
  * what it knows of the members. */
+#include "cluster/rate_message.h"
 #include "core/hash.h"
 #include "edge/edge_internal.h"
 
@@ -66,12 +67,9 @@
 {
     struct membership *members = edge->cluster.membership;
     Shuntrun__MemberMessage message = SHUNTRUN__MEMBER_MESSAGE__INIT;
-    Shuntrun__RateStatement rate = SHUNTRUN__RATE_STATEMENT__INIT;
+    Shuntrun__RateStatement rate;
+    rate_message_write(&backend->rate, backend->listing.born, now, &rate);
     rate.address = backend->listing.address;
-    rate.born = backend->listing.born;
-    rate.limited = backend->rate.limited;
-    rate.per_s = backend->rate.per_s;
-    rate.age_ms = (now - backend->rate.heard_at) / 1000;
     message.rate = &rate;
     backend->rate_announced_at = now;
     const struct member_state *loader = find_loader(edge, backend);
--- /dev/null
+++ b/src/loader/engine_rate.c
@@ -0,0 +1,23 @@
+#include "loader/engine_rate.h"
+
+void engine_rate_set_born(struct engine_rate *rate, uint64_t born)
+{
+    if (rate->born != born)
+        *rate = (struct engine_rate){.born = born};
+}
+
+bool engine_rate_hear(struct engine_rate *rate, const struct heard_rate *heard, uint64_t now)
+{
+    rate->stated_to_loader |= heard->statement == RATE_LIMITED;
+    return rate->stated_to_loader && stated_rate_hear(&rate->stated, heard, now);
+}
+
+bool engine_rate_merge(struct engine_rate *rate, uint64_t born, const struct stated_rate *told)
+{
+    return rate->born == born && stated_rate_merge(&rate->stated, told);
+}
+
+bool engine_rate_differs(const struct engine_rate *rate, const struct stated_rate *sent)
+{
+    return rate->stated.limited != sent->limited || rate->stated.per_s != sent->per_s;
+}
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -6,8 +6,10 @@
 #include "cluster/cluster.h"
 #include "cluster/crash_page.h"
 #include "cluster/process.h"
+#include "cluster/rate_message.h"
 #include "core/hash.h"
 #include "core/staggered_start.h"
+#include "loader/engine_rate.h"
 #include "loader/wanted_versions.h"
 #include "net/http_caller.h"
 
@@ -31,13 +33,6 @@
 /** Times derived from the ages in messages are accurate to this. */
 #define PREDECESSOR_TIME_TOLERANCE_US 50000
 
-/* The rate limit that the engine states, to this loader or to gateways. */
-struct engine_rate {
-    struct stated_rate stated;
-    uint64_t born;         /* of the incarnation that stated it */
-    bool stated_to_loader; /* in a report, so that reports without it show its end */
-};
-
 struct loader {
     struct process process;
     struct cluster cluster;
@@ -129,9 +124,7 @@
 /* Sends the load, unless it is as sent before and no resend is due. */
 static void send_load(struct loader *loader, uint64_t now)
 {
-    const struct stated_rate *rate = &loader->rate.stated;
-    bool rate_changed =
-        rate->limited != loader->sent_rate.limited || rate->per_s != loader->sent_rate.per_s;
+    bool rate_changed = engine_rate_differs(&loader->rate, &loader->sent_rate);
     struct backend_load load = loader->report.load;
     load.loading = loader->installer && installer_is_loading(loader->installer, now);
     load.staged = loader->installer && installer_is_staged(loader->installer);
@@ -153,13 +146,10 @@
         message.memory_permille = (uint32_t)(load.memory_used * 1000 / load.memory_total);
     message.turn_ms = load.staged ? ms_until_scheduled(loader, now) : 0;
     message.leaving = load.leaving;
-    Shuntrun__RateStatement statement = SHUNTRUN__RATE_STATEMENT__INIT;
-    if (rate->heard_at) {
-        statement.born = loader->rate.born;
-        statement.limited = rate->limited;
-        statement.per_s = rate->per_s;
-        statement.age_ms = (now - rate->heard_at) / 1000;
-        message.rate = &statement;
+    Shuntrun__RateStatement rate;
+    if (loader->rate.stated.heard_at) {
+        rate_message_write(&loader->rate.stated, loader->rate.born, now, &rate);
+        message.rate = &rate;
     }
     bool cross_region =
         rate_changed || now >= loader->cross_region_load_sent_at + CROSS_REGION_LOAD_INTERVAL_US ||
@@ -177,7 +167,7 @@
                   load.staged, load.pace_permille);
     }
     loader->sent_load = load;
-    loader->sent_rate = *rate;
+    loader->sent_rate = loader->rate.stated;
     loader->load_sent_at = now;
 }
 
@@ -219,36 +209,22 @@
               before->per_s, before->limited);
 }
 
-/* A limit holds for one incarnation of the engine. */
-static void begin_rate_of(struct loader *loader, uint64_t born)
-{
-    if (loader->rate.born != born)
-        loader->rate = (struct engine_rate){.born = born};
-}
-
-/* An engine whose reports never state the limit may state it in the answers to gateways only. */
 static void hear_rate(struct loader *loader, const struct answer_properties *answer, uint64_t now)
 {
     struct heard_rate heard = {answer->rate, answer->rate_limit_per_s, loader->report_asked_at};
+    engine_rate_set_born(&loader->rate, loader->report.load.born);
     struct stated_rate before = loader->rate.stated;
-    begin_rate_of(loader, loader->report.load.born);
-    loader->rate.stated_to_loader |= heard.statement == RATE_LIMITED;
-    if (loader->rate.stated_to_loader && stated_rate_hear(&loader->rate.stated, &heard, now))
+    if (engine_rate_hear(&loader->rate, &heard, now))
         log_rate(loader, &before, "report");
 }
 
-static void on_rate(void *context, const Shuntrun__RateStatement *rate)
+static void on_rate(void *context, const Shuntrun__RateStatement *message)
 {
     struct loader *loader = context;
-    uint64_t now = cluster_now(), age_us = rate->age_ms * 1000;
-    struct stated_rate told = {rate->limited, rate->per_s, now > age_us ? now - age_us : 1};
-    struct stated_rate before = loader->rate.stated;
-    bool is_own = strcmp(rate->address, loader->cluster.settings->engine_address) == 0 &&
-                  rate->born == loader->report.load.born;
-    if (!is_own)
-        return;
-    begin_rate_of(loader, rate->born);
-    if (!stated_rate_merge(&loader->rate.stated, &told))
+    uint64_t now = cluster_now();
+    struct stated_rate told = rate_message_read(message, now), before = loader->rate.stated;
+    if (strcmp(message->address, loader->cluster.settings->engine_address) != 0 ||
+        !engine_rate_merge(&loader->rate, message->born, &told))
         return;
     log_rate(loader, &before, "gateway");
     send_load(loader, now);
--- a/tests/system/rate_limits_test.py
+++ b/tests/system/rate_limits_test.py
@@ -40,11 +40,7 @@
     LIMITED_S = 12
 
     def read_stream(self, client, number, rng):
-        gateway = rng.randrange(self.GATEWAYS)
-        reader = streams.Reader("g%d-c%03d-%04d" % (gateway, client, number), rng.randint(5, 15),
-                                self.gateway(gateway))
-        reader.join()
-        return reader
+        return self.read_through_any_gateway(client, number, rng, rng.randint(5, 15))
 
     def start_client_load(self, read=None):
         self.start_clients(self.CLIENTS, read or self.read_stream)
--- a/tests/system/statements_test.py
+++ b/tests/system/statements_test.py
@@ -39,11 +39,7 @@
     CLIENTS = 80
 
     def read_stream(self, client, number, rng):
-        gateway = rng.randrange(self.GATEWAYS)
-        reader = streams.Reader("g%d-c%03d-%04d" % (gateway, client, number),
-                                rng.randint(5, 25), self.gateway(gateway))
-        reader.join()
-        return reader
+        return self.read_through_any_gateway(client, number, rng, rng.randint(5, 25))
 
     def start_client_load(self):
         self.start_clients(self.CLIENTS, self.read_stream)
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -160,6 +160,13 @@
         for client in self.clients:
             client.start()
 
+    def read_through_any_gateway(self, client, number, rng, events):
+        """Reads one stream through a random gateway, which its id names: g<gateway>-..."""
+        gateway = rng.randrange(self.GATEWAYS)
+        reader = Reader("g%d-c%03d-%04d" % (gateway, client, number), events, self.gateway(gateway))
+        reader.join()
+        return reader
+
     def end_clients(self):
         self.stop_requested.set()
         for client in self.clients:
