A loader passes on a limit only with a report of its engine; starts are compared where the list gives none

A gateway's word on the engine's rate could make a loader send a load report before it had one of its engine. The start of an engine whose entry gives none is that of its load report. send_load is split into steps.

--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -123,6 +123,13 @@
     uint32_t group_index;          /**< among the backends of its service */
 };
 
+/** \return start time of its incarnation, as the list or else its load report gives it; 0: unknown
+ */
+static inline uint64_t backend_born(const struct backend *backend)
+{
+    return backend->listing.born ? backend->listing.born : backend->load.born;
+}
+
 struct backend_pool;
 
 struct backend_pool_settings {
--- a/src/edge/backend_feedback.c
+++ b/src/edge/backend_feedback.c
@@ -86,14 +86,14 @@
 {
     struct stated_rate before = backend->rate;
     struct stated_rate told = rate_message_read(rate, cluster_now());
-    if (rate->born == backend->listing.born && stated_rate_merge(&backend->rate, &told))
+    if (stated_rate_merge(&backend->rate, &told))
         log_rate(backend, &before, source);
 }
 
 void backend_feedback_from_rate(struct edge *edge, const Shuntrun__RateStatement *rate)
 {
     struct backend *backend = backend_pool_find_address(edge->pool, rate->address);
-    if (backend)
+    if (backend && rate->born == backend_born(backend))
         merge_rate(backend, rate, "gateway");
 }
 
@@ -108,7 +108,7 @@
         backend_record_leaving(backend, cluster_now());
     if (backend && load->leaving && !was_leaving)
         log_leaving(backend, "report", "-");
-    if (backend && rate)
+    if (backend && rate && rate->born == load->born)
         merge_rate(backend, rate, "report");
     return backend != NULL;
 }
--- a/src/edge/edge_rates.c
+++ b/src/edge/edge_rates.c
@@ -68,7 +68,7 @@
     struct membership *members = edge->cluster.membership;
     Shuntrun__MemberMessage message = SHUNTRUN__MEMBER_MESSAGE__INIT;
     Shuntrun__RateStatement rate;
-    rate_message_write(&backend->rate, backend->listing.born, now, &rate);
+    rate_message_write(&backend->rate, backend_born(backend), now, &rate);
     rate.address = backend->listing.address;
     message.rate = &rate;
     backend->rate_announced_at = now;
--- a/src/loader/loader.c
+++ b/src/loader/loader.c
@@ -115,57 +115,83 @@
 /* \return window of the engine's rate limit; 0: it has none */
 static uint64_t rate_window_us(const struct loader *loader)
 {
-    const struct service_entry *service = own_service(loader);
     if (loader->rate.stated.limited)
         return STATED_WINDOW_US;
+    const struct service_entry *service = own_service(loader);
     return service && service->cold_per_s > 0 ? COLD_WINDOW_US : 0;
 }
 
-/* Sends the load, unless it is as sent before and no resend is due. */
-static void send_load(struct loader *loader, uint64_t now)
+static struct backend_load current_load(const struct loader *loader, uint64_t now)
 {
-    bool rate_changed = engine_rate_differs(&loader->rate, &loader->sent_rate);
     struct backend_load load = loader->report.load;
     load.loading = loader->installer && installer_is_loading(loader->installer, now);
     load.staged = loader->installer && installer_is_staged(loader->installer);
     load.link_slow |= wanted_versions_link_is_slow(&loader->versions);
+    return load;
+}
+
+static void write_load(const struct loader *loader, const struct backend_load *load, uint64_t now,
+                       Shuntrun__EngineLoad *message)
+{
+    shuntrun__engine_load__init(message);
+    message->address = (char *)loader->cluster.settings->engine_address;
+    message->running = load->running;
+    message->waiting = load->waiting;
+    message->version = load->version;
+    message->loading = load->loading;
+    message->staged = load->staged;
+    message->link_slow = load->link_slow;
+    message->pace_permille = load->pace_permille;
+    message->born = load->born;
+    if (load->memory_total)
+        message->memory_permille = (uint32_t)(load->memory_used * 1000 / load->memory_total);
+    message->turn_ms = load->staged ? ms_until_scheduled(loader, now) : 0;
+    message->leaving = load->leaving;
+}
+
+/* \return whether gateways of other regions need the report now */
+static bool is_due_in_other_regions(const struct loader *loader, const struct backend_load *load,
+                                    bool rate_changed, uint64_t now)
+{
+    const struct backend_load *sent = &loader->sent_load;
+    return rate_changed ||
+           now >= loader->cross_region_load_sent_at + CROSS_REGION_LOAD_INTERVAL_US ||
+           load->loading != sent->loading || load->staged != sent->staged ||
+           load->version != sent->version || load->leaving != sent->leaving;
+}
+
+static void log_load(struct loader *loader, const struct backend_load *load, uint64_t now)
+{
+    if (now < loader->next_load_log_at)
+        return;
+    loader->next_load_log_at = now + LOAD_LOG_INTERVAL_US;
+    log_event(LOG_LEVEL_INFO, "engine", "load",
+              "running=%u waiting=%u memory_used=%" PRIu64 " weights=%" PRIu64
+              " loading=%d staged=%d pace_permille=%u",
+              load->running, load->waiting, load->memory_used, load->version, load->loading,
+              load->staged, load->pace_permille);
+}
+
+/* Sends the load, unless it is as sent before and no resend is due. */
+static void send_load(struct loader *loader, uint64_t now)
+{
+    bool rate_changed = engine_rate_differs(&loader->rate, &loader->sent_rate);
+    struct backend_load load = current_load(loader, now);
     if (memcmp(&load, &loader->sent_load, sizeof load) == 0 && !rate_changed &&
         now < loader->load_sent_at + LOAD_RESEND_INTERVAL_US)
         return;
-    Shuntrun__EngineLoad message = SHUNTRUN__ENGINE_LOAD__INIT;
-    message.address = (char *)loader->cluster.settings->engine_address;
-    message.running = load.running;
-    message.waiting = load.waiting;
-    message.version = load.version;
-    message.loading = load.loading;
-    message.staged = load.staged;
-    message.link_slow = load.link_slow;
-    message.pace_permille = load.pace_permille;
-    message.born = load.born;
-    if (load.memory_total)
-        message.memory_permille = (uint32_t)(load.memory_used * 1000 / load.memory_total);
-    message.turn_ms = load.staged ? ms_until_scheduled(loader, now) : 0;
-    message.leaving = load.leaving;
+    Shuntrun__EngineLoad message;
     Shuntrun__RateStatement rate;
+    write_load(loader, &load, now, &message);
     if (loader->rate.stated.heard_at) {
         rate_message_write(&loader->rate.stated, loader->rate.born, now, &rate);
         message.rate = &rate;
     }
-    bool cross_region =
-        rate_changed || now >= loader->cross_region_load_sent_at + CROSS_REGION_LOAD_INTERVAL_US ||
-        load.loading != loader->sent_load.loading || load.staged != loader->sent_load.staged ||
-        load.version != loader->sent_load.version || load.leaving != loader->sent_load.leaving;
+    bool cross_region = is_due_in_other_regions(loader, &load, rate_changed, now);
     if (cross_region)
         loader->cross_region_load_sent_at = now;
     cluster_send_load(&loader->cluster, &message, cross_region, rate_window_us(loader));
-    if (now >= loader->next_load_log_at) {
-        loader->next_load_log_at = now + LOAD_LOG_INTERVAL_US;
-        log_event(LOG_LEVEL_INFO, "engine", "load",
-                  "running=%u waiting=%u memory_used=%" PRIu64 " weights=%" PRIu64
-                  " loading=%d staged=%d pace_permille=%u",
-                  load.running, load.waiting, load.memory_used, load.version, load.loading,
-                  load.staged, load.pace_permille);
-    }
+    log_load(loader, &load, now);
     loader->sent_load = load;
     loader->sent_rate = loader->rate.stated;
     loader->load_sent_at = now;
@@ -227,7 +253,8 @@
         !engine_rate_merge(&loader->rate, message->born, &told))
         return;
     log_rate(loader, &before, "gateway");
-    send_load(loader, now);
+    if (loader->reachable) /* else the next report is sent with it */
+        send_load(loader, now);
 }
 
 static void on_report(void *context, enum http_call_result result,
