A back end that the store's older copy revives waits for an entry written after the restore

The list's last word on a start counts even if it goes back, as revisions order what the list says; a store that came back from an older copy names the start before the present one, or a back end that has left, in items of a newer epoch.

The fix: the first value that an item gets in an epoch, unless it is the one held before, may be as old as the copy. A back end with an earlier start than the known one, or one whose entry had been removed, is not taken until its entry is written again, which a live one does within its heartbeat.

--- a/src/core/backend_pool.c
+++ b/src/core/backend_pool.c
@@ -54,6 +54,11 @@
     return pool->table.count;
 }
 
+const struct backend *backend_pool_find(const struct backend_pool *pool, const char *id)
+{
+    return backend_table_find_id(&pool->table, id);
+}
+
 struct backend *backend_pool_find_address(const struct backend_pool *pool, const char *address)
 {
     return backend_table_find_address(&pool->table, address);
--- a/src/core/backend_pool.h
+++ b/src/core/backend_pool.h
@@ -241,6 +241,8 @@
 struct backend *backend_pool_report(struct backend_pool *pool, const char *address,
                                     const struct backend_load *load, uint64_t now);
 
+/** \return the backend that is listed under an id, or NULL */
+const struct backend *backend_pool_find(const struct backend_pool *pool, const char *id);
 /** \return the backend that is listed at an address, or NULL */
 struct backend *backend_pool_find_address(const struct backend_pool *pool, const char *address);
 uint32_t backend_pool_count(const struct backend_pool *pool);
--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -95,10 +95,13 @@
     item->seen = true;
     if (revision <= item->revision)
         return false;
-    if (is_same_in_copy(item, value, size, revision)) {
+    bool same = is_same_in_copy(item, value, size, revision);
+    if (same) {
         learned = item->learned;
         undated = item->undated;
     }
+    item->unconfirmed = !same && item->revision && !is_in_same_epoch(item->revision, revision);
+    item->revived = item->unconfirmed && item->gone && !item->from_outage && !item->lost_in_copy;
     free(item->value);
     item->value = memory_realloc(NULL, size + 1);
     if (size)
--- a/src/core/state_cache.h
+++ b/src/core/state_cache.h
@@ -29,7 +29,11 @@
         from_outage; /**< the store may have lost the item in an outage, see struct state_removal */
     bool
         lost_in_copy; /**< gone: the older copy of the store with which its epoch began lacked it */
-    bool seen;        /**< contained in the snapshot that is being applied */
+    /** The first value of its epoch, and not the one held before: it may be as old as the copy of
+     * the store with which the epoch began. */
+    bool unconfirmed;
+    bool revived; /**< unconfirmed, and had been removed in the earlier epoch */
+    bool seen;    /**< contained in the snapshot that is being applied */
 };
 
 /** What is known of the time and cause of an item's removal. */
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -66,6 +66,15 @@
     return at_start || !cluster_store_is_healthy(&edge->cluster) ? 0 : item->learned;
 }
 
+/* The older copy of the store names a backend that has left since, or an earlier start of a known
+ * one. Live backends write their entries again soon. */
+static bool is_outdated(const struct edge *edge, const struct state_item *item,
+                        const struct backend_listing *listing)
+{
+    const struct backend *known = backend_pool_find(edge->pool, listing->id);
+    return item->revived || (item->unconfirmed && known && listing->born < known->listing.born);
+}
+
 static void apply_backend(struct edge *edge, const char *id, const struct state_item *item)
 {
     struct backend_listing listing;
@@ -84,6 +93,12 @@
         reject_backend(edge, id, item, "its service is not configured");
         return;
     }
+    if (is_outdated(edge, item, &listing)) {
+        log_event(LOG_LEVEL_WARN, "backend", "outdated",
+                  "id=%s born=%" PRIu64 " revision=%" PRIu64 " sequence=%" PRIu64 " revived=%d", id,
+                  listing.born, item->revision, listing.sequence, item->revived);
+        return;
+    }
     struct backend *backend =
         backend_pool_list(edge->pool, &listing, cluster_distance(&edge->cluster, listing.zone));
     if (listing.cold_ms)
--- a/tests/core/store_restored_test.c
+++ b/tests/core/store_restored_test.c
@@ -349,12 +349,38 @@
     state_cache_destroy(cache);
 }
 
+static const struct state_item *entry_after(struct state_cache *cache, const char *value,
+                                            uint64_t position)
+{
+    state_cache_put(cache, "servers/a", value, strlen(value), position, 1);
+    return state_cache_find(cache, "servers/a");
+}
+
+static void what_the_copy_may_revive_is_unconfirmed(void **state)
+{
+    struct state_cache_listener listener = {.changed = ignore_change};
+    struct state_cache *cache = state_cache_create(&listener);
+    struct state_removal removal = {.learned = 1}, lost = {.learned = 1, .from_outage = true};
+    assert_false(entry_after(cache, "1", store_position(1, 10))->unconfirmed);
+    assert_false(entry_after(cache, "2", store_position(1, 20))->unconfirmed);
+    assert_true(entry_after(cache, "1", store_position(2, 10))->unconfirmed);
+    assert_false(entry_after(cache, "1", store_position(3, 10))->unconfirmed);
+    assert_false(entry_after(cache, "3", store_position(3, 15))->unconfirmed);
+    state_cache_remove(cache, "servers/a", store_position(3, 20), &removal);
+    assert_true(entry_after(cache, "3", store_position(4, 15))->revived);
+    assert_false(entry_after(cache, "4", store_position(4, 16))->revived);
+    state_cache_remove(cache, "servers/a", store_position(4, 20), &lost);
+    assert_false(entry_after(cache, "4", store_position(5, 16))->revived);
+    state_cache_destroy(cache);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(all_nodes_know_what_was_written_after_restores),
         cmocka_unit_test(an_answer_of_an_earlier_epoch_is_void),
         cmocka_unit_test(what_the_copy_confirms_keeps_its_time),
+        cmocka_unit_test(what_the_copy_may_revive_is_unconfirmed),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/system/store_restored_test.py
+++ b/tests/system/store_restored_test.py
@@ -6,10 +6,12 @@
 the store had passed the revision that they knew.
 """
 import os
+import random
 import sys
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import platform_standin as standin  # noqa: E402
 import platform_test as platform  # noqa: E402
 import streams_test as streams  # noqa: E402
 
@@ -25,6 +27,7 @@
     def setUp(self):
         super().setUp()
         self.version = 1
+        self.began = time.monotonic()
 
     def write_configuration(self, **changes):
         """Writes the next configuration; returns the time."""
@@ -89,6 +92,51 @@
                           "the leaving engine at all gateways")
         self.assertLess(time.monotonic() - written, BOUND_S)
 
+    def test_an_earlier_start_that_the_copy_names_brings_no_back_end_back(self):
+        """The copy names the start before the one that leaves. Gateways took it for a new one: a request reached a back
+        end 2.55 s after an answer had said that it leaves (soak seed 7808)."""
+        records = [standin.Backend((ip, platform.ENGINE_PORT), "record-" + ip, self.store, "records")
+                   for ip in platform.PLAIN_IPS]
+        for backend in records:
+            self.addCleanup(self.close, backend)
+        platform.wait_for(lambda: all(self.lists(backend) for backend in records), "the back ends")
+        first_written = time.monotonic()
+        time.sleep(1.0)
+        restarted = records[0]
+        restarted.restart_delay_s = 0.1
+        restarted.crash_and_restart()
+        time.sleep(0.5)
+        restarted.publish_entry("draining")
+        platform.wait_for(lambda: all(self.lists_as_leaving(g, restarted) for g in self.gateways),
+                          "the leaving back end at all gateways")
+        self.store.restore(time.monotonic() - first_written - 0.5, 0.2)
+        time.sleep(BOUND_S + 0.5)
+        before = len(restarted.arrivals)
+        for number in range(60):
+            platform.send_request("GET", "/get/%d" % number, address=self.gateway(number % self.GATEWAYS))
+        self.assertEqual(len(restarted.arrivals), before)
+
+    def test_a_back_end_that_the_copy_revives_gets_nothing(self):
+        time.sleep(1.0)
+        left = self.engines[0]
+        left.leave()
+        time.sleep(BOUND_S)
+        self.store.restore(time.monotonic() - self.began - 0.5, 0.2)
+        time.sleep(1.0)
+        before = len(left.arrivals)
+        for number in range(60):
+            self.read_through_any_gateway(0, number, random.Random(number), 5)
+        self.assertEqual(len(left.arrivals), before)
+        left.publish_entry("ready")
+        platform.wait_for(lambda: self.lists(left), "the entry that was written anew")
+
+    def lists(self, engine):
+        """Whether all gateways take the entry that it published last."""
+        entry = "event=listed id=%s " % engine.identity
+        sequence = " sequence=%d " % engine.sequence
+        return all(any(entry in line and sequence in line for line in self.log_lines(g))
+                   for g in self.gateways)
+
     def test_an_evacuation_that_the_store_lost_is_kept(self):
         time.sleep(2.5)
         self.store.put("op/evacuate/zone-b", {"zone": "zone-b"})
