--- a/src/core/route_table.c
+++ b/src/core/route_table.c
@@ -188,6 +188,11 @@
         index_insert(&table->by_key, hash_name(table->keys[i].key), i);
 }
 
+bool route_table_is_older(const struct route_table *table, const struct route_table *held)
+{
+    return held && route_table_version(table) < route_table_version(held);
+}
+
 uint64_t route_table_version(const struct route_table *table)
 {
     return table->version;
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -95,6 +95,9 @@
 struct route_table *route_table_create(uint64_t version);
 struct route_table *route_table_retain(struct route_table *table);
 void route_table_release(struct route_table *table);
+/** \return whether a configuration precedes the one in force, which it must not replace.
+ * \param held NULL: none is in force */
+bool route_table_is_older(const struct route_table *table, const struct route_table *held);
 
 /* Filling a table: strings are copied, indexes are stable. */
 /** \return index of the service, which is added if the table does not have it */
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -138,7 +138,7 @@
         metric_add(METRIC_CONFIG_REJECTED, 1);
         return;
     }
-    if (edge->table && route_table_version(table) < route_table_version(edge->table)) {
+    if (route_table_is_older(table, edge->table)) {
         log_event(LOG_LEVEL_WARN, "config", "older",
                   "version=%" PRIu64 " held=%" PRIu64 " revision=%" PRIu64,
                   route_table_version(table), route_table_version(edge->table), item->revision);
