What the store's older copy confirms is not applied again

After a restore each node applied all items once more, those with the held value too: a back end that another had replaced at its address could be listed again by it. Only the position of such an item changes now (kept).

core.store_restored.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -386,11 +386,13 @@
 {
     struct cluster *cluster = context;
     char name[PLATFORM_TEXT_SIZE];
-    if (cluster->started)
-        metric_observe(METRIC_STATE_AGE, cluster_now() - item->learned);
     enum item_kind kind = platform_item_kind(item->key, name, sizeof name);
     if (kind != ITEM_BACKEND && kind != ITEM_OTHER && item->revision > cluster->operator_revision)
         cluster->operator_revision = item->revision;
+    if (item->kept) /* only its position has changed */
+        return;
+    if (cluster->started)
+        metric_observe(METRIC_STATE_AGE, cluster_now() - item->learned);
     cluster->callbacks.item_changed(cluster->callbacks.context, item);
 }
 
--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -95,12 +95,13 @@
     item->seen = true;
     if (revision <= item->revision)
         return false;
-    bool same = is_same_in_copy(item, value, size, revision);
-    if (same) {
+    item->kept = is_same_in_copy(item, value, size, revision);
+    if (item->kept) {
         learned = item->learned;
         undated = item->undated;
     }
-    item->unconfirmed = !same && item->revision && !is_in_same_epoch(item->revision, revision);
+    item->unconfirmed =
+        !item->kept && item->revision && !is_in_same_epoch(item->revision, revision);
     item->revived = item->unconfirmed && item->gone && !item->from_outage && !item->lost_in_copy;
     free(item->value);
     item->value = memory_realloc(NULL, size + 1);
--- a/src/core/state_cache.h
+++ b/src/core/state_cache.h
@@ -32,6 +32,7 @@
     /** The first value of its epoch, and not the one held before: it may be as old as the copy of
      * the store with which the epoch began. */
     bool unconfirmed;
+    bool kept;    /**< the first value of its epoch, and the one held before */
     bool revived; /**< unconfirmed, and had been removed in the earlier epoch */
     bool seen;    /**< contained in the snapshot that is being applied */
 };
@@ -49,7 +50,8 @@
 /** Receives each change of the cache. */
 struct state_cache_listener {
     void *context;
-    /** Called when an item was added, changed or removed. */
+    /** Called when an item was added, changed or removed, or got a position in the next epoch
+     * (`kept`). */
     void (*changed)(void *context, const struct state_item *item);
 };
 
--- a/tests/core/store_restored_test.c
+++ b/tests/core/store_restored_test.c
@@ -342,6 +342,7 @@
     state_cache_snapshot_end(cache, "", store_position(2, 92), &removal);
     state_cache_advance(cache, store_position(2, 92));
     assert_int_equal(state_cache_find(cache, "op/version/m")->learned, 100);
+    assert_true(state_cache_find(cache, "op/version/m")->kept);
     assert_null(state_cache_find(cache, "op/evacuate/z"));
     assert_true(state_cache_at(cache, 0)->lost_in_copy);
     assert_false(state_cache_has_delta_for(cache, store_position(1, 99)));
@@ -365,7 +366,9 @@
     assert_false(entry_after(cache, "2", store_position(1, 20))->unconfirmed);
     assert_true(entry_after(cache, "1", store_position(2, 10))->unconfirmed);
     assert_false(entry_after(cache, "1", store_position(3, 10))->unconfirmed);
+    assert_true(state_cache_find(cache, "servers/a")->kept);
     assert_false(entry_after(cache, "3", store_position(3, 15))->unconfirmed);
+    assert_false(state_cache_find(cache, "servers/a")->kept);
     state_cache_remove(cache, "servers/a", store_position(3, 20), &removal);
     assert_true(entry_after(cache, "3", store_position(4, 15))->revived);
     assert_false(entry_after(cache, "4", store_position(4, 16))->revived);
