A back end that the copy revives waits also if it was removed in an outage

Cause: an entry that an outage may have lost counted as live when the copy named it again. Its address belonged to a later back end by then.

Evidence: the edge lists b4 at revision, from the copy, 4 s after event=gone from_outage=1, and drops b7, which has the address.

The fix: whatever was removed waits for an entry written after the restore.

--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -102,7 +102,7 @@
     }
     item->unconfirmed =
         !item->kept && item->revision && !is_in_same_epoch(item->revision, revision);
-    item->revived = item->unconfirmed && item->gone && !item->from_outage && !item->lost_in_copy;
+    item->revived = item->unconfirmed && item->gone;
     free(item->value);
     item->value = memory_realloc(NULL, size + 1);
     if (size)
