An entry of the copy does not take the address of a later start

A gateway that had begun after a back end was gone did not know its entry; the copy named it, and it took its address from the live one there, as the newest entry of an address does. With the live ones gone from the table, entries with a start time were no longer the majority, and the foreign one counted.

Evidence: the edge lists b4 from the copy, then replaced expected=b4 found=b7, then replaced expected=bad-less-born found=trap.

The fix: the first value of an epoch may be as old as the copy also where the item was not known; it waits if a later start is known at its address.

--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -88,6 +88,14 @@
            memcmp(item->value, value, size) == 0;
 }
 
+/* The first value of an item in an epoch, if this copy knows an earlier epoch. */
+static bool may_be_of_copy(const struct state_cache *cache, const struct state_item *item,
+                           uint64_t revision)
+{
+    uint64_t before = item->revision ? item->revision : cache->revision;
+    return before && !is_in_same_epoch(before, revision);
+}
+
 static bool put(struct state_cache *cache, const char *key, const char *value, size_t size,
                 uint64_t revision, uint64_t learned, bool undated)
 {
@@ -100,8 +108,7 @@
         learned = item->learned;
         undated = item->undated;
     }
-    item->unconfirmed =
-        !item->kept && item->revision && !is_in_same_epoch(item->revision, revision);
+    item->unconfirmed = !item->kept && may_be_of_copy(cache, item, revision);
     item->revived = item->unconfirmed && item->gone;
     free(item->value);
     item->value = memory_realloc(NULL, size + 1);
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -66,13 +66,17 @@
     return at_start || !cluster_store_is_healthy(&edge->cluster) ? 0 : item->learned;
 }
 
-/* The older copy of the store names a backend that has left since, or an earlier start of a known
- * one. Live backends write their entries again soon. */
+/* The older copy of the store names a backend that has left since, or an earlier start than the
+ * one that is known by its id or at its address. Live backends write their entries again soon. */
 static bool is_outdated(const struct edge *edge, const struct state_item *item,
                         const struct backend_listing *listing)
 {
-    const struct backend *known = backend_pool_find(edge->pool, listing->id);
-    return item->revived || (item->unconfirmed && known && listing->born < known->listing.born);
+    const struct backend *by_id = backend_pool_find(edge->pool, listing->id);
+    const struct backend *at_address = backend_pool_find_address(edge->pool, listing->address);
+    if (!item->unconfirmed || item->revived)
+        return item->revived;
+    return (by_id && listing->born < by_id->listing.born) ||
+           (at_address && listing->born < at_address->listing.born);
 }
 
 static void apply_backend(struct edge *edge, const char *id, const struct state_item *item)
--- a/tests/core/store_restored_test.c
+++ b/tests/core/store_restored_test.c
@@ -374,6 +374,12 @@
     assert_false(entry_after(cache, "4", store_position(4, 16))->revived);
     state_cache_remove(cache, "servers/a", store_position(4, 20), &lost);
     assert_true(entry_after(cache, "4", store_position(5, 16))->revived);
+    state_cache_advance(cache, store_position(5, 20));
+    state_cache_put(cache, "servers/b", "1", 1, store_position(5, 21), 1);
+    assert_false(state_cache_find(cache, "servers/b")->unconfirmed);
+    state_cache_put(cache, "servers/c", "1", 1, store_position(6, 3), 1); /* not known before */
+    assert_true(state_cache_find(cache, "servers/c")->unconfirmed);
+    assert_false(state_cache_find(cache, "servers/c")->revived);
     state_cache_destroy(cache);
 }
 
