A value that cannot be decoded is not compared: it has no bytes

Cause: memcmp with a null pointer and length 0, for an item whose value is no JSON string, in the comparison of a restored copy's items. The fix: nothing is compared where the size is 0.

--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -85,7 +85,7 @@
                             uint64_t revision)
 {
     return item->value && !is_in_same_epoch(item->revision, revision) && item->size == size &&
-           memcmp(item->value, value, size) == 0;
+           (!size || memcmp(item->value, value, size) == 0);
 }
 
 /* The first value of an item in an epoch, if this copy knows an earlier epoch. */
