A report ends only a limit that a report has stated

Cause: the engine had stated an earlier limit in its reports, and stated this one in answers only. Its loader remembered for the whole start that reports state limits, so each report ended the limit that each answer began, many times a second; with each end gateways could send.

Evidence: engine event=rate-limited source=gateway and event=rate-unlimited source=report alternate every 60 ms in the loader's log.

--- a/src/loader/engine_rate.h
+++ b/src/loader/engine_rate.h
@@ -11,13 +11,13 @@
 struct engine_rate {
     struct stated_rate stated;
     uint64_t born;         /**< start time of the incarnation; 0: unknown */
-    bool stated_to_loader; /**< in a report, so that a report without it shows its end */
+    bool stated_in_report; /**< the present limit: a report without it then shows its end */
 };
 
 /** \brief Forget the limit if this is another incarnation. */
 void engine_rate_set_born(struct engine_rate *rate, uint64_t born);
-/** \brief Apply the head of a report. An engine whose reports never state its limit may state it to
- * gateways only. \return whether the limit began, changed or ended */
+/** \brief Apply the head of a report. A limit that no report stated may be stated to gateways only.
+ * \return whether the limit began, changed or ended */
 bool engine_rate_hear(struct engine_rate *rate, const struct heard_rate *heard, uint64_t now);
 /** \brief Apply what a gateway heard. \param born start time of the engine that it heard it from
  * \return whether the limit began, changed or ended */
