The removal of an item that the store's older copy had confirmed is news

What callers would have seen: after a restore, requests to a back end whose entry had gone, and a zone that stays evacuated.

Cause: since an item with the held value is marked as kept, and its new position alone is no news. The mark stayed when the item was removed later, so the removal was no news, either.

Evidence: core.store_restored and system.store_restored, one new case each, failed before (the removal at no gateway within 20 s).

The fix: a removal clears what was marked of the value before it.

--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -149,6 +149,9 @@
     item->learned = loss->learned;
     item->from_outage = loss->from_outage;
     item->lost_in_copy = loss->lost_in_copy;
+    item->kept = false;
+    item->unconfirmed = false;
+    item->revived = false;
     cache->listener.changed(cache->listener.context, item);
 }
 
--- a/tests/core/store_restored_test.c
+++ b/tests/core/store_restored_test.c
@@ -383,6 +383,21 @@
     state_cache_destroy(cache);
 }
 
+/* Guards against the removal of an item that the copy had confirmed: nobody was told of it. */
+static void the_removal_of_a_kept_item_is_news(void **state)
+{
+    struct state_cache_listener listener = {.changed = ignore_change};
+    struct state_cache *cache = state_cache_create(&listener);
+    struct state_removal removal = {.learned = 1};
+    entry_after(cache, "1", store_position(1, 10));
+    assert_true(entry_after(cache, "1", store_position(2, 10))->kept);
+    state_cache_remove(cache, "servers/a", store_position(2, 11), &removal);
+    assert_true(state_cache_at(cache, 0)->gone);
+    assert_false(state_cache_at(cache, 0)->kept);
+    assert_false(state_cache_at(cache, 0)->unconfirmed);
+    state_cache_destroy(cache);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -390,6 +405,7 @@
         cmocka_unit_test(an_answer_of_an_earlier_epoch_is_void),
         cmocka_unit_test(what_the_copy_confirms_keeps_its_time),
         cmocka_unit_test(what_the_copy_may_revive_is_unconfirmed),
+        cmocka_unit_test(the_removal_of_a_kept_item_is_news),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/system/store_restored_test.py
+++ b/tests/system/store_restored_test.py
@@ -151,6 +151,17 @@
         self.assertFalse(any("subsystem=zone event=restored" in line
                              for g in self.gateways for line in self.log_lines(g)))
 
+    def test_an_engine_that_the_copy_has_and_that_goes_afterwards_is_gone(self):
+        """Its entry was the same before and after the restore, and no gateway applied its removal."""
+        time.sleep(1.5)
+        self.store.restore(0.5, 0.2)
+        time.sleep(1.0)
+        left = self.engines[0]
+        left.leave()
+        gone = "event=gone id=%s " % left.identity
+        platform.wait_for(lambda: all(any(gone in line for line in self.log_lines(g))
+                                      for g in self.gateways), "the removal at all gateways")
+
     def test_two_restores_in_a_row(self):
         time.sleep(2.5)
         self.lose_configurations()
