--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -9,7 +9,7 @@
 #define SHUNTRUN_CLUSTER_H
 
 #include "base/settings.h"
-#include "core/rate_ranking.h"
+#include "core/rate/rate_ranking.h"
 #include "core/load_targets.h"
 #include "core/membership.h"
 #include "core/reader_role.h"
--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "core/crash_spread.h"
+#include "core/crash/crash_spread.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/src/cluster/crash_sync.h
+++ b/src/cluster/crash_sync.h
@@ -1,17 +1,18 @@
 /**
- * Replicates the crash entries of requests that crash backends (core/crash_table) between nodes.
+ * Replicates the crash entries of requests that crash backends (core/crash/crash_table) between
+ * nodes.
  *
- * New evidence is sent at once to the nodes that core/crash_spread selects. Membership messages
- * carry a digest of the shared entries, which all gateways hold. A gateway whose digest differs
- * replies with its entries (anti-entropy), so a gateway that has just started, or was partitioned,
- * receives them with its first messages. Loaders hold some of the entries, which so outlive the
- * loss of all gateways.
+ * New evidence is sent at once to the nodes that core/crash/crash_spread selects. Membership
+ * messages carry a digest of the shared entries, which all gateways hold. A gateway whose digest
+ * differs replies with its entries (anti-entropy), so a gateway that has just started, or was
+ * partitioned, receives them with its first messages. Loaders hold some of the entries, which so
+ * outlive the loss of all gateways.
  */
 #ifndef SHUNTRUN_CRASH_SYNC_H
 #define SHUNTRUN_CRASH_SYNC_H
 
 #include "cluster/cluster.h"
-#include "core/crash_table.h"
+#include "core/crash/crash_table.h"
 
 struct crash_sync;
 
--- a/src/cluster/rate_message.h
+++ b/src/cluster/rate_message.h
@@ -2,7 +2,7 @@
 #ifndef SHUNTRUN_RATE_MESSAGE_H
 #define SHUNTRUN_RATE_MESSAGE_H
 
-#include "core/stated_rate.h"
+#include "core/rate/stated_rate.h"
 #include "generated/messages.pb-c.h"
 
 /** \brief Initialize a message, without the backend's address. \param born start of the backend */
--- a/src/core/attempt_rule.h
+++ b/src/core/attempt_rule.h
@@ -34,7 +34,7 @@
  * stream has not run it: if that counted as an attempt, a second engine that is merely full would
  * cut the stream. A refusal with a backoff does not count either, as no such backend is asked
  * twice. Nor does a backend whose process ended under a begun stream, which is not to blame for
- * that. Requests that crash backends themselves are bounded by core/crash_table.
+ * that. Requests that crash backends themselves are bounded by core/crash/crash_table.
  */
 static inline bool attempt_may_retry(const struct attempt_facts *facts)
 {
--- a/src/core/backend_answer.c
+++ b/src/core/backend/backend_answer.c
@@ -1,4 +1,4 @@
-#include "core/backend_answer.h"
+#include "core/backend/backend_answer.h"
 
 #define STATUS_MISDIRECTED_REQUEST 421
 #define STATUS_SERVICE_UNAVAILABLE 503
--- a/src/core/backend_choice.c
+++ b/src/core/backend/backend_choice.c
@@ -1,7 +1,7 @@
 /* Chooses one of the eligible backends for a request: which of them have room, and which of these
  * has the lowest expected cost. */
-#include "core/backend_pool_internal.h"
-#include "core/crash_table.h"
+#include "core/backend/backend_pool_internal.h"
+#include "core/crash/crash_table.h"
 #include "core/hash.h"
 
 /** Terms of the expected time to the first token at an engine, ms: fixed, per running or waiting
--- a/src/core/backend_eligibility.c
+++ b/src/core/backend/backend_eligibility.c
@@ -1,5 +1,5 @@
 /* Which backends are eligible for a request: in use, with acceptable weights, and responsive. */
-#include "core/backend_pool_internal.h"
+#include "core/backend/backend_pool_internal.h"
 
 /** An engine that sends no first byte for this time gets no requests until it answers. */
 #define STALL_TIMEOUT_US 700000
--- a/src/core/backend_health.c
+++ b/src/core/backend/backend_health.c
@@ -1,5 +1,5 @@
 /* Load, latency and failures of a backend, as this gateway's own requests show them. */
-#include "core/backend_pool_internal.h"
+#include "core/backend/backend_pool_internal.h"
 
 /** Weights of the newest sample in moving averages. */
 #define RATE_EWMA_WEIGHT 0.15
--- a/src/core/backend_pool.c
+++ b/src/core/backend/backend_pool.c
@@ -1,7 +1,7 @@
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 
 #include "base/memory.h"
-#include "core/backend_pool_internal.h"
+#include "core/backend/backend_pool_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/backend_pool.h
+++ b/src/core/backend/backend_pool.h
@@ -10,10 +10,10 @@
 #ifndef SHUNTRUN_BACKEND_POOL_H
 #define SHUNTRUN_BACKEND_POOL_H
 
-#include "core/rate_limit.h"
+#include "core/rate/rate_limit.h"
 #include "core/random.h"
 #include "core/residency.h"
-#include "core/stated_rate.h"
+#include "core/rate/stated_rate.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/core/backend_pool_internal.h
+++ b/src/core/backend/backend_pool_internal.h
@@ -7,7 +7,7 @@
 #ifndef SHUNTRUN_BACKEND_POOL_INTERNAL_H
 #define SHUNTRUN_BACKEND_POOL_INTERNAL_H
 
-#include "core/backend_table.h"
+#include "core/backend/backend_table.h"
 #include "core/zone_set.h"
 
 /** Number of incarnations whose statements are saved after their removal. A list that is lost in
--- a/src/core/backend_statement.c
+++ b/src/core/backend/backend_statement.c
@@ -1,6 +1,6 @@
 /* Statements of backends about themselves, in answers and list entries. They hold for the
  * incarnation that made them. */
-#include "core/backend_pool_internal.h"
+#include "core/backend/backend_pool_internal.h"
 
 #include <string.h>
 
--- a/src/core/backend_table.c
+++ b/src/core/backend/backend_table.c
@@ -1,4 +1,4 @@
-#include "core/backend_table.h"
+#include "core/backend/backend_table.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/backend_table.h
+++ b/src/core/backend/backend_table.h
@@ -7,7 +7,7 @@
 #define SHUNTRUN_BACKEND_TABLE_H
 
 #include "core/address_index.h"
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 
 /** The backends of one service. */
 struct backend_group {
--- a/src/core/crash_lease.c
+++ b/src/core/crash/crash_lease.c
@@ -1,4 +1,4 @@
-#include "core/crash_lease.h"
+#include "core/crash/crash_lease.h"
 
 bool crash_lease_is_valid(const struct crash_lease *lease, uint64_t now)
 {
--- a/src/core/crash_spread.c
+++ b/src/core/crash/crash_spread.c
@@ -1,4 +1,4 @@
-#include "core/crash_spread.h"
+#include "core/crash/crash_spread.h"
 
 #include "core/hash.h"
 
--- a/src/core/crash_spread.h
+++ b/src/core/crash/crash_spread.h
@@ -11,7 +11,7 @@
 #ifndef SHUNTRUN_CRASH_SPREAD_H
 #define SHUNTRUN_CRASH_SPREAD_H
 
-#include "core/crash_table.h"
+#include "core/crash/crash_table.h"
 #include "core/membership.h"
 
 /** Replica gateways of an entry. In a fleet of 7 gateways these are all the others, so from the
--- a/src/core/crash_table.c
+++ b/src/core/crash/crash_table.c
@@ -1,4 +1,4 @@
-#include "core/crash_table.h"
+#include "core/crash/crash_table.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/crash_table.h
+++ b/src/core/crash/crash_table.h
@@ -7,18 +7,19 @@
  * can be merged in any order: for a crash the earliest end time is kept, for a request the time of
  * its latest successful run.
  *
- * Being present at a crash is not proof: core/crash_verdict derives the verdict on each request
- * from all entries. A request that runs to completion is cleared of all earlier crashes. A request
- * that must run in isolation holds a lease on one backend incarnation, see core/crash_lease.
+ * Being present at a crash is not proof: core/crash/crash_verdict derives the verdict on each
+ * request from all entries. A request that runs to completion is cleared of all earlier crashes. A
+ * request that must run in isolation holds a lease on one backend incarnation, see
+ * core/crash/crash_lease.
  *
  * Uses no clock, socket or thread. Times are microseconds of a clock that never steps back.
  */
 #ifndef SHUNTRUN_CRASH_TABLE_H
 #define SHUNTRUN_CRASH_TABLE_H
 
-#include "core/crash_lease.h"
-#include "core/crash_verdict.h"
-#include "core/request_identity.h"
+#include "core/crash/crash_lease.h"
+#include "core/crash/crash_verdict.h"
+#include "core/crash/request_identity.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -32,7 +33,7 @@
  *  an hour. */
 #define CRASH_BLOCK_DURATION_US ((uint64_t)3600000000)
 /** An entry with a single crash expires after this time: callers retry within it. Crashes of other
- *  requests within this time before a verdict settles count as noise (core/crash_verdict). */
+ *  requests within this time before a verdict settles count as noise (core/crash/crash_verdict). */
 #define CRASH_SINGLE_TTL_US ((uint64_t)60000000)
 /** Lifetime of an entry that all gateways hold. */
 #define CRASH_SHARED_TTL_US ((uint64_t)86400000000)
--- a/src/core/crash_verdict.c
+++ b/src/core/crash/crash_verdict.c
@@ -1,7 +1,7 @@
-#include "core/crash_verdict.h"
+#include "core/crash/crash_verdict.h"
 
 #include "base/memory.h"
-#include "core/crash_table.h"
+#include "core/crash/crash_table.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/crash_verdict.h
+++ b/src/core/crash/crash_verdict.h
@@ -6,8 +6,8 @@
  * request is
  * - a suspect once it was present at one crash;
  * - isolated once it was present at CRASHES_TO_ISOLATE crashes that no blocked request explains: it
- *   then runs on a backend without another isolated request (core/crash_lease), so that the next
- *   crash is proof, and a successful run clears it;
+ *   then runs on a backend without another isolated request (core/crash/crash_lease), so that the
+ *   next crash is proof, and a successful run clears it;
  * - blocked once it was present at enough crashes, CRASH_PROOFS_TO_BLOCK of which are proof: no
  *   other request on that backend had, counting this crash, as many unexplained crashes as isolate
  *   a request;
--- a/src/core/request_identity.c
+++ b/src/core/crash/request_identity.c
@@ -1,4 +1,4 @@
-#include "core/request_identity.h"
+#include "core/crash/request_identity.h"
 
 #include <openssl/evp.h>
 #include <stdio.h>
--- a/src/core/load/slot_wait.h
+++ b/src/core/load/slot_wait.h
@@ -9,7 +9,7 @@
 #ifndef SHUNTRUN_LOAD_SLOT_WAIT_H
 #define SHUNTRUN_LOAD_SLOT_WAIT_H
 
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 
 /**
  * \param withheld_until see backend_pool_withheld_until()
--- a/src/core/rate_limit.c
+++ b/src/core/rate/rate_limit.c
@@ -1,4 +1,4 @@
-#include "core/rate_limit.h"
+#include "core/rate/rate_limit.h"
 
 #include <math.h>
 
--- a/src/core/rate_limit.h
+++ b/src/core/rate/rate_limit.h
@@ -6,9 +6,9 @@
  * All gateways together keep a bound on the requests in any window without talking to each other:
  * each gets a quota from its rank among the gateways that send to the backend. The quotas of one
  * ranking add up to half of the bound, so the bound holds while two rankings are in use, as when
- * gateways join or end. Engines are ranked for by their loaders (core/rate_ranking), which tell
- * each gateway its rank with the load report: no two gateways then have the same rank, whatever
- * they know of each other.
+ * gateways join or end. Engines are ranked for by their loaders (core/rate/rate_ranking), which
+ * tell each gateway its rank with the load report: no two gateways then have the same rank,
+ * whatever they know of each other.
  *
  * No I/O, no clock. Times are microseconds of a monotonic clock.
  */
--- a/src/core/rate_ranking.c
+++ b/src/core/rate/rate_ranking.c
@@ -1,4 +1,4 @@
-#include "core/rate_ranking.h"
+#include "core/rate/rate_ranking.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/rate_ranking.h
+++ b/src/core/rate/rate_ranking.h
@@ -1,7 +1,7 @@
 /**
  * Ranks the gateways that a loader reports to, for the time in which its engine is cold
- * (core/rate_limit). Gateways of the engine's region come first; within a region, the order is by
- * hash, so that the quotas of a gateway differ from engine to engine.
+ * (core/rate/rate_limit). Gateways of the engine's region come first; within a region, the order is
+ * by hash, so that the quotas of a gateway differ from engine to engine.
  *
  * A ranking is kept until reports with the one before it are no longer in use, so that never more
  * than RATE_RANKINGS of them are.
@@ -9,7 +9,7 @@
 #ifndef SHUNTRUN_RATE_RANKING_H
 #define SHUNTRUN_RATE_RANKING_H
 
-#include "core/rate_limit.h"
+#include "core/rate/rate_limit.h"
 #include "core/load_targets.h"
 
 /** Time for which a gateway uses a report, and the longest delay of one. */
--- a/src/core/stated_rate.c
+++ b/src/core/rate/stated_rate.c
@@ -1,4 +1,4 @@
-#include "core/stated_rate.h"
+#include "core/rate/stated_rate.h"
 
 /** Answers in transit still state a limit for this long after another node heard its end. */
 #define TRANSIT_US 100000
--- a/src/core/stated_rate.h
+++ b/src/core/rate/stated_rate.h
@@ -8,7 +8,7 @@
 #ifndef SHUNTRUN_STATED_RATE_H
 #define SHUNTRUN_STATED_RATE_H
 
-#include "core/backend_answer.h"
+#include "core/backend/backend_answer.h"
 
 /** All 0: it stated no limit so far. */
 struct stated_rate {
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -13,7 +13,7 @@
 #ifndef SHUNTRUN_CRASH_WATCH_H
 #define SHUNTRUN_CRASH_WATCH_H
 
-#include "core/crash_table.h"
+#include "core/crash/crash_table.h"
 #include "edge/edge_internal.h"
 
 /** \brief Reports a request that was interrupted. \param sent_at time at which it was sent to the
--- a/src/edge/edge_rates.c
+++ b/src/edge/edge_rates.c
@@ -1,7 +1,7 @@
 /* Backends whose rate is limited: ranks of this gateway among those that send to one, and
  * announcements of the limits that backends state. Loaders rank for engines, as their view of the
- * gateways is one (core/rate_ranking); for backends without a loader, each gateway ranks itself by
- * what it knows of the members. */
+ * gateways is one (core/rate/rate_ranking); for backends without a loader, each gateway ranks
+ * itself by what it knows of the members. */
 #include "cluster/rate_message.h"
 #include "core/hash.h"
 #include "edge/edge_internal.h"
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -6,7 +6,7 @@
 #define SHUNTRUN_EXCHANGE_INTERNAL_H
 
 #include "core/attempt_rule.h"
-#include "core/request_identity.h"
+#include "core/crash/request_identity.h"
 #include "edge/edge_internal.h"
 
 #define US_PER_MS ((uint64_t)1000)
--- a/src/edge/exchange_isolation.c
+++ b/src/edge/exchange_isolation.c
@@ -1,5 +1,5 @@
 /* Isolation of requests that may crash backends: when such a request may be sent, to which
- * backends, and under which lease (core/crash_lease). */
+ * backends, and under which lease (core/crash/crash_lease). */
 #include "base/log.h"
 #include "base/metrics.h"
 #include "cluster/crash_sync.h"
--- a/src/loader/engine_rate.h
+++ b/src/loader/engine_rate.h
@@ -5,7 +5,7 @@
 #ifndef SHUNTRUN_ENGINE_RATE_H
 #define SHUNTRUN_ENGINE_RATE_H
 
-#include "core/stated_rate.h"
+#include "core/rate/stated_rate.h"
 
 /** All 0 at first. */
 struct engine_rate {
--- a/src/weights/piece_set.h
+++ b/src/weights/piece_set.h
@@ -5,7 +5,7 @@
 #define SHUNTRUN_PIECE_SET_H
 
 #include "base/status.h"
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 #include "platform/platform.h"
 
 struct piece_set;
--- a/tests/core/backend_answer_test.c
+++ b/tests/core/backend/backend_answer_test.c
@@ -1,7 +1,7 @@
 /* Classes of backend answers, and the backoff that an answer sets. */
 #include "testing.h"
 
-#include "core/backend_answer.h"
+#include "core/backend/backend_answer.h"
 
 static struct answer_properties answer(unsigned status, bool sealed, bool not_executed)
 {
--- a/tests/core/backend_pool_test.c
+++ b/tests/core/backend/backend_pool_test.c
@@ -1,7 +1,7 @@
 /* Choice of a backend for a request: eligibility, room, grace periods, ejection and load shares. */
 #include "testing.h"
 
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/core/backend_statement_test.c
+++ b/tests/core/backend/backend_statement_test.c
@@ -1,7 +1,7 @@
 /* Statements of backends about themselves hold for their incarnation, whatever the list says. */
 #include "testing.h"
 
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/core/backend_table_test.c
+++ b/tests/core/backend/backend_table_test.c
@@ -1,7 +1,7 @@
 /* Look-ups and groups of the backend table, compared with a plain list of all backends. */
 #include "testing.h"
 
-#include "core/backend_table.h"
+#include "core/backend/backend_table.h"
 #include "core/random.h"
 
 #include <stdio.h>
--- a/tests/core/crash_lease_test.c
+++ b/tests/core/crash/crash_lease_test.c
@@ -1,7 +1,7 @@
 /* Leases that keep isolated requests on separate backend incarnations. */
 #include "testing.h"
 
-#include "core/crash_table.h"
+#include "core/crash/crash_table.h"
 #include "core/random.h"
 
 #include <string.h>
--- a/tests/core/crash_spread_test.c
+++ b/tests/core/crash/crash_spread_test.c
@@ -1,7 +1,7 @@
 /* Which nodes receive crash entries, and how many messages that costs a fleet. */
 #include "testing.h"
 
-#include "core/crash_spread.h"
+#include "core/crash/crash_spread.h"
 #include "core/fleet_members.h"
 #include "core/hash.h"
 
--- a/tests/core/crash_table_test.c
+++ b/tests/core/crash/crash_table_test.c
@@ -1,7 +1,7 @@
 /* Which requests are found to crash backends, from the requests present at each crash. */
 #include "testing.h"
 
-#include "core/crash_table.h"
+#include "core/crash/crash_table.h"
 #include "core/hash.h"
 #include "core/random.h"
 
--- a/tests/core/crash_verdict_test.c
+++ b/tests/core/crash/crash_verdict_test.c
@@ -1,7 +1,7 @@
 /* Verdicts on requests that were present at crashes, with and without unrelated crashes. */
 #include "testing.h"
 
-#include "core/crash_table.h"
+#include "core/crash/crash_table.h"
 
 #include <string.h>
 
--- a/tests/core/request_identity_test.c
+++ b/tests/core/crash/request_identity_test.c
@@ -1,7 +1,7 @@
 /* Request identity: equal for equal content, different otherwise. */
 #include "testing.h"
 
-#include "core/request_identity.h"
+#include "core/crash/request_identity.h"
 
 #include <string.h>
 
--- a/tests/core/evacuation_test.c
+++ b/tests/core/evacuation_test.c
@@ -2,7 +2,7 @@
  */
 #include "testing.h"
 
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/core/rate_limit_test.c
+++ b/tests/core/rate/rate_limit_test.c
@@ -5,9 +5,9 @@
  */
 #include "testing.h"
 
-#include "core/backend_pool.h"
-#include "core/rate_limit.h"
-#include "core/rate_ranking.h"
+#include "core/backend/backend_pool.h"
+#include "core/rate/rate_limit.h"
+#include "core/rate/rate_ranking.h"
 #include "core/membership.h"
 
 #include <stdlib.h>
--- a/tests/core/stated_rate_test.c
+++ b/tests/core/rate/stated_rate_test.c
@@ -1,7 +1,7 @@
 /* What a node knows of the rate limit that a backend states: begin, change and end. */
 #include "testing.h"
 
-#include "core/stated_rate.h"
+#include "core/rate/stated_rate.h"
 
 #define MS ((uint64_t)1000)
 
--- a/tests/core/residency_test.c
+++ b/tests/core/residency_test.c
@@ -1,7 +1,7 @@
 /* Requests with home regions: no choice, retry or resumption ends outside of them. */
 #include "testing.h"
 
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 #include "core/random.h"
 #include "core/residency.h"
 
--- a/tests/core/store_outage_test.c
+++ b/tests/core/store_outage_test.c
@@ -16,7 +16,7 @@
  */
 #include "testing.h"
 
-#include "core/backend_pool.h"
+#include "core/backend/backend_pool.h"
 #include "core/store_watch.h"
 
 #include <stdio.h>
