--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -125,10 +125,10 @@
 REQUEST_COUNT = [0]
 
 
-def send_request(method, path, body=None, address=EDGE_IPS[0], key="key-a", timeout=8, **headers):
+def send_request(method, path, body=None, address=None, key="key-a", timeout=8, **headers):
     REQUEST_COUNT[0] += 1
     identity = "%016x" % REQUEST_COUNT[0]
-    connection = http.client.HTTPConnection(address, CLIENT_PORT, timeout=timeout)
+    connection = http.client.HTTPConnection(address or EDGE_IPS[0], CLIENT_PORT, timeout=timeout)
     fields = {"Host": "a.example", "Shuntrun-Request-Id": identity, "Shuntrun-Deadline-Ms": "2000"}
     if key:
         fields["Authorization"] = "Bearer " + key
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -37,11 +37,13 @@
   --restores     a store that comes back from an older copy; what it lost is written again soon
   --large        more edges and engines
   --links        links to back ends that stall or are slow for a while, or reset all connections
+  --range N      the addresses of edges and back ends are those of range N; without it, the seed draws the range:
+                 ranks among nodes follow from their addresses
   --leaving      back ends whose previous entry is written after the one that announces that they leave,
                  and moments at which all gateways are killed
 
 usage: soak.py --build DIR --work DIR [--seeds A..B|A,B] [--seconds S] [--only N,N] [--crashing]
-               [--crash-times] [--statements] [--links] [--leaving] [--limits] [--restores] [--large]
+               [--crash-times] [--statements] [--links] [--leaving] [--limits] [--restores] [--large] [--range N]
 """
 import argparse
 import json
@@ -82,6 +84,8 @@
 PROBED_VERSIONS = 6  # configurations whose probe routes the newest one still has
 LARGE_EDGES = 12
 LARGE_ENGINES = 24
+ADDRESS_RANGES = 14
+RANGE_SIZE = 16  # from the first address of a range to that of the next one
 
 
 class SlackMeter(threading.Thread):
@@ -668,7 +672,20 @@
 
 
 
+def addresses(network, count, number):
+    """The addresses of a range, in the same network as an address."""
+    prefix = network.rpartition(".")[0]
+    return ["%s.%d" % (prefix, 1 + RANGE_SIZE * number + index) for index in range(count)]
+
+
+def use_address_range(options, number):
+    platform.EDGE_IPS[:] = addresses(platform.EDGE_IPS[0], LARGE_EDGES if options.large else 2, number)
+    platform.ENGINE_IPS[:] = addresses(platform.ENGINE_IPS[0], LARGE_ENGINES if options.large else 3, number)
+    platform.PLAIN_IPS[:] = addresses(platform.PLAIN_IPS[0], 2, number)
+
+
 def run_seed(options, seed):
+    use_address_range(options, seed % ADDRESS_RANGES if options.range is None else options.range)
     platform.OPTIONS = argparse.Namespace(build=options.build,
                                           work=os.path.join(options.work, "seed-%d" % seed))
     os.makedirs(platform.OPTIONS.work, exist_ok=True)
@@ -712,10 +729,9 @@
     parser.add_argument("--restores", action="store_true",
                         help="add restores of the store from an older copy")
     parser.add_argument("--large", action="store_true", help="more edges and engines")
+    parser.add_argument("--range", type=int, choices=range(ADDRESS_RANGES),
+                        help="range of the addresses; default: by the seed")
     options = parser.parse_args()
-    if options.large:
-        platform.EDGE_IPS += ["127.9.1.%d" % n for n in range(3, LARGE_EDGES + 1)]
-        platform.ENGINE_IPS += ["127.9.2.%d" % n for n in range(4, LARGE_ENGINES + 1)]
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))  # runs the cleanup that stops the child processes
     good = [run_seed(options, seed) for seed in read_seeds(options.seeds)]
     print("%d passed, %d failed" % (sum(good), len(good) - sum(good)))
