An exit is planned only if it is known since when the backend leaves

Callers saw: a request that crashes engines reached more of them than it should, and everybody's streams there were interrupted. Cause: backend_exit_is_planned took 'not known since when' (0) for 'long ago'. Unknown is a crash. Result: system.crash PlannedEnds, a new case: times out on, passes now. Four cases in core.backend.backend_statement; an_exit_is_planned_if_the_start_of_leaving_is_not_known asked for the fault itself and is replaced by its strict opposite.

--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -62,7 +62,8 @@
         const Shuntrun__StateItem *item = changes->items[i];
         uint64_t age = item->age_ms * 1000;
         uint64_t learned = now > age ? now - age : 0;
-        struct state_removal removal = {learned, item->from_outage, item->lost_in_copy};
+        struct state_removal removal = {learned, item->from_outage, item->lost_in_copy,
+                                        item->undated};
         if (item->gone)
             state_cache_remove(state, item->key, item->revision, &removal);
         else
--- a/src/core/backend/backend_pool.c
+++ b/src/core/backend/backend_pool.c
@@ -186,7 +186,7 @@
     backend->unlisted_at = now;
     backend->unlisted_in_outage = drop->from_outage;
     if (!drop->from_outage)
-        backend_record_leaving(backend, drop->learned);
+        backend_record_leaving(backend, drop->undated ? now : drop->learned);
     backend->unlisted_until =
         drop->learned + (drop->from_outage ? RELIST_GRACE_US : pool->settings.unlisted_grace_us);
     return backend;
--- a/src/core/backend/backend_pool.h
+++ b/src/core/backend/backend_pool.h
@@ -87,7 +87,7 @@
     uint64_t presumed_down_until;   /**< 0: not presumed down */
     bool leaving;                   /**< an answer said that it is about to shut down */
     bool leaving_recorded;          /**< `leaving_known_since` was set */
-    uint64_t leaving_known_since;   /**< first time it was known to be leaving; 0: not known */
+    uint64_t leaving_known_since;   /**< time by which it had begun to leave; 0: not known */
     uint64_t backoff_until;         /**< end of the backoff that it asked for; 0: none */
     uint64_t region;                /**< bit of its region in the zone map; 0: not known */
     uint16_t distance;              /**< 0 same zone, 1 same region, 2 other region */
@@ -159,6 +159,7 @@
 struct backend_unlisting {
     uint64_t learned; /**< time at which the first gateway learned of it */
     bool from_outage; /**< the store may have lost the entry in an outage */
+    bool undated;     /**< a snapshot lacked it: `learned` is a lower bound */
 };
 
 /**
@@ -225,12 +226,11 @@
 struct backend_statement_effect
 backend_pool_apply_statement(struct backend_pool *pool, struct backend *backend,
                              const struct backend_statement *statement, uint64_t now);
-/**
- * \brief Record that this incarnation is leaving; the first call counts.
- * \param since 0: not known
- */
+/** \brief Record that this incarnation is leaving; the first call counts.
+ * \param since a time by which it had announced that, or the list had shown it */
 void backend_record_leaving(struct backend *backend, uint64_t since);
-/** \return whether an exit of this incarnation now would be one that it or the list announced */
+/** \return whether an exit of this incarnation now would be one that it or the list announced, and
+ * its drain time is known to be over */
 bool backend_exit_is_planned(const struct backend_pool *pool, const struct backend *backend,
                              uint64_t now);
 /** \brief Presume this incarnation down: it exited unannounced. The list may name a later one. */
--- a/src/core/backend/backend_pool_internal.h
+++ b/src/core/backend/backend_pool_internal.h
@@ -19,6 +19,7 @@
     char id[BACKEND_ID_SIZE];
     uint64_t born;
     bool leaving;
+    uint64_t leaving_known_since; /* as in struct backend */
     uint64_t backoff_until;
     struct stated_rate rate;
 };
--- a/src/core/backend/backend_statement.c
+++ b/src/core/backend/backend_statement.c
@@ -70,7 +70,7 @@
 {
     if (!is_leaving(backend) && !is_unlisted_outside_outage(backend))
         return false;
-    return !backend->leaving_known_since ||
+    return backend->leaving_known_since &&
            now >= backend->leaving_known_since + pool->settings.min_drain_us;
 }
 
@@ -105,6 +105,8 @@
         memcpy(kept->id, backend->listing.id, sizeof kept->id);
     }
     kept->leaving |= is_leaving_permanently(backend);
+    if (!kept->leaving_known_since)
+        kept->leaving_known_since = backend->leaving_known_since;
     if (backend->backoff_until > kept->backoff_until)
         kept->backoff_until = backend->backoff_until;
     stated_rate_merge(&kept->rate, &backend->rate);
@@ -116,6 +118,8 @@
     if (!kept)
         return;
     backend->leaving |= kept->leaving;
+    if (kept->leaving && kept->leaving_known_since)
+        backend_record_leaving(backend, kept->leaving_known_since);
     if (kept->backoff_until > backend->backoff_until)
         backend->backoff_until = kept->backoff_until;
     stated_rate_merge(&backend->rate, &kept->rate);
--- a/src/core/state_cache.c
+++ b/src/core/state_cache.c
@@ -149,6 +149,7 @@
     item->learned = loss->learned;
     item->from_outage = loss->from_outage;
     item->lost_in_copy = loss->lost_in_copy;
+    item->undated = loss->undated;
     item->kept = false;
     item->unconfirmed = false;
     item->revived = false;
@@ -201,6 +202,7 @@
         struct state_item *item = cache->items[i];
         struct state_removal removal = *loss;
         removal.lost_in_copy = !is_in_same_epoch(item->revision, revision);
+        removal.undated = true;
         if (has_prefix(item, prefix) && !item->seen && !item->gone && item->revision <= revision)
             mark_gone(cache, item, revision, &removal);
     }
--- a/src/core/state_cache.h
+++ b/src/core/state_cache.h
@@ -24,7 +24,8 @@
     uint64_t revision; /**< of its last change */
     bool gone;         /**< removed: this is a tombstone */
     uint64_t learned;  /**< time at which the first node knew of the last change */
-    bool undated; /**< it was read from a snapshot: the last change may be older than `learned` */
+    bool undated; /**< a snapshot showed the last change: it may be older than `learned`, a removal
+                     also younger */
     bool
         from_outage; /**< the store may have lost the item in an outage, see struct state_removal */
     bool
@@ -43,6 +44,7 @@
     bool from_outage; /**< the store may have lost the item in an outage: what it stands for may
                          still run, and list itself again */
     bool lost_in_copy; /**< see struct state_item; state_cache_snapshot_end() finds out itself */
+    bool undated;      /**< see struct state_item; likewise */
 };
 
 struct state_cache;
--- a/src/edge/edge_state.c
+++ b/src/edge/edge_state.c
@@ -13,8 +13,6 @@
 #define VERSION_MARGIN_US 1100000
 /** What the store lost when it came back from an older copy is written again within this time. */
 #define REWRITE_PERIOD_US 15000000
-/** Updates in this time after startup do not show when their content became true. */
-#define STARTUP_STATE_US 1500000
 
 /* Sets the origin from which the relay reads weights to the configured one. */
 static void update_relay_origin(struct edge *edge)
@@ -30,7 +28,7 @@
 static void unlist_backend(struct edge *edge, const char *id, const struct state_item *item)
 {
     uint64_t now = cluster_now();
-    struct backend_unlisting drop = {item->learned, item->from_outage};
+    struct backend_unlisting drop = {item->learned, item->from_outage, item->undated};
     const struct backend *backend = backend_pool_unlist(edge->pool, id, &drop, now);
     uint64_t until = backend ? backend->unlisted_until : 0;
     log_event(LOG_LEVEL_INFO, "backend", "gone",
@@ -58,14 +56,6 @@
     return !edge->table || route_table_find_service(edge->table, service) != ROUTE_NO_SERVICE;
 }
 
-/* \return time at which the entry got its present content; 0: unknown, as it was part of the
- * initial state or arrived while the store was failing */
-static uint64_t item_changed_at(const struct edge *edge, const struct state_item *item)
-{
-    bool at_start = cluster_now() < edge->started_at + STARTUP_STATE_US;
-    return at_start || !cluster_store_is_healthy(&edge->cluster) ? 0 : item->learned;
-}
-
 /* The older copy of the store names a backend that has left since, or an earlier start than the
  * one that is known by its id or at its address. Live backends write their entries again soon. */
 static bool is_outdated(const struct edge *edge, const struct state_item *item,
@@ -108,7 +98,7 @@
     if (listing.cold_ms)
         backend_record_cold(backend, item->learned + (uint64_t)listing.cold_ms * 1000);
     if (backend->listing.draining)
-        backend_record_leaving(backend, item_changed_at(edge, item));
+        backend_record_leaving(backend, item->learned);
     log_event(LOG_LEVEL_INFO, "backend", "listed",
               "id=%s born=%" PRIu64 " service=%s address=%s zone=%s draining=%d weights=%" PRIu64
               " revision=%" PRIu64 " sequence=%" PRIu64 " cold_ms=%u age_ms=%" PRIu64
--- a/tests/core/backend/backend_pool_test.c
+++ b/tests/core/backend/backend_pool_test.c
@@ -215,7 +215,7 @@
 static void draining_is_final_for_an_incarnation(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
-    struct backend_unlisting drop = {SECOND_US, false};
+    struct backend_unlisting drop = {SECOND_US, false, false};
     apply_entry(pool, 1000, 8, true);
     apply_entry(pool, 1000, 9, false);
     assert_false(is_eligible(pool));
--- a/tests/core/backend/backend_statement_test.c
+++ b/tests/core/backend/backend_statement_test.c
@@ -312,7 +312,7 @@
     char address[BACKEND_ADDRESS_SIZE], id[BACKEND_ID_SIZE];
     snprintf(address, sizeof address, "10.0.0.%d:80", number + 1);
     snprintf(id, sizeof id, "i-%d", number + 1);
-    struct backend_unlisting drop = {scenario->now, random_below(&scenario->random, 2)};
+    struct backend_unlisting drop = {scenario->now, random_below(&scenario->random, 2), false};
     scenario->now += random_below(&scenario->random, SECOND_US);
     struct backend *backend = backend_pool_find_address(scenario->pool, address);
     switch (random_below(&scenario->random, 11)) {
@@ -400,13 +400,57 @@
     backend_pool_destroy(pool);
 }
 
-static void an_exit_is_planned_if_the_start_of_leaving_is_not_known(void **state)
+/* Guards against a crash that was left out, as "not known since when" was taken for "long ago":
+ * requests were sent on after their third crash. */
+static void an_exit_is_not_planned_if_the_start_of_leaving_is_not_known(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
     struct backend *backend = list(pool, 1, 5);
     backend_pool_apply_statement(pool, backend, &leaving, 100 * SECOND_US);
-    backend_record_leaving(backend, 0);
-    assert_true(backend_exit_is_planned(pool, backend, 100 * SECOND_US));
+    assert_false(backend_exit_is_planned(pool, backend, 100 * SECOND_US));
+    backend_record_leaving(backend, 100 * SECOND_US);
+    assert_false(backend_exit_is_planned(pool, backend, 102 * SECOND_US - 1));
+    assert_true(backend_exit_is_planned(pool, backend, 102 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void a_snapshot_that_lacks_an_entry_does_not_date_its_removal(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = list(pool, 1, 5);
+    struct backend_unlisting drop = {.learned = 1, .undated = true};
+    backend_retain(backend);
+    backend_pool_unlist(pool, backend->listing.id, &drop, 100 * SECOND_US);
+    assert_false(backend_exit_is_planned(pool, backend, 102 * SECOND_US - 1));
+    assert_true(backend_exit_is_planned(pool, backend, 102 * SECOND_US));
+    backend_release(backend);
+    backend_pool_destroy(pool);
+}
+
+/* An entry was gone; the next incarnation, known by reports and not listed yet, crashed under three
+ * requests, and the removal of the earlier one made that a planned exit. */
+static void an_incarnation_does_not_inherit_the_removal_of_the_one_before(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_load load = {.version = 1, .born = 6};
+    list(pool, 1, 5);
+    unlist(pool, false, 100 * SECOND_US);
+    struct backend *next = backend_pool_report(pool, "10.0.0.1:80", &load, 101 * SECOND_US);
+    assert_int_equal(backend_born(next), 6);
+    assert_false(backend_exit_is_planned(pool, next, 103 * SECOND_US));
+    backend_pool_destroy(pool);
+}
+
+static void a_backend_that_is_listed_again_has_been_leaving_since_it_said_so(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = list(pool, 1, 5);
+    backend_pool_apply_statement(pool, backend, &leaving, 100 * SECOND_US);
+    backend_record_leaving(backend, 100 * SECOND_US);
+    unlist(pool, false, 101 * SECOND_US);
+    backend = list(pool, 1, 5);
+    assert_false(backend_exit_is_planned(pool, backend, 102 * SECOND_US - 1));
+    assert_true(backend_exit_is_planned(pool, backend, 102 * SECOND_US));
     backend_pool_destroy(pool);
 }
 
@@ -450,7 +494,10 @@
         cmocka_unit_test(a_backoff_holds_for_an_incarnation_that_is_listed_late),
         cmocka_unit_test(no_order_of_events_violates_a_statement),
         cmocka_unit_test(an_exit_is_planned_after_the_minimum_drain_time),
-        cmocka_unit_test(an_exit_is_planned_if_the_start_of_leaving_is_not_known),
+        cmocka_unit_test(an_exit_is_not_planned_if_the_start_of_leaving_is_not_known),
+        cmocka_unit_test(a_snapshot_that_lacks_an_entry_does_not_date_its_removal),
+        cmocka_unit_test(an_incarnation_does_not_inherit_the_removal_of_the_one_before),
+        cmocka_unit_test(a_backend_that_is_listed_again_has_been_leaving_since_it_said_so),
         cmocka_unit_test(an_exit_after_an_unlisting_is_planned_until_listed_again),
         cmocka_unit_test(an_exit_after_an_unlisting_in_an_outage_is_not_planned),
     };
--- a/tests/core/store_outage_test.c
+++ b/tests/core/store_outage_test.c
@@ -109,7 +109,7 @@
         gateway->learned_at = session->now;
         struct state_removal loss =
             store_watch_removal(&gateway->watch, false, session->now * MS_US);
-        struct backend_unlisting drop = {loss.learned, loss.from_outage};
+        struct backend_unlisting drop = {loss.learned, loss.from_outage, loss.undated};
         backend_pool_unlist(gateway->pool, "i-1", &drop, session->now * MS_US);
     }
     store_watch_answered(&gateway->watch, revision, session->now * MS_US);
--- a/tests/system/crash_test.py
+++ b/tests/system/crash_test.py
@@ -206,6 +206,22 @@
         platform.wait_for(lambda: self.end_is_known(planned=False), "the end, known as a crash")
         self.assertEqual(platform.metric("shuntrun_backend_crashes_total"), 1)
 
+    def test_an_engine_that_a_new_gateway_sees_leave_and_end_before_its_time_has_crashed(self):
+        """A gateway did not date what it learned in the first 1.5 s after its start, and took such an engine for one
+        that had been leaving for long: the crash was left out, and its request was sent on."""
+        self.gateways[0].stop()
+        self.gateways[0].start()
+        platform.wait_for(lambda: self.is_served(), "a stream")
+        reader = streams.Reader("new-gateway", 60)
+        platform.wait_for(lambda: self.runs(reader.identity), "a stream in progress")
+        engine = self.engine_of(reader.identity)
+        engine.publish_entry("draining")
+        platform.wait_for(lambda: any("event=listed id=%s " % engine.identity in line and "draining=1" in line
+                                      for line in gateway_lines(self)), "the entry at the gateway")
+        engine.crash()
+        platform.wait_for(lambda: self.end_is_known(planned=False), "the end, known as a crash")
+        self.assert_whole(reader)
+
 
 class EndsInTurn(streams.Fleet):
     ENGINES = 4
