Crash evidence: a first crash outlives the gateways

Callers saw: requests that crash engines reached one or two more of them after all gateways had been killed; the streams there were interrupted. Cause: an entry with one crash is held by replica gateways only, so it is gone when all are killed, and the second crash counts as the first. Change: such entries go to their two loaders, too, and a gateway process that a node hears of for the first time gets the entries with crashes of the last 10 s. The digest, which leaves single crashes out, cannot show that they lack.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -327,8 +327,11 @@
 {
     uint64_t uptime_us = message->uptime_ms * 1000;
     if (message->uptime_ms && now > uptime_us &&
-        membership_record_process_start(cluster->membership, sender, now - uptime_us))
+        membership_record_process_start(cluster->membership, sender, now - uptime_us)) {
         membership_send_update(cluster->membership, sender);
+        if (message->sender && message->sender->role == MEMBER_GATEWAY)
+            crash_sync_send_recent(cluster->crashes, sender);
+    }
     if (message->load)
         membership_record_engine_start(cluster->membership, sender, message->load->born);
     uint64_t age_us = message->earlier_age_ms * 1000;
--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -18,6 +18,8 @@
 /** Such a reply also contains entries whose last crash is younger than this, even those with a
  *  single crash. */
 #define RECENT_CRASH_US ((uint64_t)10000000)
+/** Messages to a gateway process that has just begun, at most. */
+#define MAX_RECENT_MESSAGES 4
 /** Time for which a computed digest is reused. Crashes enter it only after 0.5 s
  *  (CRASH_DIGEST_DELAY_US), so it is not needed sooner. */
 #define DIGEST_CACHE_US ((uint64_t)100000)
@@ -195,6 +197,28 @@
         cluster_send(sync->cluster, address, &out.message);
 }
 
+void crash_sync_send_recent(struct crash_sync *sync, uint32_t address)
+{
+    struct suspects_message out;
+    uint64_t now = cluster_now();
+    uint32_t messages = 0;
+    init_message(&out);
+    for (uint32_t i = 0; i < crash_table_count(sync->table); i++) {
+        struct crash_entry *entry = crash_table_at(sync->table, i);
+        if (!has_recent_crash(entry, now))
+            continue;
+        add_entry(&out, entry, now);
+        if (out.message.n_suspects < MAX_SUSPECTS_PER_MESSAGE)
+            continue;
+        cluster_send(sync->cluster, address, &out.message);
+        init_message(&out);
+        if (++messages == MAX_RECENT_MESSAGES)
+            return;
+    }
+    if (out.message.n_suspects)
+        cluster_send(sync->cluster, address, &out.message);
+}
+
 /* Replies to a gateway whose digest differs. A loader holds only the entries that it is a replica
  * of, so it replies only to a gateway without any entries, as after the loss of all gateways. */
 static void repair(struct crash_sync *sync, const Shuntrun__MemberNews *sender, uint64_t digest,
--- a/src/core/crash/crash_spread.c
+++ b/src/core/crash/crash_spread.c
@@ -68,8 +68,7 @@
 {
     receivers->count = 0;
     add_replica_holders(membership, entry, MEMBER_GATEWAY, CRASH_GATEWAY_REPLICAS, receivers);
-    if (!entry->shared)
-        return;
     add_replica_holders(membership, entry, MEMBER_LOADER, CRASH_LOADER_REPLICAS, receivers);
-    add_random_gateways(membership, random, receivers);
+    if (entry->shared)
+        add_random_gateways(membership, random, receivers);
 }
--- a/tests/system/crash_test.py
+++ b/tests/system/crash_test.py
@@ -164,6 +164,31 @@
         self.assertIn("32 digits", self.suspects(0, "--lift", "words").stdout)
 
 
+class AllGatewaysKilled(streams.Fleet):
+    ENGINES = 3
+    GATEWAYS = 2
+    EVENT_GAP_S = 0.05
+
+    def knows_suspects(self):
+        return platform.metric("shuntrun_crash_suspects") > 0
+
+    def test_a_first_crash_is_known_after_all_gateways_were_killed(self):
+        """Only gateways held an entry with one crash: when all were killed it was gone, and a request that crashed
+        engines reached one more of them later than 3 s after the third crash."""
+        reader, engine = self.start_reading("interrupted", 100)
+        engine.crash()
+        platform.wait_for(self.knows_suspects, "the suspect at a gateway")
+        for gateway in self.gateways:
+            gateway.process.kill()
+        for gateway in self.gateways:
+            gateway.stop()
+            gateway.start()
+        reader.join()
+        platform.wait_for(lambda: platform.get(self.gateway(0), platform.READY_PORT, "/api/readiness")[0] == 200,
+                          "a ready gateway")
+        platform.wait_for(self.knows_suspects, "the suspect at a new gateway")
+
+
 def gateway_lines(fleet):
     """Log of the first gateway since its last start; test cases share the file."""
     with open(fleet.gateways[0].log_path) as log:
