Soak: two faults that replace the same back end do not break off the play

A play ended with a traceback, 'Address already in use': two faults restarted the same engine, one by the schedule, one by a timer. A play that breaks off checks nothing, and in a timer the error was lost. Replacements are made one at a time now, and a back end that was replaced already is not replaced again.

--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -126,6 +126,7 @@
         self.backend_starts = []  # every back end started so far
         self.leaving_since = {}  # identity -> time at which the store announced that it leaves
         self.live = {}  # address -> back end
+        self.replacing = threading.RLock()  # one fault at a time replaces the back end at an address
         self.unavailable_edges = set()  # edges that are stopped, killed or frozen
         self.store_fault_until = 0.0  # end of the present fault of the store
         self.store_faults = []  # (begin, end)
@@ -321,9 +322,14 @@
 
     def replace_backend(self, backend):
         """The back end crashes; a new one starts at its address, without weights if it is an engine."""
+        with self.replacing:
+            if self.end_live(backend):
+                self.start_backend(backend.address, backend.service)
+
+    def end_live(self, backend):
+        """Returns whether it still had its address: an earlier fault may have replaced it."""
         backend.crash()
-        version = None
-        self.start_backend(backend.address, backend.service, version)
+        return self.live[backend.address] is backend
 
     def record_leaving(self, backend):
         self.leaving_since[backend.identity] = time.monotonic()
@@ -368,10 +374,11 @@
             self.run_after(fault["for_s"], self.restart_backend, backend)
 
     def restart_backend(self, backend):
-        backend.crash()
-        self.leaving_since.pop(backend.identity, None)
-        self.add_backend(standin.Backend(backend.address, backend.identity, self.store,
-                                         backend.service))
+        with self.replacing:
+            if self.end_live(backend):
+                self.leaving_since.pop(backend.identity, None)
+                self.add_backend(standin.Backend(backend.address, backend.identity, self.store,
+                                                 backend.service))
 
     def fault_limit(self, fault):
         self.limit(self.pick_any_backend(fault), fault)
