A request counts as the probe of a backend when it is sent, not when it is chosen

Callers saw (by reading): after a backoff or an ejection a backend stays unused by a gateway. Cause: backend_pool_choose marked the backend as probing. A request that is chosen and then waits for a lease, or has too little time left, is never sent, and with nothing in flight no end clears the mark: the same class as a limit that nobody tests. Change: backend_request_started marks it, for a request after the end of the ejection or backoff.

--- a/src/core/backend/backend_choice.c
+++ b/src/core/backend/backend_choice.c
@@ -85,12 +85,6 @@
     return backend->ejected_until && (now < backend->ejected_until || backend->probing);
 }
 
-/* After an ejection or a backoff, one probe request shows whether the backend works again. */
-static bool needs_probe(const struct backend *backend, uint64_t now)
-{
-    return backend->ejected_until || backend_backoff_has_expired(backend, now);
-}
-
 /* Slots and queue places that were free at the last report; negative when overcommitted. */
 static double free_slots(const struct backend_pool *pool, const struct backend *backend)
 {
@@ -313,7 +307,7 @@
     if (is_ejected(backend, now)) {
         if (!set->ejected || backend->ejected_until < set->ejected->ejected_until)
             set->ejected = backend;
-    } else if (needs_probe(backend, now)) {
+    } else if (backend_needs_probe(backend, now)) {
         if (!backend->probing && random_below(&pool->random, ++set->probes) == 0)
             set->probe = backend;
     } else if (turning) {
@@ -380,7 +374,7 @@
             continue;
         has_eligible = true;
         record_rate_demand(pool, backend, now);
-        if (is_ejected(backend, now) || (needs_probe(backend, now) && backend->probing) ||
+        if (is_ejected(backend, now) || (backend_needs_probe(backend, now) && backend->probing) ||
             !accepts(pool, criteria, backend, now))
             continue;
         uint64_t weight = rank_weight(criteria, backend);
@@ -391,7 +385,6 @@
     }
     if (!*chosen)
         return has_eligible ? BACKEND_FULL : BACKEND_NONE;
-    (*chosen)->probing = needs_probe(*chosen, now);
     return BACKEND_FOUND;
 }
 
@@ -424,12 +417,7 @@
         else
             set.without_weights |= reports_no_weights(pool, group->items[i], now);
     }
-    if (set.probe) {
-        set.probe->probing = true;
-        *chosen = set.probe;
-        return BACKEND_FOUND;
-    }
-    *chosen = choose_candidate(pool, criteria, &set, now);
+    *chosen = set.probe ? set.probe : choose_candidate(pool, criteria, &set, now);
     if (*chosen)
         return BACKEND_FOUND;
     return set.eligible && !is_outage(criteria, &set) ? BACKEND_FULL : BACKEND_NONE;
@@ -441,8 +429,8 @@
     const struct backend_group *group = backend_table_group(&pool->table, criteria->service);
     for (uint32_t i = 0; group && i < group->count; i++) {
         const struct backend *backend = group->items[i];
-        if (backend_is_eligible(pool, criteria, backend, now) && !needs_probe(backend, now) &&
-            accepts(pool, criteria, backend, now))
+        if (backend_is_eligible(pool, criteria, backend, now) &&
+            !backend_needs_probe(backend, now) && accepts(pool, criteria, backend, now))
             return true;
     }
     return false;
--- a/src/core/backend/backend_health.c
+++ b/src/core/backend/backend_health.c
@@ -14,6 +14,7 @@
 {
     if (!backend->awaiting_first_byte)
         backend->awaiting_since = now;
+    backend->probing |= now >= backend->ejected_until && backend_needs_probe(backend, now);
     backend->in_flight++;
     backend->sent_since_report++;
     backend->started_since_report++;
--- a/src/core/backend/backend_pool_internal.h
+++ b/src/core/backend/backend_pool_internal.h
@@ -55,6 +55,13 @@
     return backend->backoff_until && now >= backend->backoff_until;
 }
 
+/** \return whether a request there would be the probe that shows, after an ejection or a backoff,
+ * whether the backend works again */
+static inline bool backend_needs_probe(const struct backend *backend, uint64_t now)
+{
+    return backend->ejected_until || backend_backoff_has_expired(backend, now);
+}
+
 /** Only an answer within this time shows that a backend, and the network to it, are not slow. */
 #define BACKEND_RECENT_ANSWER_US 1500000
 
--- a/tests/core/backend/backend_statement_test.c
+++ b/tests/core/backend/backend_statement_test.c
@@ -222,6 +222,21 @@
     backend_pool_destroy(pool);
 }
 
+/* Guards against a backend that one gateway never uses again: the request that was chosen as its
+ * probe was not sent, as it waited for a lease or had no time left, and none followed. */
+static void a_probe_that_was_not_sent_leaves_the_next_request_to_probe(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend *backend = list(pool, 1, 7);
+    struct backend_statement one = backs_off(SECOND_US);
+    backend_pool_apply_statement(pool, backend, &one, 0);
+    assert_ptr_equal(choose(pool, SECOND_US), backend);
+    assert_ptr_equal(choose(pool, SECOND_US + 1), backend);
+    backend_request_started(backend, 10, SECOND_US + 2);
+    assert_null(choose(pool, SECOND_US + 3));
+    backend_pool_destroy(pool);
+}
+
 static void other_backends_are_used_during_a_backoff(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -490,6 +505,7 @@
         cmocka_unit_test(a_backoff_lasts_as_long_as_requested),
         cmocka_unit_test(a_backoff_is_limited_to_an_hour),
         cmocka_unit_test(after_a_backoff_one_probe_goes_first),
+        cmocka_unit_test(a_probe_that_was_not_sent_leaves_the_next_request_to_probe),
         cmocka_unit_test(other_backends_are_used_during_a_backoff),
         cmocka_unit_test(a_backoff_holds_for_an_incarnation_that_is_listed_late),
         cmocka_unit_test(no_order_of_events_violates_a_statement),
