A request that has not begun does not leave a silent engine for one that is as silent

Callers saw: a request run by two engines, and an attempt of its route spent, while the links to all engines were silent. Cause: on_silence asked when the other engine was last heard only for streams that had begun. Evidence, system.streams TwoEngines on beside ten busy processes, 1 of 16 plays red: event=silent silence_ms=880 events=0 others=1 outcome=leave, and 0.88 s later the same of the other engine. Change: it asks for every request that may be retried. Engines that never reported to this gateway, and plain back ends, count as before.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -133,7 +133,7 @@
 {
     uint64_t late = now > exchange->timer_due ? now - exchange->timer_due : 0;
     struct attempt_facts facts = exchange_facts(exchange, now);
-    uint64_t heard_after = exchange->streaming ? now - ALTERNATIVE_MAX_SILENCE_US : 0;
+    uint64_t heard_after = now - ALTERNATIVE_MAX_SILENCE_US;
     bool has_alternative = exchange_has_alternative(exchange, heard_after);
     enum silence_action verdict = silence_choose_action(&facts, late, has_alternative);
     if (verdict == SILENCE_LEAVE || !exchange->silence_tolerated_until)
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -268,11 +268,22 @@
         """Three streams were cut while all engines were stalled: each went to another engine, whose last report was
         1.46 s old, and a reset there used up the second and last attempt of its route."""
         reader, first = self.start_reading("all-silent", 30)
+        self.silence_all_links()
+        self.assert_sent_once(reader)
+
+    def test_a_silent_engine_is_not_left_before_its_first_event_for_one_that_is_as_silent(self):
+        """Only for streams that had begun did it count whether the other engine had been heard of lately."""
+        self.silence_all_links()
+        self.assert_sent_once(Reader("none-answers", 20))
+
+    def silence_all_links(self):
         for engine in self.engines:
             engine.disturb_link(ALL_SILENT_S, silent=True)
+
+    def assert_sent_once(self, reader):
         self.assert_whole(reader)
         time.sleep(0.5)  # anything sent to the other engine passes its link
-        self.assertEqual(sum(identity == "all-silent" for engine in self.engines
+        self.assertEqual(sum(identity == reader.identity for engine in self.engines
                              for identity, _, _ in engine.arrivals), 1)
 
 
