--- a/src/core/backend/backend_pool.h
+++ b/src/core/backend/backend_pool.h
@@ -211,6 +211,7 @@
 struct backend_statement_effect {
     bool now_leaving;    /**< it was not known to be leaving */
     bool now_backed_off; /**< a backoff has begun or was extended */
+    bool works_again;    /**< the first request after a backoff worked */
     bool rate_changed;   /**< a rate limit began, changed or ended */
 };
 
--- a/src/core/backend/backend_statement.c
+++ b/src/core/backend/backend_statement.c
@@ -13,13 +13,15 @@
     return true;
 }
 
-/* An answer to a request from before the backoff does not end the backoff. */
-static void record_success(struct backend *backend, uint64_t now)
+/* An answer to a request from before the backoff does not end the backoff.
+ * \return whether this was the first success after one */
+static bool record_success(struct backend *backend, uint64_t now)
 {
     if (!backend_backoff_has_expired(backend, now))
-        return;
+        return false;
     backend->backoff_until = 0;
     backend->probing = false;
+    return true;
 }
 
 /* The same incarnation may have been listed again since its removal. */
@@ -38,8 +40,7 @@
     struct backend_statement_effect change = {.now_leaving =
                                                   statement->leaving && !backend->leaving};
     backend->leaving |= statement->leaving;
-    if (statement->works)
-        record_success(backend, now);
+    change.works_again = statement->works && record_success(backend, now);
     change.now_backed_off = extend_backoff(backend, statement->backoff_us, now);
     change.rate_changed = stated_rate_hear(&backend->rate, &statement->rate, now);
     if ((change.now_leaving || change.now_backed_off || change.rate_changed) && !backend->listed)
--- a/src/edge/backend_feedback.c
+++ b/src/edge/backend_feedback.c
@@ -75,6 +75,9 @@
         log_leaving(backend, "answer", head->request_id);
     if (change.now_backed_off)
         log_backoff(backend, head, now);
+    if (change.works_again)
+        log_event(LOG_LEVEL_INFO, "backend", "backoff-over", "id=%s born=%" PRIu64 " request=%s",
+                  backend->listing.id, backend->listing.born, head->request_id);
     if (change.rate_changed) {
         log_rate(backend, &rate_before, head->request_id);
         edge_announce_rate(edge, backend, now);
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -165,6 +165,18 @@
         exchange_fail_by_run_state(exchange, END_NO_CONNECTION);
 }
 
+/* With `backoff-over`, tells which gateway uses a backend again after a backoff or an ejection. */
+static void log_probe(const struct exchange *exchange, const struct backend *backend, uint64_t now)
+{
+    uint64_t free_at = backend->backoff_until > backend->ejected_until ? backend->backoff_until
+                                                                       : backend->ejected_until;
+    log_event(LOG_LEVEL_INFO, "backend", "probe",
+              "id=%s born=%" PRIu64 " request=%s after=%s free_ms=%" PRIu64 " in_flight=%u",
+              backend->listing.id, backend->listing.born, exchange->head.id,
+              backend->ejected_until ? "ejection" : "backoff", (now - free_at) / US_PER_MS,
+              backend->in_flight);
+}
+
 static void send_to(struct exchange *exchange, struct backend *backend, uint64_t now)
 {
     if (now + MIN_TIME_LEFT_US > exchange->deadline_at) { /* no backend could begin in time */
@@ -190,7 +202,10 @@
     metric_observe(METRIC_PLACE_WAIT, now - exchange->arrived_at);
     if (backend->load_at)
         metric_observe(METRIC_LOAD_AGE, now - backend->load_at);
+    bool was_probing = backend->probing;
     backend_request_started(backend, exchange->head.prompt_tokens, now);
+    if (backend->probing && !was_probing)
+        log_probe(exchange, backend, now);
     exchange->upstream = upstream_send(exchange->edge, backend, exchange, most_idle);
     if (exchange->upstream)
         exchange_arm_timer(exchange);
