--- a/src/core/crash/crash_verdict.h
+++ b/src/core/crash/crash_verdict.h
@@ -11,10 +11,11 @@
  * - blocked once it was present at enough crashes, CRASH_PROOFS_TO_BLOCK of which are proof: no
  *   other request on that backend had, counting this crash, as many unexplained crashes as isolate
  *   a request;
- * - held back, if it is not proven and some crash of it is unexplained, from CRASHES_TO_HOLD
- * crashes on, for a time that doubles with each further crash: shared crashes are no reason to
- * refuse a request for good. A crash at which a blocked request was present counts as explained for
- * all other requests.
+ * - held back, if it is not proven and a crash of it is unexplained, from CRASHES_TO_HOLD crashes
+ *   on, for a time that doubles with each further crash: shared crashes are no reason to refuse a
+ *   request for good.
+ *
+ * A crash at which a blocked request was present counts as explained for all other requests.
  *
  * Pure functions of the entries: nodes that hold the same entries, in any order, reach the same
  * verdicts.
