--- a/src/core/crash/crash_verdict.c
+++ b/src/core/crash/crash_verdict.c
@@ -328,6 +328,9 @@
 {
     if (finding->crashes < CRASHES_TO_HOLD || !finding->unexplained)
         return 0;
+    if (finding->proofs && finding->crashes == CRASHES_TO_HOLD &&
+        now < latest_crash_at + CRASH_HOLD_GRACE_US)
+        return 0;
     uint32_t further =
         finding->unexplained > CRASHES_TO_HOLD ? finding->unexplained - CRASHES_TO_HOLD : 0;
     uint64_t hold = CRASH_HOLD_INITIAL_US << further;
--- a/src/core/crash/crash_verdict.h
+++ b/src/core/crash/crash_verdict.h
@@ -48,6 +48,9 @@
 /** At most this many simultaneous crashes count: a power loss crashes many backends at once,
  *  attempts of one request that reach several gateways at once crash a few. */
 #define CRASH_MAX_SIMULTANEOUS_COUNTED 2
+/** Time after crash number CRASHES_TO_HOLD in which a request with a proof may still run in
+ * isolation: the run is likely to decide. */
+#define CRASH_HOLD_GRACE_US ((uint64_t)2000000)
 /** A request is held back for this long after its latest crash, doubled with each further one. */
 #define CRASH_HOLD_INITIAL_US ((uint64_t)10000000)
 #define CRASH_HOLD_MAX_US ((uint64_t)3600000000)
