--- a/src/core/crash/crash_verdict.c
+++ b/src/core/crash/crash_verdict.c
@@ -326,10 +326,9 @@
 uint64_t crash_verdict_held_until(const struct crash_finding *finding, uint64_t latest_crash_at,
                                   uint64_t now)
 {
-    if (finding->crashes < CRASHES_TO_HOLD || !finding->unexplained)
+    if (finding->crashes < CRASHES_TO_HOLD || finding->unexplained < CRASHES_TO_ISOLATE)
         return 0;
-    if (finding->proofs && finding->crashes == CRASHES_TO_HOLD &&
-        now < latest_crash_at + CRASH_HOLD_GRACE_US)
+    if (finding->crashes == CRASHES_TO_HOLD && now < latest_crash_at + CRASH_HOLD_GRACE_US)
         return 0;
     uint32_t further =
         finding->unexplained > CRASHES_TO_HOLD ? finding->unexplained - CRASHES_TO_HOLD : 0;
--- a/src/core/crash/crash_verdict.h
+++ b/src/core/crash/crash_verdict.h
@@ -11,10 +11,8 @@
  * - blocked once it was present at enough crashes, CRASH_PROOFS_TO_BLOCK of which are proof: no
  *   other request on that backend had, counting this crash, as many unexplained crashes as isolate
  *   a request;
- * - held back, if it is not proven and a crash of it is unexplained, from CRASHES_TO_HOLD crashes
- *   on, for a time that doubles with each further crash: shared crashes are no reason to refuse a
- *   request for good.
- *
+ * - held back, if it is isolated and not proven, from CRASHES_TO_HOLD crashes on, for a time that
+ *   doubles with each further crash: shared crashes are no reason to refuse a request for good.
  * A crash at which a blocked request was present counts as explained for all other requests.
  *
  * Pure functions of the entries: nodes that hold the same entries, in any order, reach the same
@@ -42,14 +40,13 @@
 /** The same where backends also crash for unknown reasons: such a crash may happen to hit the
  *  backend of an isolated request. */
 #define CRASH_PROOFS_TO_BLOCK_IN_NOISE 3
-/** Crashes from which on a request without proof is held back. Explained ones count, too:
+/** Crashes from which on an isolated request without proof is held back. Explained ones count, too:
  *  two requests that crash backends may have met at some of them. */
 #define CRASHES_TO_HOLD 3
 /** At most this many simultaneous crashes count: a power loss crashes many backends at once,
  *  attempts of one request that reach several gateways at once crash a few. */
 #define CRASH_MAX_SIMULTANEOUS_COUNTED 2
-/** Time after crash number CRASHES_TO_HOLD in which a request with a proof may still run in
- * isolation: the run is likely to decide. */
+/** Time after crash number CRASHES_TO_HOLD in which the request may still run in isolation. */
 #define CRASH_HOLD_GRACE_US ((uint64_t)2000000)
 /** A request is held back for this long after its latest crash, doubled with each further one. */
 #define CRASH_HOLD_INITIAL_US ((uint64_t)10000000)
--- a/tests/core/crash/crash_verdict_test.c
+++ b/tests/core/crash/crash_verdict_test.c
@@ -143,7 +143,9 @@
     CRASH_AT(&facts, 2 * SECOND_US, STREAM, OTHER);
     evaluate(&facts, ALL_SETTLED_US);
     uint64_t newest = 2 * SECOND_US;
-    assert_int_equal(held_until(&facts, newest, newest), newest + CRASH_HOLD_INITIAL_US);
+    assert_int_equal(held_until(&facts, newest, newest), 0); /* one more try in isolation */
+    assert_int_equal(held_until(&facts, newest, newest + CRASH_HOLD_GRACE_US),
+                     newest + CRASH_HOLD_INITIAL_US);
     assert_int_equal(held_until(&facts, newest, newest + CRASH_HOLD_INITIAL_US), 0);
     CRASH_AT(&facts, 20 * SECOND_US, STREAM, OTHER);
     evaluate(&facts, ALL_SETTLED_US);
@@ -151,24 +153,6 @@
     assert_int_equal(held_until(&facts, newest, newest), newest + 2 * CRASH_HOLD_INITIAL_US);
 }
 
-/* Guards against a request that crashes backends and was held back again and again, not blocked: a
- * crash for an unknown reason made its one proof too few, and it got no run to add one. */
-static void a_request_with_a_proof_may_run_once_more(void **state)
-{
-    struct facts facts = {0};
-    CRASH_AT(&facts, 0, STREAM);
-    CRASH_AT(&facts, SECOND_US, STREAM, OTHER);
-    CRASH_AT(&facts, 2 * SECOND_US, THIRD);
-    CRASH_AT(&facts, 3 * SECOND_US, STREAM);
-    evaluate(&facts, ALL_SETTLED_US);
-    uint64_t newest = 3 * SECOND_US;
-    assert_true(facts.findings[STREAM].proofs > 0);
-    assert_false(facts.findings[STREAM].blocked);
-    assert_int_equal(held_until(&facts, newest, newest), 0);
-    assert_int_equal(held_until(&facts, newest, newest + CRASH_HOLD_GRACE_US),
-                     newest + CRASH_HOLD_INITIAL_US);
-}
-
 /* Guards against a request that reached backends after its third crash: at the first crash it had
  * run beside a request that explains it. */
 static void explained_crashes_count_for_holding_back(void **state)
@@ -188,22 +172,6 @@
                      4 * SECOND_US + CRASH_HOLD_INITIAL_US);
 }
 
-/* Guards against a request that ran after its third crash: two of them were explained by others, so
- * it was neither isolated nor held back. */
-static void one_unexplained_crash_among_three_holds_back(void **state)
-{
-    struct facts facts = {0};
-    CRASH_AT(&facts, 0, CRASHER, STREAM);
-    CRASH_AT(&facts, SECOND_US, CRASHER, STREAM);
-    CRASH_AT(&facts, 2 * SECOND_US, CRASHER);
-    CRASH_AT(&facts, 3 * SECOND_US, STREAM, OTHER);
-    evaluate(&facts, ALL_SETTLED_US);
-    assert_true(facts.findings[CRASHER].settled);
-    assert_int_equal(facts.findings[STREAM].unexplained, 1);
-    assert_int_equal(held_until(&facts, 3 * SECOND_US, 3 * SECOND_US),
-                     3 * SECOND_US + CRASH_HOLD_INITIAL_US);
-}
-
 static void power_loss_holds_no_request_back(void **state)
 {
     struct facts facts = {0};
@@ -223,7 +191,8 @@
     CRASH_AT(&facts, 4000, STREAM, OTHER);
     CRASH_AT(&facts, SECOND_US, STREAM, OTHER);
     evaluate(&facts, ALL_SETTLED_US);
-    assert_int_equal(held_until(&facts, SECOND_US, SECOND_US), SECOND_US + CRASH_HOLD_INITIAL_US);
+    assert_int_equal(held_until(&facts, SECOND_US, SECOND_US + CRASH_HOLD_GRACE_US),
+                     SECOND_US + CRASH_HOLD_INITIAL_US);
 }
 
 int main(void)
@@ -235,9 +204,7 @@
         cmocka_unit_test(one_proof_does_not_block_amid_unexplained_crashes),
         cmocka_unit_test(single_attempt_needs_one_more_proof),
         cmocka_unit_test(unproven_request_is_held_back_with_backoff),
-        cmocka_unit_test(a_request_with_a_proof_may_run_once_more),
         cmocka_unit_test(explained_crashes_count_for_holding_back),
-        cmocka_unit_test(one_unexplained_crash_among_three_holds_back),
         cmocka_unit_test(power_loss_holds_no_request_back),
         cmocka_unit_test(two_simultaneous_crashes_and_one_more_hold_back),
     };
