Log what a repeat is charged to: service, repeats of the window, bound, gateways, age of the account

No logic changes: repeat_budget_allows compares the same two numbers, which the account now returns.

--- a/src/core/repeat_budget.c
+++ b/src/core/repeat_budget.c
@@ -56,10 +56,9 @@
     return (share->rank + 0.5) / share->gateways;
 }
 
-bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now,
-                          const struct budget_share *share)
+static double bound_now(const struct repeat_budget *budget, uint64_t now,
+                        const struct budget_share *share)
 {
-    advance(budget, now);
     double bound = USED_SHARE * budget->settings.ratio * sum(budget->requests);
     if (share->gateways) {
         /* Repeats spent by a previous run of this process are unknown: start with half. */
@@ -67,7 +66,25 @@
         double part = (is_first_window ? 0.5 : 1.0) / share->gateways;
         bound += USED_SHARE * part * budget->settings.allowance + rounding(share);
     }
-    return sum(budget->repeats) + 1 <= bound;
+    return bound;
+}
+
+struct repeat_budget_account repeat_budget_account(struct repeat_budget *budget, uint64_t now,
+                                                   const struct budget_share *share)
+{
+    advance(budget, now);
+    return (struct repeat_budget_account){
+        .repeats = sum(budget->repeats),
+        .bound = bound_now(budget, now, share),
+        .life_us = now - budget->started,
+    };
+}
+
+bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now,
+                          const struct budget_share *share)
+{
+    struct repeat_budget_account account = repeat_budget_account(budget, now, share);
+    return account.repeats + 1 <= account.bound;
 }
 
 bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now,
--- a/src/core/repeat_budget.h
+++ b/src/core/repeat_budget.h
@@ -32,6 +32,13 @@
     uint64_t started; /**< time of creation, us; half the allowance holds for the first window */
 };
 
+/** What a decision on a repeat rests on, for logs. */
+struct repeat_budget_account {
+    uint32_t repeats; /**< spent by this process in the window */
+    double bound;     /**< on these */
+    uint64_t life_us; /**< time for which this process has kept the account */
+};
+
 /** The place of a gateway among those that share the budget. */
 struct budget_share {
     uint32_t gateways; /**< 0: not known */
@@ -45,6 +52,9 @@
 /** \return whether the budget has room for a repeat now */
 bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now,
                           const struct budget_share *share);
+/** \return the account of this process as of now */
+struct repeat_budget_account repeat_budget_account(struct repeat_budget *budget, uint64_t now,
+                                                   const struct budget_share *share);
 /**
  * \brief Spend one repeat.
  * \return false if the budget is exhausted: the request must not be repeated
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -213,12 +213,35 @@
         on_no_connection(exchange, now);
 }
 
+static void log_budget(const struct exchange *exchange, enum log_level level, const char *event,
+                       uint64_t now)
+{
+    const struct budget_share *share = &exchange->edge->budget_share;
+    struct repeat_budget_account account =
+        repeat_budget_account(&exchange->service_state->budget, now, share);
+    log_event(
+        level, "request", event,
+        "request=%s service=%s repeats=%u bound=%.2f gateways=%u rank=%u budget_age_ms=%" PRIu64,
+        exchange->head.id, exchange->service->name, account.repeats, account.bound, share->gateways,
+        share->rank, account.life_us / US_PER_MS);
+}
+
+/* \return false if the budget is exhausted */
+static bool spend_retry(struct exchange *exchange, uint64_t now)
+{
+    if (!repeat_budget_spend(&exchange->service_state->budget, now, &exchange->edge->budget_share))
+        return false;
+    log_budget(exchange, LOG_LEVEL_INFO, "budget-charged", now);
+    return true;
+}
+
 static void charge_retry_budget(struct exchange *exchange, uint64_t now)
 {
     if (!exchange->owes_retry_charge)
         return;
     exchange->owes_retry_charge = false;
-    repeat_budget_spend(&exchange->service_state->budget, now, &exchange->edge->budget_share);
+    if (!spend_retry(exchange, now))
+        log_budget(exchange, LOG_LEVEL_ERROR, "budget-exceeded", now);
 }
 
 /* If the attempts are used up unless the last backend has ended, waits for that check, and fails
@@ -407,13 +430,10 @@
 
 static bool take_from_retry_budget(struct exchange *exchange, uint64_t now)
 {
-    struct edge *edge = exchange->edge;
-    if (repeat_budget_spend(&exchange->service_state->budget, now, &edge->budget_share))
+    if (spend_retry(exchange, now))
         return true;
     metric_add(METRIC_BUDGET_SPENT, 1);
-    log_event(LOG_LEVEL_WARN, "request", "budget-spent",
-              "request=%s service=%s gateways=%u rank=%u", exchange->head.id,
-              exchange->service->name, edge->budget_share.gateways, edge->budget_share.rank);
+    log_budget(exchange, LOG_LEVEL_WARN, "budget-spent", now);
     return false;
 }
 
