The repeat budget holds over any number of starts

Cause: an account over a window that each start of a process begins anew. The new process knew nothing of the repeats of the one before it and got half of its part of the allowance again: n starts, 1 + n/2 allowances. The share of the requests has the same fault: the process before spends it on the requests of one window, the next process on those of the next.

Change: a request earns its credit once, at the process that received it, and the credit lapses after a fifth of the window. So the sum over processes is bounded by the requests, whoever received them. A process has no part of the allowance until it has lived for a window; a service that is first used later than that has it at once.

--- a/src/core/repeat_budget.c
+++ b/src/core/repeat_budget.c
@@ -2,15 +2,17 @@
 
 #include <string.h>
 
-/** Share of the bound that is used; the rest covers windows that begin or end within a bucket. */
+/** Share of the bound that is used; the rest covers the credit that was earned before a window, and
+ * windows that begin or end within a bucket. */
 #define USED_SHARE 0.8
+#define KEPT_BUCKETS (REPEAT_BUDGET_BUCKETS + 1)
 
 void repeat_budget_init(struct repeat_budget *budget, const struct repeat_budget_settings *settings,
-                        uint64_t now)
+                        uint64_t started)
 {
     memset(budget, 0, sizeof *budget);
     budget->settings = *settings;
-    budget->started = now;
+    budget->started = started;
 }
 
 static uint64_t bucket_us(const struct repeat_budget *budget)
@@ -19,34 +21,30 @@
     return length ? length : 1;
 }
 
+/* \return the bucket that lies this many before the current one */
+static struct repeat_budget_bucket *bucket_before(struct repeat_budget *budget, uint32_t steps)
+{
+    uint64_t number = budget->bucket + KEPT_BUCKETS - steps;
+    return &budget->buckets[number % KEPT_BUCKETS];
+}
+
 static void advance(struct repeat_budget *budget, uint64_t now)
 {
     uint64_t bucket = now / bucket_us(budget);
     if (bucket <= budget->bucket)
         return;
     uint64_t elapsed = bucket - budget->bucket;
-    if (elapsed > REPEAT_BUDGET_BUCKETS + 1)
-        elapsed = REPEAT_BUDGET_BUCKETS + 1;
-    for (uint64_t i = 0; i < elapsed; i++) {
-        uint32_t index = (uint32_t)((bucket - i) % (REPEAT_BUDGET_BUCKETS + 1));
-        budget->requests[index] = 0;
-        budget->repeats[index] = 0;
-    }
     budget->bucket = bucket;
-}
-
-static uint32_t sum(const uint32_t counts[REPEAT_BUDGET_BUCKETS + 1])
-{
-    uint32_t total = 0;
-    for (uint32_t i = 0; i <= REPEAT_BUDGET_BUCKETS; i++)
-        total += counts[i];
-    return total;
+    for (uint32_t i = 0; i < elapsed && i < KEPT_BUCKETS; i++)
+        *bucket_before(budget, i) = (struct repeat_budget_bucket){0};
+    for (uint32_t i = REPEAT_CREDIT_BUCKETS + 1; i < KEPT_BUCKETS; i++)
+        bucket_before(budget, i)->credit = 0;
 }
 
 void repeat_budget_earn(struct repeat_budget *budget, uint64_t now)
 {
     advance(budget, now);
-    budget->requests[budget->bucket % (REPEAT_BUDGET_BUCKETS + 1)]++;
+    bucket_before(budget, 0)->credit += USED_SHARE * budget->settings.ratio;
 }
 
 /* What this gateway adds before it rounds down, evenly spread over all gateways: their sum is then
@@ -56,28 +54,28 @@
     return (share->rank + 0.5) / share->gateways;
 }
 
-static double bound_now(const struct repeat_budget *budget, uint64_t now,
-                        const struct budget_share *share)
+/* \return repeats that the allowance adds in a window, not rounded */
+static double part_of_allowance(const struct repeat_budget *budget, uint64_t now,
+                                const struct budget_share *share)
 {
-    double bound = USED_SHARE * budget->settings.ratio * sum(budget->requests);
-    if (share->gateways) {
-        /* Repeats spent by a previous run of this process are unknown: start with half. */
-        bool is_first_window = now < budget->started + budget->settings.window_us;
-        double part = (is_first_window ? 0.5 : 1.0) / share->gateways;
-        bound += USED_SHARE * part * budget->settings.allowance + rounding(share);
-    }
-    return bound;
+    if (!share->gateways || now < budget->started + budget->settings.window_us)
+        return 0;
+    return USED_SHARE * budget->settings.allowance / share->gateways + rounding(share);
 }
 
 struct repeat_budget_account repeat_budget_account(struct repeat_budget *budget, uint64_t now,
                                                    const struct budget_share *share)
 {
     advance(budget, now);
-    return (struct repeat_budget_account){
-        .repeats = sum(budget->repeats),
-        .bound = bound_now(budget, now, share),
+    struct repeat_budget_account account = {
+        .bound = part_of_allowance(budget, now, share),
         .life_us = now - budget->started,
     };
+    for (uint32_t i = 0; i < KEPT_BUCKETS; i++) {
+        account.repeats += budget->buckets[i].repeats;
+        account.bound += budget->buckets[i].paid + budget->buckets[i].credit;
+    }
+    return account;
 }
 
 bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now,
@@ -87,11 +85,25 @@
     return account.repeats + 1 <= account.bound;
 }
 
+/* Takes up to one repeat from the credit that lapses first. */
+static void pay_from_credit(struct repeat_budget *budget)
+{
+    double owed = 1;
+    for (uint32_t i = REPEAT_CREDIT_BUCKETS + 1; i-- > 0 && owed > 0;) {
+        struct repeat_budget_bucket *bucket = bucket_before(budget, i);
+        double taken = bucket->credit < owed ? bucket->credit : owed;
+        bucket->credit -= taken;
+        bucket_before(budget, 0)->paid += taken;
+        owed -= taken;
+    }
+}
+
 bool repeat_budget_spend(struct repeat_budget *budget, uint64_t now,
                          const struct budget_share *share)
 {
     if (!repeat_budget_allows(budget, now, share))
         return false;
-    budget->repeats[budget->bucket % (REPEAT_BUDGET_BUCKETS + 1)]++;
+    pay_from_credit(budget);
+    bucket_before(budget, 0)->repeats++;
     return true;
 }
--- a/src/core/repeat_budget.h
+++ b/src/core/repeat_budget.h
@@ -1,10 +1,16 @@
 /**
  * A budget of repeats that all gateways share without coordination: in any sliding window, each
- * spends at most a share of its own requests plus its part of a fixed allowance.
+ * spends at most the credit that its own requests earn, and its part of a fixed allowance.
  *
- * The sum over all gateways then stays within the global bound, even when they disagree on which
- * gateways are alive: the allowance is divided by the highest number of gateways seen, and a
- * gateway that does not know their number yet has no part of it.
+ * The sum over all gateways then stays within the global bound, however often they start, and
+ * whatever they know of each other:
+ * - Each request earns credit for a fraction of a repeat, once, at the gateway that received it.
+ * The credit lapses after a short time, so that what was earned before a window adds little to it,
+ *   also when the requests move to other gateways.
+ * - A process has no part of the allowance until it has lived for a window. The process before it
+ *   may have spent that part, and only one process of a gateway can have one in any window.
+ * - The allowance is divided by the highest number of gateways seen, and a gateway that does not
+ *   know their number yet has no part of it.
  *
  * A part may be less than one repeat. A gateway rounds up or down by its rank among all gateways,
  * so that in a large fleet the sum is used instead of rounded to 0.
@@ -17,6 +23,8 @@
 
 /** Buckets of equal length into which the window is divided; one more than these is kept. */
 #define REPEAT_BUDGET_BUCKETS 20
+/** Buckets for which credit can be spent, after the one in which it was earned. */
+#define REPEAT_CREDIT_BUCKETS 4
 
 struct repeat_budget_settings {
     double ratio;       /**< repeats per request in the window */
@@ -24,12 +32,18 @@
     uint64_t window_us; /**< length of the sliding window */
 };
 
+/** What happened in one bucket. */
+struct repeat_budget_bucket {
+    double credit;    /**< earned in it and not spent, in repeats */
+    double paid;      /**< spent in it of the credit of this and earlier buckets */
+    uint32_t repeats; /**< spent in it */
+};
+
 struct repeat_budget {
     struct repeat_budget_settings settings;
-    uint64_t bucket;                              /**< number of the current bucket */
-    uint32_t requests[REPEAT_BUDGET_BUCKETS + 1]; /**< by bucket number modulo the array size */
-    uint32_t repeats[REPEAT_BUDGET_BUCKETS + 1];  /**< the same */
-    uint64_t started; /**< time of creation, us; half the allowance holds for the first window */
+    uint64_t bucket; /**< number of the current bucket */
+    struct repeat_budget_bucket buckets[REPEAT_BUDGET_BUCKETS + 1]; /**< by number modulo size */
+    uint64_t started; /**< time since which this process knows all repeats of its gateway, us */
 };
 
 /** What a decision on a repeat rests on, for logs. */
@@ -45,9 +59,10 @@
     uint32_t rank;     /**< from 0, in an order that all agree on */
 };
 
+/** \param started start of this process, which has sent no repeat before `now` */
 void repeat_budget_init(struct repeat_budget *budget, const struct repeat_budget_settings *settings,
-                        uint64_t now);
-/** \brief Count a client request, which earns budget. */
+                        uint64_t started);
+/** \brief Count a client request, which earns credit. */
 void repeat_budget_earn(struct repeat_budget *budget, uint64_t now);
 /** \return whether the budget has room for a repeat now */
 bool repeat_budget_allows(struct repeat_budget *budget, uint64_t now,
--- a/src/edge/edge_learned.c
+++ b/src/edge/edge_learned.c
@@ -37,7 +37,7 @@
     struct repeat_budget_settings settings = budget_settings(edge);
     struct service_state *state = memory_calloc(1, sizeof *state);
     snprintf(state->service, sizeof state->service, "%s", service);
-    repeat_budget_init(&state->budget, &settings, cluster_now());
+    repeat_budget_init(&state->budget, &settings, edge->started_at);
     edge->services =
         memory_realloc(edge->services, (edge->service_count + 1) * sizeof *edge->services);
     edge->services[edge->service_count++] = state;
