A start in a partition does not divide the allowance of repeats by the gateways of one side

A gateway divides the allowance by the gateways that it knows, at least 4.

All nodes have the same list of seeds, and each seed is on one side: gateways that see k of n seeds now share k/n of the allowance, none where they see none. The sum over all sides is then the allowance at most, whatever the partition is. Left: one side starts anew while others go on with what they knew; then the sum is 0.8 x (1 + seeds' share - gateways' share) of the allowance.

--- a/src/core/membership.c
+++ b/src/core/membership.c
@@ -52,10 +52,20 @@
 
 void membership_add_seed(struct membership *membership, uint32_t address)
 {
-    if (address != membership->self.address && membership->seed_count < MEMBERSHIP_MAX_SEEDS)
+    if (address == membership->self.address)
+        membership->is_seed = true;
+    else if (membership->seed_count < MEMBERSHIP_MAX_SEEDS)
         membership->seeds[membership->seed_count++] = address;
 }
 
+uint32_t membership_count_seeds(const struct membership *membership, uint32_t *known)
+{
+    *known = membership->is_seed;
+    for (uint32_t i = 0; i < membership->seed_count; i++)
+        *known += membership_find(membership, membership->seeds[i]) != NULL;
+    return membership->seed_count + membership->is_seed;
+}
+
 struct member_state *membership_self(struct membership *membership)
 {
     return &membership->self;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -99,6 +99,11 @@
 
 /** \brief Add an address to contact while no live member is known, and periodically afterwards. */
 void membership_add_seed(struct membership *membership, uint32_t address);
+/**
+ * \brief Count the seeds, with this node if it is one.
+ * \param known gets how many of them are in the member table or are this node
+ */
+uint32_t membership_count_seeds(const struct membership *membership, uint32_t *known);
 /** \return the own state; call membership_self_changed() after a change */
 struct member_state *membership_self(struct membership *membership);
 /** \brief Raise the incarnation after a change of the own state, for example to draining, so that
--- a/src/core/membership_internal.h
+++ b/src/core/membership_internal.h
@@ -50,7 +50,8 @@
     uint32_t alive;     /* live members, this node included, at `alive_generation` */
     uint64_t alive_generation;
     uint32_t seeds[MEMBERSHIP_MAX_SEEDS];
-    uint32_t seed_count;
+    uint32_t seed_count;  /* without this node */
+    bool is_seed;         /* this node is one */
     uint32_t next_target; /* index in the shuffled members */
     struct random_stream random;
     struct probe probe;
--- a/src/core/repeat_budget.c
+++ b/src/core/repeat_budget.c
@@ -7,6 +7,16 @@
 #define USED_SHARE 0.8
 #define KEPT_BUCKETS (REPEAT_BUDGET_BUCKETS + 1)
 
+uint32_t budget_fleet_gateways(const struct budget_fleet *fleet)
+{
+    uint64_t gateways = fleet->gateways;
+    if (fleet->seeds && !fleet->known_seeds)
+        return 0;
+    if (fleet->known_seeds < fleet->seeds)
+        gateways = (gateways * fleet->seeds + fleet->known_seeds - 1) / fleet->known_seeds;
+    return (uint32_t)(gateways > fleet->least_gateways ? gateways : fleet->least_gateways);
+}
+
 void repeat_budget_init(struct repeat_budget *budget, const struct repeat_budget_settings *settings,
                         uint64_t started)
 {
--- a/src/core/repeat_budget.h
+++ b/src/core/repeat_budget.h
@@ -10,7 +10,8 @@
  * - A process has no part of the allowance until it has lived for a window. The process before it
  *   may have spent that part, and only one process of a gateway can have one in any window.
  * - The allowance is divided by the highest number of gateways seen, and a gateway that does not
- *   know their number yet has no part of it.
+ *   know their number yet has no part of it. A gateway that has not seen all seeds may have started
+ *   in a partition: the gateways that it sees share only what the seeds among them stand for.
  *
  * A part may be less than one repeat. A gateway rounds up or down by its rank among all gateways,
  * so that in a large fleet the sum is used instead of rounded to 0.
@@ -59,6 +60,17 @@
     uint32_t rank;     /**< from 0, in an order that all agree on */
 };
 
+/** What a gateway has learned of the fleet since its start. */
+struct budget_fleet {
+    uint32_t gateways;       /**< most that it knew, with itself */
+    uint32_t least_gateways; /**< by the settings */
+    uint32_t seeds;          /**< nodes by the settings through which all find each other */
+    uint32_t known_seeds;    /**< most of these that it knew, with itself if it is one */
+};
+
+/** \return number of gateways to divide the allowance by; 0: not known */
+uint32_t budget_fleet_gateways(const struct budget_fleet *fleet);
+
 /** \param started start of this process, which has sent no repeat before `now` */
 void repeat_budget_init(struct repeat_budget *budget, const struct repeat_budget_settings *settings,
                         uint64_t started);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -144,10 +144,13 @@
         known++;
         rank += hash_pair(GATEWAY_RANK_KEY, member->address) < own;
     }
+    uint32_t known_seeds;
+    struct budget_fleet *fleet = &edge->budget_fleet;
     edge->gateways = cluster_gateway_count(&edge->cluster);
-    if (known > edge->max_gateways)
-        edge->max_gateways = known;
-    edge->budget_share.gateways = edge->cluster.started ? edge->max_gateways : 0;
+    fleet->gateways = known > fleet->gateways ? known : fleet->gateways;
+    fleet->seeds = membership_count_seeds(members, &known_seeds);
+    fleet->known_seeds = known_seeds > fleet->known_seeds ? known_seeds : fleet->known_seeds;
+    edge->budget_share.gateways = edge->cluster.started ? budget_fleet_gateways(fleet) : 0;
     edge->budget_share.rank = rank;
 }
 
@@ -321,7 +324,7 @@
     edge->random.seed = hash_name(settings->name) ^ edge->started_at;
     edge->relay = weight_relay_create(&edge->cluster);
     edge->gateways = 1;
-    edge->max_gateways = (uint32_t)settings->least_gateways;
+    edge->budget_fleet.least_gateways = (uint32_t)settings->least_gateways;
     derive_limits(edge);
     int result = open_listeners(edge);
     if (result)
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -83,7 +83,7 @@
     struct exchange *queue;           /**< requests that wait for a slot, most urgent first */
     uint32_t active;                  /**< requests without a final response */
     uint32_t gateways;                /**< alive now, at least 1 */
-    uint32_t max_gateways;            /**< greatest number seen */
+    struct budget_fleet budget_fleet; /**< what `budget_share` follows from */
     struct budget_share budget_share; /**< of the retry budget */
     uint64_t started_at;
     bool has_responded;      /**< a complete response was sent since the start */
