Parts of prompts are decoded; a lost run is logged with them, and an answer that ends with its connection is logged

Shuntrun-Prompt-Prefix was read nowhere; run-lost named only the identity of the whole request, so requests that share a part could not be told from unrelated ones. event=unframed-end tells which answers counted as whole by the end of their connection, with events and bytes. Malformed or repeated fields are ignored and logged with the field's name.

--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -210,8 +210,22 @@
     forward_response(exchange, &response->message, END_BACKEND_ERROR);
 }
 
+/* The end of the connection ended the answer: nothing tells whether the backend meant it to. */
+static void log_unframed_end(const struct exchange *exchange,
+                             const struct upstream_response *response)
+{
+    log_event(LOG_LEVEL_INFO, "request", "unframed-end",
+              "request=%s backend=%s born=%" PRIu64 " status=%u events=%" PRIu64
+              " body_bytes=%zu sent_ms_ago=%" PRIu64,
+              exchange->head.id, exchange->backend->listing.id, exchange->backend->listing.born,
+              response->head.properties.status, exchange->events.events,
+              response->message.body_bytes, (cluster_now() - exchange->sent_at) / US_PER_MS);
+}
+
 static void on_complete(struct exchange *exchange, struct upstream_response *response)
 {
+    if (!response->message.framed)
+        log_unframed_end(exchange, response);
     switch (classify_answer(&response->head.properties)) {
     case ANSWER_SUCCEEDED:
         on_delivered(exchange, response);
--- a/src/edge/exchange_suspicion.c
+++ b/src/edge/exchange_suspicion.c
@@ -7,9 +7,12 @@
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
 
 /** Bytes of a list of up to eight crashes with their ages. */
 #define CRASHES_TEXT_SIZE 200
+/** Bytes of a list of the shared parts of a prompt, in hex. */
+#define PARTS_TEXT_SIZE (PLATFORM_MAX_SHARED_PARTS * 17 + 1)
 
 static struct crash_table *crash_table_of(const struct exchange *exchange)
 {
@@ -89,17 +92,28 @@
     return hash_bytes(identity->bytes, sizeof identity->bytes) | 1;
 }
 
+/* Writes the ids of the shared parts, separated by commas; "-" if there are none. */
+static void write_parts(const struct request_head *head, char text[PARTS_TEXT_SIZE])
+{
+    size_t length = 0;
+    strcpy(text, "-");
+    for (uint32_t i = 0; i < head->shared_part_count; i++)
+        length += (size_t)snprintf(text + length, PARTS_TEXT_SIZE - length, "%s%08" PRIx64,
+                                   i ? "," : "", head->shared_parts[i]);
+}
+
 void exchange_on_run_lost(struct exchange *exchange)
 {
     struct backend *backend = exchange->backend;
     const struct request_identity *identity = exchange_identity(exchange);
-    char hex[REQUEST_IDENTITY_HEX_SIZE];
+    char hex[REQUEST_IDENTITY_HEX_SIZE], parts[PARTS_TEXT_SIZE];
     request_identity_to_hex(identity, hex);
+    write_parts(&exchange->head, parts);
     metric_add(METRIC_RUNS_LOST, 1);
     log_event(LOG_LEVEL_WARN, "request", "run-lost",
-              "request=%s identity=%s backend=%s born=%" PRIu64 " events=%" PRIu64
+              "request=%s identity=%s parts=%s backend=%s born=%" PRIu64 " events=%" PRIu64
               " sends=%u sent_ms_ago=%" PRIu64 " others_here=%u",
-              exchange->head.id, hex, backend->listing.id, backend->listing.born,
+              exchange->head.id, hex, parts, backend->listing.id, backend->listing.born,
               exchange->events.events, exchange->sends,
               (cluster_now() - exchange->sent_at) / US_PER_MS, backend->in_flight - 1);
     exchange->suspected = true;
--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -1,6 +1,7 @@
 /* Parsing and writing of the platform's header fields and data formats. */
 #include "testing.h"
 
+#include "core/hash.h"
 #include "platform/platform.h"
 
 #include <stdlib.h>
@@ -198,6 +199,59 @@
     }
 }
 
+static uint32_t read_parts(const char *fields, struct request_head *head)
+{
+    struct http_message message = {0};
+    char text[1000];
+    snprintf(text, sizeof text, "POST /a HTTP/1.1\r\nHost: a\r\n%s\r\n", fields);
+    parse_request(&message, text);
+    platform_read_request(&message, head);
+    http_message_clear(&message);
+    return head->shared_part_count;
+}
+
+static void shared_parts_of_a_prompt_are_parsed(void **state)
+{
+    struct request_head head;
+    assert_int_equal(read_parts("", &head), 0);
+    assert_int_equal(read_parts("Shuntrun-Prompt-Prefix: 5c1e07a2:800\r\n", &head), 0);
+    assert_int_equal(
+        read_parts("Shuntrun-Prompt-Prefix: 5c1e07a2:800,91BD3F06:410, e4402b7d:250\r\n", &head),
+        2);
+    assert_int_equal(head.shared_parts[0], 0x5c1e07a2);
+    assert_int_equal(head.shared_parts[1], 0x91bd3f06);
+    assert_null(head.malformed_field);
+    assert_int_equal(read_parts("Shuntrun-Prompt-Prefix: 1234567890abcdef0:8,2:1\r\n", &head), 1);
+    assert_int_equal(head.shared_parts[0], hash_bytes("1234567890abcdef0", 17));
+}
+
+static void malformed_parts_of_a_prompt_are_ignored(void **state)
+{
+    static const char *const values[] = {"", ",", "1:2,", "x:1,2:1", "1,2:1", ":1,2:1", "1:2,,3:1"};
+    struct request_head head;
+    for (uint32_t i = 0; i < sizeof values / sizeof values[0]; i++) {
+        char field[200];
+        snprintf(field, sizeof field, "Shuntrun-Prompt-Prefix: %s\r\n", values[i]);
+        assert_int_equal(read_parts(field, &head), 0);
+        assert_string_equal(head.malformed_field, "Shuntrun-Prompt-Prefix");
+    }
+    assert_int_equal(read_parts("Shuntrun-Prompt-Prefix: 1:1,2:1\r\n"
+                                "Shuntrun-Prompt-Prefix: 3:1,4:1\r\n",
+                                &head),
+                     0);
+}
+
+static void only_the_first_shared_parts_are_read(void **state)
+{
+    struct request_head head;
+    char field[400] = "Shuntrun-Prompt-Prefix: ";
+    for (uint32_t i = 0; i < PLATFORM_MAX_SHARED_PARTS + 5; i++)
+        snprintf(field + strlen(field), sizeof field - strlen(field), "%x:1,", i + 1);
+    snprintf(field + strlen(field), sizeof field - strlen(field), "ff:1\r\n");
+    assert_int_equal(read_parts(field, &head), PLATFORM_MAX_SHARED_PARTS);
+    assert_int_equal(head.shared_parts[PLATFORM_MAX_SHARED_PARTS - 1], PLATFORM_MAX_SHARED_PARTS);
+}
+
 static void resumed_stream_overrides_last_event_id(void **state)
 {
     struct http_message message;
@@ -558,6 +612,9 @@
         cmocka_unit_test(store_responses_are_decoded),
         cmocka_unit_test(client_keys_and_forged_fields_are_not_forwarded),
         cmocka_unit_test(zero_deadline_differs_from_absent_deadline),
+        cmocka_unit_test(shared_parts_of_a_prompt_are_parsed),
+        cmocka_unit_test(malformed_parts_of_a_prompt_are_ignored),
+        cmocka_unit_test(only_the_first_shared_parts_are_read),
         cmocka_unit_test(resumed_stream_overrides_last_event_id),
         cmocka_unit_test(backend_response_fields_are_parsed),
         cmocka_unit_test(server_leaving_field_is_parsed),
