A failing test: a part of prompts that crashes engines

Engines end by a reset, or close an answer without a length in order after its head, within an event, or after one event.

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -28,6 +28,8 @@
 LINK_DELAY_S = 0.06
 # From the start of a request that crashes its engine to the crash.
 CRASH_AFTER_S = 0.08
+# From the orderly close of the connection of a request that crashes its engine to the crash.
+CLOSE_BEFORE_CRASH_S = 0.005
 # A put that gets no answer is executed after this time at the latest.
 HELD_PUT_S = 8.0
 
@@ -332,6 +334,7 @@
         self.crash_times = {}  # body of such a request -> s to the crash, during its stream
         self.crashing = []  # bodies of such requests in progress
         self.crashes = []  # (bodies of those in progress, time) of each such crash
+        self.crashing_parts = {}  # part of a prompt that crashes the engine as it begins to answer -> how it ends, below
         self.restart_delay_s = 1.0  # from such a crash to the restart, without state
         self.leaving = False  # each answer announces that it leaves
         self.backoff_until = 0.0  # refuses all requests until then, with the remaining time as Retry-After
@@ -437,6 +440,21 @@
         self.crash_and_restart()
         self.crashing.remove(body)
 
+    def crash_on_part(self, handler, end, echo):
+        """A part of the request's prompt crashes the engine as it begins to write. `end` is what its connection shows:
+        "reset" (nothing but that), or an answer without a length or chunks whose connection closes in order: "head" (only
+        the head), "torn" (half an event), "event" (one whole event). All other connections are reset."""
+        self.crashing.append(echo[0][1])
+        time.sleep(CRASH_AFTER_S)
+        if end != "reset":
+            handler.begin_unframed_stream(echo)
+            handler.wfile.write({"head": b"", "torn": stream_event(1)[:9], "event": stream_event(1)}[end])
+            handler.wfile.flush()
+            handler.connection.shutdown(socket.SHUT_WR)
+            time.sleep(CLOSE_BEFORE_CRASH_S)
+        self.crash_and_restart()
+        self.crashing.remove(echo[0][1])
+
     def crash_later(self, body):
         """The request crashes this incarnation after its own time, unless its stream has ended by then."""
         started_ms = self.started_ms
@@ -683,7 +701,10 @@
     def execute(self, identity, body, fault, echo):
         owner = self.owner
         owner.runs.append((identity, dict(self.headers), body, time.monotonic()))
-        if body in owner.crash_times:
+        crashing = [part for part in self.shared_parts() if part in owner.crashing_parts]
+        if crashing:
+            owner.crash_on_part(self, owner.crashing_parts[crashing[0]], echo)
+        elif body in owner.crash_times:
             owner.crash_later(body)
             self.stream(echo, None)
         elif body in owner.crashing_bodies:
@@ -709,23 +730,34 @@
         else:
             self.reply(200, self.payload(body), echo + self.seal())
 
+    def shared_parts(self):
+        """The ids of the parts of the prompt, without the last one."""
+        parts = self.headers.get("Shuntrun-Prompt-Prefix", "").split(",")
+        return [part.split(":")[0] for part in parts[:-1]]
+
     def seal(self):
         return [("Shuntrun-Response-Seal", "seal-" + self.owner.identity)]
 
     def payload(self, body):
         return b"answer to " + self.path.encode() + b" " + body
 
-    def stream(self, echo, fault):
-        if fault == "late":
-            time.sleep(PAUSE_S)
-        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+    def send_stream_head(self, echo, framing):
         self.send_response(200)
         for name, value in echo + self.seal() + [("Content-Type", "text/event-stream"),
                                                  ("Shuntrun-Weight-Versions",
-                                                  str(self.owner.version))]:
+                                                  str(self.owner.version)), framing]:
             self.send_header(name, value)
-        self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+
+    def begin_unframed_stream(self, echo):
+        """Begins a stream that ends with its connection."""
+        self.send_stream_head(echo, ("Connection", "close"))
+
+    def stream(self, echo, fault):
+        if fault == "late":
+            time.sleep(PAUSE_S)
+        first = int(self.headers.get("Last-Event-Id") or 0) + 1
+        self.send_stream_head(echo, ("Transfer-Encoding", "chunked"))
         _, query = self.split_path()
         gap_s = float(query["gap_ms"]) / 1000 if "gap_ms" in query else self.owner.event_gap_s
         for number in range(first, int(query.get("events", STREAM_EVENTS)) + 1):
--- a/tests/system/streams_test.py
+++ b/tests/system/streams_test.py
@@ -37,18 +37,20 @@
 class Reader(threading.Thread):
     """One client that reads one stream."""
 
-    def __init__(self, identity, events, address=platform.EDGE_IPS[0]):
+    def __init__(self, identity, events, address=platform.EDGE_IPS[0], fields=None):
+        """`fields` are further header fields of the request."""
         super().__init__(daemon=True)
-        self.identity, self.events, self.address = identity, events, address
+        self.identity, self.events, self.address, self.fields = identity, events, address, fields or {}
         self.status, self.headers, self.body, self.error = None, {}, b"", None
         self.start()
 
     def run(self):
         connection = http.client.HTTPConnection(self.address, platform.CLIENT_PORT, timeout=10)
+        self.asked_at = time.monotonic()
         try:
             connection.request("POST", "/stream/%s?events=%d" % (self.identity, self.events), b"x", {
                 "Host": "a.example", "Shuntrun-Request-Id": self.identity,
-                "Shuntrun-Deadline-Ms": str(DEADLINE_MS), "Authorization": "Bearer key-a"})
+                "Shuntrun-Deadline-Ms": str(DEADLINE_MS), "Authorization": "Bearer key-a", **self.fields})
             response = connection.getresponse()
             self.status = response.status
             self.headers = dict(response.getheaders())
