A process in its first window has a share of the allowance of repeats by the time that it has lived

Since a process had no part of the allowance for one window after its start. Callers of a gateway with little traffic would have lost streams.

Change: 0.15 of the part, times the age over the window. Processes that start one after the other in a window have lived for a window together at most, so for any number of starts this adds up to 0.15 of the part, beside the 0.8 of the one process that was there before. core.repeat_budget, _restarts and _partition green, system.crash, system.streams green.

--- a/src/core/repeat_budget.c
+++ b/src/core/repeat_budget.c
@@ -5,6 +5,8 @@
 /** Share of the bound that is used; the rest covers the credit that was earned before a window, and
  * windows that begin or end within a bucket. */
 #define USED_SHARE 0.8
+/** Share of a part of the allowance that processes in their first window have together. */
+#define FIRST_WINDOW_SHARE 0.15
 #define KEPT_BUCKETS (REPEAT_BUDGET_BUCKETS + 1)
 
 uint32_t budget_fleet_gateways(const struct budget_fleet *fleet)
@@ -68,9 +70,13 @@
 static double part_of_allowance(const struct repeat_budget *budget, uint64_t now,
                                 const struct budget_share *share)
 {
-    if (!share->gateways || now < budget->started + budget->settings.window_us)
+    if (!share->gateways)
         return 0;
-    return USED_SHARE * budget->settings.allowance / share->gateways + rounding(share);
+    double part = (double)budget->settings.allowance / share->gateways;
+    uint64_t window = budget->settings.window_us, age = now - budget->started;
+    if (age < window)
+        return FIRST_WINDOW_SHARE * part * (double)age / (double)window;
+    return USED_SHARE * part + rounding(share);
 }
 
 struct repeat_budget_account repeat_budget_account(struct repeat_budget *budget, uint64_t now,
--- a/src/core/repeat_budget.h
+++ b/src/core/repeat_budget.h
@@ -7,8 +7,10 @@
  * - Each request earns credit for a fraction of a repeat, once, at the gateway that received it.
  * The credit lapses after a short time, so that what was earned before a window adds little to it,
  *   also when the requests move to other gateways.
- * - A process has no part of the allowance until it has lived for a window. The process before it
- *   may have spent that part, and only one process of a gateway can have one in any window.
+ * - A process has its whole part of the allowance once it has lived for a window: the process
+ * before it may have spent that part, and only one process of a gateway lives that long in any
+ * window. Until then it has a small share of the part, in proportion to the time that it has lived:
+ * for any number of starts in a window, these add up to that share at most.
  * - The allowance is divided by the highest number of gateways seen, and a gateway that does not
  *   know their number yet has no part of it. A gateway that has not seen all seeds may have started
  *   in a partition: the gateways that it sees share only what the seeds among them stand for.
