--- a/src/cluster/crash_page.c
+++ b/src/cluster/crash_page.c
@@ -9,6 +9,8 @@
 
 #define PATH_LIST "/suspects"
 #define PATH_LIFT "/suspects/lift"
+/** Bytes of the id of a part in hex, with the terminating NUL. */
+#define PART_TEXT_SIZE 17
 
 static json_int_t age_ms(uint64_t time, uint64_t now)
 {
@@ -24,9 +26,12 @@
     uint64_t last = entry->crashes[entry->crash_count - 1].ended_at;
     json_int_t blocked_ms =
         verdict == CRASH_VERDICT_BLOCKED ? age_ms(now, last + CRASH_BLOCK_DURATION_US) : 0;
+    char part[PART_TEXT_SIZE] = "";
+    if (entry->is_part)
+        snprintf(part, sizeof part, "%08" PRIx64, entry->part_id);
     request_identity_to_hex(&entry->identity, identity);
-    return json_pack("{s:s, s:s, s:i, s:I, s:I, s:I}", "identity", identity, "verdict",
-                     crash_verdict_name(verdict), "ends", (int)entry->crash_count,
+    return json_pack("{s:s, s:s, s:s, s:i, s:I, s:I, s:I}", "identity", identity, "part", part,
+                     "verdict", crash_verdict_name(verdict), "ends", (int)entry->crash_count,
                      "first_end_ms_ago", age_ms(first, now), "last_end_ms_ago", age_ms(last, now),
                      "blocked_for_ms", blocked_ms);
 }
@@ -64,7 +69,7 @@
     }
     if (!crash_table_record_success(crash_sync_table(sync), &identity, cluster_now(),
                                     CRASH_FULL_RUN)) {
-        reply_text(call, 404, "identity: nothing is held against this request here\n");
+        reply_text(call, 404, "identity: nothing is held against this request or part here\n");
         return;
     }
     log_event(LOG_LEVEL_WARN, "crash", "lifted", "identity=%s peer=%08x", hex,
--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -96,6 +96,9 @@
     suspect->cleared_age_ms = entry->cleared_at ? age_ms(entry->cleared_at, now) + 1 : 0;
     suspect->lease_start = entry->lease.incarnation;
     suspect->lease_age_ms = entry->lease.incarnation ? age_ms(entry->lease.since, now) : 0;
+    suspect->is_part = entry->is_part;
+    suspect->part_id = entry->part_id;
+    suspect->part_position = entry->position;
     suspect->starts = out->start_pointers[index];
     suspect->n_starts = entry->crash_count;
     for (uint32_t i = 0; i < entry->crash_count; i++) {
@@ -264,6 +267,9 @@
     if (suspect->identity.len != sizeof entry->identity.bytes)
         return false;
     memcpy(entry->identity.bytes, suspect->identity.data, sizeof entry->identity.bytes);
+    entry->is_part = suspect->is_part;
+    entry->part_id = suspect->part_id;
+    entry->position = suspect->part_position;
     if (suspect->cleared_age_ms)
         entry->cleared_at = time_of_age(suspect->cleared_age_ms - 1, now);
     if (suspect->lease_start)
--- a/src/core/crash/crash_table.c
+++ b/src/core/crash/crash_table.c
@@ -14,6 +14,7 @@
     /* Time from which an evaluation may give other findings; 0: entries have changed. Allocated,
      * as queries on a const table update it. */
     uint64_t *findings_valid_until;
+    struct sound_parts *sound_parts;
 };
 
 struct crash_table *crash_table_create(void)
@@ -23,6 +24,7 @@
     table->prefixes = memory_calloc(CRASH_MAX_ENTRIES, sizeof *table->prefixes);
     table->findings = memory_calloc(CRASH_MAX_ENTRIES, sizeof *table->findings);
     table->findings_valid_until = memory_calloc(1, sizeof *table->findings_valid_until);
+    table->sound_parts = memory_calloc(1, sizeof *table->sound_parts);
     return table;
 }
 
@@ -32,6 +34,7 @@
     free(table->prefixes);
     free(table->findings);
     free(table->findings_valid_until);
+    free(table->sound_parts);
     free(table);
 }
 
@@ -45,6 +48,11 @@
     return (uint32_t)hash_name(request_id);
 }
 
+uint32_t crash_request_key(const struct request_identity *identity)
+{
+    return (uint32_t)hash_bytes(identity->bytes, sizeof identity->bytes);
+}
+
 const char *crash_verdict_name(enum crash_verdict verdict)
 {
     static const char *const names[] = {[CRASH_VERDICT_NONE] = "none",
@@ -262,6 +270,34 @@
     return is_new;
 }
 
+static void set_part(struct crash_entry *entry, uint64_t id, uint32_t position)
+{
+    entry->is_part = true;
+    entry->part_id = id;
+    if (position > entry->position)
+        entry->position = position;
+}
+
+bool crash_table_add_part(struct crash_table *table, const struct prompt_part *part,
+                          const struct crash_event *crash)
+{
+    uint64_t sound_at = sound_parts_last(table->sound_parts, &part->identity);
+    if (sound_at && crash->ended_at < sound_at + CRASH_PART_SOUND_FOR_US)
+        return false;
+    bool is_new = crash_table_add(table, &part->identity, crash);
+    struct crash_entry *entry = lookup(table, &part->identity);
+    set_part(entry, part->id, part->position);
+    clear_until(entry, sound_at);
+    return is_new;
+}
+
+bool crash_table_record_sound_part(struct crash_table *table, const struct request_identity *part,
+                                   uint64_t at)
+{
+    sound_parts_record(table->sound_parts, part, at);
+    return crash_table_record_success(table, part, at, CRASH_FULL_RUN);
+}
+
 bool crash_entry_has_single_attempt(const struct crash_entry *entry)
 {
     for (uint32_t i = 1; i < entry->crash_count; i++)
@@ -298,11 +334,25 @@
     return true;
 }
 
+/* Takes into account what this node knows of a part that others hold crashes against.
+ * \return whether that is news to them */
+static bool merge_own_knowledge(struct crash_table *table, struct crash_entry *entry)
+{
+    uint32_t crashes = entry->crash_count;
+    uint64_t sound_at = sound_parts_last(table->sound_parts, &entry->identity);
+    bool changed = clear_until(entry, sound_at);
+    bool is_news = entry->crash_count < crashes || (changed && entry->shared);
+    entry->is_dirty |= is_news;
+    return is_news;
+}
+
 bool crash_table_merge(struct crash_table *table, const struct crash_entry *other)
 {
     struct crash_entry *entry = find_or_add(table, &other->identity);
     bool changed = clear_until(entry, other->cleared_at);
     *table->findings_valid_until = 0;
+    if (other->is_part)
+        set_part(entry, other->part_id, other->position);
     for (uint32_t i = 0; i < other->crash_count; i++)
         changed |= add_crash(entry, &other->crashes[i]);
     if (crash_lease_replaces(&other->lease, &entry->lease)) {
@@ -311,6 +361,8 @@
     }
     entry->shared |= !other->crash_count; /* others send a cleared entry only if it is shared */
     entry->is_dirty |= changed && entry->shared;
+    if (entry->is_part)
+        changed |= merge_own_knowledge(table, entry);
     return changed;
 }
 
@@ -356,7 +408,7 @@
                                 const struct request_identity *identity, uint64_t now)
 {
     const struct crash_finding *finding = find_finding(table, identity, now);
-    if (!finding || finding->settled)
+    if (!finding || finding->settled || !finding->isolated)
         return 0;
     return crash_verdict_held_until(finding, latest_crash_at(lookup(table, identity)), now);
 }
--- a/src/core/crash/crash_table.h
+++ b/src/core/crash/crash_table.h
@@ -1,6 +1,6 @@
 /**
- * Records which requests were running when backends crashed, to tell a request that crashes
- * backends from one that merely ran beside it.
+ * Records which requests were running when backends crashed, and which parts their prompts share
+ * with others, to tell a request or a part that crashes backends from one that was merely there.
  *
  * A crash is the unplanned end of one backend incarnation, that is, of one lifetime of its process.
  * Each crash counts once per request, however many gateways report it. Entries of different nodes
@@ -19,6 +19,7 @@
 
 #include "core/crash/crash_lease.h"
 #include "core/crash/crash_verdict.h"
+#include "core/crash/prompt_part.h"
 #include "core/crash/request_identity.h"
 
 #include <stdbool.h>
@@ -46,14 +47,18 @@
 struct crash_event {
     uint64_t incarnation; /**< see crash_incarnation_key() */
     uint64_t ended_at;    /**< when runs on it broke off, as first observed by any gateway */
-    uint32_t attempt;     /**< the caller's attempt that ran on it, see crash_attempt_key() */
+    uint32_t attempt;     /**< the caller's attempt that ran on it, see crash_attempt_key(); for a
+                               part the request, see crash_request_key() */
     uint64_t began_at;    /**< begin of the request's first interrupted run on it; 0: unknown */
     uint64_t detected_at; /**< when any node first knew of the crash; 0: unknown */
 };
 
-/** What is known about one request. */
+/** What is known about one request, or about one part of prompts. */
 struct crash_entry {
     struct request_identity identity;
+    bool is_part;      /**< of prompts; else a request */
+    uint64_t part_id;  /**< of a part, as clients send it */
+    uint32_t position; /**< of a part: its last one in a prompt, from 0 */
     struct crash_event crashes[CRASH_MAX_EVENTS]; /**< by end time, earliest first */
     uint32_t crash_count;
     uint64_t cleared_at;      /**< time of its latest successful run; 0: none is known */
@@ -93,9 +98,24 @@
                                         uint64_t began_at);
 /** \brief Key of one attempt of a caller, from its request id; the same on all nodes. */
 uint32_t crash_attempt_key(const char *request_id);
+/** \brief Key of a request, whatever its attempt; the same on all nodes. */
+uint32_t crash_request_key(const struct request_identity *identity);
 /** \brief Record a crash at which the request was running. \return whether the crash is new */
 bool crash_table_add(struct crash_table *table, const struct request_identity *identity,
                      const struct crash_event *crash);
+/** A part that this node knows to be answered within this time before a crash is not the cause: its
+ * requests are running all the time. */
+#define CRASH_PART_SOUND_FOR_US ((uint64_t)1000000)
+/** \brief Record a crash at which a request with the part was running, unless the part was answered
+ * shortly before. \return whether the crash is new */
+bool crash_table_add_part(struct crash_table *table, const struct prompt_part *part,
+                          const struct crash_event *crash);
+/**
+ * \brief Record that a backend was answering a request with the part and did not crash.
+ * \return whether this clears crashes recorded against the part
+ */
+bool crash_table_record_sound_part(struct crash_table *table, const struct request_identity *part,
+                                   uint64_t at);
 /** Value of `ran_us` for a request that did all of its work in one run. */
 #define CRASH_FULL_RUN UINT64_MAX
 /**
--- a/src/core/crash/crash_verdict.c
+++ b/src/core/crash/crash_verdict.c
@@ -27,6 +27,7 @@
     struct crash_finding *findings;
     struct participants participants;
     bool (*explained)[CRASH_MAX_EVENTS]; /* by entry: explained by another, blocked request */
+    bool (*outranked)[CRASH_MAX_EVENTS]; /* by entry: a likelier part was present */
     bool *chosen;                        /* by entry: its verdict settles in this round */
 };
 
@@ -70,17 +71,47 @@
     return last;
 }
 
+/* A request and the parts of its prompt are present by the same run. */
+static bool is_same_run(const struct evaluation *evaluation, const struct participant *left,
+                        const struct participant *right)
+{
+    const struct participant *both[2] = {left, right};
+    uint32_t request_keys[2];
+    if (!evaluation->entries[left->entry].is_part && !evaluation->entries[right->entry].is_part)
+        return false;
+    for (uint32_t i = 0; i < 2; i++) {
+        const struct crash_entry *entry = &evaluation->entries[both[i]->entry];
+        request_keys[i] = entry->is_part ? entry->crashes[both[i]->crash].attempt
+                                         : crash_request_key(&entry->identity);
+    }
+    return request_keys[0] == request_keys[1];
+}
+
 /* --- explained crashes ------------------------------------------------------------------------ */
 
+/* \return whether a blocked request or part explains the crash for another participant. A request
+ * that is blocked itself does not speak for the parts of its prompt. */
+static bool explains(const struct evaluation *evaluation, const struct participant *participant,
+                     const struct participant *other)
+{
+    if (other->entry == participant->entry || !evaluation->findings[other->entry].settled)
+        return false;
+    bool is_request = !evaluation->entries[other->entry].is_part;
+    return !is_request || !is_same_run(evaluation, participant, other);
+}
+
 static void explain_group(struct evaluation *evaluation, uint32_t first, uint32_t last)
 {
     const struct participant *items = evaluation->participants.items;
     uint32_t blocked = 0;
     for (uint32_t i = first; i < last; i++)
         blocked += evaluation->findings[items[i].entry].settled;
-    for (uint32_t i = first; i < last; i++)
-        evaluation->explained[items[i].entry][items[i].crash] =
-            blocked > evaluation->findings[items[i].entry].settled;
+    for (uint32_t i = first; i < last; i++) {
+        bool explained = false;
+        for (uint32_t k = first; blocked && k < last; k++)
+            explained |= explains(evaluation, &items[i], &items[k]);
+        evaluation->explained[items[i].entry][items[i].crash] = explained;
+    }
 }
 
 static uint32_t count_crashes(const struct crash_entry *entry)
@@ -97,18 +128,89 @@
     return crashes;
 }
 
-static void explain_crashes(struct evaluation *evaluation)
+/* A total order of parts by how likely they are the cause, where several were present.
+ * \return whether the left one is likelier */
+static bool is_likelier_part(const struct evaluation *evaluation, uint32_t left, uint32_t right)
+{
+    const struct crash_entry *entry = &evaluation->entries[left];
+    const struct crash_entry *other = &evaluation->entries[right];
+    const struct crash_finding *finding = &evaluation->findings[left];
+    const struct crash_finding *other_finding = &evaluation->findings[right];
+    if (finding->unexplained != other_finding->unexplained)
+        return finding->unexplained > other_finding->unexplained;
+    if (finding->crashes != other_finding->crashes)
+        return finding->crashes > other_finding->crashes;
+    bool was_answered = entry->cleared_at != 0, other_was_answered = other->cleared_at != 0;
+    if (was_answered != other_was_answered)
+        return other_was_answered;
+    if (entry->position != other->position)
+        return entry->position > other->position;
+    return memcmp(&entry->identity, &other->identity, sizeof entry->identity) > 0;
+}
+
+/* Marks the crash for all parts that were present but for the likeliest one. */
+static void outrank_group(struct evaluation *evaluation, uint32_t first, uint32_t last)
+{
+    const struct participant *items = evaluation->participants.items;
+    const struct participant *likeliest = NULL;
+    for (uint32_t i = first; i < last; i++) {
+        if (!evaluation->entries[items[i].entry].is_part)
+            continue;
+        evaluation->outranked[items[i].entry][items[i].crash] = true;
+        if (!likeliest || is_likelier_part(evaluation, items[i].entry, likeliest->entry))
+            likeliest = &items[i];
+    }
+    if (likeliest)
+        evaluation->outranked[likeliest->entry][likeliest->crash] = false;
+}
+
+/* Leaves out crashes beyond CRASHES_OF_ONE_REQUEST that came with the same request. */
+static void leave_out_repeated(const struct crash_entry *entry, bool without[CRASH_MAX_EVENTS])
+{
+    for (uint32_t i = 0; i < entry->crash_count; i++) {
+        uint32_t earlier = 0;
+        for (uint32_t k = 0; k < i; k++)
+            earlier += !without[k] && entry->crashes[k].attempt == entry->crashes[i].attempt;
+        without[i] |= earlier >= CRASHES_OF_ONE_REQUEST;
+    }
+}
+
+/* \return for a part, its unexplained crashes at which no likelier part was present, a few of each
+ * request; for a request, all unexplained ones */
+static uint32_t count_own_crashes(const struct evaluation *evaluation, uint32_t own)
+{
+    const struct crash_entry *entry = &evaluation->entries[own];
+    bool without[CRASH_MAX_EVENTS];
+    if (!entry->is_part || !has_repeated_crashes(entry))
+        return evaluation->findings[own].unexplained;
+    for (uint32_t i = 0; i < entry->crash_count; i++)
+        without[i] = evaluation->explained[own][i] || evaluation->outranked[own][i];
+    leave_out_repeated(entry, without);
+    return crash_entry_distinct_crashes_except(entry, without);
+}
+
+typedef void (*group_step)(struct evaluation *evaluation, uint32_t first, uint32_t last);
+
+static void for_each_group(struct evaluation *evaluation, group_step step)
 {
     for (uint32_t first = 0, last; first < evaluation->participants.count; first = last) {
         last = end_of_group(&evaluation->participants, first);
-        explain_group(evaluation, first, last);
+        step(evaluation, first, last);
     }
+}
+
+static void explain_crashes(struct evaluation *evaluation)
+{
+    for_each_group(evaluation, explain_group);
     for (uint32_t i = 0; i < evaluation->entry_count; i++) {
         const struct crash_entry *entry = &evaluation->entries[i];
         struct crash_finding *finding = &evaluation->findings[i];
         finding->unexplained = crash_entry_distinct_crashes_except(entry, evaluation->explained[i]);
         finding->crashes = count_crashes(entry);
     }
+    for_each_group(evaluation, outrank_group);
+    for (uint32_t i = 0; i < evaluation->entry_count; i++)
+        evaluation->findings[i].own = count_own_crashes(evaluation, i);
 }
 
 /* --- proofs ----------------------------------------------------------------------------------- */
@@ -150,6 +252,7 @@
         return false;
     for (uint32_t i = first; i < last; i++)
         if (items[i].entry != participant->entry &&
+            !is_same_run(evaluation, &items[i], participant) &&
             unexplained_until(evaluation, items[i].entry, until) >= CRASHES_TO_ISOLATE)
             return false;
     return true;
@@ -222,7 +325,7 @@
     const struct crash_finding *finding = &evaluation->findings[index];
     bool single_attempt = crash_entry_has_single_attempt(entry);
     uint32_t crashes = single_attempt ? CRASHES_TO_BLOCK_SINGLE_ATTEMPT : CRASHES_TO_BLOCK;
-    if (finding->unexplained < crashes || !finding->proofs)
+    if (entry->is_part || finding->unexplained < crashes || !finding->proofs)
         return false;
     uint32_t proofs =
         is_noisy(evaluation, index) ? CRASH_PROOFS_TO_BLOCK_IN_NOISE : CRASH_PROOFS_TO_BLOCK;
@@ -231,6 +334,8 @@
 
 static bool has_crashes_to_block(const struct evaluation *evaluation, uint32_t index)
 {
+    if (evaluation->entries[index].is_part)
+        return evaluation->findings[index].own >= CRASHES_TO_BLOCK_PART;
     return evaluation->findings[index].unexplained >= CRASHES_TO_BLOCK_WITHOUT_PROOF &&
            !is_noisy(evaluation, index);
 }
@@ -245,6 +350,22 @@
            rule(evaluation, index);
 }
 
+/* Of the parts that settle in this round only the likeliest one does, as it may explain the crashes
+ * of the others: parts that are always together need only one verdict. */
+static void choose_likeliest_part(struct evaluation *evaluation)
+{
+    uint32_t likeliest = evaluation->entry_count;
+    for (uint32_t i = 0; i < evaluation->entry_count; i++) {
+        if (!evaluation->chosen[i] || !evaluation->entries[i].is_part)
+            continue;
+        evaluation->chosen[i] = false;
+        if (likeliest == evaluation->entry_count || is_likelier_part(evaluation, i, likeliest))
+            likeliest = i;
+    }
+    if (likeliest < evaluation->entry_count)
+        evaluation->chosen[likeliest] = true;
+}
+
 /* Settles the requests whose latest crash is earliest; they explain crashes of the later ones. Two
  * requests that always run together share their latest crash and settle in the same round: neither
  * explains it for the other.
@@ -264,6 +385,7 @@
         evaluation->chosen[i] =
             settled_at < first_at + CRASH_SIMULTANEOUS_US && is_newly_settled(evaluation, i, rule);
     }
+    choose_likeliest_part(evaluation);
     for (uint32_t i = 0; i < evaluation->entry_count; i++)
         evaluation->findings[i].settled |= evaluation->chosen[i];
     return true;
@@ -293,7 +415,7 @@
         struct crash_finding *finding = &evaluation->findings[i];
         finding->blocked = finding->settled || has_proofs_to_block(evaluation, i) ||
                            has_crashes_to_block(evaluation, i);
-        finding->isolated = !finding->settled && finding->unexplained >= CRASHES_TO_ISOLATE;
+        finding->isolated = !finding->settled && finding->own >= CRASHES_TO_ISOLATE;
     }
 }
 
@@ -310,6 +432,7 @@
         .findings = findings,
         .participants = collect_participants(entries, count),
         .explained = memory_calloc(count ? count : 1, sizeof *evaluation.explained),
+        .outranked = memory_calloc(count ? count : 1, sizeof *evaluation.outranked),
         .chosen = memory_calloc(count ? count : 1, sizeof *evaluation.chosen),
     };
     do {
@@ -319,6 +442,7 @@
     set_verdicts(&evaluation);
     free(evaluation.participants.items);
     free(evaluation.explained);
+    free(evaluation.outranked);
     free(evaluation.chosen);
     return next_settled_at(&evaluation);
 }
--- a/src/core/crash/crash_verdict.h
+++ b/src/core/crash/crash_verdict.h
@@ -15,6 +15,16 @@
  *   doubles with each further crash: shared crashes are no reason to refuse a request for good.
  * A crash at which a blocked request was present counts as explained for all other requests.
  *
+ * The same rules hold for the parts that prompts share, with these differences:
+ * - A part and the request that it belongs to are one participant.
+ * - Of one request, CRASHES_OF_ONE_REQUEST crashes count for a part: a request that is always the
+ *   same is blocked itself, and does not explain the crashes of its parts.
+ * - A crash counts for the likeliest part only that was present: for the one with the most
+ *   unexplained crashes; of several, for one that was never answered; else for the later one in
+ *   the prompt, as more requests share the beginning.
+ * - Other requests run well with most parts and clear them, so CRASHES_TO_BLOCK_PART crashes
+ *   without an answer in between block a part, without proof, and fewer do not block it with one.
+ *
  * Pure functions of the entries: nodes that hold the same entries, in any order, reach the same
  * verdicts.
  */
@@ -55,10 +65,15 @@
  *  requests that each crash backends may always have met. Does not apply where backends without the
  *  request crash as well. */
 #define CRASHES_TO_BLOCK_WITHOUT_PROOF 5
+/** The same for a part of prompts, whether or not backends without it crash. */
+#define CRASHES_TO_BLOCK_PART 4
+/** Crashes of one request that count for the parts of its prompt. */
+#define CRASHES_OF_ONE_REQUEST 2
 
 /** The result for one entry, derived from all entries. */
 struct crash_finding {
     uint32_t unexplained; /**< crashes at which no other, blocked request was present */
+    uint32_t own;         /**< of these, for a part: those that count for no likelier part */
     uint32_t crashes;     /**< all crashes; at most CRASH_MAX_SIMULTANEOUS_COUNTED per moment */
     uint32_t proofs;      /**< crashes that prove the request to be the cause */
     bool isolated;        /**< it must not run beside another isolated request */
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -9,9 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Interrupted requests of this gateway recorded for one backend; engines run 12 to 16 requests of
- * all gateways. */
-#define MAX_LOST_RUNS 64
+/** Interrupted requests of this gateway, and parts of their prompts, recorded for one backend;
+ * engines run 12 to 16 requests of all gateways. */
+#define MAX_LOST_RUNS 256
 /** Time after the first broken connection within which a crashed backend's other connections break
  * too. */
 #define COLLECT_MS 10
@@ -33,9 +33,12 @@
     CHECK_AWAITING_RESTART, /* waiting for a later incarnation at the address */
 };
 
+/* What was running when a run broke off: a request, or a part of its prompt. */
 struct lost_run {
     struct request_identity identity;
-    uint32_t attempt; /* crash_attempt_key() */
+    bool is_part;
+    struct prompt_part part;
+    uint32_t attempt; /* crash_attempt_key(), or crash_request_key() for a part */
     uint64_t interrupted_at;
     uint64_t began_at; /* of the first run of an identical request; 0: it may not have begun */
 };
@@ -95,14 +98,23 @@
     char hex[REQUEST_IDENTITY_HEX_SIZE];
     request_identity_to_hex(&run->identity, hex);
     log_event(LOG_LEVEL_WARN, "crash", "evidence",
-              "identity=%s backend=%s born=%" PRIu64 " start=%08" PRIx32
-              " starts=%u weight=%u unexplained=%u proofs=%u isolated=%d outcome=%s",
-              hex, check->backend->listing.id, check->backend->listing.born,
+              "identity=%s part=%08" PRIx64 " backend=%s born=%" PRIu64 " start=%08" PRIx32
+              " starts=%u weight=%u unexplained=%u proofs=%u isolated=%d answered=%d outcome=%s",
+              hex, entry->part_id, check->backend->listing.id, check->backend->listing.born,
               (uint32_t)check->incarnation, entry->crash_count, crash_entry_distinct_crashes(entry),
-              finding.unexplained, finding.proofs, finding.isolated,
+              finding.unexplained, finding.proofs, finding.isolated, entry->cleared_at != 0,
               crash_verdict_name(crash_table_verdict(table, &run->identity, now)));
 }
 
+static void add_run(struct crash_table *table, const struct lost_run *run,
+                    const struct crash_event *crash)
+{
+    if (run->is_part)
+        crash_table_add_part(table, &run->part, crash);
+    else
+        crash_table_add(table, &run->identity, crash);
+}
+
 /* Adds all requests before logging any finding, as each finding depends on all of them. */
 static void add_evidence(struct crash_check *check)
 {
@@ -117,7 +129,7 @@
                                     .began_at = run->began_at,
                                     .detected_at = now};
         if (was_running_at_crash(check, run))
-            crash_table_add(table, &run->identity, &crash);
+            add_run(table, run, &crash);
     }
     for (uint32_t i = 0; i < check->run_count; i++)
         if (was_running_at_crash(check, &check->runs[i]))
@@ -261,30 +273,52 @@
     check->runs[check->run_count++] = *run;
 }
 
+static void log_planned(const struct backend *backend, const char *request_id)
+{
+    log_event(LOG_LEVEL_INFO, "crash", "planned",
+              "request=%s backend=%s draining=%d leaving=%d known_ms=%" PRIu64, request_id,
+              backend->listing.id, backend->listing.draining,
+              backend->leaving || backend->load.leaving,
+              (cluster_now() - backend->leaving_known_since) / 1000);
+}
+
+static void add_lost_request(struct crash_check *check, const struct lost_request *request,
+                             uint64_t began_at)
+{
+    uint64_t now = cluster_now();
+    struct lost_run run = {.identity = *request->identity,
+                           .attempt = crash_attempt_key(request->id),
+                           .interrupted_at = now,
+                           .began_at = began_at};
+    add_lost_run(check, &run);
+    for (uint32_t i = 0; i < request->part_count; i++) {
+        run.identity = request->parts[i].identity;
+        run.is_part = true;
+        run.part = request->parts[i];
+        run.attempt = crash_request_key(request->identity);
+        add_lost_run(check, &run);
+    }
+}
+
 void crash_watch_report_lost_run(struct edge *edge, struct backend *backend,
-                                 const struct request_identity *identity, const char *request_id,
-                                 uint64_t sent_at)
+                                 const struct lost_request *request)
 {
+    uint64_t now = cluster_now();
     struct crash_check *check = find_check(edge, backend);
     if (!check)
         check = begin_check(edge, backend);
     else if (check->state == CHECK_AWAITING_RESTART && check->open_handles == 1)
         collect_lost_runs(check);
-    uint64_t began_at = cluster_now() >= sent_at + MIN_RUN_US ? sent_at : 0;
+    uint64_t began_at = now >= request->sent_at + MIN_RUN_US ? request->sent_at : 0;
     if (began_at > check->began_at)
         check->began_at = began_at;
-    check->planned |= backend_exit_is_planned(edge->pool, backend, cluster_now());
+    check->planned |= backend_exit_is_planned(edge->pool, backend, now);
     if (check->planned) {
-        check->interrupted_at = cluster_now();
-        log_event(LOG_LEVEL_INFO, "crash", "planned",
-                  "request=%s backend=%s draining=%d leaving=%d known_ms=%" PRIu64, request_id,
-                  backend->listing.id, backend->listing.draining,
-                  backend->leaving || backend->load.leaving,
-                  (cluster_now() - backend->leaving_known_since) / 1000);
+        check->interrupted_at = now;
+        log_planned(backend, request->id);
         return;
     }
-    struct lost_run run = {*identity, crash_attempt_key(request_id), cluster_now(), began_at};
-    add_lost_run(check, &run);
+    add_lost_request(check, request, began_at);
 }
 
 static bool has_restarted(const struct crash_check *check)
@@ -299,6 +333,9 @@
     const struct crash_check *check = backend ? find_check(edge, backend) : NULL;
     if (!check)
         return false;
+    /* A tick probes the backend once its last connection has broken. */
+    if (check->state == CHECK_CONNECTIONS_OPEN && !upstream_has_open_connection(backend))
+        return true;
     /* A backend that restarts at once accepts connections before a tick confirms the crash. */
     return check->state == CHECK_COLLECTING || check->state == CHECK_CONNECTING ||
            has_restarted(check);
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -16,11 +16,18 @@
 #include "core/crash/crash_table.h"
 #include "edge/edge_internal.h"
 
-/** \brief Reports a request that was interrupted. \param sent_at time at which it was sent to the
- * backend */
+/** A request whose run at a backend was interrupted. */
+struct lost_request {
+    const char *id; /**< of the caller's attempt */
+    const struct request_identity *identity;
+    const struct prompt_part *parts; /**< that its prompt shares with others */
+    uint32_t part_count;
+    uint64_t sent_at; /**< time at which it was sent to the backend */
+};
+
+/** \brief Reports a request that was interrupted. */
 void crash_watch_report_lost_run(struct edge *edge, struct backend *backend,
-                                 const struct request_identity *identity, const char *request_id,
-                                 uint64_t sent_at);
+                                 const struct lost_request *request);
 /** \return whether a check is running that will show soon if the backend has crashed */
 bool crash_watch_is_checking(const struct edge *edge, const struct backend *backend);
 /** \brief Checks the addresses of suspected backends for later incarnations, and ends checks
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -21,11 +21,15 @@
 static const struct retry_after_settings full_retry_settings = {
     .weight = 0.05, .saturation_share = 0.2, .min_ms = 500, .max_ms = 1200, .jitter_percent = 65};
 
-/* Body of the response to a request that crashes backends. It has no Retry-After, as the request
+/* Bodies of the response to a request that crashes backends. It has no Retry-After, as the request
  * would crash the next backend too. */
 #define BLOCKED_TEXT                                                                               \
     "This request is not run: several back ends ended while they ran it. Do not send it again "    \
     "unchanged.\n"
+#define BLOCKED_PART_TEXT                                                                          \
+    "This request is not run: several back ends ended while they ran requests with the part "      \
+    "%08" PRIx64 " of its prompt. Do not send this part again.\n"
+#define BLOCKED_TEXT_SIZE 200
 
 /* --- Trail of attempts, for the log line --- */
 
@@ -64,6 +68,7 @@
     [END_BACKEND_SILENT] = "silent",
     [END_CONNECTION_BROKEN] = "broken",
     [END_TRUNCATED_EVENT] = "torn",
+    [END_EMPTY_STREAM] = "empty",
     [END_NO_SEAL] = "no-seal",
     [END_REFUSED] = "refused",
     [END_MISDIRECTED] = "misdirected",
@@ -262,6 +267,17 @@
     buffer_clear(&head);
 }
 
+/* Writes the body of the response, "" for none. */
+static void write_reason(const struct exchange *exchange, enum end_reason reason,
+                         char text[BLOCKED_TEXT_SIZE])
+{
+    text[0] = 0;
+    if (reason == END_BLOCKED && exchange->blocked_by_part)
+        snprintf(text, BLOCKED_TEXT_SIZE, BLOCKED_PART_TEXT, exchange->blocked_part);
+    else if (reason == END_BLOCKED)
+        snprintf(text, BLOCKED_TEXT_SIZE, BLOCKED_TEXT);
+}
+
 /* Otherwise a retry of the same request fails in the same way. */
 static bool may_succeed_later(enum end_reason reason)
 {
@@ -284,12 +300,12 @@
         edge_client_abort(client);
         return;
     }
-    char id[PLATFORM_TEXT_SIZE];
+    char id[PLATFORM_TEXT_SIZE], text[BLOCKED_TEXT_SIZE];
     uint32_t wait_ms = status == 503 && may_succeed_later(reason) ? retry_after_ms(exchange) : 0;
     memcpy(id, exchange->head.id, sizeof id);
+    write_reason(exchange, reason, text);
     exchange_finish(exchange);
-    exchange_send_local_response(edge, client, id, status, wait_ms,
-                                 reason == END_BLOCKED ? BLOCKED_TEXT : "");
+    exchange_send_local_response(edge, client, id, status, wait_ms, text);
 }
 
 void exchange_fail_by_run_state(struct exchange *exchange, enum end_reason reason)
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -6,10 +6,12 @@
 #define SHUNTRUN_EXCHANGE_INTERNAL_H
 
 #include "core/attempt_rule.h"
-#include "core/crash/request_identity.h"
+#include "core/crash/prompt_part.h"
 #include "edge/edge_internal.h"
 
 #define US_PER_MS ((uint64_t)1000)
+/** Interval at which a pending check of a backend that may have crashed is polled. */
+#define CRASH_CHECK_POLL_US 10000
 /** Bytes of the attempts that the log line at a request's end shows. */
 #define TRAIL_SIZE 320
 
@@ -25,6 +27,7 @@
     END_BACKEND_SILENT,    /**< the backend sent nothing for too long */
     END_CONNECTION_BROKEN, /**< the connection broke, or the bytes were no valid response */
     END_TRUNCATED_EVENT,   /**< the body was complete, but ended within an event */
+    END_EMPTY_STREAM,      /**< the stream ended with its connection, before the first event */
     END_NO_SEAL,           /**< the response lacks the backend's seal */
     END_REFUSED,           /**< the backend did not run it */
     END_MISDIRECTED,       /**< another backend uses the address, or it has other weights */
@@ -106,6 +109,15 @@
     bool held;       /* it is or was delayed as it may crash backends */
     bool identified; /* `identity` is computed */
     struct request_identity identity;
+    bool parts_identified;                               /* `parts` are computed */
+    struct prompt_part parts[PLATFORM_MAX_SHARED_PARTS]; /* those that `head` names */
+    bool blocked_by_part;       /* it was refused for a part of its prompt */
+    uint64_t blocked_part;      /* id of that part */
+    uint64_t run_begun_at;      /* first event of the current run; 0: none yet */
+    uint64_t parts_sound_at;    /* last time at which the current run cleared the parts */
+    uint64_t end_checked_since; /* its stream ended with its connection; since then it is checked
+                                   whether the backend ended, too; 0: it is not */
+    bool run_lost;              /* the end of the current run was reported */
 };
 
 /* --- exchange.c --- */
@@ -133,12 +145,15 @@
 /** \return key of a suspect's rendezvous weights, which keep it apart from other requests; 0: no
  * suspect */
 uint64_t exchange_isolation_key(struct exchange *exchange);
-/** \return the evidence against it, or NULL */
+/** \return the evidence that decides on it, of the request or of a part of its prompt; NULL: there
+ * is none */
 const struct crash_entry *exchange_crash_entry(struct exchange *exchange);
-/** \brief The backend broke the connection while it ran the request, and may have crashed. */
-void exchange_on_run_lost(struct exchange *exchange);
-/** \brief Clears the request of evidence, as a backend completed it and lives. */
+/** \brief The run ended so that the backend may have crashed. */
+void exchange_on_run_lost(struct exchange *exchange, enum end_reason reason);
+/** \brief Clears the request and its parts of evidence, as a backend completed it and lives. */
 void exchange_clear_suspicion(struct exchange *exchange);
+/** \brief Clears the parts of its prompt of evidence, as a backend is answering it and lives. */
+void exchange_record_sound_parts(struct exchange *exchange);
 
 /* --- exchange_isolation.c --- */
 
@@ -237,6 +252,9 @@
 /** \brief The attempt failed after the request was sent, so the backend may have run it. */
 void exchange_on_attempt_failed(struct exchange *exchange, enum backend_result result,
                                 enum end_reason reason);
+/** \brief Completes a stream that ended with its connection, once it is known that its backend
+ * lives; otherwise retries. */
+void exchange_recheck_end(struct exchange *exchange);
 /** \brief Counts a send on an established connection, once for each attempt. */
 void exchange_count_send(struct exchange *exchange);
 
--- a/src/edge/exchange_isolation.c
+++ b/src/edge/exchange_isolation.c
@@ -7,8 +7,6 @@
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
 
-/** Interval at which a pending check of the request's last backend is polled. */
-#define CRASH_CHECK_POLL_US 10000
 /** A hold up to this long may exceed the time for which a request may wait for a slot. */
 #define MAX_EXTRA_WAIT_US 40000
 /** Interval at which a held request is rechecked, as other requests may since explain the crashes
@@ -22,9 +20,16 @@
 
 static bool is_isolated(struct exchange *exchange)
 {
-    const struct crash_table *table = crash_table_of(exchange);
-    return crash_table_count(table) &&
-           crash_table_requires_isolation(table, exchange_identity(exchange), cluster_now());
+    const struct crash_entry *entry = exchange_crash_entry(exchange);
+    return entry && crash_table_requires_isolation(crash_table_of(exchange), &entry->identity,
+                                                   cluster_now());
+}
+
+/* \return the identity that the evidence is about: of the request, or of a part of its prompt */
+static const struct request_identity *suspect_identity(struct exchange *exchange)
+{
+    const struct crash_entry *entry = exchange_crash_entry(exchange);
+    return entry ? &entry->identity : exchange_identity(exchange);
 }
 
 static void record_hold(struct exchange *exchange, const char *reason)
@@ -32,7 +37,7 @@
     if (exchange->held)
         return;
     char identity[REQUEST_IDENTITY_HEX_SIZE];
-    request_identity_to_hex(exchange_identity(exchange), identity);
+    request_identity_to_hex(suspect_identity(exchange), identity);
     exchange->held = true;
     metric_add(METRIC_REQUESTS_HELD, 1);
     log_event(LOG_LEVEL_INFO, "request", "held",
@@ -72,10 +77,8 @@
 
 uint64_t exchange_held_until(struct exchange *exchange, uint64_t now)
 {
-    const struct crash_table *table = crash_table_of(exchange);
-    if (!crash_table_count(table))
-        return 0;
-    return crash_table_held_until(table, exchange_identity(exchange), now);
+    const struct crash_entry *entry = exchange_crash_entry(exchange);
+    return entry ? crash_table_held_until(crash_table_of(exchange), &entry->identity, now) : 0;
 }
 
 static uint64_t next_hold_poll(uint64_t held_until, uint64_t now)
@@ -107,7 +110,7 @@
                       const struct crash_lease *lease, uint64_t now)
 {
     char identity[REQUEST_IDENTITY_HEX_SIZE];
-    request_identity_to_hex(exchange_identity(exchange), identity);
+    request_identity_to_hex(suspect_identity(exchange), identity);
     log_event(LOG_LEVEL_INFO, "crash", "lease",
               "request=%s identity=%s backend=%s born=%" PRIu64 " age_ms=%" PRIu64 " outcome=%s",
               exchange->head.id, identity, backend->listing.id, backend->listing.born,
@@ -121,7 +124,7 @@
         return 0;
     uint64_t incarnation = crash_incarnation_key(backend->listing.id, backend->listing.born);
     struct crash_lease lease = crash_table_acquire_lease(
-        crash_table_of(exchange), exchange_identity(exchange), incarnation, now);
+        crash_table_of(exchange), suspect_identity(exchange), incarnation, now);
     log_lease(exchange, backend, &lease, now);
     crash_sync_send_updates(exchange->edge->cluster.crashes);
     return crash_lease_is_settled(&lease, now) ? 0 : lease.since + CRASH_LEASE_PROPAGATION_US;
--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -2,6 +2,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "edge/crash_watch.h"
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
 #include <stdarg.h>
@@ -10,6 +11,12 @@
 
 /** Statuses from here on are failures of the backend, not of the request. */
 #define FIRST_SERVER_ERROR 500
+/** A run that sends events for this long does not crash its backend by a part of its prompt. */
+#define PART_SOUND_RUN_US 300000
+/** A run clears the parts of its prompt at most this often. */
+#define PART_SOUND_INTERVAL_US 100000
+/** A backend that crashes as it closes a connection has closed the others by then. */
+#define END_CHECK_MIN_US 50000
 /** Backends wait longer than this before they close a connection whose bytes are not read. */
 #define UNREAD_MIN_US 1000000
 
@@ -60,6 +67,19 @@
     exchange->streaming = true;
 }
 
+/* A part that crashes the backend does so as it begins to answer: a run that goes on for a while
+ * clears the parts of its prompt. */
+static void note_events(struct exchange *exchange, uint64_t now)
+{
+    if (!exchange->run_begun_at)
+        exchange->run_begun_at = now;
+    if (now < exchange->run_begun_at + PART_SOUND_RUN_US ||
+        now < exchange->parts_sound_at + PART_SOUND_INTERVAL_US)
+        return;
+    exchange->parts_sound_at = now;
+    exchange_record_sound_parts(exchange);
+}
+
 /* Parses new bytes of a stream's body, and forwards the complete events. */
 static void forward_events(struct exchange *exchange, struct http_message *message)
 {
@@ -68,6 +88,7 @@
     buffer_reset(&message->body);
     if (events.size) {
         uint64_t now = cluster_now();
+        note_events(exchange, now);
         if (exchange->streaming)
             metric_observe(METRIC_EVENT_PAUSE, now - exchange->last_event_at);
         exchange->last_event_at = now;
@@ -109,17 +130,10 @@
     }
 }
 
-static void finish_stream(struct exchange *exchange, struct http_message *message)
+/* The stream is whole. */
+static void complete_stream(struct exchange *exchange)
 {
     struct edge_client *client = exchange->client;
-    forward_events(exchange, message);
-    if (exchange->events.partial.size) {
-        /* The body is complete by its framing, but ends within an event. */
-        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_TRUNCATED_EVENT);
-        return;
-    }
-    if (!exchange->streaming)
-        begin_stream(exchange, message);
     if (!exchange->resuming)
         stream_length_record(&exchange->service_state->stream_length,
                              exchange->head.expected_output_tokens,
@@ -132,6 +146,49 @@
     edge_client_stream_end(client);
 }
 
+/* A stream without a framing ends with its connection, as it does when its backend crashes between
+ * two events. Whether the backend lives shows soon. */
+static void begin_end_check(struct exchange *exchange)
+{
+    exchange_on_run_lost(exchange, END_DONE);
+    exchange->end_checked_since = cluster_now();
+    exchange_arm_timer(exchange);
+}
+
+void exchange_recheck_end(struct exchange *exchange)
+{
+    if (cluster_now() < exchange->end_checked_since + END_CHECK_MIN_US ||
+        crash_watch_is_checking(exchange->edge, exchange->backend)) {
+        exchange_arm_timer(exchange);
+        return;
+    }
+    exchange->end_checked_since = 0;
+    if (exchange->backend->presumed_down_until)
+        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_CONNECTION_BROKEN);
+    else
+        complete_stream(exchange);
+}
+
+static void finish_stream(struct exchange *exchange, struct http_message *message)
+{
+    forward_events(exchange, message);
+    if (exchange->events.partial.size) {
+        /* The body is complete by its framing, but ends within an event. */
+        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_TRUNCATED_EVENT);
+        return;
+    }
+    if (!message->framed && !exchange->run_begun_at) {
+        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_EMPTY_STREAM);
+        return;
+    }
+    if (!exchange->streaming)
+        begin_stream(exchange, message);
+    if (message->framed)
+        complete_stream(exchange);
+    else
+        begin_end_check(exchange);
+}
+
 static void on_misdirected(struct exchange *exchange, const struct response_head *head)
 {
     struct backend *backend = exchange->backend;
@@ -146,8 +203,10 @@
                                 enum end_reason reason)
 {
     bool stream = exchange->route->kind == ROUTE_STREAM;
-    if (reason == END_CONNECTION_BROKEN)
-        exchange_on_run_lost(exchange);
+    bool may_have_crashed = reason == END_CONNECTION_BROKEN || reason == END_TRUNCATED_EVENT ||
+                            reason == END_EMPTY_STREAM;
+    if (may_have_crashed && !exchange->run_lost)
+        exchange_on_run_lost(exchange, reason);
     exchange_end_attempt(exchange, result);
     exchange->may_have_run = true;
     event_stream_drop_partial(&exchange->events);
@@ -190,7 +249,8 @@
         return;
     }
     exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
-    exchange_clear_suspicion(exchange);
+    if (response->message.framed) /* else it may have been cut off by a crash */
+        exchange_clear_suspicion(exchange);
     forward_response(exchange, &response->message, END_DONE);
 }
 
--- a/src/edge/exchange_suspicion.c
+++ b/src/edge/exchange_suspicion.c
@@ -1,4 +1,5 @@
-/* Crash suspicion of one request: its identity, the verdict on it, and its evidence. */
+/* Crash suspicion of one request and of the parts of its prompt: identities, the verdict, evidence.
+ */
 #include "base/log.h"
 #include "base/metrics.h"
 #include "cluster/crash_sync.h"
@@ -19,6 +20,16 @@
     return crash_sync_table(exchange->edge->cluster.crashes);
 }
 
+static void identify_parts(struct exchange *exchange)
+{
+    if (exchange->parts_identified)
+        return;
+    for (uint32_t i = 0; i < exchange->head.shared_part_count; i++)
+        exchange->parts[i] =
+            prompt_part_of(exchange->service->name, exchange->head.shared_parts[i], i);
+    exchange->parts_identified = true;
+}
+
 const struct request_identity *exchange_identity(struct exchange *exchange)
 {
     if (exchange->identified)
@@ -37,13 +48,44 @@
     return &exchange->identity;
 }
 
-/* Computes no identity while no request is under suspicion. */
-static enum crash_verdict crash_verdict_of(struct exchange *exchange)
+/* --- the evidence that decides ------------------------------------------------------------------
+ */
+
+/* \return whether the entry of an identity says more against a request than `than`, or NULL */
+static bool is_graver(const struct crash_table *table, const struct crash_entry *entry,
+                      const struct crash_entry *than, uint64_t now)
+{
+    if (!entry || !entry->crash_count || !than)
+        return entry && entry->crash_count;
+    enum crash_verdict verdict = crash_table_verdict(table, &entry->identity, now);
+    enum crash_verdict other = crash_table_verdict(table, &than->identity, now);
+    if (verdict != other)
+        return verdict > other;
+    struct crash_finding finding = crash_table_finding(table, &entry->identity, now);
+    struct crash_finding other_finding = crash_table_finding(table, &than->identity, now);
+    if (finding.isolated != other_finding.isolated)
+        return finding.isolated;
+    return finding.unexplained > other_finding.unexplained;
+}
+
+/* Computes no identity while nothing is under suspicion. */
+const struct crash_entry *exchange_crash_entry(struct exchange *exchange)
 {
     const struct crash_table *table = crash_table_of(exchange);
+    uint64_t now = cluster_now();
     if (!crash_table_count(table))
-        return CRASH_VERDICT_NONE;
-    return crash_table_verdict(table, exchange_identity(exchange), cluster_now());
+        return NULL;
+    const struct crash_entry *gravest = NULL;
+    const struct crash_entry *entry = crash_table_find(table, exchange_identity(exchange));
+    if (is_graver(table, entry, gravest, now))
+        gravest = entry;
+    identify_parts(exchange);
+    for (uint32_t i = 0; i < exchange->head.shared_part_count; i++) {
+        entry = crash_table_find(table, &exchange->parts[i].identity);
+        if (is_graver(table, entry, gravest, now))
+            gravest = entry;
+    }
+    return gravest;
 }
 
 /* Logs the keys and ages of the crashes on which the verdict rests. */
@@ -51,7 +93,7 @@
                         uint64_t now)
 {
     struct crash_finding finding =
-        crash_table_finding(crash_table_of(exchange), &exchange->identity, now);
+        crash_table_finding(crash_table_of(exchange), &entry->identity, now);
     char identity[REQUEST_IDENTITY_HEX_SIZE];
     char ends[CRASHES_TEXT_SIZE] = "";
     size_t length = 0;
@@ -59,36 +101,36 @@
         length += (size_t)snprintf(ends + length, sizeof ends - length, "%s%08" PRIx32 "@%" PRIu64,
                                    i ? "," : "", (uint32_t)entry->crashes[i].incarnation,
                                    (now - entry->crashes[i].ended_at) / US_PER_MS);
-    request_identity_to_hex(&exchange->identity, identity);
+    request_identity_to_hex(&entry->identity, identity);
     log_event(LOG_LEVEL_WARN, "crash", "blocked",
-              "request=%s identity=%s unexplained=%u proofs=%u ends_ms_ago=%s", exchange->head.id,
-              identity, finding.unexplained, finding.proofs, ends);
+              "request=%s identity=%s part=%08" PRIx64
+              " unexplained=%u proofs=%u ends_ms_ago=%s answered=%d",
+              exchange->head.id, identity, entry->part_id, finding.unexplained, finding.proofs,
+              ends, entry->cleared_at != 0);
 }
 
 bool exchange_is_blocked(struct exchange *exchange)
 {
-    if (crash_verdict_of(exchange) != CRASH_VERDICT_BLOCKED)
-        return false;
-    const struct crash_entry *entry =
-        crash_table_find(crash_table_of(exchange), &exchange->identity);
+    const struct crash_entry *entry = exchange_crash_entry(exchange);
     uint64_t now = cluster_now();
-    if (now < crash_entry_settled_at(entry))
+    if (!entry ||
+        crash_table_verdict(crash_table_of(exchange), &entry->identity, now) !=
+            CRASH_VERDICT_BLOCKED ||
+        now < crash_entry_settled_at(entry))
         return false;
+    exchange->blocked_by_part = entry->is_part;
+    exchange->blocked_part = entry->part_id;
     log_blocked(exchange, entry, now);
     return true;
 }
 
-const struct crash_entry *exchange_crash_entry(struct exchange *exchange)
-{
-    const struct crash_table *table = crash_table_of(exchange);
-    return crash_table_count(table) ? crash_table_find(table, exchange_identity(exchange)) : NULL;
-}
-
 uint64_t exchange_isolation_key(struct exchange *exchange)
 {
-    if (!exchange->suspected && crash_verdict_of(exchange) == CRASH_VERDICT_NONE)
+    const struct crash_entry *entry = exchange_crash_entry(exchange);
+    if (!exchange->suspected && !entry)
         return 0;
-    const struct request_identity *identity = exchange_identity(exchange);
+    const struct request_identity *identity =
+        entry ? &entry->identity : exchange_identity(exchange);
     return hash_bytes(identity->bytes, sizeof identity->bytes) | 1;
 }
 
@@ -102,7 +144,7 @@
                                    i ? "," : "", head->shared_parts[i]);
 }
 
-void exchange_on_run_lost(struct exchange *exchange)
+void exchange_on_run_lost(struct exchange *exchange, enum end_reason reason)
 {
     struct backend *backend = exchange->backend;
     const struct request_identity *identity = exchange_identity(exchange);
@@ -111,14 +153,20 @@
     write_parts(&exchange->head, parts);
     metric_add(METRIC_RUNS_LOST, 1);
     log_event(LOG_LEVEL_WARN, "request", "run-lost",
-              "request=%s identity=%s parts=%s backend=%s born=%" PRIu64 " events=%" PRIu64
-              " sends=%u sent_ms_ago=%" PRIu64 " others_here=%u",
-              exchange->head.id, hex, parts, backend->listing.id, backend->listing.born,
-              exchange->events.events, exchange->sends,
+              "request=%s identity=%s parts=%s reason=%s backend=%s born=%" PRIu64
+              " events=%" PRIu64 " sends=%u sent_ms_ago=%" PRIu64 " others_here=%u",
+              exchange->head.id, hex, parts, end_reason_name(reason), backend->listing.id,
+              backend->listing.born, exchange->events.events, exchange->sends,
               (cluster_now() - exchange->sent_at) / US_PER_MS, backend->in_flight - 1);
     exchange->suspected = true;
-    crash_watch_report_lost_run(exchange->edge, backend, identity, exchange->head.id,
-                                exchange->sent_at);
+    exchange->run_lost = true;
+    identify_parts(exchange);
+    struct lost_request lost = {.id = exchange->head.id,
+                                .identity = identity,
+                                .parts = exchange->parts,
+                                .part_count = exchange->head.shared_part_count,
+                                .sent_at = exchange->sent_at};
+    crash_watch_report_lost_run(exchange->edge, backend, &lost);
 }
 
 /* \return time for which its last backend ran it, if that resumed a stream; CRASH_FULL_RUN
@@ -129,16 +177,42 @@
     return is_resumed ? cluster_now() - exchange->sent_at : CRASH_FULL_RUN;
 }
 
+static void log_cleared(const struct exchange *exchange, const struct request_identity *identity,
+                        const struct prompt_part *part)
+{
+    char hex[REQUEST_IDENTITY_HEX_SIZE];
+    request_identity_to_hex(identity, hex);
+    log_event(LOG_LEVEL_INFO, "crash", "cleared",
+              "request=%s identity=%s part=%08" PRIx64 " events=%" PRIu64 " ran_ms=%" PRIu64,
+              exchange->head.id, hex, part ? part->id : 0, exchange->events.events,
+              (cluster_now() - exchange->sent_at) / US_PER_MS);
+}
+
+void exchange_record_sound_parts(struct exchange *exchange)
+{
+    struct crash_table *table = crash_table_of(exchange);
+    bool cleared = false;
+    identify_parts(exchange);
+    for (uint32_t i = 0; i < exchange->head.shared_part_count; i++) {
+        const struct prompt_part *part = &exchange->parts[i];
+        if (!crash_table_record_sound_part(table, &part->identity, cluster_now()))
+            continue;
+        log_cleared(exchange, &part->identity, part);
+        cleared = true;
+    }
+    if (cleared)
+        crash_sync_send_updates(exchange->edge->cluster.crashes);
+}
+
 void exchange_clear_suspicion(struct exchange *exchange)
 {
     struct crash_table *table = crash_table_of(exchange);
-    char hex[REQUEST_IDENTITY_HEX_SIZE];
+    exchange_record_sound_parts(exchange);
     if (!crash_table_count(table) ||
         !crash_table_record_success(table, exchange_identity(exchange), cluster_now(),
                                     run_time_us(exchange)))
         return;
-    request_identity_to_hex(exchange_identity(exchange), hex);
-    log_event(LOG_LEVEL_INFO, "crash", "cleared", "request=%s identity=%s", exchange->head.id, hex);
+    log_cleared(exchange, exchange_identity(exchange), NULL);
     crash_sync_send_updates(exchange->edge->cluster.crashes);
 }
 
--- a/src/tool/suspects.c
+++ b/src/tool/suspects.c
@@ -50,9 +50,10 @@
 
 static void print_suspect(const json_t *suspect)
 {
-    printf("%-34s %-8s %4d %12" JSON_INTEGER_FORMAT " %11" JSON_INTEGER_FORMAT
+    printf("%-34s %-16s %-8s %4d %12" JSON_INTEGER_FORMAT " %11" JSON_INTEGER_FORMAT
            " %13" JSON_INTEGER_FORMAT "\n",
            json_string_value(json_object_get(suspect, "identity")),
+           json_string_value(json_object_get(suspect, "part")),
            json_string_value(json_object_get(suspect, "verdict")),
            (int)json_integer_value(json_object_get(suspect, "ends")),
            get_seconds(suspect, "first_end_ms_ago"), get_seconds(suspect, "last_end_ms_ago"),
@@ -63,8 +64,8 @@
 {
     size_t index;
     json_t *suspect;
-    printf("%-34s %-8s %4s %12s %11s %13s\n", "IDENTITY", "VERDICT", "ENDS", "FIRST S AGO",
-           "LAST S AGO", "BLOCKED FOR S");
+    printf("%-34s %-16s %-8s %4s %12s %11s %13s\n", "IDENTITY", "PART", "VERDICT", "ENDS",
+           "FIRST S AGO", "LAST S AGO", "BLOCKED FOR S");
     json_array_foreach(list, index, suspect)
     {
         print_suspect(suspect);
@@ -104,12 +105,14 @@
 int suspects_main(int argc, char **argv)
 {
     static const struct argp_option list[] = {
-        {"lift", KEY_LIFT, "IDENTITY", 0, "allow this request to run again, on all gateways", 0},
+        {"lift", KEY_LIFT, "IDENTITY", 0,
+         "allow this request, or requests with this part, to run again, on all gateways", 0},
         {"output", KEY_OUTPUT, "FORMAT", 0, "json or text (text)", 0},
         {0}};
     static const char doc[] =
-        "List the requests that were running when backends crashed, as known to one node. A "
-        "gateway "
+        "List the requests that were running when backends crashed, and the parts that their "
+        "prompts "
+        "share with others, as known to one node. A gateway "
         "knows all that were present at more than one crash, a loader a part of them.\vADDRESS is "
         "the IP:PORT of the metrics of a gateway or loader. `event=run-lost identity=...` in the "
         "logs names the request ids of an identity. Exit status: 0 success, 1 the node does not "
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -102,12 +102,12 @@
         return status
 
 
-def edge(address, environment=None):
+def edge(address, environment=None, repeat_allowance=1000):
     return Node("edge", address, {
         "store-address": "%s:%d" % STORE, "client-address": "%s:%d" % (address, CLIENT_PORT),
         "ready-address": "%s:%d" % (address, READY_PORT), "least-gateways": 2,
         "directory-address": "%s:%d" % (address, DIRECTORY_PORT), "repeat-budget-ratio": "0.5",
-        "repeat-budget-allowance": 1000}, environment)
+        "repeat-budget-allowance": repeat_allowance}, environment)
 
 
 def loader(address):
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -20,7 +20,11 @@
   streams    a stream that has started ends complete, unless an engine aborted it or its deadline passed
   entries    no request is sent to an address from an invalid entry of the list
   crashing   a request that crashed three engines reaches none later than STORE_SETTLE_S after the third
+  parts      requests with a part of a prompt that crashed five engines reach engines at most
+             MAX_LATE_PART_ARRIVALS times later than STORE_SETTLE_S after the fifth
   others     no other request is refused as one that crashes engines
+  repeats    all edges together, with all their processes, send a service no more repeats in any window than the
+             repeat budget allows
   planned    an edge that is stopped exits by itself with status 0, and cuts no request that it has read
   alive      no process exits unless told to
   recovery   requests are served again within RECOVERY_S of the last fault
@@ -31,6 +35,10 @@
 Options add faults to the schedule; the other faults of a seed stay the same with and without them:
 
   --crashing     requests that crash each engine which runs them
+  --crashing-parts  parts of prompts that crash each engine which begins to answer them, in requests that are all
+                 different; the engine's connection ends in several ways
+  --gateway-ends  all edges end and start again in series, while back ends of one service reset most requests and
+                 the allowance of repeats is small
   --crash-times  each of those crashes its engine after a time of its own, in the middle of its stream
   --statements   back ends that announce in their answers that they leave, or ask for a backoff
   --limits       back ends that state a rate limit in their answers for a while
@@ -43,6 +51,7 @@
                  and moments at which all gateways are killed
 
 usage: soak.py --build DIR --work DIR [--seeds A..B|A,B] [--seconds S] [--only N,N] [--crashing]
+               [--crashing-parts] [--gateway-ends]
                [--crash-times] [--statements] [--links] [--leaving] [--limits] [--restores] [--large] [--range N]
 """
 import argparse
@@ -68,6 +77,11 @@
 TRAP_PORT = 8106  # of the addresses in invalid entries; each entry has its own address
 FAULT_GAP_S = (0.3, 1.2)
 CRASHING_GAP_S = (2.0, 5.0)  # between the first arrivals of two requests that crash engines
+PART_GAP_S = (5.0, 9.0)  # the same for parts of prompts
+PART_ENDS = ("reset", "head", "torn")  # how the connection of such a request ends, see Backend.crash_on_part()
+GATEWAY_ENDS_GAP_S = (1.2, 3.5)  # between two ends of all edges
+REPEAT_ALLOWANCE = 1000  # of the settings of edges
+SMALL_REPEAT_ALLOWANCE = 20
 STATEMENT_GAP_S = (0.4, 1.5)  # between two announcements (leaving, backoff) by back ends
 LINK_GAP_S = (0.8, 2.5)  # between two link faults
 LEAVING_GAP_S = (0.8, 2.0)  # between two late entries or kills of all gateways
@@ -112,6 +126,11 @@
         self.with_leaving = options.leaving
         self.with_limits = options.limits
         self.with_restores = options.restores
+        self.with_crashing_parts = options.crashing_parts
+        self.with_gateway_ends = options.gateway_ends
+        self.repeat_allowance = SMALL_REPEAT_ALLOWANCE if options.gateway_ends else REPEAT_ALLOWANCE
+        self.crashing_part_callers = []
+        self.crashing_parts = {}  # part that crashes engines -> how the connection ends
         self.crashing = []  # clients whose requests crash engines
         self.crashing_bodies = set()
         self.crash_times = {}  # body -> s from start to crash, with --crash-times
@@ -155,6 +174,10 @@
             at += self.random.uniform(*FAULT_GAP_S)
         if self.with_crashing:
             self.draw_crashing(schedule)
+        if self.with_crashing_parts:
+            self.draw_crashing_parts(schedule)
+        if self.with_gateway_ends:
+            self.draw_gateway_ends(schedule)
         if self.with_statements:
             self.draw_statements(schedule)
         if self.with_links:
@@ -179,6 +202,26 @@
                              "which": rng.randrange(1000), "for_s": clients.CRASHING_FOR_S})
             at += rng.uniform(*CRASHING_GAP_S)
 
+    def draw_crashing_parts(self, schedule):
+        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
+        rng = random.Random("crashing parts %d" % self.seed)
+        at = 2.0
+        while at < self.seconds:
+            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "crashing_part",
+                             "end": rng.choice(PART_ENDS), "which": 0, "for_s": clients.CRASHING_FOR_S})
+            at += rng.uniform(*PART_GAP_S)
+
+    def draw_gateway_ends(self, schedule):
+        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
+        rng = random.Random("gateway ends %d" % self.seed)
+        at = 3.0
+        while at < self.seconds:
+            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "resets_of_one_service",
+                             "which": rng.randrange(1000), "for_s": 0})
+            schedule.append({"number": len(schedule), "at": round(at + 0.6, 2), "kind": "end_all",
+                             "which": rng.randrange(1000), "for_s": 0.1})
+            at += rng.uniform(*GATEWAY_ENDS_GAP_S)
+
     def draw_statements(self, schedule):
         """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
         rng = random.Random("statements %d" % self.seed)
@@ -248,6 +291,7 @@
     def add_backend(self, backend):
         backend.crashing_bodies = self.crashing_bodies
         backend.crash_times = self.crash_times
+        backend.crashing_parts = self.crashing_parts
         self.backend_starts.append(backend)
         self.live[backend.address] = backend
 
@@ -260,7 +304,7 @@
             self.start_backend((ip, platform.ENGINE_PORT), "records")
         self.start_trap_backend()
         self.put_configuration()
-        self.edges = {ip: platform.edge(ip) for ip in platform.EDGE_IPS}
+        self.edges = {ip: platform.edge(ip, repeat_allowance=self.repeat_allowance) for ip in platform.EDGE_IPS}
         self.loaders = {ip: platform.loader(ip) for ip in platform.ENGINE_IPS}
         platform.wait_for(self.all_ready, "ready edges")
         platform.wait_for(lambda: platform.send_request("POST", "/stream/1", b"x").status == 200, "a stream")
@@ -603,6 +647,15 @@
         self.crashing_bodies.add(caller.body)
         self.crashing.append(caller)
 
+    def fault_crashing_part(self, fault):
+        caller = clients.CrashingPartClient(self, len(self.crashing_part_callers))
+        self.crashing_parts[caller.part] = fault["end"]
+        self.crashing_part_callers.append(caller)
+
+    def fault_resets_of_one_service(self, fault):
+        for backend in self.backends_of_one_service(fault):
+            backend.faults.extend(["reset"] * 30)
+
     def fault_config(self, fault):
         self.version += 1
         self.put_configuration()
@@ -723,6 +776,10 @@
                         help="numbers of the faults to execute; default: all")
     parser.add_argument("--crashing", action="store_true",
                         help="add requests that crash engines")
+    parser.add_argument("--crashing-parts", action="store_true",
+                        help="add parts of prompts that crash engines")
+    parser.add_argument("--gateway-ends", action="store_true",
+                        help="end all edges in series, with a small allowance of repeats")
     parser.add_argument("--crash-times", action="store_true",
                         help="each of these crashes its engine after a time of its own, and streams until then")
     parser.add_argument("--statements", action="store_true",
--- a/tests/system/soak_checks.py
+++ b/tests/system/soak_checks.py
@@ -12,6 +12,10 @@
 STORE_SETTLE_S = 3.0  # from the end of a store fault until its updates bind edges
 STOP_GRACE_S = 8  # from SIGTERM to the exit of an edge
 CRASHES_TO_BLOCK = 3
+PART_CRASHES = 5  # engines that a part may crash before the time begins in which all edges must know it
+MAX_LATE_PART_ARRIVALS = 3
+REPEAT_WINDOW_S = 10.0
+REPEAT_RATIO = 0.5  # of the settings of edges, see platform_test.edge()
 BACKOFF_SETTLE_S = 0.5  # platform's bound on the arrival of requests in transit
 MAX_BACKOFF_ARRIVALS = 2  # platform's bound on requests in the rest of the period
 TRANSIT_MARGIN_S = 0.3  # for a request in transit, in addition to the measured scheduling delay
@@ -33,7 +37,7 @@
         for result in results:
             self.check_result(result, runs.get(result.identity, []))
         edges = {r.identity: r.edge for r in results}
-        for caller in self.crashing:
+        for caller in self.crashing + self.crashing_part_callers:
             edges.update(caller.edges)
         for backend in self.backend_starts:
             self.check_weights(backend)
@@ -43,6 +47,9 @@
             self.check_limits(backend, edges)
         for caller in self.crashing:
             self.check_crashing(caller)
+        for caller in self.crashing_part_callers:
+            self.check_crashing_part(caller)
+        self.check_repeats()
         for identity in [run[0] for run in self.trap.runs] + self.trap.misdirected:
             self.add_finding("entries", "%s was sent to what only bad entries name" % identity)
         self.counts = (len(results), sum(r.whole for r in results))
@@ -98,6 +105,45 @@
             self.add_finding("crashing", "%s reached engines %d times later than %.1f s after the third end"
                              % (caller.body.decode(), len(late), latest - ends[CRASHES_TO_BLOCK - 1]))
 
+    def check_crashing_part(self, caller):
+        ends = sorted(when for backend in self.backend_starts for requests, when in backend.crashes
+                      if any(identity in caller.edges for identity in requests))
+        if len(ends) < PART_CRASHES:
+            return
+        latest = ends[PART_CRASHES - 1] + STORE_SETTLE_S + 2 * self.slack.max_s
+        late = [run for backend in self.backend_starts for run in backend.runs
+                if run[0] in caller.edges and run[3] > latest
+                and not self.was_unavailable(caller.edges[run[0]], run[3] - STORE_SETTLE_S, run[3])]
+        if len(late) > MAX_LATE_PART_ARRIVALS:
+            self.add_finding("parts", "requests with part %s reached engines %d times later than %.1f s after the "
+                             "fifth end; %d ended" % (caller.part, len(late), latest - ends[PART_CRASHES - 1], len(ends)))
+
+    def check_repeats(self):
+        """The sum over all edges, and over all processes of each, in any window."""
+        for service in ("llm", "records"):
+            arrivals = sorted((at, identity) for backend in self.backend_starts if backend.service == service
+                              for identity, at, _ in backend.arrivals if identity)
+            known, firsts, repeats = set(), [], []
+            for at, identity in arrivals:
+                (repeats if identity in known else firsts).append(at)
+                known.add(identity)
+            self.check_repeats_of(service, firsts, repeats)
+
+    def check_repeats_of(self, service, firsts, repeats):
+        """`firsts` are fewer than the requests, as some never arrive; so the bound is not wider than the platform's."""
+        def requests_in(begin):
+            return sum(begin <= at < begin + REPEAT_WINDOW_S for at in firsts)
+        for begin in repeats:
+            spent = sum(begin <= at < begin + REPEAT_WINDOW_S for at in repeats)
+            if spent <= self.repeat_allowance:
+                continue
+            requests = max(requests_in(begin), requests_in(begin - REPEAT_WINDOW_S),
+                           requests_in(begin - REPEAT_WINDOW_S / 2))
+            if spent > REPEAT_RATIO * requests + self.repeat_allowance:
+                self.add_finding("repeats", "%s got %d repeats in %.0f s for %d requests, allowed %.0f" % (
+                    service, spent, REPEAT_WINDOW_S, requests, REPEAT_RATIO * requests + self.repeat_allowance))
+                return
+
     def check_cut(self, result, backends):
         """A stop must not cut a request that was in progress or arrived soon afterwards. Its own deadline may
         end it, or the crash of its engine when no other engine has its weights."""
--- a/tests/system/soak_clients.py
+++ b/tests/system/soak_clients.py
@@ -17,6 +17,14 @@
 COMMON_STREAMS = 4  # stream names that all clients share; each other name is sent once
 COMMON_SHARE = 0.3  # share of common names among the streams
 BLOCKED = b"several back ends ended"  # in the refusal of a request that crashes engines
+FIRST_PART = "5c1e07a2"  # of all prompts
+MIDDLE_PARTS = 6  # parts that the prompts of streams share
+PART_REPEAT_S = 0.25
+
+
+def prompt(middle, last):
+    """Header field that names the parts of a prompt; all but the last are shared with others."""
+    return {"Shuntrun-Prompt-Prefix": "%s:800,%s:410,%08x:250" % (FIRST_PART, middle, hash(last) % 2**32)}
 
 
 class Result(typing.NamedTuple):
@@ -46,6 +54,7 @@
         self.soak = soak
         self.random = random.Random(soak.seed * 1000 + number)
         self.common_rng = random.Random("common %d %d" % (soak.seed, number))
+        self.parts_rng = random.Random("parts %d %d" % (soak.seed, number))
         self.number = number
         self.connection = None
         self.edge = None
@@ -75,6 +84,8 @@
         fields = {"Host": "a.example", "Shuntrun-Request-Id": identity,
                   "Shuntrun-Deadline-Ms": str(int(1000 * self.DEADLINE_S)),
                   "Authorization": "Bearer key-a"}
+        if kind == "stream" and self.soak.with_crashing_parts:
+            fields.update(prompt("91bd3f%02x" % self.parts_rng.randrange(MIDDLE_PARTS), identity))
         sent = time.monotonic()
         status, data, handed_over = None, b"", False
         try:
@@ -156,3 +167,37 @@
             pass  # its runs at engines are checked, not its answers
         finally:
             connection.close()
+
+
+class CrashingPartClient(threading.Thread):
+    """A client whose requests are all different, and share one part that crashes each engine which begins to answer
+    it."""
+
+    def __init__(self, soak, number):
+        super().__init__(daemon=True)
+        self.soak = soak
+        self.part = "0bad%04x" % number
+        self.random = random.Random("part %d %d" % (soak.seed, number))
+        self.edges = {}  # request id -> edge that it was sent to
+        self.start()
+
+    def run(self):
+        end = time.monotonic() + CRASHING_FOR_S
+        while time.monotonic() < end and not self.soak.stop_requested.is_set():
+            identity = "%s-%03d" % (self.part, len(self.edges))
+            self.edges[identity] = self.random.choice(platform.EDGE_IPS)
+            threading.Thread(target=self.send, args=(identity,), daemon=True).start()
+            time.sleep(PART_REPEAT_S)
+
+    def send(self, identity):
+        connection = http.client.HTTPConnection(self.edges[identity], platform.CLIENT_PORT, timeout=4)
+        try:
+            connection.request("POST", "/stream/" + identity, identity.encode(), {
+                "Host": "a.example", "Shuntrun-Request-Id": identity,
+                "Shuntrun-Deadline-Ms": str(int(1000 * DEADLINE_S)), "Authorization": "Bearer key-a",
+                **prompt(self.part, identity)})
+            connection.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            pass  # its runs at engines are checked, not its answers
+        finally:
+            connection.close()
