--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -102,12 +102,13 @@
         return status
 
 
-def edge(address, environment=None, repeat_allowance=1000):
+def edge(address, environment=None, repeat_budget=(0.5, 1000)):
+    """`repeat_budget`: ratio and allowance."""
     return Node("edge", address, {
         "store-address": "%s:%d" % STORE, "client-address": "%s:%d" % (address, CLIENT_PORT),
         "ready-address": "%s:%d" % (address, READY_PORT), "least-gateways": 2,
-        "directory-address": "%s:%d" % (address, DIRECTORY_PORT), "repeat-budget-ratio": "0.5",
-        "repeat-budget-allowance": repeat_allowance}, environment)
+        "directory-address": "%s:%d" % (address, DIRECTORY_PORT), "repeat-budget-ratio": repeat_budget[0],
+        "repeat-budget-allowance": repeat_budget[1]}, environment)
 
 
 def loader(address):
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -37,8 +37,8 @@
   --crashing     requests that crash each engine which runs them
   --crashing-parts  parts of prompts that crash each engine which begins to answer them, in requests that are all
                  different; the engine's connection ends in several ways
-  --gateway-ends  all edges end and start again in series, while back ends of one service reset most requests and
-                 the allowance of repeats is small
+  --gateway-ends  all edges end and start again in series, while back ends of one service reset many requests and
+                 the repeat budget is small
   --crash-times  each of those crashes its engine after a time of its own, in the middle of its stream
   --statements   back ends that announce in their answers that they leave, or ask for a backoff
   --limits       back ends that state a rate limit in their answers for a while
@@ -80,8 +80,10 @@
 PART_GAP_S = (5.0, 9.0)  # the same for parts of prompts
 PART_ENDS = ("reset", "head", "torn")  # how the connection of such a request ends, see Backend.crash_on_part()
 GATEWAY_ENDS_GAP_S = (1.2, 3.5)  # between two ends of all edges
-REPEAT_ALLOWANCE = 1000  # of the settings of edges
-SMALL_REPEAT_ALLOWANCE = 20
+# Ratio and allowance of the repeat budget in the settings of edges: usually, and with --gateway-ends.
+REPEAT_BUDGET = (0.5, 1000)
+SMALL_REPEAT_BUDGET = (0.002, 6)
+RESETS = 300  # times five requests: more than a back end gets in that time
 STATEMENT_GAP_S = (0.4, 1.5)  # between two announcements (leaving, backoff) by back ends
 LINK_GAP_S = (0.8, 2.5)  # between two link faults
 LEAVING_GAP_S = (0.8, 2.0)  # between two late entries or kills of all gateways
@@ -128,7 +130,7 @@
         self.with_restores = options.restores
         self.with_crashing_parts = options.crashing_parts
         self.with_gateway_ends = options.gateway_ends
-        self.repeat_allowance = SMALL_REPEAT_ALLOWANCE if options.gateway_ends else REPEAT_ALLOWANCE
+        self.repeat_ratio, self.repeat_allowance = SMALL_REPEAT_BUDGET if options.gateway_ends else REPEAT_BUDGET
         self.crashing_part_callers = []
         self.crashing_parts = {}  # part that crashes engines -> how the connection ends
         self.crashing = []  # clients whose requests crash engines
@@ -217,7 +219,7 @@
         at = 3.0
         while at < self.seconds:
             schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "resets_of_one_service",
-                             "which": rng.randrange(1000), "for_s": 0})
+                             "which": rng.randrange(1000), "for_s": round(rng.uniform(1.0, 3.0), 2)})
             schedule.append({"number": len(schedule), "at": round(at + 0.6, 2), "kind": "end_all",
                              "which": rng.randrange(1000), "for_s": 0.1})
             at += rng.uniform(*GATEWAY_ENDS_GAP_S)
@@ -304,7 +306,7 @@
             self.start_backend((ip, platform.ENGINE_PORT), "records")
         self.start_trap_backend()
         self.put_configuration()
-        self.edges = {ip: platform.edge(ip, repeat_allowance=self.repeat_allowance) for ip in platform.EDGE_IPS}
+        self.edges = {ip: platform.edge(ip, repeat_budget=(self.repeat_ratio, self.repeat_allowance)) for ip in platform.EDGE_IPS}
         self.loaders = {ip: platform.loader(ip) for ip in platform.ENGINE_IPS}
         platform.wait_for(self.all_ready, "ready edges")
         platform.wait_for(lambda: platform.send_request("POST", "/stream/1", b"x").status == 200, "a stream")
@@ -654,7 +656,8 @@
 
     def fault_resets_of_one_service(self, fault):
         for backend in self.backends_of_one_service(fault):
-            backend.faults.extend(["reset"] * 30)
+            backend.faults.extend(["reset", None, "reset", "error", None] * RESETS)
+            self.run_after(fault["for_s"], backend.faults.clear)
 
     def fault_config(self, fault):
         self.version += 1
@@ -779,7 +782,7 @@
     parser.add_argument("--crashing-parts", action="store_true",
                         help="add parts of prompts that crash engines")
     parser.add_argument("--gateway-ends", action="store_true",
-                        help="end all edges in series, with a small allowance of repeats")
+                        help="end all edges in series, with a small repeat budget")
     parser.add_argument("--crash-times", action="store_true",
                         help="each of these crashes its engine after a time of its own, and streams until then")
     parser.add_argument("--statements", action="store_true",
--- a/tests/system/soak_checks.py
+++ b/tests/system/soak_checks.py
@@ -15,7 +15,6 @@
 PART_CRASHES = 5  # engines that a part may crash before the time begins in which all edges must know it
 MAX_LATE_PART_ARRIVALS = 3
 REPEAT_WINDOW_S = 10.0
-REPEAT_RATIO = 0.5  # of the settings of edges, see platform_test.edge()
 BACKOFF_SETTLE_S = 0.5  # platform's bound on the arrival of requests in transit
 MAX_BACKOFF_ARRIVALS = 2  # platform's bound on requests in the rest of the period
 TRANSIT_MARGIN_S = 0.3  # for a request in transit, in addition to the measured scheduling delay
@@ -139,9 +138,9 @@
                 continue
             requests = max(requests_in(begin), requests_in(begin - REPEAT_WINDOW_S),
                            requests_in(begin - REPEAT_WINDOW_S / 2))
-            if spent > REPEAT_RATIO * requests + self.repeat_allowance:
+            if spent > self.repeat_ratio * requests + self.repeat_allowance:
                 self.add_finding("repeats", "%s got %d repeats in %.0f s for %d requests, allowed %.0f" % (
-                    service, spent, REPEAT_WINDOW_S, requests, REPEAT_RATIO * requests + self.repeat_allowance))
+                    service, spent, REPEAT_WINDOW_S, requests, self.repeat_ratio * requests + self.repeat_allowance))
                 return
 
     def check_cut(self, result, backends):
