That a single crash was cleared is told to those who heard of it only

At each end of an engine a dozen requests and their parts are cleared so. Entries now say whether they are shared: 8 messages, to the same receivers.

--- a/src/cluster/crash_sync.c
+++ b/src/cluster/crash_sync.c
@@ -99,6 +99,7 @@
     suspect->is_part = entry->is_part;
     suspect->part_id = entry->part_id;
     suspect->part_position = entry->position;
+    suspect->shared = entry->shared;
     suspect->starts = out->start_pointers[index];
     suspect->n_starts = entry->crash_count;
     for (uint32_t i = 0; i < entry->crash_count; i++) {
@@ -270,6 +271,7 @@
     entry->is_part = suspect->is_part;
     entry->part_id = suspect->part_id;
     entry->position = suspect->part_position;
+    entry->shared = suspect->shared;
     if (suspect->cleared_age_ms)
         entry->cleared_at = time_of_age(suspect->cleared_age_ms - 1, now);
     if (suspect->lease_start)
--- a/src/core/crash/crash_table.c
+++ b/src/core/crash/crash_table.c
@@ -359,7 +359,7 @@
         entry->lease = other->lease;
         changed = true;
     }
-    entry->shared |= !other->crash_count; /* others send a cleared entry only if it is shared */
+    entry->shared |= other->shared;
     entry->is_dirty |= changed && entry->shared;
     if (entry->is_part)
         changed |= merge_own_knowledge(table, entry);
--- a/tests/core/crash/crash_spread_test.c
+++ b/tests/core/crash/crash_spread_test.c
@@ -138,6 +138,26 @@
     destroy_fleet(&fleet);
 }
 
+/* Guards against a flood: whoever heard that a single crash was cleared told all gateways, though only
+ * the replicas had heard of the crash. */
+static void clearing_a_single_crash_is_sent_to_replicas_only(void **state)
+{
+    struct fleet fleet;
+    struct request_identity identity = identity_of(1);
+    create_fleet(&fleet, 1);
+    record_crash(&fleet, 3, 1, 1);
+    gossip_until_quiet(&fleet);
+    fleet.messages = 0;
+    crash_table_record_success(fleet.tables[3], &identity, NOW + 5 * SECOND_US, CRASH_FULL_RUN);
+    gossip_until_quiet(&fleet);
+    assert_int_equal(fleet.messages, CRASH_GATEWAY_REPLICAS + CRASH_LOADER_REPLICAS);
+    for (uint32_t i = 0; i < FLEET_MEMBERS; i++) {
+        const struct crash_entry *entry = crash_table_find(fleet.tables[i], &identity);
+        assert_true(!entry || !entry->crash_count);
+    }
+    destroy_fleet(&fleet);
+}
+
 static void shared_entry_costs_each_gateway_a_few_messages(void **state)
 {
     struct fleet fleet;
@@ -202,6 +222,7 @@
         cmocka_unit_test(crashes_seen_by_different_gateways_reach_all_gateways),
         cmocka_unit_test(single_crash_is_sent_to_replicas_only),
         cmocka_unit_test(a_single_crash_is_replicated_to_loaders),
+        cmocka_unit_test(clearing_a_single_crash_is_sent_to_replicas_only),
         cmocka_unit_test(shared_entry_costs_each_gateway_a_few_messages),
         cmocka_unit_test(successful_run_is_gossiped_once),
         cmocka_unit_test(shared_entries_are_replicated_to_loaders),
