--- a/src/core/repeat_budget.c
+++ b/src/core/retry/repeat_budget.c
@@ -1,4 +1,4 @@
-#include "core/repeat_budget.h"
+#include "core/retry/repeat_budget.h"
 
 #include <string.h>
 
--- a/src/core/router_internal.h
+++ b/src/core/router_internal.h
@@ -6,7 +6,7 @@
 #define SHUNTRUN_ROUTER_INTERNAL_H
 
 #include "core/admission.h"
-#include "core/retry_budget.h"
+#include "core/retry/retry_budget.h"
 #include "core/router.h"
 
 #define MAX_EXCLUDED_AGENTS 8
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -4,7 +4,7 @@
 #include "base/memory.h"
 #include "base/metrics.h"
 #include "cluster/crash_page.h"
-#include "core/attempt_rule.h"
+#include "core/retry/attempt_rule.h"
 #include "core/hash.h"
 #include "core/store_position.h"
 #include "edge/backend_feedback.h"
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -18,7 +18,7 @@
 #include "core/load/memory_share.h"
 #include "core/load/start_hold.h"
 #include "core/load/overload.h"
-#include "core/repeat_budget.h"
+#include "core/retry/repeat_budget.h"
 #include "core/route_table.h"
 #include "core/stream_length.h"
 #include "core/version_bounds.h"
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -5,7 +5,7 @@
 #ifndef SHUNTRUN_EXCHANGE_INTERNAL_H
 #define SHUNTRUN_EXCHANGE_INTERNAL_H
 
-#include "core/attempt_rule.h"
+#include "core/retry/attempt_rule.h"
 #include "core/crash/prompt_part.h"
 #include "edge/edge_internal.h"
 
--- a/tests/core/crash/crash_spread_test.c
+++ b/tests/core/crash/crash_spread_test.c
@@ -138,8 +138,8 @@
     destroy_fleet(&fleet);
 }
 
-/* Guards against a flood: whoever heard that a single crash was cleared told all gateways, though only
- * the replicas had heard of the crash. */
+/* Guards against a flood: whoever heard that a single crash was cleared told all gateways, though
+ * only the replicas had heard of the crash. */
 static void clearing_a_single_crash_is_sent_to_replicas_only(void **state)
 {
     struct fleet fleet;
--- a/tests/core/limits_test.c
+++ b/tests/core/limits_test.c
@@ -3,7 +3,7 @@
 
 #include "core/admission.h"
 #include "core/replay_guard.h"
-#include "core/retry_budget.h"
+#include "core/retry/retry_budget.h"
 #include "core/ticket.h"
 
 #include <stdlib.h>
--- a/tests/core/attempt_rule_test.c
+++ b/tests/core/retry/attempt_rule_test.c
@@ -1,7 +1,7 @@
 /* When a request is retried on another backend, and when it stays on a silent one. */
 #include "testing.h"
 
-#include "core/attempt_rule.h"
+#include "core/retry/attempt_rule.h"
 
 static const struct attempt_facts stream = {.repeatable = true,
                                             .may_have_run = true,
--- a/tests/core/repeat_budget_restarts_test.c
+++ b/tests/core/retry/repeat_budget_restarts_test.c
@@ -6,7 +6,7 @@
 #include "testing.h"
 
 #include "core/random.h"
-#include "core/repeat_budget.h"
+#include "core/retry/repeat_budget.h"
 
 #include <stdlib.h>
 
