--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -10,8 +10,8 @@
 
 #include "base/settings.h"
 #include "core/rate/rate_ranking.h"
-#include "core/load_targets.h"
-#include "core/membership.h"
+#include "core/membership/load_targets.h"
+#include "core/membership/membership.h"
 #include "core/reader_role.h"
 #include "core/state_cache.h"
 #include "core/wake_watch.h"
@@ -91,7 +91,7 @@
 void cluster_send(struct cluster *cluster, uint32_t address,
                   const Shuntrun__MemberMessage *message);
 /**
- * \brief Send a load report of the engine to the gateways selected by core/load_targets.
+ * \brief Send a load report of the engine to the gateways selected by core/membership/load_targets.
  * \param far send it also to those in other regions
  * \param rate_window_us window of the engine's rate limit, of which each gateway is told its rank;
  * 0: it has no limit
--- a/src/cluster/update_push.c
+++ b/src/cluster/update_push.c
@@ -1,7 +1,7 @@
 #include "cluster/update_push.h"
 
 #include "cluster/state_message.h"
-#include "core/update_targets.h"
+#include "core/membership/update_targets.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/cluster/update_push.h
+++ b/src/cluster/update_push.h
@@ -3,7 +3,7 @@
  * message; for larger ones it announces the revision, and receivers fetch them (state_sync).
  *
  * A gateway that reads the store updates the gateways of its region that do not. Changes by the
- * operator are forwarded by every gateway to the nodes that core/update_targets selects.
+ * operator are forwarded by every gateway to the nodes that core/membership/update_targets selects.
  */
 #ifndef SHUNTRUN_UPDATE_PUSH_H
 #define SHUNTRUN_UPDATE_PUSH_H
--- a/src/core/backend/backend_table.h
+++ b/src/core/backend/backend_table.h
@@ -1,7 +1,7 @@
 /**
  * The backends of a pool, indexed by id and by address, and grouped by service. In each group the
  * backends with load reports come first: a choice among engines looks at these alone, and their
- * number is bounded (core/load_targets) whatever the size of the fleet.
+ * number is bounded (core/membership/load_targets) whatever the size of the fleet.
  */
 #ifndef SHUNTRUN_BACKEND_TABLE_H
 #define SHUNTRUN_BACKEND_TABLE_H
--- a/src/core/crash/crash_spread.h
+++ b/src/core/crash/crash_spread.h
@@ -12,7 +12,7 @@
 #define SHUNTRUN_CRASH_SPREAD_H
 
 #include "core/crash/crash_table.h"
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 /** Replica gateways of an entry. In a fleet of 7 gateways these are all the others, so from the
  *  first crash on attempts of the same request share a backend and different suspects do not. */
--- a/src/core/load_targets.c
+++ b/src/core/membership/load_targets.c
@@ -1,4 +1,4 @@
-#include "core/load_targets.h"
+#include "core/membership/load_targets.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/load_targets.h
+++ b/src/core/membership/load_targets.h
@@ -11,7 +11,7 @@
 #ifndef SHUNTRUN_LOAD_TARGETS_H
 #define SHUNTRUN_LOAD_TARGETS_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 /** Addresses that one loader reports to. */
 struct load_targets {
--- a/src/core/membership.c
+++ b/src/core/membership/membership.c
@@ -1,5 +1,5 @@
 /* The member table: the known state of each member, and which updates supersede it. */
-#include "core/membership_internal.h"
+#include "core/membership/membership_internal.h"
 
 #include "base/memory.h"
 
--- a/src/core/membership_internal.h
+++ b/src/core/membership/membership_internal.h
@@ -6,7 +6,7 @@
 #define SHUNTRUN_MEMBERSHIP_INTERNAL_H
 
 #include "core/address_index.h"
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 /** Seeds that a node contacts; further ones are ignored. */
 #define MEMBERSHIP_MAX_SEEDS 16
--- a/src/core/membership_probe.c
+++ b/src/core/membership/membership_probe.c
@@ -1,5 +1,5 @@
 /* Failure detection: one probe in each period, and indirect probes if it is not answered. */
-#include "core/membership_internal.h"
+#include "core/membership/membership_internal.h"
 
 #include <string.h>
 
--- a/src/core/membership_updates.c
+++ b/src/core/membership/membership_updates.c
@@ -1,5 +1,5 @@
 /* Dissemination: member updates are piggybacked on messages; tables are synced by digests. */
-#include "core/membership_internal.h"
+#include "core/membership/membership_internal.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/update_targets.c
+++ b/src/core/membership/update_targets.c
@@ -1,4 +1,4 @@
-#include "core/update_targets.h"
+#include "core/membership/update_targets.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/update_targets.h
+++ b/src/core/membership/update_targets.h
@@ -8,7 +8,7 @@
 #ifndef SHUNTRUN_UPDATE_TARGETS_H
 #define SHUNTRUN_UPDATE_TARGETS_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 /**
  * \brief Choose the nodes to which this node sends a change.
--- a/src/core/rate/rate_ranking.h
+++ b/src/core/rate/rate_ranking.h
@@ -10,7 +10,7 @@
 #define SHUNTRUN_RATE_RANKING_H
 
 #include "core/rate/rate_limit.h"
-#include "core/load_targets.h"
+#include "core/membership/load_targets.h"
 
 /** Time for which a gateway uses a report, and the longest delay of one. */
 #define RATE_REPORT_USE_US ((uint64_t)1500000)
--- a/src/core/reader_role.h
+++ b/src/core/reader_role.h
@@ -9,7 +9,7 @@
 #ifndef SHUNTRUN_READER_ROLE_H
 #define SHUNTRUN_READER_ROLE_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 /** How a gateway reads the store at present. */
 enum reader_duty {
--- a/src/core/relay_plan.h
+++ b/src/core/relay_plan.h
@@ -16,7 +16,7 @@
 #ifndef SHUNTRUN_RELAY_PLAN_H
 #define SHUNTRUN_RELAY_PLAN_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 /** Maximum number of relays in one region; the fastest gateways are taken. With links of 200 Mbit/s
  * they feed 1,300 loaders of 9.4 Mbit/s at the full rate of the loaders' links. */
--- a/tests/core/fleet_members.h
+++ b/tests/core/fleet_members.h
@@ -5,7 +5,7 @@
 #ifndef SHUNTRUN_FLEET_MEMBERS_H
 #define SHUNTRUN_FLEET_MEMBERS_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 #include <stdio.h>
 
--- a/tests/core/fleet_network.h
+++ b/tests/core/fleet_network.h
@@ -6,7 +6,7 @@
 #ifndef SHUNTRUN_FLEET_NETWORK_H
 #define SHUNTRUN_FLEET_NETWORK_H
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/core/fleet_state_test.c
+++ b/tests/core/fleet_state_test.c
@@ -10,7 +10,7 @@
 #include "core/fleet_network.h"
 #include "core/load/start_hold.h"
 #include "core/reader_role.h"
-#include "core/update_targets.h"
+#include "core/membership/update_targets.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/core/load_targets_test.c
+++ b/tests/core/membership/load_targets_test.c
@@ -1,7 +1,7 @@
 /* Recipients of load reports: all gateways of a small fleet, a bounded number in a large one. */
 #include "testing.h"
 
-#include "core/load_targets.h"
+#include "core/membership/load_targets.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/core/membership_test.c
+++ b/tests/core/membership/membership_test.c
@@ -1,7 +1,7 @@
 /* Membership on a simulated clock: message loss, partitions, dead, paused and restarted members. */
 #include "testing.h"
 
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/core/update_targets_test.c
+++ b/tests/core/membership/update_targets_test.c
@@ -2,7 +2,7 @@
 #include "testing.h"
 
 #include "core/fleet_members.h"
-#include "core/update_targets.h"
+#include "core/membership/update_targets.h"
 
 #include <stdlib.h>
 
--- a/tests/core/rate/rate_limit_test.c
+++ b/tests/core/rate/rate_limit_test.c
@@ -8,7 +8,7 @@
 #include "core/backend/backend_pool.h"
 #include "core/rate/rate_limit.h"
 #include "core/rate/rate_ranking.h"
-#include "core/membership.h"
+#include "core/membership/membership.h"
 
 #include <stdlib.h>
 #include <string.h>
