--- a/src/cluster/state_message.h
+++ b/src/cluster/state_message.h
@@ -4,7 +4,7 @@
 #ifndef SHUNTRUN_STATE_MESSAGE_H
 #define SHUNTRUN_STATE_MESSAGE_H
 
-#include "core/state_cache.h"
+#include "core/store/state_cache.h"
 #include "generated/messages.pb-c.h"
 
 /**
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -5,7 +5,7 @@
 #include "base/metrics.h"
 #include "cluster/state_message.h"
 #include "core/copy_queue.h"
-#include "core/store_position.h"
+#include "core/store/store_position.h"
 #include "net/http_caller.h"
 
 #include <stdlib.h>
--- a/src/cluster/store_reader.c
+++ b/src/cluster/store_reader.c
@@ -3,8 +3,8 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "core/store_position.h"
-#include "core/store_watch.h"
+#include "core/store/store_position.h"
+#include "core/store/store_watch.h"
 #include "net/http_caller.h"
 #include "platform/platform.h"
 
--- a/src/core/reader_role.c
+++ b/src/core/store/reader_role.c
@@ -1,4 +1,4 @@
-#include "core/reader_role.h"
+#include "core/store/reader_role.h"
 
 #include "core/hash.h"
 
--- a/src/core/state_cache.c
+++ b/src/core/store/state_cache.c
@@ -1,7 +1,7 @@
-#include "core/state_cache.h"
+#include "core/store/state_cache.h"
 
 #include "base/memory.h"
-#include "core/store_position.h"
+#include "core/store/store_position.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/state_cache.h
+++ b/src/core/store/state_cache.h
@@ -2,12 +2,12 @@
  * A local copy of the state that the platform publishes, as items that each have the revision of
  * their last change.
  *
- * Revisions are positions in the store's history (core/store_position), which order all changes, so
- * copies of several nodes merge by taking the greater revision of each item, in any order: no item
- * reverts to an older revision. Another node can get the delta since a revision of the same epoch;
- * a copy that is too old for a delta, or of an earlier epoch, gets a full snapshot. An epoch begins
- * with an older copy of the store, so a newer item may hold an older value.
- * Removed items stay as tombstones (`gone`) until they are trimmed.
+ * Revisions are positions in the store's history (core/store/store_position), which order all
+ * changes, so copies of several nodes merge by taking the greater revision of each item, in any
+ * order: no item reverts to an older revision. Another node can get the delta since a revision of
+ * the same epoch; a copy that is too old for a delta, or of an earlier epoch, gets a full snapshot.
+ * An epoch begins with an older copy of the store, so a newer item may hold an older value. Removed
+ * items stay as tombstones (`gone`) until they are trimmed.
  */
 #ifndef SHUNTRUN_STATE_CACHE_H
 #define SHUNTRUN_STATE_CACHE_H
--- a/src/core/store_watch.c
+++ b/src/core/store/store_watch.c
@@ -1,6 +1,6 @@
-#include "core/store_watch.h"
+#include "core/store/store_watch.h"
 
-#include "core/store_position.h"
+#include "core/store/store_position.h"
 
 /** Timeout for a page of a snapshot, which the store sends at once. */
 #define SNAPSHOT_PAGE_TIMEOUT_MS 1500
--- a/src/core/store_watch.h
+++ b/src/core/store/store_watch.h
@@ -7,7 +7,7 @@
 #ifndef SHUNTRUN_STORE_WATCH_H
 #define SHUNTRUN_STORE_WATCH_H
 
-#include "core/state_cache.h"
+#include "core/store/state_cache.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -6,7 +6,7 @@
 #include "cluster/crash_page.h"
 #include "core/retry/attempt_rule.h"
 #include "core/hash.h"
-#include "core/store_position.h"
+#include "core/store/store_position.h"
 #include "edge/backend_feedback.h"
 #include "edge/crash_watch.h"
 #include "edge/edge_internal.h"
--- a/tests/core/fleet_state_test.c
+++ b/tests/core/fleet_state_test.c
@@ -1,15 +1,15 @@
 /*
  * How the platform's state reaches all gateways after a start of all nodes: who reads the store
- * (core/reader_role), and who gets a copy from whom, on a simulated clock and network. Transfers of
- * the state take their time on the links, beside the datagrams; one peer sends its copies in
- * sequence.
+ * (core/store/reader_role), and who gets a copy from whom, on a simulated clock and network.
+ * Transfers of the state take their time on the links, beside the datagrams; one peer sends its
+ * copies in sequence.
  */
 #include "testing.h"
 
 #include "core/copy_queue.h"
 #include "core/fleet_network.h"
 #include "core/load/start_hold.h"
-#include "core/reader_role.h"
+#include "core/store/reader_role.h"
 #include "core/membership/update_targets.h"
 
 #include <stdio.h>
--- a/tests/core/reader_role_test.c
+++ b/tests/core/store/reader_role_test.c
@@ -1,7 +1,7 @@
 /* Which gateways read the platform's store, and at which rate. */
 #include "testing.h"
 
-#include "core/reader_role.h"
+#include "core/store/reader_role.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/core/state_cache_test.c
+++ b/tests/core/store/state_cache_test.c
@@ -1,7 +1,7 @@
 /* Copies of the platform state merge in any order, and no item reverts to an older revision. */
 #include "testing.h"
 
-#include "core/state_cache.h"
+#include "core/store/state_cache.h"
 
 #include <string.h>
 
--- a/tests/core/store_outage_test.c
+++ b/tests/core/store/store_outage_test.c
@@ -17,7 +17,7 @@
 #include "testing.h"
 
 #include "core/backend/backend_pool.h"
-#include "core/store_watch.h"
+#include "core/store/store_watch.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/core/store_restored_test.c
+++ b/tests/core/store/store_restored_test.c
@@ -9,9 +9,9 @@
 #include "testing.h"
 
 #include "core/random.h"
-#include "core/state_cache.h"
-#include "core/store_position.h"
-#include "core/store_watch.h"
+#include "core/store/state_cache.h"
+#include "core/store/store_position.h"
+#include "core/store/store_watch.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/tests/core/store_watch_test.c
+++ b/tests/core/store/store_watch_test.c
@@ -1,7 +1,7 @@
 /* The next call to the platform's store, and its time. */
 #include "testing.h"
 
-#include "core/store_watch.h"
+#include "core/store/store_watch.h"
 
 static void snapshot_is_read_before_watching(void **state)
 {
