Move the modules of weights to a folder of their own

core/weights: the installation of a version in an engine, what relays fetch and in which order, link rates, bounds on versions. Only moves and includes.

--- a/src/core/relay_plan.c
+++ b/src/core/weights/relay_plan.c
@@ -1,4 +1,4 @@
-#include "core/relay_plan.h"
+#include "core/weights/relay_plan.h"
 
 #include "core/hash.h"
 
--- a/src/core/version_bounds.c
+++ b/src/core/weights/version_bounds.c
@@ -1,4 +1,4 @@
-#include "core/version_bounds.h"
+#include "core/weights/version_bounds.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/src/core/weight_install.c
+++ b/src/core/weights/weight_install.c
@@ -1,4 +1,4 @@
-#include "core/weight_install.h"
+#include "core/weights/weight_install.h"
 
 #include <string.h>
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -21,7 +21,7 @@
 #include "core/retry/repeat_budget.h"
 #include "core/route_table.h"
 #include "core/stream_length.h"
-#include "core/version_bounds.h"
+#include "core/weights/version_bounds.h"
 #include "net/http_message.h"
 #include "net/tcp_stream.h"
 #include "platform/platform.h"
--- a/src/loader/installer.h
+++ b/src/loader/installer.h
@@ -1,11 +1,12 @@
 /**
- * Carries out the actions of core/weight_install at one engine: uploads the pieces of a version to
- * its staging area, reads them back, and orders the engine to load them at its scheduled time.
+ * Carries out the actions of core/weights/weight_install at one engine: uploads the pieces of a
+ * version to its staging area, reads them back, and orders the engine to load them at its scheduled
+ * time.
  */
 #ifndef SHUNTRUN_INSTALLER_H
 #define SHUNTRUN_INSTALLER_H
 
-#include "core/weight_install.h"
+#include "core/weights/weight_install.h"
 #include "loader/piece_store.h"
 
 struct installer;
@@ -35,7 +36,7 @@
  */
 void installer_on_report(struct installer *installer, const struct engine_report *report,
                          bool reachable, uint64_t now);
-/** \brief Other nodes heard a previous process of this loader: see core/weight_install. */
+/** \brief Other nodes heard a previous process of this loader: see core/weights/weight_install. */
 void installer_note_predecessor(struct installer *installer, uint64_t heard_at, uint64_t born);
 /** \brief Take the next action; call periodically. \param scheduled_at time from which the engine
  * may be ordered to load the version */
--- a/src/loader/wanted_versions.c
+++ b/src/loader/wanted_versions.c
@@ -1,6 +1,6 @@
 #include "loader/wanted_versions.h"
 
-#include "core/fetch_order.h"
+#include "core/weights/fetch_order.h"
 
 #include <string.h>
 
--- a/src/loader/wanted_versions.h
+++ b/src/loader/wanted_versions.h
@@ -5,7 +5,7 @@
 #ifndef SHUNTRUN_WANTED_VERSIONS_H
 #define SHUNTRUN_WANTED_VERSIONS_H
 
-#include "core/version_bounds.h"
+#include "core/weights/version_bounds.h"
 #include "loader/installer.h"
 #include "loader/piece_store.h"
 
--- a/src/weights/piece_fetch.h
+++ b/src/weights/piece_fetch.h
@@ -10,7 +10,7 @@
 #define SHUNTRUN_PIECE_FETCH_H
 
 #include "cluster/cluster.h"
-#include "core/link_rate.h"
+#include "core/weights/link_rate.h"
 #include "weights/piece_set.h"
 #include "weights/piece_sources.h"
 
--- a/src/weights/piece_sources.h
+++ b/src/weights/piece_sources.h
@@ -6,7 +6,7 @@
 #define SHUNTRUN_PIECE_SOURCES_H
 
 #include "cluster/cluster.h"
-#include "core/relay_plan.h"
+#include "core/weights/relay_plan.h"
 #include "net/http_caller.h"
 #include "weights/piece_set.h"
 
--- a/src/weights/weight_relay.c
+++ b/src/weights/weight_relay.c
@@ -2,7 +2,7 @@
 
 #include "base/log.h"
 #include "base/memory.h"
-#include "core/fetch_order.h"
+#include "core/weights/fetch_order.h"
 #include "weights/piece_fetch.h"
 #include "weights/piece_server.h"
 
--- a/tests/core/fetch_order_test.c
+++ b/tests/core/weights/fetch_order_test.c
@@ -1,7 +1,7 @@
 /* Selection of the version to fetch first. */
 #include "testing.h"
 
-#include "core/fetch_order.h"
+#include "core/weights/fetch_order.h"
 
 #define STALL_TIMEOUT_US 100
 
--- a/tests/core/link_rate_test.c
+++ b/tests/core/weights/link_rate_test.c
@@ -1,7 +1,7 @@
 /* A slow link is told from a healthy one that several transfers share. */
 #include "testing.h"
 
-#include "core/link_rate.h"
+#include "core/weights/link_rate.h"
 
 static void concurrent_transfers_do_not_make_a_link_slow(void **state)
 {
--- a/tests/core/relay_plan_test.c
+++ b/tests/core/weights/relay_plan_test.c
@@ -2,7 +2,7 @@
 #include "testing.h"
 
 #include "core/fleet_members.h"
-#include "core/relay_plan.h"
+#include "core/weights/relay_plan.h"
 
 #include <string.h>
 
--- a/tests/core/version_bounds_test.c
+++ b/tests/core/weights/version_bounds_test.c
@@ -2,7 +2,7 @@
 #include "testing.h"
 
 #include "core/staggered_start.h"
-#include "core/version_bounds.h"
+#include "core/weights/version_bounds.h"
 
 static void each_version_is_enforced_from_its_own_time(void **state)
 {
--- a/tests/core/weight_install_sim.h
+++ b/tests/core/weights/weight_install_sim.h
@@ -1,6 +1,6 @@
 /**
- * Simulation of the environment of core/weight_install: one engine with a staging area of a few
- * pieces, a network that loses calls and answers and delays calls, an operator who announces
+ * Simulation of the environment of core/weights/weight_install: one engine with a staging area of a
+ * few pieces, a network that loses calls and answers and delays calls, an operator who announces
  * versions, and failures of the loader, the engine and the staging area. Each possible next event
  * is one step.
  *
@@ -11,7 +11,7 @@
 #ifndef SHUNTRUN_WEIGHT_INSTALL_SIM_H
 #define SHUNTRUN_WEIGHT_INSTALL_SIM_H
 
-#include "core/weight_install.h"
+#include "core/weights/weight_install.h"
 
 #include <string.h>
 
