--- a/src/cluster/cluster.h
+++ b/src/cluster/cluster.h
@@ -15,7 +15,7 @@
 #include "core/store/reader_role.h"
 #include "core/store/state_cache.h"
 #include "core/wake_watch.h"
-#include "core/zone_map.h"
+#include "core/routing/zone_map.h"
 #include "net/http_service.h"
 
 #include <uv.h>
--- a/src/core/backend/backend_pool.h
+++ b/src/core/backend/backend_pool.h
@@ -12,7 +12,7 @@
 
 #include "core/rate/rate_limit.h"
 #include "core/random.h"
-#include "core/residency.h"
+#include "core/routing/residency.h"
 #include "core/rate/rate_probe.h"
 #include "core/rate/stated_rate.h"
 
--- a/src/core/backend/backend_pool_internal.h
+++ b/src/core/backend/backend_pool_internal.h
@@ -8,7 +8,7 @@
 #define SHUNTRUN_BACKEND_POOL_INTERNAL_H
 
 #include "core/backend/backend_table.h"
-#include "core/zone_set.h"
+#include "core/routing/zone_set.h"
 
 /** Number of incarnations whose statements are saved after their removal. A list that is lost in
  * an outage names its backends again afterwards; a tenth of 1,000 may leave in the meantime. */
--- a/src/core/balance_random.c
+++ b/src/core/routing/balance_random.c
@@ -1,4 +1,4 @@
-#include "core/balance.h"
+#include "core/routing/balance.h"
 
 uint32_t balance_random(struct balance_state *state, const struct balance_candidate *candidates,
                         uint32_t count)
--- a/src/core/balance_two_choices.c
+++ b/src/core/routing/balance_two_choices.c
@@ -1,4 +1,4 @@
-#include "core/balance.h"
+#include "core/routing/balance.h"
 
 #include <stdbool.h>
 
--- a/src/core/residency.h
+++ b/src/core/routing/residency.h
@@ -7,8 +7,8 @@
 #ifndef SHUNTRUN_RESIDENCY_H
 #define SHUNTRUN_RESIDENCY_H
 
-#include "core/route_table.h"
-#include "core/zone_map.h"
+#include "core/routing/route_table.h"
+#include "core/routing/zone_map.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/core/route_table.c
+++ b/src/core/routing/route_table.c
@@ -1,4 +1,4 @@
-#include "core/route_table.h"
+#include "core/routing/route_table.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/router.c
+++ b/src/core/routing/router.c
@@ -1,7 +1,7 @@
-#include "core/router.h"
+#include "core/routing/router.h"
 
 #include "base/memory.h"
-#include "core/router_internal.h"
+#include "core/routing/router_internal.h"
 
 #include <assert.h>
 #include <stdio.h>
--- a/src/core/router.h
+++ b/src/core/routing/router.h
@@ -13,10 +13,10 @@
 #ifndef SHUNTRUN_ROUTER_H
 #define SHUNTRUN_ROUTER_H
 
-#include "core/balance.h"
+#include "core/routing/balance.h"
 #include "core/outcome.h"
 #include "core/service_counts.h"
-#include "core/routing_view.h"
+#include "core/routing/routing_view.h"
 #include "generated/messages.pb-c.h"
 
 /** Limits and policy of a router; copied. */
--- a/src/core/router_agents.c
+++ b/src/core/routing/router_agents.c
@@ -1,7 +1,7 @@
 /**
  * Health of agents as observed by a gateway, and the choice of an agent for a request.
  */
-#include "core/router_internal.h"
+#include "core/routing/router_internal.h"
 
 #include "base/memory.h"
 
--- a/src/core/router_internal.h
+++ b/src/core/routing/router_internal.h
@@ -7,7 +7,7 @@
 
 #include "core/admission.h"
 #include "core/retry/retry_budget.h"
-#include "core/router.h"
+#include "core/routing/router.h"
 
 #define MAX_EXCLUDED_AGENTS 8
 
--- a/src/core/routing_view.c
+++ b/src/core/routing/routing_view.c
@@ -1,4 +1,4 @@
-#include "core/routing_view.h"
+#include "core/routing/routing_view.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/zone_map.c
+++ b/src/core/routing/zone_map.c
@@ -1,4 +1,4 @@
-#include "core/zone_map.h"
+#include "core/routing/zone_map.h"
 
 #include "base/memory.h"
 
--- a/src/core/zone_set.c
+++ b/src/core/routing/zone_set.c
@@ -1,4 +1,4 @@
-#include "core/zone_set.h"
+#include "core/routing/zone_set.h"
 
 #include "base/memory.h"
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -19,7 +19,7 @@
 #include "core/load/start_hold.h"
 #include "core/load/overload.h"
 #include "core/retry/repeat_budget.h"
-#include "core/route_table.h"
+#include "core/routing/route_table.h"
 #include "core/stream_length.h"
 #include "core/weights/version_bounds.h"
 #include "net/http_message.h"
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -4,7 +4,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "core/endpoints.h"
-#include "core/routing_view.h"
+#include "core/routing/routing_view.h"
 #include "gateway/caller_api.h"
 #include "gateway/gateway_traffic.h"
 #include "net/daemon.h"
--- a/src/gateway/gateway_traffic.c
+++ b/src/gateway/gateway_traffic.c
@@ -63,7 +63,7 @@
     free(call);
 }
 
-/* ---- router driver, see core/router.h ---- */
+/* ---- router driver, see core/routing/router.h ---- */
 
 static enum router_send_result send_forward_message(void *context, const struct machine *agent,
                                                     Shuntrun__Forward *message)
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -1,14 +1,14 @@
 /**
- * Traffic thread of a gateway: runs core/router over links to agents. HTTP threads post requests;
- * the control thread posts routing views and keys. All functions but start and stop may be called
- * from any thread.
+ * Traffic thread of a gateway: runs core/routing/router over links to agents. HTTP threads post
+ * requests; the control thread posts routing views and keys. All functions but start and stop may
+ * be called from any thread.
  */
 #ifndef SHUNTRUN_GATEWAY_TRAFFIC_H
 #define SHUNTRUN_GATEWAY_TRAFFIC_H
 
 #include "base/settings.h"
-#include "core/router.h"
-#include "core/routing_view.h"
+#include "core/routing/router.h"
+#include "core/routing/routing_view.h"
 #include "net/node_shell.h"
 
 struct gateway_traffic;
--- a/src/sim/fleet/fleet_sim.h
+++ b/src/sim/fleet/fleet_sim.h
@@ -7,7 +7,7 @@
 #define SHUNTRUN_FLEET_SIM_H
 
 #include "base/histogram.h"
-#include "core/balance.h"
+#include "core/routing/balance.h"
 #include "sim/fleet/checker.h"
 
 #include <stdbool.h>
--- a/src/sim/fleet/world.h
+++ b/src/sim/fleet/world.h
@@ -11,8 +11,8 @@
 #include "core/executor.h"
 #include "core/node.h"
 #include "core/random.h"
-#include "core/router.h"
-#include "core/routing_view.h"
+#include "core/routing/router.h"
+#include "core/routing/routing_view.h"
 #include "sim/event_queue.h"
 #include "sim/fleet/fleet_sim.h"
 
--- a/tests/core/balance_test.c
+++ b/tests/core/routing/balance_test.c
@@ -1,7 +1,7 @@
 /* Load balancing over candidate agents. */
 #include "testing.h"
 
-#include "core/balance.h"
+#include "core/routing/balance.h"
 
 #include <string.h>
 
--- a/tests/core/residency_test.c
+++ b/tests/core/routing/residency_test.c
@@ -3,7 +3,7 @@
 
 #include "core/backend/backend_pool.h"
 #include "core/random.h"
-#include "core/residency.h"
+#include "core/routing/residency.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/core/route_table_test.c
+++ b/tests/core/routing/route_table_test.c
@@ -2,7 +2,7 @@
 #include "testing.h"
 
 #include "base/memory.h"
-#include "core/route_table.h"
+#include "core/routing/route_table.h"
 
 #include <string.h>
 
--- a/tests/core/router_test.c
+++ b/tests/core/routing/router_test.c
@@ -1,7 +1,7 @@
 #include "testing.h"
 
 #include "core/hash.h"
-#include "core/router.h"
+#include "core/routing/router.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/tests/core/zone_map_test.c
+++ b/tests/core/routing/zone_map_test.c
@@ -1,7 +1,7 @@
 /* Zones and regions as the settings list them. */
 #include "testing.h"
 
-#include "core/zone_map.h"
+#include "core/routing/zone_map.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/tests/core/zone_set_test.c
+++ b/tests/core/routing/zone_set_test.c
@@ -2,7 +2,7 @@
 #include "testing.h"
 
 #include "core/random.h"
-#include "core/zone_set.h"
+#include "core/routing/zone_set.h"
 
 #include <stdio.h>
 
--- a/tests/fuzz/fuzz_message.c
+++ b/tests/fuzz/fuzz_message.c
@@ -5,7 +5,7 @@
 #include "core/executor.h"
 #include "core/hash.h"
 #include "core/node.h"
-#include "core/router.h"
+#include "core/routing/router.h"
 
 #include <stdlib.h>
 #include <string.h>
