--- a/src/agent/rollout.c
+++ b/src/agent/rollout.c
@@ -4,7 +4,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "core/hash.h"
-#include "core/swarm_plan.h"
+#include "core/swarm/swarm_plan.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/agent/rollout.h
+++ b/src/agent/rollout.h
@@ -9,7 +9,7 @@
 #include "agent/blob_store.h"
 #include "agent/transfer.h"
 #include "core/manifest.h"
-#include "core/swarm.h"
+#include "core/swarm/swarm.h"
 #include "net/node_shell.h"
 
 enum rollout_state {
--- a/src/agent/transfer.h
+++ b/src/agent/transfer.h
@@ -7,7 +7,7 @@
 
 #include "agent/blob_store.h"
 #include "agent/rate_limiter.h"
-#include "core/swarm.h"
+#include "core/swarm/swarm.h"
 #include "net/loop.h"
 
 #define TRANSFER_MANIFEST UINT32_MAX /**< chunk number of the manifest */
--- a/src/cluster/state_sync.c
+++ b/src/cluster/state_sync.c
@@ -4,7 +4,7 @@
 #include "base/memory.h"
 #include "base/metrics.h"
 #include "cluster/state_message.h"
-#include "core/copy_queue.h"
+#include "core/swarm/copy_queue.h"
 #include "core/store/store_position.h"
 #include "net/http_caller.h"
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -21,7 +21,7 @@
 #include "core/fleet.h"
 #include "core/fleet_config.h"
 #include "core/placement.h"
-#include "core/swarm.h"
+#include "core/swarm/swarm.h"
 #include "generated/messages.pb-c.h"
 
 #define NODE_MAX_READY_MODELS 4
--- a/src/core/node_peers.c
+++ b/src/core/node_peers.c
@@ -1,5 +1,5 @@
 #include "base/memory.h"
-#include "core/bitmap.h"
+#include "core/swarm/bitmap.h"
 #include "core/hash.h"
 #include "core/node_internal.h"
 #include "core/overlay.h"
--- a/src/core/replay_guard.c
+++ b/src/core/replay_guard.c
@@ -1,7 +1,7 @@
 #include "core/replay_guard.h"
 
 #include "base/memory.h"
-#include "core/bitmap.h"
+#include "core/swarm/bitmap.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/core/swarm.c
+++ b/src/core/swarm/swarm.c
@@ -1,7 +1,7 @@
-#include "core/swarm.h"
+#include "core/swarm/swarm.h"
 
 #include "base/memory.h"
-#include "core/swarm_internal.h"
+#include "core/swarm/swarm_internal.h"
 
 #include <assert.h>
 #include <stdlib.h>
--- a/src/core/swarm_assignments.c
+++ b/src/core/swarm/swarm_assignments.c
@@ -2,7 +2,7 @@
  * Read assignments: the chunks whose preference lists name this node, when it reads them from the
  * origin, and when it first asks the members ranked before it.
  */
-#include "core/swarm_internal.h"
+#include "core/swarm/swarm_internal.h"
 
 #include "base/memory.h"
 
--- a/src/core/swarm_internal.h
+++ b/src/core/swarm/swarm_internal.h
@@ -5,10 +5,10 @@
 #ifndef SHUNTRUN_SWARM_INTERNAL_H
 #define SHUNTRUN_SWARM_INTERNAL_H
 
-#include "core/bitmap.h"
+#include "core/swarm/bitmap.h"
 #include "core/random.h"
-#include "core/swarm.h"
-#include "core/swarm_plan.h"
+#include "core/swarm/swarm.h"
+#include "core/swarm/swarm_plan.h"
 
 struct neighbour {
     uint64_t id;
--- a/src/core/swarm_neighbours.c
+++ b/src/core/swarm/swarm_neighbours.c
@@ -1,7 +1,7 @@
 /**
  * Neighbours of a swarm, the chunks that they hold, and announcements to them.
  */
-#include "core/swarm_internal.h"
+#include "core/swarm/swarm_internal.h"
 
 #include "base/memory.h"
 #include "core/overlay.h"
--- a/src/core/swarm_plan.c
+++ b/src/core/swarm/swarm_plan.c
@@ -1,4 +1,4 @@
-#include "core/swarm_plan.h"
+#include "core/swarm/swarm_plan.h"
 
 #include "base/memory.h"
 #include "core/hash.h"
--- a/src/core/swarm_plan.h
+++ b/src/core/swarm/swarm_plan.h
@@ -4,7 +4,7 @@
 #ifndef SHUNTRUN_SWARM_PLAN_H
 #define SHUNTRUN_SWARM_PLAN_H
 
-#include "core/swarm.h"
+#include "core/swarm/swarm.h"
 
 #define SWARM_MAX_REGIONS 16
 #define SWARM_NO_MEMBER UINT32_MAX
--- a/src/sim/rollout/rollout_sim.h
+++ b/src/sim/rollout/rollout_sim.h
@@ -1,6 +1,6 @@
 /**
  * Simulates a whole rollout of weights on a virtual clock, with the real chunk scheduling of
- * core/swarm.
+ * core/swarm/swarm.
  *
  * Links: every machine has one link for both directions, which transfers whole chunks in FIFO
  * order. A transfer takes time on the links of both ends, and so do control messages and chunk
@@ -11,7 +11,7 @@
 #ifndef SHUNTRUN_ROLLOUT_SIM_H
 #define SHUNTRUN_ROLLOUT_SIM_H
 
-#include "core/swarm.h"
+#include "core/swarm/swarm.h"
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/src/sim/rollout/rollout_world.h
+++ b/src/sim/rollout/rollout_world.h
@@ -5,7 +5,7 @@
 #define SHUNTRUN_ROLLOUT_WORLD_H
 
 #include "core/random.h"
-#include "core/swarm.h"
+#include "core/swarm/swarm.h"
 #include "sim/event_queue.h"
 #include "sim/rollout/rollout_sim.h"
 
--- a/src/weights/piece_fetch.c
+++ b/src/weights/piece_fetch.c
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "core/bitmap.h"
+#include "core/swarm/bitmap.h"
 #include "weights/piece_wire.h"
 
 #include <inttypes.h>
--- a/src/weights/piece_server.c
+++ b/src/weights/piece_server.c
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "core/bitmap.h"
+#include "core/swarm/bitmap.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/weights/piece_wire.c
+++ b/src/weights/piece_wire.c
@@ -1,6 +1,6 @@
 #include "weights/piece_wire.h"
 
-#include "core/bitmap.h"
+#include "core/swarm/bitmap.h"
 #include "net/http_message.h"
 
 #include <inttypes.h>
--- a/tests/core/fleet_state_test.c
+++ b/tests/core/fleet_state_test.c
@@ -6,7 +6,7 @@
  */
 #include "testing.h"
 
-#include "core/copy_queue.h"
+#include "core/swarm/copy_queue.h"
 #include "core/fleet_network.h"
 #include "core/load/start_hold.h"
 #include "core/store/reader_role.h"
--- a/tests/core/swarm_test.c
+++ b/tests/core/swarm/swarm_test.c
@@ -1,7 +1,7 @@
 #include "testing.h"
 
-#include "core/swarm.h"
-#include "core/swarm_plan.h"
+#include "core/swarm/swarm.h"
+#include "core/swarm/swarm_plan.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/tests/weights/piece_server_test.c
+++ b/tests/weights/piece_server_test.c
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
-#include "core/bitmap.h"
+#include "core/swarm/bitmap.h"
 #include "net/free_port.h"
 #include "net/http_caller.h"
 #include "weights/piece_server.h"
