A part of prompts is not held back; postmortem

Parts are isolated from two ends on, and blocked at four; they are no longer held in between. core.crash.crash_parts two_requests_are_enough_after_one_that_crashed_many failed before (held at 0.6 s).

--- a/src/core/crash/crash_table.c
+++ b/src/core/crash/crash_table.c
@@ -408,9 +408,12 @@
                                 const struct request_identity *identity, uint64_t now)
 {
     const struct crash_finding *finding = find_finding(table, identity, now);
-    if (!finding || finding->settled || !finding->isolated)
+    if (!finding || finding->settled)
         return 0;
-    return crash_verdict_held_until(finding, latest_crash_at(lookup(table, identity)), now);
+    const struct crash_entry *entry = lookup(table, identity);
+    if (entry->is_part) /* further requests with it show sooner than a hold ends what it is */
+        return 0;
+    return crash_verdict_held_until(finding, latest_crash_at(entry), now);
 }
 
 /* --- leases ----------------------------------------------------------------------------------- */
--- a/src/core/crash/crash_verdict.h
+++ b/src/core/crash/crash_verdict.h
@@ -24,6 +24,7 @@
  *   the prompt, as more requests share the beginning.
  * - Other requests run well with most parts and clear them, so CRASHES_TO_BLOCK_PART crashes
  *   without an answer in between block a part, without proof, and fewer do not block it with one.
+ *   A part is never held back.
  *
  * Pure functions of the entries: nodes that hold the same entries, in any order, reach the same
  * verdicts.
--- a/tests/core/crash/crash_parts_test.c
+++ b/tests/core/crash/crash_parts_test.c
@@ -96,6 +96,22 @@
     crash_table_destroy(table);
 }
 
+/* A stream that is resumed crashes several backends in a row. Its part was held back then for 10 s
+ * and more, and requests with it were told to come back. */
+static void two_requests_are_enough_after_one_that_crashed_many(void **state)
+{
+    struct crash_table *table = crash_table_create();
+    struct prompt_part bad = part_of(BAD);
+    for (uint32_t i = 0; i < 5; i++)
+        LOSE(table, 1, i + 1, i * 100 * MS, FIRST, BAD);
+    assert_int_equal(crash_table_held_until(table, &bad.identity, START_US + 600 * MS), 0);
+    LOSE(table, 2, 6, 700 * MS, FIRST, BAD);
+    assert_int_not_equal(verdict(table, BAD, 800 * MS), CRASH_VERDICT_BLOCKED);
+    LOSE(table, 3, 7, 800 * MS, FIRST, BAD);
+    assert_int_equal(verdict(table, BAD, SECOND_US), CRASH_VERDICT_BLOCKED);
+    crash_table_destroy(table);
+}
+
 static void of_parts_that_are_always_together_the_later_one_is_blocked(void **state)
 {
     struct crash_table *table = crash_table_create();
@@ -416,6 +432,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(a_part_of_different_requests_is_blocked_amid_other_crashes),
         cmocka_unit_test(a_request_that_is_always_the_same_is_blocked_itself),
+        cmocka_unit_test(two_requests_are_enough_after_one_that_crashed_many),
         cmocka_unit_test(of_parts_that_are_always_together_the_later_one_is_blocked),
         cmocka_unit_test(a_part_that_was_answered_is_not_blamed_for_one_that_never_was),
         cmocka_unit_test(a_first_part_that_crashes_is_blocked_whatever_follows_it),
