--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -443,16 +443,18 @@
     def crash_on_part(self, handler, end, echo):
         """A part of the request's prompt crashes the engine as it begins to write. `end` is what its connection shows:
         "reset" (nothing but that), or an answer without a length or chunks whose connection closes in order: "head" (only
-        the head), "torn" (half an event), "event" (one whole event). All other connections are reset."""
+        the head), "torn" (half an event), both a moment before the crash, and "event" (one whole event) in the crash
+        itself. All other connections are reset."""
         self.crashing.append(echo[0][1])
         time.sleep(CRASH_AFTER_S)
         if end != "reset":
             handler.begin_unframed_stream(echo)
             handler.wfile.write({"head": b"", "torn": stream_event(1)[:9], "event": stream_event(1)}[end])
             handler.wfile.flush()
+        if end in ("head", "torn"):
             handler.connection.shutdown(socket.SHUT_WR)
             time.sleep(CLOSE_BEFORE_CRASH_S)
-        self.crash_and_restart()
+        self.crash_and_restart(handler.connection if end == "event" else None)
         self.crashing.remove(echo[0][1])
 
     def crash_later(self, body):
@@ -469,7 +471,8 @@
         timer.daemon = True
         timer.start()
 
-    def crash_and_restart(self):
+    def crash_and_restart(self, closed_in_order=None):
+        """Ends all connections at the same moment: one in order, if given, the others by a reset."""
         with self.lock:
             if not self.alive:
                 return  # another request has crashed it already
@@ -477,6 +480,9 @@
             self.will_restart = True
             self.crashes.append((set(self.crashing), time.monotonic()))
         self.server.socket.shutdown(socket.SHUT_RDWR)  # refuses connections from now on
+        if closed_in_order:
+            self.connections.discard(closed_in_order)
+            closed_in_order.shutdown(socket.SHUT_WR)
         self.close_connections()
         timer = threading.Timer(self.restart_delay_s, self.restart_backend)
         timer.daemon = True
