Streams and charges of retries have modules of their own

exchange_stream (events, and whether a stream that ended is whole) leaves exchange_response, exchange_budget (what a retry is charged to) leaves exchange_send. Functions move, with exchange_ names where another module calls them; no logic changes.

--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -252,10 +252,30 @@
 /** \brief The attempt failed after the request was sent, so the backend may have run it. */
 void exchange_on_attempt_failed(struct exchange *exchange, enum backend_result result,
                                 enum end_reason reason);
+/** \brief Appends the head of a backend's response for the client. */
+void exchange_write_head(const struct http_message *message, struct buffer *head);
+/** \brief Counts a request that is answered. */
+void exchange_count_done(struct edge *edge);
+/** \brief Counts a send on an established connection, once for each attempt. */
+void exchange_count_send(struct exchange *exchange);
+
+/* --- exchange_stream.c --- */
+
+/** \brief Forwards the complete events among new bytes of a stream's body. */
+void exchange_forward_events(struct exchange *exchange, struct http_message *message);
+/** \brief Completes a stream whose body has ended, or handles that it was cut off. */
+void exchange_finish_stream(struct exchange *exchange, struct http_message *message);
 /** \brief Completes a stream that ended with its connection, once it is known that its backend
  * lives; otherwise retries. */
 void exchange_recheck_end(struct exchange *exchange);
-/** \brief Counts a send on an established connection, once for each attempt. */
-void exchange_count_send(struct exchange *exchange);
+
+/* --- exchange_budget.c --- */
+
+/** \return whether the shared budget has room for a retry that the request owes, if it owes one */
+bool exchange_may_pay_retry(struct exchange *exchange, uint64_t now);
+/** \brief Charges the retry that the request owes, if it owes one, as it is sent now. */
+void exchange_pay_retry(struct exchange *exchange, uint64_t now);
+/** \brief Takes a retry from the shared budget. \return false if it is exhausted */
+bool exchange_take_retry(struct exchange *exchange, uint64_t now);
 
 #endif
--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -1,8 +1,7 @@
-/* Handles upstream events, and forwards complete responses and events to the client. */
+/* Handles upstream events, and forwards complete responses to the client. */
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "edge/crash_watch.h"
 #include "edge/exchange_internal.h"
 #include <inttypes.h>
 #include <stdarg.h>
@@ -11,12 +10,6 @@
 
 /** Statuses from here on are failures of the backend, not of the request. */
 #define FIRST_SERVER_ERROR 500
-/** A run that sends events for this long does not crash its backend by a part of its prompt. */
-#define PART_SOUND_RUN_US 300000
-/** A run clears the parts of its prompt at most this often. */
-#define PART_SOUND_INTERVAL_US 100000
-/** A backend that crashes as it closes a connection has closed the others by then. */
-#define END_CHECK_MIN_US 50000
 /** Backends wait longer than this before they close a connection whose bytes are not read. */
 #define UNREAD_MIN_US 1000000
 
@@ -26,7 +19,7 @@
     return exchange->head.id[0] && strcmp(head->request_id, exchange->head.id) != 0;
 }
 
-static void write_head(const struct http_message *message, struct buffer *head)
+void exchange_write_head(const struct http_message *message, struct buffer *head)
 {
     unsigned status = http_message_status(message);
     buffer_append_format(head, "HTTP/1.1 %u %s\r\n", status,
@@ -34,7 +27,7 @@
     platform_write_response(message, head);
 }
 
-static void count_done(struct edge *edge)
+void exchange_count_done(struct edge *edge)
 {
     metric_add(METRIC_REQUESTS_DONE, 1);
     if (edge->has_responded)
@@ -49,8 +42,8 @@
 {
     struct buffer head = {0};
     struct edge_client *client = exchange->client;
-    write_head(message, &head);
-    count_done(exchange->edge);
+    exchange_write_head(message, &head);
+    exchange_count_done(exchange->edge);
     metric_observe(METRIC_WHOLE_ANSWER, cluster_now() - exchange->arrived_at);
     exchange_log_end(exchange, http_message_status(message), reason, exchange_last_tried(exchange));
     exchange_finish(exchange);
@@ -58,47 +51,6 @@
     buffer_clear(&head);
 }
 
-static void begin_stream(struct exchange *exchange, struct http_message *message)
-{
-    struct buffer head = {0};
-    write_head(message, &head);
-    edge_client_stream_begin(exchange->client, &head);
-    buffer_clear(&head);
-    exchange->streaming = true;
-}
-
-/* A part that crashes the backend does so as it begins to answer: a run that goes on for a while
- * clears the parts of its prompt. */
-static void note_events(struct exchange *exchange, uint64_t now)
-{
-    if (!exchange->run_begun_at)
-        exchange->run_begun_at = now;
-    if (now < exchange->run_begun_at + PART_SOUND_RUN_US ||
-        now < exchange->parts_sound_at + PART_SOUND_INTERVAL_US)
-        return;
-    exchange->parts_sound_at = now;
-    exchange_record_sound_parts(exchange);
-}
-
-/* Parses new bytes of a stream's body, and forwards the complete events. */
-static void forward_events(struct exchange *exchange, struct http_message *message)
-{
-    struct buffer events = {0};
-    event_stream_feed(&exchange->events, message->body.data, message->body.size, &events);
-    buffer_reset(&message->body);
-    if (events.size) {
-        uint64_t now = cluster_now();
-        note_events(exchange, now);
-        if (exchange->streaming)
-            metric_observe(METRIC_EVENT_PAUSE, now - exchange->last_event_at);
-        exchange->last_event_at = now;
-        if (!exchange->streaming)
-            begin_stream(exchange, message);
-        edge_client_stream_data(exchange->client, events.data, events.size);
-    }
-    buffer_clear(&events);
-}
-
 static void note_first_byte(struct exchange *exchange)
 {
     if (exchange->first_byte_received_at)
@@ -119,7 +71,7 @@
         return; /* buffered until it is complete */
     if (!exchange->version)
         exchange->version = response->head.version;
-    forward_events(exchange, &response->message);
+    exchange_forward_events(exchange, &response->message);
     struct memory_use memory = edge_memory_use(exchange->edge);
     if (exchange->upstream &&
         memory_share_must_pause(&memory, edge_client_unsent_bytes(exchange->client))) {
@@ -130,65 +82,6 @@
     }
 }
 
-/* The stream is whole. */
-static void complete_stream(struct exchange *exchange)
-{
-    struct edge_client *client = exchange->client;
-    if (!exchange->resuming)
-        stream_length_record(&exchange->service_state->stream_length,
-                             exchange->head.expected_output_tokens,
-                             cluster_now() - exchange->sent_at);
-    exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
-    exchange_clear_suspicion(exchange);
-    count_done(exchange->edge);
-    exchange_log_end(exchange, 200, END_DONE, exchange_first_tried(exchange));
-    exchange_finish(exchange);
-    edge_client_stream_end(client);
-}
-
-/* A stream without a framing ends with its connection, as it does when its backend crashes between
- * two events. Whether the backend lives shows soon. */
-static void begin_end_check(struct exchange *exchange)
-{
-    exchange_on_run_lost(exchange, END_DONE);
-    exchange->end_checked_since = cluster_now();
-    exchange_arm_timer(exchange);
-}
-
-void exchange_recheck_end(struct exchange *exchange)
-{
-    if (cluster_now() < exchange->end_checked_since + END_CHECK_MIN_US ||
-        crash_watch_is_checking(exchange->edge, exchange->backend)) {
-        exchange_arm_timer(exchange);
-        return;
-    }
-    exchange->end_checked_since = 0;
-    if (exchange->backend->presumed_down_until)
-        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_CONNECTION_BROKEN);
-    else
-        complete_stream(exchange);
-}
-
-static void finish_stream(struct exchange *exchange, struct http_message *message)
-{
-    forward_events(exchange, message);
-    if (exchange->events.partial.size) {
-        /* The body is complete by its framing, but ends within an event. */
-        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_TRUNCATED_EVENT);
-        return;
-    }
-    if (!message->framed && !exchange->run_begun_at) {
-        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_EMPTY_STREAM);
-        return;
-    }
-    if (!exchange->streaming)
-        begin_stream(exchange, message);
-    if (message->framed)
-        complete_stream(exchange);
-    else
-        begin_end_check(exchange);
-}
-
 static void on_misdirected(struct exchange *exchange, const struct response_head *head)
 {
     struct backend *backend = exchange->backend;
@@ -245,7 +138,7 @@
     if (exchange->route->kind == ROUTE_STREAM) {
         if (!exchange->version)
             exchange->version = response->head.version;
-        finish_stream(exchange, &response->message);
+        exchange_finish_stream(exchange, &response->message);
         return;
     }
     exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -215,37 +215,6 @@
         on_no_connection(exchange, now);
 }
 
-static void log_budget(const struct exchange *exchange, enum log_level level, const char *event,
-                       uint64_t now)
-{
-    const struct budget_share *share = &exchange->edge->budget_share;
-    struct repeat_budget_account account =
-        repeat_budget_account(&exchange->service_state->budget, now, share);
-    log_event(
-        level, "request", event,
-        "request=%s service=%s repeats=%u bound=%.2f gateways=%u rank=%u budget_age_ms=%" PRIu64,
-        exchange->head.id, exchange->service->name, account.repeats, account.bound, share->gateways,
-        share->rank, account.life_us / US_PER_MS);
-}
-
-/* \return false if the budget is exhausted */
-static bool spend_retry(struct exchange *exchange, uint64_t now)
-{
-    if (!repeat_budget_spend(&exchange->service_state->budget, now, &exchange->edge->budget_share))
-        return false;
-    log_budget(exchange, LOG_LEVEL_INFO, "budget-charged", now);
-    return true;
-}
-
-static void charge_retry_budget(struct exchange *exchange, uint64_t now)
-{
-    if (!exchange->owes_retry_charge)
-        return;
-    exchange->owes_retry_charge = false;
-    if (!spend_retry(exchange, now))
-        log_budget(exchange, LOG_LEVEL_ERROR, "budget-exceeded", now);
-}
-
 /* If the attempts are used up unless the last backend has ended, waits for that check, and fails
  * the request if it has not ended. \return whether the request may be retried */
 static bool crash_check_allows_retry(struct exchange *exchange, uint64_t now)
@@ -273,9 +242,7 @@
     struct backend *backend;
     if (!crash_check_allows_retry(exchange, now))
         return;
-    bool is_within_budget =
-        !exchange->owes_retry_charge ||
-        repeat_budget_allows(&exchange->service_state->budget, now, &edge->budget_share);
+    bool is_within_budget = exchange_may_pay_retry(exchange, now);
     fill_criteria(exchange, now, &criteria);
     if (!backend_pool_may_serve(edge->pool, &criteria, now)) {
         exchange_fail_by_run_state(exchange, END_NO_BACKEND);
@@ -292,7 +259,7 @@
     if (exchange_waits_for_lease(exchange, backend, now))
         return;
     exchange_dequeue(exchange);
-    charge_retry_budget(exchange, now);
+    exchange_pay_retry(exchange, now);
     send_to(exchange, backend, now);
 }
 
@@ -430,15 +397,6 @@
               exchange->events.events, exchange->version, (now - exchange->arrived_at) / US_PER_MS);
 }
 
-static bool take_from_retry_budget(struct exchange *exchange, uint64_t now)
-{
-    if (spend_retry(exchange, now))
-        return true;
-    metric_add(METRIC_BUDGET_SPENT, 1);
-    log_budget(exchange, LOG_LEVEL_WARN, "budget-spent", now);
-    return false;
-}
-
 /* A begun stream waits until the budget allows a retry, as each new request adds to the budget. */
 void exchange_retry(struct exchange *exchange, enum end_reason reason)
 {
@@ -449,7 +407,7 @@
         crash_watch_is_checking(exchange->edge, exchange_last_tried(exchange));
     exchange->retry_reason = reason;
     if ((!attempt_may_retry(&facts) && !exchange->awaiting_crash_check) ||
-        (!exchange->streaming && !take_from_retry_budget(exchange, now))) {
+        (!exchange->streaming && !exchange_take_retry(exchange, now))) {
         exchange_fail_by_run_state(exchange, reason);
         return;
     }
--- /dev/null
+++ b/src/edge/exchange_stream.c
@@ -0,0 +1,111 @@
+/* Streams: forwards their events to the client, and decides whether one that ended is whole. */
+#include "base/metrics.h"
+#include "edge/crash_watch.h"
+#include "edge/exchange_internal.h"
+
+/** A run that sends events for this long does not crash its backend by a part of its prompt. */
+#define PART_SOUND_RUN_US 300000
+/** A run clears the parts of its prompt at most this often. */
+#define PART_SOUND_INTERVAL_US 100000
+/** A backend that crashes as it closes a connection has closed the others by then. */
+#define END_CHECK_MIN_US 50000
+
+static void begin_stream(struct exchange *exchange, struct http_message *message)
+{
+    struct buffer head = {0};
+    exchange_write_head(message, &head);
+    edge_client_stream_begin(exchange->client, &head);
+    buffer_clear(&head);
+    exchange->streaming = true;
+}
+
+/* A part that crashes the backend does so as it begins to answer: a run that goes on for a while
+ * clears the parts of its prompt. */
+static void note_events(struct exchange *exchange, uint64_t now)
+{
+    if (!exchange->run_begun_at)
+        exchange->run_begun_at = now;
+    if (now < exchange->run_begun_at + PART_SOUND_RUN_US ||
+        now < exchange->parts_sound_at + PART_SOUND_INTERVAL_US)
+        return;
+    exchange->parts_sound_at = now;
+    exchange_record_sound_parts(exchange);
+}
+
+/* Parses new bytes of a stream's body, and forwards the complete events. */
+void exchange_forward_events(struct exchange *exchange, struct http_message *message)
+{
+    struct buffer events = {0};
+    event_stream_feed(&exchange->events, message->body.data, message->body.size, &events);
+    buffer_reset(&message->body);
+    if (events.size) {
+        uint64_t now = cluster_now();
+        note_events(exchange, now);
+        if (exchange->streaming)
+            metric_observe(METRIC_EVENT_PAUSE, now - exchange->last_event_at);
+        exchange->last_event_at = now;
+        if (!exchange->streaming)
+            begin_stream(exchange, message);
+        edge_client_stream_data(exchange->client, events.data, events.size);
+    }
+    buffer_clear(&events);
+}
+
+/* The stream is whole. */
+static void complete_stream(struct exchange *exchange)
+{
+    struct edge_client *client = exchange->client;
+    if (!exchange->resuming)
+        stream_length_record(&exchange->service_state->stream_length,
+                             exchange->head.expected_output_tokens,
+                             cluster_now() - exchange->sent_at);
+    exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
+    exchange_clear_suspicion(exchange);
+    exchange_count_done(exchange->edge);
+    exchange_log_end(exchange, 200, END_DONE, exchange_first_tried(exchange));
+    exchange_finish(exchange);
+    edge_client_stream_end(client);
+}
+
+/* A stream without a framing ends with its connection, as it does when its backend crashes between
+ * two events. Whether the backend lives shows soon. */
+static void begin_end_check(struct exchange *exchange)
+{
+    exchange_on_run_lost(exchange, END_DONE);
+    exchange->end_checked_since = cluster_now();
+    exchange_arm_timer(exchange);
+}
+
+void exchange_recheck_end(struct exchange *exchange)
+{
+    if (cluster_now() < exchange->end_checked_since + END_CHECK_MIN_US ||
+        crash_watch_is_checking(exchange->edge, exchange->backend)) {
+        exchange_arm_timer(exchange);
+        return;
+    }
+    exchange->end_checked_since = 0;
+    if (exchange->backend->presumed_down_until)
+        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_CONNECTION_BROKEN);
+    else
+        complete_stream(exchange);
+}
+
+void exchange_finish_stream(struct exchange *exchange, struct http_message *message)
+{
+    exchange_forward_events(exchange, message);
+    if (exchange->events.partial.size) {
+        /* The body is complete by its framing, but ends within an event. */
+        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_TRUNCATED_EVENT);
+        return;
+    }
+    if (!message->framed && !exchange->run_begun_at) {
+        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_EMPTY_STREAM);
+        return;
+    }
+    if (!exchange->streaming)
+        begin_stream(exchange, message);
+    if (message->framed)
+        complete_stream(exchange);
+    else
+        begin_end_check(exchange);
+}
