The entries of the crash table have a module of their own

core/crash/crash_entry: the crashes of one request or part, their merge, what clears them; crash_table keeps the table, its lookups, leases and verdicts. crash_verdict needs the entries only.

--- a/src/core/crash/crash_table.c
+++ b/src/core/crash/crash_table.c
@@ -38,21 +38,6 @@
     free(table);
 }
 
-uint64_t crash_incarnation_key(const char *backend_id, uint64_t born)
-{
-    return hash_pair(hash_name(backend_id), born);
-}
-
-uint32_t crash_attempt_key(const char *request_id)
-{
-    return (uint32_t)hash_name(request_id);
-}
-
-uint32_t crash_request_key(const struct request_identity *identity)
-{
-    return (uint32_t)hash_bytes(identity->bytes, sizeof identity->bytes);
-}
-
 const char *crash_verdict_name(enum crash_verdict verdict)
 {
     static const char *const names[] = {[CRASH_VERDICT_NONE] = "none",
@@ -61,132 +46,6 @@
     return names[verdict];
 }
 
-/* --- one entry -------------------------------------------------------------------------------- */
-
-static uint64_t latest_crash_at(const struct crash_entry *entry)
-{
-    return entry->crash_count ? entry->crashes[entry->crash_count - 1].ended_at : 0;
-}
-
-uint32_t crash_entry_distinct_crashes_except(const struct crash_entry *entry,
-                                             const bool without[CRASH_MAX_EVENTS])
-{
-    uint32_t count = 0;
-    uint64_t counted_at = 0;
-    for (uint32_t i = 0; i < entry->crash_count; i++) {
-        uint64_t ended_at = entry->crashes[i].ended_at;
-        if (without[i])
-            continue;
-        if (count && ended_at < counted_at + CRASH_SIMULTANEOUS_US)
-            continue;
-        counted_at = ended_at;
-        count++;
-    }
-    return count;
-}
-
-uint32_t crash_entry_distinct_crashes(const struct crash_entry *entry)
-{
-    static const bool none[CRASH_MAX_EVENTS];
-    return crash_entry_distinct_crashes_except(entry, none);
-}
-
-uint64_t crash_entry_settled_at(const struct crash_entry *entry)
-{
-    return latest_crash_at(entry) + CRASH_PROPAGATION_US;
-}
-
-static void remove_crash(struct crash_entry *entry, uint32_t index)
-{
-    entry->crash_count--;
-    memmove(&entry->crashes[index], &entry->crashes[index + 1],
-            (entry->crash_count - index) * sizeof entry->crashes[0]);
-}
-
-static void insert_crash(struct crash_entry *entry, const struct crash_event *crash)
-{
-    if (entry->crash_count == CRASH_MAX_EVENTS)
-        remove_crash(entry, 0);
-    uint32_t index = entry->crash_count++;
-    while (index && entry->crashes[index - 1].ended_at > crash->ended_at) {
-        entry->crashes[index] = entry->crashes[index - 1];
-        index--;
-    }
-    entry->crashes[index] = *crash;
-}
-
-/* \return index of the crash, or the number of crashes */
-static uint32_t find_crash(const struct crash_entry *entry, uint64_t incarnation)
-{
-    uint32_t index = 0;
-    while (index < entry->crash_count && entry->crashes[index].incarnation != incarnation)
-        index++;
-    return index;
-}
-
-/* Key of the incarnation after the given one, for as long as its start time is not reported. */
-static uint64_t next_incarnation(uint64_t incarnation)
-{
-    return hash_pair(incarnation, 1);
-}
-
-/* \return the earlier of two times, where 0 stands for an unknown one */
-static uint64_t earlier_known(uint64_t left, uint64_t right)
-{
-    if (!left || !right)
-        return left ? left : right;
-    return left < right ? left : right;
-}
-
-/* Merges what two nodes observed of one crash. */
-static void merge_crash(struct crash_event *known, const struct crash_event *other)
-{
-    if (other->ended_at < known->ended_at)
-        known->ended_at = other->ended_at;
-    known->detected_at = earlier_known(known->detected_at, other->detected_at);
-    known->began_at = earlier_known(known->began_at, other->began_at);
-}
-
-static bool add_new_crash(struct crash_entry *entry, const struct crash_event *crash)
-{
-    bool full = entry->crash_count == CRASH_MAX_EVENTS;
-    if (full && crash->ended_at <= entry->crashes[0].ended_at)
-        return false;
-    insert_crash(entry, crash);
-    entry->shared |= entry->crash_count > 1;
-    return true;
-}
-
-/* \return whether the crash was unknown; an earlier time of a known crash is not worth sending */
-static bool add_crash(struct crash_entry *entry, const struct crash_event *crash)
-{
-    if (crash->ended_at <= entry->cleared_at)
-        return false;
-    uint32_t index = find_crash(entry, crash->incarnation);
-    if (index == entry->crash_count)
-        return add_new_crash(entry, crash);
-    struct crash_event known = entry->crashes[index];
-    remove_crash(entry, index);
-    merge_crash(&known, crash);
-    insert_crash(entry, &known);
-    return false;
-}
-
-/* A later time alone does not count as a change: times are sent as ages, so they move later with
- * each hop, and nodes would resend them forever.
- * \return whether this removes crashes or is the first successful run */
-static bool clear_until(struct crash_entry *entry, uint64_t at)
-{
-    bool changed = at && !entry->cleared_at;
-    if (at > entry->cleared_at)
-        entry->cleared_at = at;
-    while (entry->crash_count && entry->crashes[0].ended_at <= at) {
-        remove_crash(entry, 0);
-        changed = true;
-    }
-    return changed;
-}
-
 /* --- the table -------------------------------------------------------------------------------- */
 
 static uint64_t prefix_of(const struct request_identity *identity)
@@ -211,7 +70,7 @@
 {
     if (entry->crash_count != than->crash_count)
         return entry->crash_count < than->crash_count;
-    return latest_crash_at(entry) < latest_crash_at(than);
+    return crash_entry_latest_at(entry) < crash_entry_latest_at(than);
 }
 
 static struct crash_entry *find_least_evidence(struct crash_table *table)
@@ -236,15 +95,21 @@
     return entry;
 }
 
+/* Key of the incarnation after the given one, for as long as its start time is not reported. */
+static uint64_t next_incarnation(uint64_t incarnation)
+{
+    return hash_pair(incarnation, 1);
+}
+
 /* \return when any node first knew of the crash of an incarnation; 0: no crash is known */
 static uint64_t crash_detected_at(const struct crash_table *table, uint64_t incarnation)
 {
     uint64_t detected_at = 0;
     for (uint32_t i = 0; i < table->count; i++) {
         const struct crash_entry *entry = &table->entries[i];
-        uint32_t index = find_crash(entry, incarnation);
+        uint32_t index = crash_entry_find(entry, incarnation);
         if (index < entry->crash_count)
-            detected_at = earlier_known(detected_at, entry->crashes[index].detected_at);
+            detected_at = crash_earlier_known(detected_at, entry->crashes[index].detected_at);
     }
     return detected_at;
 }
@@ -264,7 +129,7 @@
                      const struct crash_event *crash)
 {
     struct crash_entry *entry = find_or_add(table, identity);
-    bool is_new = add_crash(entry, crash);
+    bool is_new = crash_entry_add(entry, crash);
     *table->findings_valid_until = 0;
     entry->is_dirty |= is_new;
     return is_new;
@@ -287,7 +152,7 @@
     bool is_new = crash_table_add(table, &part->identity, crash);
     struct crash_entry *entry = lookup(table, &part->identity);
     set_part(entry, part->id, part->position);
-    clear_until(entry, sound_at);
+    crash_entry_clear_until(entry, sound_at);
     return is_new;
 }
 
@@ -298,14 +163,6 @@
     return crash_table_record_success(table, part, at, CRASH_FULL_RUN);
 }
 
-bool crash_entry_has_single_attempt(const struct crash_entry *entry)
-{
-    for (uint32_t i = 1; i < entry->crash_count; i++)
-        if (entry->crashes[i].attempt != entry->crashes[0].attempt)
-            return false;
-    return true;
-}
-
 /* The last run of a resumed stream does only the rest of its work, so its success says nothing
  * about crashes that followed a longer run. */
 static bool outlasted_crashed_runs(const struct crash_entry *entry, uint64_t ran_us)
@@ -328,7 +185,7 @@
         (ran_us != CRASH_FULL_RUN && !crash_entry_has_single_attempt(entry) &&
          !outlasted_crashed_runs(entry, ran_us)))
         return false;
-    clear_until(entry, at);
+    crash_entry_clear_until(entry, at);
     *table->findings_valid_until = 0;
     entry->is_dirty = true; /* nodes that know of the crashes must learn of the success */
     return true;
@@ -340,7 +197,7 @@
 {
     uint32_t crashes = entry->crash_count;
     uint64_t sound_at = sound_parts_last(table->sound_parts, &entry->identity);
-    bool changed = clear_until(entry, sound_at);
+    bool changed = crash_entry_clear_until(entry, sound_at);
     bool is_news = entry->crash_count < crashes || (changed && entry->shared);
     entry->is_dirty |= is_news;
     return is_news;
@@ -349,12 +206,12 @@
 bool crash_table_merge(struct crash_table *table, const struct crash_entry *other)
 {
     struct crash_entry *entry = find_or_add(table, &other->identity);
-    bool changed = clear_until(entry, other->cleared_at);
+    bool changed = crash_entry_clear_until(entry, other->cleared_at);
     *table->findings_valid_until = 0;
     if (other->is_part)
         set_part(entry, other->part_id, other->position);
     for (uint32_t i = 0; i < other->crash_count; i++)
-        changed |= add_crash(entry, &other->crashes[i]);
+        changed |= crash_entry_add(entry, &other->crashes[i]);
     if (crash_lease_replaces(&other->lease, &entry->lease)) {
         entry->lease = other->lease;
         changed = true;
@@ -387,7 +244,7 @@
     const struct crash_finding *finding = find_finding(table, identity, now);
     if (!finding)
         return CRASH_VERDICT_NONE;
-    bool is_recent = now < latest_crash_at(lookup(table, identity)) + CRASH_BLOCK_DURATION_US;
+    bool is_recent = now < crash_entry_latest_at(lookup(table, identity)) + CRASH_BLOCK_DURATION_US;
     return finding->blocked && is_recent ? CRASH_VERDICT_BLOCKED : CRASH_VERDICT_SUSPECT;
 }
 
@@ -413,7 +270,7 @@
     const struct crash_entry *entry = lookup(table, identity);
     if (entry->is_part) /* further requests with it show sooner than a hold ends what it is */
         return 0;
-    return crash_verdict_held_until(finding, latest_crash_at(entry), now);
+    return crash_verdict_held_until(finding, crash_entry_latest_at(entry), now);
 }
 
 /* --- leases ----------------------------------------------------------------------------------- */
@@ -467,8 +324,9 @@
 
 static bool is_expired(const struct crash_entry *entry, uint64_t now)
 {
-    uint64_t newest =
-        latest_crash_at(entry) > entry->cleared_at ? latest_crash_at(entry) : entry->cleared_at;
+    uint64_t newest = crash_entry_latest_at(entry) > entry->cleared_at
+                          ? crash_entry_latest_at(entry)
+                          : entry->cleared_at;
     return now >= newest + (entry->shared ? CRASH_SHARED_TTL_US : CRASH_SINGLE_TTL_US);
 }
 
--- a/src/core/crash/crash_table.h
+++ b/src/core/crash/crash_table.h
@@ -17,7 +17,7 @@
 #ifndef SHUNTRUN_CRASH_TABLE_H
 #define SHUNTRUN_CRASH_TABLE_H
 
-#include "core/crash/crash_lease.h"
+#include "core/crash/crash_entry.h"
 #include "core/crash/crash_verdict.h"
 #include "core/crash/prompt_part.h"
 #include "core/crash/request_identity.h"
@@ -25,48 +25,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Crashes within this time count as one: many backends that end at the same moment lost power or
- *  the like, and no request is the cause. Gateways see the end of one backend up to some 10 ms
- *  apart. */
-#define CRASH_SIMULTANEOUS_US ((uint64_t)30000)
 /** A blocked request may be tried again after this time, as the backends may have become able to
  *  run it. One more crash blocks it again, so a request that cannot be run costs about one backend
  *  an hour. */
 #define CRASH_BLOCK_DURATION_US ((uint64_t)3600000000)
-/** An entry with a single crash expires after this time: callers retry within it. Crashes of other
- *  requests within this time before a verdict settles count as noise (core/crash/crash_verdict). */
-#define CRASH_SINGLE_TTL_US ((uint64_t)60000000)
-/** Lifetime of an entry that all gateways hold. */
-#define CRASH_SHARED_TTL_US ((uint64_t)86400000000)
 /** Requests per table; those with the least evidence are evicted first. */
 #define CRASH_MAX_ENTRIES 1024
-/** Crashes kept per request, the latest ones. */
-#define CRASH_MAX_EVENTS 8
-
-/** The crash of a backend incarnation on which the request was running. */
-struct crash_event {
-    uint64_t incarnation; /**< see crash_incarnation_key() */
-    uint64_t ended_at;    /**< when runs on it broke off, as first observed by any gateway */
-    uint32_t attempt;     /**< the caller's attempt that ran on it, see crash_attempt_key(); for a
-                               part the request, see crash_request_key() */
-    uint64_t began_at;    /**< begin of the request's first interrupted run on it; 0: unknown */
-    uint64_t detected_at; /**< when any node first knew of the crash; 0: unknown */
-};
-
-/** What is known about one request, or about one part of prompts. */
-struct crash_entry {
-    struct request_identity identity;
-    bool is_part;      /**< of prompts; else a request */
-    uint64_t part_id;  /**< of a part, as clients send it */
-    uint32_t position; /**< of a part: its last one in a prompt, from 0 */
-    struct crash_event crashes[CRASH_MAX_EVENTS]; /**< by end time, earliest first */
-    uint32_t crash_count;
-    uint64_t cleared_at;      /**< time of its latest successful run; 0: none is known */
-    struct crash_lease lease; /**< on the incarnation on which it runs in isolation */
-    bool shared;              /**< held by all gateways, as it once had more than one crash */
-    bool is_dirty;            /**< changed since it was last sent to other nodes */
-};
-
 enum crash_verdict {
     CRASH_VERDICT_NONE,
     CRASH_VERDICT_SUSPECT, /**< may run, in isolation where crash_table_requires_isolation() */
@@ -81,12 +45,6 @@
 struct crash_table *crash_table_create(void);
 void crash_table_destroy(struct crash_table *table);
 
-/**
- * \brief Key of one backend incarnation, the same on all nodes.
- * \param born start time of the incarnation; 0: not reported
- */
-uint64_t crash_incarnation_key(const char *backend_id, uint64_t born);
-
 /**
  * \brief The incarnation on which a run took place. One that is known to have crashed cannot crash
  * again: a run that began later was on the next one, whose start time is not reported yet.
@@ -96,10 +54,6 @@
  */
 uint64_t crash_table_incarnation_of_run(const struct crash_table *table, uint64_t incarnation,
                                         uint64_t began_at);
-/** \brief Key of one attempt of a caller, from its request id; the same on all nodes. */
-uint32_t crash_attempt_key(const char *request_id);
-/** \brief Key of a request, whatever its attempt; the same on all nodes. */
-uint32_t crash_request_key(const struct request_identity *identity);
 /** \brief Record a crash at which the request was running. \return whether the crash is new */
 bool crash_table_add(struct crash_table *table, const struct request_identity *identity,
                      const struct crash_event *crash);
@@ -129,11 +83,6 @@
 bool crash_table_merge(struct crash_table *table, const struct crash_entry *entry);
 enum crash_verdict crash_table_verdict(const struct crash_table *table,
                                        const struct request_identity *identity, uint64_t now);
-/** A crash is known to all gateways within this time, as long as their links work: a verdict that
- *  depends on a later crash may still change. */
-#define CRASH_PROPAGATION_US ((uint64_t)200000)
-/** \return time from which all crashes of a request are known to all gateways */
-uint64_t crash_entry_settled_at(const struct crash_entry *entry);
 /** \return whether the request may run only where no other isolated request does */
 bool crash_table_requires_isolation(const struct crash_table *table,
                                     const struct request_identity *identity, uint64_t now);
@@ -169,13 +118,6 @@
 /** \return the entry, or NULL */
 const struct crash_entry *crash_table_find(const struct crash_table *table,
                                            const struct request_identity *identity);
-/** \return number of crashes, with simultaneous ones counted as one */
-uint32_t crash_entry_distinct_crashes(const struct crash_entry *entry);
-/** \return the same, leaving out the crashes at indexes where `without` is true */
-uint32_t crash_entry_distinct_crashes_except(const struct crash_entry *entry,
-                                             const bool without[CRASH_MAX_EVENTS]);
-/** \return whether the same attempt of a caller was present at all crashes of a request */
-bool crash_entry_has_single_attempt(const struct crash_entry *entry);
 /** A digest leaves out crashes younger than this, which are still being propagated. */
 #define CRASH_DIGEST_DELAY_US ((uint64_t)500000)
 /**
--- a/src/core/crash/crash_verdict.c
+++ b/src/core/crash/crash_verdict.c
@@ -1,7 +1,7 @@
 #include "core/crash/crash_verdict.h"
 
 #include "base/memory.h"
-#include "core/crash/crash_table.h"
+#include "core/crash/crash_entry.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -275,10 +275,7 @@
 
 static bool has_incarnation(const struct crash_entry *entry, uint64_t incarnation)
 {
-    for (uint32_t i = 0; i < entry->crash_count; i++)
-        if (entry->crashes[i].incarnation == incarnation)
-            return true;
-    return false;
+    return crash_entry_find(entry, incarnation) < entry->crash_count;
 }
 
 /* \return whether a crash of another request is recent and unexplained, and this request was not
