Ends of streams without a framing: a reason of their own, and a backend that is down now

Read once more: a stream that ended between two events was logged as lost with reason=done and counted among lost runs; it says reason=unframed and is not counted. Whether its backend ended is asked of a presumption made since the end of the stream: an older one that proved wrong would have had the stream resumed at another backend.

--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -69,6 +69,7 @@
     [END_CONNECTION_BROKEN] = "broken",
     [END_TRUNCATED_EVENT] = "torn",
     [END_EMPTY_STREAM] = "empty",
+    [END_UNFRAMED_STREAM] = "unframed",
     [END_NO_SEAL] = "no-seal",
     [END_REFUSED] = "refused",
     [END_MISDIRECTED] = "misdirected",
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -28,6 +28,7 @@
     END_CONNECTION_BROKEN, /**< the connection broke, or the bytes were no valid response */
     END_TRUNCATED_EVENT,   /**< the body was complete, but ended within an event */
     END_EMPTY_STREAM,      /**< the stream ended with its connection, before the first event */
+    END_UNFRAMED_STREAM,   /**< the stream ended with its connection, between two events */
     END_NO_SEAL,           /**< the response lacks the backend's seal */
     END_REFUSED,           /**< the backend did not run it */
     END_MISDIRECTED,       /**< another backend uses the address, or it has other weights */
--- a/src/edge/exchange_stream.c
+++ b/src/edge/exchange_stream.c
@@ -32,7 +32,6 @@
     exchange_record_sound_parts(exchange);
 }
 
-/* Parses new bytes of a stream's body, and forwards the complete events. */
 void exchange_forward_events(struct exchange *exchange, struct http_message *message)
 {
     struct buffer events = {0};
@@ -51,7 +50,6 @@
     buffer_clear(&events);
 }
 
-/* The stream is whole. */
 static void complete_stream(struct exchange *exchange)
 {
     struct edge_client *client = exchange->client;
@@ -71,7 +69,7 @@
  * two events. Whether the backend lives shows soon. */
 static void begin_end_check(struct exchange *exchange)
 {
-    exchange_on_run_lost(exchange, END_DONE);
+    exchange_on_run_lost(exchange, END_UNFRAMED_STREAM);
     exchange->end_checked_since = cluster_now();
     exchange_arm_timer(exchange);
 }
@@ -83,8 +81,9 @@
         exchange_arm_timer(exchange);
         return;
     }
+    bool has_ended = exchange->backend->presumed_down_until > exchange->end_checked_since;
     exchange->end_checked_since = 0;
-    if (exchange->backend->presumed_down_until)
+    if (has_ended)
         exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_CONNECTION_BROKEN);
     else
         complete_stream(exchange);
--- a/src/edge/exchange_suspicion.c
+++ b/src/edge/exchange_suspicion.c
@@ -1,5 +1,4 @@
-/* Crash suspicion of one request and of the parts of its prompt: identities, the verdict, evidence.
- */
+/* Crash suspicion of one request, and of the parts of its prompt: identities, verdict, evidence. */
 #include "base/log.h"
 #include "base/metrics.h"
 #include "cluster/crash_sync.h"
@@ -48,8 +47,7 @@
     return &exchange->identity;
 }
 
-/* --- the evidence that decides ------------------------------------------------------------------
- */
+/* --- the evidence that decides --- */
 
 /* \return whether the entry of an identity says more against a request than `than`, or NULL */
 static bool is_graver(const struct crash_table *table, const struct crash_entry *entry,
@@ -151,7 +149,7 @@
     char hex[REQUEST_IDENTITY_HEX_SIZE], parts[PARTS_TEXT_SIZE];
     request_identity_to_hex(identity, hex);
     write_parts(&exchange->head, parts);
-    metric_add(METRIC_RUNS_LOST, 1);
+    metric_add(METRIC_RUNS_LOST, reason != END_UNFRAMED_STREAM);
     log_event(LOG_LEVEL_WARN, "request", "run-lost",
               "request=%s identity=%s parts=%s reason=%s backend=%s born=%" PRIu64
               " events=%" PRIu64 " sends=%u sent_ms_ago=%" PRIu64 " others_here=%u",
