Crashes of one moment are not told to all gateways for the parts that prompts share

Cause, by reading: many requests share a part. When many backends end at once, each gateway held crashes of other backends against the same parts; two of them made the entry a matter of all gateways, which told each other until all held the latest eight. Change: of a part, three crashes within 0.1 s are kept, fewer than block it, and it becomes a matter of all gateways with a crash later than that. Nodes may hold different ones, so the digest of a part says only that it may be blocked.

--- a/src/core/crash/crash_entry.c
+++ b/src/core/crash/crash_entry.c
@@ -95,13 +95,37 @@
     known->began_at = crash_earlier_known(known->began_at, other->began_at);
 }
 
+/* \return whether a part has enough crashes of that moment: further ones would tell nothing more,
+ * and push each other out of the entries of different nodes, which would tell each other for ever
+ */
+static bool has_crashes_of_moment(const struct crash_entry *entry, uint64_t ended_at)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < entry->crash_count; i++) {
+        uint64_t other = entry->crashes[i].ended_at;
+        count += ended_at < other + CRASH_PART_SIMULTANEOUS_US &&
+                 other < ended_at + CRASH_PART_SIMULTANEOUS_US;
+    }
+    return entry->is_part && count >= CRASH_PART_SIMULTANEOUS_KEPT;
+}
+
+/* Crashes of one moment do not make a part a matter of all gateways: many requests share it. */
+static bool is_shared_by_crashes(const struct crash_entry *entry)
+{
+    uint64_t first = entry->crashes[0].ended_at;
+    return entry->crash_count > 1 &&
+           (!entry->is_part || crash_entry_latest_at(entry) >= first + CRASH_PART_SIMULTANEOUS_US);
+}
+
 static bool add_new_crash(struct crash_entry *entry, const struct crash_event *crash)
 {
+    if (has_crashes_of_moment(entry, crash->ended_at))
+        return false;
     bool full = entry->crash_count == CRASH_MAX_EVENTS;
     if (full && crash->ended_at <= entry->crashes[0].ended_at)
         return false;
     insert_crash(entry, crash);
-    entry->shared |= entry->crash_count > 1;
+    entry->shared |= is_shared_by_crashes(entry);
     return true;
 }
 
--- a/src/core/crash/crash_entry.h
+++ b/src/core/crash/crash_entry.h
@@ -19,6 +19,15 @@
  *  the like, and no request is the cause. Gateways see the end of one backend up to some 10 ms
  *  apart. */
 #define CRASH_SIMULTANEOUS_US ((uint64_t)30000)
+/** Many requests share a part of prompts, so many gateways see a loss of power under it, and tell
+ * its time with the delay of a message: of a part, at most CRASH_PART_SIMULTANEOUS_KEPT crashes
+ * within this time are kept, fewer than block it, and it becomes a matter of all gateways with a
+ * crash later than that. */
+#define CRASH_PART_SIMULTANEOUS_US ((uint64_t)100000)
+#define CRASH_PART_SIMULTANEOUS_KEPT 3
+/** At most this many simultaneous crashes count: a power loss crashes many backends at once,
+ * attempts of one request that reach several gateways at once crash a few. */
+#define CRASH_MAX_SIMULTANEOUS_COUNTED 2
 /** An entry with a single crash expires after this time: callers retry within it. Crashes of other
  *  requests within this time before a verdict settles count as noise (core/crash/crash_verdict). */
 #define CRASH_SINGLE_TTL_US ((uint64_t)60000000)
--- a/src/core/crash/crash_table.c
+++ b/src/core/crash/crash_table.c
@@ -149,11 +149,10 @@
     uint64_t sound_at = sound_parts_last(table->sound_parts, &part->identity);
     if (sound_at && crash->ended_at < sound_at + CRASH_PART_SOUND_FOR_US)
         return false;
-    bool is_new = crash_table_add(table, &part->identity, crash);
-    struct crash_entry *entry = lookup(table, &part->identity);
+    struct crash_entry *entry = find_or_add(table, &part->identity);
     set_part(entry, part->id, part->position);
     crash_entry_clear_until(entry, sound_at);
-    return is_new;
+    return crash_table_add(table, &part->identity, crash);
 }
 
 bool crash_table_record_sound_part(struct crash_table *table, const struct request_identity *part,
@@ -361,10 +360,22 @@
     return lookup(table, identity);
 }
 
+/* Nodes may hold different ones of the simultaneous crashes of a part; what matters is that all
+ * hold those that may block it. */
+static uint64_t digest_of_part(const struct crash_entry *entry, uint64_t identity, uint64_t now)
+{
+    uint32_t needed = CRASHES_TO_BLOCK_PART;
+    bool is_known = entry->crash_count >= needed &&
+                    now >= entry->crashes[needed - 1].ended_at + CRASH_DIGEST_DELAY_US;
+    return is_known ? identity : 0;
+}
+
 static uint64_t digest_of_entry(const struct crash_entry *entry, uint64_t now)
 {
     uint64_t digest = 0;
     uint64_t identity = hash_bytes(entry->identity.bytes, sizeof entry->identity.bytes);
+    if (entry->is_part)
+        return digest_of_part(entry, identity, now);
     for (uint32_t i = 0; i < entry->crash_count; i++)
         if (now >= entry->crashes[i].ended_at + CRASH_DIGEST_DELAY_US)
             digest ^= hash_pair(identity, entry->crashes[i].incarnation);
--- a/src/core/crash/crash_verdict.h
+++ b/src/core/crash/crash_verdict.h
@@ -54,9 +54,6 @@
 /** Crashes from which on an isolated request without proof is held back. Explained ones count, too:
  *  two requests that crash backends may have met at some of them. */
 #define CRASHES_TO_HOLD 3
-/** At most this many simultaneous crashes count: a power loss crashes many backends at once,
- *  attempts of one request that reach several gateways at once crash a few. */
-#define CRASH_MAX_SIMULTANEOUS_COUNTED 2
 /** Time after crash number CRASHES_TO_HOLD in which the request may still run in isolation. */
 #define CRASH_HOLD_GRACE_US ((uint64_t)2000000)
 /** A request is held back for this long after its latest crash, doubled with each further one. */
--- a/tests/core/crash/crash_spread_test.c
+++ b/tests/core/crash/crash_spread_test.c
@@ -187,6 +187,30 @@
     destroy_fleet(&fleet);
 }
 
+/* Guards against endless gossip: many backends end at once under requests that share a part, each
+ * gateway sees some of them, and an entry does not hold all. */
+static void a_power_loss_under_a_shared_part_is_told_in_few_messages(void **state)
+{
+    struct fleet fleet;
+    struct prompt_part part = prompt_part_of("llm", 7, 0);
+    create_fleet(&fleet, 1);
+    for (uint32_t gateway = 0; gateway < FLEET_GATEWAYS; gateway++)
+        for (uint32_t i = 0; i < 3; i++) {
+            uint32_t incarnation = 1 + gateway * 3 + i;
+            struct crash_event crash = {incarnation, NOW + (gateway * 2 + i) * 1000, incarnation, 0,
+                                        NOW};
+            crash_table_add_part(fleet.tables[gateway], &part, &crash);
+        }
+    assert_in_range(gossip_until_quiet(&fleet), 1, 9);
+    assert_true(fleet.messages <=
+                FLEET_GATEWAYS * (CRASH_GATEWAY_REPLICAS + CRASH_LOADER_REPLICAS));
+    for (uint32_t i = 0; i < FLEET_GATEWAYS; i++) {
+        const struct crash_entry *entry = crash_table_find(fleet.tables[i], &part.identity);
+        assert_in_range(entry->crash_count, 1, CRASH_PART_SIMULTANEOUS_KEPT);
+    }
+    destroy_fleet(&fleet);
+}
+
 static void shared_entries_are_replicated_to_loaders(void **state)
 {
     struct fleet fleet;
@@ -225,6 +249,7 @@
         cmocka_unit_test(clearing_a_single_crash_is_sent_to_replicas_only),
         cmocka_unit_test(shared_entry_costs_each_gateway_a_few_messages),
         cmocka_unit_test(successful_run_is_gossiped_once),
+        cmocka_unit_test(a_power_loss_under_a_shared_part_is_told_in_few_messages),
         cmocka_unit_test(shared_entries_are_replicated_to_loaders),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
