Stand-in: the other connections of an engine that crashes are reset before the one that it closes in order

Traced: the stand-in waits for its server's loop to stop before it resets the other connections, so they were open when the gateway looked.

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -482,6 +482,8 @@
         self.server.socket.shutdown(socket.SHUT_RDWR)  # refuses connections from now on
         if closed_in_order:
             self.connections.discard(closed_in_order)
+            for connection in list(self.connections):
+                reset_connection(connection)
             closed_in_order.shutdown(socket.SHUT_WR)
         self.close_connections()
         timer = threading.Timer(self.restart_delay_s, self.restart_backend)
