Forward a plain answer without a length only once its back end is shown to live

What callers saw: an engine was killed while it sent an answer without a length.

Cause: the kernel closes the connections of a process that ends in the same way as a process that closes them itself. What the gateway knew showed neither life nor death, and that was taken for life.

Nothing in the log told a cut from a whole answer: the missing fact is whether the back end lived on. `event=health` and `event=unframed-checked` tell it now.

Fix: the answer waits for a health check that was sent after the end and that the same start answers (its id in the answer). Answers sent before the end may arrive later and prove nothing; so does a check without an id. Refused, another id, or a later start listed at the address: not whole, the run is lost (502, or another back end if it may be repeated). No proof yet: asked again; a repeatable request goes elsewhere as from a silent back end, another one waits until its deadline. One check serves all answers that ended before it was sent. The run counts as evidence against its request only where life was not proved, dated at the end of the answer; before, such requests were never evidence.

system.unframed, on: 7 of the 15 cases here red, `200, 2400 of 4800 bytes` for plain answers in Kills and ListenerOutlives, and a request that crashes its back ends in this way never refused; 7 others could not begin, as no health check came. Now 15 of 15, in 31 s.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -27,6 +27,11 @@
     X(METRIC_STREAMS_CUT_TIME, "shuntrun_streams_cut_total{reason=\"time\"}", "")                  \
     X(METRIC_RUNS_LOST, "shuntrun_runs_lost_total",                                                \
       "requests whose back end broke its connection before a whole answer")                        \
+    X(METRIC_UNFRAMED_WHOLE, "shuntrun_unframed_answers_total{outcome=\"whole\"}",                 \
+      "answers without a length, by whether their back end was shown to have lived on")            \
+    X(METRIC_UNFRAMED_UNPROVED, "shuntrun_unframed_answers_total{outcome=\"unproved\"}", "")       \
+    X(METRIC_HEALTH_CHECKS, "shuntrun_health_checks_total",                                        \
+      "health checks sent to back ends that ended an answer without a length")                     \
     X(METRIC_CRASHES, "shuntrun_backend_crashes_total",                                            \
       "starts of back ends that ended with requests of this gateway")                              \
     X(METRIC_REQUESTS_HELD, "shuntrun_held_requests_total",                                        \
--- a/src/core/routing/route_table.c
+++ b/src/core/routing/route_table.c
@@ -70,6 +70,7 @@
         free(table->services[i].name);
         free(table->services[i].engine.model);
         free(table->services[i].origin);
+        free(table->services[i].health_path);
         free(table->services[i].zone);
     }
     for (uint32_t i = 0; i < table->tenant_count; i++) {
--- a/src/core/routing/route_table.h
+++ b/src/core/routing/route_table.h
@@ -68,6 +68,8 @@
 
 struct service_entry {
     char *name;
+    char *health_path; /**< a GET on it returns the id of the backend that answers; NULL: none given
+                        */
     uint32_t connection_limit;
     uint32_t cold_start_ms; /**< time for which a backend is cold after its start; 0: it is not */
     double cold_per_s; /**< requests a second that a cold backend bears; 0: as many as a warm one */
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -255,12 +255,20 @@
     return NULL;
 }
 
+/* Interruptions may be reported late, and so in another order. */
+static void note_interruption(struct crash_check *check, uint64_t interrupted_at)
+{
+    if (interrupted_at > check->interrupted_at)
+        check->interrupted_at = interrupted_at;
+}
+
 static void add_lost_run(struct crash_check *check, const struct lost_run *run)
 {
     struct lost_run *known = find_lost_run(check, &run->identity);
-    check->interrupted_at = run->interrupted_at;
+    note_interruption(check, run->interrupted_at);
     if (known) {
-        known->interrupted_at = run->interrupted_at;
+        if (run->interrupted_at > known->interrupted_at)
+            known->interrupted_at = run->interrupted_at;
         if (run->began_at && (!known->began_at || run->began_at < known->began_at))
             known->began_at = run->began_at;
         return;
@@ -285,10 +293,9 @@
 static void add_lost_request(struct crash_check *check, const struct lost_request *request,
                              uint64_t began_at)
 {
-    uint64_t now = cluster_now();
     struct lost_run run = {.identity = *request->identity,
                            .attempt = crash_attempt_key(request->id),
-                           .interrupted_at = now,
+                           .interrupted_at = request->ended_at,
                            .began_at = began_at};
     add_lost_run(check, &run);
     for (uint32_t i = 0; i < request->part_count; i++) {
@@ -309,12 +316,12 @@
         check = begin_check(edge, backend);
     else if (check->state == CHECK_AWAITING_RESTART && check->open_handles == 1)
         collect_lost_runs(check);
-    uint64_t began_at = now >= request->sent_at + MIN_RUN_US ? request->sent_at : 0;
+    uint64_t began_at = request->ended_at >= request->sent_at + MIN_RUN_US ? request->sent_at : 0;
     if (began_at > check->began_at)
         check->began_at = began_at;
     check->planned |= backend_exit_is_planned(edge->pool, backend, now);
     if (check->planned) {
-        check->interrupted_at = now;
+        note_interruption(check, request->ended_at);
         log_planned(backend, request->id);
         return;
     }
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -22,7 +22,8 @@
     const struct request_identity *identity;
     const struct prompt_part *parts; /**< that its prompt shares with others */
     uint32_t part_count;
-    uint64_t sent_at; /**< time at which it was sent to the backend */
+    uint64_t sent_at;  /**< time at which it was sent to the backend */
+    uint64_t ended_at; /**< time at which its run was interrupted */
 };
 
 /** \brief Reports a request that was interrupted. */
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -10,6 +10,7 @@
 #include "edge/backend_feedback.h"
 #include "edge/crash_watch.h"
 #include "edge/edge_internal.h"
+#include "edge/liveness_check.h"
 #include "weights/weight_relay.h"
 
 #include <inttypes.h>
@@ -200,6 +201,7 @@
     count_gateways(edge);
     weight_relay_tick(edge->relay, now);
     crash_watch_tick(edge, now);
+    liveness_check_tick(edge, now);
     edge_client_fail_blocked(edge);
     backend_pool_expire(edge->pool, cluster_store_is_healthy(&edge->cluster), now);
     if (!edge_awaits_configuration(edge))
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -29,6 +29,7 @@
 struct crash_check;
 struct edge_client;
 struct exchange;
+struct liveness_check;
 struct upstream;
 struct weight_relay;
 
@@ -78,6 +79,8 @@
     struct edge_client *clients;
     struct upstream *upstreams;       /**< all connections to backends, newest first */
     struct crash_check *crash_checks; /**< checks of backends that may have crashed */
+    /** Checks of backends that ended answers with their connections. */
+    struct liveness_check *liveness_checks;
     /** Barred to the request being dispatched. */
     uint64_t barred_incarnations[CRASH_MAX_LEASED_INCARNATIONS];
     struct exchange *queue;           /**< requests that wait for a slot, most urgent first */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -38,9 +38,14 @@
     return count;
 }
 
+bool exchange_is_sent(const struct exchange *exchange)
+{
+    return exchange->liveness_check || (exchange->upstream && upstream_is_sent(exchange->upstream));
+}
+
 struct attempt_facts exchange_facts(const struct exchange *exchange, uint64_t now)
 {
-    bool sent = exchange->upstream && upstream_is_sent(exchange->upstream);
+    bool sent = exchange_is_sent(exchange);
     return (struct attempt_facts){
         .repeatable = exchange_is_retryable(exchange),
         .may_have_run = exchange->may_have_run || sent,
@@ -65,13 +70,16 @@
 
 static uint64_t silence_started_at(const struct exchange *exchange)
 {
+    if (exchange->liveness_check)
+        return exchange->unframed_end_at;
     return exchange->streaming ? exchange->last_event_at : exchange->sent_at;
 }
 
 /* \return time at which the backend's silence is too long; 0: never */
 static uint64_t silence_deadline(const struct exchange *exchange)
 {
-    if (exchange->state != EXCHANGE_SENT || exchange->paused || !exchange->upstream ||
+    bool awaits_backend = exchange->upstream || exchange->liveness_check;
+    if (exchange->state != EXCHANGE_SENT || exchange->paused || !awaits_backend ||
         !exchange_is_retryable(exchange))
         return 0;
     uint64_t end = silence_started_at(exchange) + silence_limit(exchange);
@@ -113,16 +121,17 @@
               " sent=%d sends=%u refusals=%u events=%" PRIu64 " others=%d outcome=%s",
               exchange->head.id, exchange->backend->listing.id,
               (now - silence_started_at(exchange)) / US_PER_MS, late / US_PER_MS,
-              upstream_is_sent(exchange->upstream), exchange->sends, exchange->refusals,
+              exchange_is_sent(exchange), exchange->sends, exchange->refusals,
               exchange->events.events, has_alternative,
               verdict == SILENCE_LEAVE ? "leave" : "stay");
 }
 
 static void leave_silent_backend(struct exchange *exchange)
 {
-    if (upstream_is_sent(exchange->upstream)) {
+    enum end_reason reason = exchange->liveness_check ? END_UNFRAMED : END_BACKEND_SILENT;
+    if (exchange_is_sent(exchange)) {
         exchange_count_send(exchange);
-        exchange_on_attempt_failed(exchange, BACKEND_TIMED_OUT, END_BACKEND_SILENT);
+        exchange_on_attempt_failed(exchange, BACKEND_TIMED_OUT, reason);
         return;
     }
     exchange_end_attempt(exchange, BACKEND_UNREACHABLE);
@@ -152,8 +161,7 @@
 
 static void on_deadline(struct exchange *exchange)
 {
-    bool not_run =
-        !exchange->may_have_run && (!exchange->upstream || !upstream_is_sent(exchange->upstream));
+    bool not_run = !exchange->may_have_run && !exchange_is_sent(exchange);
     if (exchange->backend && !exchange->first_byte_received_at)
         exchange_end_attempt(exchange, BACKEND_TIMED_OUT);
     exchange_fail(exchange, not_run ? 503 : 504, END_DEADLINE);
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -3,6 +3,7 @@
 #include "base/memory.h"
 #include "base/metrics.h"
 #include "edge/exchange_internal.h"
+#include "edge/liveness_check.h"
 #include <inttypes.h>
 #include <stdarg.h>
 #include <stdlib.h>
@@ -70,6 +71,7 @@
     [END_TRUNCATED_EVENT] = "torn",
     [END_EMPTY_STREAM] = "empty",
     [END_UNFRAMED_STREAM] = "unframed",
+    [END_UNFRAMED] = "unproved",
     [END_NO_SEAL] = "no-seal",
     [END_REFUSED] = "refused",
     [END_MISDIRECTED] = "misdirected",
@@ -169,6 +171,8 @@
     struct backend *backend = exchange->backend;
     if (exchange->upstream)
         upstream_cancel(exchange->upstream);
+    liveness_check_leave(exchange);
+    exchange_drop_unproved(exchange);
     exchange->upstream = NULL;
     exchange->backend = NULL;
     if (!backend)
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -5,8 +5,9 @@
 #ifndef SHUNTRUN_EXCHANGE_INTERNAL_H
 #define SHUNTRUN_EXCHANGE_INTERNAL_H
 
-#include "core/retry/attempt_rule.h"
+#include "core/backend/liveness.h"
 #include "core/crash/prompt_part.h"
+#include "core/retry/attempt_rule.h"
 #include "edge/edge_internal.h"
 
 #define US_PER_MS ((uint64_t)1000)
@@ -29,16 +30,18 @@
     END_TRUNCATED_EVENT,   /**< the body was complete, but ended within an event */
     END_EMPTY_STREAM,      /**< the stream ended with its connection, before the first event */
     END_UNFRAMED_STREAM,   /**< the stream ended with its connection, between two events */
-    END_NO_SEAL,           /**< the response lacks the backend's seal */
-    END_REFUSED,           /**< the backend did not run it */
-    END_MISDIRECTED,       /**< another backend uses the address, or it has other weights */
-    END_RESUME_REFUSED,    /**< the response was not the rest of the stream */
-    END_BACKEND_ERROR,     /**< the backend reported a failure of its own */
-    END_BLOCKED,           /**< it crashes the backends that run it */
-    END_HELD,              /**< it may crash backends, and could not run isolated in time */
-    END_CLIENT_SLOW,       /**< the backend closed its connection, as the client took the stream too
-                              slowly */
-    END_NO_REGION,         /**< its route and its tenant allow no region in common */
+    END_UNFRAMED, /**< the answer ended with its connection, and its backend was not shown to have
+                     lived on */
+    END_NO_SEAL,  /**< the response lacks the backend's seal */
+    END_REFUSED,  /**< the backend did not run it */
+    END_MISDIRECTED,    /**< another backend uses the address, or it has other weights */
+    END_RESUME_REFUSED, /**< the response was not the rest of the stream */
+    END_BACKEND_ERROR,  /**< the backend reported a failure of its own */
+    END_BLOCKED,        /**< it crashes the backends that run it */
+    END_HELD,           /**< it may crash backends, and could not run isolated in time */
+    END_CLIENT_SLOW,    /**< the backend closed its connection, as the client took the stream too
+                           slowly */
+    END_NO_REGION,      /**< its route and its tenant allow no region in common */
 };
 
 enum exchange_state { EXCHANGE_WAITING, EXCHANGE_SENT };
@@ -112,10 +115,14 @@
     struct request_identity identity;
     bool parts_identified;                               /* `parts` are computed */
     struct prompt_part parts[PLATFORM_MAX_SHARED_PARTS]; /* those that `head` names */
-    bool blocked_by_part;       /* it was refused for a part of its prompt */
-    uint64_t blocked_part;      /* id of that part */
-    uint64_t run_begun_at;      /* first event of the current run; 0: none yet */
-    uint64_t parts_sound_at;    /* last time at which the current run cleared the parts */
+    bool blocked_by_part;     /* it was refused for a part of its prompt */
+    uint64_t blocked_part;    /* id of that part */
+    uint64_t run_begun_at;    /* first event of the current run; 0: none yet */
+    uint64_t parts_sound_at;  /* last time at which the current run cleared the parts */
+    uint64_t unframed_end_at; /* the answer of the current run ended with its connection; 0: no */
+    struct liveness_check *liveness_check; /* that the end of the answer awaits; NULL: none */
+    struct exchange *next_awaiting_liveness;
+    struct upstream_response *unproved_response; /* that awaits it; NULL: none */
     uint64_t end_checked_since; /* its stream ended with its connection; since then it is checked
                                    whether the backend ended, too; 0: it is not */
     bool run_lost;              /* the end of the current run was reported */
@@ -123,6 +130,9 @@
 
 /* --- exchange.c --- */
 
+/** \return whether the request of the current attempt was sent, so that a backend may run it or
+ * has run it */
+bool exchange_is_sent(const struct exchange *exchange);
 /** \return what decides on a retry; the current attempt counts if it was sent */
 struct attempt_facts exchange_facts(const struct exchange *exchange, uint64_t now);
 /** \brief Sets the timer to the next deadline or recheck. */
@@ -259,6 +269,8 @@
 void exchange_count_done(struct edge *edge);
 /** \brief Counts a send on an established connection, once for each attempt. */
 void exchange_count_send(struct exchange *exchange);
+/** \brief Ends the request with an answer of its backend that is known to be whole. */
+void exchange_forward_whole(struct exchange *exchange, struct upstream_response *response);
 
 /* --- exchange_stream.c --- */
 
@@ -270,6 +282,21 @@
  * lives; otherwise retries. */
 void exchange_recheck_end(struct exchange *exchange);
 
+/* --- exchange_unframed.c --- */
+
+/** \brief Logs that an answer ended with its connection. */
+void exchange_log_unframed_end(const struct exchange *exchange,
+                               const struct upstream_response *response);
+/**
+ * \brief Awaits proof that the backend lived on after its answer ended with its connection.
+ * \param response kept for the client, and then empty
+ */
+void exchange_await_liveness(struct exchange *exchange, struct upstream_response *response);
+/** \brief Forwards the answer if the backend is alive; otherwise the attempt has failed. */
+void exchange_on_liveness(struct exchange *exchange, enum liveness liveness);
+/** \brief Discards an answer that awaits proof; does nothing if there is none. */
+void exchange_drop_unproved(struct exchange *exchange);
+
 /* --- exchange_budget.c --- */
 
 /** \return whether the shared budget has room for a retry that the request owes, if it owes one */
--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -97,7 +97,7 @@
 {
     bool stream = exchange->route->kind == ROUTE_STREAM;
     bool may_have_crashed = reason == END_CONNECTION_BROKEN || reason == END_TRUNCATED_EVENT ||
-                            reason == END_EMPTY_STREAM;
+                            reason == END_EMPTY_STREAM || reason == END_UNFRAMED;
     if (may_have_crashed && !exchange->run_lost)
         exchange_on_run_lost(exchange, reason);
     exchange_end_attempt(exchange, result);
@@ -133,18 +133,28 @@
     exchange_retry(exchange, reason);
 }
 
+void exchange_forward_whole(struct exchange *exchange, struct upstream_response *response)
+{
+    bool succeeded = classify_answer(&response->head.properties) == ANSWER_SUCCEEDED;
+    exchange_end_attempt(exchange, succeeded ? BACKEND_SUCCEEDED : BACKEND_ERROR);
+    if (succeeded)
+        exchange_clear_suspicion(exchange);
+    forward_response(exchange, &response->message, succeeded ? END_DONE : END_BACKEND_ERROR);
+}
+
 static void on_delivered(struct exchange *exchange, struct upstream_response *response)
 {
-    if (exchange->route->kind == ROUTE_STREAM) {
-        if (!exchange->version)
-            exchange->version = response->head.version;
-        exchange_finish_stream(exchange, &response->message);
+    if (exchange->route->kind != ROUTE_STREAM && response->message.framed) {
+        exchange_forward_whole(exchange, response);
         return;
     }
-    exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
-    if (response->message.framed) /* else it may have been cut off by a crash */
-        exchange_clear_suspicion(exchange);
-    forward_response(exchange, &response->message, END_DONE);
+    if (exchange->route->kind != ROUTE_STREAM) {
+        exchange_await_liveness(exchange, response);
+        return;
+    }
+    if (!exchange->version)
+        exchange->version = response->head.version;
+    exchange_finish_stream(exchange, &response->message);
 }
 
 static void on_failed(struct exchange *exchange, struct upstream_response *response)
@@ -159,26 +169,13 @@
         exchange_retry(exchange, END_BACKEND_ERROR);
         return;
     }
-    exchange_end_attempt(exchange, BACKEND_ERROR);
-    forward_response(exchange, &response->message, END_BACKEND_ERROR);
-}
-
-/* The end of the connection ended the answer: nothing tells whether the backend meant it to. */
-static void log_unframed_end(const struct exchange *exchange,
-                             const struct upstream_response *response)
-{
-    log_event(LOG_LEVEL_INFO, "request", "unframed-end",
-              "request=%s backend=%s born=%" PRIu64 " status=%u events=%" PRIu64
-              " body_bytes=%zu sent_ms_ago=%" PRIu64,
-              exchange->head.id, exchange->backend->listing.id, exchange->backend->listing.born,
-              response->head.properties.status, exchange->events.events,
-              response->message.body_bytes, (cluster_now() - exchange->sent_at) / US_PER_MS);
+    exchange_forward_whole(exchange, response);
 }
 
 static void on_complete(struct exchange *exchange, struct upstream_response *response)
 {
     if (!response->message.framed)
-        log_unframed_end(exchange, response);
+        exchange_log_unframed_end(exchange, response);
     switch (classify_answer(&response->head.properties)) {
     case ANSWER_SUCCEEDED:
         on_delivered(exchange, response);
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -197,6 +197,7 @@
     exchange->silence_tolerated_until = 0;
     exchange->heard_after = 0;
     exchange->run_begun_at = 0;
+    exchange->unframed_end_at = 0;
     exchange->run_lost = false;
     exchange_trail_append_send(exchange, backend, now);
     if (backend->unlisted_until)
@@ -374,7 +375,7 @@
     struct edge *edge = exchange->edge;
     uint64_t now = cluster_now();
     struct backend_criteria criteria;
-    bool is_retry = exchange->upstream && upstream_is_sent(exchange->upstream);
+    bool is_retry = exchange_is_sent(exchange);
     if (is_retry &&
         !repeat_budget_allows(&exchange->service_state->budget, now, &edge->budget_share))
         return false;
--- a/src/edge/exchange_suspicion.c
+++ b/src/edge/exchange_suspicion.c
@@ -163,7 +163,9 @@
                                 .identity = identity,
                                 .parts = exchange->parts,
                                 .part_count = exchange->head.shared_part_count,
-                                .sent_at = exchange->sent_at};
+                                .sent_at = exchange->sent_at,
+                                .ended_at = exchange->unframed_end_at ? exchange->unframed_end_at
+                                                                      : cluster_now()};
     crash_watch_report_lost_run(exchange->edge, backend, &lost);
 }
 
@@ -218,7 +220,7 @@
 {
     if (!exchange_is_blocked(exchange))
         return;
-    if (exchange->upstream && upstream_is_sent(exchange->upstream))
+    if (exchange_is_sent(exchange))
         exchange->may_have_run = true;
     exchange_fail_by_run_state(exchange, END_BLOCKED);
 }
--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -61,7 +61,7 @@
 static enum install_result install_result_from_call(enum http_call_result result,
                                                     const struct http_message *message)
 {
-    if (result == CALL_CONNECT_FAILED)
+    if (result == CALL_CONNECT_FAILED || result == CALL_CONNECT_TIMED_OUT)
         return INSTALL_UNSENT;
     if (result != CALL_COMPLETE)
         return INSTALL_NO_ANSWER;
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -42,6 +42,7 @@
 {
     static const char *const names[] = {[CALL_COMPLETE] = "answered",
                                         [CALL_CONNECT_FAILED] = "connection failed",
+                                        [CALL_CONNECT_TIMED_OUT] = "connection timed out",
                                         [CALL_BROKEN] = "broken",
                                         [CALL_TIMED_OUT] = "timed out"};
     return names[result];
@@ -105,7 +106,7 @@
 static void on_timeout(uv_timer_t *timer)
 {
     struct http_caller *caller = timer->data;
-    fail_first(caller, caller->is_connected ? CALL_TIMED_OUT : CALL_CONNECT_FAILED);
+    fail_first(caller, caller->is_connected ? CALL_TIMED_OUT : CALL_CONNECT_TIMED_OUT);
 }
 
 static void on_connected(void *context, bool success)
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -11,10 +11,11 @@
 struct http_caller;
 
 enum http_call_result {
-    CALL_COMPLETE,       /**< a complete response was received; see `message` */
-    CALL_CONNECT_FAILED, /**< no connection was established: the server received nothing */
-    CALL_BROKEN,         /**< the connection broke, or the response was malformed */
-    CALL_TIMED_OUT,      /**< no complete response within the timeout */
+    CALL_COMPLETE,          /**< a complete response was received; see `message` */
+    CALL_CONNECT_FAILED,    /**< the connect was refused: the server received nothing */
+    CALL_CONNECT_TIMED_OUT, /**< no connection within the timeout: the server received nothing */
+    CALL_BROKEN,            /**< the connection broke, or the response was malformed */
+    CALL_TIMED_OUT,         /**< no complete response within the timeout */
 };
 
 /** \return a short text for logs */
