End a stream without a framing in order only once its back end is shown to live

What callers saw: an engine was killed between two events of a stream without a length or chunks, while its listening socket outlived it (a supervisor that hands it over); the next start accepted and was listed 0.4 s later. The client's stream ended as complete, with half of its events (ORDER): 6 of 6 in the trial, and system.unframed on: `200, 50 of 100 bytes`.

Cause: the same class as for plain answers. The check of streams asked for proof of death within 50 ms: a refused connect, or a later start in the list. A connect that a surviving socket accepts, one that hangs, and a list that is late give none, and the stream was taken for whole.

Ruled out: an event that was cut (the body ends between two events, `events=2`), and a check that did not run (`event=run-lost reason=unframed`, then `dismissed`).

Fix: such a stream awaits the same proof of life as a plain answer. Its events are forwarded as before; only its end waits. The 50 ms, the poll each 10 ms and the flag that a run was reported already go; the run is reported once, where life was not proved.

system.unframed: the case with a surviving socket failed before, the one with refused connects did not; now 17 of 17. system.crash_parts (an end after one event), system.streams, system.platform: passed, once. Trial unframed_answers.py: stream, stream-takeover, stream-takeover-slow 18 of 18 cut, visibly; lives 6 of 6 whole, 0 to 1 ms after the end.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -96,8 +96,6 @@
         time = exchange->wait_until;
     if (exchange->state == EXCHANGE_WAITING && exchange->recheck_at && exchange->recheck_at < time)
         time = exchange->recheck_at;
-    if (exchange->end_checked_since && cluster_now() + CRASH_CHECK_POLL_US < time)
-        time = cluster_now() + CRASH_CHECK_POLL_US;
     return time;
 }
 
@@ -188,12 +186,6 @@
         on_deadline(exchange);
         return;
     }
-    if (exchange->end_checked_since) {
-        struct edge *edge = exchange->edge;
-        exchange_recheck_end(exchange);
-        exchange_dispatch_queued(edge);
-        return;
-    }
     bool is_recheck_due = exchange->recheck_at && now >= exchange->recheck_at;
     if (exchange->state == EXCHANGE_WAITING && (is_recheck_due || now >= exchange->wait_until)) {
         exchange_dispatch(exchange);
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -29,7 +29,6 @@
     END_CONNECTION_BROKEN, /**< the connection broke, or the bytes were no valid response */
     END_TRUNCATED_EVENT,   /**< the body was complete, but ended within an event */
     END_EMPTY_STREAM,      /**< the stream ended with its connection, before the first event */
-    END_UNFRAMED_STREAM,   /**< the stream ended with its connection, between two events */
     END_UNFRAMED, /**< the answer ended with its connection, and its backend was not shown to have
                      lived on */
     END_NO_SEAL,  /**< the response lacks the backend's seal */
@@ -122,10 +121,8 @@
     uint64_t unframed_end_at; /* the answer of the current run ended with its connection; 0: no */
     struct liveness_check *liveness_check; /* that the end of the answer awaits; NULL: none */
     struct exchange *next_awaiting_liveness;
-    struct upstream_response *unproved_response; /* that awaits it; NULL: none */
-    uint64_t end_checked_since; /* its stream ended with its connection; since then it is checked
-                                   whether the backend ended, too; 0: it is not */
-    bool run_lost;              /* the end of the current run was reported */
+    struct upstream_response *unproved_response; /* that awaits it; NULL: none, or a stream, whose
+                                                    events are forwarded already */
 };
 
 /* --- exchange.c --- */
@@ -278,9 +275,8 @@
 void exchange_forward_events(struct exchange *exchange, struct http_message *message);
 /** \brief Completes a stream whose body has ended, or handles that it was cut off. */
 void exchange_finish_stream(struct exchange *exchange, struct http_message *message);
-/** \brief Completes a stream that ended with its connection, once it is known that its backend
- * lives; otherwise retries. */
-void exchange_recheck_end(struct exchange *exchange);
+/** \brief Ends the request, whose stream is known to be whole. */
+void exchange_complete_stream(struct exchange *exchange);
 
 /* --- exchange_unframed.c --- */
 
@@ -289,7 +285,7 @@
                                const struct upstream_response *response);
 /**
  * \brief Awaits proof that the backend lived on after its answer ended with its connection.
- * \param response kept for the client, and then empty
+ * \param response kept for the client, and then empty; NULL: a stream, whose events are forwarded
  */
 void exchange_await_liveness(struct exchange *exchange, struct upstream_response *response);
 /** \brief Forwards the answer if the backend is alive; otherwise the attempt has failed. */
--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -98,7 +98,7 @@
     bool stream = exchange->route->kind == ROUTE_STREAM;
     bool may_have_crashed = reason == END_CONNECTION_BROKEN || reason == END_TRUNCATED_EVENT ||
                             reason == END_EMPTY_STREAM || reason == END_UNFRAMED;
-    if (may_have_crashed && !exchange->run_lost)
+    if (may_have_crashed)
         exchange_on_run_lost(exchange, reason);
     exchange_end_attempt(exchange, result);
     exchange->may_have_run = true;
@@ -142,14 +142,19 @@
     forward_response(exchange, &response->message, succeeded ? END_DONE : END_BACKEND_ERROR);
 }
 
-static void on_delivered(struct exchange *exchange, struct upstream_response *response)
+/* The whole answer was received, as far as its framing tells. */
+static void on_ended_answer(struct exchange *exchange, struct upstream_response *response)
 {
-    if (exchange->route->kind != ROUTE_STREAM && response->message.framed) {
+    if (response->message.framed)
         exchange_forward_whole(exchange, response);
-        return;
-    }
-    if (exchange->route->kind != ROUTE_STREAM) {
+    else
         exchange_await_liveness(exchange, response);
+}
+
+static void on_delivered(struct exchange *exchange, struct upstream_response *response)
+{
+    if (exchange->route->kind != ROUTE_STREAM) {
+        on_ended_answer(exchange, response);
         return;
     }
     if (!exchange->version)
--- a/src/edge/exchange_send.c
+++ b/src/edge/exchange_send.c
@@ -198,7 +198,6 @@
     exchange->heard_after = 0;
     exchange->run_begun_at = 0;
     exchange->unframed_end_at = 0;
-    exchange->run_lost = false;
     exchange_trail_append_send(exchange, backend, now);
     if (backend->unlisted_until)
         log_unlisted(exchange, backend, now);
--- a/src/edge/exchange_stream.c
+++ b/src/edge/exchange_stream.c
@@ -1,14 +1,11 @@
 /* Streams: forwards their events to the client, and decides whether one that ended is whole. */
 #include "base/metrics.h"
-#include "edge/crash_watch.h"
 #include "edge/exchange_internal.h"
 
 /** A run that sends events for this long does not crash its backend by a part of its prompt. */
 #define PART_SOUND_RUN_US 300000
 /** A run clears the parts of its prompt at most this often. */
 #define PART_SOUND_INTERVAL_US 100000
-/** A backend that crashes as it closes a connection has closed the others by then. */
-#define END_CHECK_MIN_US 50000
 
 static void begin_stream(struct exchange *exchange, struct http_message *message)
 {
@@ -50,7 +47,7 @@
     buffer_clear(&events);
 }
 
-static void complete_stream(struct exchange *exchange)
+void exchange_complete_stream(struct exchange *exchange)
 {
     struct edge_client *client = exchange->client;
     if (!exchange->resuming)
@@ -65,30 +62,6 @@
     edge_client_stream_end(client);
 }
 
-/* A stream without a framing ends with its connection, as it does when its backend crashes between
- * two events. Whether the backend lives shows soon. */
-static void begin_end_check(struct exchange *exchange)
-{
-    exchange_on_run_lost(exchange, END_UNFRAMED_STREAM);
-    exchange->end_checked_since = cluster_now();
-    exchange_arm_timer(exchange);
-}
-
-void exchange_recheck_end(struct exchange *exchange)
-{
-    if (cluster_now() < exchange->end_checked_since + END_CHECK_MIN_US ||
-        crash_watch_is_checking(exchange->edge, exchange->backend)) {
-        exchange_arm_timer(exchange);
-        return;
-    }
-    bool has_ended = exchange->backend->presumed_down_until > exchange->end_checked_since;
-    exchange->end_checked_since = 0;
-    if (has_ended)
-        exchange_on_attempt_failed(exchange, BACKEND_BROKEN, END_CONNECTION_BROKEN);
-    else
-        complete_stream(exchange);
-}
-
 void exchange_finish_stream(struct exchange *exchange, struct http_message *message)
 {
     exchange_forward_events(exchange, message);
@@ -104,7 +77,7 @@
     if (!exchange->streaming)
         begin_stream(exchange, message);
     if (message->framed)
-        complete_stream(exchange);
+        exchange_complete_stream(exchange);
     else
-        begin_end_check(exchange);
+        exchange_await_liveness(exchange, NULL);
 }
--- a/src/edge/exchange_suspicion.c
+++ b/src/edge/exchange_suspicion.c
@@ -149,7 +149,7 @@
     char hex[REQUEST_IDENTITY_HEX_SIZE], parts[PARTS_TEXT_SIZE];
     request_identity_to_hex(identity, hex);
     write_parts(&exchange->head, parts);
-    metric_add(METRIC_RUNS_LOST, reason != END_UNFRAMED_STREAM);
+    metric_add(METRIC_RUNS_LOST, 1);
     log_event(LOG_LEVEL_WARN, "request", "run-lost",
               "request=%s identity=%s parts=%s reason=%s backend=%s born=%" PRIu64
               " events=%" PRIu64 " sends=%u sent_ms_ago=%" PRIu64 " others_here=%u",
@@ -157,7 +157,6 @@
               backend->listing.born, exchange->events.events, exchange->sends,
               (cluster_now() - exchange->sent_at) / US_PER_MS, backend->in_flight - 1);
     exchange->suspected = true;
-    exchange->run_lost = true;
     identify_parts(exchange);
     struct lost_request lost = {.id = exchange->head.id,
                                 .identity = identity,
--- a/src/edge/exchange_unframed.c
+++ b/src/edge/exchange_unframed.c
@@ -53,7 +53,8 @@
 
 void exchange_await_liveness(struct exchange *exchange, struct upstream_response *response)
 {
-    exchange->unproved_response = keep_response(response);
+    if (response)
+        exchange->unproved_response = keep_response(response);
     exchange->unframed_end_at = cluster_now();
     liveness_check_join(exchange);
     exchange_arm_timer(exchange);
@@ -63,6 +64,10 @@
 {
     struct upstream_response *response = exchange->unproved_response;
     exchange->unproved_response = NULL;
+    if (!response) {
+        exchange_complete_stream(exchange);
+        return;
+    }
     exchange_forward_whole(exchange, response);
     free_response(response);
 }
