Forward a failure without a length only once its back end is shown to live

What callers saw: an engine was killed within the body of a failure of its own that has no length.

Cause: as for successes, the orderly end of the connection was taken for the end of the answer; a failure that is not tried again went out in `on_failed` at once.

Fix: it awaits the same proof. Without it the run is lost: 502 without the seal, or another back end if the request may be repeated. A failure that is tried again elsewhere anyway needs no proof, nor does an answer that says by its head that the request was not run: the head is whole.

--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -174,7 +174,7 @@
         exchange_retry(exchange, END_BACKEND_ERROR);
         return;
     }
-    exchange_forward_whole(exchange, response);
+    on_ended_answer(exchange, response);
 }
 
 static void on_complete(struct exchange *exchange, struct upstream_response *response)
--- a/tests/system/unframed_test.py
+++ b/tests/system/unframed_test.py
@@ -4,7 +4,7 @@
 Failure: a back end was killed while it sent an answer that has no length. Its kernel closed the connection in order,
 and the gateway took that for the end of the answer: the client got 200, the seal of the back end, and half a body
 with a length that fitted it. Streams were checked for the death of their back end within 50 ms, which a listening
-socket that outlives its process hides.
+socket that outlives its process hides; failures with a seal were not checked.
 Evidence: the gateway's log lines `event=unframed-end` with `body_bytes` below what the back end meant to send, and a
 later start of the back end at the same address.
 """
@@ -245,6 +245,11 @@
         self.end()
         self.assert_not_taken_for_whole(caller)
 
+    def test_a_failure_that_a_crash_cut_off_is_not_the_failure_of_the_back_end(self):
+        caller = self.ask_half("POST", "/put/half/failure")
+        self.end()
+        self.assert_not_taken_for_whole(caller)
+
 
 class ListenerOutlives(Kills):
     """The process is killed, but connects are accepted; the next start answers them."""
