Soak: answers without a length, and back ends that end like killed processes

The stand-in answers health checks. The draws of other options and the checks are as before.

Starts under an id that is used again reset their connections: health answers name the id alone, so a proof of life cannot tell such starts apart.

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -32,6 +32,8 @@
 CLOSE_BEFORE_CRASH_S = 0.005
 # A put that gets no answer is executed after this time at the latest.
 HELD_PUT_S = 8.0
+# Between the two halves of a plain answer without a length.
+UNFRAMED_PAUSE_S = 0.03
 
 
 def stream_event(number):
@@ -70,6 +72,14 @@
         pass  # closed already
 
 
+def close_in_order(connection):
+    """Closes a connection that another thread uses, as the kernel does for a process that has ended."""
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass  # closed already
+
+
 class Link:
     """The link between a back end and its clients. Each request and each write of an answer may be delayed by it;
     nothing is lost."""
@@ -329,6 +339,9 @@
         self.running = set()  # (connection, request id) of the streams in progress
         self.last_streams = {}  # open connection -> id of its last stream
         self.aborted_streams = []  # ids of the streams that it ended before they were complete
+        self.unframed_every = 0  # one answer of so many has no length and no chunks; 0: none
+        self.answer_count = 0
+        self.closes_in_order = False  # its end closes its connections in order, as the end of a process does
         self.shutting_down = False  # resetting its connections; a stream that starts on one meanwhile is aborted too
         self.crashing_bodies = set()  # of requests that crash the engine soon after their start
         self.crash_times = {}  # body of such a request -> s to the crash, during its stream
@@ -425,13 +438,18 @@
         self.close_connections()
 
     def close_connections(self):
+        if self.closes_in_order:
+            self.server.socket.shutdown(socket.SHUT_RDWR)  # refuses connections from now on
         self.server.shutdown()
         self.server.server_close()
         with self.lock:  # a reset also drops what was written but not yet sent
             self.shutting_down = True
             self.aborted_streams.extend(self.last_streams.values())
         for connection in list(self.connections):
-            reset_connection(connection)
+            if self.closes_in_order:
+                close_in_order(connection)
+            else:
+                reset_connection(connection)
 
     def crash_on_request(self, body):
         """A request crashes the engine after CRASH_AFTER_S; the engine restarts under the same id."""
@@ -507,6 +525,11 @@
             self.alive = True
         self.publish_entry()
 
+    def is_next_unframed(self):
+        with self.lock:
+            self.answer_count += 1
+            return self.unframed_every > 0 and self.answer_count % self.unframed_every == 0
+
     def next_fault(self):
         with self.lock:
             return self.faults.pop(0) if self.faults else None
@@ -649,12 +672,20 @@
                              "waiting_requests": 0,
                              "running_requests": len(owner.running), "kv_cache_used": 0,
                              "kv_cache_total": 1000, "handles": 0})
+        elif path == "/health":
+            self.answer_health_check()
         elif path.startswith("/api/stage-get/"):
             data = owner.staged.get(int(query["sample_count"]))
             self.reply(200, data) if data is not None else self.reply(404)
         else:
             self.run()
 
+    def answer_health_check(self):
+        if self.owner.alive:
+            self.reply(503 if self.owner.leaving else 200, b"", [("Shuntrun-Instance-Id", self.owner.identity)])
+        else:
+            self.reset()  # its connections are being closed one after the other
+
     def do_PUT(self):
         _, query = self.split_path()
         number, data = int(query["sample_count"]), self.read_body()
@@ -735,9 +766,22 @@
             self.reply(200, self.payload(body), echo + self.seal())
         elif self.path.startswith("/stream/"):
             self.stream(echo, fault)
+        elif owner.is_next_unframed():
+            self.reply_unframed(self.payload(body), echo + self.seal())
         else:
             self.reply(200, self.payload(body), echo + self.seal())
 
+    def reply_unframed(self, body, headers):
+        """An answer that ends with its connection."""
+        self.send_response(200)
+        for name, value in headers + [("Connection", "close")]:
+            self.send_header(name, value)
+        self.end_headers()
+        half = len(body) // 2
+        self.wfile.write(body[:half])
+        time.sleep(UNFRAMED_PAUSE_S)
+        self.wfile.write(body[half:])
+
     def shared_parts(self):
         """The ids of the parts of the prompt, without the last one."""
         parts = self.headers.get("Shuntrun-Prompt-Prefix", "").split(",")
@@ -765,7 +809,11 @@
         if fault == "late":
             time.sleep(PAUSE_S)
         first = int(self.headers.get("Last-Event-Id") or 0) + 1
-        self.send_stream_head(echo, ("Transfer-Encoding", "chunked"))
+        unframed = fault is None and self.owner.is_next_unframed()
+        if unframed:
+            self.begin_unframed_stream(echo)
+        else:
+            self.send_stream_head(echo, ("Transfer-Encoding", "chunked"))
         _, query = self.split_path()
         gap_s = float(query["gap_ms"]) / 1000 if "gap_ms" in query else self.owner.event_gap_s
         for number in range(first, int(query.get("events", STREAM_EVENTS)) + 1):
@@ -780,7 +828,7 @@
                 self.owner.aborted_streams.append(echo[0][1])
                 self.reset()
                 return
-            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.write(event if unframed else b"%x\r\n%s\r\n" % (len(event), event))
             gap = 0.15 if fault == "slow" else gap_s
             if gap:
                 time.sleep(gap)
@@ -795,7 +843,8 @@
                     self.close_connection = True
                     return
                 self.connection.settimeout(None)
-        self.wfile.write(b"0\r\n\r\n")
+        if not unframed:
+            self.wfile.write(b"0\r\n\r\n")
 
 
 class Unreachable:
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -43,6 +43,8 @@
   --statements   back ends that announce in their answers that they leave, or ask for a backoff
   --limits       back ends that state a rate limit in their answers for a while
   --restores     a store that comes back from an older copy; what it lost is written again soon
+  --unframed     back ends one answer in three of which has no length and no chunks, and that end like killed processes,
+                 whose connections are closed in order
   --large        more edges and engines
   --links        links to back ends that stall or are slow for a while, or reset all connections
   --range N      the addresses of edges and back ends are those of range N; without it, the seed draws the range:
@@ -52,7 +54,7 @@
 
 usage: soak.py --build DIR --work DIR [--seeds A..B|A,B] [--seconds S] [--only N,N] [--crashing]
                [--crashing-parts] [--gateway-ends]
-               [--crash-times] [--statements] [--links] [--leaving] [--limits] [--restores] [--large] [--range N]
+               [--crash-times] [--statements] [--links] [--leaving] [--limits] [--restores] [--unframed] [--large] [--range N]
 """
 import argparse
 import json
@@ -97,6 +99,8 @@
 COPY_AGE_S = (0.5, 4.0)
 AWAY_S = (0.2, 1.0)
 REWRITE_AFTER_S = (0.5, 2.5)  # from a restore until what it lost is written again
+UNFRAMED_EVERY = 3
+UNFRAMED_GAP_S = (0.4, 1.2)  # between two ends that close connections in order
 PROBED_VERSIONS = 6  # configurations whose probe routes the newest one still has
 LARGE_EDGES = 12
 LARGE_ENGINES = 24
@@ -130,6 +134,7 @@
         self.with_restores = options.restores
         self.with_crashing_parts = options.crashing_parts
         self.with_gateway_ends = options.gateway_ends
+        self.with_unframed = options.unframed
         self.repeat_ratio, self.repeat_allowance = SMALL_REPEAT_BUDGET if options.gateway_ends else REPEAT_BUDGET
         self.crashing_part_callers = []
         self.crashing_parts = {}  # part that crashes engines -> how the connection ends
@@ -190,6 +195,8 @@
             self.draw_limits(schedule)
         if self.with_restores:
             self.draw_restores(schedule)
+        if self.with_unframed:
+            self.draw_ends_in_order(schedule)
         schedule.sort(key=lambda fault: fault["at"])
         with open(os.path.join(self.work, "schedule.json"), "w") as stream:
             json.dump(schedule, stream, indent=1)
@@ -283,6 +290,15 @@
                              "which": rng.randrange(1000), "for_s": 0})
             at += rng.uniform(*RESTORE_GAP_S)
 
+    def draw_ends_in_order(self, schedule):
+        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
+        rng = random.Random("ends in order %d" % self.seed)
+        at = 1.0
+        while at < self.seconds:
+            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "end_in_order",
+                             "which": rng.randrange(1000), "for_s": 0})
+            at += rng.uniform(*UNFRAMED_GAP_S)
+
     # --- cluster
 
     def start_backend(self, address, service, version=None):
@@ -294,6 +310,9 @@
         backend.crashing_bodies = self.crashing_bodies
         backend.crash_times = self.crash_times
         backend.crashing_parts = self.crashing_parts
+        if self.with_unframed:
+            backend.unframed_every = UNFRAMED_EVERY
+            backend.closes_in_order = True
         self.backend_starts.append(backend)
         self.live[backend.address] = backend
 
@@ -421,11 +440,24 @@
 
     def restart_backend(self, backend):
         with self.replacing:
+            # Of starts under one id only `born` tells one from the other, which health answers do not name.
+            backend.closes_in_order = False
             if self.end_live(backend):
                 self.leaving_since.pop(backend.identity, None)
                 self.add_backend(standin.Backend(backend.address, backend.identity, self.store,
                                                  backend.service))
 
+    def fault_end_in_order(self, fault):
+        """A plain back end ends, and one with a new id starts at its address at once."""
+        plain = [backend for backend in self.backends_of_service("records")
+                 if backend.identity not in self.leaving_since]
+        if len(plain) < 2:
+            return  # one has to serve
+        backend = plain[fault["which"] % len(plain)]
+        self.leaving_since[backend.identity] = float("inf")  # no request can start there
+        self.run_after(SERVING_AFTER_LEAVE_S, backend.leave)
+        self.replace_backend(backend)
+
     def fault_limit(self, fault):
         self.limit(self.pick_any_backend(fault), fault)
 
@@ -476,7 +508,9 @@
             backend.start_backoff(fault["for_s"])
 
     def backends_of_one_service(self, fault):
-        service = ("llm", "records")[fault["which"] % 2]
+        return self.backends_of_service(("llm", "records")[fault["which"] % 2])
+
+    def backends_of_service(self, service):
         return [backend for backend in self.live.values() if backend.service == service]
 
     def pick_any_backend(self, fault):
@@ -795,6 +829,8 @@
                         help="add back ends that state a rate limit")
     parser.add_argument("--restores", action="store_true",
                         help="add restores of the store from an older copy")
+    parser.add_argument("--unframed", action="store_true",
+                        help="add answers without a length, and back ends that close connections in order as they end")
     parser.add_argument("--large", action="store_true", help="more edges and engines")
     parser.add_argument("--range", type=int, choices=range(ADDRESS_RANGES),
                         help="range of the addresses; default: by the seed")
