Gateway and agent: a response that ends with its connection is not complete

A service that crashes within its answer then gives a success with a cut body, for calls that must not repeat.

There is no health check with an id on this way, and our own services and nodes all send a length or chunks.

Fix: such a response is HTTP_BROKEN; the call may have run. Receivers of `on_data` (tokens of an engine) know their end by its line and are not affected. That a run did not begin is still read from the head alone.

--- a/src/agent/agent_traffic.c
+++ b/src/agent/agent_traffic.c
@@ -132,9 +132,7 @@
 /* Whether the run certainly did not start: nothing was sent, or the back end says so in X-Note. */
 static bool known_not_started(struct http_response *response)
 {
-    if (response->result == HTTP_NOT_SENT)
-        return true;
-    return response->result == HTTP_COMPLETE && strcmp(response->note, "not-run") == 0;
+    return response->result == HTTP_NOT_SENT || strcmp(response->note, "not-run") == 0;
 }
 
 static void on_engine_done(void *context, struct http_response *response)
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -13,6 +13,9 @@
 
 #define CONNECT_TIMEOUT_MS 1000L
 #define DEFAULT_TICK_US 50000
+/** Statuses of responses without a body. */
+#define HTTP_NO_CONTENT 204
+#define HTTP_NOT_MODIFIED 304
 
 struct posted_call {
     ck_stack_entry_t link;
@@ -40,6 +43,7 @@
     char note[32];
     uint64_t last_byte_us;
     bool over_limit;
+    bool framed; /* a length or chunks delimit the body of the response */
     struct transfer *next;
 };
 
@@ -184,6 +188,11 @@
     return size;
 }
 
+static bool begins_with(const char *line, const char *name)
+{
+    return strncasecmp(line, name, strlen(name)) == 0;
+}
+
 static size_t on_header(char *data, size_t unit, size_t count, void *context)
 {
     static const char retry_after[] = "Retry-After:";
@@ -192,9 +201,13 @@
     size_t size = unit * count;
     char line[96];
     snprintf(line, sizeof line, "%.*s", (int)(size < 95 ? size : 95), data);
-    if (strncasecmp(line, retry_after, sizeof retry_after - 1) == 0)
+    if (begins_with(line, "HTTP/")) /* an interim response may have come before */
+        transfer->framed = false;
+    if (begins_with(line, "Content-Length:") || begins_with(line, "Transfer-Encoding:"))
+        transfer->framed = true;
+    if (begins_with(line, retry_after))
         transfer->retry_after_ms = (uint32_t)(strtod(line + sizeof retry_after - 1, NULL) * 1000);
-    if (strncasecmp(line, note, sizeof note - 1) == 0)
+    if (begins_with(line, note))
         sscanf(line + sizeof note - 1, " %31s", transfer->note);
     transfer->last_byte_us = clock_monotonic_us();
     return size;
@@ -285,6 +298,16 @@
     return unsent ? HTTP_NOT_SENT : HTTP_BROKEN;
 }
 
+/* The end of a connection ends a response without a framing, as it does when the server crashes.
+ * Receivers of `on_data` know from the data whether they are complete. */
+static bool may_be_cut_off(const struct transfer *transfer)
+{
+    long status = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+    bool has_body = status != HTTP_NO_CONTENT && status != HTTP_NOT_MODIFIED;
+    return has_body && !transfer->framed && !transfer->call.on_data;
+}
+
 uint8_t *http_response_take_body(struct http_response *response)
 {
     uint8_t *body = response->body;
@@ -319,8 +342,11 @@
             continue;
         struct transfer *transfer;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, (char **)&transfer);
-        end_transfer(loop, transfer, result_from_curl(message->data.result),
-                     curl_easy_strerror(message->data.result));
+        enum http_result result = result_from_curl(message->data.result);
+        if (result == HTTP_COMPLETE && may_be_cut_off(transfer))
+            end_transfer(loop, transfer, HTTP_BROKEN, "the response has no length");
+        else
+            end_transfer(loop, transfer, result, curl_easy_strerror(message->data.result));
     }
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -43,7 +43,8 @@
 enum http_result {
     HTTP_COMPLETE, /**< a complete response was received; see `status` */
     HTTP_NOT_SENT, /**< no request was sent: the server received nothing */
-    HTTP_BROKEN,   /**< broken, stalled or timed out after something was sent */
+    HTTP_BROKEN,   /**< broken, stalled or timed out after something was sent, or without a framing
+                      that shows whether the body is complete */
 };
 
 /** Result of one request; valid during `on_done` only. */
