Stand-in: a reset of a connection that another thread uses is a reset

The stand-in set SO_LINGER and shut the connection down: the client saw an orderly end first, and the reset only when the handler's thread had closed the socket.

Now a connect to AF_UNSPEC resets the connection at once (man 2 connect); checked on a socket: the client reads what was sent, then "connection reset by peer".

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -4,6 +4,7 @@
 connection.
 """
 import base64
+import ctypes
 import hashlib
 import http.server
 import json
@@ -63,13 +64,14 @@
         pass  # connections are broken on purpose
 
 
+LIBC = ctypes.CDLL(None)
+UNSPECIFIED_ADDRESS = bytes(16)  # a struct sockaddr of the family AF_UNSPEC
+
+
 def reset_connection(connection):
-    """Resets a connection that another thread uses: its next write fails."""
-    try:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        connection.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass  # closed already
+    """Resets a connection that another thread uses: its next write fails. A shutdown would close it in order first, and
+    an answer without a length would look whole; a connect to no address resets it (man 2 connect)."""
+    LIBC.connect(connection.fileno(), UNSPECIFIED_ADDRESS, len(UNSPECIFIED_ADDRESS))
 
 
 def close_in_order(connection):
@@ -341,7 +343,7 @@
         self.aborted_streams = []  # ids of the streams that it ended before they were complete
         self.unframed_every = 0  # one answer of so many has no length and no chunks; 0: none
         self.answer_count = 0
-        self.closes_in_order = False  # its end closes its connections in order, as the end of a process does
+        self.closes_in_order = False  # its end for good closes its connections in order, as the end of a process does
         self.shutting_down = False  # resetting its connections; a stream that starts on one meanwhile is aborted too
         self.crashing_bodies = set()  # of requests that crash the engine soon after their start
         self.crash_times = {}  # body of such a request -> s to the crash, during its stream
@@ -431,22 +433,22 @@
             reset_connection(connection)
 
     def crash(self):
-        """Ends at once and does not restart: connections are reset, new ones refused."""
+        """Ends at once and does not restart: connections are reset or closed in order, new ones refused."""
         with self.lock:
             self.alive = False
             self.will_restart = False
-        self.close_connections()
+        self.close_connections(self.closes_in_order)
 
-    def close_connections(self):
-        if self.closes_in_order:
-            self.server.socket.shutdown(socket.SHUT_RDWR)  # refuses connections from now on
+    def close_connections(self, in_order=False):
+        if in_order:
+            close_in_order(self.server.socket)  # refuses connections from now on
         self.server.shutdown()
         self.server.server_close()
         with self.lock:  # a reset also drops what was written but not yet sent
             self.shutting_down = True
             self.aborted_streams.extend(self.last_streams.values())
         for connection in list(self.connections):
-            if self.closes_in_order:
+            if in_order:
                 close_in_order(connection)
             else:
                 reset_connection(connection)
