What a back end says of itself in a health check binds

The checks of liveness are answered with the same header fields as requests: that the back end leaves, wants a backoff, is cold, states a rate limit. An answer to a health check was read for its id alone, so a back end that told a gateway in it that it leaves still got requests.

--- a/src/edge/liveness_check.c
+++ b/src/edge/liveness_check.c
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "edge/backend_feedback.h"
 #include "edge/exchange_internal.h"
 #include "net/http_caller.h"
 
@@ -109,8 +110,10 @@
     struct liveness_check *check = context;
     const char *id = check->backend->listing.id;
     struct response_head head = {0};
-    if (message)
+    if (message) {
         platform_read_response(message, &head);
+        backend_feedback_from_response(check->edge, check->backend, &head, check->asked_at);
+    }
     enum liveness liveness = liveness_from_probe(probe_result_of(result), id, head.instance);
     log_event(LOG_LEVEL_INFO, "backend", "health",
               "id=%s born=%" PRIu64 " result=\"%s\" status=%u answered_by=%s asked_ms_ago=%" PRIu64
--- a/tests/system/process_backend.py
+++ b/tests/system/process_backend.py
@@ -6,8 +6,8 @@
 process, or -1: it opens one of its own. It writes a line for each step to standard output, and reads orders from
 standard input:
 
-  health answer|hold|reject   what it does with health checks: answers (also those held before), holds them, or
-                              rejects them as it is full, without its id
+  health answer|hold|reject|leave  what it does with health checks: answers (also those held before), holds them, rejects
+                              them as it is full, without its id, or answers that it leaves
   finish                      sends the rest of all answers that are held
 
 By its path, an answer is whole at once, held after its first half (/half) or before its end (/late), a stream
@@ -53,10 +53,10 @@
         os._exit(0)  # the test has ended
 
     def await_health(self):
-        """Returns whether the health check is answered; waits while they are held."""
+        """Returns what to do with a health check; waits while they are held."""
         with self.changed:
             self.changed.wait_for(lambda: self.health != "hold")
-            return self.health == "answer"
+            return self.health
 
     def hold(self, identity):
         with self.changed:
@@ -91,13 +91,15 @@
 
     def answer_health(self):
         tell("health")
-        is_healthy = CONTROL.await_health()
-        self.send_response(200 if is_healthy else 503)
+        health = CONTROL.await_health()
+        self.send_response(200 if health == "answer" else 503)
         self.send_header("Content-Length", "0")
-        if is_healthy:
-            self.send_header("Shuntrun-Instance-Id", sys.argv[3])
-        else:
+        if health == "reject":
             self.send_header("Shuntrun-Not-Executed", "1")
+        else:
+            self.send_header("Shuntrun-Instance-Id", sys.argv[3])
+        if health == "leave":
+            self.send_header("Server-Leaving", "1")
         self.end_headers()
 
     def run(self):
--- a/tests/system/unframed_test.py
+++ b/tests/system/unframed_test.py
@@ -281,6 +281,13 @@
         self.backend.order("health answer")
         self.assert_whole(caller)
 
+    def test_a_back_end_that_says_in_a_health_check_that_it_leaves_gets_nothing_more(self):
+        self.backend.order("health leave")
+        self.assert_whole(Caller("POST", "/put/1"))
+        caller = Caller("POST", "/put/2")
+        caller.join()
+        self.assertEqual((caller.error, caller.status), (None, 503))
+
     def test_a_repeatable_request_without_proof_goes_to_another_back_end(self):
         caller = self.ask_unproved("GET", "/get/1")
         other = self.start_backend(1)
