Health checks that show nothing are sent again ever more seldom

They now come 50, 100, ... 800 ms after the last result, each rounded up to the tick; a result that shows something begins anew.

--- a/src/edge/liveness_check.c
+++ b/src/edge/liveness_check.c
@@ -14,6 +14,9 @@
 #define HEALTH_TIMEOUT_MS 2000
 /** Bytes of a health answer's body, which is not used. */
 #define HEALTH_BODY_LIMIT 65536
+/** Pause after a health check that showed nothing; it doubles, as a full backend rejects them. */
+#define MIN_PAUSE_US 50000
+#define MAX_PAUSE_US 800000
 /** Time for which the connection is kept for the next health check. */
 #define KEEP_CONNECTION_US 1000000
 
@@ -25,6 +28,8 @@
     struct exchange *waiting; /* first of them */
     bool asking;              /* a health check has no result yet */
     uint64_t asked_at;        /* when the latest one was sent */
+    uint64_t answered_at;     /* when the latest result came */
+    uint64_t pause_us;        /* from then to the next one; 0: it showed something */
     struct liveness_check *next;
 };
 
@@ -102,6 +107,13 @@
     }
 }
 
+static void pause_checks(struct liveness_check *check)
+{
+    check->pause_us = check->pause_us ? 2 * check->pause_us : MIN_PAUSE_US;
+    if (check->pause_us > MAX_PAUSE_US)
+        check->pause_us = MAX_PAUSE_US;
+}
+
 static void ask(struct liveness_check *check);
 
 static void on_health(void *context, enum http_call_result result,
@@ -122,15 +134,20 @@
               head.properties.status, head.instance[0] ? head.instance : "-",
               (cluster_now() - check->asked_at) / US_PER_MS, liveness_name(liveness));
     check->asking = false;
-    if (liveness == LIVENESS_UNKNOWN)
-        return; /* the next tick asks again */
+    check->answered_at = cluster_now();
+    if (liveness == LIVENESS_UNKNOWN) {
+        pause_checks(check);
+        return; /* a tick asks again */
+    }
+    check->pause_us = 0;
     resolve(check, liveness, check->asked_at);
     ask(check);
 }
 
 static void ask(struct liveness_check *check)
 {
-    if (check->asking || !check->waiting)
+    uint64_t now = cluster_now();
+    if (check->asking || !check->waiting || now < check->answered_at + check->pause_us)
         return;
     struct http_caller_request request = {
         .method = "GET",
@@ -141,7 +158,7 @@
         .context = check,
     };
     check->asking = true;
-    check->asked_at = cluster_now();
+    check->asked_at = now;
     metric_add(METRIC_HEALTH_CHECKS, 1);
     http_caller_send(check->caller, &request);
 }
@@ -181,7 +198,7 @@
         end_if_succeeded(check, now);
         ask(check);
         next = check->next;
-        if (!check->asking && now > check->asked_at + KEEP_CONNECTION_US)
+        if (!check->waiting && !check->asking && now > check->asked_at + KEEP_CONNECTION_US)
             destroy_check(check);
     }
 }
