Soak: the schedule of faults in a module of its own; a name in the check of liveness

`end_if_succeeded` read as if something had been successful: it ends a check when a successor is listed at the address, and says `event=successor-listed`.

--- a/src/edge/liveness_check.c
+++ b/src/edge/liveness_check.c
@@ -181,13 +181,13 @@
 }
 
 /* A later start that is listed at the address proves the end, also while it answers nothing. */
-static void end_if_succeeded(struct liveness_check *check, uint64_t now)
+static void end_if_successor_is_listed(struct liveness_check *check, uint64_t now)
 {
     const struct backend *current =
         backend_pool_find_address(check->edge->pool, check->backend->listing.address);
     if (!check->waiting || !current || current == check->backend)
         return;
-    log_event(LOG_LEVEL_INFO, "backend", "succeeded", "id=%s by=%s address=%s",
+    log_event(LOG_LEVEL_INFO, "backend", "successor-listed", "id=%s by=%s address=%s",
               check->backend->listing.id, current->listing.id, current->listing.address);
     resolve(check, LIVENESS_ENDED, now);
 }
@@ -195,7 +195,7 @@
 void liveness_check_tick(struct edge *edge, uint64_t now)
 {
     for (struct liveness_check *check = edge->liveness_checks, *next; check; check = next) {
-        end_if_succeeded(check, now);
+        end_if_successor_is_listed(check, now);
         ask(check);
         next = check->next;
         if (!check->waiting && !check->asking && now > check->asked_at + KEEP_CONNECTION_US)
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -70,6 +70,7 @@
 import platform_test as platform  # noqa: E402
 import soak_checks as checks  # noqa: E402
 import soak_clients as clients  # noqa: E402
+import soak_schedule as schedule  # noqa: E402
 
 SERVING_AFTER_LEAVE_S = 3.0  # a back end that leaves serves for this long
 RECOVERY_S = 12.0  # bound required by the platform
@@ -77,30 +78,13 @@
 CLIENTS = 8
 LONG_STREAM_CLIENTS = 4
 TRAP_PORT = 8106  # of the addresses in invalid entries; each entry has its own address
-FAULT_GAP_S = (0.3, 1.2)
-CRASHING_GAP_S = (2.0, 5.0)  # between the first arrivals of two requests that crash engines
-PART_GAP_S = (5.0, 9.0)  # the same for parts of prompts
-PART_ENDS = ("reset", "head", "torn")  # how the connection of such a request ends, see Backend.crash_on_part()
-GATEWAY_ENDS_GAP_S = (1.2, 3.5)  # between two ends of all edges
 # Ratio and allowance of the repeat budget in the settings of edges: usually, and with --gateway-ends.
 REPEAT_BUDGET = (0.5, 1000)
 SMALL_REPEAT_BUDGET = (0.002, 6)
 RESETS = 300  # times five requests: more than a back end gets in that time
-STATEMENT_GAP_S = (0.4, 1.5)  # between two announcements (leaving, backoff) by back ends
-LINK_GAP_S = (0.8, 2.5)  # between two link faults
-LEAVING_GAP_S = (0.8, 2.0)  # between two late entries or kills of all gateways
 LATE_ENTRY_DELAY_S = 0.5  # from the entry that announces leaving to the write of the older one
 MAX_CRASH_TIME_S = 2.0  # upper bound of the drawn time from the start of a request to the crash of its engine
-BACKOFFS_S = (0.7, 1.5, 3.0, 6.0)
-LIMIT_GAP_S = (1.0, 3.0)  # between two rate limits that begin
-LIMITS_PER_S = (0, 0.1, 1, 2.2, 5, 20)
-LIMIT_FOR_S = (2.0, 9.0)
-RESTORE_GAP_S = (4.0, 8.0)  # between two restores of the store
-COPY_AGE_S = (0.5, 4.0)
-AWAY_S = (0.2, 1.0)
-REWRITE_AFTER_S = (0.5, 2.5)  # from a restore until what it lost is written again
 UNFRAMED_EVERY = 3
-UNFRAMED_GAP_S = (0.4, 1.2)  # between two ends that close connections in order
 PROBED_VERSIONS = 6  # configurations whose probe routes the newest one still has
 LARGE_EDGES = 12
 LARGE_ENGINES = 24
@@ -126,14 +110,10 @@
 class Soak(checks.Checks):
     def __init__(self, seed, options, work):
         self.seed = seed
-        self.with_crashing = options.crashing
-        self.with_statements = options.statements
+        self.options = options
         self.with_links = options.links
-        self.with_leaving = options.leaving
-        self.with_limits = options.limits
         self.with_restores = options.restores
         self.with_crashing_parts = options.crashing_parts
-        self.with_gateway_ends = options.gateway_ends
         self.with_unframed = options.unframed
         self.repeat_ratio, self.repeat_allowance = SMALL_REPEAT_BUDGET if options.gateway_ends else REPEAT_BUDGET
         self.crashing_part_callers = []
@@ -167,137 +147,11 @@
 
     # --- schedule
 
-    FAULTS = ("drain", "leave", "crash", "start_again", "bad_entries", "pause", "store_silent",
-              "store_busy", "edge_kill", "edge_term", "edge_freeze", "loader_kill", "loader_freeze",
-              "answers", "config", "weights")
-
     def draw_schedule(self):
-        schedule, at = [], 1.0
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2),
-                             "kind": self.random.choice(self.FAULTS),
-                             "which": self.random.randrange(1000),
-                             "for_s": round(self.random.uniform(0.2, 3.0), 2)})
-            at += self.random.uniform(*FAULT_GAP_S)
-        if self.with_crashing:
-            self.draw_crashing(schedule)
-        if self.with_crashing_parts:
-            self.draw_crashing_parts(schedule)
-        if self.with_gateway_ends:
-            self.draw_gateway_ends(schedule)
-        if self.with_statements:
-            self.draw_statements(schedule)
-        if self.with_links:
-            self.draw_links(schedule)
-        if self.with_leaving:
-            self.draw_leaving(schedule)
-        if self.with_limits:
-            self.draw_limits(schedule)
-        if self.with_restores:
-            self.draw_restores(schedule)
-        if self.with_unframed:
-            self.draw_ends_in_order(schedule)
-        schedule.sort(key=lambda fault: fault["at"])
+        drawn = schedule.draw(self.seed, self.random, self.seconds, self.options)
         with open(os.path.join(self.work, "schedule.json"), "w") as stream:
-            json.dump(schedule, stream, indent=1)
-        return [f for f in schedule if not self.only or f["number"] in self.only]
-
-    def draw_crashing(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("crashing %d" % self.seed)
-        at = 1.5
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "crashing",
-                             "which": rng.randrange(1000), "for_s": clients.CRASHING_FOR_S})
-            at += rng.uniform(*CRASHING_GAP_S)
-
-    def draw_crashing_parts(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("crashing parts %d" % self.seed)
-        at = 2.0
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "crashing_part",
-                             "end": rng.choice(PART_ENDS), "which": 0, "for_s": clients.CRASHING_FOR_S})
-            at += rng.uniform(*PART_GAP_S)
-
-    def draw_gateway_ends(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("gateway ends %d" % self.seed)
-        at = 3.0
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "resets_of_one_service",
-                             "which": rng.randrange(1000), "for_s": round(rng.uniform(1.0, 3.0), 2)})
-            schedule.append({"number": len(schedule), "at": round(at + 0.6, 2), "kind": "end_all",
-                             "which": rng.randrange(1000), "for_s": 0.1})
-            at += rng.uniform(*GATEWAY_ENDS_GAP_S)
-
-    def draw_statements(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("statements %d" % self.seed)
-        at = 1.2
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2),
-                             "kind": rng.choice(("say_leaving", "say_leaving_and_start_again",
-                                                 "back_off", "back_off", "back_off_all")),
-                             "which": rng.randrange(1000), "for_s": rng.choice(BACKOFFS_S)})
-            at += rng.uniform(*STATEMENT_GAP_S)
-
-    def draw_links(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("links %d" % self.seed)
-        at = 1.4
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2),
-                             "kind": rng.choice(("link_silent", "link_silent_all", "link_slow",
-                                                 "link_reset")),
-                             "which": rng.randrange(1000),
-                             "for_s": round(rng.uniform(0.2, 3.0), 2)})
-            at += rng.uniform(*LINK_GAP_S)
-
-    def draw_leaving(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("leaving %d" % self.seed)
-        at = 1.1
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2),
-                             "kind": rng.choice(("late_entry", "late_entry", "end_all")),
-                             "which": rng.randrange(1000),
-                             "for_s": round(rng.uniform(0.2, 2.0), 2)})
-            at += rng.uniform(*LEAVING_GAP_S)
-
-    def draw_limits(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("limits %d" % self.seed)
-        at = 1.3
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2),
-                             "kind": rng.choice(("limit", "limit", "limit_all")),
-                             "which": rng.randrange(1000), "per_s": rng.choice(LIMITS_PER_S),
-                             "for_s": round(rng.uniform(*LIMIT_FOR_S), 2)})
-            at += rng.uniform(*LIMIT_GAP_S)
-
-    def draw_restores(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("restores %d" % self.seed)
-        at = rng.uniform(2.0, 4.0)
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "restore",
-                             "which": rng.randrange(1000),
-                             "age_s": round(rng.uniform(*COPY_AGE_S), 2),
-                             "away_s": round(rng.uniform(*AWAY_S), 2),
-                             "for_s": round(rng.uniform(*REWRITE_AFTER_S), 2)})
-            schedule.append({"number": len(schedule), "at": round(at + 5, 2), "kind": "config",
-                             "which": rng.randrange(1000), "for_s": 0})
-            at += rng.uniform(*RESTORE_GAP_S)
-
-    def draw_ends_in_order(self, schedule):
-        """Adds to the schedule from a generator of its own, so that the other faults stay the same."""
-        rng = random.Random("ends in order %d" % self.seed)
-        at = 1.0
-        while at < self.seconds:
-            schedule.append({"number": len(schedule), "at": round(at, 2), "kind": "end_in_order",
-                             "which": rng.randrange(1000), "for_s": 0})
-            at += rng.uniform(*UNFRAMED_GAP_S)
+            json.dump(drawn, stream, indent=1)
+        return [f for f in drawn if not self.only or f["number"] in self.only]
 
     # --- cluster
 
@@ -718,10 +572,10 @@
     # --- execution
 
     def play(self):
-        schedule = self.draw_schedule()
+        faults = self.draw_schedule()
         try:
             self.start_cluster()
-            self.inject_faults(schedule)
+            self.inject_faults(faults)
             self.await_fault_ends()
             self.store.mode = "good"
             self.await_recovery()
@@ -733,12 +587,12 @@
             self.stop_requested.set()
             self.close()
 
-    def inject_faults(self, schedule):
+    def inject_faults(self, faults):
         self.clients = [clients.Client(self, number) for number in range(CLIENTS)]
         if self.with_links:
             self.clients += [clients.LongStreamClient(self, CLIENTS + n) for n in range(LONG_STREAM_CLIENTS)]
         begin = time.monotonic()
-        for fault in schedule:
+        for fault in faults:
             time.sleep(max(0, begin + fault["at"] - time.monotonic()))
             getattr(self, "fault_" + fault["kind"])(fault)
             self.check_alive()
