--- a/tests/platform/platform_test.c
+++ b/tests/platform/platform_test.c
@@ -84,6 +84,41 @@
         2);
 }
 
+static void health_checks_go_to_the_path_of_the_service(void **state)
+{
+    static const char text[] = "{\"version\":1,\"routes\":[],\"services\":["
+                               "{\"name\":\"own\",\"health_path\":\"/alive?deep=1\"},"
+                               "{\"name\":\"none\"},{\"name\":\"null\",\"health_path\":null}]}";
+    static const char *const targets[][2] = {
+        {"own", "/alive?deep=1"}, {"none", "/health"}, {"null", "/health"}};
+    struct findings findings = {0};
+    struct route_table *table = platform_parse_configuration(text, strlen(text), &findings);
+    assert_non_null(table);
+    for (size_t i = 0; i < sizeof targets / sizeof targets[0]; i++) {
+        uint32_t service = route_table_find_service(table, targets[i][0]);
+        assert_string_equal(platform_health_target(route_table_service(table, service)),
+                            targets[i][1]);
+    }
+    route_table_release(table);
+}
+
+static void a_health_path_that_is_no_path_is_a_finding_with_its_place(void **state)
+{
+    static const char *const paths[] = {"health", "/a b", "/a\\r\\nX: y"};
+    char text[200];
+    for (size_t i = 0; i < sizeof paths / sizeof paths[0]; i++) {
+        struct findings findings = {0};
+        snprintf(text, sizeof text,
+                 "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"s\","
+                 "\"health_path\":\"%s\"}]}",
+                 paths[i]);
+        assert_null(platform_parse_configuration(text, strlen(text), &findings));
+        assert_int_equal(findings.count, 1);
+        assert_non_null(strstr(findings.items[0].place, "services[0]"));
+        findings_clear(&findings);
+    }
+}
+
 static void keys_tell_the_kind_of_an_item(void **state)
 {
     char name[PLATFORM_TEXT_SIZE];
@@ -608,6 +643,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(configuration_is_parsed_completely),
         cmocka_unit_test(all_configuration_errors_are_reported_together),
+        cmocka_unit_test(health_checks_go_to_the_path_of_the_service),
+        cmocka_unit_test(a_health_path_that_is_no_path_is_a_finding_with_its_place),
         cmocka_unit_test(keys_tell_the_kind_of_an_item),
         cmocka_unit_test(store_responses_are_decoded),
         cmocka_unit_test(client_keys_and_forged_fields_are_not_forwarded),
