Log what a stopping edge takes, and what its end leaves unanswered

Change: event=taken for each request that arrives after SIGTERM (ms since it, the time it may run), event=owed-request and owed-connection for what the end leaves (events, elapsed and remaining time, whether it was sent, unsent and unread bytes), event=unread-dropped, and the sums at event=stopping and event=drained; counters shuntrun_stop_requests_total. tcp_stream counts the streams it still closes. The stop moves to a module of its own, edge_stop; its logic is unchanged.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -93,6 +93,9 @@
       "rate limits that backends stated in their answers, changed, or ended")                      \
     X(METRIC_BACKOFFS, "shuntrun_backend_backoffs_total",                                          \
       "refusals that asked for a time without requests, or for a longer one")                      \
+    X(METRIC_STOP_TAKEN, "shuntrun_stop_requests_total{outcome=\"taken\"}",                        \
+      "requests that arrived after the planned stop began, and requests that its end cut")         \
+    X(METRIC_STOP_CUT, "shuntrun_stop_requests_total{outcome=\"cut\"}", "")                        \
     X(METRIC_SENDS_WITHHELD, "shuntrun_sends_withheld_total",                                      \
       "requests that were placed and not sent, as news of their back end came meanwhile")          \
     X(METRIC_EJECTIONS, "shuntrun_ejections_total", "back ends that were left out for a while")    \
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -35,16 +35,11 @@
  * 0.2 s from one poll of the store to the next, 0.2 s more when the store is slow, and requests
  * some time in transit. */
 #define DRAIN_MARGIN_US 600000
-/** New requests are accepted for this long after a planned stop began, as clients keep an address
- * for up to three times ADDRESS_MAX_AGE_S. Requests in progress then still have time to finish. */
-#define STOP_ACCEPT_PERIOD_US 3200000
 /** Part of the machine's memory that buffers may hold; sockets of the kernel, connections, weights
  * and the state need the rest. */
 #define BUFFER_MEMORY_PERCENT 40
 /** Orders gateways independently of their places. */
 #define GATEWAY_RANK_KEY 0x6761746577617973ULL
-/** The process exits this long before the end of the grace period, whatever is in progress. */
-#define STOP_MARGIN_US 500000
 
 static void on_item(void *context, const struct state_item *item)
 {
@@ -130,7 +125,7 @@
     service_reply(call, !known ? 404 : is_ready(edge) ? 200 : 503, NULL, NULL, 0);
 }
 
-/* --- Tick and shutdown --- */
+/* --- Tick --- */
 
 /* Gateways that are not alive count, too: others may not know yet that they ended. */
 static void count_gateways(struct edge *edge)
@@ -155,31 +150,6 @@
     edge->budget_share.rank = rank;
 }
 
-/* Closes the listener: a request that arrives now might not finish in time. */
-static void stop_accepting(struct edge *edge)
-{
-    if (edge->listener_closed)
-        return;
-    edge->listener_closed = true;
-    log_event(LOG_LEVEL_INFO, "process", "closed-to-clients", "active=%u", edge->active);
-    uv_close((uv_handle_t *)&edge->listener, NULL);
-    edge_client_close_idle(edge);
-}
-
-static void stop_if_drained(struct edge *edge, uint64_t now)
-{
-    uint64_t grace = edge->settings->stop_grace_s * 1000000;
-    uint64_t elapsed = now - edge->stopping_since;
-    if (elapsed < STOP_ACCEPT_PERIOD_US)
-        return;
-    stop_accepting(edge);
-    if (edge->active == 0 || elapsed + STOP_MARGIN_US > grace) {
-        log_event(LOG_LEVEL_INFO, "process", "drained", "active=%u took_ms=%" PRIu64, edge->active,
-                  elapsed / 1000);
-        uv_stop(edge->loop);
-    }
-}
-
 /* Closes connections that were idle or without a response for too long. After a pause of this
  * process, data that arrived meanwhile is not read yet, so connections that seem silent are kept
  * until the next tick. */
@@ -218,17 +188,13 @@
                      store_position_revision(state_cache_revision(edge->cluster.state)));
     metric_gauge_set(METRIC_WAITING_REQUESTS, exchange_queue_length(edge));
     if (edge->stopping_since)
-        stop_if_drained(edge, now);
+        edge_stop_tick(edge, now);
     uv_timer_set_repeat(timer, edge->cluster.started ? TICK_MS : STARTUP_TICK_MS);
 }
 
 static void on_stop(struct process *process)
 {
-    struct edge *edge = process->context;
-    if (edge->stopping_since)
-        return;
-    edge->stopping_since = cluster_now();
-    cluster_announce_draining(&edge->cluster);
+    edge_stop_begin(process->context);
 }
 
 /* --- Startup --- */
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -246,6 +246,9 @@
         return;
     }
     if (!keep) {
+        if (client->unread.size)
+            log_event(LOG_LEVEL_WARN, "client", "unread-dropped", "bytes=%zu stopping=%d",
+                      client->unread.size, client->edge->stopping_since != 0);
         tcp_stream_finish(client->stream);
         client->stream = NULL;
         free_if_unused(client);
@@ -329,6 +332,39 @@
     }
 }
 
+/* \return whether bytes of a further request were read */
+static bool has_unread(const struct edge_client *client)
+{
+    return client->stream && (is_busy(client) ? client->unread.size > 0 : client->head_started > 0);
+}
+
+struct client_debt edge_client_debt(const struct edge *edge)
+{
+    struct tcp_closing closing = tcp_stream_closing();
+    struct client_debt debt = {.unsent = closing.streams, .unsent_bytes = closing.unsent_bytes};
+    for (const struct edge_client *client = edge->clients; client; client = client->next) {
+        size_t unsent = edge_client_unsent_bytes(client);
+        debt.requests += is_busy(client);
+        debt.unread += has_unread(client);
+        debt.unsent += unsent > 0;
+        debt.unsent_bytes += unsent;
+    }
+    return debt;
+}
+
+void edge_client_log_debts(const struct edge *edge)
+{
+    for (const struct edge_client *client = edge->clients; client; client = client->next) {
+        if (client->exchange)
+            exchange_log_owed(client->exchange);
+        size_t unsent = edge_client_unsent_bytes(client);
+        if (unsent || has_unread(client))
+            log_event(LOG_LEVEL_WARN, "client", "owed-connection",
+                      "busy=%d unsent_bytes=%zu unread_bytes=%zu head_started=%d", is_busy(client),
+                      unsent, client->unread.size, client->head_started > 0);
+    }
+}
+
 void edge_client_close_idle(struct edge *edge)
 {
     for (struct edge_client *client = edge->clients, *next; client; client = next) {
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -142,6 +142,28 @@
 struct edge *edge_client_edge(const struct edge_client *client);
 const struct http_message *edge_client_request(const struct edge_client *client);
 
+/** What the clients of this gateway have not got yet. */
+struct client_debt {
+    uint32_t requests; /**< without a final response */
+    uint32_t unread;   /**< connections with bytes of a further request */
+    uint32_t unsent;   /**< connections with bytes of responses that their clients did not take */
+    size_t unsent_bytes;
+};
+
+/** \return the debt of all connections, also of those that are being closed */
+struct client_debt edge_client_debt(const struct edge *edge);
+/** \brief Logs each connection that has a debt. */
+void edge_client_log_debts(const struct edge *edge);
+
+/* --- Planned stop: edge_stop.c --- */
+
+/** \brief Begins the planned stop: other nodes are told, requests in progress go on. */
+void edge_stop_begin(struct edge *edge);
+/** \brief Ends the loop once the stop is over; called on each tick while stopping. */
+void edge_stop_tick(struct edge *edge, uint64_t now);
+/** \return whole ms since the stop began; 0: not stopping */
+uint64_t edge_stop_elapsed_ms(const struct edge *edge, uint64_t now);
+
 /* --- Requests: exchange.c --- */
 
 /** \brief Begins the exchange for a complete request. \return NULL if it was rejected, and
@@ -151,6 +173,8 @@
 void exchange_start(struct exchange *exchange);
 /** \brief Fails the request if its deadline has passed; otherwise restarts its timer. */
 void exchange_recheck_deadlines(struct exchange *exchange);
+/** \brief Logs that the end of a planned stop finds the request without its final response. */
+void exchange_log_owed(const struct exchange *exchange);
 /** \brief Cancels the request, as its client has disconnected. */
 void exchange_cancel(struct exchange *exchange);
 /** \brief Fails the request if it is known to crash backends. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -266,6 +266,16 @@
     return exchange;
 }
 
+/* It arrived after the planned stop began. */
+static void log_taken(const struct exchange *exchange)
+{
+    metric_add(METRIC_STOP_TAKEN, 1);
+    log_event(LOG_LEVEL_INFO, "request", "taken",
+              "request=%s route=%s stop_ms=%" PRIu64 " timeout_ms=%" PRIu64, exchange->head.id,
+              exchange->route->name, edge_stop_elapsed_ms(exchange->edge, exchange->arrived_at),
+              (exchange->deadline_at - exchange->arrived_at) / US_PER_MS);
+}
+
 struct exchange *exchange_begin(struct edge *edge, struct edge_client *client)
 {
     struct request_head head;
@@ -300,6 +310,8 @@
         return NULL;
     }
     struct exchange *exchange = exchange_create(edge, client, &head, route, tenant);
+    if (edge->stopping_since)
+        log_taken(exchange);
     repeat_budget_earn(&exchange->service_state->budget, exchange->arrived_at);
     if (exchange_is_blocked(exchange)) {
         exchange_fail_by_run_state(exchange, END_BLOCKED);
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -219,6 +219,20 @@
         exchange->residency.restricted, exchange->residency.regions, exchange->trail);
 }
 
+void exchange_log_owed(const struct exchange *exchange)
+{
+    uint64_t now = cluster_now();
+    log_event(LOG_LEVEL_WARN, "request", "owed-request",
+              "request=%s route=%s backend=%s sent=%d events=%" PRIu64 " took_ms=%" PRIu64
+              " left_ms=%" PRId64 " stop_ms=%" PRIu64 " unsent_bytes=%zu trail=\"%s\"",
+              exchange->head.id, exchange->route->name,
+              exchange->backend ? exchange->backend->listing.id : "-", exchange_is_sent(exchange),
+              exchange->events.events, (now - exchange->arrived_at) / US_PER_MS,
+              ((int64_t)exchange->deadline_at - (int64_t)now) / (int64_t)US_PER_MS,
+              edge_stop_elapsed_ms(exchange->edge, now), edge_client_unsent_bytes(exchange->client),
+              exchange->trail);
+}
+
 void exchange_finish(struct exchange *exchange)
 {
     struct edge *edge = exchange->edge;
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -29,6 +29,8 @@
     bool closing;
     bool is_connected;
     bool resets_on_close;
+    struct tcp_stream *next_closing;
+    struct tcp_stream **closing_link; /* NULL: not in `closing_streams` */
 };
 
 struct queued_write {
@@ -40,6 +42,7 @@
 
 /* Shared by all streams, as there is one loop on one thread. */
 static char read_buffer[READ_BUFFER_SIZE];
+static struct tcp_stream *closing_streams; /* finished, but not closed */
 
 static void on_timer_closed(uv_handle_t *handle)
 {
@@ -55,11 +58,41 @@
         free(stream);
 }
 
+static void add_to_closing(struct tcp_stream *stream)
+{
+    stream->next_closing = closing_streams;
+    stream->closing_link = &closing_streams;
+    if (closing_streams)
+        closing_streams->closing_link = &stream->next_closing;
+    closing_streams = stream;
+}
+
+static void remove_from_closing(struct tcp_stream *stream)
+{
+    if (!stream->closing_link)
+        return;
+    *stream->closing_link = stream->next_closing;
+    if (stream->next_closing)
+        stream->next_closing->closing_link = stream->closing_link;
+    stream->closing_link = NULL;
+}
+
+struct tcp_closing tcp_stream_closing(void)
+{
+    struct tcp_closing closing = {0};
+    for (const struct tcp_stream *stream = closing_streams; stream; stream = stream->next_closing) {
+        closing.streams++;
+        closing.unsent_bytes += tcp_stream_unsent_bytes(stream);
+    }
+    return closing;
+}
+
 static void close_handle(struct tcp_stream *stream)
 {
     if (stream->closing)
         return;
     stream->closing = true;
+    remove_from_closing(stream);
     uv_close((uv_handle_t *)&stream->handle, on_closed);
 }
 
@@ -279,6 +312,7 @@
     uv_timer_init(stream->handle.loop, &stream->linger);
     stream->linger.data = stream;
     stream->linger_started = true;
+    add_to_closing(stream);
     uv_timer_start(&stream->linger, on_linger, LINGER_TIMEOUT_MS, 0);
 }
 
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -58,6 +58,15 @@
 /** \brief Close at once with a TCP reset; queued bytes are discarded. */
 void tcp_stream_reset(struct tcp_stream *stream);
 
+/** Streams that tcp_stream_finish() has not closed yet. */
+struct tcp_closing {
+    uint32_t streams;
+    size_t unsent_bytes; /**< that were not written to their sockets */
+};
+
+/** \return what the closing streams of this process still have to send */
+struct tcp_closing tcp_stream_closing(void);
+
 /** \brief Parse "IP:PORT". */
 bool tcp_address_parse(const char *text, struct sockaddr_in *address);
 /** \brief Listen on an address. \return 0 or a negative libuv error */
