A stopping gateway keeps running while clients take its answers

Cause: the end asked for no running request, and forgot bytes in its own memory; a closing connection had 2 s for all of its bytes. Evidence: drained active=0 unsent=4 unsent_bytes=9125915 at 3.26 s. Change: the process ends once its clients are owed nothing (client_debt): requests, requests read behind them, bytes in own memory, and bytes of closing connections that their clients have not acknowledged (SIOCOUTQ). A closing connection stays open while its peer takes bytes; it is closed after 4 s in which it takes none, as long as TCP_USER_TIMEOUT, and 2 to 4 s after its last byte. Why it works: bytes that the peer has acknowledged need no process any more.

--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -341,7 +341,7 @@
 struct client_debt edge_client_debt(const struct edge *edge)
 {
     struct tcp_closing closing = tcp_stream_closing();
-    struct client_debt debt = {.unsent = closing.streams, .unsent_bytes = closing.unsent_bytes};
+    struct client_debt debt = {.unsent = closing.streams, .unsent_bytes = closing.owed_bytes};
     for (const struct edge_client *client = edge->clients; client; client = client->next) {
         size_t unsent = edge_client_unsent_bytes(client);
         debt.requests += is_busy(client);
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -152,6 +152,12 @@
     size_t unsent_bytes;
 };
 
+/** \return whether all clients have got what they are owed */
+static inline bool client_debt_is_none(const struct client_debt *debt)
+{
+    return !debt->requests && !debt->unread && !debt->unsent;
+}
+
 /** \return the debt of all connections, also of those that are being closed */
 struct client_debt edge_client_debt(const struct edge *edge);
 /** \brief Records how long each request in progress has been running. */
--- a/src/edge/edge_stop.c
+++ b/src/edge/edge_stop.c
@@ -37,15 +37,14 @@
     return STOP_RETRY_MS + (uint32_t)random_below(&edge->random, STOP_RETRY_SPREAD_MS);
 }
 
-static void end_process(struct edge *edge, uint64_t now)
+static void end_process(struct edge *edge, const struct client_debt *debt, uint64_t now)
 {
-    struct client_debt debt = edge_client_debt(edge);
     edge_client_log_debts(edge);
-    metric_add(METRIC_STOP_CUT, debt.requests);
+    metric_add(METRIC_STOP_CUT, debt->requests);
     log_event(LOG_LEVEL_INFO, "process", "drained",
               "active=%u took_ms=%" PRIu64 " requests=%u unread=%u unsent=%u unsent_bytes=%zu",
-              edge->active, edge_stop_elapsed_ms(edge, now), debt.requests, debt.unread,
-              debt.unsent, debt.unsent_bytes);
+              edge->active, edge_stop_elapsed_ms(edge, now), debt->requests, debt->unread,
+              debt->unsent, debt->unsent_bytes);
     edge_client_close_idle(edge);
     uv_stop(edge->loop);
 }
@@ -55,6 +54,7 @@
     edge_client_record_run_times(edge, now);
     if (!stop_plan_address_released(&edge->stop, now))
         return;
-    if (edge->active == 0 || now >= stop_plan_answers_by(&edge->stop))
-        end_process(edge, now);
+    struct client_debt debt = edge_client_debt(edge);
+    if (client_debt_is_none(&debt) || now >= stop_plan_answers_by(&edge->stop))
+        end_process(edge, &debt, now);
 }
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -4,17 +4,22 @@
 #include "base/memory.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define READ_BUFFER_SIZE 65536
 #define LISTEN_BACKLOG 1024
 /** TCP_USER_TIMEOUT: a peer that acknowledges no bytes for this long is dead or partitioned. */
 #define USER_TIMEOUT_MS 4000
-/** Time for a closing connection to send queued bytes and to receive the peer's FIN. */
-#define LINGER_TIMEOUT_MS 2000
+/** Interval at which a closing connection is checked: it stays open while its peer takes bytes, and
+ * for one interval more, to receive the peer's FIN. */
+#define LINGER_CHECK_MS 2000
+/** Checks in which the peer took none of the bytes that are left; as long as USER_TIMEOUT_MS. */
+#define LINGER_MAX_STALLS 2
 
 struct tcp_stream {
     uv_tcp_t handle;
@@ -25,6 +30,8 @@
     uv_timer_t linger; /* started by tcp_stream_finish() */
     uint32_t queued_writes;
     bool linger_started;
+    size_t linger_unsent; /* bytes at the last check */
+    uint32_t linger_stalls;
     bool released; /* the owner has closed it: no more callbacks */
     bool closing;
     bool is_connected;
@@ -77,12 +84,24 @@
     stream->closing_link = NULL;
 }
 
+/* \return bytes in the socket that the peer has not acknowledged */
+static size_t unacknowledged_bytes(const struct tcp_stream *stream)
+{
+    uv_os_fd_t descriptor;
+    int bytes = 0;
+    if (uv_fileno((const uv_handle_t *)&stream->handle, &descriptor) ||
+        ioctl(descriptor, SIOCOUTQ, &bytes))
+        return 0; /* it is closed */
+    return (size_t)bytes;
+}
+
 struct tcp_closing tcp_stream_closing(void)
 {
     struct tcp_closing closing = {0};
     for (const struct tcp_stream *stream = closing_streams; stream; stream = stream->next_closing) {
-        closing.streams++;
-        closing.unsent_bytes += tcp_stream_unsent_bytes(stream);
+        size_t owed = tcp_stream_unsent_bytes(stream) + unacknowledged_bytes(stream);
+        closing.streams += owed > 0;
+        closing.owed_bytes += owed;
     }
     return closing;
 }
@@ -291,9 +310,20 @@
         close_handle(request->data);
 }
 
+/* \return whether bytes are left that the peer still takes, or were left at the last check */
+static bool peer_takes_bytes(struct tcp_stream *stream)
+{
+    size_t unsent = tcp_stream_unsent_bytes(stream);
+    bool progress = unsent < stream->linger_unsent;
+    stream->linger_unsent = unsent;
+    stream->linger_stalls = progress ? 0 : stream->linger_stalls + 1;
+    return progress || (unsent && stream->linger_stalls < LINGER_MAX_STALLS);
+}
+
 static void on_linger(uv_timer_t *timer)
 {
-    close_handle(timer->data);
+    if (!peer_takes_bytes(timer->data))
+        close_handle(timer->data);
 }
 
 void tcp_stream_finish(struct tcp_stream *stream)
@@ -313,7 +343,8 @@
     stream->linger.data = stream;
     stream->linger_started = true;
     add_to_closing(stream);
-    uv_timer_start(&stream->linger, on_linger, LINGER_TIMEOUT_MS, 0);
+    stream->linger_unsent = tcp_stream_unsent_bytes(stream);
+    uv_timer_start(&stream->linger, on_linger, LINGER_CHECK_MS, LINGER_CHECK_MS);
 }
 
 void tcp_stream_close(struct tcp_stream *stream)
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -50,21 +50,21 @@
 /** \brief Send queued bytes, then close. */
 void tcp_stream_close(struct tcp_stream *stream);
 /**
- * \brief Send queued bytes and a FIN, and discard received bytes for up to LINGER_TIMEOUT_MS before
- *        closing. Otherwise bytes that arrive after the close would reset the connection before the
- *        peer has read the response.
+ * \brief Send queued bytes and a FIN, for as long as the peer takes them, and discard received
+ * bytes until the peer's FIN, or for 2 to 4 s, before closing. Otherwise bytes that arrive after
+ *        the close would reset the connection before the peer has read the response.
  */
 void tcp_stream_finish(struct tcp_stream *stream);
 /** \brief Close at once with a TCP reset; queued bytes are discarded. */
 void tcp_stream_reset(struct tcp_stream *stream);
 
-/** Streams that tcp_stream_finish() has not closed yet. */
+/** What streams have to send that tcp_stream_finish() has not closed yet. */
 struct tcp_closing {
-    uint32_t streams;
-    size_t unsent_bytes; /**< that were not written to their sockets */
+    uint32_t streams;  /**< whose peers have not acknowledged all bytes and the FIN */
+    size_t owed_bytes; /**< that those have not acknowledged, in this process and in the kernel */
 };
 
-/** \return what the closing streams of this process still have to send */
+/** \return what the closing streams of this process still owe */
 struct tcp_closing tcp_stream_closing(void);
 
 /** \brief Parse "IP:PORT". */
--- a/tests/net/tcp_stream_test.c
+++ b/tests/net/tcp_stream_test.c
@@ -2,10 +2,12 @@
  * an HTTP response must stay valid during its callback. */
 #include "testing.h"
 
+#include "base/memory.h"
 #include "net/http_caller.h"
 #include "net/tcp_stream.h"
 
 #include <arpa/inet.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -51,6 +53,61 @@
 static const struct tcp_stream_callbacks callbacks = {
     .connected = on_connected, .received = on_received, .ended = on_ended};
 
+#define SLOW_BYTES ((size_t)40000000) /* more than sockets buffer */
+#define SLOW_STEPS 30
+#define SLOW_STEP_MS 120 /* all of them take longer than an interval of LINGER_CHECK_MS */
+
+/* Reads a part of the bytes at each step, in the loop that also writes them. */
+struct slow_reader {
+    uv_timer_t timer;
+    int socket;
+    size_t received;
+};
+
+static void on_slow_step(uv_timer_t *timer)
+{
+    static char bytes[65536];
+    struct slow_reader *reader = timer->data;
+    size_t end = reader->received + SLOW_BYTES / SLOW_STEPS + 1;
+    ssize_t size = 1;
+    while (reader->received < end && size > 0) {
+        size = recv(reader->socket, bytes, sizeof bytes, MSG_DONTWAIT);
+        if (size > 0)
+            reader->received += (size_t)size;
+    }
+    if (size == 0) {
+        close(reader->socket);
+        uv_close((uv_handle_t *)timer, NULL);
+    }
+}
+
+/* Failure: a closing connection was cut after 2 s, while its client still took a large answer. */
+static void a_closing_stream_sends_all_that_its_peer_takes(void **state)
+{
+    struct peer peer;
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    peer_open(&peer);
+    struct tcp_stream *stream = tcp_stream_connect(&loop, &peer.address, &callbacks, &peer);
+    assert_non_null(stream);
+    struct slow_reader reader = {.socket = accept(peer.listener, NULL, NULL)};
+    uv_run(&loop, UV_RUN_ONCE);
+    char *bytes = memory_calloc(1, SLOW_BYTES);
+    tcp_stream_write(stream, bytes, SLOW_BYTES);
+    tcp_stream_finish(stream);
+    free(bytes);
+    assert_int_equal(tcp_stream_closing().streams, 1);
+    assert_true(tcp_stream_closing().owed_bytes > SLOW_BYTES / 2);
+    uv_timer_init(&loop, &reader.timer);
+    reader.timer.data = &reader;
+    uv_timer_start(&reader.timer, on_slow_step, SLOW_STEP_MS, SLOW_STEP_MS);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    assert_int_equal(reader.received, SLOW_BYTES);
+    assert_int_equal(tcp_stream_closing().streams, 0);
+    close(peer.listener);
+    assert_int_equal(uv_loop_close(&loop), 0);
+}
+
 /* The bytes and the close both arrive before the loop polls the socket. */
 static enum tcp_end end_after(bool reset)
 {
@@ -154,6 +211,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(reset_is_distinguished_from_orderly_close),
+        cmocka_unit_test(a_closing_stream_sends_all_that_its_peer_takes),
         cmocka_unit_test(response_stays_valid_during_its_callback),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
