A stopping gateway answers requests behind a running one and on kept connections

Cause: after SIGTERM each end of a response closed its connection, whatever its head had said and whatever else was read from it. Evidence: stopping requests=14 unread=14; event=unread-dropped. Change: a connection is kept while bytes of a further request are read, and where the head of a stream promised it. Where a head has said Connection: close, what was read behind is refused (503, it has not run), then the connection closes. Idle connections stay open until the process ends: they are closed in order once the gateway owes nothing, and the process ends when those closes are acknowledged. Why it works: nothing that was read is dropped any more, but by a client's own end.

--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -28,6 +28,9 @@
     uint64_t arrived_at;       /* time at which the request was complete */
     bool parsing;
     bool streaming;
+    bool keeps;                /* the head of the current stream promised a kept connection */
+    bool closes;               /* a response said that the connection closes; what was read behind
+                                  its request is refused */
     bool continue_sent;        /* "100 Continue" was sent */
     uint64_t idle_since;       /* time of the last response, or of the accept */
     uint64_t head_started;     /* time of the first byte of the current request; 0: none */
@@ -53,6 +56,11 @@
     return client->arrived_at;
 }
 
+bool edge_client_closes(const struct edge_client *client)
+{
+    return client->closes;
+}
+
 size_t edge_client_unsent_bytes(const struct edge_client *client)
 {
     return client->stream ? tcp_stream_unsent_bytes(client->stream) : 0;
@@ -90,6 +98,12 @@
         client_free(client);
 }
 
+static void close_in_order(struct edge_client *client)
+{
+    tcp_stream_finish(client->stream);
+    client->stream = NULL;
+}
+
 /* \param retry_ms Retry-After; 0: none */
 static void reject_request(struct edge_client *client, unsigned status, uint32_t retry_ms)
 {
@@ -103,8 +117,7 @@
     buffer_append_text(&reply, "Content-Length: 0\r\nConnection: close\r\n\r\n");
     tcp_stream_write(client->stream, reply.data, reply.size);
     buffer_clear(&reply);
-    tcp_stream_finish(client->stream);
-    client->stream = NULL;
+    close_in_order(client);
 }
 
 static void send_continue(struct edge_client *client)
@@ -183,6 +196,8 @@
         parse_request(client);
     }
     client->parsing = false;
+    if (client->closes && client->stream && !is_busy(client))
+        close_in_order(client);
     free_if_unused(client);
 }
 
@@ -232,9 +247,18 @@
     free_if_unused(client);
 }
 
+/* A stopping gateway still answers the requests that it has read. */
 static bool keeps_connection(const struct edge_client *client)
 {
-    return client->request.keep_alive && !edge_is_stopping(client->edge);
+    return client->request.keep_alive && !client->closes &&
+           (!edge_is_stopping(client->edge) || client->unread.size);
+}
+
+/* \return whether the client may await answers to requests that were read behind the current one,
+ * although the connection closes */
+static bool owes_refusals(const struct edge_client *client)
+{
+    return client->request.keep_alive && client->unread.size && edge_is_stopping(client->edge);
 }
 
 /* The response was written: continues with the next request, or closes the connection. */
@@ -245,15 +269,12 @@
         free_if_unused(client);
         return;
     }
-    if (!keep) {
-        if (client->unread.size)
-            log_event(LOG_LEVEL_WARN, "client", "unread-dropped", "bytes=%zu stopping=%d",
-                      client->unread.size, edge_is_stopping(client->edge));
-        tcp_stream_finish(client->stream);
-        client->stream = NULL;
+    if (!keep && !owes_refusals(client)) {
+        close_in_order(client);
         free_if_unused(client);
         return;
     }
+    client->closes = !keep;
     prepare_next_request(client);
     tcp_stream_pause(client->stream, false);
     if (!client->parsing && client->unread.size)
@@ -281,9 +302,10 @@
 {
     struct buffer bytes = {0};
     client->streaming = true;
+    client->keeps = keeps_connection(client);
     buffer_append(&bytes, head->data, head->size);
     buffer_append_format(&bytes, "Transfer-Encoding: chunked\r\n%s\r\n",
-                         keeps_connection(client) ? "" : "Connection: close\r\n");
+                         client->keeps ? "" : "Connection: close\r\n");
     if (client->stream)
         tcp_stream_write(client->stream, bytes.data, bytes.size);
     buffer_clear(&bytes);
@@ -306,7 +328,7 @@
     client->streaming = false;
     if (client->stream)
         tcp_stream_write(client->stream, "0\r\n\r\n", 5);
-    finish_response(client, keeps_connection(client));
+    finish_response(client, client->keeps);
 }
 
 void edge_client_abort(struct edge_client *client)
@@ -378,8 +400,7 @@
         next = client->next;
         if (is_busy(client) || !client->stream)
             continue;
-        tcp_stream_finish(client->stream);
-        client->stream = NULL;
+        close_in_order(client);
         free_if_unused(client);
     }
 }
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -92,8 +92,9 @@
     struct budget_fleet budget_fleet; /**< what `budget_share` follows from */
     struct budget_share budget_share; /**< of the retry budget */
     uint64_t started_at;
-    bool has_responded;    /**< a complete response was sent since the start */
-    struct stop_plan stop; /**< planned stop */
+    bool has_responded;     /**< a complete response was sent since the start */
+    struct stop_plan stop;  /**< planned stop */
+    bool closed_to_clients; /**< by the planned stop: no connections are accepted any more */
 };
 
 /** \return memory of the buffers of this process */
@@ -137,6 +138,8 @@
 void edge_client_fail_blocked(struct edge *edge);
 /** \brief Rechecks the deadline of each request after a pause of the process. */
 void edge_client_recheck_deadlines(struct edge *edge);
+/** \return whether its connection closes, so that the request is refused */
+bool edge_client_closes(const struct edge_client *client);
 /** \return response bytes that the client has not taken yet */
 size_t edge_client_unsent_bytes(const struct edge_client *client);
 /** \return time at which the current request was complete */
--- a/src/edge/edge_stop.c
+++ b/src/edge/edge_stop.c
@@ -45,16 +45,30 @@
               "active=%u took_ms=%" PRIu64 " requests=%u unread=%u unsent=%u unsent_bytes=%zu",
               edge->active, edge_stop_elapsed_ms(edge, now), debt->requests, debt->unread,
               debt->unsent, debt->unsent_bytes);
-    edge_client_close_idle(edge);
     uv_stop(edge->loop);
 }
 
+/* No client is expected any more, and those that are connected have their answers. They learn that
+ * their connections close before the process ends. */
+static void close_to_clients(struct edge *edge, uint64_t now)
+{
+    edge->closed_to_clients = true;
+    log_event(LOG_LEVEL_INFO, "process", "closed-to-clients", "active=%u stop_ms=%" PRIu64,
+              edge->active, edge_stop_elapsed_ms(edge, now));
+    uv_close((uv_handle_t *)&edge->listener, NULL);
+    edge_client_close_idle(edge);
+}
+
 void edge_stop_tick(struct edge *edge, uint64_t now)
 {
     edge_client_record_run_times(edge, now);
     if (!stop_plan_address_released(&edge->stop, now))
         return;
     struct client_debt debt = edge_client_debt(edge);
-    if (client_debt_is_none(&debt) || now >= stop_plan_answers_by(&edge->stop))
+    bool is_due = now >= stop_plan_answers_by(&edge->stop);
+    if (!edge->closed_to_clients && (client_debt_is_none(&debt) || is_due))
+        close_to_clients(edge, now);
+    else if (edge->closed_to_clients &&
+             (client_debt_is_none(&debt) || now >= stop_plan_ends_by(&edge->stop)))
         end_process(edge, &debt, now);
 }
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -279,7 +279,22 @@
               (exchange->deadline_at - exchange->arrived_at) / US_PER_MS);
 }
 
-/* Refuses a request that could not end before the process does. \return whether it was refused */
+static void refuse_at_stop(struct edge *edge, struct edge_client *client,
+                           const struct request_head *head, const struct run_bound *bound)
+{
+    uint32_t retry_ms = edge_stop_retry_ms(edge);
+    metric_add(METRIC_STOP_REFUSED, 1);
+    log_event(LOG_LEVEL_INFO, "request", "refused-at-stop",
+              "request=%s host=%s stop_ms=%" PRIu64 " timeout_ms=%" PRIu64 " longest_ms=%" PRIu64
+              " closes=%d retry_ms=%u",
+              head->id, head->host, edge_stop_elapsed_ms(edge, edge_client_arrived_at(client)),
+              bound->deadline_us / US_PER_MS, bound->longest_us / US_PER_MS,
+              edge_client_closes(client), retry_ms);
+    exchange_send_local_response(edge, client, head->id, 503, retry_ms, "");
+}
+
+/* Refuses a request that could not end before the process does, or whose connection closes.
+ * \return whether it was refused */
 static bool refuse_if_too_late(struct edge *edge, struct edge_client *client,
                                const struct request_head *head, const struct route *route)
 {
@@ -289,16 +304,9 @@
     struct run_bound bound = {
         .deadline_us = request_timeout_ms(head, route) * US_PER_MS,
         .longest_us = run_time_longest_us(&edge_route(edge, route->name)->run_time, now)};
-    if (stop_plan_takes(&edge->stop, &bound, now))
+    if (!edge_client_closes(client) && stop_plan_takes(&edge->stop, &bound, now))
         return false;
-    uint32_t retry_ms = edge_stop_retry_ms(edge);
-    metric_add(METRIC_STOP_REFUSED, 1);
-    log_event(LOG_LEVEL_INFO, "request", "refused-at-stop",
-              "request=%s route=%s stop_ms=%" PRIu64 " timeout_ms=%" PRIu64 " longest_ms=%" PRIu64
-              " retry_ms=%u",
-              head->id, route->name, edge_stop_elapsed_ms(edge, now), bound.deadline_us / US_PER_MS,
-              bound.longest_us / US_PER_MS, retry_ms);
-    exchange_send_local_response(edge, client, head->id, 503, retry_ms, "");
+    refuse_at_stop(edge, client, head, &bound);
     return true;
 }
 
--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -44,6 +44,22 @@
                 method, path, identity, deadline_ms, len(body))).encode() + body
 
 
+class KeptFile:
+    """The bytes of a connection, which http.client must not close after an answer: the next one may be buffered."""
+
+    def __init__(self, connection):
+        self.file = connection.makefile("rb")
+
+    def __getattr__(self, name):
+        return getattr(self.file, name)
+
+    def makefile(self, _):
+        return self
+
+    def close(self):
+        pass
+
+
 class Connection:
     """A client's connection, on which several requests may be sent before their answers are read."""
 
@@ -55,6 +71,7 @@
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.socket.settimeout(GRACE_S + 4)
         self.socket.connect((address or platform.EDGE_IPS[0], platform.CLIENT_PORT))
+        self.file = KeptFile(self.socket)
         self.identity = None
 
     def send(self, method, path, body=b"", deadline_ms=DEADLINE_MS):
@@ -77,7 +94,7 @@
 
     def read(self):
         """The next answer: (response, body), or (None, error) without a whole one."""
-        response = http.client.HTTPResponse(self.socket)
+        response = http.client.HTTPResponse(self.file)
         try:
             response.begin()
             return response, response.read()
@@ -85,6 +102,7 @@
             return None, error
 
     def close(self):
+        self.file.file.close()
         self.socket.close()
 
 
@@ -225,7 +243,7 @@
 class UnsentBytes(Fleet):
     def read_slowly(self, connection, seconds):
         """Takes the answer in steps; returns its body as far as it came."""
-        response = http.client.HTTPResponse(connection.socket)
+        response = http.client.HTTPResponse(connection.file)
         response.begin()
         self.assertEqual(response.status, 200)
         left, steps, body = int(response.getheader("Content-Length")), 40, []
