The end of a planned stop answers what still runs

What callers saw: a request that ran or waited when the grace time ended, or whose body was not whole by then, got a closed connection. Cause: the process ended at once at its last moment, with what it had read. Change: 450 ms before the grace time is over, each request gets its final response: 503 if no engine may have run it (with Retry-After), 502 if one may have; a begun stream is aborted, and a body that is not whole is refused. One line each (owed-request, owed-connection). The process ends once the answers are acknowledged, 200 ms before SIGKILL at the latest. Why it works: an answer takes a round trip, and the margin has two ticks.

--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -381,16 +381,34 @@
             exchange_record_run_time(client->exchange, now);
 }
 
-void edge_client_log_debts(const struct edge *edge)
+static void log_owed(const struct edge_client *client)
 {
-    for (const struct edge_client *client = edge->clients; client; client = client->next) {
-        if (client->exchange)
-            exchange_log_owed(client->exchange);
-        size_t unsent = edge_client_unsent_bytes(client);
-        if (unsent || has_unread(client))
-            log_event(LOG_LEVEL_WARN, "client", "owed-connection",
-                      "busy=%d unsent_bytes=%zu unread_bytes=%zu head_started=%d", is_busy(client),
-                      unsent, client->unread.size, client->head_started > 0);
+    log_event(LOG_LEVEL_WARN, "client", "owed-connection",
+              "busy=%d unsent_bytes=%zu unread_bytes=%zu head_started=%d", is_busy(client),
+              edge_client_unsent_bytes(client), client->unread.size, client->head_started > 0);
+}
+
+/* Answers the request in progress, and refuses what else was read. */
+static void answer_owed(struct edge_client *client)
+{
+    if (client->exchange)
+        exchange_end_at_stop(client->exchange);
+    else if (client->stream && client->head_started)
+        reject_request(client, 503, edge_stop_retry_ms(client->edge));
+    else
+        return; /* nothing was read */
+}
+
+void edge_client_answer_owed(struct edge *edge)
+{
+    edge_client_release_held(edge);
+    for (struct edge_client *client = edge->clients, *next; client; client = next) {
+        next = client->next;
+        if (edge_client_unsent_bytes(client) || has_unread(client))
+            log_owed(client);
+        client->parsing = true; /* it must not be freed here */
+        answer_owed(client);
+        parse_unread(client);
     }
 }
 
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -165,8 +165,9 @@
 struct client_debt edge_client_debt(const struct edge *edge);
 /** \brief Records how long each request in progress has been running. */
 void edge_client_record_run_times(const struct edge *edge, uint64_t now);
-/** \brief Logs each connection that has a debt. */
-void edge_client_log_debts(const struct edge *edge);
+/** \brief Gives all requests in progress a final response, as the process ends; what was read only
+ * in part is refused. */
+void edge_client_answer_owed(struct edge *edge);
 
 /* --- Planned stop: edge_stop.c --- */
 
@@ -197,8 +198,8 @@
 void exchange_recheck_deadlines(struct exchange *exchange);
 /** \brief Records how long the request has been running, for the bound of its route's runs. */
 void exchange_record_run_time(const struct exchange *exchange, uint64_t now);
-/** \brief Logs that the end of a planned stop finds the request without its final response. */
-void exchange_log_owed(const struct exchange *exchange);
+/** \brief Ends the request, as the process ends: with a response, or by aborting its stream. */
+void exchange_end_at_stop(struct exchange *exchange);
 /** \brief Cancels the request, as its client has disconnected. */
 void exchange_cancel(struct exchange *exchange);
 /** \brief Fails the request if it is known to crash backends. */
--- a/src/edge/edge_stop.c
+++ b/src/edge/edge_stop.c
@@ -39,8 +39,6 @@
 
 static void end_process(struct edge *edge, const struct client_debt *debt, uint64_t now)
 {
-    edge_client_log_debts(edge);
-    metric_add(METRIC_STOP_CUT, debt->requests);
     log_event(LOG_LEVEL_INFO, "process", "drained",
               "active=%u took_ms=%" PRIu64 " requests=%u unread=%u unsent=%u unsent_bytes=%zu",
               edge->active, edge_stop_elapsed_ms(edge, now), debt->requests, debt->unread,
@@ -48,14 +46,15 @@
     uv_stop(edge->loop);
 }
 
-/* No client is expected any more, and those that are connected have their answers. They learn that
- * their connections close before the process ends. */
+/* No client is expected any more, or time is over. All that was read gets its answer, and clients
+ * learn that their connections close, before the process ends. */
 static void close_to_clients(struct edge *edge, uint64_t now)
 {
     edge->closed_to_clients = true;
     log_event(LOG_LEVEL_INFO, "process", "closed-to-clients", "active=%u stop_ms=%" PRIu64,
               edge->active, edge_stop_elapsed_ms(edge, now));
     uv_close((uv_handle_t *)&edge->listener, NULL);
+    edge_client_answer_owed(edge);
     edge_client_close_idle(edge);
 }
 
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -79,6 +79,7 @@
     [END_BLOCKED] = "crashes-back-ends",
     [END_HELD] = "held",
     [END_CLIENT_SLOW] = "client-slow",
+    [END_STOPPED] = "stopped",
     [END_NO_REGION] = "no-region",
 };
 
@@ -92,6 +93,7 @@
 {
     switch (reason) {
     case END_DEADLINE:
+    case END_STOPPED:
         metric_add(METRIC_STREAMS_CUT_TIME, 1);
         break;
     case END_NO_BACKEND:
@@ -226,7 +228,8 @@
                        now - exchange->arrived_at, now);
 }
 
-void exchange_log_owed(const struct exchange *exchange)
+/* The end of a planned stop finds the request without its final response. */
+static void log_owed(const struct exchange *exchange)
 {
     uint64_t now = cluster_now();
     log_event(LOG_LEVEL_WARN, "request", "owed-request",
@@ -262,9 +265,11 @@
         overload_record(&exchange->service_state->overload, !found, cluster_now());
 }
 
-static uint32_t retry_after_ms(struct exchange *exchange)
+static uint32_t retry_after_ms(struct exchange *exchange, enum end_reason reason)
 {
     struct edge *edge = exchange->edge;
+    if (reason == END_STOPPED)
+        return edge_stop_retry_ms(edge);
     uint64_t now = cluster_now();
     uint64_t withheld_until = exchange_withheld_until(exchange, now);
     uint64_t held_until = exchange_held_until(exchange, now);
@@ -327,13 +332,22 @@
         return;
     }
     char id[PLATFORM_TEXT_SIZE], text[BLOCKED_TEXT_SIZE];
-    uint32_t wait_ms = status == 503 && may_succeed_later(reason) ? retry_after_ms(exchange) : 0;
+    uint32_t wait_ms =
+        status == 503 && may_succeed_later(reason) ? retry_after_ms(exchange, reason) : 0;
     memcpy(id, exchange->head.id, sizeof id);
     write_reason(exchange, reason, text);
     exchange_finish(exchange);
     exchange_send_local_response(edge, client, id, status, wait_ms, text);
 }
 
+void exchange_end_at_stop(struct exchange *exchange)
+{
+    bool not_run = !exchange->may_have_run && !exchange_is_sent(exchange);
+    log_owed(exchange);
+    metric_add(METRIC_STOP_CUT, 1);
+    exchange_fail(exchange, not_run ? 503 : 502, END_STOPPED);
+}
+
 void exchange_fail_by_run_state(struct exchange *exchange, enum end_reason reason)
 {
     exchange_fail(exchange, exchange->may_have_run ? 502 : 503, reason);
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -40,6 +40,7 @@
     END_HELD,           /**< it may crash backends, and could not run isolated in time */
     END_CLIENT_SLOW,    /**< the backend closed its connection, as the client took the stream too
                            slowly */
+    END_STOPPED,        /**< the gateway's process ends */
     END_NO_REGION,      /**< its route and its tenant allow no region in common */
 };
 
--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -372,7 +372,7 @@
 
     def test_an_upload_that_is_not_whole_at_the_end_is_refused(self):
         self.stop()
-        self.wait_until(1.0)
+        self.wait_until(ADDRESS_HELD_S)
         connection = self.connect()
         data = request_bytes("POST", "/put/1", "stop-half", b"x" * 600)
         connection.socket.sendall(data[:-300])
