Soak: planned stops that overlap, with streams and clients as long as the users' (--stops)

--stops stops up to all edges at once or in series that overlap, with a second SIGTERM, SIGHUP, configurations and weights within a stop; an edge starts again as soon as its process has ended. soak_stops.py has the clients: streams of 0.5 to 5.5 s, addresses held for three times ttl_s, connections that are kept, or open until the process is gone, two requests at a time, bodies that are whole 2 to 4 s after SIGTERM, answers of 4 to 8 MB that are taken over 3 to 5 s. StopChecks holds their sockets against the rule LOST and lists what is not counted. The stand-in records when each run begins and ends, when it broke connections, and can answer with a given number of bytes.

--- a/tests/system/platform_standin.py
+++ b/tests/system/platform_standin.py
@@ -45,6 +45,12 @@
     return b"".join(stream_event(n) for n in range(first, count + 1))
 
 
+def plain_payload(path, body, size=None):
+    """The body of a plain answer to a request, repeated up to a size if one is given."""
+    payload = b"answer to " + path.encode() + b" " + body
+    return payload if size is None else (payload * (size // len(payload) + 1))[:size]
+
+
 def piece_bytes(version, number):
     return hashlib.sha256(b"%d/%d" % (version, number)).digest() * (PIECE_BYTES // 32)
 
@@ -321,6 +327,8 @@
         self.sequence = 0  # of the last published entry
         self.faults = []
         self.runs = []  # (request id, headers, body, time)
+        self.work = {}  # request id -> list of [begin, end or None while it runs, fault or None]
+        self.breaks = []  # times at which it reset or closed its connections
         self.misdirected = []  # ids of requests meant for another back end or version
         self.connections = set()
         self.link = Link()
@@ -427,6 +435,7 @@
 
     def reset_link(self):
         """The link resets all connections; the back end stays up and accepts new ones."""
+        self.breaks.append(time.monotonic())
         with self.lock:
             self.aborted_streams.extend(self.last_streams.values())
         for connection in list(self.connections):
@@ -440,6 +449,7 @@
         self.close_connections(self.closes_in_order)
 
     def close_connections(self, in_order=False):
+        self.breaks.append(time.monotonic())
         if in_order:
             close_in_order(self.server.socket)  # refuses connections from now on
         self.server.shutdown()
@@ -734,9 +744,12 @@
         if fault == "shed" or (streams and not owner.start_stream(self.connection, identity)):
             self.reply(503, b"", echo + [("Shuntrun-Not-Executed", "1")])
             return
+        work = [time.monotonic(), None, fault]
+        owner.work.setdefault(identity, []).append(work)
         try:
             self.execute(identity, body, fault, echo)
         finally:
+            work[1] = time.monotonic()
             owner.end_stream(self.connection, identity)
 
     def execute(self, identity, body, fault, echo):
@@ -793,7 +806,8 @@
         return [("Shuntrun-Response-Seal", "seal-" + self.owner.identity)]
 
     def payload(self, body):
-        return b"answer to " + self.path.encode() + b" " + body
+        _, query = self.split_path()
+        return plain_payload(self.path, body, int(query["bytes"]) if "bytes" in query else None)
 
     def send_stream_head(self, echo, framing):
         self.send_response(200)
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -26,6 +26,9 @@
   repeats    all edges together, with all their processes, send a service no more repeats in any window than the
              repeat budget allows
   planned    an edge that is stopped exits by itself with status 0, and cuts no request that it has read
+  stops      a request that was wholly sent to an edge before or during its planned stop gets a whole answer or, at
+             once, a refusal that says when to come again; the edge exits within the grace time. StopChecks has the
+             exceptions
   alive      no process exits unless told to
   recovery   requests are served again within RECOVERY_S of the last fault
 
@@ -49,12 +52,16 @@
   --links        links to back ends that stall or are slow for a while, or reset all connections
   --range N      the addresses of edges and back ends are those of range N; without it, the seed draws the range:
                  ranks among nodes follow from their addresses
+  --stops        planned stops of edges that overlap, up to all at once; streams as long as the users' deadlines, and
+                 clients that hold addresses, keep connections, send two requests at a time, upload slowly or read big
+                 answers slowly
   --leaving      back ends whose previous entry is written after the one that announces that they leave,
                  and moments at which all gateways are killed
 
 usage: soak.py --build DIR --work DIR [--seeds A..B|A,B] [--seconds S] [--only N,N] [--crashing]
                [--crashing-parts] [--gateway-ends]
-               [--crash-times] [--statements] [--links] [--leaving] [--limits] [--restores] [--unframed] [--large] [--range N]
+               [--crash-times] [--statements] [--links] [--leaving] [--limits] [--restores] [--unframed] [--stops]
+               [--large] [--range N]
 """
 import argparse
 import json
@@ -71,6 +78,7 @@
 import soak_checks as checks  # noqa: E402
 import soak_clients as clients  # noqa: E402
 import soak_schedule as schedule  # noqa: E402
+import soak_stops as stops  # noqa: E402
 
 SERVING_AFTER_LEAVE_S = 3.0  # a back end that leaves serves for this long
 RECOVERY_S = 12.0  # bound required by the platform
@@ -107,7 +115,7 @@
             self.max_s = max(self.max_s, time.monotonic() - before - 0.02)
 
 
-class Soak(checks.Checks):
+class Soak(checks.Checks, checks.StopChecks):
     def __init__(self, seed, options, work):
         self.seed = seed
         self.options = options
@@ -115,6 +123,10 @@
         self.with_restores = options.restores
         self.with_crashing_parts = options.crashing_parts
         self.with_unframed = options.unframed
+        self.with_stops = options.stops
+        self.stop_clients = None
+        self.stops = []  # planned stops, stops.Stop
+        self.stop_summary = ""
         self.repeat_ratio, self.repeat_allowance = SMALL_REPEAT_BUDGET if options.gateway_ends else REPEAT_BUDGET
         self.crashing_part_callers = []
         self.crashing_parts = {}  # part that crashes engines -> how the connection ends
@@ -195,6 +207,8 @@
             route["attempts"] = 2
             if self.with_links:
                 route["timeout_ms"] = int(1000 * clients.LongStreamClient.DEADLINE_S)
+            if self.with_stops:
+                route["timeout_ms"] = int(1000 * stops.ROUTE_TIMEOUT_S)
         if self.with_restores:
             self.add_probe_routes(configuration)
         self.store.put("op/config", configuration)
@@ -493,6 +507,46 @@
             stop.start()
             self.stop_threads.append(stop)
 
+    def fault_stop(self, fault):
+        """Stops one edge of each stops.EDGES, also while others stop; each starts again as soon as it has ended."""
+        for _ in range(len(platform.EDGE_IPS) // stops.EDGES):
+            choices = [ip for ip in platform.EDGE_IPS if ip not in self.unavailable_edges]
+            if choices:
+                self.stop_edge(choices[fault["which"] % len(choices)])
+
+    def stop_edge(self, ip):
+        self.unavailable_edges.add(ip)
+        self.edge_outages.append([ip, time.monotonic(), float("inf")])
+        stop = stops.Stop(ip)
+        self.edges[ip].process.send_signal(signal.SIGTERM)
+        self.stops.append(stop)
+        self.edge_stops.append((ip, stop.at))
+        self.stop_clients.aim(stop)
+        waiter = threading.Thread(target=self.await_planned_stop, args=(stop,), daemon=True)
+        waiter.start()
+        self.stop_threads.append(waiter)
+
+    def await_planned_stop(self, stop):
+        process = self.edges[stop.edge].process
+        while process.poll() is None and time.monotonic() < stop.at + 2 * checks.STOP_GRACE_S:
+            time.sleep(0.01)
+        stop.ended, stop.status = time.monotonic(), process.poll()
+        if stop.status is None:
+            self.edges[stop.edge].stop()
+        self.restart(self.edges, stop.edge)
+
+    def signal_stopping_edge(self, fault, number):
+        """Sends a signal to an edge whose process is about to end, if there is one."""
+        stopping = [stop for stop in self.stops if not stop.ended]
+        if stopping:
+            self.edges[stopping[fault["which"] % len(stopping)].edge].process.send_signal(number)
+
+    def fault_term_again(self, fault):
+        self.signal_stopping_edge(fault, signal.SIGTERM)
+
+    def fault_hup(self, fault):
+        self.signal_stopping_edge(fault, signal.SIGHUP)
+
     def await_stop(self, ip):
         status = self.edges[ip].process.wait(timeout=checks.STOP_GRACE_S + self.slack.max_s + 5)
         if status:
@@ -582,6 +636,8 @@
             self.stop_requested.set()
             for client in self.clients:
                 client.join(timeout=10)
+            if self.stop_clients:
+                self.stop_clients.join()
             self.check()
         finally:
             self.stop_requested.set()
@@ -591,6 +647,8 @@
         self.clients = [clients.Client(self, number) for number in range(CLIENTS)]
         if self.with_links:
             self.clients += [clients.LongStreamClient(self, CLIENTS + n) for n in range(LONG_STREAM_CLIENTS)]
+        if self.with_stops:
+            self.stop_clients = stops.StopClients(self)
         begin = time.monotonic()
         for fault in faults:
             time.sleep(max(0, begin + fault["at"] - time.monotonic()))
@@ -629,9 +687,17 @@
     return ["%s.%d" % (prefix, 1 + RANGE_SIZE * number + index) for index in range(count)]
 
 
+def cluster_size(options):
+    """Number of edges and of engines."""
+    if options.large:
+        return LARGE_EDGES, LARGE_ENGINES
+    return (stops.EDGES, stops.ENGINES) if options.stops else (2, 3)
+
+
 def use_address_range(options, number):
-    platform.EDGE_IPS[:] = addresses(platform.EDGE_IPS[0], LARGE_EDGES if options.large else 2, number)
-    platform.ENGINE_IPS[:] = addresses(platform.ENGINE_IPS[0], LARGE_ENGINES if options.large else 3, number)
+    edges, engines = cluster_size(options)
+    platform.EDGE_IPS[:] = addresses(platform.EDGE_IPS[0], edges, number)
+    platform.ENGINE_IPS[:] = addresses(platform.ENGINE_IPS[0], engines, number)
     platform.PLAIN_IPS[:] = addresses(platform.PLAIN_IPS[0], 2, number)
 
 
@@ -645,7 +711,9 @@
     print("seed %d: %d requests, %d served, slack %.0f ms, %d findings" %
           (seed, soak.counts[0], soak.counts[1], 1000 * soak.slack.max_s, len(soak.findings)),
           flush=True)
-    for finding in soak.findings[:10]:
+    if options.stops:
+        print("  " + soak.stop_summary, flush=True)
+    for finding in soak.findings if options.stops else soak.findings[:10]:
         print("  " + finding, flush=True)
     return not soak.findings
 
@@ -685,6 +753,8 @@
                         help="add restores of the store from an older copy")
     parser.add_argument("--unframed", action="store_true",
                         help="add answers without a length, and back ends that close connections in order as they end")
+    parser.add_argument("--stops", action="store_true",
+                        help="add planned stops of edges that overlap, and clients that come to edges which stop")
     parser.add_argument("--large", action="store_true", help="more edges and engines")
     parser.add_argument("--range", type=int, choices=range(ADDRESS_RANGES),
                         help="range of the addresses; default: by the seed")
--- a/tests/system/soak_checks.py
+++ b/tests/system/soak_checks.py
@@ -1,4 +1,5 @@
 """Checks the soak test's invariants by what clients and back ends observed; soak.py lists them."""
+import collections
 import http.client
 import os
 import sys
@@ -11,6 +12,10 @@
 DRAIN_S = 2.0  # platform's bound on requests to a back end after it announced that it leaves
 STORE_SETTLE_S = 3.0  # from the end of a store fault until its updates bind edges
 STOP_GRACE_S = 8  # from SIGTERM to the exit of an edge
+ACCEPTED_S = 3.0  # a request sent later than this after SIGTERM is never excused by its engine's time
+LOSS_SLACK_S = 0.2  # platform's time for a request that crosses the close of its connection
+REFUSED_WITHIN_S = 0.5  # from a request, or SIGTERM, to its refusal
+BREAKING_FAULTS = ("reset", "error", "silent", "mute", "unsealed", "foreign", "torn")  # of Backend; others only delay
 CRASHES_TO_BLOCK = 3
 PART_CRASHES = 5  # engines that a part may crash before the time begins in which all edges must know it
 MAX_LATE_PART_ARRIVALS = 3
@@ -29,13 +34,18 @@
 
     def check(self):
         results = [r for client in self.clients for r in client.results]
+        attempts = self.stop_clients.attempts() if self.stop_clients else []
         runs = {}
         for backend in self.backend_starts:
             for run in backend.runs:
                 runs.setdefault(run[0], []).append((backend, run[3]))
         for result in results:
             self.check_result(result, runs.get(result.identity, []))
-        edges = {r.identity: r.edge for r in results}
+        for attempt in attempts:
+            self.check_answer(attempt, runs.get(attempt.identity, []))
+        if self.stop_clients:
+            self.check_stops(attempts)
+        edges = {r.identity: r.edge for r in results + attempts}
         for caller in self.crashing + self.crashing_part_callers:
             edges.update(caller.edges)
         for backend in self.backend_starts:
@@ -51,9 +61,16 @@
         self.check_repeats()
         for identity in [run[0] for run in self.trap.runs] + self.trap.misdirected:
             self.add_finding("entries", "%s was sent to what only bad entries name" % identity)
-        self.counts = (len(results), sum(r.whole for r in results))
+        self.counts = (len(results + attempts), sum(r.whole for r in results + attempts))
 
     def check_result(self, result, runs):
+        self.check_answer(result, runs)
+        if result.cut and runs:  # a run shows that it was read
+            self.check_cut(result, [backend for backend, _ in runs])
+        if result.cut and result.status == 200 and result.kind == "stream":
+            self.check_stream(result, [backend for backend, _ in runs])
+
+    def check_answer(self, result, runs):
         if result.status == 200 and not result.whole and not result.cut:
             self.add_finding("whole", "%s from %s is not whole" % (result.identity, result.edge))
         if result.blocked:
@@ -62,10 +79,6 @@
             self.add_finding("once", "%s ran %d times" % (result.identity, len(runs)))
         if result.status in (429, 503) and runs:
             self.add_finding("not-run", "%s was answered %d and ran" % (result.identity, result.status))
-        if result.cut and runs:  # a run shows that it was read
-            self.check_cut(result, [backend for backend, _ in runs])
-        if result.cut and result.status == 200 and result.kind == "stream":
-            self.check_stream(result, [backend for backend, _ in runs])
 
     @staticmethod
     def deadline_passed(result):
@@ -241,3 +254,148 @@
                     not self.was_link_disturbed(backend, at):
                 self.add_finding("drain", "%s reached %s %.2f s after it left" %
                                  (identity, backend.identity, at - left))
+
+
+class StopChecks:
+    """Mixin of the soak: what the clients of soak_stops.py got from edges around their planned stops.
+
+    A request is not counted if
+      deadline  its deadline passed
+      engine    the engine's connections broke during the run, or it was told to fail this request
+      late      it was sent no later than ACCEPTED_S after SIGTERM, and an engine was still at work in the last sixth of
+                the grace time
+      first     the connection was cut during the request before it, which is counted or not for reasons of its own
+      crossed   the edge closed the connection within LOSS_SLACK_S of its being sent, nothing of it reached an engine,
+                and no earlier answer had promised that the connection is kept
+    """
+
+    def check_stops(self, attempts):
+        self.stop_counts = collections.Counter()
+        for stop in self.stops:
+            self.check_stop_end(stop)
+        for attempt in sorted(attempts, key=lambda a: a.begun):
+            stop = self.stop_of(attempt)
+            if not attempt.ended:
+                self.add_stop_finding("client", "%s did not end" % attempt.identity)
+            elif stop:
+                self.check_attempt(attempt, stop)
+            elif attempt.cut:
+                self.count_other_loss(attempt)
+        self.stop_summary = self.summarize_stops()
+
+    def check_stop_end(self, stop):
+        took_s = stop.ended - stop.at
+        if took_s > STOP_GRACE_S + 2 * self.slack.max_s:
+            self.add_stop_finding("end", "edge %s ended %.2f s after SIGTERM" % (stop.edge, took_s))
+        if stop.status != 0:
+            self.add_stop_finding("end", "edge %s ended with %s after SIGTERM" % (stop.edge, stop.status))
+
+    def add_stop_finding(self, kind, text):
+        self.stop_counts["finding " + kind] += 1
+        self.add_finding("stops", "%s: seed %d, %s" % (kind, self.seed, text))
+
+    def stop_of(self, attempt):
+        """The stop of the edge's process that got the request."""
+        for stop in self.stops:
+            if stop.edge == attempt.edge and attempt.begun < stop.ended and attempt.ended >= stop.at:
+                return stop
+        return None
+
+    def count_other_loss(self, attempt):
+        """Not a finding of this check."""
+        works = self.works_of(attempt)
+        if self.was_unavailable(attempt.edge, attempt.begun, attempt.ended):
+            return
+        if not self.excuse(attempt, None, works):
+            self.stop_counts["lost apart from stops"] += 1
+
+    def works_of(self, attempt):
+        """(back end, [begin, end, fault]) of its runs."""
+        return [(backend, work) for backend in self.backend_starts
+                for work in backend.work.get(attempt.identity, ())]
+
+    def check_attempt(self, attempt, stop):
+        works = self.works_of(attempt)
+        if attempt.answered:
+            self.check_stop_answer(attempt, stop, works)
+        elif attempt.sent is None:
+            self.stop_counts["not wholly sent"] += 1
+        else:
+            excuse = self.excuse(attempt, stop, works)
+            if excuse:
+                self.stop_counts["excused " + excuse] += 1
+            else:
+                self.add_stop_finding(self.kind_of_loss(attempt, works), self.describe(attempt, stop, works))
+
+    def check_stop_answer(self, attempt, stop, works):
+        self.stop_counts["answered %d" % attempt.status] += 1
+        if attempt.sent is None or attempt.status != 503:
+            return
+        if attempt.retry_after is None:
+            self.add_stop_finding("no Retry-After", self.describe(attempt, stop, works))
+        waited_s = attempt.ended - max(attempt.sent, stop.at, attempt.first.ended if attempt.first else 0)
+        arrived = any(run[0] == attempt.identity for backend in self.backend_starts for run in backend.arrivals)
+        if waited_s > REFUSED_WITHIN_S + 2 * self.slack.max_s and not arrived:
+            self.add_stop_finding("late refusal", self.describe(attempt, stop, works))
+
+    def excuse(self, attempt, stop, works):
+        """Why it is not counted, or None."""
+        if attempt.ended - attempt.begun >= attempt.deadline - TRANSIT_MARGIN_S:
+            return "deadline"
+        if any(self.broke_off(attempt, backend, work) for backend, work in works):
+            return "engine"
+        if stop and self.was_in_last_sixth(attempt, stop, works):
+            return "late"
+        if attempt.first and not attempt.first.answered:
+            return "first"
+        if not attempt.promised and self.crossed_close(attempt, works):
+            return "crossed"
+        return None
+
+    @staticmethod
+    def was_in_last_sixth(attempt, stop, works):
+        last_sixth = stop.at + STOP_GRACE_S * 5 / 6
+        return attempt.sent <= stop.at + ACCEPTED_S and any(not end or end > last_sixth for _, (_, end, _) in works)
+
+    @staticmethod
+    def broke_off(attempt, backend, work):
+        begin, end, fault = work
+        if fault in BREAKING_FAULTS or attempt.identity in backend.aborted_streams:
+            return True
+        return any(begin <= at <= (end or float("inf")) for at in backend.breaks)
+
+    def crossed_close(self, attempt, works):
+        return not works and attempt.status is None and \
+            attempt.ended - attempt.sent <= LOSS_SLACK_S + 2 * self.slack.max_s
+
+    def kind_of_loss(self, attempt, works):
+        if attempt.status is not None:
+            return "cut"
+        if attempt.promised and self.crossed_close(attempt, works):
+            return "promise"
+        if attempt.client == "second":
+            return "second dropped"
+        return "unanswered" if works else "not handed on"
+
+    @staticmethod
+    def describe(attempt, stop, works):
+        """Times in s after SIGTERM."""
+        def seconds(at):
+            return "%+.2f" % (at - stop.at) if at else "-"
+        runs = ", ".join("%s %s to %s%s" % (backend.identity, seconds(begin), seconds(end),
+                                            ", " + fault if fault else "")
+                         for backend, (begin, end, fault) in works)
+        return ("%s (%s, %s) at %s: sent %s, got %s and %d bytes, %s at %s%s; runs: %s; process ended %s" %
+                (attempt.identity, attempt.client, attempt.kind, attempt.edge, seconds(attempt.sent),
+                 attempt.status or "nothing", attempt.body_bytes, attempt.end or "answered", seconds(attempt.ended),
+                 ", after an answer that kept the connection" if attempt.promised else "", runs or "none",
+                 seconds(stop.ended)))
+
+    def summarize_stops(self):
+        callers = self.stop_clients.callers()
+        ends = ", ".join("%.2f" % (stop.ended - stop.at) for stop in self.stops)
+        counts = ", ".join("%s: %d" % pair for pair in sorted(self.stop_counts.items()))
+        return ("stops: %d, ended %s s after SIGTERM; %s; "
+                "failed connects: %d, closed while idle: %d, unfinished uploads: %d" %
+                (len(self.stops), ends, counts, sum(c.failed_connects for c in callers),
+                 sum(c.closed_while_idle for c in callers), sum(c.unfinished_uploads for c in callers)))
--- a/tests/system/soak_schedule.py
+++ b/tests/system/soak_schedule.py
@@ -31,6 +31,10 @@
 REWRITE_AFTER_S = (0.5, 2.5)  # from a restore until what it lost is written again
 CONFIGURATION_AFTER_S = 5  # from a restore to a configuration
 UNFRAMED_GAP_S = (0.4, 1.2)  # between two ends that close connections in order
+STOPS_GAP_S = (4.5, 7.5)  # between the first stops of two series of planned stops, which last up to 8 s each
+MAX_STOPS = 4  # of a series
+STOP_GAPS_S = (0.0, 0.3, 1.0, 2.0)  # from one stop of a series to the next one
+WITHIN_STOP_S = (0.1, 6.0)  # from the first stop of a series to other events within it
 
 
 def fault(at, kind, rng, for_s=0, **more):
@@ -96,6 +100,16 @@
     yield fault(at, "end_in_order", rng)
 
 
+def draw_stops(rng, at):
+    """A series of stops that overlap, and a second SIGTERM, a SIGHUP, a configuration and new weights meanwhile."""
+    count, gap_s = rng.randint(1, MAX_STOPS), rng.choice(STOP_GAPS_S)
+    for number in range(count):
+        yield fault(at + number * gap_s, "stop", rng)
+    for kind in ("term_again", "hup", "hup", "config", "weights"):
+        if rng.random() < 0.7:
+            yield fault(at + rng.uniform(*WITHIN_STOP_S), kind, rng)
+
+
 # Option -> name of its generator, time of its first fault (a range is drawn from), gap to the next, function.
 SERIES = {
     "crashing": ("crashing", 1.5, CRASHING_GAP_S, draw_crashing),
@@ -107,6 +121,7 @@
     "limits": ("limits", 1.3, LIMIT_GAP_S, draw_limits),
     "restores": ("restores", (2.0, 4.0), RESTORE_GAP_S, draw_restores),
     "unframed": ("ends in order", 1.0, UNFRAMED_GAP_S, draw_ends_in_order),
+    "stops": ("planned stops", (1.5, 2.5), STOPS_GAP_S, draw_stops),
 }
 
 
