A run lasts until its client has taken the answer

Cause: the known runs of the route ended when the answer was in the gateway's memory, within 0.1 s, so that it seemed to end in time. Change: a run lasts until the bytes of its answer have left the gateway's memory. Why it works: the time that clients of the route take is part of the bound.

--- a/src/core/load/run_time.h
+++ b/src/core/load/run_time.h
@@ -2,7 +2,8 @@
  * The longest run of the requests of one route lately. It bounds how long the next one may run,
  * where a mean would be exceeded by half of them.
  *
- * A run that is still in progress raises the longest one with the time that it has lasted so far,
+ * A run lasts until its client has taken the answer, as far as that is not in the socket's buffer.
+ * One that is still in progress raises the longest one with the time that it has lasted so far,
  * but it is no evidence that runs are short. Lengths follow the load, so runs are forgotten after
  * one to two windows.
  *
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -37,6 +37,8 @@
     uint64_t last_received_at; /* time at which bytes last arrived */
     size_t unsent_bytes;       /* of responses, when last checked */
     uint64_t last_taken_at;    /* time at which `unsent_bytes` last decreased, or was 0 */
+    uint32_t delivered_route;  /* of the answer that the client is taking; 0: none */
+    uint64_t delivery_arrived_at; /* time at which the request of that answer was complete */
     struct edge_client *next;
     struct edge_client **link;
 };
@@ -225,8 +227,22 @@
     free_if_unused(client);
 }
 
-static const struct tcp_stream_callbacks stream_callbacks = {.received = on_received,
-                                                             .ended = on_ended};
+static void record_delivery(const struct edge_client *client, uint64_t now)
+{
+    if (client->delivered_route)
+        edge_raise_run_time(client->edge, client->delivered_route,
+                            now - client->delivery_arrived_at, now);
+}
+
+static void on_drained(void *context)
+{
+    struct edge_client *client = context;
+    record_delivery(client, cluster_now());
+    client->delivered_route = 0;
+}
+
+static const struct tcp_stream_callbacks stream_callbacks = {
+    .received = on_received, .ended = on_ended, .drained = on_drained};
 
 void edge_client_accept(uv_stream_t *listener, int status)
 {
@@ -281,6 +297,12 @@
         parse_unread(client);
 }
 
+void edge_client_begin_delivery(struct edge_client *client, const char *route)
+{
+    client->delivered_route = edge_route(client->edge, route)->key;
+    client->delivery_arrived_at = client->arrived_at;
+}
+
 void edge_client_send_response(struct edge_client *client, const struct buffer *head,
                                const void *body, size_t size)
 {
@@ -295,6 +317,8 @@
         tcp_stream_write(client->stream, response.data, response.size);
         buffer_clear(&response);
     }
+    if (!edge_client_unsent_bytes(client))
+        client->delivered_route = 0;
     finish_response(client, keep);
 }
 
@@ -376,9 +400,12 @@
 
 void edge_client_record_run_times(const struct edge *edge, uint64_t now)
 {
-    for (const struct edge_client *client = edge->clients; client; client = client->next)
+    for (const struct edge_client *client = edge->clients; client; client = client->next) {
         if (client->exchange)
             exchange_record_run_time(client->exchange, now);
+        if (edge_client_unsent_bytes(client))
+            record_delivery(client, now);
+    }
 }
 
 static void log_owed(const struct edge_client *client)
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -121,6 +121,9 @@
 void edge_client_drop_slow(struct edge *edge, uint64_t now);
 /** \brief Closes all connections without a request in progress. */
 void edge_client_close_idle(struct edge *edge);
+/** \brief Times how long the client takes the answer that is sent next, for the bound of its
+ * route's runs. */
+void edge_client_begin_delivery(struct edge_client *client, const char *route);
 /** \brief Sends a complete response; the exchange ends with it. `head` is the status line and
  * headers without Content-Length. */
 void edge_client_send_response(struct edge_client *client, const struct buffer *head,
@@ -276,6 +279,9 @@
 void edge_update_budgets(struct edge *edge);
 /** \return state of the route, created at first use; valid until the next call */
 struct route_state *edge_route(struct edge *edge, const char *route);
+/** \brief Records that a request of the route has lasted this long.
+ * \param key of its state; nothing is recorded for a route that is forgotten */
+void edge_raise_run_time(struct edge *edge, uint32_t key, uint64_t run_us, uint64_t now);
 /** \brief Forgets routes that the current configuration does not have. */
 void edge_forget_routes(struct edge *edge);
 
--- a/src/edge/edge_learned.c
+++ b/src/edge/edge_learned.c
@@ -64,6 +64,13 @@
     return &edge->routes[edge->route_count++];
 }
 
+void edge_raise_run_time(struct edge *edge, uint32_t key, uint64_t run_us, uint64_t now)
+{
+    uint32_t index = address_index_find(&edge->route_index, key);
+    if (index != ADDRESS_INDEX_NONE)
+        run_time_raise(&edge->routes[index].run_time, run_us, now);
+}
+
 void edge_forget_routes(struct edge *edge)
 {
     struct address_index configured = {0};
--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -50,6 +50,7 @@
     exchange_count_done(exchange);
     metric_observe(METRIC_WHOLE_ANSWER, cluster_now() - exchange->arrived_at);
     exchange_log_end(exchange, http_message_status(message), reason, exchange_last_tried(exchange));
+    edge_client_begin_delivery(client, exchange->route->name);
     exchange_finish(exchange);
     edge_client_send_response(client, &head, message->body.data, message->body.size);
     buffer_clear(&head);
--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -31,6 +31,7 @@
 BODY = b"x" * 16000000  # the back end echoes it; sockets buffer less
 ENDLESS_MS = 20000  # longer than the grace period
 UPLOAD_S = 0.6
+SLOW_STEPS, SLOW_STEP_S = 40, 0.12  # of a client that takes an answer of the size of BODY
 KNOWN_RUNS = 20  # completed runs of a route from which the gateway knows how long they last
 
 
@@ -197,6 +198,25 @@
         self.assert_whole(connection, standin.whole_stream(count=8))
         self.assert_ends()
 
+    def test_a_request_whose_answer_is_taken_too_slowly_is_refused(self):
+        """It was taken, as its route's back ends answer at once, and cut while its client took the answer."""
+        path = "/get/1?bytes=%d" % len(BODY)
+        slow = self.connect(receive_buffer=65536)
+        slow.send("GET", path)
+        for _ in range(KNOWN_RUNS):
+            self.assertEqual(platform.send_request("GET", "/get/1").status, 200)
+        response = http.client.HTTPResponse(slow.file)
+        response.begin()
+        for _ in range(SLOW_STEPS):
+            response.read(len(BODY) // SLOW_STEPS)
+            time.sleep(SLOW_STEP_S)
+        self.stop()
+        self.wait_until(ADDRESS_HELD_S)
+        late = self.connect()
+        late.send("GET", path)
+        self.assert_refused(late)
+        self.assert_ends()
+
     def test_a_stream_of_a_route_whose_streams_are_short_is_served(self):
         connections = [self.connect() for _ in range(KNOWN_RUNS)]
         for connection in connections:
