Only runs that succeed show how long the runs of a route last

Cause: the bound of a stopping gateway counted each answer of a back end as a completed run, also failures, which come at once; and a request that was held for a configuration was judged as of its arrival. Change: only successes and whole streams count (exchange_complete_run); what is left of a deadline is reckoned from now. In the same commit, as both are in is_overdue's reach of the test file: a connection whose client takes an answer is not idle until it is taken.

--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -33,7 +33,7 @@
                                its request is refused */
     bool closes_when_taken; /* once the client has taken the last response; it sends nothing more */
     bool continue_sent;     /* "100 Continue" was sent */
-    uint64_t idle_since;    /* time of the last response, or of the accept */
+    uint64_t idle_since;    /* time at which the last response was taken, or of the accept */
     uint64_t head_started;  /* time of the first byte of the current request; 0: none */
     uint64_t last_received_at;    /* time at which bytes last arrived */
     size_t unsent_bytes;          /* of responses, when last checked */
@@ -254,7 +254,8 @@
 static void on_drained(void *context)
 {
     struct edge_client *client = context;
-    record_delivery(client, cluster_now());
+    client->idle_since = cluster_now();
+    record_delivery(client, client->idle_since);
     client->delivered_route = 0;
     if (!client->closes_when_taken)
         return;
@@ -491,7 +492,7 @@
     uint64_t head_ms = table ? route_table_limits(table)->head_timeout_ms : DEFAULT_HEAD_TIMEOUT_MS;
     uint64_t idle_ms = table ? route_table_limits(table)->idle_timeout_ms : DEFAULT_IDLE_TIMEOUT_MS;
     if (!client->head_started)
-        return now > client->idle_since + idle_ms * 1000;
+        return !edge_client_unsent_bytes(client) && now > client->idle_since + idle_ms * 1000;
     if (!client->request.head_complete)
         return now > client->head_started + head_ms * 1000;
     return now > client->last_received_at + idle_ms * 1000; /* a long body may arrive slowly */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -301,9 +301,11 @@
 {
     if (!edge_is_stopping(edge))
         return false;
-    uint64_t now = edge_client_arrived_at(client);
+    uint64_t now = cluster_now();
+    uint64_t deadline_at =
+        edge_client_arrived_at(client) + request_timeout_ms(head, route) * US_PER_MS;
     struct run_time *run_time = &edge_route(edge, route->name)->run_time;
-    struct run_bound bound = {.deadline_us = request_timeout_ms(head, route) * US_PER_MS};
+    struct run_bound bound = {.deadline_us = deadline_at > now ? deadline_at - now : 0};
     bound.longest_us = run_time_longest_us(run_time, bound.deadline_us, now);
     if (!edge_client_closes(client) && stop_plan_takes(&edge->stop, &bound, now)) {
         log_taken(edge, client, head, &bound);
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -268,8 +268,10 @@
                                 enum end_reason reason);
 /** \brief Appends the head of a backend's response for the client. */
 void exchange_write_head(const struct http_message *message, struct buffer *head);
-/** \brief Counts a request that is answered, and the length of its run. */
+/** \brief Counts a request that is answered. */
 void exchange_count_done(struct exchange *exchange);
+/** \brief Records the length of a run that succeeded. */
+void exchange_complete_run(struct exchange *exchange);
 /** \brief Counts a send on an established connection, once for each attempt. */
 void exchange_count_send(struct exchange *exchange);
 /** \brief Ends the request with an answer of its backend that is known to be whole. */
--- a/src/edge/exchange_response.c
+++ b/src/edge/exchange_response.c
@@ -30,14 +30,18 @@
 void exchange_count_done(struct exchange *exchange)
 {
     struct edge *edge = exchange->edge;
-    uint64_t now = cluster_now();
     metric_add(METRIC_REQUESTS_DONE, 1);
-    run_time_complete(&edge_route(edge, exchange->route->name)->run_time,
-                      now - exchange->arrived_at, now);
     if (edge->has_responded)
         return;
     edge->has_responded = true;
-    metric_gauge_set(METRIC_FIRST_ANSWER_MS, (now - edge->started_at) / US_PER_MS);
+    metric_gauge_set(METRIC_FIRST_ANSWER_MS, (cluster_now() - edge->started_at) / US_PER_MS);
+}
+
+void exchange_complete_run(struct exchange *exchange)
+{
+    uint64_t now = cluster_now();
+    run_time_complete(&edge_route(exchange->edge, exchange->route->name)->run_time,
+                      now - exchange->arrived_at, now);
 }
 
 /* Forwards a complete response of the backend to the client. */
@@ -48,6 +52,8 @@
     struct edge_client *client = exchange->client;
     exchange_write_head(message, &head);
     exchange_count_done(exchange);
+    if (reason == END_DONE)
+        exchange_complete_run(exchange);
     metric_observe(METRIC_WHOLE_ANSWER, cluster_now() - exchange->arrived_at);
     exchange_log_end(exchange, http_message_status(message), reason, exchange_last_tried(exchange));
     edge_client_begin_delivery(client, exchange->route->name);
--- a/src/edge/exchange_stream.c
+++ b/src/edge/exchange_stream.c
@@ -57,6 +57,7 @@
     exchange_end_attempt(exchange, BACKEND_SUCCEEDED);
     exchange_clear_suspicion(exchange);
     exchange_count_done(exchange);
+    exchange_complete_run(exchange);
     exchange_log_end(exchange, 200, END_DONE, exchange_first_tried(exchange));
     exchange_finish(exchange);
     edge_client_stream_end(client);
--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -33,6 +33,7 @@
 ENDLESS_MS = 20000  # longer than the grace period
 UPLOAD_S = 0.6
 SLOW_STEPS, SLOW_STEP_S = 40, 0.12  # of a client that takes an answer of the size of BODY
+FAILURE_DEADLINE_MS = 5200  # more than is left to a gateway that stops since ADDRESS_KEPT_S
 KNOWN_RUNS_WAVES = 8  # that last longer than a stream may
 KNOWN_RUNS = 20  # completed runs of a route from which the gateway knows how long they last
 
@@ -233,6 +234,18 @@
         self.assert_whole(connection, standin.whole_stream(count=EVENTS))
         self.assert_ends()
 
+    def test_failures_do_not_show_that_runs_are_short(self):
+        self.backend.faults = ["error"] * KNOWN_RUNS
+        for _ in range(KNOWN_RUNS):
+            self.assertEqual(platform.send_request("POST", "/put/1", b"x").status, 500)
+        time.sleep(FAILURE_DEADLINE_MS / 1000)
+        self.stop()
+        self.wait_until(ADDRESS_KEPT_S)
+        connection = self.connect()
+        connection.send("POST", "/put/1", deadline_ms=FAILURE_DEADLINE_MS)
+        self.assert_refused(connection)
+        self.assert_ends()
+
     def test_gateways_that_stop_one_after_the_other_cut_no_stream(self):
         clients, results = [], []
 
@@ -300,6 +313,15 @@
         self.assertEqual(len(body), len(b"answer to /put/1 ") + len(BODY))
 
 
+    def test_a_connection_whose_client_takes_an_answer_for_long_is_not_idle(self):
+        """It was closed after the idle timeout, while its client took the answer."""
+        connection = self.connect(receive_buffer=65536)
+        connection.send("GET", "/get/1?bytes=%d" % len(BODY))
+        self.assertEqual(len(self.read_slowly(connection, 2 * platform.IDLE_TIMEOUT_MS / 1000)), len(BODY))
+        connection.send("GET", "/get/1")
+        self.assertIsNotNone(connection.read()[0])
+
+
 class UnreadRequests(Fleet):
     def test_a_request_that_was_read_behind_a_running_one_is_answered(self):
         connection = self.connect()
