A stopping gateway awaits the next request on a connection that it promised

Cause: a promise to keep the connection was no part of what the gateway owes: with its last answer given, it closed at the next tick. Evidence: the finding's client had the answer of a stream that promised a kept connection; nothing else was owed. Change: client_debt counts connections that were promised to take one more request since the stop began, for 0.5 s after their answer. Why it works: a client that uses its connection at once is read; the next answer says Connection: close.

--- a/src/core/load/stop_plan.h
+++ b/src/core/load/stop_plan.h
@@ -23,6 +23,8 @@
 #define STOP_ADDRESS_KEPT_US ((uint64_t)3000000)
 /** The same, with the time in which they connect. */
 #define STOP_ADDRESS_HELD_US ((uint64_t)3200000)
+/** For this long after an answer that kept its connection, the client's next request is awaited. */
+#define STOP_PROMISE_US ((uint64_t)500000)
 /** Bound of the next run, as a percentage of the longest known one. */
 #define STOP_RUN_BOUND_PERCENT 200
 
--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -29,6 +29,8 @@
     bool parsing;
     bool streaming;
     bool keeps;             /* the head of the current stream promised a kept connection */
+    bool promised;          /* since a planned stop began, a response promised that the connection
+                               takes another request */
     bool closes;            /* a response said that the connection closes; what was read behind
                                its request is refused */
     bool closes_when_taken; /* once the client has taken the last response; it sends nothing more */
@@ -313,6 +315,7 @@
         return;
     }
     client->closes = !keep;
+    client->promised = keep && edge_is_stopping(client->edge);
     prepare_next_request(client);
     tcp_stream_pause(client->stream, false);
     if (!client->parsing && client->unread.size)
@@ -406,14 +409,23 @@
     return client->stream && (is_busy(client) ? client->unread.size > 0 : client->head_started > 0);
 }
 
+/* \return whether the client may be about to use a connection that it was promised */
+static bool is_promised(const struct edge_client *client, uint64_t now)
+{
+    return client->promised && client->stream && !is_busy(client) &&
+           now < client->idle_since + STOP_PROMISE_US;
+}
+
 struct client_debt edge_client_debt(const struct edge *edge)
 {
+    uint64_t now = cluster_now();
     struct tcp_closing closing = tcp_stream_closing();
     struct client_debt debt = {.unsent = closing.streams, .unsent_bytes = closing.owed_bytes};
     for (const struct edge_client *client = edge->clients; client; client = client->next) {
         size_t unsent = edge_client_unsent_bytes(client);
         debt.requests += is_busy(client);
         debt.unread += has_unread(client);
+        debt.promised += is_promised(client, now);
         debt.unsent += unsent > 0;
         debt.unsent_bytes += unsent;
     }
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -154,6 +154,7 @@
 struct client_debt {
     uint32_t requests; /**< without a final response */
     uint32_t unread;   /**< connections with bytes of a further request */
+    uint32_t promised; /**< connections that were promised to take one more request */
     uint32_t unsent;   /**< connections with bytes of responses that their clients did not take */
     size_t unsent_bytes;
 };
@@ -161,7 +162,7 @@
 /** \return whether all clients have got what they are owed */
 static inline bool client_debt_is_none(const struct client_debt *debt)
 {
-    return !debt->requests && !debt->unread && !debt->unsent;
+    return !debt->requests && !debt->unread && !debt->promised && !debt->unsent;
 }
 
 /** \return the debt of all connections, also of those that are being closed */
--- a/tests/system/planned_stop_test.py
+++ b/tests/system/planned_stop_test.py
@@ -33,6 +33,7 @@
 ENDLESS_MS = 20000  # longer than the grace period
 UPLOAD_S = 0.6
 SLOW_STEPS, SLOW_STEP_S = 40, 0.12  # of a client that takes an answer of the size of BODY
+PROMISED_USE_S = 0.3  # from an answer to the next request on its connection
 FAILURE_DEADLINE_MS = 5200  # more than is left to a gateway that stops since ADDRESS_KEPT_S
 KNOWN_RUNS_WAVES = 8  # that last longer than a stream may
 KNOWN_RUNS = 20  # completed runs of a route from which the gateway knows how long they last
@@ -358,6 +359,18 @@
         self.assertEqual(response.getheader("Connection"), "close")
         self.assert_ends()
 
+    def test_the_last_promised_connection_takes_the_next_request(self):
+        """The process ended within 0.2 s of the last answer."""
+        connection = self.connect()
+        connection.send("POST", stream_path(LONG_GAP_MS))
+        time.sleep(0.3)
+        self.stop()
+        self.assert_whole(connection, standin.whole_stream(count=EVENTS))
+        time.sleep(PROMISED_USE_S)
+        connection.send("POST", stream_path(SHORT_GAP_MS))
+        self.assert_refused(connection)
+        self.assert_ends()
+
     def test_an_idle_connection_takes_a_request_until_the_process_ends(self):
         idle, other = self.connect(), self.connect()
         for connection in (idle, other):
