Split the client connections and the requests of a planned stop into modules

What clients are owed at a stop moved to edge_client_debt, timeouts and slow clients to edge_client_expiry, the shared structure to edge_client_internal.h; requests at a stop moved from exchange.c and exchange_end.c to exchange_stop. Functions that are shared now have the module's prefix; no statement changed (planned_stop_test, 22 cases, passes).

--- a/src/edge/edge_client.c
+++ b/src/edge/edge_client.c
@@ -2,49 +2,17 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
-#include "edge/edge_internal.h"
+#include "edge/edge_client_internal.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/** A client that takes no byte for this long is dropped first when buffers are nearly full. */
-#define SLOW_CLIENT_US 2000000
 /** Retry-After of requests that are refused for want of memory: slow clients are dropped by then.
  */
 #define NO_MEMORY_RETRY_MS 2500
-/* Limits and timeouts until the first configuration is known. */
+/* Limits until the first configuration is known. */
 #define DEFAULT_HEAD_BYTES 16384
 #define DEFAULT_BODY_BYTES 4194304
-#define DEFAULT_HEAD_TIMEOUT_MS 5000
-#define DEFAULT_IDLE_TIMEOUT_MS 30000
-
-struct edge_client {
-    struct edge *edge;
-    struct tcp_stream *stream; /* NULL when closed */
-    struct http_message request;
-    struct buffer unread;
-    struct exchange *exchange;
-    bool awaits_configuration; /* the request is complete, and held */
-    uint64_t arrived_at;       /* time at which the request was complete */
-    bool parsing;
-    bool streaming;
-    bool keeps;             /* the head of the current stream promised a kept connection */
-    bool promised;          /* since a planned stop began, a response promised that the connection
-                               takes another request */
-    bool closes;            /* a response said that the connection closes; what was read behind
-                               its request is refused */
-    bool closes_when_taken; /* once the client has taken the last response; it sends nothing more */
-    bool continue_sent;     /* "100 Continue" was sent */
-    uint64_t idle_since;    /* time at which the last response was taken, or of the accept */
-    uint64_t head_started;  /* time of the first byte of the current request; 0: none */
-    uint64_t last_received_at;    /* time at which bytes last arrived */
-    size_t unsent_bytes;          /* of responses, when last checked */
-    uint64_t last_taken_at;       /* time at which `unsent_bytes` last decreased, or was 0 */
-    uint32_t delivered_route;     /* of the answer that the client is taking; 0: none */
-    uint64_t delivery_arrived_at; /* time at which the request of that answer was complete */
-    struct edge_client *next;
-    struct edge_client **link;
-};
 
 struct edge *edge_client_edge(const struct edge_client *client)
 {
@@ -97,7 +65,7 @@
     free(client);
 }
 
-static void free_if_unused(struct edge_client *client)
+void edge_client_free_if_unused(struct edge_client *client)
 {
     if (!client->stream && !client->parsing && !client->exchange)
         client_free(client);
@@ -109,8 +77,7 @@
     client->stream = NULL;
 }
 
-/* \param retry_ms Retry-After; 0: none */
-static void reject_request(struct edge_client *client, unsigned status, uint32_t retry_ms)
+void edge_client_reject(struct edge_client *client, unsigned status, uint32_t retry_ms)
 {
     struct buffer reply = {0};
     metric_add(METRIC_REQUESTS_BAD, 1);
@@ -166,7 +133,7 @@
         if (has_room_for_body(client))
             send_continue(client);
         else
-            reject_request(client, 503, NO_MEMORY_RETRY_MS);
+            edge_client_reject(client, 503, NO_MEMORY_RETRY_MS);
         break;
     case HTTP_PARSE_DONE:
         client->arrived_at = cluster_now();
@@ -175,23 +142,17 @@
             start_exchange(client);
         break;
     case HTTP_PARSE_MALFORMED:
-        reject_request(client, 400, 0);
+        edge_client_reject(client, 400, 0);
         break;
     case HTTP_PARSE_HEAD_TOO_LARGE:
-        reject_request(client, 431, 0);
+        edge_client_reject(client, 431, 0);
         break;
     case HTTP_PARSE_BODY_TOO_LARGE:
-        reject_request(client, 413, 0);
+        edge_client_reject(client, 413, 0);
         break;
     }
 }
 
-/* Whether a request is in progress. */
-static bool is_busy(const struct edge_client *client)
-{
-    return client->exchange || client->awaits_configuration;
-}
-
 /* The client counts as connected until then: it may be dropped for want of memory, and a planned
  * stop waits for it. */
 static void close_when_taken(struct edge_client *client)
@@ -206,18 +167,18 @@
     tcp_stream_pause(client->stream, false);
 }
 
-static void parse_unread(struct edge_client *client)
+void edge_client_parse_unread(struct edge_client *client)
 {
     client->parsing = true;
-    while (client->stream && !is_busy(client) && client->unread.size) {
+    while (client->stream && !edge_client_is_busy(client) && client->unread.size) {
         if (!client->head_started)
             client->head_started = cluster_now();
         parse_request(client);
     }
     client->parsing = false;
-    if (client->closes && client->stream && !is_busy(client))
+    if (client->closes && client->stream && !edge_client_is_busy(client))
         close_when_taken(client);
-    free_if_unused(client);
+    edge_client_free_if_unused(client);
 }
 
 static void on_received(void *context, const char *bytes, size_t size)
@@ -228,8 +189,8 @@
         return;
     client->last_received_at = cluster_now();
     buffer_append(&client->unread, bytes, size);
-    if (!is_busy(client))
-        parse_unread(client);
+    if (!edge_client_is_busy(client))
+        edge_client_parse_unread(client);
     else if (memory_share_must_pause(&memory, client->unread.size))
         tcp_stream_pause(client->stream, true);
 }
@@ -243,10 +204,10 @@
     client->exchange = NULL;
     if (exchange)
         exchange_cancel(exchange);
-    free_if_unused(client);
+    edge_client_free_if_unused(client);
 }
 
-static void record_delivery(const struct edge_client *client, uint64_t now)
+void edge_client_record_delivery(const struct edge_client *client, uint64_t now)
 {
     if (client->delivered_route)
         edge_raise_run_time(client->edge, client->delivered_route,
@@ -257,12 +218,12 @@
 {
     struct edge_client *client = context;
     client->idle_since = cluster_now();
-    record_delivery(client, client->idle_since);
+    edge_client_record_delivery(client, client->idle_since);
     client->delivered_route = 0;
     if (!client->closes_when_taken)
         return;
     close_in_order(client);
-    free_if_unused(client);
+    edge_client_free_if_unused(client);
 }
 
 static const struct tcp_stream_callbacks stream_callbacks = {
@@ -284,7 +245,7 @@
     edge->clients = client;
     prepare_next_request(client);
     client->stream = tcp_stream_accept(listener, &stream_callbacks, client);
-    free_if_unused(client);
+    edge_client_free_if_unused(client);
 }
 
 /* A stopping gateway still answers the requests that it has read. */
@@ -306,12 +267,12 @@
 {
     client->exchange = NULL;
     if (!client->stream) {
-        free_if_unused(client);
+        edge_client_free_if_unused(client);
         return;
     }
     if (!keep && !owes_refusals(client)) {
         close_when_taken(client);
-        free_if_unused(client);
+        edge_client_free_if_unused(client);
         return;
     }
     client->closes = !keep;
@@ -319,7 +280,7 @@
     prepare_next_request(client);
     tcp_stream_pause(client->stream, false);
     if (!client->parsing && client->unread.size)
-        parse_unread(client);
+        edge_client_parse_unread(client);
 }
 
 void edge_client_begin_delivery(struct edge_client *client, const char *route)
@@ -387,7 +348,7 @@
     if (client->stream)
         tcp_stream_reset(client->stream);
     client->stream = NULL;
-    free_if_unused(client);
+    edge_client_free_if_unused(client);
 }
 
 void edge_client_release_held(struct edge *edge)
@@ -399,87 +360,10 @@
         client->awaits_configuration = false;
         client->parsing = true; /* it must not be freed here */
         start_exchange(client);
-        parse_unread(client);
-    }
-}
-
-/* \return whether bytes of a further request were read */
-static bool has_unread(const struct edge_client *client)
-{
-    return client->stream && (is_busy(client) ? client->unread.size > 0 : client->head_started > 0);
-}
-
-/* \return whether the client may be about to use a connection that it was promised */
-static bool is_promised(const struct edge_client *client, uint64_t now)
-{
-    return client->promised && client->stream && !is_busy(client) &&
-           now < client->idle_since + STOP_PROMISE_US;
-}
-
-struct client_debt edge_client_debt(const struct edge *edge)
-{
-    uint64_t now = cluster_now();
-    struct tcp_closing closing = tcp_stream_closing();
-    struct client_debt debt = {.unsent = closing.streams, .unsent_bytes = closing.owed_bytes};
-    for (const struct edge_client *client = edge->clients; client; client = client->next) {
-        size_t unsent = edge_client_unsent_bytes(client);
-        debt.requests += is_busy(client);
-        debt.unread += has_unread(client);
-        debt.promised += is_promised(client, now);
-        debt.unsent += unsent > 0;
-        debt.unsent_bytes += unsent;
-    }
-    return debt;
-}
-
-void edge_client_record_run_times(const struct edge *edge, uint64_t now)
-{
-    for (const struct edge_client *client = edge->clients; client; client = client->next) {
-        if (client->exchange)
-            exchange_record_run_time(client->exchange, now);
-        if (edge_client_unsent_bytes(client))
-            record_delivery(client, now);
-    }
-}
-
-static void log_owed(const struct edge_client *client)
-{
-    log_event(LOG_LEVEL_WARN, "client", "owed-connection",
-              "busy=%d unsent_bytes=%zu unread_bytes=%zu head_started=%d", is_busy(client),
-              edge_client_unsent_bytes(client), client->unread.size, client->head_started > 0);
-}
-
-/* Answers the request in progress, and refuses what else was read. */
-static void answer_owed(struct edge_client *client)
-{
-    if (client->exchange)
-        exchange_end_at_stop(client->exchange);
-    else if (client->stream && client->head_started)
-        reject_request(client, 503, edge_stop_retry_ms(client->edge));
-    else
-        return; /* nothing was read */
-}
-
-void edge_client_answer_owed(struct edge *edge)
-{
-    edge_client_release_held(edge);
-    for (struct edge_client *client = edge->clients, *next; client; client = next) {
-        next = client->next;
-        if (edge_client_unsent_bytes(client) || has_unread(client))
-            log_owed(client);
-        client->parsing = true; /* it must not be freed here */
-        answer_owed(client);
-        parse_unread(client);
+        edge_client_parse_unread(client);
     }
 }
 
-void edge_client_stop_reading(struct edge *edge)
-{
-    for (struct edge_client *client = edge->clients; client; client = client->next)
-        if (client->stream)
-            tcp_stream_pause(client->stream, true);
-}
-
 void edge_client_fail_blocked(struct edge *edge)
 {
     for (struct edge_client *client = edge->clients, *next; client; client = next) {
@@ -497,64 +381,3 @@
             exchange_recheck_deadlines(client->exchange);
     }
 }
-
-static bool is_overdue(const struct edge_client *client, uint64_t now)
-{
-    const struct route_table *table = client->edge->table;
-    uint64_t head_ms = table ? route_table_limits(table)->head_timeout_ms : DEFAULT_HEAD_TIMEOUT_MS;
-    uint64_t idle_ms = table ? route_table_limits(table)->idle_timeout_ms : DEFAULT_IDLE_TIMEOUT_MS;
-    if (!client->head_started)
-        return !edge_client_unsent_bytes(client) && now > client->idle_since + idle_ms * 1000;
-    if (!client->request.head_complete)
-        return now > client->head_started + head_ms * 1000;
-    return now > client->last_received_at + idle_ms * 1000; /* a long body may arrive slowly */
-}
-
-static void drop_client(struct edge_client *client)
-{
-    struct exchange *exchange = client->exchange;
-    metric_add(METRIC_CLIENTS_DROPPED, 1);
-    log_event(LOG_LEVEL_WARN, "client", "dropped", "reason=memory unsent_bytes=%zu held_bytes=%zu",
-              client->unsent_bytes, memory_held_by_buffers());
-    tcp_stream_reset(client->stream);
-    client->stream = NULL;
-    client->exchange = NULL;
-    if (exchange)
-        exchange_cancel(exchange);
-    free_if_unused(client);
-}
-
-void edge_client_drop_slow(struct edge *edge, uint64_t now)
-{
-    struct memory_use use = edge_memory_use(edge);
-    bool is_full = !memory_share_accepts(&use, 0);
-    size_t share = memory_share_of_connection(&use);
-    metric_gauge_set(METRIC_BUFFER_MEMORY, use.held);
-    for (struct edge_client *client = edge->clients, *next; client; client = next) {
-        next = client->next;
-        size_t unsent = edge_client_unsent_bytes(client);
-        if (!unsent || unsent < client->unsent_bytes)
-            client->last_taken_at = now;
-        client->unsent_bytes = unsent;
-        if (is_full && unsent > share && now > client->last_taken_at + SLOW_CLIENT_US) {
-            drop_client(client);
-            next = edge->clients; /* the slot that became free may have ended other requests */
-        }
-    }
-}
-
-void edge_client_close_expired(struct edge *edge, uint64_t now)
-{
-    for (struct edge_client *client = edge->clients, *next; client; client = next) {
-        next = client->next;
-        if (is_busy(client) || !client->stream || !is_overdue(client, now))
-            continue;
-        if (client->head_started) {
-            reject_request(client, 408, 0);
-        } else {
-            tcp_stream_close(client->stream);
-            client->stream = NULL;
-        }
-        free_if_unused(client);
-    }
-}
--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -109,7 +109,7 @@
     return start_hold_awaits_configuration(edge->started_at, edge->table != NULL, cluster_now());
 }
 
-/* --- Client connections: edge_client.c --- */
+/* --- Client connections: edge_client.c, edge_client_debt.c, edge_client_expiry.c --- */
 
 /** \brief Connection callback of the listener, whose data is the edge. */
 void edge_client_accept(uv_stream_t *listener, int status);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -224,8 +224,7 @@
                                  status == 503 ? exchange_no_backend_retry_ms(edge) : 0, "");
 }
 
-/* \return time from the arrival of a request to its deadline */
-static uint64_t request_timeout_ms(const struct request_head *head, const struct route *route)
+uint64_t exchange_timeout_ms(const struct request_head *head, const struct route *route)
 {
     uint64_t timeout_ms = route->timeout_ms ? route->timeout_ms : DEFAULT_REQUEST_TIMEOUT_MS;
     return head->has_deadline && head->deadline_ms < timeout_ms ? head->deadline_ms : timeout_ms;
@@ -233,7 +232,7 @@
 
 static void set_times(struct exchange *exchange)
 {
-    uint64_t timeout_ms = request_timeout_ms(&exchange->head, exchange->route);
+    uint64_t timeout_ms = exchange_timeout_ms(&exchange->head, exchange->route);
     uint64_t wait =
         exchange->edge->settings->wait_percent * exchange->route->target_ms * US_PER_MS / 100;
     exchange->arrived_at = edge_client_arrived_at(exchange->client);
@@ -269,52 +268,6 @@
     return exchange;
 }
 
-/* It arrived after the planned stop began. */
-static void log_taken(const struct edge *edge, const struct edge_client *client,
-                      const struct request_head *head, const struct run_bound *bound)
-{
-    metric_add(METRIC_STOP_TAKEN, 1);
-    log_event(LOG_LEVEL_INFO, "request", "taken",
-              "request=%s host=%s stop_ms=%" PRIu64 " timeout_ms=%" PRIu64 " longest_ms=%" PRIu64,
-              head->id, head->host, edge_stop_elapsed_ms(edge, edge_client_arrived_at(client)),
-              bound->deadline_us / US_PER_MS, bound->longest_us / US_PER_MS);
-}
-
-static void refuse_at_stop(struct edge *edge, struct edge_client *client,
-                           const struct request_head *head, const struct run_bound *bound)
-{
-    uint32_t retry_ms = edge_stop_retry_ms(edge);
-    metric_add(METRIC_STOP_REFUSED, 1);
-    log_event(LOG_LEVEL_INFO, "request", "refused-at-stop",
-              "request=%s host=%s stop_ms=%" PRIu64 " timeout_ms=%" PRIu64 " longest_ms=%" PRIu64
-              " closes=%d retry_ms=%u",
-              head->id, head->host, edge_stop_elapsed_ms(edge, edge_client_arrived_at(client)),
-              bound->deadline_us / US_PER_MS, bound->longest_us / US_PER_MS,
-              edge_client_closes(client), retry_ms);
-    exchange_send_local_response(edge, client, head->id, 503, retry_ms, "");
-}
-
-/* Refuses a request that could not end before the process does, or whose connection closes.
- * \return whether it was refused */
-static bool refuse_if_too_late(struct edge *edge, struct edge_client *client,
-                               const struct request_head *head, const struct route *route)
-{
-    if (!edge_is_stopping(edge))
-        return false;
-    uint64_t now = cluster_now();
-    uint64_t deadline_at =
-        edge_client_arrived_at(client) + request_timeout_ms(head, route) * US_PER_MS;
-    struct run_time *run_time = &edge_route(edge, route->name)->run_time;
-    struct run_bound bound = {.deadline_us = deadline_at > now ? deadline_at - now : 0};
-    bound.longest_us = run_time_longest_us(run_time, bound.deadline_us, now);
-    if (!edge_client_closes(client) && stop_plan_takes(&edge->stop, &bound, now)) {
-        log_taken(edge, client, head, &bound);
-        return false;
-    }
-    refuse_at_stop(edge, client, head, &bound);
-    return true;
-}
-
 struct exchange *exchange_begin(struct edge *edge, struct edge_client *client)
 {
     struct request_head head;
@@ -348,7 +301,7 @@
         reject_early(edge, client, &head, 401, "unknown-key");
         return NULL;
     }
-    if (refuse_if_too_late(edge, client, &head, route))
+    if (exchange_refuse_at_stop(edge, client, &head, route))
         return NULL;
     struct exchange *exchange = exchange_create(edge, client, &head, route, tenant);
     repeat_budget_earn(&exchange->service_state->budget, exchange->arrived_at);
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -221,28 +221,6 @@
         exchange->residency.restricted, exchange->residency.regions, exchange->trail);
 }
 
-void exchange_record_run_time(const struct exchange *exchange, uint64_t now)
-{
-    if (exchange->sends || exchange_is_sent(exchange))
-        run_time_raise(&edge_route(exchange->edge, exchange->route->name)->run_time,
-                       now - exchange->arrived_at, now);
-}
-
-/* The end of a planned stop finds the request without its final response. */
-static void log_owed(const struct exchange *exchange)
-{
-    uint64_t now = cluster_now();
-    log_event(LOG_LEVEL_WARN, "request", "owed-request",
-              "request=%s route=%s backend=%s sent=%d events=%" PRIu64 " took_ms=%" PRIu64
-              " left_ms=%" PRId64 " stop_ms=%" PRIu64 " unsent_bytes=%zu trail=\"%s\"",
-              exchange->head.id, exchange->route->name,
-              exchange->backend ? exchange->backend->listing.id : "-", exchange_is_sent(exchange),
-              exchange->events.events, (now - exchange->arrived_at) / US_PER_MS,
-              ((int64_t)exchange->deadline_at - (int64_t)now) / (int64_t)US_PER_MS,
-              edge_stop_elapsed_ms(exchange->edge, now), edge_client_unsent_bytes(exchange->client),
-              exchange->trail);
-}
-
 void exchange_finish(struct exchange *exchange)
 {
     struct edge *edge = exchange->edge;
@@ -340,14 +318,6 @@
     exchange_send_local_response(edge, client, id, status, wait_ms, text);
 }
 
-void exchange_end_at_stop(struct exchange *exchange)
-{
-    bool not_run = !exchange->may_have_run && !exchange_is_sent(exchange);
-    log_owed(exchange);
-    metric_add(METRIC_STOP_CUT, 1);
-    exchange_fail(exchange, not_run ? 503 : 502, END_STOPPED);
-}
-
 void exchange_fail_by_run_state(struct exchange *exchange, enum end_reason reason)
 {
     exchange_fail(exchange, exchange->may_have_run ? 502 : 503, reason);
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -135,6 +135,8 @@
     return exchange->resuming || exchange->head.last_event_id[0];
 }
 
+/** \return time from the arrival of a request to its deadline, ms */
+uint64_t exchange_timeout_ms(const struct request_head *head, const struct route *route);
 /** \return whether the request of the current attempt was sent, so that a backend may run it or
  * has run it */
 bool exchange_is_sent(const struct exchange *exchange);
@@ -301,6 +303,15 @@
 /** \brief Discards an answer that awaits proof; does nothing if there is none. */
 void exchange_drop_unproved(struct exchange *exchange);
 
+/* --- exchange_stop.c --- */
+
+/**
+ * \brief Refuses a request that could not end before the stopping process does, or whose connection
+ * closes. \return whether it was refused; always false without a planned stop
+ */
+bool exchange_refuse_at_stop(struct edge *edge, struct edge_client *client,
+                             const struct request_head *head, const struct route *route);
+
 /* --- exchange_budget.c --- */
 
 /** \return whether the shared budget has room for a retry that the request owes, if it owes one */
