test: many engines that pour bodies at once (red: memory, and other requests)

40 non-repeatable requests at 8 engines, 8 MB/s each, memory-mb 160: the edge grew by 400 MB in 1.5 s, where the stand-ins stop (sealed, failure, chunked, other), and refused the requests of another service with 503 from 0.3 s on (these four, and event). Nothing bounds the body of an unfinished answer: upstream.c begin_response sets no body_limit, exchange_response.c on_progress pauses streams only, for what the client hasn't taken.

--- a/tests/system/endless_answers_test.py
+++ b/tests/system/endless_answers_test.py
@@ -282,6 +282,9 @@
         self.pourers = [self.start_engine("svc", 1) for _ in range(8)]
         self.start_edge()
 
+    def test_event(self):
+        self.play("event", "/stream/svc/")
+
     def play(self, form, prefix="/once/svc/"):
         for pourer in self.pourers:
             pourer.standing_forms["request"] = form
@@ -481,7 +484,7 @@
 
 add_cases(AnswersToRequests, ANSWER_FORMS)
 add_cases(AnswersToStreams, STREAM_FORMS)
-add_cases(Many, ["interim", "others", "field"])
+add_cases(Many, ["sealed", "failure", "chunked", "other", "interim", "others", "field"])
 add_listeners()
 
 if __name__ == "__main__":
