--- a/tests/system/endless_answers_test.py
+++ b/tests/system/endless_answers_test.py
@@ -334,6 +334,11 @@
     def test_requests_that_run_once_line(self):
         self.check_once("line")
 
+    def test_requests_that_run_once_sealed(self):
+        self.check_once("sealed")
+
+    def test_requests_that_run_once_trickle_body(self):
+        self.check_once("trickle-body")
 
 
 class Health(Fleet):
