--- a/tests/system/endless_answers_test.py
+++ b/tests/system/endless_answers_test.py
@@ -324,6 +324,14 @@
             asker.join()
         return askers
 
+    def check_repeatable(self, form):
+        """Two of four engines pour. Once each has failed twice, no request fails: a second attempt goes to an engine
+        that isn't suspected."""
+        self.start(2, 2, form)
+        askers = self.ask_in_turn("GET", "/idem/svc/", 60, DEADLINE_MS)
+        failed = [number for number, asker in enumerate(askers) if asker.status != 200]
+        self.assertEqual([number for number in failed if number >= 10], [], "failed: %s" % failed)
+
     def check_once(self, form):
         """One of two engines pours; without evidence, every second request fails."""
         self.start(1, 1, form)
@@ -331,6 +339,12 @@
         failed = [number for number, asker in enumerate(askers) if asker.status != 200]
         self.assertLessEqual(len(failed), 12, "failed: %s" % failed)
 
+    def test_repeatable_requests_line(self):
+        self.check_repeatable("line")
+
+    def test_repeatable_requests_sealed(self):
+        self.check_repeatable("sealed")
+
     def test_requests_that_run_once_line(self):
         self.check_once("line")
 
