--- a/tests/system/endless_answers_test.py
+++ b/tests/system/endless_answers_test.py
@@ -433,6 +433,13 @@
     def test_pieces(self):
         self.play_version(self.origin, "piece", CALL_FORMS, WEIGHTS_S)
 
+    def test_faults_of_the_origin_are_named(self):
+        """Only a line of the level debug names them."""
+        self.origin.forms["manifest"] = ["fields", "chunked"]
+        self.play_version(self.origin, "piece", ["fields", "chunked"], WEIGHTS_S)
+        lines = [line for node in (self.edge, self.loader) for line in self.log_of(node).splitlines()
+                 if "subsystem=pieces" in line and "source=00000000" in line]
+        self.assertTrue([line for line in lines if "level=warn" in line], lines)
 
 
 class StoreAnswers(Fleet):
