--- a/tests/system/endless_answers_test.py
+++ b/tests/system/endless_answers_test.py
@@ -487,6 +487,16 @@
         self.play(platform.CLIENT_PORT, "/once/1", self.SIZED + self.TRICKLES, HEADER_S)
         self.assertGreaterEqual(self.log_of(self.edge).count("event=bad-request"), len(self.SIZED))
 
+    def test_refusals_at_our_own_ports_are_named(self):
+        for name, port, path in self.LISTENERS:
+            before = len(self.log_of(self.edge))
+            client = pouring.PouringClient((platform.EDGE_IPS[0], port), "fields", path)
+            self.check_closed([client.pour], HEADER_S)
+            lines = [line for line in self.log_of(self.edge)[before:].splitlines() if "subsystem=request" not in line]
+            with self.subTest(name):
+                self.assertTrue(lines)
+        self.check_bystanders()
+
     def test_client_port_after_a_request(self):
         """More bytes without an end come while the request is at an engine that is silent."""
         self.start_engine("svc").standing_forms["request"] = "silent"
