test: a head of a byte at a time at our own ports (red)

http_service.c on_idle_check knows idle connections only: a head that trickles stays open until it exceeds 16 KB, for 27 min at 10 bytes a second (worked out; played: still open after 28 s). At the client port header_timeout_ms ends it.

--- a/tests/system/endless_answers_test.py
+++ b/tests/system/endless_answers_test.py
@@ -515,7 +515,11 @@
     for name, port, path in Listeners.LISTENERS:
         def sized(self, port=port, path=path):
             self.play(port, path, self.SIZED, HEADER_S)
+
+        def trickles(self, port=port, path=path):
+            self.play(port, path, self.TRICKLES, HEADER_S)
         setattr(Listeners, "test_%s_port" % name, sized)
+        setattr(Listeners, "test_%s_port_trickle" % name, trickles)
 
 
 add_cases(AnswersToRequests, ANSWER_FORMS)
