--- a/tests/system/endless_answers_test.py
+++ b/tests/system/endless_answers_test.py
@@ -497,6 +497,9 @@
                 self.assertTrue(lines)
         self.check_bystanders()
 
+    def test_client_port_extensions(self):
+        self.play(platform.CLIENT_PORT, "/put/1", ["extensions"], DEADLINE_MS / 1000)
+
     def test_client_port_after_a_request(self):
         """More bytes without an end come while the request is at an engine that is silent."""
         self.start_engine("svc").standing_forms["request"] = "silent"
