--- a/src/edge/edge_internal.h
+++ b/src/edge/edge_internal.h
@@ -18,6 +18,8 @@
 #include "core/load/memory_share.h"
 #include "core/load/start_hold.h"
 #include "core/load/overload.h"
+#include "core/load/run_time.h"
+#include "core/load/stop_plan.h"
 #include "core/retry/repeat_budget.h"
 #include "core/routing/route_table.h"
 #include "core/stream_length.h"
@@ -46,10 +48,11 @@
     struct stream_length stream_length;
 };
 
-/** Deadlines that the clients of one route have sent. */
-struct route_times {
+/** Adaptive state of one route: deadlines that its clients have sent, and lengths of its runs. */
+struct route_state {
     uint32_t key; /**< hash of the route's name */
     struct client_retry_times times;
+    struct run_time run_time;
 };
 
 struct edge {
@@ -65,7 +68,7 @@
     struct rate_limit cold_bound; /**< `over` and `slack` of the settings */
     struct service_state **services;
     uint32_t service_count;
-    struct route_times *routes;
+    struct route_state *routes;
     uint32_t route_count;
     struct address_index route_index; /**< positions in `routes` by their keys */
     bool has_unconfigured_services;   /**< a listed backend's service was not configured */
@@ -89,9 +92,9 @@
     struct budget_fleet budget_fleet; /**< what `budget_share` follows from */
     struct budget_share budget_share; /**< of the retry budget */
     uint64_t started_at;
-    bool has_responded;      /**< a complete response was sent since the start */
-    uint64_t stopping_since; /**< 0: not stopping */
-    bool listener_closed;    /**< no more connections are accepted */
+    bool has_responded;     /**< a complete response was sent since the start */
+    struct stop_plan stop;  /**< planned stop */
+    bool closed_to_clients; /**< by the planned stop: no connections are accepted any more */
 };
 
 /** \return memory of the buffers of this process */
@@ -135,6 +138,8 @@
 void edge_client_fail_blocked(struct edge *edge);
 /** \brief Rechecks the deadline of each request after a pause of the process. */
 void edge_client_recheck_deadlines(struct edge *edge);
+/** \return whether its connection closes, so that the request is refused */
+bool edge_client_closes(const struct edge_client *client);
 /** \return response bytes that the client has not taken yet */
 size_t edge_client_unsent_bytes(const struct edge_client *client);
 /** \return time at which the current request was complete */
@@ -142,15 +147,59 @@
 struct edge *edge_client_edge(const struct edge_client *client);
 const struct http_message *edge_client_request(const struct edge_client *client);
 
+/** What the clients of this gateway have not got yet. */
+struct client_debt {
+    uint32_t requests; /**< without a final response */
+    uint32_t unread;   /**< connections with bytes of a further request */
+    uint32_t unsent;   /**< connections with bytes of responses that their clients did not take */
+    size_t unsent_bytes;
+};
+
+/** \return whether all clients have got what they are owed */
+static inline bool client_debt_is_none(const struct client_debt *debt)
+{
+    return !debt->requests && !debt->unread && !debt->unsent;
+}
+
+/** \return the debt of all connections, also of those that are being closed */
+struct client_debt edge_client_debt(const struct edge *edge);
+/** \brief Records how long each request in progress has been running. */
+void edge_client_record_run_times(const struct edge *edge, uint64_t now);
+/** \brief Gives all requests in progress a final response, as the process ends; what was read only
+ * in part is refused. */
+void edge_client_answer_owed(struct edge *edge);
+
+/* --- Planned stop: edge_stop.c --- */
+
+/** \brief Begins the planned stop: other nodes are told, requests in progress go on. */
+void edge_stop_begin(struct edge *edge);
+/** \brief Ends the loop once the stop is over; called on each tick while stopping. */
+void edge_stop_tick(struct edge *edge, uint64_t now);
+/** \return whether a planned stop has begun */
+static inline bool edge_is_stopping(const struct edge *edge)
+{
+    return edge->stop.begun_at != 0;
+}
+/** \return whole ms since the stop began; 0: not stopping */
+uint64_t edge_stop_elapsed_ms(const struct edge *edge, uint64_t now);
+/** \return Retry-After of requests that a stopping gateway refuses, ms */
+uint32_t edge_stop_retry_ms(struct edge *edge);
+
 /* --- Requests: exchange.c --- */
 
 /** \brief Begins the exchange for a complete request. \return NULL if it was rejected, and
  * responded to */
 struct exchange *exchange_begin(struct edge *edge, struct edge_client *client);
+/** \return Retry-After while no backend serves at all, ms */
+uint32_t exchange_no_backend_retry_ms(struct edge *edge);
 /** \brief Sends the request to a backend, or queues it. */
 void exchange_start(struct exchange *exchange);
 /** \brief Fails the request if its deadline has passed; otherwise restarts its timer. */
 void exchange_recheck_deadlines(struct exchange *exchange);
+/** \brief Records how long the request has been running, for the bound of its route's runs. */
+void exchange_record_run_time(const struct exchange *exchange, uint64_t now);
+/** \brief Ends the request, as the process ends: with a response, or by aborting its stream. */
+void exchange_end_at_stop(struct exchange *exchange);
 /** \brief Cancels the request, as its client has disconnected. */
 void exchange_cancel(struct exchange *exchange);
 /** \brief Fails the request if it is known to crash backends. */
@@ -225,8 +274,8 @@
 struct service_state *edge_service(struct edge *edge, const char *service);
 /** \brief Applies changed settings to the repeat budgets of all services. */
 void edge_update_budgets(struct edge *edge);
-/** \return deadlines of the route's clients, created at first use; valid until the next call */
-struct client_retry_times *edge_route_times(struct edge *edge, const char *route);
+/** \return state of the route, created at first use; valid until the next call */
+struct route_state *edge_route(struct edge *edge, const char *route);
 /** \brief Forgets routes that the current configuration does not have. */
 void edge_forget_routes(struct edge *edge);
 
@@ -247,6 +296,8 @@
 
 /* --- Gateway addresses: edge_addresses.c --- */
 
+/** \return whether another gateway is known to accept clients */
+bool edge_knows_other_gateway(const struct edge *edge);
 /** \brief Responds to a client that asks which gateway addresses to use. */
 void edge_respond_with_addresses(struct edge *edge, struct service_call *call,
                                  const struct service_request *request);
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -79,6 +79,7 @@
     [END_BLOCKED] = "crashes-back-ends",
     [END_HELD] = "held",
     [END_CLIENT_SLOW] = "client-slow",
+    [END_STOPPED] = "stopped",
     [END_NO_REGION] = "no-region",
 };
 
@@ -92,6 +93,7 @@
 {
     switch (reason) {
     case END_DEADLINE:
+    case END_STOPPED:
         metric_add(METRIC_STREAMS_CUT_TIME, 1);
         break;
     case END_NO_BACKEND:
@@ -219,10 +221,33 @@
         exchange->residency.restricted, exchange->residency.regions, exchange->trail);
 }
 
+void exchange_record_run_time(const struct exchange *exchange, uint64_t now)
+{
+    if (exchange->sends || exchange_is_sent(exchange))
+        run_time_raise(&edge_route(exchange->edge, exchange->route->name)->run_time,
+                       now - exchange->arrived_at, now);
+}
+
+/* The end of a planned stop finds the request without its final response. */
+static void log_owed(const struct exchange *exchange)
+{
+    uint64_t now = cluster_now();
+    log_event(LOG_LEVEL_WARN, "request", "owed-request",
+              "request=%s route=%s backend=%s sent=%d events=%" PRIu64 " took_ms=%" PRIu64
+              " left_ms=%" PRId64 " stop_ms=%" PRIu64 " unsent_bytes=%zu trail=\"%s\"",
+              exchange->head.id, exchange->route->name,
+              exchange->backend ? exchange->backend->listing.id : "-", exchange_is_sent(exchange),
+              exchange->events.events, (now - exchange->arrived_at) / US_PER_MS,
+              ((int64_t)exchange->deadline_at - (int64_t)now) / (int64_t)US_PER_MS,
+              edge_stop_elapsed_ms(exchange->edge, now), edge_client_unsent_bytes(exchange->client),
+              exchange->trail);
+}
+
 void exchange_finish(struct exchange *exchange)
 {
     struct edge *edge = exchange->edge;
     exchange_dequeue(exchange);
+    exchange_record_run_time(exchange, cluster_now());
     exchange_end_attempt(exchange, BACKEND_CANCELLED);
     edge->active--;
     uv_close((uv_handle_t *)&exchange->timer, on_timer_closed);
@@ -240,9 +265,11 @@
         overload_record(&exchange->service_state->overload, !found, cluster_now());
 }
 
-static uint32_t retry_after_ms(struct exchange *exchange)
+static uint32_t retry_after_ms(struct exchange *exchange, enum end_reason reason)
 {
     struct edge *edge = exchange->edge;
+    if (reason == END_STOPPED)
+        return edge_stop_retry_ms(edge);
     uint64_t now = cluster_now();
     uint64_t withheld_until = exchange_withheld_until(exchange, now);
     uint64_t held_until = exchange_held_until(exchange, now);
@@ -305,13 +332,22 @@
         return;
     }
     char id[PLATFORM_TEXT_SIZE], text[BLOCKED_TEXT_SIZE];
-    uint32_t wait_ms = status == 503 && may_succeed_later(reason) ? retry_after_ms(exchange) : 0;
+    uint32_t wait_ms =
+        status == 503 && may_succeed_later(reason) ? retry_after_ms(exchange, reason) : 0;
     memcpy(id, exchange->head.id, sizeof id);
     write_reason(exchange, reason, text);
     exchange_finish(exchange);
     exchange_send_local_response(edge, client, id, status, wait_ms, text);
 }
 
+void exchange_end_at_stop(struct exchange *exchange)
+{
+    bool not_run = !exchange->may_have_run && !exchange_is_sent(exchange);
+    log_owed(exchange);
+    metric_add(METRIC_STOP_CUT, 1);
+    exchange_fail(exchange, not_run ? 503 : 502, END_STOPPED);
+}
+
 void exchange_fail_by_run_state(struct exchange *exchange, enum end_reason reason)
 {
     exchange_fail(exchange, exchange->may_have_run ? 502 : 503, reason);
