Edge: an answer without an end is given up when memory is nearly full

Callers saw: while eight engines of one service poured bodies, requests of all other services got 503 no-memory from 0.3 s on, and the edge grew by 400 MB, where the stand-ins stop, on a machine of 160 MB (Many: sealed, failure, chunked, other; event: 503 only).

Cause: an answer that isn't a stream is held until it is complete, and a stream's event too; nothing bounded either. An answer to another request, which is skipped, was held as well.

Bodies of skipped answers are dropped as they come.

Limit: while memory is that full, an honest answer of more than its share fails or goes to another engine, too.

--- a/src/core/load/memory_share.h
+++ b/src/core/load/memory_share.h
@@ -62,4 +62,11 @@
     return !use->limit || use->held + size <= use->limit / 100 * MEMORY_REFUSE_PERCENT;
 }
 
+/** \return whether an answer of which `size` bytes are held, and whose end may never come, must be
+ * given up: it holds more than its share of memory that is nearly full */
+static inline bool memory_share_gives_up(const struct memory_use *use, size_t size)
+{
+    return !memory_share_accepts(use, 0) && size > memory_share_of_connection(use);
+}
+
 #endif
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -72,6 +72,7 @@
     [END_EMPTY_STREAM] = "empty",
     [END_UNFRAMED] = "unframed",
     [END_NO_SEAL] = "no-seal",
+    [END_MEMORY] = "memory",
     [END_REFUSED] = "refused",
     [END_MISDIRECTED] = "misdirected",
     [END_RESUME_REFUSED] = "resume-refused",
--- a/src/edge/exchange_internal.h
+++ b/src/edge/exchange_internal.h
@@ -32,6 +32,7 @@
     END_UNFRAMED, /**< the answer ended with its connection, and its backend was not shown to have
                      lived on */
     END_NO_SEAL,  /**< the response lacks the backend's seal */
+    END_MEMORY,   /**< the response held more than its share of memory that was nearly full */
     END_REFUSED,  /**< the backend did not run it */
     END_MISDIRECTED,    /**< another backend uses the address, or it has other weights */
     END_RESUME_REFUSED, /**< the response was not the rest of the stream */
--- a/src/edge/upstream.c
+++ b/src/edge/upstream.c
@@ -195,7 +195,11 @@
             return;
         }
     }
-    if (upstream->head_read && is_expected_response(upstream))
+    if (!upstream->head_read)
+        return;
+    if (!is_expected_response(upstream)) /* skipped */
+        buffer_reset(&upstream->response.message.body);
+    else
         exchange_on_upstream_event(upstream->exchange, UPSTREAM_PROGRESS, &upstream->response);
 }
 
--- a/src/tool/explain.c
+++ b/src/tool/explain.c
@@ -222,6 +222,9 @@
     {"broken", "the connection to the backend broke after the request was sent"},
     {"silent", "the backend sent nothing for too long after the request was sent"},
     {"torn", "the response ended within an event"},
+    {"memory",
+     "the response, still without an end, held more than its share of the gateway's memory, "
+     "which was nearly full"},
     {"no-seal", "the response lacked the backend's seal or had a content encoding"},
     {"resume-refused", "the stream could not be resumed on another backend"},
     {"crashes-back-ends", "several backends crashed while they ran this request (same caller, path "
--- a/tests/core/load/memory_share_test.c
+++ b/tests/core/load/memory_share_test.c
@@ -49,12 +49,24 @@
     assert_true(memory_share_accepts(&use, 1000000));
 }
 
+static void a_large_answer_without_an_end_is_given_up_when_memory_is_nearly_full(void **state)
+{
+    struct memory_use use = {.limit = LIMIT, .held = LIMIT / 100 * MEMORY_REFUSE_PERCENT};
+    assert_false(memory_share_gives_up(&use, LIMIT / 2)); /* not yet full */
+    use.held++;
+    assert_false(memory_share_gives_up(&use, MEMORY_SHARE_MAX));
+    assert_true(memory_share_gives_up(&use, MEMORY_SHARE_MAX + 1));
+    use.limit = 0;
+    assert_false(memory_share_gives_up(&use, SIZE_MAX));
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(slow_readers_stay_within_the_limit),
         cmocka_unit_test(a_few_connections_get_large_buffers),
         cmocka_unit_test(new_requests_are_refused_before_the_limit),
+        cmocka_unit_test(a_large_answer_without_an_end_is_given_up_when_memory_is_nearly_full),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
