Own ports: a connection whose request stays incomplete is closed after 5 s

Cause: http_service.c closed connections by the time since their last bytes only.

Now a request has HTTP_SERVICE_REQUEST_TIMEOUT_MS from its first byte, head and body: callers wait no longer than that for its reply. The checks come every 1.25 s instead of 15 s. The time begins anew after each reply, and a request that waits for its reply is not closed.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -431,8 +431,8 @@
 
 static int open_sockets(struct cluster *cluster, uint32_t own)
 {
-    static const struct http_service_limits limits = {MAX_CALL_BODY_BYTES,
-                                                      HTTP_SERVICE_IDLE_TIMEOUT_MS};
+    static const struct http_service_limits limits = {
+        MAX_CALL_BODY_BYTES, HTTP_SERVICE_IDLE_TIMEOUT_MS, HTTP_SERVICE_REQUEST_TIMEOUT_MS};
     struct sockaddr_in address = cluster_address(cluster, own);
     cluster->service = http_service_start(cluster->loop, &address, &limits, on_call, cluster);
     if (!cluster->service) {
--- a/src/cluster/process.c
+++ b/src/cluster/process.c
@@ -115,8 +115,8 @@
 
 static void start_metrics_service(struct process *process, uv_loop_t *loop)
 {
-    static const struct http_service_limits limits = {MAX_METRICS_BODY_BYTES,
-                                                      HTTP_SERVICE_IDLE_TIMEOUT_MS};
+    static const struct http_service_limits limits = {
+        MAX_METRICS_BODY_BYTES, HTTP_SERVICE_IDLE_TIMEOUT_MS, HTTP_SERVICE_REQUEST_TIMEOUT_MS};
     struct sockaddr_in address;
     uv_ip4_addr(process->settings->address, (int)process->settings->metrics_port, &address);
     process->metrics = http_service_start(loop, &address, &limits, on_metrics_request, process);
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -202,8 +202,8 @@
 static struct http_service *open_service(struct edge *edge, const char *text,
                                          service_handler *handler)
 {
-    static const struct http_service_limits limits = {SERVICE_BODY_LIMIT,
-                                                      HTTP_SERVICE_IDLE_TIMEOUT_MS};
+    static const struct http_service_limits limits = {
+        SERVICE_BODY_LIMIT, HTTP_SERVICE_IDLE_TIMEOUT_MS, HTTP_SERVICE_REQUEST_TIMEOUT_MS};
     struct sockaddr_in address;
     if (!tcp_address_parse(text, &address)) {
         log_event(LOG_LEVEL_ERROR, "edge", "bad-address", "address=%s", text);
--- a/src/net/http_service.c
+++ b/src/net/http_service.c
@@ -9,12 +9,12 @@
 #include <string.h>
 
 #define HEAD_LIMIT_BYTES 16384
-/** Checks for idle connections per idle timeout. */
-#define IDLE_CHECKS_PER_TIMEOUT 4
+/** Checks for idle connections and incomplete requests, per shorter timeout of the two. */
+#define CHECKS_PER_TIMEOUT 4
 
 struct http_service {
     uv_tcp_t listener;
-    uv_timer_t idle_check_timer;
+    uv_timer_t check_timer;
     struct http_service_limits limits;
     service_handler *handler;
     void *context;
@@ -30,6 +30,7 @@
     bool awaiting_reply;
     bool parsing;
     uint64_t last_activity_us; /* time of the last bytes received or the last reply */
+    uint64_t request_begun_us; /* time of the first byte of an incomplete request, 0: none */
     struct service_call *next;
     struct service_call **previous_link;
 };
@@ -77,6 +78,7 @@
         .body_size = call->message.body.size,
     };
     call->awaiting_reply = true;
+    call->request_begun_us = 0;
     call->service->handler(call->service->context, call, &request);
 }
 
@@ -109,6 +111,8 @@
 {
     struct service_call *call = context;
     call->last_activity_us = clock_monotonic_us();
+    if (!call->awaiting_reply && !call->request_begun_us)
+        call->request_begun_us = call->last_activity_us;
     buffer_append(&call->unparsed, bytes, size);
     parse(call);
 }
@@ -126,6 +130,7 @@
 {
     call->awaiting_reply = false;
     call->last_activity_us = clock_monotonic_us();
+    call->request_begun_us = call->unparsed.size ? call->last_activity_us : 0;
     if (call->stream) {
         bool keep = call->message.keep_alive;
         write_reply(call, status, content_type, body, size);
@@ -179,20 +184,42 @@
         free_call(call);
 }
 
-/* A machine that lost power doesn't close its connections: without this check, each would hold a
- * descriptor for the lifetime of this process. */
-static void on_idle_check(uv_timer_t *timer)
+static bool is_overdue(const struct service_call *call, uint64_t now)
+{
+    const struct http_service_limits *limits = &call->service->limits;
+    uint64_t idle_us = limits->idle_timeout_ms * (uint64_t)1000;
+    uint64_t request_us = limits->request_timeout_ms * (uint64_t)1000;
+    return now > call->last_activity_us + idle_us ||
+           (call->request_begun_us && now > call->request_begun_us + request_us);
+}
+
+/* A machine that lost power doesn't close its connections, and a peer in trouble may send bytes
+ * without an end: without this check, each would hold a descriptor for the lifetime of this
+ * process. */
+static void on_check(uv_timer_t *timer)
 {
     struct http_service *service = timer->data;
     uint64_t now = clock_monotonic_us();
-    uint64_t idle_us = service->limits.idle_timeout_ms * (uint64_t)1000;
     for (struct service_call *call = service->calls, *next; call; call = next) {
         next = call->next;
-        if (!call->awaiting_reply && call->stream && now > call->last_activity_us + idle_us)
+        if (!call->awaiting_reply && call->stream && is_overdue(call, now))
             close_call(call);
     }
 }
 
+static void start_checks(struct http_service *service, uv_loop_t *loop)
+{
+    const struct http_service_limits *limits = &service->limits;
+    uint32_t shorter_ms = limits->idle_timeout_ms < limits->request_timeout_ms
+                              ? limits->idle_timeout_ms
+                              : limits->request_timeout_ms;
+    uint64_t period = shorter_ms / CHECKS_PER_TIMEOUT + 1;
+    uv_timer_init(loop, &service->check_timer);
+    service->check_timer.data = service;
+    uv_timer_start(&service->check_timer, on_check, period, period);
+    uv_unref((uv_handle_t *)&service->check_timer);
+}
+
 struct http_service *http_service_start(uv_loop_t *loop, const struct sockaddr_in *address,
                                         const struct http_service_limits *limits,
                                         service_handler *handler, void *context)
@@ -206,10 +233,6 @@
         status_fail(STATUS_IO, "cannot listen: %s", uv_strerror(error));
         return NULL;
     }
-    uv_timer_init(loop, &service->idle_check_timer);
-    service->idle_check_timer.data = service;
-    uint64_t period = limits->idle_timeout_ms / IDLE_CHECKS_PER_TIMEOUT + 1;
-    uv_timer_start(&service->idle_check_timer, on_idle_check, period, period);
-    uv_unref((uv_handle_t *)&service->idle_check_timer);
+    start_checks(service, loop);
     return service;
 }
--- a/src/net/http_service.h
+++ b/src/net/http_service.h
@@ -24,14 +24,18 @@
 
 /** Resource limits per connection. */
 struct http_service_limits {
-    size_t body_bytes;        /**< request body */
-    uint32_t idle_timeout_ms; /**< a connection is closed after this time without bytes
-                               received and without a pending reply */
+    size_t body_bytes;           /**< request body */
+    uint32_t idle_timeout_ms;    /**< a connection is closed after this time without bytes
+                                  received and without a pending reply */
+    uint32_t request_timeout_ms; /**< a connection is closed when a request is not complete after
+                                    this time from its first byte */
 };
 
 /** Pollers send a request every few seconds, and nodes reconnect on demand: a peer that is silent
  *  for a minute has most likely disappeared. */
 #define HTTP_SERVICE_IDLE_TIMEOUT_MS 60000
+/** Callers wait no longer than a few seconds for the reply to a request that they sent at once. */
+#define HTTP_SERVICE_REQUEST_TIMEOUT_MS 5000
 
 /** Handles a request. `request` is valid during the call, its target and body until
  * service_reply(). */
