Own ports: a request that is answered with 400 is logged

Operators saw: requests without an end at the directory, readiness, metrics and peer ports got 400 and a close, and no line told why.

Cause: http_service.c parse answered without a log line.

Evidence: release build, Listeners.test_refusals_at_our_own_ports_are_named: failed at all four ports before, green with the fix; system.platform green.

--- a/src/net/http_service.c
+++ b/src/net/http_service.c
@@ -16,6 +16,7 @@
     uv_tcp_t listener;
     uv_timer_t check_timer;
     struct http_service_limits limits;
+    uint16_t port;
     service_handler *handler;
     void *context;
     struct service_call *calls;
@@ -82,6 +83,15 @@
     call->service->handler(call->service->context, call, &request);
 }
 
+static void refuse(struct service_call *call)
+{
+    log_event(LOG_LEVEL_WARN, "service", "bad-request", "port=%u head_bytes=%zu body_bytes=%zu",
+              call->service->port, call->message.head_bytes, call->message.body_bytes);
+    write_reply(call, 400, NULL, NULL, 0);
+    tcp_stream_finish(call->stream);
+    call->stream = NULL;
+}
+
 static void parse(struct service_call *call)
 {
     call->parsing = true;
@@ -94,9 +104,7 @@
             break;
         }
         if (result != HTTP_PARSE_DONE) {
-            write_reply(call, 400, NULL, NULL, 0);
-            tcp_stream_finish(call->stream);
-            call->stream = NULL;
+            refuse(call);
             break;
         }
         buffer_consume(&call->unparsed, used);
@@ -226,6 +234,7 @@
 {
     struct http_service *service = memory_calloc(1, sizeof *service);
     service->limits = *limits;
+    service->port = ntohs(address->sin_port);
     service->handler = handler;
     service->context = context;
     int error = tcp_listen(loop, &service->listener, address, on_accept, service);
