Pieces: a source whose answer is no answer is named by a warning

Operators saw: an origin that pours heads or bodies without an end left no line at the default level; each call waited 1.5 s and went on elsewhere.

Cause: piece_fetch.c on_source_failure logged at the level debug only.

Now a call for the manifest or a piece that ends without a complete answer is a warning (pieces source-failed, with the result of the call); the log limits the lines of each event. Answers without the data stay at debug, and so do spoilt pieces and refused manifests, which have warnings of their own.

--- a/src/weights/piece_fetch.c
+++ b/src/weights/piece_fetch.c
@@ -52,13 +52,15 @@
     return now > last ? now - last : 0;
 }
 
-static void on_source_failure(struct piece_connection *connection, const char *what, uint64_t now)
+/* \param level DEBUG: the source only lacks the data, or the fault has a line of its own */
+static void on_source_failure(struct piece_connection *connection, enum log_level level,
+                              const char *what, uint64_t now)
 {
     struct piece_fetch *fetch = connection->owner;
     fetch->failures++;
     metric_add(METRIC_CHUNKS_FAILED, 1);
     piece_source_back_off(connection->source, now);
-    log_event(LOG_LEVEL_DEBUG, "pieces", "source-failed",
+    log_event(level, "pieces", "source-failed",
               "version=%" PRIu64 " source=%08x what=\"%s\" failures=%u",
               piece_set_version(fetch->set), connection->source->address, what,
               connection->source->failures);
@@ -88,8 +90,10 @@
     if (status != 200) {
         if (status == HTTP_STATUS_NOT_READY)
             on_not_ready(connection, now);
+        else if (result == CALL_COMPLETE)
+            on_source_failure(connection, LOG_LEVEL_DEBUG, "manifest not available", now);
         else
-            on_source_failure(connection, "manifest not available", now);
+            on_source_failure(connection, LOG_LEVEL_WARN, http_call_result_name(result), now);
         start_requests(fetch, now);
         return;
     }
@@ -97,7 +101,7 @@
         log_event(LOG_LEVEL_WARN, "pieces", "manifest-refused",
                   "version=%" PRIu64 " source=%08x problem=\"%s\"", piece_set_version(fetch->set),
                   connection->source->address, status_message());
-        on_source_failure(connection, "invalid manifest", now);
+        on_source_failure(connection, LOG_LEVEL_DEBUG, "invalid manifest", now);
         return;
     }
     connection->source->failures = 0;
@@ -177,7 +181,7 @@
         metric_add(METRIC_CHUNKS_REJECTED, 1);
         log_event(LOG_LEVEL_WARN, "pieces", "spoilt", "version=%" PRIu64 " source=%08x bytes=%zu",
                   piece_set_version(fetch->set), connection->source->address, message->body.size);
-        on_source_failure(connection, "spoilt", now);
+        on_source_failure(connection, LOG_LEVEL_DEBUG, "spoilt", now);
         return;
     }
     connection->source->failures = 0;
@@ -201,11 +205,11 @@
     uint64_t now = cluster_now();
     connection->busy = false;
     if (result != CALL_COMPLETE)
-        on_source_failure(connection, http_call_result_name(result), now);
+        on_source_failure(connection, LOG_LEVEL_WARN, http_call_result_name(result), now);
     else if (http_message_status(message) == HTTP_STATUS_NOT_READY)
         on_not_ready(connection, now);
     else if (http_message_status(message) != 200)
-        on_source_failure(connection, "refused", now);
+        on_source_failure(connection, LOG_LEVEL_DEBUG, "refused", now);
     else
         accept_piece(connection, message, now);
     start_requests(connection->owner, now);
--- a/tests/system/endless_answers_test.py
+++ b/tests/system/endless_answers_test.py
@@ -435,7 +435,7 @@
         self.play_version(self.origin, "piece", CALL_FORMS, WEIGHTS_S)
 
     def test_faults_of_the_origin_are_named(self):
-        """Only a line of the level debug names them."""
+        """A warning names the source."""
         self.origin.forms["manifest"] = ["fields", "chunked"]
         self.play_version(self.origin, "piece", ["fields", "chunked"], WEIGHTS_S)
         lines = [line for node in (self.edge, self.loader) for line in self.log_of(node).splitlines()
