HTTP parser: the framing of a body is bounded in proportion to its data

Cause: extensions and trailers are ignored, so their bytes counted nowhere; and http_message_parse counted all bytes of a read with the head that were not data as head, so that the framing of chunks which came with it did, too.

Now the parser pauses at the end of the head, which is counted exactly. Bytes after it that are not data count as framing; more than the head may have and HTTP_MESSAGE_FRAMING_PER_BYTE for each byte of data are malformed (400). A chunk of one byte has 5 bytes of framing, so clients that send such chunks pass. Messages without a limit of the head, as answers, are not bounded.

A unit test feeds chunks of one byte, without and with extensions, in fragments that end anywhere in the head.

--- a/src/net/http_message.c
+++ b/src/net/http_message.c
@@ -61,6 +61,7 @@
         message->failure = HTTP_PARSE_BODY_TOO_LARGE;
         return -1;
     }
+    http_parser_pause(parser, 1); /* the end of the head is counted */
     return 0;
 }
 
@@ -120,12 +121,22 @@
     buffer_clear(&message->body);
 }
 
+/* Chunk extensions and trailers are ignored, so their bytes would never reach the body's limit. */
+static bool has_too_much_framing(const struct http_message *message)
+{
+    return message->head_limit &&
+           message->framing_bytes / HTTP_MESSAGE_FRAMING_PER_BYTE >
+               message->head_limit / HTTP_MESSAGE_FRAMING_PER_BYTE + message->body_bytes;
+}
+
 static enum http_parse_result parse_state(struct http_message *message)
 {
     if (message->failure != HTTP_PARSE_MORE)
         return message->failure;
     if (message->head_limit && message->head_bytes > message->head_limit)
         return HTTP_PARSE_HEAD_TOO_LARGE;
+    if (has_too_much_framing(message))
+        return HTTP_PARSE_MALFORMED;
     if (message->complete)
         return HTTP_PARSE_DONE;
     if (HTTP_PARSER_ERRNO(&message->parser) == HPE_HEADER_OVERFLOW)
@@ -135,17 +146,38 @@
     return HTTP_PARSE_MORE;
 }
 
+/* \param overhead count of the bytes that are not data of the body. \return number of bytes used */
+static size_t execute(struct http_message *message, const char *bytes, size_t size,
+                      size_t *overhead)
+{
+    size_t body_before = message->body_bytes;
+    size_t used = http_parser_execute(&message->parser, &parser_settings, bytes, size);
+    *overhead += used - (message->body_bytes - body_before);
+    return used;
+}
+
+/* The parser pauses before the last byte of the head. \return number of bytes used */
+static size_t execute_head(struct http_message *message, const char *bytes, size_t size)
+{
+    size_t used = execute(message, bytes, size, &message->head_bytes);
+    if (!message->head_complete || message->failure != HTTP_PARSE_MORE)
+        return used;
+    http_parser_pause(&message->parser, 0);
+    return used + execute(message, bytes + used, 1, &message->head_bytes);
+}
+
 enum http_parse_result http_message_parse(struct http_message *message, const char *bytes,
                                           size_t size, size_t *used)
 {
     *used = 0;
     if (message->complete)
         return HTTP_PARSE_DONE;
-    bool in_head = !message->head_complete;
-    size_t body_before = message->body_bytes;
-    *used = http_parser_execute(&message->parser, &parser_settings, bytes, size);
-    if (in_head)
-        message->head_bytes += *used - (message->body_bytes - body_before);
+    if (!message->head_complete)
+        *used = execute_head(message, bytes, size);
+    enum http_parse_result result = parse_state(message);
+    if (result != HTTP_PARSE_MORE || *used == size)
+        return result;
+    *used += execute(message, bytes + *used, size - *used, &message->framing_bytes);
     return parse_state(message);
 }
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -13,13 +13,17 @@
 #include <stdbool.h>
 
 #define HTTP_MESSAGE_MAX_FIELDS 64
+/** Most bytes of a chunked body's framing per byte of data, beyond as many as the head may have. A
+ * chunk of one byte has five. */
+#define HTTP_MESSAGE_FRAMING_PER_BYTE 8
 
 enum http_message_kind { HTTP_MESSAGE_REQUEST, HTTP_MESSAGE_RESPONSE };
 
 enum http_parse_result {
     HTTP_PARSE_MORE,           /**< the message is not complete */
     HTTP_PARSE_DONE,           /**< the message is complete */
-    HTTP_PARSE_MALFORMED,      /**< the bytes are not a valid HTTP message */
+    HTTP_PARSE_MALFORMED,      /**< the bytes are not a valid HTTP message, or nearly all of them
+                                  frame its body */
     HTTP_PARSE_HEAD_TOO_LARGE, /**< the head exceeds its limit, or has too many fields */
     HTTP_PARSE_BODY_TOO_LARGE, /**< the body exceeds its limit */
 };
@@ -42,13 +46,14 @@
     bool in_value;
     bool head_complete;
     bool complete;
-    bool framed;        /**< Content-Length, chunked coding or the status delimits the body */
-    bool keep_alive;    /**< the connection stays open after this message */
-    size_t head_limit;  /**< bytes; 0: unlimited */
-    size_t body_limit;  /**< bytes; 0: unlimited */
-    size_t head_bytes;  /**< bytes of the head so far */
-    size_t body_bytes;  /**< bytes of the body so far */
-    struct buffer body; /**< bytes of the body that were not consumed yet */
+    bool framed;          /**< Content-Length, chunked coding or the status delimits the body */
+    bool keep_alive;      /**< the connection stays open after this message */
+    size_t head_limit;    /**< bytes; 0: unlimited */
+    size_t body_limit;    /**< bytes; 0: unlimited */
+    size_t head_bytes;    /**< bytes of the head so far */
+    size_t body_bytes;    /**< bytes of the body so far */
+    size_t framing_bytes; /**< bytes after the head so far that frame the body */
+    struct buffer body;   /**< bytes of the body that were not consumed yet */
     enum http_parse_result failure;
 };
 
--- a/tests/net/http_message_test.c
+++ b/tests/net/http_message_test.c
@@ -106,6 +106,46 @@
                      HTTP_PARSE_MALFORMED);
 }
 
+#define CHUNKED_HEAD "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define CHUNKS 1000
+
+/* A chunked request of many chunks of one byte each. \param fragment bytes per call of the parser
+ */
+static enum http_parse_result result_of_chunks(const char *chunk, size_t fragment)
+{
+    struct http_message message = {.head_limit = 1000, .body_limit = 2 * CHUNKS};
+    struct buffer text = {0};
+    size_t used;
+    enum http_parse_result result = HTTP_PARSE_MORE;
+    buffer_append_text(&text, CHUNKED_HEAD);
+    for (int i = 0; i < CHUNKS; i++)
+        buffer_append_text(&text, chunk);
+    buffer_append_text(&text, "0\r\n\r\n");
+    http_message_begin(&message, HTTP_MESSAGE_REQUEST);
+    for (size_t place = 0; place < text.size && result == HTTP_PARSE_MORE; place += fragment) {
+        size_t rest = text.size - place;
+        result = http_message_parse(&message, text.data + place, rest < fragment ? rest : fragment,
+                                    &used);
+    }
+    assert_int_equal(message.head_bytes, strlen(CHUNKED_HEAD));
+    http_message_clear(&message);
+    buffer_clear(&text);
+    return result;
+}
+
+/* The head may end anywhere in a fragment, and its limit does not count what frames the body. */
+static void framing_of_a_body_is_bounded_in_proportion_to_its_data(void **state)
+{
+    static const size_t fragments[] = {
+        1, 7, sizeof CHUNKED_HEAD - 2, sizeof CHUNKED_HEAD - 1, 100, SIZE_MAX};
+    for (size_t i = 0; i < sizeof fragments / sizeof fragments[0]; i++) {
+        assert_int_equal(result_of_chunks("1\r\na\r\n", fragments[i]), HTTP_PARSE_DONE);
+        assert_int_equal(result_of_chunks("1;ab\r\na\r\n", fragments[i]), HTTP_PARSE_DONE);
+        assert_int_equal(result_of_chunks("1;abcdefghijklmnop\r\na\r\n", fragments[i]),
+                         HTTP_PARSE_MALFORMED);
+    }
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -114,6 +154,7 @@
         cmocka_unit_test(response_without_length_ends_at_connection_close),
         cmocka_unit_test(truncated_response_with_length_is_malformed),
         cmocka_unit_test(limits_and_malformed_requests_have_distinct_results),
+        cmocka_unit_test(framing_of_a_body_is_bounded_in_proportion_to_its_data),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
