--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -157,10 +157,18 @@
     exchange_arm_timer(exchange);
 }
 
+/* A stream that has begun shows that its backend works, and an answer that has ended waits for
+ * proof of that; any other answer has to end in time. */
+static bool is_backend_late(const struct exchange *exchange)
+{
+    bool is_unended = exchange->upstream && exchange->route->kind != ROUTE_STREAM;
+    return exchange->backend && (!exchange->first_byte_received_at || is_unended);
+}
+
 static void on_deadline(struct exchange *exchange)
 {
     bool not_run = !exchange->may_have_run && !exchange_is_sent(exchange);
-    if (exchange->backend && !exchange->first_byte_received_at)
+    if (is_backend_late(exchange))
         exchange_end_attempt(exchange, BACKEND_TIMED_OUT);
     exchange_fail(exchange, not_run ? 503 : 504, END_DEADLINE);
 }
