Backends: a second attempt probes an ejected backend only if no other has room

Cause: both sends of such a request went to engines whose ejections were over. backend_pool_choose sends any request to a probe first, also one whose first attempt had just failed at another suspect, and which has no third.

Now the criteria say whether an attempt may have run the request; then a probe is taken only if no other backend has room, still before one that is ejected. First attempts probe as before.

Evidence: unit tests of backend_pool_choose, which draw nothing: the one of a second attempt failed with the condition taken out.

--- a/src/core/backend/backend_choice.c
+++ b/src/core/backend/backend_choice.c
@@ -331,7 +331,21 @@
         best = best_of(pool, criteria, &set->turning, now);
     if (!best && (!set->reported || criteria->any_load))
         best = best_of(pool, criteria, &set->unreported, now);
-    return best ? best : set->ejected;
+    return best;
+}
+
+/* A probe costs its request an attempt if the backend still fails, so it gets a request that can
+ * have another one. */
+static struct backend *choose_from(struct backend_pool *pool,
+                                   const struct backend_criteria *criteria,
+                                   const struct candidate_set *set, uint64_t now)
+{
+    if (set->probe && !criteria->may_have_run)
+        return set->probe;
+    struct backend *best = choose_candidate(pool, criteria, set, now);
+    if (best)
+        return best;
+    return set->probe ? set->probe : set->ejected;
 }
 
 static bool is_barred(const struct backend_criteria *criteria, uint64_t incarnation)
@@ -417,7 +431,7 @@
         else
             set.without_weights |= reports_no_weights(pool, group->items[i], now);
     }
-    *chosen = set.probe ? set.probe : choose_candidate(pool, criteria, &set, now);
+    *chosen = choose_from(pool, criteria, &set, now);
     if (*chosen)
         return BACKEND_FOUND;
     return set.eligible && !is_outage(criteria, &set) ? BACKEND_FULL : BACKEND_NONE;
--- a/src/core/backend/backend_pool.h
+++ b/src/core/backend/backend_pool.h
@@ -274,6 +274,8 @@
     uint32_t excluded_count;
     uint32_t gateways;          /**< that send to the same backends */
     bool any_load;              /**< full backends are accepted, too */
+    bool may_have_run;          /**< an attempt may have run it: this one, mostly the last, probes a
+                                   backend only if no other one has room */
     struct cold_limit cold;     /**< what a cold backend of the service bears */
     struct residency residency; /**< regions in which the request may be processed */
     /** Part of an engine's slots that this request must leave free, and of the prompt tokens that
--- a/tests/core/backend/backend_pool_test.c
+++ b/tests/core/backend/backend_pool_test.c
@@ -665,6 +665,48 @@
     backend_pool_destroy(pool);
 }
 
+static void eject(struct backend_pool *pool, struct backend *backend, uint64_t now)
+{
+    for (int i = 0; i < 2; i++) {
+        backend_request_started(backend, 1000, now);
+        backend_request_answered(backend, 1000, 0, now);
+        backend_request_ended(pool, backend, BACKEND_BROKEN, 0, now);
+    }
+    assert_true(backend->ejected_until > now);
+}
+
+static void a_second_attempt_probes_only_if_no_other_backend_has_room(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_criteria criteria = criteria_of();
+    struct backend *suspect = add(pool, 1, 1, 0);
+    struct backend *sound = add(pool, 2, 1, 0);
+    eject(pool, suspect, SECOND_US);
+    uint64_t now = suspect->ejected_until + 1;
+    assert_ptr_equal(choose(pool, &criteria, now), suspect);
+    criteria.may_have_run = true;
+    for (int i = 0; i < 50; i++)
+        assert_ptr_equal(choose(pool, &criteria, now), sound);
+    criteria.excluded[criteria.excluded_count++] = sound; /* it was the first attempt's */
+    assert_ptr_equal(choose(pool, &criteria, now), suspect);
+    backend_pool_destroy(pool);
+}
+
+/* As any request does. */
+static void a_second_attempt_probes_before_it_goes_to_an_ejected_backend(void **state)
+{
+    struct backend_pool *pool = backend_pool_create(&settings, 1);
+    struct backend_criteria criteria = criteria_of();
+    struct backend *suspect = add(pool, 1, 1, 0);
+    struct backend *ejected = add(pool, 2, 1, 0);
+    eject(pool, suspect, SECOND_US);
+    uint64_t now = suspect->ejected_until + 1;
+    eject(pool, ejected, now);
+    criteria.may_have_run = true;
+    assert_ptr_equal(choose(pool, &criteria, now), suspect);
+    backend_pool_destroy(pool);
+}
+
 static void a_retained_backend_outlives_its_listing(void **state)
 {
     struct backend_pool *pool = backend_pool_create(&settings, 1);
@@ -920,6 +962,8 @@
         cmocka_unit_test(pending_prompt_tokens_of_an_engine_are_bounded),
         cmocka_unit_test(near_engines_are_preferred_until_they_are_busier),
         cmocka_unit_test(a_failing_backend_is_ejected_and_probed),
+        cmocka_unit_test(a_second_attempt_probes_only_if_no_other_backend_has_room),
+        cmocka_unit_test(a_second_attempt_probes_before_it_goes_to_an_ejected_backend),
         cmocka_unit_test(a_retained_backend_outlives_its_listing),
         cmocka_unit_test(engines_without_weights_are_absent_rather_than_full),
         cmocka_unit_test(an_engine_whose_memory_is_full_gets_no_requests),
