--- a/tests/system/planned_stop_fleet_test.py
+++ b/tests/system/planned_stop_fleet_test.py
@@ -167,6 +167,16 @@
             self.assertTrue(answers[number].has(b"X-Outcome: not-run\r\n"), answers[number].bytes)
             self.assertTrue(answers[number].has(b"Retry-After: "), answers[number].bytes)
 
+    def test_a_stream_that_outlasts_the_drain_time_of_its_gateway_gets_its_last_line(self):
+        """Its connection was closed in the middle of the stream, without the line that tells the outcome."""
+        fleet = self.start_fleet("stream-outlasts-gateway", drain_ms=SHORT_DRAIN_MS)
+        callers = self.begin_streams(fleet, 2)
+        status, _ = self.stop_process(fleet, "gateway-1")
+        self.assertEqual(status, 0)
+        for answer in callers.join():
+            self.assertTrue(answer.is_whole, answer.bytes[-200:])
+            self.assertTrue(answer.has(b'"end":"error","outcome":"unknown"'), answer.bytes[-200:])
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
