--- a/tests/system/planned_stop_fleet_test.py
+++ b/tests/system/planned_stop_fleet_test.py
@@ -177,6 +177,20 @@
             self.assertTrue(answer.is_whole, answer.bytes[-200:])
             self.assertTrue(answer.has(b'"end":"error","outcome":"unknown"'), answer.bytes[-200:])
 
+    def test_an_answer_of_a_gateway_that_stops_closes_its_connection(self):
+        """The caller learned of the stop from a connection that closed under its next request."""
+        fleet = self.start_fleet("kept-connections")
+        with connect(fleet) as kept, connect(fleet) as busy:
+            busy.sendall(request_bytes("script", {"max_tokens": 200}))
+            wait_until("the stream runs", lambda: fleet.status("gateway-1")["active_requests"])
+            fleet.kill("gateway-1", signal.SIGTERM)
+            wait_until("the stop begins", lambda: fleet.status("gateway-1")["draining"])
+            kept.sendall(request_bytes("seats", {"id": "kept"}))
+            answer = receive(kept, Answer())
+            self.assertTrue(answer.is_whole, answer.bytes)
+            self.assertTrue(answer.has(b"Connection: close\r\n"), answer.bytes)
+            self.assertTrue(receive(busy, Answer()).is_whole)
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
