--- a/tests/system/planned_stop_fleet_test.py
+++ b/tests/system/planned_stop_fleet_test.py
@@ -191,6 +191,18 @@
             self.assertTrue(answer.has(b"Connection: close\r\n"), answer.bytes)
             self.assertTrue(receive(busy, Answer()).is_whole)
 
+    def test_a_hangup_cuts_nothing(self):
+        """SIGHUP killed the process. Edges and loaders read their settings at it; gateways and agents left it alone."""
+        for name in ("gateway-1", "engine-0"):
+            with self.subTest(name):
+                fleet = self.start_fleet("hangup-" + name)
+                callers = self.begin_streams(fleet, 2, tokens=200)
+                fleet.kill(name, signal.SIGHUP)
+                for answer in callers.join():
+                    self.assertTrue(answer.has(b'"end":"done"'), answer.bytes[-200:])
+                self.assertIsNone(fleet.processes[name].poll())
+                fleet.stop()
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
