--- a/tests/system/planned_stop_fleet_test.py
+++ b/tests/system/planned_stop_fleet_test.py
@@ -203,6 +203,23 @@
                 self.assertIsNone(fleet.processes[name].poll())
                 fleet.stop()
 
+    def test_answers_of_an_agent_that_stops_outlive_a_slow_link(self):
+        """Answers that waited in the agent's memory for the link were discarded when the process ended, 0.1 s after the
+        last run: their callers got the outcome unknown after 5 s, and could not repeat the requests."""
+        fleet = self.start_fleet("slow-link", service_flags=("--work-ms", str(WORK_MS)), through_link="seats-0")
+        callers = Callers(fleet)
+        for number in range(12):
+            callers.start(request_bytes("seats", {"id": "%d-" % number + "z" * 900000}, "Connection: close",
+                                        "X-Unrepeatable: true"))
+        wait_until("they run", lambda: fleet.status("seats-0")["active_requests"] == 12)
+        fleet.kill("seats-0-link", signal.SIGUSR1)  # stalls
+        fleet.kill("seats-0", signal.SIGTERM)
+        wait_until("all runs ended", lambda: fleet.processes["seats-0"].poll() is not None or
+                   not fleet.status("seats-0")["active_requests"])
+        time.sleep(MAX_AGE_MS / 1000)
+        fleet.kill("seats-0-link", signal.SIGUSR1)  # goes on
+        self.assertEqual([answer.status for answer in callers.join()], [200] * 12)
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
