--- a/tests/system/planned_stop_fleet_test.py
+++ b/tests/system/planned_stop_fleet_test.py
@@ -220,6 +220,15 @@
         fleet.kill("seats-0-link", signal.SIGUSR1)  # goes on
         self.assertEqual([answer.status for answer in callers.join()], [200] * 12)
 
+    def test_streams_that_outlast_the_drain_time_of_their_agent_go_on_elsewhere_at_once(self):
+        """Their gateway noticed the end only by a stall of 5 s."""
+        fleet = self.start_fleet("stream-outlasts-agent", drain_ms=SHORT_DRAIN_MS, engines=2)
+        callers = self.begin_streams(fleet, 6)
+        self.assertEqual(self.stop_process(fleet, "engine-0")[0], 0)
+        for answer in callers.join():
+            self.assertTrue(answer.has(b'"end":"done"'), answer.bytes[-200:])
+            self.assertLess(answer.longest_pause_s, STALL_US / 1000000 / 2)
+
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
