A stopping gateway refuses new callers at once after endpoints-max-age-ms

Callers saw their connections closed without an answer, at requests that had run, 30 s after SIGTERM.

Now a stop has phases (net/daemon.h), each acted upon before the next is decided. After the max-age new requests are refused with 503, not-run, Retry-After and Connection: close. A call counts from its submission, under the lock that the refusals begin under, so 0 is final. Then the listener closes, and the process waits until each response, refusals too, has been sent (2 s at most).

The test took only chunked answers for whole, so it called the refusals, which state their length, cut off: is_whole now checks a stated length against the bytes that came, byte for byte.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -433,7 +433,8 @@
         publish_status(agent, now);
         publish_pending_blobs(agent);
     }
-    if (daemon_drain_done(&agent->drain, agent_traffic_state(agent->traffic).active, now))
+    struct daemon_debts debts = {.active = agent_traffic_state(agent->traffic).active};
+    if (daemon_drain_advance(&agent->drain, debts, now) == DAEMON_STOPPED)
         loop_stop(agent->shell.loop);
 }
 
--- a/src/gateway/caller_api.c
+++ b/src/gateway/caller_api.c
@@ -16,17 +16,19 @@
 #define MAX_PEM_BYTES (64 * 1024)
 #define MAX_PRIORITY 9
 #define MAX_TIMEOUT_MS 3600000
+#define STOP_RETRY_AFTER_SECONDS "1" /* at another gateway */
 
 struct caller_api {
     const struct settings *settings;
     struct status_page *page;
     struct gateway_traffic *traffic;
     struct http_server *http;
-    pthread_mutex_t lock; /* guards endpoints, tickets and detached */
+    pthread_mutex_t lock; /* guards endpoints, tickets, refusing and detached */
     json_t *endpoints;
     json_t *tickets;
     char *tls_certificate; /* PEM; NULL: plain HTTP */
     char *tls_key;         /* PEM; NULL: plain HTTP */
+    bool refusing;         /* no more requests for the traffic thread */
     bool detached;         /* no more events for the traffic thread */
 };
 
@@ -41,6 +43,20 @@
     http_reply(exchange, status, "application/json", body, (size_t)size, headers);
 }
 
+/* Rejects a request that another gateway takes at once. */
+static void reply_stopping(struct http_exchange *exchange)
+{
+    static const struct http_reply_header headers[] = {{"X-Outcome", "not-run"},
+                                                       {"Retry-After", STOP_RETRY_AFTER_SECONDS},
+                                                       {"Connection", "close"},
+                                                       {NULL, NULL}};
+    static const char body[] =
+        "{\"outcome\": \"not-run\", \"error\": \"this gateway stops; use another one\"}\n";
+    metric_add(METRIC_REQUESTS_NOT_RUN, 1);
+    log_event(LOG_LEVEL_INFO, "caller", "refused", "status=503 reason=stopping");
+    http_reply(exchange, 503, "application/json", body, sizeof body - 1, headers);
+}
+
 /* ---- endpoints ---- */
 
 static void reply_endpoints(struct caller_api *api, struct http_exchange *exchange)
@@ -148,14 +164,14 @@
         return;
     }
     pthread_mutex_lock(&api->lock);
-    bool detached = api->detached;
-    if (!detached) {
+    bool refusing = api->refusing || api->detached;
+    if (!refusing) {
         http_exchange_retain(exchange);
         gateway_traffic_submit(api->traffic, exchange, &entry);
     }
     pthread_mutex_unlock(&api->lock);
-    if (detached)
-        reply_rejected(exchange, 503, "this gateway has stopped");
+    if (refusing)
+        reply_stopping(exchange);
 }
 
 static void on_http_request(void *context, struct http_exchange *exchange,
@@ -187,6 +203,23 @@
     pthread_mutex_unlock(&api->lock);
 }
 
+void caller_api_refuse_requests(struct caller_api *api)
+{
+    pthread_mutex_lock(&api->lock);
+    api->refusing = true;
+    pthread_mutex_unlock(&api->lock);
+}
+
+void caller_api_stop_listening(struct caller_api *api)
+{
+    http_server_stop_listening(api->http);
+}
+
+uint32_t caller_api_unsent_responses(const struct caller_api *api)
+{
+    return http_server_open_exchanges(api->http);
+}
+
 void caller_api_detach(struct caller_api *api)
 {
     if (!api)
--- a/src/gateway/caller_api.h
+++ b/src/gateway/caller_api.h
@@ -22,6 +22,13 @@
  */
 struct caller_api *caller_api_start(const struct settings *settings, struct status_page *page,
                                     struct gateway_traffic *traffic);
+/** \brief Reject new requests with status 503; those submitted before go on. When this returns, the
+ * number of active calls of the traffic thread only falls. */
+void caller_api_refuse_requests(struct caller_api *api);
+/** \brief Accept no more connections; call once at most. */
+void caller_api_stop_listening(struct caller_api *api);
+/** \return requests whose response is not completely sent */
+uint32_t caller_api_unsent_responses(const struct caller_api *api);
 /** \brief Post no more events to the traffic thread and reject new requests with status 503; call
  * before gateway_traffic_stop(). NULL is ignored. */
 void caller_api_detach(struct caller_api *api);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -145,6 +145,23 @@
     node_set_status(gateway->shell.node, now, &status);
 }
 
+/* Advances a planned stop and acts on a new phase. */
+static void advance_stop(struct gateway *gateway, uint64_t now)
+{
+    struct daemon_debts debts = {.active = gateway_traffic_active_calls(gateway->traffic),
+                                 .unsent = caller_api_unsent_responses(gateway->api)};
+    enum daemon_phase before = gateway->drain.phase;
+    enum daemon_phase phase = daemon_drain_advance(&gateway->drain, debts, now);
+    if (phase == before)
+        return;
+    if (phase == DAEMON_FINISHING)
+        caller_api_refuse_requests(gateway->api);
+    else if (phase == DAEMON_CLOSING)
+        caller_api_stop_listening(gateway->api);
+    else if (phase == DAEMON_STOPPED)
+        loop_stop(gateway->shell.loop);
+}
+
 static void on_tick(void *context, uint64_t now)
 {
     struct gateway *gateway = context;
@@ -157,8 +174,7 @@
         gateway->next_publish_us = now + PUBLISH_INTERVAL_US;
         publish_status(gateway, now);
     }
-    if (daemon_drain_done(&gateway->drain, gateway_traffic_active_calls(gateway->traffic), now))
-        loop_stop(gateway->shell.loop);
+    advance_stop(gateway, now);
 }
 
 /* ---- start and stop ---- */
--- a/src/gateway/gateway_traffic.c
+++ b/src/gateway/gateway_traffic.c
@@ -41,7 +41,7 @@
     struct router_counters published_counters; /* as last added to the metrics */
     struct status_page *page;
     uint64_t next_metrics_us;
-    uint32_t active_calls; /* atomic; read by other threads */
+    uint32_t active_calls; /* atomic; from gateway_traffic_submit() to the end of the call */
     pthread_t thread;
 };
 
@@ -61,6 +61,7 @@
     *link = call->next;
     http_exchange_release(call->exchange);
     free(call);
+    ck_pr_dec_32(&traffic->active_calls);
 }
 
 /* ---- router driver, see core/routing/router.h ---- */
@@ -236,6 +237,7 @@
     event->request.tenant = memory_strdup(request->tenant);
     event->request.key = memory_strdup(request->key);
     event->request.body = memory_duplicate(request->body, request->body_size);
+    ck_pr_inc_32(&traffic->active_calls);
     loop_post(traffic->loop, submit_call, event);
 }
 
@@ -352,10 +354,6 @@
         status_page_set_extra_metrics(
             traffic->page, service_counts_format(router_service_counts(traffic->router)));
     }
-    uint32_t calls = 0;
-    for (const struct call *call = traffic->calls; call; call = call->next)
-        calls++;
-    ck_pr_store_32(&traffic->active_calls, calls);
 }
 
 static void *run_thread(void *context)
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -39,7 +39,7 @@
  * response. */
 void gateway_traffic_on_closed(struct gateway_traffic *traffic, struct http_exchange *exchange);
 
-/** \return calls whose exchange is not closed, as of the last tick */
+/** \return calls submitted whose exchange is not closed */
 uint32_t gateway_traffic_active_calls(const struct gateway_traffic *traffic);
 
 #endif
--- a/src/net/daemon.c
+++ b/src/net/daemon.c
@@ -9,6 +9,8 @@
 
 /* Time for the draining state to reach the gateways. */
 #define MIN_DRAIN_WAIT_US (500 * MICROSECONDS_PER_MILLISECOND)
+/* Longest wait for the last responses to be sent. */
+#define CLOSING_TIMEOUT_US (2 * MICROSECONDS_PER_SECOND)
 
 static volatile sig_atomic_t stop_requested;
 
@@ -65,18 +67,39 @@
     return drain->listed_leaving || stop_requested;
 }
 
-bool daemon_drain_done(struct daemon_drain *drain, uint32_t active, uint64_t now)
+static bool is_phase_over(const struct daemon_drain *drain, const struct daemon_debts *debts,
+                          uint64_t now)
 {
-    if (!stop_requested)
-        return false;
-    if (!drain->started_us) {
-        drain->started_us = now;
-        log_event(LOG_LEVEL_INFO, "daemon", "draining", "active=%u", active);
-    }
     uint64_t elapsed_us = now - drain->started_us;
-    if (elapsed_us < drain->min_wait_us)
+    switch (drain->phase) {
+    case DAEMON_RUNNING:
+        return stop_requested;
+    case DAEMON_LEAVING:
+        return elapsed_us >= drain->min_wait_us;
+    case DAEMON_FINISHING:
+        return debts->active == 0 || elapsed_us >= drain->min_wait_us + drain->timeout_us;
+    case DAEMON_CLOSING:
+        return (debts->active == 0 && debts->unsent == 0) ||
+               now - drain->closing_us >= CLOSING_TIMEOUT_US;
+    default:
         return false;
-    return active == 0 || elapsed_us >= drain->min_wait_us + drain->timeout_us;
+    }
+}
+
+enum daemon_phase daemon_drain_advance(struct daemon_drain *drain, struct daemon_debts debts,
+                                       uint64_t now)
+{
+    static const char *const events[] = {"running", "draining", "finishing", "closing", "drained"};
+    if (!is_phase_over(drain, &debts, now))
+        return drain->phase;
+    drain->phase++;
+    if (drain->phase == DAEMON_LEAVING)
+        drain->started_us = now;
+    else if (drain->phase == DAEMON_CLOSING)
+        drain->closing_us = now;
+    log_event(LOG_LEVEL_INFO, "daemon", events[drain->phase], "active=%u unsent=%u", debts.active,
+              debts.unsent);
+    return drain->phase;
 }
 
 /* Addresses of all machines known to this node, so that a client can discover the fleet from any
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -18,20 +18,40 @@
 int daemon_init(enum setting_role role, int argc, char **argv, struct settings *settings,
                 struct key_ring *keys);
 
+/** Phases of a graceful shutdown, in their order. Each one lasts for at least a tick, so that the
+ * owner has acted on it before the next one is decided. */
+enum daemon_phase {
+    DAEMON_RUNNING,
+    DAEMON_LEAVING, /**< the stop signal arrived; others learn of it and may still send requests */
+    DAEMON_FINISHING, /**< no request is accepted; those in progress go on */
+    DAEMON_CLOSING,   /**< no request is in progress, or the time for them is over: the last
+                       *   responses are sent */
+    DAEMON_STOPPED,
+};
+
+/** What a process that stops still owes. */
+struct daemon_debts {
+    uint32_t active; /**< requests in progress; exact once none is accepted */
+    uint32_t unsent; /**< responses that are not completely sent */
+};
+
 /** Graceful shutdown: accept no new requests, then wait for those in progress. */
 struct daemon_drain {
     uint64_t timeout_us;  /**< longest wait for active requests, after `min_wait_us` */
-    uint64_t min_wait_us; /**< shortest time from the stop signal to the exit */
-    uint64_t started_us;  /**< time of the first tick after the stop signal; 0 before it */
-    bool listed_leaving;  /**< the machine list marks this machine as leaving */
+    uint64_t min_wait_us; /**< time from the stop signal in which others learn of it */
+    uint64_t started_us;  /**< time of the first tick after the stop signal */
+    uint64_t closing_us;  /**< time at which DAEMON_CLOSING began */
+    enum daemon_phase phase;
+    bool listed_leaving; /**< the machine list marks this machine as leaving */
 };
 
 void daemon_drain_init(struct daemon_drain *drain, uint64_t timeout_ms, uint64_t min_wait_ms);
 void daemon_set_listed_leaving(struct daemon_drain *drain, bool leaving);
 bool daemon_is_draining(const struct daemon_drain *drain);
-/** \brief Whether the process may exit; call on each tick. \param active requests in progress
- *  \param now monotonic time, microseconds */
-bool daemon_drain_done(struct daemon_drain *drain, uint32_t active, uint64_t now);
+/** \brief Advance by one phase at most; call on each tick. \param now monotonic time, microseconds
+ *  \return the phase; the process ends at DAEMON_STOPPED */
+enum daemon_phase daemon_drain_advance(struct daemon_drain *drain, struct daemon_debts debts,
+                                       uint64_t now);
 
 /** \brief Publish /v1/machines; call after a change of the machine list. */
 void daemon_publish_machines(const struct node_shell *shell, struct status_page *page);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -4,11 +4,14 @@
 
 #include <arpa/inet.h>
 #include <assert.h>
+#include <ck_pr.h>
 #include <microhttpd.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define PACED_BLOCK_BYTES 32768
 #define STREAM_BLOCK_BYTES 16384
@@ -57,6 +60,8 @@
 struct http_server {
     struct http_server_settings settings;
     struct MHD_Daemon *daemon;
+    MHD_socket quiesced_listener; /* MHD_INVALID_SOCKET: the daemon owns the listener */
+    uint32_t open_exchanges;      /* atomic */
 };
 
 /* ---- lifetime ---- */
@@ -310,6 +315,7 @@
     exchange->method = memory_strdup(method);
     exchange->references = 1;
     pthread_mutex_init(&exchange->lock, NULL);
+    ck_pr_inc_32(&server->open_exchanges);
     return exchange;
 }
 
@@ -350,6 +356,7 @@
         server->settings.closed(server->settings.context, exchange);
     pthread_mutex_lock(&exchange->lock);
     drop_reference(exchange);
+    ck_pr_dec_32(&server->open_exchanges);
 }
 
 struct http_server *http_server_start(const struct http_server_settings *settings)
@@ -357,6 +364,7 @@
     struct http_server *server = memory_calloc(1, sizeof *server);
     struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(settings->port)};
     server->settings = *settings;
+    server->quiesced_listener = MHD_INVALID_SOCKET;
     if (inet_pton(AF_INET, settings->address, &address.sin_addr) != 1) {
         status_fail(STATUS_INVALID, "`%s` is not an IPv4 address", settings->address);
         free(server);
@@ -386,10 +394,25 @@
     return server;
 }
 
+void http_server_stop_listening(struct http_server *server)
+{
+    server->quiesced_listener = MHD_quiesce_daemon(server->daemon);
+    /* Refuses new connections at once; closing it now would race with the server's threads. */
+    if (server->quiesced_listener != MHD_INVALID_SOCKET)
+        shutdown(server->quiesced_listener, SHUT_RD);
+}
+
+uint32_t http_server_open_exchanges(const struct http_server *server)
+{
+    return ck_pr_load_32(&server->open_exchanges);
+}
+
 void http_server_stop(struct http_server *server)
 {
     if (!server)
         return;
     MHD_stop_daemon(server->daemon);
+    if (server->quiesced_listener != MHD_INVALID_SOCKET)
+        close(server->quiesced_listener);
     free(server);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -48,6 +48,11 @@
 
 /** \return NULL with a status message */
 struct http_server *http_server_start(const struct http_server_settings *settings);
+/** \brief Accept no more connections; those that are open go on. Call once at most. */
+void http_server_stop_listening(struct http_server *server);
+/** \return requests whose header was read and whose response is not completely sent; callable from
+ * any thread */
+uint32_t http_server_open_exchanges(const struct http_server *server);
 void http_server_stop(struct http_server *server);
 
 /** \return a request header, or NULL; for use within the handler */
--- a/tests/system/planned_stop_fleet_test.py
+++ b/tests/system/planned_stop_fleet_test.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import sys
@@ -39,7 +40,10 @@
 
     @property
     def is_whole(self):
-        return self.bytes.endswith(b"\r\n0\r\n\r\n")
+        """Whether the bytes end with the last chunk, or have the length that their header states."""
+        head, _, body = self.bytes.partition(b"\r\n\r\n")
+        stated = re.search(rb"\r\nContent-Length: (\d+)", head)
+        return len(body) == int(stated.group(1)) if stated else body.endswith(b"\r\n0\r\n\r\n")
 
     def has(self, text):
         return text in self.bytes
