A gateway ends what outlasts drain-timeout-ms with its outcome before it closes

Callers' streams that ran longer than drain-timeout-ms ended in the middle, without the line that tells the outcome. Cause: at the drain time the process went down and its end aborted the connections of all calls in progress.

--- a/src/core/routing/router.c
+++ b/src/core/routing/router.c
@@ -439,14 +439,26 @@
     return router->view->agents[index].status.incarnation > request->agent_incarnation;
 }
 
+/* Ends a request while its attempt may be running. */
+static void give_up_request(struct router *router, struct request *request, const char *reason)
+{
+    cancel_attempt(router, request);
+    request->may_have_run = true;
+    fail_request(router, request, reason, 0);
+}
+
+void router_end_all(struct router *router, const char *reason)
+{
+    while (router->request_count)
+        give_up_request(router, router->requests[0], reason);
+}
+
 static void check_request_timeouts(struct router *router, uint64_t now, struct request *request)
 {
     if (!request->sequence)
         return;
     if (now >= request->deadline) {
-        cancel_attempt(router, request);
-        request->may_have_run = true;
-        fail_request(router, request, "deadline", 0);
+        give_up_request(router, request, "deadline");
     } else if (router->view && agent_restarted(router, request)) {
         fail_attempt(router, now, request, "the agent restarted", 0);
     } else if (now - request->last_progress >= router->settings.stall_us) {
--- a/src/core/routing/router.h
+++ b/src/core/routing/router.h
@@ -103,6 +103,8 @@
 /** \brief The caller has disconnected: cancel its request, without further calls of the driver's
  * `begin`, `data` and `end`. */
 void router_abandon(struct router *router, uint64_t now, uint64_t caller);
+/** \brief End all requests as at their deadline, with the outcome unknown: the gateway stops. */
+void router_end_all(struct router *router, const char *reason);
 /** \brief Process an answer of an agent. \param agent id of the sender */
 void router_on_answer(struct router *router, uint64_t now, uint64_t agent,
                       const Shuntrun__Answer *answer);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -156,9 +156,11 @@
         return;
     if (phase == DAEMON_FINISHING)
         caller_api_refuse_requests(gateway->api);
-    else if (phase == DAEMON_CLOSING)
+    if (phase == DAEMON_CLOSING) {
         caller_api_stop_listening(gateway->api);
-    else if (phase == DAEMON_STOPPED)
+        gateway_traffic_end_calls(gateway->traffic);
+    }
+    if (phase == DAEMON_STOPPED)
         loop_stop(gateway->shell.loop);
 }
 
--- a/src/gateway/gateway_traffic.c
+++ b/src/gateway/gateway_traffic.c
@@ -312,6 +312,17 @@
     loop_post(traffic->loop, apply_keys, change);
 }
 
+static void end_calls(void *argument)
+{
+    struct gateway_traffic *traffic = argument;
+    router_end_all(traffic->router, "this gateway stops");
+}
+
+void gateway_traffic_end_calls(struct gateway_traffic *traffic)
+{
+    loop_post(traffic->loop, end_calls, traffic);
+}
+
 uint32_t gateway_traffic_active_calls(const struct gateway_traffic *traffic)
 {
     return ck_pr_load_32(&traffic->active_calls);
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -39,6 +39,10 @@
  * response. */
 void gateway_traffic_on_closed(struct gateway_traffic *traffic, struct http_exchange *exchange);
 
+/** \brief End all calls that are in progress, with the outcome unknown; no call may be submitted
+ * afterwards. */
+void gateway_traffic_end_calls(struct gateway_traffic *traffic);
+
 /** \return calls submitted whose exchange is not closed */
 uint32_t gateway_traffic_active_calls(const struct gateway_traffic *traffic);
 
--- a/tests/core/routing/router_test.c
+++ b/tests/core/routing/router_test.c
@@ -245,6 +245,20 @@
     assert_int_equal(fixture->recorder.result.outcome, OUTCOME_UNKNOWN);
 }
 
+static void a_gateway_that_stops_ends_each_request_with_the_outcome_unknown(void **state)
+{
+    struct fixture *fixture = *state;
+    submit(fixture, 1, true);
+    submit(fixture, 2, false);
+    answer(fixture, SHUNTRUN__ANSWER_KIND__ANSWER_TOKENS, 0, 3, DIGEST_A);
+    router_end_all(fixture->router, "stops");
+    assert_int_equal(fixture->recorder.ends, 2);
+    assert_int_equal(fixture->recorder.cancels, 2);
+    assert_int_equal(fixture->recorder.result.outcome, OUTCOME_UNKNOWN);
+    assert_int_equal(fixture->recorder.result.http_status, 502);
+    assert_int_equal(router_active(fixture->router), 0);
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -263,6 +277,8 @@
         cmocka_unit_test_setup_teardown(draining_and_unreachable_agents_get_no_requests, set_up,
                                         tear_down),
         cmocka_unit_test_setup_teardown(an_agent_restart_fails_its_attempts, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            a_gateway_that_stops_ends_each_request_with_the_outcome_unknown, set_up, tear_down),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
