A gateway that stops closes each connection with its next answer

From SIGTERM on each answer that begins says Connection: close, refusals and status pages too, and libmicrohttpd closes the connection at its end: a caller's next request goes to another gateway while this one still takes some, and no connection is in use by the end but those of requests that are owed something.

--- a/src/gateway/caller_api.c
+++ b/src/gateway/caller_api.c
@@ -46,10 +46,8 @@
 /* Rejects a request that another gateway takes at once. */
 static void reply_stopping(struct http_exchange *exchange)
 {
-    static const struct http_reply_header headers[] = {{"X-Outcome", "not-run"},
-                                                       {"Retry-After", STOP_RETRY_AFTER_SECONDS},
-                                                       {"Connection", "close"},
-                                                       {NULL, NULL}};
+    static const struct http_reply_header headers[] = {
+        {"X-Outcome", "not-run"}, {"Retry-After", STOP_RETRY_AFTER_SECONDS}, {NULL, NULL}};
     static const char body[] =
         "{\"outcome\": \"not-run\", \"error\": \"this gateway stops; use another one\"}\n";
     metric_add(METRIC_REQUESTS_NOT_RUN, 1);
@@ -203,6 +201,11 @@
     pthread_mutex_unlock(&api->lock);
 }
 
+void caller_api_announce_close(struct caller_api *api)
+{
+    http_server_announce_close(api->http);
+}
+
 void caller_api_refuse_requests(struct caller_api *api)
 {
     pthread_mutex_lock(&api->lock);
--- a/src/gateway/caller_api.h
+++ b/src/gateway/caller_api.h
@@ -22,6 +22,8 @@
  */
 struct caller_api *caller_api_start(const struct settings *settings, struct status_page *page,
                                     struct gateway_traffic *traffic);
+/** \brief Close each connection with the next response that begins on it. */
+void caller_api_announce_close(struct caller_api *api);
 /** \brief Reject new requests with status 503; those submitted before go on. When this returns, the
  * number of active calls of the traffic thread only falls. */
 void caller_api_refuse_requests(struct caller_api *api);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -154,6 +154,8 @@
     enum daemon_phase phase = daemon_drain_advance(&gateway->drain, debts, now);
     if (phase == before)
         return;
+    if (phase == DAEMON_LEAVING)
+        caller_api_announce_close(gateway->api);
     if (phase == DAEMON_FINISHING)
         caller_api_refuse_requests(gateway->api);
     if (phase == DAEMON_CLOSING) {
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -62,6 +62,7 @@
     struct MHD_Daemon *daemon;
     MHD_socket quiesced_listener; /* MHD_INVALID_SOCKET: the daemon owns the listener */
     uint32_t open_exchanges;      /* atomic */
+    uint32_t closing;             /* atomic; responses close their connections */
 };
 
 /* ---- lifetime ---- */
@@ -114,10 +115,18 @@
 
 /* ---- complete responses ---- */
 
+/* libmicrohttpd closes the connection of such a response at its end. */
+static void add_close_header(const struct http_exchange *exchange, struct MHD_Response *response)
+{
+    if (ck_pr_load_32(&exchange->server->closing))
+        MHD_add_response_header(response, "Connection", "close");
+}
+
 static void queue_response(struct http_exchange *exchange, unsigned status,
                            struct MHD_Response *response)
 {
     exchange->replied = true;
+    add_close_header(exchange, response);
     MHD_queue_response(exchange->connection, status, response);
     MHD_destroy_response(response);
 }
@@ -255,6 +264,7 @@
     for (size_t i = 0; i < exchange->header_count; i++)
         MHD_add_response_header(response, exchange->headers[i].name, exchange->headers[i].value);
     exchange->replied = true;
+    add_close_header(exchange, response);
     enum MHD_Result result = MHD_queue_response(exchange->connection, exchange->status, response);
     MHD_destroy_response(response);
     return result;
@@ -394,6 +404,11 @@
     return server;
 }
 
+void http_server_announce_close(struct http_server *server)
+{
+    ck_pr_store_32(&server->closing, 1);
+}
+
 void http_server_stop_listening(struct http_server *server)
 {
     server->quiesced_listener = MHD_quiesce_daemon(server->daemon);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -48,6 +48,9 @@
 
 /** \return NULL with a status message */
 struct http_server *http_server_start(const struct http_server_settings *settings);
+/** \brief Announce in each response that begins from now on that its connection closes at its end.
+ */
+void http_server_announce_close(struct http_server *server);
 /** \brief Accept no more connections; those that are open go on. Call once at most. */
 void http_server_stop_listening(struct http_server *server);
 /** \return requests whose header was read and whose response is not completely sent; callable from
