SIGHUP leaves gateways and agents running

SIGHUP, at which edges and loaders read their settings again, ended a gateway or an agent at once: all streams of the gateway were cut. Cause: the signal had no handler, and its default ends the process.

Now it is logged (event=reload-ignored, with the reason: settings are read at the start only) and nothing else happens. Reading them again is no part of this: most are given to threads and sockets at the start, and the key file is read again without a signal.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -416,6 +416,7 @@
 {
     struct agent *agent = context;
     uint32_t uploads = ck_pr_load_32(&agent->uploads);
+    daemon_report_signals();
     for (uint32_t i = 0; i < agent->rollout_count; i++) {
         struct rollout *rollout = agent->rollouts[i];
         if (rollout->swarm)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -169,6 +169,7 @@
 static void on_tick(void *context, uint64_t now)
 {
     struct gateway *gateway = context;
+    daemon_report_signals();
     if (now >= gateway->next_view_us) {
         gateway->next_view_us = now + VIEW_INTERVAL_US;
         refresh_view(gateway, now);
--- a/src/net/daemon.c
+++ b/src/net/daemon.c
@@ -13,18 +13,26 @@
 #define CLOSING_TIMEOUT_US (2 * MICROSECONDS_PER_SECOND)
 
 static volatile sig_atomic_t stop_requested;
+static volatile sig_atomic_t reload_requested;
 
 static void on_stop_signal(int number)
 {
     stop_requested = 1;
 }
 
+static void on_reload_signal(int number)
+{
+    reload_requested = 1;
+}
+
 static void install_signal_handlers(void)
 {
+    struct sigaction reload = {.sa_handler = on_reload_signal, .sa_flags = SA_RESTART};
     struct sigaction stop = {.sa_handler = on_stop_signal, .sa_flags = SA_RESTART};
     struct sigaction ignore = {.sa_handler = SIG_IGN};
     sigaction(SIGTERM, &stop, NULL);
     sigaction(SIGINT, &stop, NULL);
+    sigaction(SIGHUP, &reload, NULL);
     sigaction(SIGPIPE, &ignore, NULL);
 }
 
@@ -47,6 +55,16 @@
     return 0;
 }
 
+void daemon_report_signals(void)
+{
+    if (!reload_requested)
+        return;
+    reload_requested = 0;
+    log_event(
+        LOG_LEVEL_WARN, "daemon", "reload-ignored",
+        "signal=SIGHUP reason=\"settings are read at the start only: restart to change them\"");
+}
+
 void daemon_drain_init(struct daemon_drain *drain, uint64_t timeout_ms, uint64_t min_wait_ms)
 {
     *drain = (struct daemon_drain){
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -12,7 +12,8 @@
 
 /**
  * \brief Read the settings and the key file, print the findings, initialize logging and signal
- * handlers. SIGTERM and SIGINT request a graceful shutdown. \return 0, or the exit status 2 after
+ * handlers. SIGTERM and SIGINT request a graceful shutdown; SIGHUP changes nothing, see
+ * daemon_report_signals(). \return 0, or the exit status 2 after
  * errors
  */
 int daemon_init(enum setting_role role, int argc, char **argv, struct settings *settings,
@@ -53,6 +54,9 @@
 enum daemon_phase daemon_drain_advance(struct daemon_drain *drain, struct daemon_debts debts,
                                        uint64_t now);
 
+/** \brief Log each request to reload the settings, which takes a restart; call on each tick. */
+void daemon_report_signals(void);
+
 /** \brief Publish /v1/machines; call after a change of the machine list. */
 void daemon_publish_machines(const struct node_shell *shell, struct status_page *page);
 
