An agent that stops waits until the gateways have its answers

Callers got 502 with the outcome unknown, 5 s late, for requests that had run: their answers waited in the agent's memory for a slow link, and the agent discarded them.

Now an answer counts until its gateway has it. The listener learns of its connections from ZeroMQ's monitor and asks the kernel which have bytes that the peer has not acknowledged (SIOCOUTQ); a connection is settled once it was seen without any, a tick or more after the latest answer, so heartbeats don't hold the stop up. The wait is within drain-timeout-ms; then the sockets linger for what is left of it, 2 s at least, for what ZeroMQ still holds. Lingering alone would close connections whose bytes are in the kernel: a heartbeat that arrives then resets them, and the bytes are lost.

Not tried: a link that is slow and not stalled, and the reset by a heartbeat, which rests on reading alone.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -412,6 +412,15 @@
     free(digests);
 }
 
+/* Advances a planned stop. An answer that its gateway has not received counts as its run does. */
+static void advance_stop(struct agent *agent, uint64_t now)
+{
+    struct agent_traffic_state state = agent_traffic_state(agent->traffic);
+    struct daemon_debts debts = {.owed = state.active + state.unsent, .unsent = state.unsent};
+    if (daemon_drain_advance(&agent->drain, debts, now) == DAEMON_STOPPED)
+        loop_stop(agent->shell.loop);
+}
+
 static void on_tick(void *context, uint64_t now)
 {
     struct agent *agent = context;
@@ -434,9 +443,7 @@
         publish_status(agent, now);
         publish_pending_blobs(agent);
     }
-    struct daemon_debts debts = {.active = agent_traffic_state(agent->traffic).active};
-    if (daemon_drain_advance(&agent->drain, debts, now) == DAEMON_STOPPED)
-        loop_stop(agent->shell.loop);
+    advance_stop(agent, now);
 }
 
 /* ---- HTTP: blobs for peers and the local engine ---- */
@@ -574,7 +581,7 @@
 {
     http_server_stop(agent->http);
     transfer_stop(agent->transfer);
-    agent_traffic_stop(agent->traffic);
+    agent_traffic_stop(agent->traffic, daemon_drain_linger_ms(&agent->drain, clock_monotonic_us()));
     while (agent->rollout_count)
         remove_rollout(agent, 0);
     if (agent->shell.loop)
--- a/src/agent/agent_traffic.c
+++ b/src/agent/agent_traffic.c
@@ -263,6 +263,7 @@
 {
     uint32_t active = executor_active(traffic->executor);
     ck_pr_store_32(&traffic->state.active, active);
+    ck_pr_store_32(&traffic->state.unsent, link_listener_check_unsent(traffic->listener));
     ck_pr_store_64(&traffic->state.pause_epoch, executor_pause_epoch(traffic->executor));
     ck_pr_store_64(&traffic->state.ticket_epoch, executor_ticket_epoch(traffic->executor, now));
     metric_gauge_set(METRIC_ACTIVE_REQUESTS, active);
@@ -315,7 +316,7 @@
     return traffic;
 }
 
-void agent_traffic_stop(struct agent_traffic *traffic)
+void agent_traffic_stop(struct agent_traffic *traffic, uint32_t linger_ms)
 {
     if (!traffic)
         return;
@@ -323,7 +324,7 @@
     pthread_join(traffic->thread, NULL);
     loop_run_posted(traffic->loop);
     executor_destroy(traffic->executor);
-    link_listener_close(traffic->listener);
+    link_listener_close(traffic->listener, linger_ms);
     loop_destroy(traffic->loop);
     while (traffic->runs)
         free_engine_run(traffic, traffic->runs);
@@ -422,6 +423,7 @@
 {
     return (struct agent_traffic_state){
         .active = ck_pr_load_32(&traffic->state.active),
+        .unsent = ck_pr_load_32(&traffic->state.unsent),
         .pause_epoch = ck_pr_load_64(&traffic->state.pause_epoch),
         .ticket_epoch = ck_pr_load_64(&traffic->state.ticket_epoch),
     };
--- a/src/agent/agent_traffic.h
+++ b/src/agent/agent_traffic.h
@@ -15,6 +15,7 @@
 /** State of the traffic thread as of its last tick, for the control thread. */
 struct agent_traffic_state {
     uint32_t active;       /**< requests in progress */
+    uint32_t unsent;       /**< connections of gateways that have not acknowledged all answers */
     uint64_t pause_epoch;  /**< number of pauses of the process, see core/executor.h */
     uint64_t ticket_epoch; /**< see core/ticket.h */
 };
@@ -26,8 +27,9 @@
  */
 struct agent_traffic *agent_traffic_start(const struct settings *settings,
                                           const struct node_shell *shell);
-/** \brief Stop the thread and free all runs. NULL is ignored. */
-void agent_traffic_stop(struct agent_traffic *traffic);
+/** \brief Stop the thread and free all runs. NULL is ignored. \param linger_ms longest time for
+ * which zmq_ctx_term() then waits for answers that are not written */
+void agent_traffic_stop(struct agent_traffic *traffic, uint32_t linger_ms);
 
 /** \brief Use new keys for the links of gateways; copied. */
 void agent_traffic_set_keys(struct agent_traffic *traffic, const struct key_ring *keys);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -148,7 +148,7 @@
 /* Advances a planned stop and acts on a new phase. */
 static void advance_stop(struct gateway *gateway, uint64_t now)
 {
-    struct daemon_debts debts = {.active = gateway_traffic_active_calls(gateway->traffic),
+    struct daemon_debts debts = {.owed = gateway_traffic_active_calls(gateway->traffic),
                                  .unsent = caller_api_unsent_responses(gateway->api)};
     enum daemon_phase before = gateway->drain.phase;
     enum daemon_phase phase = daemon_drain_advance(&gateway->drain, debts, now);
--- a/src/net/daemon.c
+++ b/src/net/daemon.c
@@ -95,9 +95,9 @@
     case DAEMON_LEAVING:
         return elapsed_us >= drain->min_wait_us;
     case DAEMON_FINISHING:
-        return debts->active == 0 || elapsed_us >= drain->min_wait_us + drain->timeout_us;
+        return debts->owed == 0 || elapsed_us >= drain->min_wait_us + drain->timeout_us;
     case DAEMON_CLOSING:
-        return (debts->active == 0 && debts->unsent == 0) ||
+        return (debts->owed == 0 && debts->unsent == 0) ||
                now - drain->closing_us >= CLOSING_TIMEOUT_US;
     default:
         return false;
@@ -115,11 +115,21 @@
         drain->started_us = now;
     else if (drain->phase == DAEMON_CLOSING)
         drain->closing_us = now;
-    log_event(LOG_LEVEL_INFO, "daemon", events[drain->phase], "active=%u unsent=%u", debts.active,
+    log_event(LOG_LEVEL_INFO, "daemon", events[drain->phase], "owed=%u unsent=%u", debts.owed,
               debts.unsent);
     return drain->phase;
 }
 
+uint32_t daemon_drain_linger_ms(const struct daemon_drain *drain, uint64_t now)
+{
+    uint64_t elapsed_us = now - drain->started_us;
+    uint64_t limit_us = drain->min_wait_us + drain->timeout_us;
+    uint64_t left_us = limit_us > elapsed_us ? limit_us - elapsed_us : 0;
+    if (left_us < CLOSING_TIMEOUT_US)
+        left_us = CLOSING_TIMEOUT_US;
+    return (uint32_t)(left_us / MICROSECONDS_PER_MILLISECOND);
+}
+
 /* Addresses of all machines known to this node, so that a client can discover the fleet from any
  * node. */
 static json_t *machines_json(const struct fleet *fleet)
--- a/src/net/daemon.h
+++ b/src/net/daemon.h
@@ -25,14 +25,13 @@
     DAEMON_RUNNING,
     DAEMON_LEAVING, /**< the stop signal arrived; others learn of it and may still send requests */
     DAEMON_FINISHING, /**< no request is accepted; those in progress go on */
-    DAEMON_CLOSING,   /**< no request is in progress, or the time for them is over: the last
-                       *   responses are sent */
+    DAEMON_CLOSING, /**< nothing is owed, or the drain time is over: the last responses are sent */
     DAEMON_STOPPED,
 };
 
 /** What a process that stops still owes. */
 struct daemon_debts {
-    uint32_t active; /**< requests in progress; exact once none is accepted */
+    uint32_t owed;   /**< what has the drain time: requests in progress, an agent's answers too */
     uint32_t unsent; /**< responses that are not completely sent */
 };
 
@@ -57,6 +56,10 @@
 /** \brief Log each request to reload the settings, which takes a restart; call on each tick. */
 void daemon_report_signals(void);
 
+/** \return longest time for which bytes may still be sent: what is left of the drain time, and at
+ * least that of DAEMON_CLOSING; milliseconds */
+uint32_t daemon_drain_linger_ms(const struct daemon_drain *drain, uint64_t now);
+
 /** \brief Publish /v1/machines; call after a change of the machine list. */
 void daemon_publish_machines(const struct node_shell *shell, struct status_page *page);
 
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -62,7 +62,15 @@
 struct link_listener *link_listener_open(void *zmq, enum link_kind kind, const char *address,
                                          uint16_t port, const struct key_ring *keys,
                                          struct loop *loop, loop_callback *readable, void *context);
-void link_listener_close(struct link_listener *listener);
+/** \brief Close all sockets. \param linger_ms longest time for which zmq_ctx_term() waits until the
+ * replies in ZeroMQ's memory are written; 0 discards them */
+void link_listener_close(struct link_listener *listener, uint32_t linger_ms);
+/**
+ * \brief Check which peers have acknowledged the replies; call at intervals that give ZeroMQ's
+ * thread time to write. \return connections that were not seen without unacknowledged bytes since
+ * the call after the latest reply
+ */
+uint32_t link_listener_check_unsent(struct link_listener *listener);
 
 /** \brief Bind slots with changed keys again; connections of an unchanged slot stay open. */
 void link_listener_set_keys(struct link_listener *listener, const struct key_ring *keys);
--- a/src/net/node_shell.c
+++ b/src/net/node_shell.c
@@ -239,7 +239,7 @@
 {
     loop_run_posted(shell->loop);
     links_destroy(shell->links);
-    link_listener_close(shell->inbound);
+    link_listener_close(shell->inbound, 0);
     authenticator_close(shell->authenticator);
     loop_destroy(shell->loop);
     node_destroy(shell->node);
