An agent ends what outlasts its drain time, so that streams go on elsewhere at once

Callers' streams stood still for 5 s when their agent stopped in the middle of them: their gateway learned of it by its stall timeout only (5.0 s in 3 of 6 streams). Cause: at drain-timeout-ms the agent went down without a word about the runs that it had.

Now the drain time begins the phase "closing" here too: the executor cancels each run and answers that its outcome is unknown, which gateways take as the end of the attempt: a stream goes on at its next token on another replica, what may be repeated is, the rest gets its 502 at once.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -417,7 +417,11 @@
 {
     struct agent_traffic_state state = agent_traffic_state(agent->traffic);
     struct daemon_debts debts = {.owed = state.active + state.unsent, .unsent = state.unsent};
-    if (daemon_drain_advance(&agent->drain, debts, now) == DAEMON_STOPPED)
+    enum daemon_phase before = agent->drain.phase;
+    enum daemon_phase phase = daemon_drain_advance(&agent->drain, debts, now);
+    if (phase == DAEMON_CLOSING && phase != before)
+        agent_traffic_end_runs(agent->traffic);
+    else if (phase == DAEMON_STOPPED)
         loop_stop(agent->shell.loop);
 }
 
--- a/src/agent/agent_traffic.c
+++ b/src/agent/agent_traffic.c
@@ -419,6 +419,17 @@
     loop_post(traffic->loop, apply_draining, change);
 }
 
+static void end_runs(void *argument)
+{
+    struct agent_traffic *traffic = argument;
+    executor_end_runs(traffic->executor, clock_monotonic_us(), "this machine stops");
+}
+
+void agent_traffic_end_runs(struct agent_traffic *traffic)
+{
+    loop_post(traffic->loop, end_runs, traffic);
+}
+
 struct agent_traffic_state agent_traffic_state(const struct agent_traffic *traffic)
 {
     return (struct agent_traffic_state){
--- a/src/agent/agent_traffic.h
+++ b/src/agent/agent_traffic.h
@@ -41,6 +41,8 @@
                              uint32_t count);
 /** \brief Set whether new requests are refused. */
 void agent_traffic_set_draining(struct agent_traffic *traffic, bool draining);
+/** \brief Cancel all runs; their gateways get the outcome unknown and may resume them elsewhere. */
+void agent_traffic_end_runs(struct agent_traffic *traffic);
 struct agent_traffic_state agent_traffic_state(const struct agent_traffic *traffic);
 
 #endif
--- a/src/core/executor.c
+++ b/src/core/executor.c
@@ -522,6 +522,15 @@
     }
 }
 
+void executor_end_runs(struct executor *executor, uint64_t now, const char *reason)
+{
+    while (executor->run_count) {
+        uint64_t id = executor->runs[0].id;
+        executor->driver.cancel(executor->driver.context, id);
+        executor_on_failed(executor, now, id, true, reason);
+    }
+}
+
 void executor_on_tick(struct executor *executor, uint64_t now)
 {
     detect_pause(executor, now);
--- a/src/core/executor.h
+++ b/src/core/executor.h
@@ -86,6 +86,8 @@
 /** \brief Fail a run. \param started false if the engine or service certainly did not start it */
 void executor_on_failed(struct executor *executor, uint64_t now, uint64_t run, bool started,
                         const char *reason);
+/** \brief Cancel all runs and answer each that its outcome is unknown: the agent stops. */
+void executor_end_runs(struct executor *executor, uint64_t now, const char *reason);
 /** \brief Detect a pause, and expire idempotency keys. */
 void executor_on_tick(struct executor *executor, uint64_t now);
 
--- a/tests/core/executor_test.c
+++ b/tests/core/executor_test.c
@@ -226,6 +226,20 @@
     assert_int_equal(fixture->recorder.kind, SHUNTRUN__ANSWER_KIND__ANSWER_UNKNOWN);
 }
 
+static void an_agent_that_stops_answers_each_run_that_its_outcome_is_unknown(void **state)
+{
+    struct fixture *fixture = *state;
+    send_key(fixture, 10, "k");
+    send_with(fixture, 10, NULL, 2, 0);
+    assert_int_equal(executor_active(fixture->executor), 2);
+    executor_end_runs(fixture->executor, 20, "stops");
+    assert_int_equal(executor_active(fixture->executor), 0);
+    assert_int_equal(fixture->recorder.cancels, 2);
+    assert_int_equal(fixture->recorder.answers, 2);
+    assert_int_equal(fixture->recorder.kind, SHUNTRUN__ANSWER_KIND__ANSWER_UNKNOWN);
+    assert_string_equal(fixture->recorder.reason, "stops");
+}
+
 int main(void)
 {
     const struct CMUnitTest tests[] = {
@@ -244,6 +258,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(a_run_that_did_not_start_releases_its_key, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(
+            an_agent_that_stops_answers_each_run_that_its_outcome_is_unknown, set_up, tear_down),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
