--- a/src/net/daemon.c
+++ b/src/net/daemon.c
@@ -9,20 +9,30 @@
 
 /* Time for the draining state to reach the gateways. */
 #define MIN_DRAIN_WAIT_US (500 * MICROSECONDS_PER_MILLISECOND)
+/* Longest wait for the last responses to be sent. */
+#define CLOSING_TIMEOUT_US (2 * MICROSECONDS_PER_SECOND)
 
 static volatile sig_atomic_t stop_requested;
+static volatile sig_atomic_t reload_requested;
 
 static void on_stop_signal(int number)
 {
     stop_requested = 1;
 }
 
+static void on_reload_signal(int number)
+{
+    reload_requested = 1;
+}
+
 static void install_signal_handlers(void)
 {
+    struct sigaction reload = {.sa_handler = on_reload_signal, .sa_flags = SA_RESTART};
     struct sigaction stop = {.sa_handler = on_stop_signal, .sa_flags = SA_RESTART};
     struct sigaction ignore = {.sa_handler = SIG_IGN};
     sigaction(SIGTERM, &stop, NULL);
     sigaction(SIGINT, &stop, NULL);
+    sigaction(SIGHUP, &reload, NULL);
     sigaction(SIGPIPE, &ignore, NULL);
 }
 
@@ -45,6 +55,16 @@
     return 0;
 }
 
+void daemon_report_signals(void)
+{
+    if (!reload_requested)
+        return;
+    reload_requested = 0;
+    log_event(
+        LOG_LEVEL_WARN, "daemon", "reload-ignored",
+        "signal=SIGHUP reason=\"settings are read at the start only: restart to change them\"");
+}
+
 void daemon_drain_init(struct daemon_drain *drain, uint64_t timeout_ms, uint64_t min_wait_ms)
 {
     *drain = (struct daemon_drain){
@@ -65,18 +85,49 @@
     return drain->listed_leaving || stop_requested;
 }
 
-bool daemon_drain_done(struct daemon_drain *drain, uint32_t active, uint64_t now)
+static bool is_phase_over(const struct daemon_drain *drain, const struct daemon_debts *debts,
+                          uint64_t now)
 {
-    if (!stop_requested)
+    uint64_t elapsed_us = now - drain->started_us;
+    switch (drain->phase) {
+    case DAEMON_RUNNING:
+        return stop_requested;
+    case DAEMON_LEAVING:
+        return elapsed_us >= drain->min_wait_us;
+    case DAEMON_FINISHING:
+        return debts->owed == 0 || elapsed_us >= drain->min_wait_us + drain->timeout_us;
+    case DAEMON_CLOSING:
+        return (debts->owed == 0 && debts->unsent == 0) ||
+               now - drain->closing_us >= CLOSING_TIMEOUT_US;
+    default:
         return false;
-    if (!drain->started_us) {
-        drain->started_us = now;
-        log_event(LOG_LEVEL_INFO, "daemon", "draining", "active=%u", active);
     }
+}
+
+enum daemon_phase daemon_drain_advance(struct daemon_drain *drain, struct daemon_debts debts,
+                                       uint64_t now)
+{
+    static const char *const events[] = {"running", "draining", "finishing", "closing", "drained"};
+    if (!is_phase_over(drain, &debts, now))
+        return drain->phase;
+    drain->phase++;
+    if (drain->phase == DAEMON_LEAVING)
+        drain->started_us = now;
+    else if (drain->phase == DAEMON_CLOSING)
+        drain->closing_us = now;
+    log_event(LOG_LEVEL_INFO, "daemon", events[drain->phase], "owed=%u unsent=%u", debts.owed,
+              debts.unsent);
+    return drain->phase;
+}
+
+uint32_t daemon_drain_linger_ms(const struct daemon_drain *drain, uint64_t now)
+{
     uint64_t elapsed_us = now - drain->started_us;
-    if (elapsed_us < drain->min_wait_us)
-        return false;
-    return active == 0 || elapsed_us >= drain->min_wait_us + drain->timeout_us;
+    uint64_t limit_us = drain->min_wait_us + drain->timeout_us;
+    uint64_t left_us = limit_us > elapsed_us ? limit_us - elapsed_us : 0;
+    if (left_us < CLOSING_TIMEOUT_US)
+        left_us = CLOSING_TIMEOUT_US;
+    return (uint32_t)(left_us / MICROSECONDS_PER_MILLISECOND);
 }
 
 /* Addresses of all machines known to this node, so that a client can discover the fleet from any
