load.c does one job: its command line and its results are modules

What stood where: tool/load.c (602 lines) held the options, what became of the requests, and the requests themselves.

--- a/src/tool/load.c
+++ b/src/tool/load.c
@@ -5,10 +5,10 @@
 #include "core/random.h"
 #include "net/loop.h"
 #include "tool/answer_check.h"
+#include "tool/load_options.h"
+#include "tool/load_result.h"
 #include "tool/tool.h"
-#include "base/histogram.h"
 
-#include <argp.h>
 #include <curl/curl.h>
 #include <inttypes.h>
 #include <jansson.h>
@@ -18,9 +18,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_GATEWAYS 64
-#define MAX_TENANTS 64
-#define ADDRESS_SIZE 64
 #define TICKET_SIZE 700 /* bytes with the terminator */
 #define MAX_CONNECT_ATTEMPTS 5
 #define ENDPOINTS_TIMEOUT_MS 2000
@@ -29,33 +26,6 @@
 /* Beyond the request's deadline, before the client closes the connection. */
 #define CLIENT_GRACE_MS 2000
 
-struct gateway_list {
-    char addresses[MAX_GATEWAYS][ADDRESS_SIZE];
-    uint32_t count;
-};
-
-struct load_options {
-    struct gateway_list gateways;
-    struct gateway_list against; /* of the second system of a comparison; empty: none */
-    const char *service;
-    char tenants[MAX_TENANTS][64];
-    double tenant_shares[MAX_TENANTS];
-    uint32_t tenant_count;
-    double rate;
-    double seconds;
-    uint64_t seed;
-    uint64_t tokens;
-    uint64_t timeout_ms;
-    bool plain;         /* the service is not a model: one JSON response, no token stream */
-    bool keys;          /* send idempotency keys */
-    bool verify;        /* compare tokens with those of the engine stand-in */
-    const char *record; /* path of the output file, or NULL */
-};
-
-struct tenant_counts {
-    uint64_t verdicts[ANSWER_VERDICTS];
-};
-
 /** One system under load (two in a comparison), and the results of its requests. */
 struct load_side {
     struct load *load;
@@ -65,14 +35,7 @@
     uint64_t endpoints_expire_at;
     bool endpoints_pending;
     uint32_t next_gateway;
-    uint64_t requests;
-    uint64_t verdicts[ANSWER_VERDICTS];
-    struct tenant_counts tenants[MAX_TENANTS];
-    json_t *versions; /* object: version -> number of completed answers */
-    uint64_t tokens;
-    struct histogram first_token; /* us, as the next two */
-    struct histogram between_tokens;
-    struct histogram whole; /* until the end of the answer */
+    struct load_result result;
 };
 
 struct load {
@@ -106,8 +69,8 @@
     if (!json_array_size(list))
         return;
     side->endpoints.count = 0;
-    for (size_t i = 0; i < json_array_size(list) && i < MAX_GATEWAYS; i++)
-        snprintf(side->endpoints.addresses[side->endpoints.count++], ADDRESS_SIZE, "%s",
+    for (size_t i = 0; i < json_array_size(list) && i < LOAD_MAX_GATEWAYS; i++)
+        snprintf(side->endpoints.addresses[side->endpoints.count++], LOAD_ADDRESS_SIZE, "%s",
                  json_string_value(json_array_get(list, i)));
     snprintf(side->ticket, sizeof side->ticket, "%s", ticket ? ticket : "");
     side->endpoints_expire_at =
@@ -174,29 +137,22 @@
     if (!tokens)
         return;
     if (!call->last_token_at)
-        histogram_add(&side->first_token, now - call->scheduled_at);
+        histogram_add(&side->result.first_token, now - call->scheduled_at);
     else
-        histogram_add(&side->between_tokens, (now - call->last_token_at) / tokens);
+        histogram_add(&side->result.between_tokens, (now - call->last_token_at) / tokens);
     call->last_token_at = now;
-    side->tokens += tokens;
+    side->result.tokens += tokens;
 }
 
 static void finish_call(struct load_call *call, enum answer_verdict verdict)
 {
-    struct load_side *side = call->side;
-    struct load *load = side->load;
-    side->verdicts[verdict]++;
-    side->tenants[call->tenant].verdicts[verdict]++;
+    struct load *load = call->side->load;
+    const char *version = call->check.version[0] ? call->check.version : "-";
     load->requests_in_progress--;
-    if (verdict == ANSWER_DONE) {
-        histogram_add(&side->whole, clock_monotonic_us() - call->scheduled_at);
-        const char *version = call->check.version[0] ? call->check.version : "-";
-        json_int_t count = json_integer_value(json_object_get(side->versions, version));
-        json_object_set_new(side->versions, version, json_integer(count + 1));
-    }
+    load_result_add_answer(&call->side->result, call->tenant, verdict, version,
+                           clock_monotonic_us() - call->scheduled_at);
     if (load->record)
-        fprintf(load->record, "%s %s %s\n", call->id, answer_verdict_name(verdict),
-                call->check.version[0] ? call->check.version : "-");
+        fprintf(load->record, "%s %s %s\n", call->id, answer_verdict_name(verdict), version);
     answer_check_clear(&call->check);
     free(call);
 }
@@ -299,7 +255,7 @@
 {
     struct load_call *call = memory_calloc(1, sizeof *call);
     call->side = &load->sides[random_below(&load->random, load->side_count)];
-    call->side->requests++;
+    call->side->result.requests++;
     call->number = load->next_number++;
     call->scheduled_at = scheduled_at;
     call->tenant = pick_tenant(load);
@@ -319,7 +275,6 @@
 /* ---- Arrivals ---- */
 
 /* Requests endpoint lists that are about to expire. \return whether all sides have had one */
-
 static bool refresh_endpoints(struct load *load, uint64_t now)
 {
     bool known = true;
@@ -357,218 +312,34 @@
         loop_stop(load->loop);
 }
 
-/* ---- Options ---- */
-
-enum load_key {
-    KEY_GATEWAYS = 1000,
-    KEY_SERVICE,
-    KEY_TENANTS,
-    KEY_RATE,
-    KEY_SECONDS,
-    KEY_SEED,
-    KEY_TOKENS,
-    KEY_TIMEOUT,
-    KEY_PLAIN,
-    KEY_KEYS,
-    KEY_VERIFY,
-    KEY_RECORD,
-    KEY_AGAINST,
-};
-
-static const struct argp_option option_list[] = {
-    {"gateways", KEY_GATEWAYS, "IP:PORT,...", 0, "gateways to request the endpoint list from", 0},
-    {"against", KEY_AGAINST, "IP:PORT,...", 0,
-     "gateways of a second system: each request goes to one of the two at random", 0},
-    {"service", KEY_SERVICE, "NAME", 0, "service to call", 0},
-    {"tenants", KEY_TENANTS, "NAME:SHARE,...", 0, "tenants and their shares of the load", 0},
-    {"rate", KEY_RATE, "PER_SECOND", 0, "mean requests per second, with Poisson arrivals (20)", 0},
-    {"seconds", KEY_SECONDS, "S", 0, "duration of the arrivals (10)", 0},
-    {"seed", KEY_SEED, "N", 0, "random seed of arrivals and tenants (1)", 0},
-    {"tokens", KEY_TOKENS, "N", 0, "tokens of each answer (32)", 0},
-    {"timeout-ms", KEY_TIMEOUT, "MS", 0, "deadline of each request (30000)", 0},
-    {"plain", KEY_PLAIN, NULL, 0, "the service is plain: one JSON response, no token stream", 0},
-    {"keys", KEY_KEYS, NULL, 0, "send an idempotency key, which marks the request as unrepeatable",
-     0},
-    {"verify", KEY_VERIFY, NULL, 0, "compare every token with that of the engine stand-in", 0},
-    {"record", KEY_RECORD, "FILE", 0, "write one line per request: id outcome version", 0},
-    {0}};
-
-static void split_gateways(struct gateway_list *list, const char *text)
-{
-    char *copy = memory_strdup(text);
-    char *state;
-    for (char *item = strtok_r(copy, ",", &state); item; item = strtok_r(NULL, ",", &state))
-        if (list->count < MAX_GATEWAYS)
-            snprintf(list->addresses[list->count++], ADDRESS_SIZE, "%s", item);
-    free(copy);
-}
-
-static void split_tenants(struct load_options *options, const char *text)
-{
-    char *copy = memory_strdup(text);
-    char *state;
-    double sum = 0;
-    for (char *item = strtok_r(copy, ",", &state); item; item = strtok_r(NULL, ",", &state)) {
-        char *colon = strchr(item, ':');
-        double share = colon ? strtod(colon + 1, NULL) : 1;
-        if (options->tenant_count == MAX_TENANTS || share <= 0)
-            continue;
-        snprintf(options->tenants[options->tenant_count], 64, "%.*s",
-                 colon ? (int)(colon - item) : 63, item);
-        options->tenant_shares[options->tenant_count++] = share;
-        sum += share;
-    }
-    for (uint32_t i = 0; i < options->tenant_count; i++)
-        options->tenant_shares[i] /= sum;
-    free(copy);
-}
-
-static error_t parse_option(int key, char *argument, struct argp_state *state)
-{
-    struct load_options *options = state->input;
-    switch (key) {
-    case KEY_GATEWAYS:
-        split_gateways(&options->gateways, argument);
-        break;
-    case KEY_AGAINST:
-        split_gateways(&options->against, argument);
-        break;
-    case KEY_SERVICE:
-        options->service = argument;
-        break;
-    case KEY_TENANTS:
-        split_tenants(options, argument);
-        break;
-    case KEY_RATE:
-        options->rate = strtod(argument, NULL);
-        break;
-    case KEY_SECONDS:
-        options->seconds = strtod(argument, NULL);
-        break;
-    case KEY_SEED:
-        options->seed = strtoull(argument, NULL, 10);
-        break;
-    case KEY_TOKENS:
-        options->tokens = strtoull(argument, NULL, 10);
-        break;
-    case KEY_TIMEOUT:
-        options->timeout_ms = strtoull(argument, NULL, 10);
-        break;
-    case KEY_PLAIN:
-        options->plain = true;
-        break;
-    case KEY_KEYS:
-        options->keys = true;
-        break;
-    case KEY_VERIFY:
-        options->verify = true;
-        break;
-    case KEY_RECORD:
-        options->record = argument;
-        break;
-    case ARGP_KEY_END:
-        if (!options->gateways.count || !options->service || !options->tenant_count)
-            argp_error(state, "--gateways, --service and --tenants are required");
-        if (!(options->rate > 0) || !(options->seconds > 0) || !options->timeout_ms)
-            argp_error(state, "--rate, --seconds and --timeout-ms must be above 0");
-        break;
-    default:
-        return ARGP_ERR_UNKNOWN;
-    }
-    return 0;
-}
-
-/* ---- Results ---- */
-
-static json_t *histogram_to_json(const struct histogram *histogram)
-{
-    return json_pack("{s:I, s:f, s:f, s:f, s:f}", "count", (json_int_t)histogram->total, "p50",
-                     (double)histogram_quantile(histogram, 0.5) / 1000, "p95",
-                     (double)histogram_quantile(histogram, 0.95) / 1000, "p99",
-                     (double)histogram_quantile(histogram, 0.99) / 1000, "max",
-                     (double)histogram->maximum / 1000);
-}
-
-static json_t *verdicts_to_json(const uint64_t verdicts[ANSWER_VERDICTS])
-{
-    json_t *object = json_object();
-    for (int i = 0; i < ANSWER_VERDICTS; i++)
-        json_object_set_new(object, answer_verdict_name((enum answer_verdict)i),
-                            json_integer((json_int_t)verdicts[i]));
-    return object;
-}
-
-static json_t *side_to_json(const struct load_side *side)
-{
-    const struct load_options *options = &side->load->options;
-    json_t *tenants = json_object();
-    for (uint32_t i = 0; i < options->tenant_count; i++)
-        json_object_set_new(tenants, options->tenants[i],
-                            verdicts_to_json(side->tenants[i].verdicts));
-    return json_pack(
-        "{s:I, s:o, s:o, s:O, s:I, s:o, s:o, s:o}", "requests", (json_int_t)side->requests,
-        "outcomes", verdicts_to_json(side->verdicts), "tenants", tenants, "versions",
-        side->versions, "tokens", (json_int_t)side->tokens, "first_token_ms",
-        histogram_to_json(&side->first_token), "between_tokens_ms",
-        histogram_to_json(&side->between_tokens), "whole_ms", histogram_to_json(&side->whole));
-}
-
-static double quantile_ratio(const struct histogram *left, const struct histogram *right,
-                             double share)
-{
-    double below = (double)histogram_quantile(right, share);
-    return below > 0 ? (double)histogram_quantile(left, share) / below : 0;
-}
-
-/* Ratios of the first system to the second. Both are measured in the same run, so that a busy
- * machine slows both alike. */
-static json_t *comparison_to_json(const struct load *load)
-{
-    const struct load_side *left = &load->sides[0];
-    const struct load_side *right = &load->sides[1];
-    return json_pack("{s:o, s:o, s:{s:f, s:f, s:f, s:f}}", "gateways", side_to_json(left),
-                     "against", side_to_json(right), "ratios", "first_token_p50",
-                     quantile_ratio(&left->first_token, &right->first_token, 0.5),
-                     "first_token_p95",
-                     quantile_ratio(&left->first_token, &right->first_token, 0.95), "whole_p50",
-                     quantile_ratio(&left->whole, &right->whole, 0.5), "whole_p95",
-                     quantile_ratio(&left->whole, &right->whole, 0.95));
-}
-
 static bool has_violation(const struct load *load)
 {
     bool violated = false;
-    for (uint32_t i = 0; i < load->side_count; i++) {
-        const uint64_t *verdicts = load->sides[i].verdicts;
-        violated = violated || verdicts[ANSWER_LOST] || verdicts[ANSWER_CUT] ||
-                   verdicts[ANSWER_DOUBLED] || verdicts[ANSWER_MIXED];
-    }
+    for (uint32_t i = 0; i < load->side_count; i++)
+        violated = violated || load_result_has_violation(&load->sides[i].result);
     return violated;
 }
 
+static json_t *results_to_json(const struct load *load)
+{
+    const struct load_result *first = &load->sides[0].result;
+    return load->side_count == 2
+               ? load_result_comparison_to_json(first, &load->sides[1].result, &load->options)
+               : load_result_to_json(first, &load->options);
+}
+
 static void add_side(struct load *load, const struct gateway_list *gateways)
 {
     struct load_side *side = &load->sides[load->side_count++];
     side->load = load;
     side->gateways = gateways;
-    side->versions = json_object();
+    load_result_init(&side->result);
 }
 
 int load_main(int argc, char **argv)
 {
-    static const char doc[] =
-        "Generate open-loop load against a running system and check every answer.\v"
-        "Prints one JSON object. Latencies are in milliseconds and count from the scheduled "
-        "arrival "
-        "of the request. With --against, prints an object for each system and the ratios between "
-        "them. Exit status: 0 success; 1 an answer was lost, cut, doubled or mixed; 2 usage error; "
-        "3 no gateway returned an endpoint list.";
     struct load *load = memory_calloc(1, sizeof *load);
-    load->options = (struct load_options){
-        .rate = 20, .seconds = 10, .seed = 1, .tokens = 32, .timeout_ms = 30000};
-    struct argp argp = {option_list, parse_option, NULL, doc, NULL, NULL, NULL};
-    argp_err_exit_status = 2;
-    argp_parse(&argp, argc, argv, 0, NULL, &load->options);
+    load_options_parse(&load->options, argc, argv);
     if (load->options.record && !(load->record = fopen(load->options.record, "w"))) {
         perror(load->options.record);
         free(load);
@@ -585,8 +356,7 @@
     load->loop = loop_create();
     loop_set_tick(load->loop, 1000, on_tick, load);
     loop_run(load->loop);
-    tool_print_json(load->side_count == 2 ? comparison_to_json(load)
-                                          : side_to_json(&load->sides[0]));
+    tool_print_json(results_to_json(load));
     int exit_status = has_violation(load) ? 1 : 0;
     if (!load->arrivals_started_at) {
         fputs("shuntrun load: no gateway returned an endpoint list\n", stderr);
@@ -596,7 +366,7 @@
         fclose(load->record);
     loop_destroy(load->loop);
     for (uint32_t i = 0; i < load->side_count; i++)
-        json_decref(load->sides[i].versions);
+        load_result_clear(&load->sides[i].result);
     free(load);
     return exit_status;
 }
