A node's reads of the platform and its exchange with peers are modules

What stood where: core/node.c (450 lines) created a node, accepted documents, read the platform, and exchanged documents with peers. What moved: the reads, with their times, to core/node_read.c (91), documents from and to peers to core/node_sync.c (110). node.c keeps the node and what it accepts (260). node_internal.h lists what each file offers the others. Names: what they call of each other has the module's name: node_read_start_due, node_sync_on_request, _on_reply, _on_revisions and _stored_config_revision, node_accept_document, node_join_if_ready. Compared function by function without optimization, wherever each stands: none differs, 12 moved. All 89 tests of core, sim and net pass.

--- a/src/core/node_internal.h
+++ b/src/core/node_internal.h
@@ -1,5 +1,6 @@
 /**
- * State of a node, shared by node.c (documents) and node_peers.c (membership).
+ * State of a node, shared by node.c (accepted documents), node_read.c (reads of the platform),
+ * node_sync.c (documents from and to peers) and node_peers.c (membership).
  */
 #ifndef SHUNTRUN_NODE_INTERNAL_H
 #define SHUNTRUN_NODE_INTERNAL_H
@@ -33,7 +34,7 @@
     uint64_t fleet_received_at; /* time of the first machine list */
     struct node_status status;
     struct reader readers[DOCUMENT_KINDS];
-    bool joined; /* configurations may be accepted, see join_if_ready() */
+    bool joined; /* configurations may be accepted, see node_join_if_ready() */
     struct document_version pending_config; /* newest one received before joining; owned */
     struct fleet_config *config;
     struct fleet fleet;
@@ -53,10 +54,22 @@
 void node_peers_push(struct node *node, uint64_t now);
 bool node_peers_have_reported(const struct node *node);
 
-/* node.c */
-uint64_t node_stored_config_revision(const struct node *node);
-void node_process_revisions(struct node *node, uint64_t now, uint64_t from,
+/* node_read.c */
+void node_read_start_due(struct node *node, uint64_t now);
+
+/* node_sync.c */
+void node_sync_on_request(struct node *node, uint64_t from,
+                          const Shuntrun__DocumentRequest *request);
+void node_sync_on_reply(struct node *node, uint64_t now, const Shuntrun__DocumentReply *reply);
+uint64_t node_sync_stored_config_revision(const struct node *node);
+void node_sync_on_revisions(struct node *node, uint64_t now, uint64_t from,
                             const Shuntrun__NodeUpdate *update);
+
+/* node.c */
+/* Accepts a document that is newer than the accepted one, or keeps it until the node has joined. */
+void node_accept_document(struct node *node, uint64_t now, Shuntrun__DocumentKind kind,
+                          uint64_t revision, const char *body, size_t size);
+void node_join_if_ready(struct node *node, uint64_t now);
 void node_send_to(struct node *node, uint64_t id, Shuntrun__Envelope *message);
 
 #endif
--- a/src/core/node_peers.c
+++ b/src/core/node_peers.c
@@ -166,7 +166,7 @@
     update->draining = node->status.draining;
     update->active_requests = node->status.active_requests;
     update->capacity = node->status.capacity;
-    update->config_revision = node_stored_config_revision(node);
+    update->config_revision = node_sync_stored_config_revision(node);
     update->joined = node->joined;
     update->fleet_revision = document_revision(&fleet->document);
     update->config_age_ms = age_ms(config, now);
@@ -306,7 +306,7 @@
         peer->last_polled_by = now;
         send_update(node, now, peer, true, NULL, NULL);
     }
-    node_process_revisions(node, now, message->from, update);
+    node_sync_on_revisions(node, now, message->from, update);
     if (node->driver.update_received)
         node->driver.update_received(node->driver.context, peer, update);
 }
