Datagrams of the cluster layer are sent and received by files of their own

What stood where: cluster/cluster.c (505 lines) opened the layer, did its regular work, built and sent datagrams and processed received ones. What moved: sending, with the ranks in load reports, to cluster_send.c (117); receiving, and whether a node is isolated, to cluster_receive.c (118). cluster.c keeps the start, the regular work and queries (292). cluster_internal.h lists what they offer each other; cluster.h is unchanged. Names: update_self is cluster_update_self. cluster_receive_start is new: the binding of the socket stood in open_sockets.

--- a/src/cluster/cluster.c
+++ b/src/cluster/cluster.c
@@ -4,8 +4,8 @@
 #include "base/log.h"
 #include "base/memory.h"
 #include "base/metrics.h"
+#include "cluster/cluster_internal.h"
 #include "cluster/crash_sync.h"
-#include "cluster/message_count.h"
 #include "cluster/update_push.h"
 #include "cluster/state_sync.h"
 #include "cluster/store_reader.h"
@@ -16,21 +16,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Time after a start for which a node reports its uptime, and other nodes report what they know of
- * its earlier process. Calls of the earlier process cannot take effect for that long. */
-#define PROCESS_START_ANNOUNCE_US ((uint64_t)15000000)
 #define TICK_INTERVAL_MS 100
 /** Tick interval until this node knows the state and most of the members. */
 #define STARTUP_TICK_INTERVAL_MS 25
-#define MAX_DATAGRAM_BYTES 8192
 /** Interval for logging member changes and dropping expired entries. */
 #define MAINTENANCE_INTERVAL_US 500000
 #define MAX_CALL_BODY_BYTES 65536
 #define TOMBSTONE_RETENTION_US 60000000
-/** A node that receives nothing for this time is isolated. Loaders report their load to the
- * selected gateways at least every 0.4 s, and nodes probe each other as often, so within this time
- * some message arrives even if one in ten is lost. */
-#define ISOLATION_TIMEOUT_US 1200000
 
 uint64_t cluster_now(void)
 {
@@ -44,111 +36,6 @@
     return result;
 }
 
-static void send_datagram(struct cluster *cluster, uint32_t address, const uint8_t *bytes,
-                          size_t size)
-{
-    struct sockaddr_in to = cluster_address(cluster, address);
-    uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned)size);
-    int sent = uv_udp_try_send(&cluster->socket, &buffer, 1, (const struct sockaddr *)&to);
-    if (sent < 0) /* not retried: the protocol tolerates lost datagrams */
-        log_event(LOG_LEVEL_WARN, "cluster", "not-sent", "peer=%08x error=\"%s\"", address,
-                  uv_strerror(sent));
-}
-
-/* \return size of the packed message, bytes; 0: it exceeds MAX_DATAGRAM_BYTES */
-static size_t pack_message(const Shuntrun__MemberMessage *message,
-                           uint8_t bytes[MAX_DATAGRAM_BYTES])
-{
-    size_t size = shuntrun__member_message__get_packed_size(message);
-    if (size > MAX_DATAGRAM_BYTES) {
-        log_event(LOG_LEVEL_ERROR, "cluster", "too-large", "bytes=%zu most=%d", size,
-                  MAX_DATAGRAM_BYTES);
-        return 0;
-    }
-    return shuntrun__member_message__pack(message, bytes);
-}
-
-/* \return whether a node is known to be in another region */
-static bool is_in_other_region(const struct cluster *cluster, uint32_t address)
-{
-    const struct member_state *member = membership_find(cluster->membership, address);
-    return member && strcmp(member->region, membership_self(cluster->membership)->region) != 0;
-}
-
-/* \return the uptime while a node reports it, ms, at least 1; afterwards 0 */
-static uint64_t uptime_ms(const struct cluster *cluster, uint64_t now)
-{
-    return now < cluster->opened_at + PROCESS_START_ANNOUNCE_US
-               ? (now - cluster->opened_at) / 1000 + 1
-               : 0;
-}
-
-/* Add what this node knows of an earlier process of the recipient. */
-static void add_earlier_process(const struct cluster *cluster, uint32_t address, uint64_t now,
-                                Shuntrun__MemberMessage *message)
-{
-    const struct member_state *member = membership_find(cluster->membership, address);
-    if (!member || !member->earlier_heard_at ||
-        now >= member->earlier_heard_at + PROCESS_START_ANNOUNCE_US)
-        return;
-    message->earlier_age_ms = (now - member->earlier_heard_at) / 1000 + 1;
-    message->earlier_born = member->earlier_born;
-}
-
-void cluster_send(struct cluster *cluster, uint32_t address, const Shuntrun__MemberMessage *message)
-{
-    uint8_t bytes[MAX_DATAGRAM_BYTES];
-    uint64_t now = cluster_now();
-    Shuntrun__MemberMessage with_process_times = *message;
-    with_process_times.uptime_ms = uptime_ms(cluster, now);
-    add_earlier_process(cluster, address, now, &with_process_times);
-    size_t size = pack_message(&with_process_times, bytes);
-    if (!size)
-        return;
-    message_count_sent(message, size, is_in_other_region(cluster, address));
-    send_datagram(cluster, address, bytes, size);
-}
-
-/* Sets the rank of a recipient. A node that does not know most members yet ranks none: it might
- * rank few of them, and soon afterwards all. */
-static void set_rate_rank(struct cluster *cluster, uint32_t recipient, uint64_t window_us,
-                          Shuntrun__EngineLoad *load)
-{
-    struct rate_ranking *ranking = &cluster->rate_ranking;
-    uint32_t own = membership_self(cluster->membership)->address;
-    if (!cluster->started)
-        return;
-    rate_ranking_refresh(ranking, &cluster->load_targets, own, window_us, cluster_now());
-    struct rate_rank rank = rate_ranking_find(ranking, recipient);
-    load->rate_rank = rank.rank;
-    load->ranked_gateways = rank.gateways;
-}
-
-void cluster_send_load(struct cluster *cluster, Shuntrun__EngineLoad *load, bool far,
-                       uint64_t rate_window_us)
-{
-    uint8_t bytes[MAX_DATAGRAM_BYTES];
-    Shuntrun__MemberMessage message = SHUNTRUN__MEMBER_MESSAGE__INIT;
-    struct load_targets *targets = &cluster->load_targets;
-    load_targets_refresh(targets, cluster->membership);
-    load->near_gateways = targets->near_count;
-    load->far_gateways = targets->far_count;
-    message.load = load;
-    message.uptime_ms = uptime_ms(cluster, cluster_now());
-    size_t size = rate_window_us ? 0 : pack_message(&message, bytes);
-    uint32_t count = targets->near_count + (far ? targets->far_count : 0);
-    for (uint32_t i = 0; i < count; i++) {
-        if (rate_window_us) {
-            set_rate_rank(cluster, targets->addresses[i], rate_window_us, load);
-            size = pack_message(&message, bytes);
-        }
-        if (!size)
-            return;
-        message_count_sent(&message, size, i >= targets->near_count);
-        send_datagram(cluster, targets->addresses[i], bytes, size);
-    }
-}
-
 bool cluster_reads_store(const struct cluster *cluster)
 {
     return cluster->role.duty != READER_INACTIVE;
@@ -161,7 +48,7 @@
     return reader_role_any_reader_is_healthy(cluster->membership);
 }
 
-static void update_self(struct cluster *cluster)
+void cluster_update_self(struct cluster *cluster)
 {
     struct member_state *self = membership_self(cluster->membership);
     /* Peers must not take a partial copy for the full state. */
@@ -181,7 +68,7 @@
 
 void cluster_propagate_changes(struct cluster *cluster)
 {
-    update_self(cluster);
+    cluster_update_self(cluster);
     update_push(cluster);
 }
 
@@ -207,7 +94,7 @@
         return;
     reader_role_update(&cluster->role, cluster->membership, now);
     store_reader_set_duty(cluster->reader, cluster->role.duty);
-    update_self(cluster);
+    cluster_update_self(cluster);
     /* The own health is also updated before each message, so only the reader role knows which
      * value the others were sent. */
     if (reader_role_must_announce(&cluster->role,
@@ -268,7 +155,7 @@
     struct cluster *cluster = timer->data;
     uint64_t now = cluster_now();
     update_reader_role(cluster, now);
-    update_self(cluster);
+    cluster_update_self(cluster);
     membership_tick(cluster->membership, now);
     if (now >= cluster->next_maintenance_at) {
         cluster->next_maintenance_at = now + MAINTENANCE_INTERVAL_US;
@@ -283,97 +170,6 @@
                    0);
 }
 
-static void handle_sender(struct cluster *cluster, const Shuntrun__MemberMessage *message,
-                          uint32_t sender, uint64_t now)
-{
-    update_self(cluster);
-    membership_receive(cluster->membership, sender, message, now);
-    if (message->changes)
-        state_sync_apply(cluster->sync, message->changes);
-    /* A node that copies only the operator's items needs no other changes. */
-    bool sender_is_newer =
-        cluster->holds_full_state
-            ? message->sender->state_revision > state_cache_revision(cluster->state)
-            : message->sender->operator_revision > cluster->operator_revision;
-    if (!sender_is_newer)
-        return;
-    const char *region = membership_self(cluster->membership)->region;
-    bool near = strcmp(message->sender->region, region) == 0;
-    state_sync_record_newer_peer(cluster->sync, sender, message->sender->state_revision, near, now);
-}
-
-static void record_contact(struct cluster *cluster, uint64_t now)
-{
-    if (cluster->heard_at && now > cluster->heard_at + ISOLATION_TIMEOUT_US) {
-        log_event(LOG_LEVEL_WARN, "cluster", "contact-regained", "silence_ms=%llu",
-                  (unsigned long long)(now - cluster->heard_at) / 1000);
-        cluster->isolated_until = now;
-    }
-    cluster->heard_at = now;
-}
-
-bool cluster_was_isolated(const struct cluster *cluster, uint64_t since)
-{
-    bool isolated_now =
-        cluster->heard_at && cluster_now() > cluster->heard_at + ISOLATION_TIMEOUT_US;
-    return isolated_now || cluster->isolated_until > since;
-}
-
-/* Records start times of the sender's process and engine, and reports what the sender knows of an
- * earlier process of this node. A new process of the sender is sent an update at once, with what is
- * known of its earlier process. */
-static void record_start_times(struct cluster *cluster, const Shuntrun__MemberMessage *message,
-                               uint32_t sender, uint64_t now)
-{
-    uint64_t uptime_us = message->uptime_ms * 1000;
-    if (message->uptime_ms && now > uptime_us &&
-        membership_record_process_start(cluster->membership, sender, now - uptime_us)) {
-        membership_send_update(cluster->membership, sender);
-        if (message->sender && message->sender->role == MEMBER_GATEWAY)
-            crash_sync_send_recent(cluster->crashes, sender);
-    }
-    if (message->load)
-        membership_record_engine_start(cluster->membership, sender, message->load->born);
-    uint64_t age_us = message->earlier_age_ms * 1000;
-    if (message->earlier_age_ms && now > age_us && cluster->callbacks.predecessor_reported)
-        cluster->callbacks.predecessor_reported(cluster->callbacks.context, now - age_us + 1000,
-                                                message->earlier_born);
-}
-
-static void on_datagram(uv_udp_t *socket, ssize_t size, const uv_buf_t *buffer,
-                        const struct sockaddr *from, unsigned flags)
-{
-    struct cluster *cluster = socket->data;
-    if (size <= 0 || !from) /* no more data, or an ICMP error for an earlier datagram */
-        return;
-    Shuntrun__MemberMessage *message =
-        shuntrun__member_message__unpack(NULL, (size_t)size, (const uint8_t *)buffer->base);
-    uint64_t now = cluster_now();
-    uint32_t sender = ntohl(((const struct sockaddr_in *)from)->sin_addr.s_addr);
-    if (!message) {
-        log_event(LOG_LEVEL_WARN, "cluster", "unreadable", "peer=%08x bytes=%zd", sender, size);
-        return;
-    }
-    record_contact(cluster, now);
-    record_start_times(cluster, message, sender, now);
-    crash_sync_receive(cluster->crashes, message, sender, now);
-    if (message->sender && message->sender->address == sender)
-        handle_sender(cluster, message, sender, now);
-    else
-        membership_record_contact(cluster->membership, sender, now);
-    if (message->load && cluster->callbacks.load_received)
-        cluster->callbacks.load_received(cluster->callbacks.context, message->load);
-    if (message->rate && cluster->callbacks.rate_received)
-        cluster->callbacks.rate_received(cluster->callbacks.context, sender, message->rate);
-    shuntrun__member_message__free_unpacked(message, NULL);
-}
-
-static void on_allocate(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
-{
-    static char bytes[65536];
-    *buffer = uv_buf_init(bytes, sizeof bytes);
-}
-
 static void on_call(void *context, struct service_call *call, const struct service_request *request)
 {
     struct cluster *cluster = context;
@@ -440,11 +236,7 @@
                   cluster->port, status_message());
         return 1;
     }
-    uv_udp_init(cluster->loop, &cluster->socket);
-    cluster->socket.data = cluster;
-    int error = uv_udp_bind(&cluster->socket, (const struct sockaddr *)&address, 0);
-    if (!error)
-        error = uv_udp_recv_start(&cluster->socket, on_allocate, on_datagram);
+    int error = cluster_receive_start(cluster, &address);
     if (error)
         log_event(LOG_LEVEL_ERROR, "cluster", "listen-failed", "port=%u error=\"%s\"",
                   cluster->port, uv_strerror(error));
@@ -486,11 +278,6 @@
     return 0;
 }
 
-uint64_t cluster_silence_us(const struct cluster *cluster)
-{
-    return cluster->heard_at ? cluster_now() - cluster->heard_at : 0;
-}
-
 uint32_t cluster_gateway_count(const struct cluster *cluster)
 {
     uint32_t alive = membership_alive_count(cluster->membership, MEMBER_GATEWAY);
