fleet_test: fleets are started, loaded and checked in one place

What stood where: tests/system/fleet_test.py (375 lines) started and stopped a fleet by hand in seven tests, started the same load of streams in three places and checked its verdicts in three. What moved: FleetTestCase.start_fleet() starts a fleet that is stopped after the test; start_streams() and check_streams() are the load and its checks. 364 lines. The same checks: no assertion, time limit or case is dropped; the test of keys still asks for no unknown outcome, that of links still waits for 120 s.

--- a/tests/system/fleet_test.py
+++ b/tests/system/fleet_test.py
@@ -53,6 +53,12 @@
     return fleet
 
 
+def start_streams(fleet, seconds):
+    """Starts a load of long streams whose tokens are verified."""
+    fleet.start_load("load", "script", "--tenants", "water", "--rate", "20", "--seconds", str(seconds),
+                     "--tokens", "60", "--verify")
+
+
 def wait_for_gateway(fleet):
     """Waits until the gateway has joined and knows of all agents, which happens at no particular time."""
     url = fleet.http("gateway-1")
@@ -64,6 +70,22 @@
         url + "/v1/endpoints?service=seats")["ticket"])
 
 
+class FleetTestCase(unittest.TestCase):
+    """A test with a fleet of its own, which is stopped after the test."""
+
+    def start_fleet(self, name, **options):
+        fleet = small_fleet(name, **options)
+        self.addCleanup(fleet.stop)
+        return fleet
+
+    def check_streams(self, fleet, *more, seconds=60):
+        """Checks the report of start_streams(): no violation, and no outcome of `more`, but done streams."""
+        report = fleet.load_report("load", seconds=seconds)
+        for verdict in ("lost", "cut", "doubled", "mixed", *more):
+            self.assertEqual(report["outcomes"][verdict], 0, report)
+        self.assertGreater(report["outcomes"]["done"], 0)
+
+
 class DemonstrationTest(unittest.TestCase):
     def test_nothing_is_lost_doubled_cut_or_mixed(self):
         summary = demo.run(argparse.Namespace(**{**vars(OPTIONS), "work": OPTIONS.work + "/demo"}))
@@ -138,58 +160,41 @@
         self.assertEqual(runs["new"], 1)
 
 
-class FailureTest(unittest.TestCase):
+class FailureTest(FleetTestCase):
     def test_streams_outlive_a_killed_agent(self):
-        fleet = small_fleet("kill", engines=3)
-        try:
-            fleet.start_load("load", "script", "--tenants", "water", "--rate", "20", "--seconds",
-                             "4", "--tokens", "60", "--verify")
-            wait_until("requests run", lambda: fleet.status("engine-0")["active_requests"])
-            fleet.kill("engine-0")
-            report = fleet.load_report("load")
-            for verdict in ("lost", "cut", "doubled", "mixed"):
-                self.assertEqual(report["outcomes"][verdict], 0, report)
-            self.assertGreater(report["outcomes"]["done"], 0)
-        finally:
-            fleet.stop()
+        fleet = self.start_fleet("kill", engines=3)
+        start_streams(fleet, seconds=4)
+        wait_until("requests run", lambda: fleet.status("engine-0")["active_requests"])
+        fleet.kill("engine-0")
+        self.check_streams(fleet)
 
     def test_a_frozen_agent_does_not_run_what_came_before_it_woke(self):
-        fleet = small_fleet("freeze", engines=1)
-        try:
-            url = fleet.http("gateway-1")
-            ticket = call(url + "/v1/endpoints?service=seats")["ticket"]
-            fleet.kill("seats-0", signal.SIGSTOP)
-            answer = post(url + "/v1/services/seats", b'{"id": "frozen"}',
-                          {"X-Tenant": "water", "Idempotency-Key": ticket + "~frozen",
-                           "X-Timeout-Ms": "2500"})
-            self.assertIn(answer[1]["X-Outcome"], ("unknown", "not-run"), answer)
-            fleet.kill("seats-0", signal.SIGCONT)
-            wait_until("the agent answers again", lambda: fleet.status("seats-0"))
-            wait_until("its gateway knows of it again", lambda: post(
-                url + "/v1/services/seats", b'{"id": "later"}',
-                {"X-Tenant": "water", "Idempotency-Key": ticket + "~later"})[0] == 200)
-            runs = call(fleet.service_urls["seats-0"] + "/admin/runs")["bodies"]
-            self.assertNotIn("frozen", runs)
-        finally:
-            fleet.stop()
-
-
-class LinkTest(unittest.TestCase):
+        fleet = self.start_fleet("freeze", engines=1)
+        url = fleet.http("gateway-1")
+        ticket = call(url + "/v1/endpoints?service=seats")["ticket"]
+        fleet.kill("seats-0", signal.SIGSTOP)
+        answer = post(url + "/v1/services/seats", b'{"id": "frozen"}',
+                      {"X-Tenant": "water", "Idempotency-Key": ticket + "~frozen",
+                       "X-Timeout-Ms": "2500"})
+        self.assertIn(answer[1]["X-Outcome"], ("unknown", "not-run"), answer)
+        fleet.kill("seats-0", signal.SIGCONT)
+        wait_until("the agent answers again", lambda: fleet.status("seats-0"))
+        wait_until("its gateway knows of it again", lambda: post(
+            url + "/v1/services/seats", b'{"id": "later"}',
+            {"X-Tenant": "water", "Idempotency-Key": ticket + "~later"})[0] == 200)
+        runs = call(fleet.service_urls["seats-0"] + "/admin/runs")["bodies"]
+        self.assertNotIn("frozen", runs)
+
+
+class LinkTest(FleetTestCase):
     """Link faults between gateways and an agent: a stall without a close, and a cut."""
 
     def run_load(self, name, number):
-        fleet = small_fleet(name, engines=3, through_link="engine-0")
-        try:
-            fleet.start_load("load", "script", "--tenants", "water", "--rate", "20", "--seconds", "4",
-                             "--tokens", "60", "--verify")
-            wait_until("requests run", lambda: fleet.status("engine-0")["active_requests"])
-            fleet.kill("engine-0-link", number)
-            report = fleet.load_report("load", seconds=120)
-            for verdict in ("lost", "cut", "doubled", "mixed"):
-                self.assertEqual(report["outcomes"][verdict], 0, report)
-            self.assertGreater(report["outcomes"]["done"], 0)
-        finally:
-            fleet.stop()
+        fleet = self.start_fleet(name, engines=3, through_link="engine-0")
+        start_streams(fleet, seconds=4)
+        wait_until("requests run", lambda: fleet.status("engine-0")["active_requests"])
+        fleet.kill("engine-0-link", number)
+        self.check_streams(fleet, seconds=120)
 
     def test_answers_outlive_a_link_that_stalls_without_closing(self):
         self.run_load("stalled-link", signal.SIGUSR1)
@@ -223,7 +228,7 @@
             fleet.stop()
 
 
-class KeysTest(unittest.TestCase):
+class KeysTest(FleetTestCase):
     """Encrypted links: keys are rotated under traffic, and a peer with other keys is rejected."""
 
     @staticmethod
@@ -244,83 +249,67 @@
         path = directory / "control.keys"
         first, second = self.new_key("a"), self.new_key("b")
         path.write_text(f"{first}\nuse a\n")
-        fleet = small_fleet("keys", flags=("--control-keys-file", str(path)))
-        try:
-            fleet.start_load("load", "script", "--tenants", "water", "--rate", "20", "--seconds", "6",
-                             "--tokens", "60", "--verify")
-            path.write_text(f"{first}\n{second}\nuse a\n")
-            self.wait_for_keys(fleet, 1)
-            path.write_text(f"{first}\n{second}\nuse b\n")
-            self.wait_for_keys(fleet, 2)
-            report = fleet.load_report("load")
-            for verdict in ("lost", "cut", "doubled", "mixed", "unknown"):
-                self.assertEqual(report["outcomes"][verdict], 0, report)
-            self.assertGreater(report["outcomes"]["done"], 0)
-
-            other = directory / "other.keys"
-            other.write_text(f"{self.new_key('b')}\nuse b\n")
-            fleet.add_engine_agent("unknown", 1, "--control-keys-file", str(other))
-            wait_until("the unknown peer is rejected", lambda: any(
-                fleet.counters(name)["shuntrun_links_rejected_total"]
-                for name in fleet.machines if name != "unknown"))
-            self.assertEqual(fleet.status("unknown")["live_peers"], 0)
-            logs = "".join(log.read_text() for log in directory.glob("*.log"))
-            for secret in (first.split()[2], second.split()[2]):
-                self.assertNotIn(secret, logs)
-        finally:
-            fleet.stop()
-
-
-class RolloutTest(unittest.TestCase):
+        fleet = self.start_fleet("keys", flags=("--control-keys-file", str(path)))
+        start_streams(fleet, seconds=6)
+        path.write_text(f"{first}\n{second}\nuse a\n")
+        self.wait_for_keys(fleet, 1)
+        path.write_text(f"{first}\n{second}\nuse b\n")
+        self.wait_for_keys(fleet, 2)
+        self.check_streams(fleet, "unknown")
+
+        other = directory / "other.keys"
+        other.write_text(f"{self.new_key('b')}\nuse b\n")
+        fleet.add_engine_agent("unknown", 1, "--control-keys-file", str(other))
+        wait_until("the unknown peer is rejected", lambda: any(
+            fleet.counters(name)["shuntrun_links_rejected_total"]
+            for name in fleet.machines if name != "unknown"))
+        self.assertEqual(fleet.status("unknown")["live_peers"], 0)
+        logs = "".join(log.read_text() for log in directory.glob("*.log"))
+        for secret in (first.split()[2], second.split()[2]):
+            self.assertNotIn(secret, logs)
+
+
+class RolloutTest(FleetTestCase):
     def test_two_models_reach_the_same_machines_at_once(self):
-        fleet = small_fleet("two-models", engines=3)
-        try:
-            models = [fleet.make_model(name, "v9", 6 << 20, 1 << 18, seed=seed)
-                      for name, seed in (("script", 5), ("lobby", 6))]
-            config = demo.make_config("v9", models[0], ["seats-0"])
-            config["models"][0]["accelerators"] = 4
-            config["models"].append({"name": "lobby", "version": "v9", "accelerators": 4,
-                                     "manifest": models[1]["manifest"], "bytes": models[1]["bytes"]})
-            fleet.publish_config(config)
-            for agent in fleet.agents():
-                wait_until(f"{agent} serves both", lambda a=agent: {"script", "lobby"} == {
-                    ready["model"] for ready in fleet.status(a)["ready"]
-                    if ready["version"] == "v9"})
-            stats = call(fleet.origin_url + "/admin/stats")
-            self.assertEqual(stats["chunk_bytes"], (4 << 20) + 2 * (6 << 20))
-        finally:
-            fleet.stop()
+        fleet = self.start_fleet("two-models", engines=3)
+        models = [fleet.make_model(name, "v9", 6 << 20, 1 << 18, seed=seed)
+                  for name, seed in (("script", 5), ("lobby", 6))]
+        config = demo.make_config("v9", models[0], ["seats-0"])
+        config["models"][0]["accelerators"] = 4
+        config["models"].append({"name": "lobby", "version": "v9", "accelerators": 4,
+                                 "manifest": models[1]["manifest"], "bytes": models[1]["bytes"]})
+        fleet.publish_config(config)
+        for agent in fleet.agents():
+            wait_until(f"{agent} serves both", lambda a=agent: {"script", "lobby"} == {
+                ready["model"] for ready in fleet.status(a)["ready"]
+                if ready["version"] == "v9"})
+        stats = call(fleet.origin_url + "/admin/stats")
+        self.assertEqual(stats["chunk_bytes"], (4 << 20) + 2 * (6 << 20))
 
     def test_chunks_are_released_and_fetched_again_when_an_engine_restarts(self):
-        fleet = small_fleet("release", engines=2, agent_flags=("--weights-keep-ms", "300"))
-        try:
-            for agent in fleet.agents():
-                wait_until(f"{agent} released its chunks", lambda a=agent: fleet.counters(a)[
-                    "shuntrun_chunk_memory_bytes"] < 1 << 19)
-                self.assertTrue(fleet.serves(agent, "v1"))
-            fleet.kill("engine-0-engine")
-            fleet.processes["engine-0-engine"].wait()
-            wait_until("the lost engine is noticed", lambda: not fleet.serves("engine-0", "v1"))
-            fleet.restart_standin("engine-0-engine")
-            wait_until("engine-0 serves again", lambda: fleet.serves("engine-0", "v1"))
-        finally:
-            fleet.stop()
+        fleet = self.start_fleet("release", engines=2, agent_flags=("--weights-keep-ms", "300"))
+        for agent in fleet.agents():
+            wait_until(f"{agent} released its chunks", lambda a=agent: fleet.counters(a)[
+                "shuntrun_chunk_memory_bytes"] < 1 << 19)
+            self.assertTrue(fleet.serves(agent, "v1"))
+        fleet.kill("engine-0-engine")
+        fleet.processes["engine-0-engine"].wait()
+        wait_until("the lost engine is noticed", lambda: not fleet.serves("engine-0", "v1"))
+        fleet.restart_standin("engine-0-engine")
+        wait_until("engine-0 serves again", lambda: fleet.serves("engine-0", "v1"))
 
     def test_a_version_that_changes_in_flight_is_abandoned(self):
-        fleet = small_fleet("change", engines=3, origin_rate=4 << 20)
-        try:
-            second, third = (fleet.make_model("script", version, 8 << 20, 1 << 18, seed=seed)
-                             for version, seed in (("v2", 7), ("v3", 8)))
-            fleet.publish_config(demo.make_config("v2", second, ["seats-0"]))
-            wait_until("v2 is in flight", lambda: any(
-                rollout["version"] == "v2" and 0 < rollout["held"] < rollout["chunks"]
-                for rollout in fleet.status("engine-0")["rollouts"]))
-            fleet.publish_config(demo.make_config("v3", third, ["seats-0"]))
-            for agent in fleet.agents():
-                wait_until(f"{agent} serves v3", lambda a=agent: fleet.serves(a, "v3"))
-                self.assertFalse(fleet.serves(agent, "v2"))
-        finally:
-            fleet.stop()
+        fleet = self.start_fleet("change", engines=3, origin_rate=4 << 20)
+        second, third = (fleet.make_model("script", version, 8 << 20, 1 << 18, seed=seed)
+                         for version, seed in (("v2", 7), ("v3", 8)))
+        fleet.publish_config(demo.make_config("v2", second, ["seats-0"]))
+        wait_until("v2 is in flight", lambda: any(
+            rollout["version"] == "v2" and 0 < rollout["held"] < rollout["chunks"]
+            for rollout in fleet.status("engine-0")["rollouts"]))
+        fleet.publish_config(demo.make_config("v3", third, ["seats-0"]))
+        for agent in fleet.agents():
+            wait_until(f"{agent} serves v3", lambda a=agent: fleet.serves(a, "v3"))
+            self.assertFalse(fleet.serves(agent, "v2"))
 
 
 class PolicyTest(unittest.TestCase):
