Recorded sessions are a module

What stood where: sim/scenario_run.c (386 lines) ran scenarios over seeds, recorded sessions, and held the command `shuntrun replay`. What moved: recording and replay to sim/session (151). scenario_run.c keeps the runs and their totals (237). Names: scenario_record is session_record. Compared function by function without optimization, wherever each stands: none differs, 9 moved. The 20 tests of sim pass, sim.golden among them; `replay` repeats three of the golden sessions.

--- a/src/main.c
+++ b/src/main.c
@@ -6,7 +6,7 @@
 #include "gateway/gateway.h"
 #include "loader/loader.h"
 #include "net/key_ring.h"
-#include "sim/scenario_run.h"
+#include "sim/session.h"
 #include "sim/simulate.h"
 #include "tool/check.h"
 #include "tool/explain.h"
--- a/src/sim/scenario_run.h
+++ b/src/sim/scenario_run.h
@@ -1,9 +1,5 @@
 /**
- * Runs fleet scenarios over ranges of seeds; records and replays sessions.
- *
- * A recorded session is a text file: a header line with the scenario, fleet, seed, mutation and
- * fault mask, then one line for each event. Replay runs the simulation again and compares its
- * output line by line.
+ * Runs fleet scenarios over ranges of seeds.
  */
 #ifndef SHUNTRUN_SCENARIO_RUN_H
 #define SHUNTRUN_SCENARIO_RUN_H
@@ -40,11 +36,4 @@
 enum status scenario_options(const struct scenario_run *run, const char *scenario, uint64_t seed,
                              struct fleet_sim_options *options);
 
-/** \brief Run one seed and write its session to a stream. */
-struct fleet_sim_result scenario_record(const struct scenario_run *run, const char *scenario,
-                                        uint64_t seed, FILE *stream);
-
-/** \brief Main function of `shuntrun replay FILE`. */
-int replay_main(int argc, char **argv);
-
 #endif
--- a/tests/sim/golden_test.c
+++ b/tests/sim/golden_test.c
@@ -6,6 +6,7 @@
 #include "testing.h"
 
 #include "sim/scenario_run.h"
+#include "sim/session.h"
 
 #include <dirent.h>
 #include <inttypes.h>
@@ -43,7 +44,7 @@
     char *text = NULL;
     size_t again_size = 0;
     FILE *stream = open_memstream(&text, &again_size);
-    struct fleet_sim_result result = scenario_record(&run, scenario, seed, stream);
+    struct fleet_sim_result result = session_record(&run, scenario, seed, stream);
     fclose(stream);
     assert_int_equal(result.violation_count, 0);
     if (strcmp(recorded, text) != 0)
