A mutation is found by its name in one place

What stood where: sim/session.c and sim/simulate_options.c each had a loop that finds a mutation by its name. What moved: fleet_mutation_find() stands beside fleet_mutation_name(); both call it. Compared function by function without optimization: fleet_mutation_find is new, read_header and simulate's parse_mutation call it, all else is the same. simulate with three mutations and a wrong name prints the same. The 20 tests of sim pass.

--- a/src/sim/fleet/fleet_sim.h
+++ b/src/sim/fleet/fleet_sim.h
@@ -75,6 +75,8 @@
 };
 
 const char *fleet_mutation_name(enum fleet_mutation mutation);
+/** \brief Find a mutation by its name. \return whether there is one */
+bool fleet_mutation_find(const char *name, enum fleet_mutation *mutation);
 
 struct fleet_sim_options {
     uint32_t gateways;
--- a/src/sim/fleet/scenarios.c
+++ b/src/sim/fleet/scenarios.c
@@ -78,3 +78,14 @@
                                         "no-match", "hard-stop"};
     return names[mutation];
 }
+
+bool fleet_mutation_find(const char *name, enum fleet_mutation *mutation)
+{
+    for (int i = 0; i < FLEET_MUTATION_COUNT; i++) {
+        if (strcmp(name, fleet_mutation_name((enum fleet_mutation)i)) != 0)
+            continue;
+        *mutation = (enum fleet_mutation)i;
+        return true;
+    }
+    return false;
+}
--- a/src/sim/session.c
+++ b/src/sim/session.c
@@ -30,17 +30,6 @@
     return result;
 }
 
-static bool parse_mutation(const char *name, enum fleet_mutation *mutation)
-{
-    for (int i = 0; i < FLEET_MUTATION_COUNT; i++) {
-        if (strcmp(name, fleet_mutation_name((enum fleet_mutation)i)) != 0)
-            continue;
-        *mutation = (enum fleet_mutation)i;
-        return true;
-    }
-    return false;
-}
-
 struct session_header {
     char scenario[64];
     char fleet[32];
@@ -60,7 +49,7 @@
                         &header->run.enabled_faults);
     struct fleet_sim_options options;
     header->run.fleet = header->fleet;
-    return fields == 5 && parse_mutation(header->mutation, &header->run.mutation) &&
+    return fields == 5 && fleet_mutation_find(header->mutation, &header->run.mutation) &&
            scenario_options(&header->run, header->scenario, header->run.first_seed, &options) ==
                STATUS_OK;
 }
--- a/src/sim/simulate_options.c
+++ b/src/sim/simulate_options.c
@@ -166,11 +166,10 @@
 
 static enum fleet_mutation parse_mutation(const char *text, struct argp_state *state)
 {
-    for (int i = 0; i < FLEET_MUTATION_COUNT; i++)
-        if (strcmp(text, fleet_mutation_name((enum fleet_mutation)i)) == 0)
-            return (enum fleet_mutation)i;
-    argp_error(state, "unknown mutation `%s`", text);
-    return FLEET_MUTATION_NONE;
+    enum fleet_mutation mutation = FLEET_MUTATION_NONE;
+    if (!fleet_mutation_find(text, &mutation))
+        argp_error(state, "unknown mutation `%s`", text);
+    return mutation;
 }
 
 static balance_choose *parse_balance(const char *text, struct argp_state *state)
