Test of a stalled link: requests of 900 KB work long enough to run at the same time

Cause: the case waits until twelve requests run at once, each for 0.3 s; sent through a slow build, the first had ended before the last arrived. Change: they run for 1.5 s. What the case asserts is the same: with the agent of before it is red.

--- a/tests/system/planned_stop_fleet_test.py
+++ b/tests/system/planned_stop_fleet_test.py
@@ -22,6 +22,7 @@
 SHORT_DRAIN_MS = 1500
 LONG_STREAM = 1200  # tokens of 5 ms each: 6 s
 WORK_MS = 300  # of the plain service
+LARGE_WORK_MS = 1500  # of requests of 900 KB, all of which must have arrived before the first one ends
 STALL_US = 5000000  # STALL_TIMEOUT_US of the gateway
 TIMEOUT_S = 20
 
@@ -210,7 +211,7 @@
     def test_answers_of_an_agent_that_stops_outlive_a_slow_link(self):
         """Answers that waited in the agent's memory for the link were discarded when the process ended, 0.1 s after the
         last run: their callers got the outcome unknown after 5 s, and could not repeat the requests."""
-        fleet = self.start_fleet("slow-link", service_flags=("--work-ms", str(WORK_MS)), through_link="seats-0")
+        fleet = self.start_fleet("slow-link", service_flags=("--work-ms", str(LARGE_WORK_MS)), through_link="seats-0")
         callers = Callers(fleet)
         for number in range(12):
             callers.start(request_bytes("seats", {"id": "%d-" % number + "z" * 900000}, "Connection: close",
