--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -412,10 +412,24 @@
     free(digests);
 }
 
+/* Advances a planned stop. An answer that its gateway has not received counts as its run does. */
+static void advance_stop(struct agent *agent, uint64_t now)
+{
+    struct agent_traffic_state state = agent_traffic_state(agent->traffic);
+    struct daemon_debts debts = {.owed = state.active + state.unsent, .unsent = state.unsent};
+    enum daemon_phase before = agent->drain.phase;
+    enum daemon_phase phase = daemon_drain_advance(&agent->drain, debts, now);
+    if (phase == DAEMON_CLOSING && phase != before)
+        agent_traffic_end_runs(agent->traffic);
+    else if (phase == DAEMON_STOPPED)
+        loop_stop(agent->shell.loop);
+}
+
 static void on_tick(void *context, uint64_t now)
 {
     struct agent *agent = context;
     uint32_t uploads = ck_pr_load_32(&agent->uploads);
+    daemon_report_signals();
     for (uint32_t i = 0; i < agent->rollout_count; i++) {
         struct rollout *rollout = agent->rollouts[i];
         if (rollout->swarm)
@@ -433,8 +447,7 @@
         publish_status(agent, now);
         publish_pending_blobs(agent);
     }
-    if (daemon_drain_done(&agent->drain, agent_traffic_state(agent->traffic).active, now))
-        loop_stop(agent->shell.loop);
+    advance_stop(agent, now);
 }
 
 /* ---- HTTP: blobs for peers and the local engine ---- */
@@ -572,7 +585,7 @@
 {
     http_server_stop(agent->http);
     transfer_stop(agent->transfer);
-    agent_traffic_stop(agent->traffic);
+    agent_traffic_stop(agent->traffic, daemon_drain_linger_ms(&agent->drain, clock_monotonic_us()));
     while (agent->rollout_count)
         remove_rollout(agent, 0);
     if (agent->shell.loop)
--- a/src/gateway/gateway_traffic.h
+++ b/src/gateway/gateway_traffic.h
@@ -39,7 +39,11 @@
  * response. */
 void gateway_traffic_on_closed(struct gateway_traffic *traffic, struct http_exchange *exchange);
 
-/** \return calls whose exchange is not closed, as of the last tick */
+/** \brief End all calls that are in progress, with the outcome unknown; no call may be submitted
+ * afterwards. */
+void gateway_traffic_end_calls(struct gateway_traffic *traffic);
+
+/** \return calls submitted whose exchange is not closed */
 uint32_t gateway_traffic_active_calls(const struct gateway_traffic *traffic);
 
 #endif
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -4,11 +4,14 @@
 
 #include <arpa/inet.h>
 #include <assert.h>
+#include <ck_pr.h>
 #include <microhttpd.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define PACED_BLOCK_BYTES 32768
 #define STREAM_BLOCK_BYTES 16384
@@ -57,6 +60,9 @@
 struct http_server {
     struct http_server_settings settings;
     struct MHD_Daemon *daemon;
+    MHD_socket quiesced_listener; /* MHD_INVALID_SOCKET: the daemon owns the listener */
+    uint32_t open_exchanges;      /* atomic */
+    uint32_t closing;             /* atomic; responses close their connections */
 };
 
 /* ---- lifetime ---- */
@@ -109,10 +115,18 @@
 
 /* ---- complete responses ---- */
 
+/* libmicrohttpd closes the connection of such a response at its end. */
+static void add_close_header(const struct http_exchange *exchange, struct MHD_Response *response)
+{
+    if (ck_pr_load_32(&exchange->server->closing))
+        MHD_add_response_header(response, "Connection", "close");
+}
+
 static void queue_response(struct http_exchange *exchange, unsigned status,
                            struct MHD_Response *response)
 {
     exchange->replied = true;
+    add_close_header(exchange, response);
     MHD_queue_response(exchange->connection, status, response);
     MHD_destroy_response(response);
 }
@@ -250,6 +264,7 @@
     for (size_t i = 0; i < exchange->header_count; i++)
         MHD_add_response_header(response, exchange->headers[i].name, exchange->headers[i].value);
     exchange->replied = true;
+    add_close_header(exchange, response);
     enum MHD_Result result = MHD_queue_response(exchange->connection, exchange->status, response);
     MHD_destroy_response(response);
     return result;
@@ -310,6 +325,7 @@
     exchange->method = memory_strdup(method);
     exchange->references = 1;
     pthread_mutex_init(&exchange->lock, NULL);
+    ck_pr_inc_32(&server->open_exchanges);
     return exchange;
 }
 
@@ -350,6 +366,7 @@
         server->settings.closed(server->settings.context, exchange);
     pthread_mutex_lock(&exchange->lock);
     drop_reference(exchange);
+    ck_pr_dec_32(&server->open_exchanges);
 }
 
 struct http_server *http_server_start(const struct http_server_settings *settings)
@@ -357,6 +374,7 @@
     struct http_server *server = memory_calloc(1, sizeof *server);
     struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(settings->port)};
     server->settings = *settings;
+    server->quiesced_listener = MHD_INVALID_SOCKET;
     if (inet_pton(AF_INET, settings->address, &address.sin_addr) != 1) {
         status_fail(STATUS_INVALID, "`%s` is not an IPv4 address", settings->address);
         free(server);
@@ -386,10 +404,30 @@
     return server;
 }
 
+void http_server_announce_close(struct http_server *server)
+{
+    ck_pr_store_32(&server->closing, 1);
+}
+
+void http_server_stop_listening(struct http_server *server)
+{
+    server->quiesced_listener = MHD_quiesce_daemon(server->daemon);
+    /* Refuses new connections at once; closing it now would race with the server's threads. */
+    if (server->quiesced_listener != MHD_INVALID_SOCKET)
+        shutdown(server->quiesced_listener, SHUT_RD);
+}
+
+uint32_t http_server_open_exchanges(const struct http_server *server)
+{
+    return ck_pr_load_32(&server->open_exchanges);
+}
+
 void http_server_stop(struct http_server *server)
 {
     if (!server)
         return;
     MHD_stop_daemon(server->daemon);
+    if (server->quiesced_listener != MHD_INVALID_SOCKET)
+        close(server->quiesced_listener);
     free(server);
 }
