--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -50,9 +50,9 @@
 /** \brief Send queued bytes, then close. */
 void tcp_stream_close(struct tcp_stream *stream);
 /**
- * \brief Send queued bytes and a FIN, for as long as the peer takes them, and discard received
- * bytes until the peer's FIN, or for 2 to 4 s, before closing. Otherwise bytes that arrive after
- *        the close would reset the connection before the peer has read the response.
+ * \brief Send queued bytes and a FIN, for as long as the peer takes them, then close. Received
+ * bytes are discarded until the peer's FIN, or for 2 to 4 s: otherwise bytes that arrive after the
+ * close would reset the connection before the peer has read the response.
  */
 void tcp_stream_finish(struct tcp_stream *stream);
 /** \brief Close at once with a TCP reset; queued bytes are discarded. */
