A read of a staged piece that fails in a recovery is logged

Cause: on_recovery_read() ended the recovery at any failure without a line; only reads of an installation were logged. Evidence: 'order ... read_ms_ago=32' 2.03 s after 'begin', and no 'read-failed'. Change: event=read-failed, with recovery=1. Why it works: both kinds of reads now tell each failure.

--- a/src/loader/installer.c
+++ b/src/loader/installer.c
@@ -216,10 +216,14 @@
         piece_store_add(installer->recovery_store, piece, message->body.data, message->body.size))
         installer->recovered_count++;
     installer->recovery_piece = piece + 1;
-    if (result == CALL_COMPLETE)
+    if (result == CALL_COMPLETE) {
         read_next_recovery_piece(installer);
-    else
-        installer->recovery_store = NULL;
+        return;
+    }
+    log_event(LOG_LEVEL_WARN, "install", "read-failed",
+              "version=%" PRIu64 " piece=%u result=%s recovery=1",
+              piece_store_version(installer->recovery_store), piece, http_call_result_name(result));
+    installer->recovery_store = NULL;
 }
 
 static void read_next_recovery_piece(struct installer *installer)
