--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -467,6 +468,8 @@
             process.kill()
         for engine in self.engines:
             engine.alive = False
+        if os.environ.get("KEEP_LOGS", "0") == "0":
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Clients:
